--- /dev/null
+++ b/base/hist.c
@@ -0,0 +1,74 @@
+/* Histograms with logarithmic bins over GSL's.  */
+
+#include <gsl/gsl_histogram.h>
+#include <math.h>
+
+#include "base/base.h"
+
+/* Bins of a tenth of an octave: quantiles are off by 7% at most.  */
+#define BINS_PER_DECADE 33
+
+void
+cv_hist_init (cv_hist_t *h, double low, double high)
+{
+  double decades = log10 (high / low);
+  size_t bins = (size_t)ceil (decades * BINS_PER_DECADE);
+
+  CV_INVARIANT (low > 0 && high > low);
+  h->bins = gsl_histogram_alloc (bins);
+  CV_INVARIANT (h->bins != NULL);
+  gsl_histogram_set_ranges_uniform (h->bins, log10 (low), log10 (high));
+  h->sum = 0;
+  h->max = 0;
+  h->count = 0;
+}
+
+void
+cv_hist_finish (cv_hist_t *h)
+{
+  gsl_histogram_free (h->bins);
+  h->bins = NULL;
+}
+
+void
+cv_hist_add (cv_hist_t *h, double value)
+{
+  gsl_histogram *bins = h->bins;
+  double low = gsl_histogram_min (bins);
+  double high = gsl_histogram_max (bins);
+  double x = value > 0 ? log10 (value) : low;
+
+  if (x < low)
+    x = low;
+  if (x >= high)
+    x = nextafter (high, low);
+  (void)gsl_histogram_increment (bins, x);
+  h->sum += value;
+  if (value > h->max)
+    h->max = value;
+  h->count++;
+}
+
+double
+cv_hist_quantile (const cv_hist_t *h, double q)
+{
+  const gsl_histogram *bins = h->bins;
+  double rank = q * (double)h->count;
+  double seen = 0;
+
+  if (h->count == 0)
+    return 0;
+  for (size_t i = 0; i < gsl_histogram_bins (bins); i++)
+    {
+      double lower;
+      double upper;
+
+      seen += gsl_histogram_get (bins, i);
+      if (seen < rank || seen == 0)
+        continue;
+      if (gsl_histogram_get_range (bins, i, &lower, &upper) != 0)
+        return 0;
+      return fmin (pow (10, upper), h->max);
+    }
+  return h->max;
+}
--- a/store/store.h
+++ b/store/store.h
@@ -8,53 +8,54 @@
 #include "base/base.h"
 
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
-/* Counts of calls, for the budget of the object API.  */
-typedef struct
-{
-  uint64_t reads;
-  uint64_t writes;
-  uint64_t failures;
-  uint64_t settled; /* lost answers that a read settled */
-} cv_store_counts_t;
+  /* Counts of calls, for the budget of the object API.  */
+  typedef struct
+  {
+    uint64_t reads;
+    uint64_t writes;
+    uint64_t failures;
+    uint64_t settled; /* lost answers that a read settled */
+  } cv_store_counts_t;
 
-typedef struct
-{
-  char url[128]; /* http://IP:PORT */
-  int timeout_ms;
-  cv_store_counts_t counts;
-} cv_store_t;
+  typedef struct
+  {
+    char url[128]; /* http://IP:PORT */
+    int timeout_ms;
+    cv_store_counts_t counts;
+  } cv_store_t;
 
-typedef struct
-{
-  uint64_t version; /* 0: does not exist */
-  char *json;       /* value, owned; NULL when none */
-} cv_object_t;
-
-void cv_store_init (cv_store_t *s, const char *url, int timeout_ms);
-void cv_store_finish (cv_store_t *s);
-void cv_object_finish (cv_object_t *o);
-
-/* Read KEY; an object that does not exist is version 0 and success.
-   ERR is UNAVAILABLE when the store did not answer.  */
-bool cv_store_get (cv_store_t *s, const char *key, cv_object_t *out,
-                   cv_error_t *err);
-
-/* Conditional write: succeeds only on VERSION (0 creates).  *NEW_VERSION is
-   set on success.  ERR: CONFLICT, UNAVAILABLE (took no effect) or UNKNOWN
-   (the answer was lost).  */
-bool cv_store_put (cv_store_t *s, const char *key, uint64_t version,
-                   const char *json, uint64_t *new_version, cv_error_t *err);
-
-/* As cv_store_put, but JSON carries "nonce": a lost answer is settled by
-   reading it back, tried until DEADLINE.  UNKNOWN is left only when the
-   store does not answer until then.  */
-bool cv_store_put_settled (cv_store_t *s, const char *key, uint64_t version,
-                           const char *json, const char *nonce,
-                           cv_time_t deadline, uint64_t *new_version,
-                           cv_error_t *err);
+  typedef struct
+  {
+    uint64_t version; /* 0: does not exist */
+    char *json;       /* value, owned; NULL when none */
+  } cv_object_t;
+
+  void cv_store_init (cv_store_t *s, const char *url, int timeout_ms);
+  void cv_store_finish (cv_store_t *s);
+  void cv_object_finish (cv_object_t *o);
+
+  /* Read KEY; an object that does not exist is version 0 and success.
+     ERR is UNAVAILABLE when the store did not answer.  */
+  bool cv_store_get (cv_store_t *s, const char *key, cv_object_t *out,
+                     cv_error_t *err);
+
+  /* Conditional write: succeeds only on VERSION (0 creates).  *NEW_VERSION is
+     set on success.  ERR: CONFLICT, UNAVAILABLE (took no effect) or UNKNOWN
+     (the answer was lost).  */
+  bool cv_store_put (cv_store_t *s, const char *key, uint64_t version,
+                     const char *json, uint64_t *new_version, cv_error_t *err);
+
+  /* As cv_store_put, but JSON carries "nonce": a lost answer is settled by
+     reading it back, tried until DEADLINE.  UNKNOWN is left only when the
+     store does not answer until then.  */
+  bool cv_store_put_settled (cv_store_t *s, const char *key, uint64_t version,
+                             const char *json, const char *nonce,
+                             cv_time_t deadline, uint64_t *new_version,
+                             cv_error_t *err);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/wire/decode.c
@@ -0,0 +1,318 @@
+/* Decoding of messages.  Every field is checked for kind, range and length
+   before use; slices point into the frame.  */
+
+#include <msgpack.h>
+#include <string.h>
+
+#include "wire/wire.h"
+
+/* Reads the fields of one message in order; once a field is wrong, OK stays
+   false and all further reads give zero.  */
+typedef struct
+{
+  const msgpack_object *next;
+  uint32_t left;
+  bool ok;
+} cursor_t;
+
+static const msgpack_object *take (cursor_t *c);
+static uint64_t get_u64 (cursor_t *c, uint64_t max);
+static cv_slice_t get_slice (cursor_t *c, size_t max);
+static void get_text (cursor_t *c, char *dst, size_t size);
+static cv_id_t get_id (cursor_t *c);
+static void get_versions (cursor_t *c, cv_versions_t *v);
+static void get_load (cursor_t *c, cv_load_t *l);
+static void get_ticket (cursor_t *c, cv_ticket_t *t);
+static void get_report (cursor_t *c, cv_msg_report_t *m);
+static void get_submit (cursor_t *c, cv_msg_submit_t *m);
+static void get_call (cursor_t *c, cv_msg_call_t *m);
+static void get_tokens (cursor_t *c, cv_msg_tokens_t *m);
+static void get_answer (cursor_t *c, cv_msg_call_result_t *m);
+static void get_body (cursor_t *c, cv_msg_t *msg);
+static bool get_message (const msgpack_object *root, cv_msg_t *msg);
+
+static const msgpack_object *
+take (cursor_t *c)
+{
+  if (!c->ok || c->left == 0)
+    {
+      c->ok = false;
+      return NULL;
+    }
+  c->left--;
+  return c->next++;
+}
+
+static uint64_t
+get_u64 (cursor_t *c, uint64_t max)
+{
+  const msgpack_object *o = take (c);
+
+  if (o == NULL)
+    return 0;
+  if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+    {
+      c->ok = false;
+      return 0;
+    }
+  return o->via.u64;
+}
+
+static cv_slice_t
+get_slice (cursor_t *c, size_t max)
+{
+  const msgpack_object *o = take (c);
+  cv_slice_t s = { "", 0 };
+
+  if (o == NULL)
+    return s;
+  if (o->type != MSGPACK_OBJECT_BIN || o->via.bin.size > max)
+    {
+      c->ok = false;
+      return s;
+    }
+  s.p = o->via.bin.ptr;
+  s.n = o->via.bin.size;
+  return s;
+}
+
+static void
+get_text (cursor_t *c, char *dst, size_t size)
+{
+  cv_slice_t s = get_slice (c, size - 1);
+
+  if (memchr (s.p, '\0', s.n) != NULL || !cv_copy_slice (dst, size, s))
+    c->ok = false;
+}
+
+static cv_id_t
+get_id (cursor_t *c)
+{
+  cv_id_t id = { 0, 0 };
+  cv_slice_t s = get_slice (c, sizeof id);
+
+  if (s.n == sizeof id)
+    memcpy (&id, s.p, sizeof id);
+  else
+    c->ok = false;
+  return id;
+}
+
+static void
+get_versions (cursor_t *c, cv_versions_t *v)
+{
+  for (int i = 0; i < CV_DOC_COUNT; i++)
+    v->version[i] = get_u64 (c, UINT64_MAX);
+  v->age_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+}
+
+static void
+get_load (cursor_t *c, cv_load_t *l)
+{
+  l->running = (uint32_t)get_u64 (c, UINT32_MAX);
+  l->waiting = (uint32_t)get_u64 (c, UINT32_MAX);
+  l->kv_used = get_u64 (c, UINT64_MAX);
+  l->kv_total = get_u64 (c, UINT64_MAX);
+  l->kv_promised = get_u64 (c, UINT64_MAX);
+  l->preemptions = get_u64 (c, UINT64_MAX);
+  l->token_us = (uint32_t)get_u64 (c, UINT32_MAX);
+  l->age_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+}
+
+static void
+get_ticket (cursor_t *c, cv_ticket_t *t)
+{
+  get_text (c, t->target, sizeof t->target);
+  t->incarnation = get_u64 (c, UINT64_MAX);
+  t->generation = (uint32_t)get_u64 (c, UINT32_MAX);
+  t->nonce = get_id (c);
+}
+
+static void
+get_report (cursor_t *c, cv_msg_report_t *m)
+{
+  get_text (c, m->target, sizeof m->target);
+  get_text (c, m->pool, sizeof m->pool);
+  get_text (c, m->failure_domain, sizeof m->failure_domain);
+  m->incarnation = get_u64 (c, UINT64_MAX);
+  m->generation = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->state = (cv_target_state_t)get_u64 (c, CV_TARGET_DOWN);
+  get_load (c, &m->load);
+  get_versions (c, &m->versions);
+  if (m->state < CV_TARGET_LIVE)
+    c->ok = false;
+}
+
+static void
+get_submit (cursor_t *c, cv_msg_submit_t *m)
+{
+  m->stream = get_id (c);
+  m->incarnation = get_u64 (c, UINT64_MAX);
+  m->config_version = get_u64 (c, UINT64_MAX);
+  get_text (c, m->account, sizeof m->account);
+  get_text (c, m->class_name, sizeof m->class_name);
+  get_text (c, m->model, sizeof m->model);
+  m->priority = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->max_tokens = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->deadline_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->expect = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->content_hash = get_u64 (c, UINT64_MAX);
+  m->prompt = get_slice (c, CV_BODY_MAX);
+}
+
+static void
+get_call (cursor_t *c, cv_msg_call_t *m)
+{
+  m->request = get_id (c);
+  get_ticket (c, &m->ticket);
+  m->config_version = get_u64 (c, UINT64_MAX);
+  get_text (c, m->account, sizeof m->account);
+  get_text (c, m->method, sizeof m->method);
+  m->path = get_slice (c, CV_BODY_MAX);
+  m->content_type = get_slice (c, CV_BODY_MAX);
+  m->body = get_slice (c, CV_BODY_MAX);
+  m->deadline_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->content_hash = get_u64 (c, UINT64_MAX);
+}
+
+static void
+get_tokens (cursor_t *c, cv_msg_tokens_t *m)
+{
+  const msgpack_object *o;
+  cursor_t items;
+
+  m->stream = get_id (c);
+  m->offset = (uint32_t)get_u64 (c, UINT32_MAX - CV_TOKENS_MAX);
+  o = take (c);
+  if (o == NULL || o->type != MSGPACK_OBJECT_ARRAY
+      || o->via.array.size > CV_TOKENS_MAX)
+    {
+      c->ok = false;
+      return;
+    }
+  items.next = o->via.array.ptr;
+  items.left = o->via.array.size;
+  items.ok = true;
+  m->count = o->via.array.size;
+  for (uint32_t i = 0; i < m->count; i++)
+    m->token[i] = get_slice (&items, CV_BODY_MAX);
+  c->ok = c->ok && items.ok;
+}
+
+static void
+get_answer (cursor_t *c, cv_msg_call_result_t *m)
+{
+  m->request = get_id (c);
+  m->outcome = (cv_outcome_t)get_u64 (c, CV_OUTCOME_INTERRUPTED);
+  m->status = (uint32_t)get_u64 (c, 999);
+  m->replayed = get_u64 (c, 1) != 0;
+  m->content_type = get_slice (c, CV_BODY_MAX);
+  m->body = get_slice (c, CV_BODY_MAX);
+}
+
+static void
+get_body (cursor_t *c, cv_msg_t *msg)
+{
+  switch (msg->type)
+    {
+    case CV_MSG_HELLO:
+      get_text (c, msg->u.hello.instance, sizeof msg->u.hello.instance);
+      msg->u.hello.incarnation = get_u64 (c, UINT64_MAX);
+      get_versions (c, &msg->u.hello.versions);
+      break;
+    case CV_MSG_REPORT:
+      get_report (c, &msg->u.report);
+      break;
+    case CV_MSG_DOC_PULL:
+      msg->u.doc_pull.doc = (cv_doc_t)get_u64 (c, CV_DOC_COUNT - 1);
+      break;
+    case CV_MSG_DOC:
+      msg->u.doc.doc = (cv_doc_t)get_u64 (c, CV_DOC_COUNT - 1);
+      msg->u.doc.version = get_u64 (c, UINT64_MAX);
+      msg->u.doc.body = get_slice (c, CV_BODY_MAX);
+      break;
+    case CV_MSG_SUBMIT:
+      get_submit (c, &msg->u.submit);
+      break;
+    case CV_MSG_ATTACH:
+      msg->u.attach.stream = get_id (c);
+      msg->u.attach.incarnation = get_u64 (c, UINT64_MAX);
+      msg->u.attach.offset = (uint32_t)get_u64 (c, UINT32_MAX);
+      get_text (c, msg->u.attach.account, sizeof msg->u.attach.account);
+      break;
+    case CV_MSG_DETACH:
+    case CV_MSG_CANCEL:
+      msg->u.stream.stream = get_id (c);
+      break;
+    case CV_MSG_CALL:
+      get_call (c, &msg->u.call);
+      break;
+    case CV_MSG_REVOKE:
+      msg->u.revoke.request = get_id (c);
+      get_ticket (c, &msg->u.revoke.ticket);
+      get_text (c, msg->u.revoke.account, sizeof msg->u.revoke.account);
+      break;
+    case CV_MSG_ACCEPTED:
+      msg->u.accepted.stream = get_id (c);
+      break;
+    case CV_MSG_REJECTED:
+      msg->u.rejected.id = get_id (c);
+      msg->u.rejected.reason = (cv_reject_t)get_u64 (c, CV_REJECT_ENGINE);
+      msg->u.rejected.retry_after_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+      c->ok = c->ok && msg->u.rejected.reason >= CV_REJECT_LEAVING;
+      break;
+    case CV_MSG_TOKENS:
+      get_tokens (c, &msg->u.tokens);
+      break;
+    case CV_MSG_END:
+      msg->u.end.stream = get_id (c);
+      msg->u.end.end = (cv_end_t)get_u64 (c, CV_END_RECLAIMED);
+      msg->u.end.total = (uint32_t)get_u64 (c, UINT32_MAX);
+      c->ok = c->ok && msg->u.end.end >= CV_END_STOP;
+      break;
+    case CV_MSG_CALL_RESULT:
+      get_answer (c, &msg->u.call_result);
+      break;
+    case CV_MSG_LAST:
+      c->ok = false;
+      break;
+    }
+}
+
+static bool
+get_message (const msgpack_object *root, cv_msg_t *msg)
+{
+  cursor_t c;
+
+  if (root->type != MSGPACK_OBJECT_ARRAY)
+    return false;
+  c.next = root->via.array.ptr;
+  c.left = root->via.array.size;
+  c.ok = true;
+  if (get_u64 (&c, UINT64_MAX) != CV_WIRE_VERSION)
+    return false;
+  msg->type = (cv_msg_type_t)get_u64 (&c, CV_MSG_LAST - 1);
+  if (!c.ok || msg->type < CV_MSG_HELLO)
+    return false;
+  get_body (&c, msg);
+  return c.ok && c.left == 0;
+}
+
+bool
+cv_msg_decode (cv_msg_t *msg, const void *data, size_t n, cv_error_t *err)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  msgpack_unpack_return got;
+  bool ok;
+
+  msgpack_unpacked_init (&unpacked);
+  got = msgpack_unpack_next (&unpacked, data, n, &offset);
+  ok = got == MSGPACK_UNPACK_SUCCESS && offset == n
+       && get_message (&unpacked.data, msg);
+  msgpack_unpacked_destroy (&unpacked);
+  if (!ok)
+    return cv_fail (err, CV_ERR_INVALID, "frame of %zu bytes: not a message",
+                    n);
+  return true;
+}
--- /dev/null
+++ b/wire/tests/codec_test.cc
@@ -0,0 +1,165 @@
+/* Scripted runs of the codec: what is encoded, printed after decoding.  */
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "wire/wire.h"
+
+namespace
+{
+
+std::string
+encode (const cv_msg_t &msg)
+{
+  cv_buf_t buf;
+
+  cv_buf_init (&buf);
+  cv_msg_encode (&msg, &buf);
+  std::string frame (buf.p, buf.n);
+  cv_buf_finish (&buf);
+  return frame;
+}
+
+cv_msg_t
+tokens_message ()
+{
+  cv_msg_t msg;
+
+  memset (&msg, 0, sizeof msg);
+  msg.type = CV_MSG_TOKENS;
+  msg.u.tokens.stream = { 1, 2 };
+  msg.u.tokens.offset = 40;
+  msg.u.tokens.count = 2;
+  msg.u.tokens.token[0] = cv_slice ("report ");
+  msg.u.tokens.token[1] = cv_slice ("");
+  return msg;
+}
+
+/* Every message type, zeroed but for what its checks ask.  */
+cv_msg_t
+message_of (int type)
+{
+  cv_msg_t msg;
+
+  memset (&msg, 0, sizeof msg);
+  msg.type = static_cast<cv_msg_type_t> (type);
+  if (type == CV_MSG_REPORT)
+    msg.u.report.state = CV_TARGET_LIVE;
+  if (type == CV_MSG_REJECTED)
+    msg.u.rejected.reason = CV_REJECT_FULL;
+  if (type == CV_MSG_END)
+    msg.u.end.end = CV_END_STOP;
+  return msg;
+}
+
+TEST (Codec, TokensKeepOffsetAndText)
+{
+  std::string frame = encode (tokens_message ());
+  cv_msg_t out;
+
+  ASSERT_TRUE (cv_msg_decode (&out, frame.data (), frame.size (), nullptr));
+  EXPECT_EQ (out.type, CV_MSG_TOKENS);
+  EXPECT_EQ (out.u.tokens.offset, 40u);
+  ASSERT_EQ (out.u.tokens.count, 2u);
+  EXPECT_EQ (std::string (out.u.tokens.token[0].p, out.u.tokens.token[0].n),
+             "report ");
+  EXPECT_EQ (out.u.tokens.token[1].n, 0u);
+}
+
+TEST (Codec, EveryTypeComesBack)
+{
+  for (int type = CV_MSG_HELLO; type < CV_MSG_LAST; type++)
+    {
+      std::string frame = encode (message_of (type));
+      cv_msg_t out;
+
+      ASSERT_TRUE (cv_msg_decode (&out, frame.data (), frame.size (), nullptr))
+          << cv_msg_name (static_cast<cv_msg_type_t> (type));
+      EXPECT_EQ (out.type, type);
+      EXPECT_EQ (encode (out), frame);
+    }
+}
+
+TEST (Codec, EveryCutOrExtendedFrameIsRefused)
+{
+  for (int type = CV_MSG_HELLO; type < CV_MSG_LAST; type++)
+    {
+      std::string frame = encode (message_of (type));
+      cv_msg_t out;
+
+      for (size_t n = 0; n < frame.size (); n++)
+        EXPECT_FALSE (cv_msg_decode (&out, frame.data (), n, nullptr));
+      frame.push_back ('\0');
+      EXPECT_FALSE (
+          cv_msg_decode (&out, frame.data (), frame.size (), nullptr));
+    }
+}
+
+TEST (Codec, ChangedBytesNeverCrash)
+{
+  std::string frame = encode (tokens_message ());
+
+  for (size_t i = 0; i < frame.size (); i++)
+    for (int value = 0; value < 256; value++)
+      {
+        std::string bad = frame;
+        cv_msg_t out;
+
+        bad[i] = static_cast<char> (value);
+        if (cv_msg_decode (&out, bad.data (), bad.size (), nullptr))
+          {
+            EXPECT_LE (out.u.tokens.count, CV_TOKENS_MAX);
+          }
+      }
+}
+
+TEST (Text, TicketAndPositionRoundTrip)
+{
+  cv_ticket_t t = {};
+  cv_ticket_t back;
+  cv_position_t p = {};
+  cv_position_t pos;
+  char text[CV_TICKET_TEXT];
+
+  ASSERT_TRUE (cv_copy (t.target, sizeof t.target, "portal-2"));
+  t.incarnation = 0xfeedbeefcafef00d;
+  t.generation = 7;
+  t.nonce = { 3, 4 };
+  ASSERT_TRUE (cv_ticket_parse (&back, cv_slice (cv_ticket_format (&t, text))));
+  EXPECT_STREQ (back.target, "portal-2");
+  EXPECT_EQ (back.incarnation, t.incarnation);
+  EXPECT_EQ (back.generation, 7u);
+  EXPECT_TRUE (cv_id_equal (back.nonce, t.nonce));
+  ASSERT_TRUE (cv_copy (p.target, sizeof p.target, "narrator-9"));
+  p.stream = { 5, 6 };
+  p.offset = 4294967295u;
+  ASSERT_TRUE (
+      cv_position_parse (&pos, cv_slice (cv_position_format (&p, text))));
+  EXPECT_EQ (pos.offset, p.offset);
+  EXPECT_TRUE (cv_id_equal (pos.stream, p.stream));
+}
+
+TEST (Text, MalformedTicketsAreRefused)
+{
+  static const char *const bad[] = {
+    "",
+    "a",
+    "a~b~c",
+    "~1~1~00000000000000000000000000000001",
+    "a~1~1~00000000000000000000000000000000",
+    "a~1~4294967296~00000000000000000000000000000001",
+    "a~10000000000000000~1~00000000000000000000000000000001",
+    "a~-1~1~00000000000000000000000000000001",
+    "a~1~1~0000000000000000000000000000001",
+    "a~1~1~00000000000000000000000000000001~",
+    "a b~1~1~00000000000000000000000000000001",
+  };
+  cv_ticket_t t;
+
+  for (const char *text : bad)
+    EXPECT_FALSE (cv_ticket_parse (&t, cv_slice (text))) << text;
+}
+
+}
