--- /dev/null
+++ b/policy/length.c
@@ -0,0 +1,224 @@
+/* Output lengths: one decayed histogram with bins of equal ratio for each
+   key, for each pair of class and model, and for all.  A sparse level leans
+   on the level above it, the uppermost on a log-uniform prior.  */
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "policy/length.h"
+#include "policy/map.h"
+
+/* Bins of ratio 2^(1/4): bin B starts at 2^(B/4) tokens.  */
+#define BINS 68
+#define BINS_PER_OCTAVE 4
+/* Samples after which an old one weighs 1/e.  */
+#define MEMORY_SAMPLES 150.0
+/* Weight of the level above, in samples.  */
+#define PARENT_SAMPLES 6.0
+#define INCREMENT_MAX 1e12
+
+typedef struct
+{
+  float above[BINS + 1]; /* weight of the samples in bins >= the index */
+  float increment;       /* weight of the next sample */
+  uint32_t used;         /* tick of the last observation */
+} length_dist_t;
+
+struct cv_length_t
+{
+  cv_map_t index;
+  length_dist_t *dists; /* 0: all; then keys and pairs */
+  uint64_t *names;
+  uint32_t count;
+  uint32_t max;
+  uint32_t tick;
+};
+
+static uint32_t bin_of (uint32_t tokens);
+static uint64_t pair_name (const cv_length_key_t *key);
+static uint64_t full_name (const cv_length_key_t *key);
+static length_dist_t *dist_get (cv_length_t *l, uint64_t name);
+static void dist_add (length_dist_t *d, uint32_t bin);
+static double dist_above (const length_dist_t *d, double x);
+static double blended (const cv_length_t *l, const cv_length_key_t *key,
+                       double x);
+
+cv_length_t *
+cv_length_new (uint32_t max_keys)
+{
+  cv_length_t *l = cv_calloc (1, sizeof *l);
+
+  l->max = max_keys + 1;
+  l->dists = cv_calloc (l->max, sizeof *l->dists);
+  l->names = cv_calloc (l->max, sizeof *l->names);
+  l->count = 1;
+  cv_map_init (&l->index);
+  return l;
+}
+
+void
+cv_length_free (cv_length_t *l)
+{
+  if (l == NULL)
+    return;
+  cv_map_finish (&l->index);
+  free (l->dists);
+  free (l->names);
+  free (l);
+}
+
+static uint32_t
+bin_of (uint32_t tokens)
+{
+  double b = BINS_PER_OCTAVE * log2 (tokens < 1 ? 1.0 : (double)tokens);
+
+  return b >= BINS - 1 ? BINS - 1 : (uint32_t)b;
+}
+
+static uint64_t
+pair_name (const cv_length_key_t *key)
+{
+  return cv_mix (key->class_id * 3 + cv_mix (key->model)) | 1;
+}
+
+static uint64_t
+full_name (const cv_length_key_t *key)
+{
+  return cv_mix (pair_name (key) + cv_mix (key->account)) & ~1ULL;
+}
+
+/* Find or make the histogram NAME; the oldest of a few gives way when the
+   table is full.  */
+static length_dist_t *
+dist_get (cv_length_t *l, uint64_t name)
+{
+  uint32_t i = cv_map_get (&l->index, name);
+
+  if (i != CV_MAP_NONE)
+    return &l->dists[i];
+  if (l->count < l->max)
+    i = l->count++;
+  else
+    {
+      i = 1 + (uint32_t)(cv_mix (name) % (l->max - 1));
+      for (uint32_t k = 1; k < 8; k++)
+        {
+          uint32_t j = 1 + (uint32_t)(cv_mix (name + k) % (l->max - 1));
+
+          if (l->dists[j].used < l->dists[i].used)
+            i = j;
+        }
+      cv_map_remove (&l->index, l->names[i]);
+    }
+  l->dists[i] = (length_dist_t){ 0 };
+  l->names[i] = name;
+  cv_map_put (&l->index, name, i);
+  return &l->dists[i];
+}
+
+static void
+dist_add (length_dist_t *d, uint32_t bin)
+{
+  if (d->increment <= 0)
+    d->increment = 1;
+  d->increment *= (float)(1.0 + 1.0 / MEMORY_SAMPLES);
+  for (uint32_t b = 0; b <= bin; b++)
+    d->above[b] += d->increment;
+  if (d->increment < (float)INCREMENT_MAX)
+    return;
+  for (uint32_t b = 0; b <= BINS; b++)
+    d->above[b] /= d->increment;
+  d->increment = 1;
+}
+
+void
+cv_length_observe (cv_length_t *l, const cv_length_key_t *key, uint32_t tokens)
+{
+  uint32_t bin = bin_of (tokens);
+  length_dist_t *d;
+
+  l->tick++;
+  dist_add (&l->dists[0], bin);
+  if (l->max < 3)
+    return;
+  d = dist_get (l, pair_name (key));
+  d->used = l->tick;
+  dist_add (d, bin);
+  d = dist_get (l, full_name (key));
+  d->used = l->tick;
+  dist_add (d, bin);
+}
+
+/* Weight of the samples longer than 2^(X/4) tokens, interpolated in the
+   bin and in units of one fresh sample.  */
+static double
+dist_above (const length_dist_t *d, double x)
+{
+  uint32_t b;
+  double part;
+
+  if (d->increment <= 0)
+    return 0;
+  if (x >= BINS)
+    return 0;
+  b = (uint32_t)x;
+  part = x - b;
+  return ((1 - part) * d->above[b] + part * d->above[b + 1]) / d->increment;
+}
+
+/* Probability that an output is longer than 2^(X/4) tokens.  */
+static double
+blended (const cv_length_t *l, const cv_length_key_t *key, double x)
+{
+  double p = x >= BINS ? 0 : 1.0 - x / BINS;
+  uint32_t level[3] = { 0, cv_map_get (&l->index, pair_name (key)),
+                        cv_map_get (&l->index, full_name (key)) };
+
+  for (int i = 0; i < 3; i++)
+    {
+      const length_dist_t *d;
+      double total;
+
+      if (level[i] == CV_MAP_NONE)
+        continue;
+      d = &l->dists[level[i]];
+      total = dist_above (d, 0);
+      p = (PARENT_SAMPLES * p + dist_above (d, x)) / (PARENT_SAMPLES + total);
+    }
+  return p;
+}
+
+double
+cv_length_survival (const cv_length_t *l, const cv_length_key_t *key,
+                    uint32_t produced, uint32_t further)
+{
+  double from = BINS_PER_OCTAVE * log2 (produced < 1 ? 1.0 : produced);
+  double to = BINS_PER_OCTAVE
+              * log2 ((double)(produced < 1 ? 1 : produced) + further);
+  double base = blended (l, key, from);
+
+  return base <= 0 ? 0 : blended (l, key, to) / base;
+}
+
+uint32_t
+cv_length_remaining (const cv_length_t *l, const cv_length_key_t *key,
+                     uint32_t produced, uint32_t limit, double q)
+{
+  uint32_t low = 0;
+  uint32_t high;
+
+  if (produced >= limit)
+    return 0;
+  high = limit - produced;
+  /* Fewest further tokens that the output exceeds with at most 1 - Q.  */
+  while (low < high)
+    {
+      uint32_t mid = low + (high - low) / 2;
+
+      if (cv_length_survival (l, key, produced, mid) <= 1 - q)
+        high = mid;
+      else
+        low = mid + 1;
+    }
+  return high > 0 ? high : 1;
+}
--- /dev/null
+++ b/policy/limits.c
@@ -0,0 +1,244 @@
+/* Account limits: concurrency, a token bucket charged as tokens are produced,
+   and, under pressure, the weighted share of recent work.  Each entry enforces
+   its part of what the operator declared.  */
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "policy/map.h"
+#include "policy/policy.h"
+
+/* Time in which recent work decays to 1/e.  */
+#define RECENT_US (10.0 * 1e6)
+/* An account may take this multiple of its weighted share under pressure.  */
+#define SHARE_SLACK 1.2
+#define RETRY_MIN_MS 200
+#define RETRY_MAX_MS 30000
+#define RETRY_CONCURRENCY_MS 500
+#define RETRY_OVERLOAD_MS 1000
+
+typedef struct account_t
+{
+  TAILQ_ENTRY (account_t) link; /* in the active list, by last activity */
+  cv_account_limits_t limits;
+  uint32_t in_flight;
+  double bucket; /* tokens left, negative while in debt */
+  double recent; /* decayed work, tokens */
+  cv_time_t updated;
+  cv_time_t asked; /* last request or token */
+  bool started;    /* the bucket has been filled once */
+  bool active;     /* in the active list */
+} account_t;
+
+struct cv_limits_t
+{
+  cv_map_t index;
+  account_t **accounts;
+  TAILQ_HEAD (, account_t) active;
+  uint32_t count;
+  uint32_t cap;
+  uint32_t share;
+  double pressure;
+  double recent_sum; /* of all accounts, decayed alike */
+  double weight_sum; /* of the active accounts */
+  cv_time_t updated;
+  cv_rng_t rng;
+};
+
+static account_t *account_get (cv_limits_t *l, uint64_t name);
+static void account_update (cv_limits_t *l, account_t *a, cv_time_t now);
+static void account_touch (cv_limits_t *l, account_t *a, cv_time_t now);
+static void sums_update (cv_limits_t *l, cv_time_t now);
+static bool over_share (const cv_limits_t *l, const account_t *a);
+static cv_admission_t refuse (cv_limits_t *l, const char *reason, double ms);
+
+cv_limits_t *
+cv_limits_new (uint64_t seed)
+{
+  cv_limits_t *l = cv_calloc (1, sizeof *l);
+
+  cv_map_init (&l->index);
+  TAILQ_INIT (&l->active);
+  l->share = 1;
+  cv_rng_init (&l->rng, seed);
+  return l;
+}
+
+void
+cv_limits_free (cv_limits_t *l)
+{
+  if (l == NULL)
+    return;
+  cv_map_finish (&l->index);
+  cv_rng_finish (&l->rng);
+  for (uint32_t i = 0; i < l->count; i++)
+    free (l->accounts[i]);
+  free (l->accounts);
+  free (l);
+}
+
+static account_t *
+account_get (cv_limits_t *l, uint64_t name)
+{
+  uint32_t i = cv_map_get (&l->index, name);
+
+  if (i != CV_MAP_NONE)
+    return l->accounts[i];
+  if (l->count == l->cap)
+    {
+      l->cap = l->cap ? l->cap * 2 : 64;
+      l->accounts = cv_realloc (l->accounts, l->cap * sizeof *l->accounts);
+    }
+  i = l->count++;
+  l->accounts[i] = cv_calloc (1, sizeof **l->accounts);
+  l->accounts[i]->limits.weight = 1;
+  cv_map_put (&l->index, name, i);
+  return l->accounts[i];
+}
+
+void
+cv_limits_set (cv_limits_t *l, uint64_t account,
+               const cv_account_limits_t *limits)
+{
+  account_t *a = account_get (l, account);
+  uint32_t before = a->limits.weight;
+
+  a->limits = *limits;
+  if (a->limits.weight == 0)
+    a->limits.weight = 1;
+  if (a->active)
+    l->weight_sum += (double)a->limits.weight - before;
+}
+
+void
+cv_limits_set_share (cv_limits_t *l, uint32_t entries)
+{
+  l->share = entries > 0 ? entries : 1;
+}
+
+void
+cv_limits_set_pressure (cv_limits_t *l, double pressure)
+{
+  l->pressure = pressure;
+}
+
+static void
+sums_update (cv_limits_t *l, cv_time_t now)
+{
+  account_t *a;
+
+  if (now > l->updated)
+    {
+      l->recent_sum *= exp (-(double)(now - l->updated) / RECENT_US);
+      l->updated = now;
+    }
+  while ((a = TAILQ_FIRST (&l->active)) != NULL
+         && now - a->asked > (cv_time_t)RECENT_US)
+    {
+      TAILQ_REMOVE (&l->active, a, link);
+      l->weight_sum -= a->limits.weight;
+      a->active = false;
+    }
+}
+
+/* Move A to the young end of the active list.  */
+static void
+account_touch (cv_limits_t *l, account_t *a, cv_time_t now)
+{
+  if (a->active)
+    TAILQ_REMOVE (&l->active, a, link);
+  else
+    l->weight_sum += a->limits.weight;
+  a->active = true;
+  a->asked = now;
+  TAILQ_INSERT_TAIL (&l->active, a, link);
+}
+
+static void
+account_update (cv_limits_t *l, account_t *a, cv_time_t now)
+{
+  double rate = (double)a->limits.tokens_per_s / l->share;
+  double burst = (double)a->limits.burst_tokens / l->share;
+  double dt = now > a->updated ? (double)(now - a->updated) : 0;
+
+  if (burst < rate)
+    burst = rate;
+  a->bucket = a->started ? a->bucket + rate * dt / 1e6 : burst;
+  if (a->bucket > burst)
+    a->bucket = burst;
+  a->recent *= exp (-dt / RECENT_US);
+  a->started = true;
+  if (now > a->updated)
+    a->updated = now;
+}
+
+static cv_admission_t
+refuse (cv_limits_t *l, const char *reason, double ms)
+{
+  uint32_t base = ms < RETRY_MIN_MS   ? RETRY_MIN_MS
+                  : ms > RETRY_MAX_MS ? RETRY_MAX_MS
+                                      : (uint32_t)ms;
+
+  return (cv_admission_t){ .admitted = false,
+                           .retry_after_ms = cv_retry_after_ms (&l->rng, base),
+                           .reason = reason };
+}
+
+/* Whether the account has taken more than its weighted part of the recent
+   work of the accounts that were active.  */
+static bool
+over_share (const cv_limits_t *l, const account_t *a)
+{
+  double fair;
+
+  if (l->recent_sum <= 0 || l->weight_sum <= 0)
+    return false;
+  fair = l->recent_sum * a->limits.weight / l->weight_sum;
+  return a->recent > SHARE_SLACK * fair;
+}
+
+cv_admission_t
+cv_limits_admit (cv_limits_t *l, cv_time_t now, uint64_t account,
+                 uint32_t expect)
+{
+  account_t *a = account_get (l, account);
+  uint32_t most = a->limits.concurrency;
+
+  (void)expect;
+  account_update (l, a, now);
+  account_touch (l, a, now);
+  sums_update (l, now);
+  if (most > 0 && a->in_flight >= (most + l->share - 1) / l->share)
+    return refuse (l, "concurrency", RETRY_CONCURRENCY_MS);
+  if (a->limits.tokens_per_s > 0 && a->bucket <= 0)
+    return refuse (l, "rate",
+                   1000 * (1 - a->bucket) * l->share / a->limits.tokens_per_s);
+  if (l->pressure >= 1 && over_share (l, a))
+    return refuse (l, "overload", RETRY_OVERLOAD_MS);
+  a->in_flight++;
+  return (cv_admission_t){ .admitted = true, .reason = "" };
+}
+
+void
+cv_limits_charge (cv_limits_t *l, cv_time_t now, uint64_t account,
+                  uint32_t tokens)
+{
+  account_t *a = account_get (l, account);
+
+  account_update (l, a, now);
+  account_touch (l, a, now);
+  sums_update (l, now);
+  a->bucket -= tokens;
+  a->recent += tokens;
+  l->recent_sum += tokens;
+}
+
+void
+cv_limits_ended (cv_limits_t *l, cv_time_t now, uint64_t account)
+{
+  account_t *a = account_get (l, account);
+
+  (void)now;
+  if (a->in_flight > 0)
+    a->in_flight--;
+}
--- /dev/null
+++ b/policy/retry.c
@@ -0,0 +1,44 @@
+/* Retry budget: each first attempt earns a part of a retry, so that retries
+   stay a fixed part of all attempts whoever causes them.  */
+
+#include "policy/policy.h"
+
+#define RETRY_RATIO 0.1
+#define RETRY_CAP 10.0
+/* What an idle account may spend before it has earned anything.  */
+#define RETRY_START 3.0
+
+void
+cv_retry_budget_init (cv_retry_budget_t *b)
+{
+  b->tokens = RETRY_START;
+  b->ratio = RETRY_RATIO;
+  b->cap = RETRY_CAP;
+}
+
+void
+cv_retry_budget_first (cv_retry_budget_t *b)
+{
+  b->tokens += b->ratio;
+  if (b->tokens > b->cap)
+    b->tokens = b->cap;
+}
+
+bool
+cv_retry_budget_take (cv_retry_budget_t *b)
+{
+  if (b->tokens < 1)
+    return false;
+  b->tokens -= 1;
+  return true;
+}
+
+uint32_t
+cv_retry_after_ms (cv_rng_t *rng, uint32_t base_ms)
+{
+  if (base_ms == 0)
+    base_ms = 1;
+  if (base_ms > UINT32_MAX / 2)
+    base_ms = UINT32_MAX / 2;
+  return base_ms + cv_rng_below (rng, base_ms);
+}
--- /dev/null
+++ b/policy/router.c
@@ -0,0 +1,341 @@
+/* Choice of a target from lagged reports and the entry's own work.
+
+   Each pool keeps a dense array of its targets.  A choice looks at a few
+   random targets of the pool and at the one that last got the same prefix,
+   and takes the cheapest, so that its cost does not grow with the pool and
+   entries with equal reports do not all choose alike.  */
+
+#include <stdlib.h>
+
+#include "policy/map.h"
+#include "policy/policy.h"
+
+/* Random candidates of one choice; a smaller pool is looked at whole.  */
+#define CANDIDATES 6
+/* Prefixes whose last target is remembered; a power of two.  */
+#define AFFINITY_CELLS 8192
+/* Prompt tokens cost this part of their memory less with a cached prefix.  */
+#define AFFINITY_GAIN 1.0
+/* A target whose streams of ours show no token for so long is left.  */
+#define STALL_AFTER (2 * CV_SECOND)
+#define PROBE_FIRST (1 * CV_SECOND)
+#define PROBE_MAX (30 * CV_SECOND)
+/* Load that streams held at the gate stand for, beside their memory.  */
+#define WAITING_COST 0.05
+#define NOISE 0.02
+
+typedef struct
+{
+  bool known;
+  uint64_t pool;
+  uint32_t place; /* index in the pool's array */
+  cv_target_state_t state;
+  cv_load_t load;
+  cv_time_t reported;
+  double unreported; /* own work started since the report, tokens */
+  uint32_t in_flight;
+  uint32_t decoding;    /* own streams that have shown a token */
+  cv_time_t progress;   /* last token of an own stream, or first start */
+  cv_time_t probe_at;   /* next probe of a stalled target */
+  cv_time_t probe_wait; /* time between probes, 0: not stalled */
+} target_t;
+
+typedef struct
+{
+  uint64_t name;
+  uint32_t *targets;
+  uint32_t count;
+  uint32_t cap;
+} pool_t;
+
+typedef struct
+{
+  uint64_t prefix;
+  uint32_t target;
+} affinity_t;
+
+struct cv_router_t
+{
+  target_t *targets;
+  uint32_t cap;
+  cv_map_t pool_index;
+  pool_t *pools;
+  uint32_t pool_count;
+  affinity_t affinity[AFFINITY_CELLS];
+  cv_rng_t rng;
+};
+
+static pool_t *pool_get (cv_router_t *r, uint64_t name);
+static void pool_add (cv_router_t *r, pool_t *p, uint32_t target);
+static void pool_remove (cv_router_t *r, uint32_t target);
+static affinity_t *affinity_cell (cv_router_t *r,
+                                  const cv_route_request_t *req);
+static bool stalled (const target_t *t, cv_time_t now);
+static bool usable (const target_t *t, cv_time_t now, uint32_t id,
+                    const cv_route_request_t *req);
+static double cost (cv_router_t *r, const target_t *t,
+                    const cv_route_request_t *req, bool cached);
+static double load_of (const target_t *t);
+
+cv_router_t *
+cv_router_new (uint64_t seed)
+{
+  cv_router_t *r = cv_calloc (1, sizeof *r);
+
+  cv_map_init (&r->pool_index);
+  cv_rng_init (&r->rng, seed);
+  return r;
+}
+
+void
+cv_router_free (cv_router_t *r)
+{
+  if (r == NULL)
+    return;
+  for (uint32_t i = 0; i < r->pool_count; i++)
+    free (r->pools[i].targets);
+  free (r->pools);
+  free (r->targets);
+  cv_map_finish (&r->pool_index);
+  cv_rng_finish (&r->rng);
+  free (r);
+}
+
+static pool_t *
+pool_get (cv_router_t *r, uint64_t name)
+{
+  uint32_t i = cv_map_get (&r->pool_index, name);
+
+  if (i == CV_MAP_NONE)
+    {
+      i = r->pool_count++;
+      r->pools = cv_realloc (r->pools, r->pool_count * sizeof *r->pools);
+      r->pools[i] = (pool_t){ .name = name };
+      cv_map_put (&r->pool_index, name, i);
+    }
+  return &r->pools[i];
+}
+
+static void
+pool_add (cv_router_t *r, pool_t *p, uint32_t target)
+{
+  if (p->count == p->cap)
+    {
+      p->cap = p->cap ? p->cap * 2 : 16;
+      p->targets = cv_realloc (p->targets, p->cap * sizeof *p->targets);
+    }
+  r->targets[target].place = p->count;
+  p->targets[p->count++] = target;
+}
+
+static void
+pool_remove (cv_router_t *r, uint32_t target)
+{
+  target_t *t = &r->targets[target];
+  pool_t *p = pool_get (r, t->pool);
+  uint32_t last = p->targets[--p->count];
+
+  p->targets[t->place] = last;
+  r->targets[last].place = t->place;
+}
+
+void
+cv_router_report (cv_router_t *r, cv_time_t now, uint32_t target, uint64_t pool,
+                  cv_target_state_t state, const cv_load_t *load)
+{
+  target_t *t;
+
+  if (target >= r->cap)
+    {
+      uint32_t cap = r->cap ? r->cap : 16;
+
+      while (cap <= target)
+        cap *= 2;
+      r->targets = cv_realloc (r->targets, cap * sizeof *r->targets);
+      for (uint32_t i = r->cap; i < cap; i++)
+        r->targets[i] = (target_t){ 0 };
+      r->cap = cap;
+    }
+  t = &r->targets[target];
+  if (t->known && t->pool != pool)
+    cv_router_remove (r, target);
+  if (!t->known)
+    {
+      *t = (target_t){ .known = true, .pool = pool, .progress = now };
+      pool_add (r, pool_get (r, pool), target);
+    }
+  t->state = state;
+  t->load = *load;
+  t->reported = now;
+  t->unreported = 0;
+}
+
+void
+cv_router_remove (cv_router_t *r, uint32_t target)
+{
+  if (target >= r->cap || !r->targets[target].known)
+    return;
+  pool_remove (r, target);
+  r->targets[target] = (target_t){ 0 };
+}
+
+static affinity_t *
+affinity_cell (cv_router_t *r, const cv_route_request_t *req)
+{
+  return &r->affinity[cv_mix (req->prefix_hash ^ req->pool)
+                      & (AFFINITY_CELLS - 1)];
+}
+
+/* Whether streams of ours were decoding there and have fallen silent.  */
+static bool
+stalled (const target_t *t, cv_time_t now)
+{
+  return t->decoding > 0 && now - t->progress > STALL_AFTER;
+}
+
+static bool
+usable (const target_t *t, cv_time_t now, uint32_t id,
+        const cv_route_request_t *req)
+{
+  if (t->state != CV_TARGET_LIVE || id == req->avoid)
+    return false;
+  if (now - t->reported > CV_PEER_TIMEOUT)
+    return false;
+  if (t->probe_wait > 0 || stalled (t, now))
+    return now >= t->probe_at && t->probe_wait > 0;
+  return true;
+}
+
+static double
+load_of (const target_t *t)
+{
+  double total = t->load.kv_total > 0 ? (double)t->load.kv_total : 1e5;
+
+  return ((double)t->load.kv_used + (double)t->load.kv_promised + t->unreported)
+             / total
+         + WAITING_COST * t->load.waiting;
+}
+
+static double
+cost (cv_router_t *r, const target_t *t, const cv_route_request_t *req,
+      bool cached)
+{
+  double total = t->load.kv_total > 0 ? (double)t->load.kv_total : 1e5;
+  double c = load_of (t) + NOISE * cv_rng_uniform (&r->rng);
+
+  return cached ? c - AFFINITY_GAIN * req->prompt_tokens / total : c;
+}
+
+uint32_t
+cv_router_pick (cv_router_t *r, cv_time_t now, const cv_route_request_t *req)
+{
+  pool_t *p = pool_get (r, req->pool);
+  const affinity_t *a = affinity_cell (r, req);
+  uint32_t best = CV_NO_TARGET;
+  double best_cost = 0;
+  uint32_t tries = p->count < 2 * CANDIDATES ? p->count : CANDIDATES;
+  uint32_t start = p->count > 0 ? cv_rng_below (&r->rng, p->count) : 0;
+
+  for (uint32_t i = 0; i < p->count; i++)
+    {
+      uint32_t id = p->targets[(start + i) % p->count];
+      bool cached = a->prefix == req->prefix_hash && a->target == id;
+      double c;
+
+      if (i >= tries && best != CV_NO_TARGET)
+        break;
+      if (!usable (&r->targets[id], now, id, req))
+        continue;
+      c = cost (r, &r->targets[id], req, cached);
+      if (best == CV_NO_TARGET || c < best_cost)
+        {
+          best = id;
+          best_cost = c;
+        }
+    }
+  if (a->prefix == req->prefix_hash && a->target < r->cap
+      && r->targets[a->target].known && r->targets[a->target].pool == req->pool
+      && usable (&r->targets[a->target], now, a->target, req)
+      && (best == CV_NO_TARGET
+          || cost (r, &r->targets[a->target], req, true) < best_cost))
+    best = a->target;
+  return best;
+}
+
+double
+cv_router_pressure (const cv_router_t *r, uint64_t pool)
+{
+  uint32_t i = cv_map_get (&r->pool_index, pool);
+  const pool_t *p;
+  double sum = 0;
+  uint32_t live = 0;
+
+  if (i == CV_MAP_NONE)
+    return 0;
+  p = &r->pools[i];
+  for (uint32_t k = 0; k < p->count; k++)
+    {
+      const target_t *t = &r->targets[p->targets[k]];
+
+      if (t->state != CV_TARGET_LIVE)
+        continue;
+      sum += load_of (t);
+      live++;
+    }
+  return live > 0 ? sum / live : 1;
+}
+
+void
+cv_router_started (cv_router_t *r, cv_time_t now, uint32_t target,
+                   const cv_route_request_t *req)
+{
+  target_t *t;
+  affinity_t *a = affinity_cell (r, req);
+
+  if (target >= r->cap || !r->targets[target].known)
+    return;
+  t = &r->targets[target];
+  a->prefix = req->prefix_hash;
+  a->target = target;
+  t->unreported += (double)req->prompt_tokens + req->expect;
+  if (t->in_flight++ == 0)
+    t->progress = now;
+  if (t->probe_wait > 0)
+    t->probe_at = now + t->probe_wait;
+}
+
+void
+cv_router_progress (cv_router_t *r, cv_time_t now, uint32_t target,
+                    uint32_t tokens)
+{
+  target_t *t;
+
+  if (target >= r->cap || tokens == 0)
+    return;
+  t = &r->targets[target];
+  t->progress = now;
+  t->probe_wait = 0;
+  t->decoding = t->in_flight;
+}
+
+void
+cv_router_ended (cv_router_t *r, cv_time_t now, uint32_t target,
+                 const cv_route_request_t *req, bool ok)
+{
+  target_t *t;
+
+  (void)req;
+  if (target >= r->cap || !r->targets[target].known)
+    return;
+  t = &r->targets[target];
+  if (t->in_flight > 0)
+    t->in_flight--;
+  /* The rest may still wait at the gate; their next token tells.  */
+  t->decoding = 0;
+  if (ok || now < t->probe_at)
+    return;
+  t->probe_wait = t->probe_wait == 0              ? PROBE_FIRST
+                  : t->probe_wait * 2 > PROBE_MAX ? PROBE_MAX
+                                                  : t->probe_wait * 2;
+  t->probe_at = now + t->probe_wait;
+}
