--- a/policy/gate.c
+++ b/policy/gate.c
@@ -235,7 +235,7 @@
     {
       uint32_t cap = g->slot_cap ? g->slot_cap * 2 : 64;
 
-      g->slots = cv_realloc (g->slots, cap * sizeof *g->slots);
+      g->slots = cv_realloc (g->slots, cap * sizeof (cv_gate_stream_t *));
       g->free_slots = cv_realloc (g->free_slots, cap * sizeof *g->free_slots);
       for (i = g->slot_cap; i < cap; i++)
         g->free_slots[g->free_count++] = i;
--- a/policy/gate_plan.c
+++ b/policy/gate_plan.c
@@ -31,7 +31,11 @@
 static void refuse_late (cv_gate_t *g, cv_time_t now, plan_t *p);
 static void pause_some (cv_gate_t *g, cv_time_t now, plan_t *p);
 static void start_some (cv_gate_t *g, cv_time_t now, plan_t *p);
+static bool cheaper (const cv_gate_stream_t *a, const cv_gate_stream_t *b);
 static cv_gate_stream_t *victim (const cv_gate_t *g);
+static bool before (const cv_gate_t *g, const cv_gate_stream_t *a,
+                    double level_a, const cv_gate_stream_t *b, double level_b);
+static double level_of (const cv_gate_stream_t *s, cv_time_t now);
 static cv_gate_stream_t *next_waiting (const cv_gate_t *g, cv_time_t now);
 
 static void
@@ -108,8 +112,19 @@
     }
 }
 
-/* The running stream whose pause costs least: the lowest class, then the one
-   paused least often, then the most memory freed for the work lost.  */
+/* Whether pausing A costs less than pausing B: the lower class, then the one
+   paused less often, then less work lost.  */
+static bool
+cheaper (const cv_gate_stream_t *a, const cv_gate_stream_t *b)
+{
+  if (a->work.priority != b->work.priority)
+    return a->work.priority < b->work.priority;
+  if (a->pauses != b->pauses)
+    return a->pauses < b->pauses;
+  return a->produced <= b->produced;
+}
+
+/* The running stream whose pause costs least.  */
 static cv_gate_stream_t *
 victim (const cv_gate_t *g)
 {
@@ -117,16 +132,8 @@
   cv_gate_stream_t *s;
 
   TAILQ_FOREACH (s, &g->running, link)
-  {
-    if (best == NULL || s->work.priority < best->work.priority)
-      best = s;
-    else if (s->work.priority > best->work.priority)
-      continue;
-    else if (s->pauses < best->pauses)
-      best = s;
-    else if (s->pauses == best->pauses && s->produced <= best->produced)
-      best = s;
-  }
+  if (best == NULL || cheaper (s, best))
+    best = s;
   return best;
 }
 
--- a/policy/limits.c
+++ b/policy/limits.c
@@ -30,11 +30,13 @@
   bool active;     /* in the active list */
 } account_t;
 
+typedef TAILQ_HEAD (account_list_t, account_t) account_list_t;
+
 struct cv_limits_t
 {
   cv_map_t index;
   account_t **accounts;
-  TAILQ_HEAD (, account_t) active;
+  account_list_t active; /* oldest activity first */
   uint32_t count;
   uint32_t cap;
   uint32_t share;
@@ -87,7 +89,7 @@
   if (l->count == l->cap)
     {
       l->cap = l->cap ? l->cap * 2 : 64;
-      l->accounts = cv_realloc (l->accounts, l->cap * sizeof *l->accounts);
+      l->accounts = cv_realloc (l->accounts, l->cap * sizeof (account_t *));
     }
   i = l->count++;
   l->accounts[i] = cv_calloc (1, sizeof **l->accounts);
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -67,8 +67,8 @@
                            const cv_route_request_t *req);
   /* Mean load of the pool's targets as last reported, corrected by own work;
    1: they hold what they can.  Input to cv_limits_set_pressure.  */
-double cv_router_pressure (const cv_router_t *r, uint64_t pool);
-/* Own work in flight, which corrects the lagging reports.  */
+  double cv_router_pressure (const cv_router_t *r, uint64_t pool);
+  /* Own work in flight, which corrects the lagging reports.  */
   void cv_router_started (cv_router_t *r, cv_time_t now, uint32_t target,
                           const cv_route_request_t *req);
   void cv_router_progress (cv_router_t *r, cv_time_t now, uint32_t target,
@@ -103,8 +103,8 @@
   void cv_limits_set_share (cv_limits_t *l, uint32_t entries);
   /* How full the pools are, 1: at what the targets can hold.  From 1 on an
    account above its weighted share of recent work is refused.  */
-void cv_limits_set_pressure (cv_limits_t *l, double pressure);
-cv_admission_t cv_limits_admit (cv_limits_t *l, cv_time_t now,
+  void cv_limits_set_pressure (cv_limits_t *l, double pressure);
+  cv_admission_t cv_limits_admit (cv_limits_t *l, cv_time_t now,
                                   uint64_t account, uint32_t expect);
   /* Charge TOKENS as they are produced.  */
   void cv_limits_charge (cv_limits_t *l, cv_time_t now, uint64_t account,
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -5,6 +5,8 @@
 
 #define RETRY_RATIO 0.1
 #define RETRY_CAP 10.0
+/* Tenths do not add up to one exactly.  */
+#define RETRY_ROUNDING 1e-6
 /* What an idle account may spend before it has earned anything.  */
 #define RETRY_START 3.0
 
@@ -27,7 +29,7 @@
 bool
 cv_retry_budget_take (cv_retry_budget_t *b)
 {
-  if (b->tokens < 1)
+  if (b->tokens < 1 - RETRY_ROUNDING)
     return false;
   b->tokens -= 1;
   return true;
