Add the stand-ins of the outside systems

Cause: nothing could be run end to end without an engine, a plain service, an object API, a list of instances and a weight store.

Ruled out: ulfius's own JSON functions. ulfius.h includes jansson.h, whose names clash with json-c; U_DISABLE_JANSSON before the include avoids it. ulfius cannot close a connection without an answer; the socket is found by its peer address and shut down.

--- /dev/null
+++ b/tests/standins/service.c
@@ -0,0 +1,84 @@
+/* Stand-in of a plain service: counts the effects of each request key.  */
+
+#include "standin.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+static long long work_option = 5;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static json_object *effects;
+static int64_t total;
+static atomic_llong work_ms;
+static atomic_bool drop_answer;
+
+static int run (const struct _u_request *request, struct _u_response *response,
+                void *data);
+static int64_t count_effect (const char *key);
+static void set_fault (json_object *switches);
+static json_object *audit (void);
+
+static const standin_option_t options[]
+    = { { "work-ms", &work_option, "time that one call takes" } };
+static const standin_t service
+    = { "standin-service", options, 1, set_fault, audit };
+
+int
+main (int argc, char **argv)
+{
+  standin_init (&service, argc, argv);
+  effects = json_object_new_object ();
+  work_ms = work_option;
+  standin_on_any (run);
+  standin_run ();
+}
+
+static int
+run (const struct _u_request *request, struct _u_response *response, void *data)
+{
+  const char *key = u_map_get_case (request->map_header, "X-Request-Key");
+  json_object *o = json_object_new_object ();
+
+  (void)data;
+  standin_set_int (o, "effect", count_effect (key != NULL ? key : ""));
+  standin_sleep_ms (work_ms);
+  if (!drop_answer)
+    return standin_reply (response, 200, o);
+  json_object_put (o);
+  return standin_drop (request, response);
+}
+
+/* Count one effect of KEY and return how many it has had.  */
+static int64_t
+count_effect (const char *key)
+{
+  int64_t n;
+
+  pthread_mutex_lock (&lock);
+  n = standin_int (effects, key, 0) + 1;
+  standin_set_int (effects, key, n);
+  total++;
+  pthread_mutex_unlock (&lock);
+  return n;
+}
+
+static void
+set_fault (json_object *switches)
+{
+  work_ms = standin_int (switches, "work_ms", work_ms);
+  drop_answer = standin_bool (switches, "drop_answer", drop_answer);
+}
+
+static json_object *
+audit (void)
+{
+  json_object *o = json_object_new_object ();
+  json_object *copy = NULL;
+
+  pthread_mutex_lock (&lock);
+  json_object_deep_copy (effects, &copy, NULL);
+  standin_set_int (o, "total", total);
+  pthread_mutex_unlock (&lock);
+  json_object_object_add (o, "effects", copy);
+  return o;
+}
