Keep the stand-ins' bind address alive

Cause: under the address sanitizer no stand-in could listen: ulfius keeps the pointer to the bind address, which stood on the stack of a function that had returned. strace showed bind(2) with a broken family.

Change: the address is static.

--- a/tests/standins/scheduler.h
+++ b/tests/standins/scheduler.h
@@ -73,6 +73,7 @@
   } sched_stream_t;
 
   TAILQ_HEAD (sched_list, sched_stream);
+  LIST_HEAD (sched_bucket, sched_stream);
 
   typedef struct
   {
@@ -105,7 +106,7 @@
     struct sched_list waiting; /* greatest priority first, then oldest */
     struct sched_list running; /* in order of admission */
     struct sched_list streams;
-    LIST_HEAD (, sched_stream) table[SCHED_BUCKETS];
+    struct sched_bucket table[SCHED_BUCKETS];
     uint32_t n_waiting;
     uint32_t n_running;
     uint64_t kv_used;
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -121,8 +121,10 @@
 static void
 start_server (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  /* The library keeps the pointer.  */
+  static struct sockaddr_in address;
 
+  address.sin_family = AF_INET;
   address.sin_port = htons ((uint16_t)port);
   if (port < 1 || port > 65535
       || inet_pton (AF_INET, bind_text, &address.sin_addr) != 1)
