Read and check the settings of both roles

Cause: a process has to know its role, addresses and failure domain, and json-c accepts a key given twice and clamps numbers without a word. Ruled out: a parser of our own instead of json-c; json-c builds the tree and a scan of the same text adds positions and the checks that are missing. Change: base/json.h (tree with positions, struct filled by a table of fields), settings/ with the tables of entry and side.

--- /dev/null
+++ b/base/fields.c
@@ -0,0 +1,331 @@
+/* Reads a JSON object into a struct by a table of fields.  */
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/json.h"
+
+#define EXPECTED_MAX 160
+#define PATH_MAX_TEXT 160
+#define URL_SCHEME "http://"
+#define HASH_DIGITS 64
+#define FOUND_STYLE (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
+static const char name_characters[]
+    = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+
+bool
+cv_name_valid (const char *text)
+{
+  size_t n = strlen (text);
+
+  return n > 0 && n < CV_NAME_MAX && strspn (text, name_characters) == n;
+}
+
+static bool
+address_valid (const char *text)
+{
+  unsigned char raw[sizeof (struct in6_addr)];
+
+  return inet_pton (AF_INET, text, raw) == 1
+         || inet_pton (AF_INET6, text, raw) == 1;
+}
+
+/* "http://IP:PORT" with an IPv6 number in brackets.  */
+static bool
+url_valid (const char *text)
+{
+  char host[INET6_ADDRSTRLEN + 2];
+  const char *colon;
+  char *rest;
+  size_t n;
+  long port;
+
+  if (strncmp (text, URL_SCHEME, strlen (URL_SCHEME)) != 0)
+    return false;
+  text += strlen (URL_SCHEME);
+  colon = strrchr (text, ':');
+  if (colon == NULL)
+    return false;
+  n = (size_t)(colon - text);
+  if (n > 2 && text[0] == '[' && text[n - 1] == ']')
+    {
+      text++;
+      n -= 2;
+    }
+  if (!cv_copy_slice (host, sizeof host, (cv_slice_t){ text, n })
+      || !address_valid (host) || colon[1] < '0' || colon[1] > '9')
+    return false;
+  port = strtol (colon + 1, &rest, 10);
+  return *rest == '\0' && port >= 1 && port <= UINT16_MAX;
+}
+
+static bool
+hash_valid (const char *text)
+{
+  return strlen (text) == HASH_DIGITS
+         && strspn (text, "0123456789abcdef") == HASH_DIGITS;
+}
+
+static void
+describe_choices (const cv_field_t *f, char *out, size_t size)
+{
+  size_t used = 0;
+  int i;
+  int n;
+
+  out[0] = '\0';
+  for (i = 0; f->choices[i] != NULL; i++)
+    {
+      n = snprintf (out + used, size - used, "%s\"%s\"", i > 0 ? " or " : "",
+                    f->choices[i]);
+      if (n < 0 || (size_t)n >= size - used)
+        return;
+      used += (size_t)n;
+    }
+}
+
+/* What a value of F has to be, in words.  */
+static void
+describe (const cv_field_t *f, char *out, size_t size)
+{
+  const char *words = "";
+
+  switch (f->kind)
+    {
+    case CV_FIELD_TEXT:
+      (void)snprintf (out, size, "a text of less than %zu characters", f->size);
+      return;
+    case CV_FIELD_U32:
+    case CV_FIELD_U64:
+      (void)snprintf (out, size, "a whole number from %" PRId64 " to %" PRId64,
+                      f->min, f->max);
+      return;
+    case CV_FIELD_CHOICE:
+      describe_choices (f, out, size);
+      return;
+    case CV_FIELD_NAME:
+      words = "a name (1 to 63 of letters, digits, '-', '_', '.')";
+      break;
+    case CV_FIELD_ADDRESS:
+      words = "an IP number";
+      break;
+    case CV_FIELD_URL:
+      words = "a URL of the form http://IP:PORT";
+      break;
+    case CV_FIELD_HASH:
+      words = "64 lower-case hexadecimal digits";
+      break;
+    case CV_FIELD_BOOL:
+      words = "true or false";
+      break;
+    case CV_FIELD_OBJECT:
+      words = "an object";
+      break;
+    }
+  (void)snprintf (out, size, "%s", words);
+}
+
+static bool
+set_string (const cv_field_t *f, const char *text, char *base)
+{
+  int i;
+
+  switch (f->kind)
+    {
+    case CV_FIELD_TEXT:
+      return cv_copy (base + f->offset, f->size, text);
+    case CV_FIELD_NAME:
+      return cv_name_valid (text) && cv_copy (base + f->offset, f->size, text);
+    case CV_FIELD_ADDRESS:
+      return address_valid (text) && cv_copy (base + f->offset, f->size, text);
+    case CV_FIELD_URL:
+      return url_valid (text) && cv_copy (base + f->offset, f->size, text);
+    case CV_FIELD_HASH:
+      return hash_valid (text) && cv_copy (base + f->offset, f->size, text);
+    case CV_FIELD_CHOICE:
+      for (i = 0; f->choices[i] != NULL; i++)
+        if (strcmp (f->choices[i], text) == 0)
+          {
+            memcpy (base + f->offset, &(int){ i + 1 }, sizeof (int));
+            return true;
+          }
+      return false;
+    default:
+      return false;
+    }
+}
+
+static bool
+set_number (const cv_field_t *f, int64_t value, char *base)
+{
+  uint32_t narrow;
+  uint64_t wide;
+
+  if (value < f->min || value > f->max)
+    return false;
+  narrow = (uint32_t)value;
+  wide = (uint64_t)value;
+  if (f->kind == CV_FIELD_U32)
+    memcpy (base + f->offset, &narrow, sizeof narrow);
+  else
+    memcpy (base + f->offset, &wide, sizeof wide);
+  return true;
+}
+
+static bool
+set_bool (const cv_field_t *f, bool value, char *base)
+{
+  memcpy (base + f->offset, &value, sizeof value);
+  return true;
+}
+
+bool
+cv_field_set_text (const cv_field_t *f, const char *text, void *out,
+                   char *expected, size_t expected_size)
+{
+  char *rest;
+  int64_t n;
+  bool ok;
+
+  switch (f->kind)
+    {
+    case CV_FIELD_U32:
+    case CV_FIELD_U64:
+      ok = text[0] != '\0' && strspn (text, "0123456789") == strlen (text)
+           && strlen (text) <= 18;
+      n = ok ? strtoll (text, &rest, 10) : 0;
+      ok = ok && set_number (f, n, out);
+      break;
+    case CV_FIELD_BOOL:
+      ok = strcmp (text, "true") == 0 || strcmp (text, "false") == 0;
+      ok = ok && set_bool (f, strcmp (text, "true") == 0, out);
+      break;
+    default:
+      ok = set_string (f, text, out);
+      break;
+    }
+  if (!ok && expected != NULL)
+    describe (f, expected, expected_size);
+  return ok;
+}
+
+void
+cv_fields_preset (const cv_field_t *fields, void *out)
+{
+  const cv_field_t *f;
+  char *base = out;
+  int choice;
+
+  for (f = fields; f->key != NULL; f++)
+    switch (f->kind)
+      {
+      case CV_FIELD_U32:
+      case CV_FIELD_U64:
+        (void)set_number (f, f->preset, base);
+        break;
+      case CV_FIELD_BOOL:
+        set_bool (f, f->preset != 0, base);
+        break;
+      case CV_FIELD_CHOICE:
+        choice = (int)f->preset;
+        memcpy (base + f->offset, &choice, sizeof choice);
+        break;
+      case CV_FIELD_OBJECT:
+        cv_fields_preset (f->fields, base + f->offset);
+        break;
+      default:
+        base[f->offset] = '\0';
+        break;
+      }
+}
+
+/* Store VALUE as field F of BASE; false when it does not fit.  */
+static bool
+set_value (const cv_field_t *f, struct json_object *value, char *base)
+{
+  switch (f->kind)
+    {
+    case CV_FIELD_U32:
+    case CV_FIELD_U64:
+      return json_object_is_type (value, json_type_int)
+             && !cv_json_clamped (value)
+             && set_number (f, json_object_get_int64 (value), base);
+    case CV_FIELD_BOOL:
+      return json_object_is_type (value, json_type_boolean)
+             && set_bool (f, json_object_get_boolean (value), base);
+    default:
+      return json_object_is_type (value, json_type_string)
+             && set_string (f, json_object_get_string (value), base);
+    }
+}
+
+static void
+join (char *out, size_t size, const char *path, const char *key)
+{
+  (void)snprintf (out, size, "%s%s%s", path, path[0] != '\0' ? "." : "", key);
+}
+
+static void
+read_field (const cv_field_t *f, struct json_object *value, const char *path,
+            char *base, cv_problems_t *p)
+{
+  char expected[EXPECTED_MAX];
+  char full[PATH_MAX_TEXT];
+
+  join (full, sizeof full, path, f->key);
+  if (f->kind == CV_FIELD_OBJECT
+      && json_object_is_type (value, json_type_object))
+    {
+      cv_fields_read (f->fields, value, full, base + f->offset, p);
+      return;
+    }
+  if (f->kind != CV_FIELD_OBJECT && set_value (f, value, base))
+    return;
+  describe (f, expected, sizeof expected);
+  cv_problem (p, cv_json_line (value), cv_json_column (value),
+              "%s: expected %s, found %.60s", full, expected,
+              cv_json_clamped (value)
+                  ? "a number that is too large"
+                  : json_object_to_json_string_ext (value, FOUND_STYLE));
+}
+
+static const cv_field_t *
+find_field (const cv_field_t *fields, const char *key)
+{
+  for (; fields->key != NULL; fields++)
+    if (strcmp (fields->key, key) == 0)
+      return fields;
+  return NULL;
+}
+
+void
+cv_fields_read (const cv_field_t *fields, struct json_object *object,
+                const char *path, void *out, cv_problems_t *p)
+{
+  const cv_field_t *f;
+  char full[PATH_MAX_TEXT];
+
+  cv_fields_preset (fields, out);
+  json_object_object_foreach (object, key, value)
+  {
+    if (value == NULL)
+      continue; /* null was reported by the scan */
+    f = find_field (fields, key);
+    join (full, sizeof full, path, key);
+    if (f == NULL)
+      cv_problem (p, cv_json_line (value), cv_json_column (value),
+                  "%s: unknown key", full);
+    else
+      read_field (f, value, path, out, p);
+  }
+  for (f = fields; f->key != NULL; f++)
+    if (f->required && !json_object_object_get_ex (object, f->key, NULL))
+      {
+        join (full, sizeof full, path, f->key);
+        cv_problem (p, cv_json_line (object), cv_json_column (object),
+                    "%s: required key is missing", full);
+      }
+}
--- /dev/null
+++ b/settings/settings.c
@@ -0,0 +1,295 @@
+/* Reads and checks the settings of a process.  */
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/json.h"
+#include "settings/settings.h"
+
+#define FILE_MAX (256u * 1024)
+#define PORT_MAX 65535
+#define DAY_MS (24 * 60 * 60 * 1000)
+
+static const char *const role_names[] = { "entry", "side", NULL };
+static const char *const kind_names[] = { "engine", "service", NULL };
+
+/* Shorthands of the tables below; OFFSET is in the enclosing struct.  */
+#define NAME(k, req, off)                                                      \
+  {                                                                            \
+    .key = (k), .kind = CV_FIELD_NAME, .required = (req), .offset = (off),     \
+    .size = CV_NAME_MAX                                                        \
+  }
+#define NUMBER(k, off, low, high, value)                                       \
+  {                                                                            \
+    .key = (k), .kind = CV_FIELD_U32, .offset = (off), .min = (low),           \
+    .max = (high), .preset = (value)                                           \
+  }
+#define OBJECT(k, off, table)                                                  \
+  {                                                                            \
+    .key = (k), .kind = CV_FIELD_OBJECT, .required = true, .offset = (off),    \
+    .fields = (table)                                                          \
+  }
+#define CHOICE(k, off, names)                                                  \
+  {                                                                            \
+    .key = (k), .kind = CV_FIELD_CHOICE, .required = true, .offset = (off),    \
+    .choices = (names)                                                         \
+  }
+#define ENTRY(member) offsetof (cv_settings_t, u.entry.member)
+#define SIDE(member) offsetof (cv_settings_t, u.side.member)
+
+static const cv_field_t endpoint_fields[]
+    = { { .key = "address",
+          .kind = CV_FIELD_ADDRESS,
+          .required = true,
+          .offset = offsetof (cv_endpoint_t, address),
+          .size = CV_ADDRESS_MAX },
+        { .key = "port",
+          .kind = CV_FIELD_U32,
+          .required = true,
+          .offset = offsetof (cv_endpoint_t, port),
+          .min = 1,
+          .max = PORT_MAX },
+        { .key = NULL } };
+
+static const cv_field_t service_fields[]
+    = { { .key = "url",
+          .kind = CV_FIELD_URL,
+          .required = true,
+          .offset = offsetof (cv_service_url_t, url),
+          .size = CV_URL_MAX },
+        NUMBER ("timeout_ms", offsetof (cv_service_url_t, timeout_ms), 10,
+                DAY_MS, 1000),
+        { .key = NULL } };
+
+static const cv_field_t entry_fields[]
+    = { CHOICE ("role", offsetof (cv_settings_t, role), role_names),
+        NAME ("instance", true, ENTRY (instance)),
+        NAME ("failure_domain", true, ENTRY (failure_domain)),
+        OBJECT ("http", ENTRY (http), endpoint_fields),
+        OBJECT ("store", ENTRY (store), service_fields),
+        OBJECT ("instance_list", ENTRY (instance_list), service_fields),
+        { .key = "operator_key_hash",
+          .kind = CV_FIELD_HASH,
+          .offset = ENTRY (operator_key_hash),
+          .size = 65 },
+        NUMBER ("max_connections", ENTRY (max_connections), 1, 100000, 2000),
+        NUMBER ("max_body_bytes", ENTRY (max_body_bytes), 1024, 4 * 1024 * 1024,
+                1024 * 1024),
+        NUMBER ("idle_timeout_s", ENTRY (idle_timeout_s), 1, 3600, 60),
+        NUMBER ("keepalive_ms", ENTRY (keepalive_ms), 50, 60000, 1000),
+        NUMBER ("store_poll_ms", ENTRY (store_poll_ms), 100, 60000, 1000),
+        NUMBER ("instance_poll_ms", ENTRY (instance_poll_ms), 100, 60000, 1000),
+        NUMBER ("drain_s", ENTRY (drain_s), 1, 86400, 600),
+        { .key = NULL } };
+
+static const cv_field_t side_fields[]
+    = { CHOICE ("role", offsetof (cv_settings_t, role), role_names),
+        NAME ("instance", false, SIDE (instance)),
+        NAME ("target", true, SIDE (target)),
+        NAME ("pool", true, SIDE (pool)),
+        NAME ("failure_domain", true, SIDE (failure_domain)),
+        CHOICE ("kind", SIDE (kind), kind_names),
+        OBJECT ("wire", SIDE (wire), endpoint_fields),
+        OBJECT ("control", SIDE (control), endpoint_fields),
+        OBJECT ("target_url", SIDE (target_url), service_fields),
+        NUMBER ("max_calls", SIDE (max_calls), 1, 10000, 64),
+        NUMBER ("buffer_bytes", SIDE (buffer_bytes), 1024 * 1024,
+                1024 * 1024 * 1024, 64 * 1024 * 1024),
+        NUMBER ("resume_s", SIDE (resume_s), 1, 3600, 30),
+        NUMBER ("generation_s", SIDE (generation_s), 1, 86400, 300),
+        NUMBER ("load_poll_ms", SIDE (load_poll_ms), 20, 60000, 250),
+        NUMBER ("drain_s", SIDE (drain_s), 1, 86400, 600),
+        { .key = NULL } };
+
+static size_t
+endpoint_text (const cv_endpoint_t *e, char out[CV_ENDPOINT_TEXT])
+{
+  bool v6 = strchr (e->address, ':') != NULL;
+  int n = snprintf (out, CV_ENDPOINT_TEXT, "%s%s%s:%u", v6 ? "[" : "",
+                    e->address, v6 ? "]" : "", e->port);
+
+  CV_INVARIANT (n > 0 && n < CV_ENDPOINT_TEXT);
+  return (size_t)n;
+}
+
+/* One address of the settings with the key that gives it.  */
+typedef struct
+{
+  const char *key;
+  char text[CV_URL_MAX];
+} used_address_t;
+
+#define USED_MAX 4
+
+static void
+add_endpoint (used_address_t used[], size_t *n, const char *key,
+              const cv_endpoint_t *e)
+{
+  if (e->port == 0)
+    return;
+  used[*n].key = key;
+  (void)endpoint_text (e, used[*n].text);
+  (*n)++;
+}
+
+static void
+add_url (used_address_t used[], size_t *n, const char *key,
+         const cv_service_url_t *u)
+{
+  if (u->url[0] == '\0')
+    return;
+  used[*n].key = key;
+  (void)cv_copy (used[*n].text, sizeof used[*n].text,
+                 u->url + strlen ("http://"));
+  (*n)++;
+}
+
+static size_t
+collect_addresses (const cv_settings_t *s, used_address_t used[USED_MAX])
+{
+  size_t n = 0;
+
+  switch (s->role)
+    {
+    case CV_ROLE_ENTRY:
+      add_endpoint (used, &n, "http", &s->u.entry.http);
+      add_url (used, &n, "store", &s->u.entry.store);
+      add_url (used, &n, "instance_list", &s->u.entry.instance_list);
+      break;
+    case CV_ROLE_SIDE:
+      add_endpoint (used, &n, "wire", &s->u.side.wire);
+      add_endpoint (used, &n, "control", &s->u.side.control);
+      add_url (used, &n, "target_url", &s->u.side.target_url);
+      break;
+    }
+  return n;
+}
+
+static void
+check_addresses (const cv_settings_t *s, struct json_object *tree,
+                 cv_problems_t *p)
+{
+  used_address_t used[USED_MAX] = { 0 };
+  struct json_object *at = NULL;
+  size_t n = collect_addresses (s, used);
+  size_t i;
+  size_t j;
+
+  for (i = 1; i < n; i++)
+    for (j = 0; j < i; j++)
+      if (strcmp (used[i].text, used[j].text) == 0)
+        {
+          json_object_object_get_ex (tree, used[i].key, &at);
+          cv_problem (p, cv_json_line (at), cv_json_column (at),
+                      "%s: duplicate address %s, already used by %s",
+                      used[i].key, used[i].text, used[j].key);
+          break;
+        }
+}
+
+/* Choose the table by the key "role"; NULL with a problem when it is not
+   there.  */
+static const cv_field_t *
+choose_table (struct json_object *tree, cv_problems_t *p)
+{
+  struct json_object *role = NULL;
+  const char *text;
+
+  if (!json_object_object_get_ex (tree, "role", &role) || role == NULL)
+    {
+      cv_problem (p, cv_json_line (tree), cv_json_column (tree),
+                  "role: required key is missing");
+      return NULL;
+    }
+  text = json_object_get_string (role);
+  if (json_object_is_type (role, json_type_string))
+    {
+      if (strcmp (text, role_names[CV_ROLE_ENTRY - 1]) == 0)
+        return entry_fields;
+      if (strcmp (text, role_names[CV_ROLE_SIDE - 1]) == 0)
+        return side_fields;
+    }
+  cv_problem (p, cv_json_line (role), cv_json_column (role),
+              "role: expected \"entry\" or \"side\", found %.40s", text);
+  return NULL;
+}
+
+bool
+cv_settings_parse (const char *path, cv_slice_t text, cv_settings_t *out,
+                   FILE *errors)
+{
+  const cv_field_t *table;
+  struct json_object *tree;
+  cv_problems_t p;
+
+  memset (out, 0, sizeof *out);
+  cv_problems_init (&p, errors, path);
+  tree = cv_json_parse (text, &p);
+  if (tree == NULL)
+    return false;
+  table = choose_table (tree, &p);
+  if (table != NULL)
+    {
+      cv_fields_read (table, tree, "", out, &p);
+      check_addresses (out, tree, &p);
+    }
+  json_object_put (tree);
+  if (out->role == CV_ROLE_SIDE && out->u.side.instance[0] == '\0')
+    (void)cv_copy (out->u.side.instance, sizeof out->u.side.instance,
+                   out->u.side.target);
+  return p.count == 0;
+}
+
+bool
+cv_settings_load (const char *path, cv_settings_t *out, FILE *errors)
+{
+  char *text;
+  FILE *in;
+  size_t n;
+  bool ok;
+
+  memset (out, 0, sizeof *out);
+  in = fopen (path, "re");
+  if (in == NULL)
+    {
+      if (errors != NULL)
+        fprintf (errors, "%s:0:0: cannot be opened: %s\n", path,
+                 strerror (errno));
+      return false;
+    }
+  text = cv_calloc (FILE_MAX + 1, 1);
+  n = fread (text, 1, FILE_MAX + 1, in);
+  ok = ferror (in) == 0 && n <= FILE_MAX;
+  (void)fclose (in);
+  if (ok)
+    ok = cv_settings_parse (path, (cv_slice_t){ text, n }, out, errors);
+  else if (errors != NULL)
+    fprintf (errors, "%s:0:0: expected a file of at most %u bytes\n", path,
+             FILE_MAX);
+  free (text);
+  return ok;
+}
+
+size_t
+cv_settings_endpoints (const cv_settings_t *s,
+                       char out[CV_SETTINGS_ENDPOINTS][CV_ENDPOINT_TEXT])
+{
+  switch (s->role)
+    {
+    case CV_ROLE_ENTRY:
+      (void)endpoint_text (&s->u.entry.http, out[0]);
+      return 1;
+    case CV_ROLE_SIDE:
+      (void)endpoint_text (&s->u.side.wire, out[0]);
+      (void)endpoint_text (&s->u.side.control, out[1]);
+      return 2;
+    }
+  return 0;
+}
+
+const char *
+cv_settings_instance (const cv_settings_t *s)
+{
+  return s->role == CV_ROLE_ENTRY ? s->u.entry.instance : s->u.side.instance;
+}
