Configuration document and the operators' language

Cause: models, pools, classes and accounts have to be declared in one checked document, and changed by small edits that apply whole or not at all. Ruled out: editing the JSON tree in place; the language would then know each kind. One table of kinds and fields serves reading, writing, difference, edits and queries. Change: config/ with kinds, document, writer, lexer, change, query; key lookup by hash with a constant-time comparison of the hashes.

--- a/base/fields.c
+++ b/base/fields.c
@@ -138,7 +138,8 @@
     case CV_FIELD_TEXT:
       return cv_copy (base + f->offset, f->size, text);
     case CV_FIELD_NAME:
-      return cv_name_valid (text) && cv_copy (base + f->offset, f->size, text);
+      return (cv_name_valid (text) || (text[0] == '\0' && !f->required))
+             && cv_copy (base + f->offset, f->size, text);
     case CV_FIELD_ADDRESS:
       return address_valid (text) && cv_copy (base + f->offset, f->size, text);
     case CV_FIELD_URL:
--- a/config/config.h
+++ b/config/config.h
@@ -1,6 +1,6 @@
 /* The declared configuration: models, pools, classes and client accounts,
-   as one document with one version, and the operators' language over it.
-   docs/CONFIGURATION.md describes the object kinds.  */
+ as one document with one version, and the operators' language over it.
+ docs/CONFIGURATION.md describes the object kinds.  */
 
 #ifndef CV_CONFIG_H
 #define CV_CONFIG_H
@@ -13,6 +13,9 @@
 {
 #endif
 
+/* SHA-256 of a bearer key, in hexadecimal, with its null byte.  */
+#define CV_KEY_HASH_TEXT 65
+
   typedef struct
   {
     char name[CV_NAME_MAX];
@@ -50,7 +53,7 @@
   typedef struct
   {
     char name[CV_NAME_MAX];
-    char key_hash[65]; /* hexadecimal SHA-256 or BLAKE2b of the bearer key */
+    char key_hash[CV_KEY_HASH_TEXT]; /* of the account's bearer key */
     char default_class[CV_NAME_MAX];
     cv_account_limits_t limits;
   } cv_account_t;
@@ -60,22 +63,28 @@
   {
     uint64_t version;
     int refs;
-    cv_model_t *models;
+    cv_model_t *models; /* each kind is sorted by name */
     size_t model_count;
     cv_pool_t *pools;
     size_t pool_count;
     cv_class_t *classes;
     size_t class_count;
-    cv_account_t *accounts; /* sorted by name */
+    cv_account_t *accounts;
     size_t account_count;
-    uint32_t limit_share; /* entries that share each account's limits */
+    const cv_account_t **by_key; /* the accounts sorted by key_hash */
+    uint32_t limit_share; /* entries that share each account's limits; 0: as
+                             many as the instance list shows */
     char *text;           /* the document as it was accepted */
     size_t text_size;
   } cv_config_t;
 
-  /* Parse and check a document; NULL with ERR naming line and field.  */
+  /* Parse and check a document; NULL with ERR naming line and field.  A key
+     "nonce" at the top is accepted and ignored.  */
   cv_config_t *cv_config_parse (uint64_t version, cv_slice_t json,
                                 cv_error_t *err);
+  /* Check a document and report each problem as "NAME:LINE:COLUMN: text" on
+     ERRORS (may be NULL); false when there was any.  */
+  bool cv_config_check (const char *name, cv_slice_t json, FILE *errors);
   cv_config_t *cv_config_ref (cv_config_t *c);
   void cv_config_unref (cv_config_t *c);
 
@@ -84,18 +93,35 @@
   const cv_class_t *cv_config_class (const cv_config_t *c, const char *name);
   const cv_account_t *cv_config_account (const cv_config_t *c,
                                          const char *name);
-  /* The account whose bearer key is KEY, compared in constant time.  */
+  /* The account whose bearer key is KEY: found by the hash of KEY, and the
+     hashes compared in constant time.  */
   const cv_account_t *cv_config_account_by_key (const cv_config_t *c,
                                                 cv_slice_t key);
 
+  /* Hexadecimal SHA-256 of KEY.  */
+  void cv_key_hash (cv_slice_t key, char out[CV_KEY_HASH_TEXT]);
+  /* KEY has this hash; compared in constant time.  False for an empty HASH.  */
+  bool cv_key_matches (cv_slice_t key, const char *hash);
+
   /* ---- the operators' language ---- */
 
-  /* Apply a change ("set account X weight 3; ...") to BASE and write the new
-     document to OUT and a line per difference to DIFF; false with line and
-     column in ERR, and nothing changed.  */
+  /* Apply a change ("set account X weight 3; ...") to BASE (NULL: the empty
+     configuration) and write the new document to OUT and a line per difference
+     to DIFF; false with line and column in ERR, and nothing written.
+     docs/OPERATORS.md has the grammar.  */
   bool cv_change_apply (const cv_config_t *base, cv_slice_t text, cv_buf_t *out,
                         cv_buf_t *diff, cv_error_t *err);
 
+  /* A line per difference, as in a change's DIFF: "+ account X ...",
+     "- account X ...", "~ account X weight: 1 -> 3".  Either may be NULL for
+     the empty configuration.  */
+  void cv_config_diff (const cv_config_t *from, const cv_config_t *to,
+                       cv_buf_t *out);
+  /* Names of what differs between two configurations ("account X"), a line
+     each; both may be NULL for the empty one.  */
+  void cv_config_changed (const cv_config_t *from, const cv_config_t *to,
+                          cv_buf_t *out);
+
   /* One value of a row that a query runs over.  */
   typedef struct
   {
@@ -115,8 +141,10 @@
 
   cv_query_t *cv_query_parse (cv_slice_t text, cv_error_t *err);
   void cv_query_free (cv_query_t *q);
-  /* "targets", "accounts", "models", "pools", "classes", "entries".  */
+  /* "targets", "accounts", "models", "pools", "classes", "entries" or
+     "system".  */
   const char *cv_query_thing (const cv_query_t *q);
+  /* A column that ROW lacks matches nothing.  */
   bool cv_query_match (const cv_query_t *q, const cv_row_t *row);
   /* Rows of a declared thing; calls FN for each match.  */
   void cv_query_config (const cv_query_t *q, const cv_config_t *c,
--- /dev/null
+++ b/config/lexer.c
@@ -0,0 +1,165 @@
+/* Words of the operators' language.  */
+
+#include <ctype.h>
+#include <string.h>
+
+#include "config/lexer.h"
+
+static int
+peek (const cv_lexer_t *l)
+{
+  return l->at < l->text.n ? (unsigned char)l->text.p[l->at] : -1;
+}
+
+static int
+step (cv_lexer_t *l)
+{
+  int c = peek (l);
+
+  l->at++;
+  l->column++;
+  if (c == '\n')
+    {
+      l->line++;
+      l->column = 1;
+    }
+  return c;
+}
+
+static cv_word_kind_t
+bad (cv_lexer_t *l, const char *text)
+{
+  if (l->word.kind != CV_WORD_BAD)
+    cv_fail_at (l->err, l->word.line, l->word.column, "%s", text);
+  return l->word.kind = CV_WORD_BAD;
+}
+
+static bool
+is_plain (int c)
+{
+  return c >= 0 && (isalnum (c) || (c != 0 && strchr ("-_.:/", c) != NULL));
+}
+
+static void
+skip_blanks (cv_lexer_t *l)
+{
+  while (peek (l) == ' ' || peek (l) == '\t' || peek (l) == '\r')
+    step (l);
+  if (peek (l) == '#')
+    while (peek (l) >= 0 && peek (l) != '\n')
+      step (l);
+}
+
+static cv_word_kind_t
+read_plain (cv_lexer_t *l)
+{
+  size_t n = 0;
+
+  while (is_plain (peek (l)))
+    {
+      if (n + 1 >= sizeof l->word.text)
+        return bad (l, "expected a shorter word");
+      l->word.text[n++] = (char)step (l);
+    }
+  l->word.text[n] = '\0';
+  return l->word.kind = CV_WORD_PLAIN;
+}
+
+static cv_word_kind_t
+read_quoted (cv_lexer_t *l)
+{
+  size_t n = 0;
+
+  step (l);
+  while (peek (l) != '"')
+    {
+      if (peek (l) < ' ')
+        return bad (l, "expected a closing quote on the same line");
+      if (n + 1 >= sizeof l->word.text)
+        return bad (l, "expected a shorter text");
+      l->word.text[n++] = (char)step (l);
+    }
+  step (l);
+  l->word.text[n] = '\0';
+  return l->word.kind = CV_WORD_QUOTED;
+}
+
+static cv_word_kind_t
+read_operator (cv_lexer_t *l)
+{
+  int c = step (l);
+
+  l->word.text[0] = (char)c;
+  l->word.text[1] = '\0';
+  if (c != '=' && peek (l) == '=')
+    {
+      step (l);
+      memcpy (l->word.text + 1, "=", 2);
+    }
+  else if (c == '!')
+    return bad (l, "expected '=' after '!'");
+  return l->word.kind = CV_WORD_OPERATOR;
+}
+
+cv_word_kind_t
+cv_lexer_next (cv_lexer_t *l)
+{
+  int c;
+
+  if (l->word.kind == CV_WORD_BAD)
+    return CV_WORD_BAD;
+  skip_blanks (l);
+  l->word.line = l->line;
+  l->word.column = l->column;
+  l->word.text[0] = '\0';
+  c = peek (l);
+  if (c < 0)
+    return l->word.kind = CV_WORD_END;
+  if (c == ';' || c == '\n')
+    {
+      step (l);
+      return l->word.kind = CV_WORD_SEPARATOR;
+    }
+  if (c == '"')
+    return read_quoted (l);
+  if (c != 0 && strchr ("=!<>", c) != NULL)
+    return read_operator (l);
+  if (is_plain (c))
+    return read_plain (l);
+  return bad (l, "expected a word, a quoted text or one of = != < <= > >= ;");
+}
+
+void
+cv_lexer_init (cv_lexer_t *l, cv_slice_t text, cv_error_t *err)
+{
+  memset (l, 0, sizeof *l);
+  l->text = text;
+  l->line = 1;
+  l->column = 1;
+  l->err = err;
+  (void)cv_lexer_next (l);
+}
+
+bool
+cv_lexer_is (const cv_lexer_t *l, const char *text)
+{
+  return l->word.kind == CV_WORD_PLAIN && strcmp (l->word.text, text) == 0;
+}
+
+bool
+cv_lexer_expected (cv_lexer_t *l, const char *what)
+{
+  switch (l->word.kind)
+    {
+    case CV_WORD_BAD:
+      return false; /* already in the error */
+    case CV_WORD_END:
+    case CV_WORD_SEPARATOR:
+      return cv_fail_at (l->err, l->word.line, l->word.column,
+                         "expected %s, found the end of the %s", what,
+                         l->word.kind == CV_WORD_END ? "text" : "edit");
+    default:
+      return cv_fail_at (l->err, l->word.line, l->word.column,
+                         "expected %s, found \"%.60s\"", what, l->word.text);
+    }
+}
--- /dev/null
+++ b/config/tests/config_test.cc
@@ -0,0 +1,230 @@
+// Scripted runs of the operators' language: each line of NAME.script is a
+// command on the configuration so far, and NAME.expected holds what all of
+// them print.
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "config/config.h"
+
+namespace
+{
+
+std::string
+slurp (const std::string &path)
+{
+  std::ifstream in (path);
+  std::stringstream text;
+  text << in.rdbuf ();
+  return text.str ();
+}
+
+cv_slice_t
+slice (const std::string &s)
+{
+  return cv_slice_t{ s.data (), s.size () };
+}
+
+std::string
+describe (const cv_error_t &err)
+{
+  return std::to_string (err.line) + ":" + std::to_string (err.column) + ": "
+         + err.text + "\n";
+}
+
+// "\n" in a script stands for a line's end.
+std::string
+unescape (std::string s)
+{
+  for (size_t at = 0; (at = s.find ("\\n", at)) != std::string::npos;)
+    s.replace (at, 2, "\n");
+  return s;
+}
+
+class Session
+{
+public:
+  ~Session () { cv_config_unref (config_); }
+
+  std::string
+  run (const std::string &line)
+  {
+    size_t blank = line.find (' ');
+    std::string verb = line.substr (0, blank);
+    std::string rest
+        = blank == std::string::npos ? "" : unescape (line.substr (blank + 1));
+    if (verb == "load")
+      return load (slurp (std::string (CV_TEST_DIR) + "/" + rest));
+    if (verb == "change" || verb == "try")
+      return change (rest, verb == "change");
+    if (verb == "document")
+      return std::string (config_->text, config_->text_size);
+    if (verb == "key")
+      return key (rest);
+    return query (line);
+  }
+
+private:
+  cv_config_t *config_ = nullptr;
+
+  std::string
+  load (const std::string &text)
+  {
+    cv_error_t err = {};
+    cv_config_t *c = cv_config_parse (version (), slice (text), &err);
+    if (c == nullptr)
+      return describe (err);
+    cv_config_unref (config_);
+    config_ = c;
+    return "version " + std::to_string (c->version) + "\n";
+  }
+
+  uint64_t
+  version () const
+  {
+    return config_ == nullptr ? 1 : config_->version + 1;
+  }
+
+  std::string
+  change (const std::string &text, bool keep)
+  {
+    cv_error_t err = {};
+    cv_buf_t out;
+    cv_buf_t diff;
+    cv_buf_init (&out);
+    cv_buf_init (&diff);
+    std::string result;
+    if (!cv_change_apply (config_, slice (text), &out, &diff, &err))
+      {
+        EXPECT_EQ (0u, out.n);
+        EXPECT_EQ (0u, diff.n);
+        result = describe (err);
+      }
+    else
+      {
+        result = cv_buf_text (&diff);
+        if (keep)
+          result += load (cv_buf_text (&out));
+      }
+    cv_buf_finish (&out);
+    cv_buf_finish (&diff);
+    return result;
+  }
+
+  std::string
+  key (const std::string &text)
+  {
+    const cv_account_t *a = cv_config_account_by_key (config_, slice (text));
+    return std::string (a == nullptr ? "no account" : a->name) + "\n";
+  }
+
+  std::string
+  query (const std::string &text)
+  {
+    cv_error_t err = {};
+    cv_query_t *q = cv_query_parse (slice (text), &err);
+    if (q == nullptr)
+      return describe (err);
+    std::string rows;
+    cv_query_config (
+        q, config_,
+        [] (const cv_row_t *row, void *arg) {
+          auto *out = static_cast<std::string *> (arg);
+          for (size_t i = 0; i < row->count; i++)
+            *out += std::string (i > 0 ? " " : "") + row->cell[i].column + "="
+                    + row->cell[i].value;
+          *out += "\n";
+        },
+        &rows);
+    cv_query_free (q);
+    return rows;
+  }
+};
+
+class Script : public testing::TestWithParam<const char *>
+{
+};
+
+TEST_P (Script, PrintsWhatIsExpected)
+{
+  std::string base = std::string (CV_TEST_DIR) + "/" + GetParam ();
+  std::istringstream script (slurp (base + ".script"));
+  std::string got;
+  std::string line;
+  Session session;
+  while (std::getline (script, line))
+    if (!line.empty () && line[0] != '#')
+      got += "> " + line + "\n" + session.run (line);
+  EXPECT_EQ (slurp (base + ".expected"), got);
+}
+
+INSTANTIATE_TEST_SUITE_P (Files, Script,
+                          testing::Values ("documents", "changes",
+                                           "bad_changes", "queries"));
+
+TEST (Config, ChecksReportEveryProblem)
+{
+  std::string text = slurp (std::string (CV_TEST_DIR) + "/broken.json");
+  char *report = nullptr;
+  size_t size = 0;
+  FILE *errors = open_memstream (&report, &size);
+  EXPECT_FALSE (cv_config_check ("broken.json", slice (text), errors));
+  fclose (errors);
+  EXPECT_EQ (slurp (std::string (CV_TEST_DIR) + "/broken.expected"),
+             std::string (report, size));
+  free (report);
+}
+
+TEST (Config, LooksUpEachOf1800Accounts)
+{
+  std::string text = "add class tag\n";
+  for (int i = 0; i < 1800; i++)
+    {
+      char hash[CV_KEY_HASH_TEXT];
+      std::string key = "key-" + std::to_string (i);
+      cv_key_hash (slice (key), hash);
+      text += "add account a" + std::to_string (i) + " class tag key_hash "
+              + hash + "\n";
+    }
+  cv_buf_t out;
+  cv_buf_t diff;
+  cv_error_t err = {};
+  cv_buf_init (&out);
+  cv_buf_init (&diff);
+  ASSERT_TRUE (cv_change_apply (nullptr, slice (text), &out, &diff, &err))
+      << err.text;
+  cv_config_t *c = cv_config_parse (1, cv_slice (cv_buf_text (&out)), &err);
+  ASSERT_NE (nullptr, c) << err.text;
+  EXPECT_EQ (1800u, c->account_count);
+  EXPECT_LT (c->text_size, 1024u * 1024);
+  for (int i = 0; i < 1800; i++)
+    {
+      std::string name = "a" + std::to_string (i);
+      std::string key = "key-" + std::to_string (i);
+      const cv_account_t *a = cv_config_account_by_key (c, slice (key));
+      ASSERT_NE (nullptr, a);
+      EXPECT_EQ (name, a->name);
+      EXPECT_EQ (a, cv_config_account (c, name.c_str ()));
+    }
+  cv_config_unref (c);
+  cv_buf_finish (&out);
+  cv_buf_finish (&diff);
+}
+
+TEST (Config, KeyMatchesItsHashOnly)
+{
+  char hash[CV_KEY_HASH_TEXT];
+  cv_key_hash (cv_slice ("abc"), hash);
+  EXPECT_STREQ (
+      "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad", hash);
+  EXPECT_TRUE (cv_key_matches (cv_slice ("abc"), hash));
+  EXPECT_FALSE (cv_key_matches (cv_slice ("abd"), hash));
+  EXPECT_FALSE (cv_key_matches (cv_slice (""), ""));
+}
+
+} // namespace
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -71,6 +71,8 @@
     cv_endpoint_t wire;          /* ZeroMQ, for the entries */
     cv_endpoint_t control;       /* HTTP: /healthz, /metrics, notices */
     cv_service_url_t target_url; /* the engine or service */
+    uint32_t max_batch;          /* streams of an engine at once */
+    uint64_t kv_tokens;          /* engine memory until it reports */
     uint32_t max_calls;          /* calls of a service at once */
     uint32_t buffer_bytes;       /* tokens kept for resuming callers, in all */
     uint32_t resume_s;           /* a stream without a reader lives so long */
