Client of the object API that settles lost answers

Cause: the answer of a conditional write can be lost after it took effect. Ruled out: ulfius's own client, which counts time-outs in whole seconds and does not tell a refused connection from a lost answer; libcurl below it does. Change: reads, conditional writes and writes settled by nonce; a write goes over a fresh connection, so that curl never sends it twice by itself. Measured: 12 tests against an object API in the test process: answer lost, query lost, late write, 500, 503, nobody listening.

--- a/store/store.h
+++ b/store/store.h
@@ -1,5 +1,5 @@
-/* Client of the platform's object API.  Each call blocks its thread; the
-   daemon makes them from one thread of its own.  docs/PLATFORM.md has the
+/* Client of the platform's object API.  Each call blocks its thread; one
+   cv_store_t serves one thread at a time.  docs/PLATFORM.md has the
    protocol.  */
 
 #ifndef CV_STORE_H
@@ -26,6 +26,7 @@
     char url[128]; /* http://IP:PORT */
     int timeout_ms;
     cv_store_counts_t counts;
+    void *curl; /* CURL handle: keeps the connection of reads open */
   } cv_store_t;
 
   typedef struct
@@ -49,14 +50,21 @@
   bool cv_store_put (cv_store_t *s, const char *key, uint64_t version,
                      const char *json, uint64_t *new_version, cv_error_t *err);
 
-  /* As cv_store_put, but JSON carries "nonce": a lost answer is settled by
-     reading it back, tried until DEADLINE.  UNKNOWN is left only when the
-     store does not answer until then.  */
+  /* As cv_store_put, but JSON carries "nonce" (cv_store_add_nonce): a lost
+     answer is settled by writing again on the same VERSION and reading back
+     whose nonce is there, until DEADLINE (on cv_now).  UNKNOWN is left only
+     when the store does not answer until then.
+     An object that is overwritten keeps the nonces of earlier writes in an
+     array "nonces"; when ours is among them the write took effect and
+     *NEW_VERSION is the version that was read, which is later than ours.  */
   bool cv_store_put_settled (cv_store_t *s, const char *key, uint64_t version,
                              const char *json, const char *nonce,
                              cv_time_t deadline, uint64_t *new_version,
                              cv_error_t *err);
 
+  /* Append the JSON object JSON to OUT with the first key "nonce".  */
+  void cv_store_add_nonce (cv_slice_t json, const char *nonce, cv_buf_t *out);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/store/tests/fake_store.h
@@ -0,0 +1,205 @@
+// An object API of a few objects in this process, with faults by the call.
+
+#ifndef CV_FAKE_STORE_H
+#define CV_FAKE_STORE_H
+
+#include <netinet/in.h>
+
+#include <arpa/inet.h>
+#include <json-c/json.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+// What happens to one write, taken in order; none left: Normal.
+enum class Fault
+{
+  Normal,
+  LoseAnswer, // takes effect, the caller's time runs out
+  LoseQuery,  // takes no effect, the caller's time runs out
+  Late,       // the answer is lost and the write takes effect LATE_MS after
+  Error500,   // takes effect and says 500
+  Refuse      // 503
+};
+
+class FakeStore
+{
+public:
+  static constexpr int LateMs = 250;
+  static constexpr int TimeoutMs = 100; // of the client under test
+
+  FakeStore ()
+  {
+    struct sockaddr_in at = {};
+    at.sin_family = AF_INET;
+    inet_pton (AF_INET, "127.77.0.1", &at.sin_addr);
+    for (unsigned i = 0; i < 100 && !running_; i++)
+      {
+        port_ = 20000 + (static_cast<unsigned> (getpid ()) * 7 + i) % 20000;
+        at.sin_port = htons (static_cast<uint16_t> (port_));
+        if (ulfius_init_instance (&instance_, port_, &at, nullptr) != U_OK)
+          continue;
+        ulfius_add_endpoint_by_val (&instance_, "*", nullptr, "*", 0, &serve,
+                                    this);
+        running_ = ulfius_start_framework (&instance_) == U_OK;
+        if (!running_)
+          ulfius_clean_instance (&instance_);
+      }
+  }
+  ~FakeStore ()
+  {
+    stop ();
+    for (auto &t : late_)
+      t.join ();
+  }
+  FakeStore (const FakeStore &) = delete;
+  FakeStore &operator= (const FakeStore &) = delete;
+
+  void
+  stop ()
+  {
+    if (!running_)
+      return;
+    ulfius_stop_framework (&instance_);
+    ulfius_clean_instance (&instance_);
+    running_ = false;
+  }
+  std::string
+  url () const
+  {
+    return "http://127.77.0.1:" + std::to_string (port_);
+  }
+  void
+  fault (Fault f)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    faults_.push_back (f);
+  }
+  // A write by somebody else.
+  void
+  overwrite (const std::string &key, const std::string &json)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    objects_[key] = { ++revision_, json };
+  }
+  std::string
+  value (const std::string &key)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    return objects_[key].json;
+  }
+  int writes = 0; // that took effect
+
+private:
+  struct Object
+  {
+    long version = 0;
+    std::string json;
+  };
+  struct _u_instance instance_ = {};
+  unsigned port_ = 0;
+  bool running_ = false;
+  std::mutex lock_;
+  std::deque<Fault> faults_;
+  std::deque<std::thread> late_;
+  std::map<std::string, Object> objects_;
+  long revision_ = 0;
+
+  static int
+  serve (const struct _u_request *req, struct _u_response *res, void *self)
+  {
+    auto *store = static_cast<FakeStore *> (self);
+    std::string prefix = "/v1/objects/";
+    std::string path = req->url_path;
+    std::string key = path.substr (std::min (prefix.size (), path.size ()));
+    if (strcmp (req->http_verb, "GET") == 0)
+      return store->read (key, res);
+    std::string body (static_cast<const char *> (req->binary_body),
+                      req->binary_body_length);
+    return store->write (key, body, res);
+  }
+  int
+  read (const std::string &key, struct _u_response *res)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    auto it = objects_.find (key);
+    if (it == objects_.end () || it->second.version == 0)
+      {
+        ulfius_set_string_body_response (res, 404, "{}");
+        return U_CALLBACK_COMPLETE;
+      }
+    std::string text = "{\"key\":\"" + key
+                       + "\",\"version\":" + std::to_string (it->second.version)
+                       + ",\"value\":" + it->second.json + "}";
+    ulfius_set_string_body_response (res, 200, text.c_str ());
+    return U_CALLBACK_COMPLETE;
+  }
+  Fault
+  next_fault ()
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    if (faults_.empty ())
+      return Fault::Normal;
+    Fault f = faults_.front ();
+    faults_.pop_front ();
+    return f;
+  }
+  // The status of the conditional write.
+  unsigned
+  apply (const std::string &key, const std::string &body, std::string *answer)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    struct json_object *tree = json_tokener_parse (body.c_str ());
+    struct json_object *version = nullptr;
+    struct json_object *value = nullptr;
+    json_object_object_get_ex (tree, "version", &version);
+    json_object_object_get_ex (tree, "value", &value);
+    Object &o = objects_[key];
+    bool ok = json_object_get_int64 (version) == o.version;
+    if (ok)
+      {
+        o.version = ++revision_;
+        o.json = json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN);
+        writes++;
+      }
+    json_object_put (tree);
+    *answer = ok ? "{\"key\":\"" + key
+                       + "\",\"version\":" + std::to_string (o.version) + "}"
+                 : "{\"error\":{\"code\":\"conflict\"}}";
+    return ok ? 200 : 409;
+  }
+  int
+  write (const std::string &key, const std::string &body,
+         struct _u_response *res)
+  {
+    std::string answer;
+    unsigned status = 503;
+    Fault fault = next_fault ();
+    if (fault == Fault::Late)
+      {
+        std::lock_guard<std::mutex> hold (lock_);
+        late_.emplace_back ([this, key, body] {
+          std::string ignored;
+          usleep (LateMs * 1000);
+          apply (key, body, &ignored);
+        });
+      }
+    else if (fault != Fault::LoseQuery && fault != Fault::Refuse)
+      status = apply (key, body, &answer);
+    if (fault == Fault::LoseAnswer || fault == Fault::LoseQuery
+        || fault == Fault::Late)
+      usleep (TimeoutMs * 1500);
+    if (fault == Fault::Error500)
+      status = 500;
+    ulfius_set_string_body_response (res, status, answer.c_str ());
+    return U_CALLBACK_COMPLETE;
+  }
+};
+
+#endif
--- /dev/null
+++ b/store/tests/store_test.cc
@@ -0,0 +1,167 @@
+// The client against an object API in this process, with lost answers.
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "fake_store.h"
+#include "store/store.h"
+
+namespace
+{
+
+class StoreTest : public testing::Test
+{
+protected:
+  FakeStore fake;
+  cv_store_t store;
+  cv_error_t err = {};
+  uint64_t version = 0;
+
+  void
+  SetUp () override
+  {
+    cv_store_init (&store, fake.url ().c_str (), FakeStore::TimeoutMs);
+  }
+  void
+  TearDown () override
+  {
+    cv_store_finish (&store);
+  }
+  bool
+  settled (uint64_t base, const char *nonce, cv_time_t wait = 5 * CV_SECOND)
+  {
+    std::string json = std::string ("{\"nonce\":\"") + nonce + "\"}";
+    return cv_store_put_settled (&store, "claims/a", base, json.c_str (), nonce,
+                                 cv_now () + wait, &version, &err);
+  }
+};
+
+TEST_F (StoreTest, ReadsWhatItWrote)
+{
+  cv_object_t o;
+  ASSERT_TRUE (cv_store_get (&store, "config/current", &o, &err)) << err.text;
+  EXPECT_EQ (0u, o.version);
+  ASSERT_TRUE (cv_store_put (&store, "config/current", 0, "{\"a\":\"b/c\"}",
+                             &version, &err));
+  ASSERT_TRUE (cv_store_get (&store, "config/current", &o, &err));
+  EXPECT_EQ (version, o.version);
+  EXPECT_STREQ ("{\"a\":\"b/c\"}", o.json);
+  cv_object_finish (&o);
+  EXPECT_FALSE (
+      cv_store_put (&store, "config/current", 0, "{}", &version, &err));
+  EXPECT_EQ (CV_ERR_CONFLICT, err.code);
+  EXPECT_EQ (2u, store.counts.reads);
+  EXPECT_EQ (2u, store.counts.writes);
+  EXPECT_EQ (0u, store.counts.failures);
+}
+
+TEST_F (StoreTest, RefusesBadKeys)
+{
+  cv_object_t o;
+  EXPECT_FALSE (cv_store_get (&store, "Config?x", &o, &err));
+  EXPECT_EQ (CV_ERR_INVALID, err.code);
+  EXPECT_FALSE (cv_store_put (&store, "", 0, "{}", &version, &err));
+  EXPECT_EQ (CV_ERR_INVALID, err.code);
+}
+
+TEST_F (StoreTest, PlainWriteTellsUnknownFromUnavailable)
+{
+  fake.fault (Fault::LoseAnswer);
+  EXPECT_FALSE (cv_store_put (&store, "k", 0, "{}", &version, &err));
+  EXPECT_EQ (CV_ERR_UNKNOWN, err.code);
+  fake.fault (Fault::Error500);
+  EXPECT_FALSE (cv_store_put (&store, "l", 0, "{}", &version, &err));
+  EXPECT_EQ (CV_ERR_UNKNOWN, err.code);
+  fake.fault (Fault::Refuse);
+  EXPECT_FALSE (cv_store_put (&store, "m", 0, "{}", &version, &err));
+  EXPECT_EQ (CV_ERR_UNAVAILABLE, err.code);
+  EXPECT_EQ (2, fake.writes);
+  fake.stop ();
+  EXPECT_FALSE (cv_store_put (&store, "n", 0, "{}", &version, &err));
+  EXPECT_EQ (CV_ERR_UNAVAILABLE, err.code);
+}
+
+TEST_F (StoreTest, SettlesLostAnswer)
+{
+  fake.fault (Fault::LoseAnswer);
+  ASSERT_TRUE (settled (0, "n1")) << err.text;
+  EXPECT_EQ (1u, version);
+  EXPECT_EQ (1, fake.writes);
+  EXPECT_EQ (1u, store.counts.settled);
+}
+
+TEST_F (StoreTest, WritesAgainWhenTheQueryWasLost)
+{
+  fake.fault (Fault::LoseQuery);
+  ASSERT_TRUE (settled (0, "n1")) << err.text;
+  EXPECT_EQ (1, fake.writes);
+}
+
+TEST_F (StoreTest, LateWriteIsBarredByTheSecondOne)
+{
+  fake.fault (Fault::Late);
+  ASSERT_TRUE (settled (0, "n1")) << err.text;
+  usleep ((FakeStore::LateMs + 100) * 1000);
+  EXPECT_EQ (1, fake.writes);
+  EXPECT_EQ (1u, version);
+}
+
+TEST_F (StoreTest, ConflictOfTheSecondWriteWithTheFirstIsSuccess)
+{
+  fake.fault (Fault::LoseQuery);
+  fake.fault (Fault::LoseAnswer);
+  ASSERT_TRUE (settled (0, "n1")) << err.text;
+  EXPECT_EQ (1, fake.writes);
+}
+
+TEST_F (StoreTest, LostAnswerThatLostTheRaceIsConflict)
+{
+  fake.overwrite ("claims/a", "{\"nonce\":\"other\"}");
+  fake.fault (Fault::LoseAnswer);
+  EXPECT_FALSE (settled (0, "n1"));
+  EXPECT_EQ (CV_ERR_CONFLICT, err.code);
+  EXPECT_EQ (0, fake.writes);
+}
+
+TEST_F (StoreTest, OverwrittenWriteIsFoundAmongEarlierNonces)
+{
+  fake.overwrite ("claims/a", "{\"nonce\":\"n2\",\"nonces\":[\"n1\"]}");
+  fake.fault (Fault::LoseQuery);
+  ASSERT_TRUE (settled (0, "n1")) << err.text;
+  EXPECT_EQ (1u, version);
+}
+
+TEST_F (StoreTest, UnknownOnlyAfterTheDeadline)
+{
+  for (int i = 0; i < 20; i++)
+    fake.fault (Fault::LoseQuery);
+  EXPECT_FALSE (settled (0, "n1", 600 * CV_MS));
+  EXPECT_EQ (CV_ERR_UNKNOWN, err.code);
+}
+
+TEST_F (StoreTest, FirstConflictAndRefusalAreNotTriedAgain)
+{
+  fake.overwrite ("claims/a", "{\"nonce\":\"other\"}");
+  EXPECT_FALSE (settled (0, "n1"));
+  EXPECT_EQ (CV_ERR_CONFLICT, err.code);
+  fake.fault (Fault::Refuse);
+  EXPECT_FALSE (settled (1, "n1"));
+  EXPECT_EQ (CV_ERR_UNAVAILABLE, err.code);
+  EXPECT_EQ (2u, store.counts.writes);
+  EXPECT_EQ (0u, store.counts.reads);
+}
+
+TEST (StoreNonce, IsTheFirstKey)
+{
+  cv_buf_t b;
+  cv_buf_init (&b);
+  cv_store_add_nonce (cv_slice ("{ \"a\": 1}"), "n", &b);
+  EXPECT_STREQ ("{\"nonce\":\"n\",\"a\": 1}", cv_buf_text (&b));
+  cv_buf_reset (&b);
+  cv_store_add_nonce (cv_slice ("{\n}"), "n", &b);
+  EXPECT_STREQ ("{\"nonce\":\"n\"}", cv_buf_text (&b));
+  cv_buf_finish (&b);
+}
+
+} // namespace
