--- /dev/null
+++ b/catkinctl/client.c
@@ -0,0 +1,177 @@
+/* Calls of an entry by ulfius's client, and the texts that are sent.  */
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+#include <ulfius.h>
+
+#include "catkinctl/ctl.h"
+
+#define TEXT_MAX (4u * 1024 * 1024)
+#define URL_TEXT 512
+#define STATUS_CONFLICT 409
+#define STATUS_UNKNOWN 504
+#define STATUS_UNAVAILABLE 503
+
+static bool
+add_headers (const cv_ctl_t *ctl, struct _u_request *req)
+{
+  cv_buf_t bearer;
+  int rc = U_OK;
+
+  if (ctl->key != NULL)
+    {
+      cv_buf_init (&bearer);
+      cv_buf_printf (&bearer, "Bearer %s", ctl->key);
+      rc = u_map_put (req->map_header, "Authorization", cv_buf_text (&bearer));
+      cv_buf_finish (&bearer);
+    }
+  if (rc == U_OK && ctl->base != NULL)
+    rc = u_map_put (req->map_header, "X-Base-Version", ctl->base);
+  if (rc == U_OK && ctl->dry_run)
+    rc = u_map_put (req->map_header, "X-Dry-Run", "1");
+  if (rc == U_OK)
+    rc = u_map_put (req->map_header, "Expect", "");
+  return rc == U_OK;
+}
+
+void
+cv_ctl_call (const cv_ctl_t *ctl, const char *method, const char *path,
+             const char *body, size_t n, cv_answer_t *a)
+{
+  struct _u_request req;
+  struct _u_response resp;
+  char url[URL_TEXT];
+
+  memset (a, 0, sizeof *a);
+  cv_buf_init (&a->body);
+  (void)snprintf (url, sizeof url, "%s%s", ctl->entry, path);
+  if (ulfius_init_request (&req) != U_OK)
+    return;
+  if (ulfius_init_response (&resp) == U_OK)
+    {
+      if (add_headers (ctl, &req)
+          && ulfius_set_request_properties (
+                 &req, U_OPT_HTTP_VERB, method, U_OPT_HTTP_URL, url,
+                 U_OPT_TIMEOUT, (unsigned long)ctl->timeout_s, U_OPT_NONE)
+                 == U_OK
+          && (n == 0 || ulfius_set_binary_body_request (&req, body, n) == U_OK)
+          && ulfius_send_http_request (&req, &resp) == U_OK)
+        {
+          a->connected = true;
+          a->status = (int)resp.status;
+          cv_buf_add (&a->body, resp.binary_body, resp.binary_body_length);
+        }
+      ulfius_clean_response (&resp);
+    }
+  ulfius_clean_request (&req);
+}
+
+void
+cv_answer_finish (cv_answer_t *a)
+{
+  cv_buf_finish (&a->body);
+}
+
+static int
+exit_code_of (int status)
+{
+  switch (status)
+    {
+    case STATUS_CONFLICT:
+      return CV_EXIT_CONFLICT;
+    case STATUS_UNKNOWN:
+      return CV_EXIT_UNKNOWN;
+    case STATUS_UNAVAILABLE:
+      return CV_EXIT_NOT_RUN;
+    default:
+      return CV_EXIT_REFUSED;
+    }
+}
+
+static void
+print_error (cv_answer_t *a)
+{
+  struct json_object *tree = json_tokener_parse (cv_buf_text (&a->body));
+  struct json_object *error = NULL;
+  struct json_object *text = NULL;
+  struct json_object *version = NULL;
+
+  if (json_object_object_get_ex (tree, "error", &error)
+      && json_object_object_get_ex (error, "message", &text))
+    fprintf (stderr, "catkinctl: %s\n", json_object_get_string (text));
+  else
+    fprintf (stderr, "catkinctl: the entry answered %d: %.200s\n", a->status,
+             cv_buf_text (&a->body));
+  if (a->status == STATUS_CONFLICT
+      && json_object_object_get_ex (tree, "version", &version)
+      && json_object_get_int64 (version) > 0)
+    fprintf (stderr, "catkinctl: the current version is %s\n",
+             json_object_get_string (version));
+  json_object_put (tree);
+}
+
+int
+cv_ctl_refused (const cv_ctl_t *ctl, cv_answer_t *a)
+{
+  if (!a->connected)
+    {
+      fprintf (stderr, "catkinctl: %s does not answer\n", ctl->entry);
+      return CV_EXIT_NOT_RUN;
+    }
+  if (ctl->json)
+    printf ("%s\n", cv_buf_text (&a->body));
+  else
+    print_error (a);
+  return exit_code_of (a->status);
+}
+
+/* ---- texts ---- */
+
+char *
+cv_ctl_read (const char *path, size_t *n)
+{
+  FILE *in = strcmp (path, "-") == 0 ? stdin : fopen (path, "re");
+  char *text;
+
+  if (in == NULL)
+    {
+      fprintf (stderr, "%s:0:0: cannot be opened: %s\n", path,
+               strerror (errno));
+      return NULL;
+    }
+  text = cv_calloc (TEXT_MAX + 1, 1);
+  *n = fread (text, 1, TEXT_MAX + 1, in);
+  if (ferror (in) != 0 || *n > TEXT_MAX)
+    {
+      fprintf (stderr, "%s:0:0: expected a file of at most %u bytes\n", path,
+               TEXT_MAX);
+      free (text);
+      text = NULL;
+    }
+  if (in != stdin)
+    (void)fclose (in);
+  return text;
+}
+
+char *
+cv_ctl_text (const cv_ctl_t *ctl, const char *verb, size_t *n)
+{
+  cv_buf_t words;
+  char *text;
+  size_t i;
+
+  if (ctl->file != NULL)
+    return cv_ctl_read (ctl->file, n);
+  cv_buf_init (&words);
+  if (verb != NULL)
+    cv_buf_printf (&words, "%s", verb);
+  for (i = 0; i < ctl->arg_count; i++)
+    cv_buf_printf (&words, "%s%s", words.n > 0 ? " " : "", ctl->args[i]);
+  *n = words.n;
+  text = cv_strdup_n (cv_buf_text (&words), words.n);
+  cv_buf_finish (&words);
+  return text;
+}
--- a/config/config.c
+++ b/config/config.c
@@ -8,6 +8,8 @@
 #include "config/kinds.h"
 
 #define PATH_TEXT 160
+#define NONCE "nonce"
+#define NONCES "nonces"
 
 /* ---- references ---- */
 
@@ -125,6 +127,30 @@
   cv_kind_set (kind, c, items, n);
 }
 
+static void
+add_nonce (cv_config_t *c, struct json_object *value)
+{
+  if (c->nonce_count < CV_NONCES_MAX
+      && json_object_is_type (value, json_type_string)
+      && cv_copy (c->nonces[c->nonce_count], CV_ID_TEXT,
+                  json_object_get_string (value)))
+    c->nonce_count++;
+}
+
+static void
+read_nonces (struct json_object *tree, cv_config_t *c)
+{
+  struct json_object *value;
+  size_t i;
+
+  if (json_object_object_get_ex (tree, NONCE, &value))
+    add_nonce (c, value);
+  if (json_object_object_get_ex (tree, NONCES, &value)
+      && json_object_is_type (value, json_type_array))
+    for (i = 0; i < json_object_array_length (value); i++)
+      add_nonce (c, json_object_array_get_idx (value, i));
+}
+
 /* Read the keys of the document that are not kinds.  */
 static void
 read_system (struct json_object *tree, cv_config_t *c, cv_problems_t *p)
@@ -133,7 +159,7 @@
 
   json_object_object_foreach (tree, key, value)
   {
-    if (value == NULL || strcmp (key, "nonce") == 0)
+    if (value == NULL || strcmp (key, NONCE) == 0 || strcmp (key, NONCES) == 0)
       continue;
     if (cv_kind_find (key) != NULL
         && strcmp (cv_kind_find (key)->plural, key) == 0)
@@ -158,6 +184,7 @@
   if (tree == NULL)
     return NULL;
   c = cv_config_new (version);
+  read_nonces (tree, c);
   read_system (tree, c, p);
   for (i = 0; i < CV_KIND_COUNT; i++)
     if (json_object_object_get_ex (tree, cv_kinds[i].plural, &value)
@@ -208,7 +235,39 @@
   return p.count == 0;
 }
 
-/* ---- references counts ---- */
+bool
+cv_config_seal (const cv_config_t *base, cv_slice_t json, const char *nonce,
+                cv_buf_t *out, cv_error_t *err)
+{
+  struct json_object *earlier;
+  struct json_object *tree;
+  cv_problems_t p;
+  const char *text;
+  size_t i;
+
+  cv_problems_init (&p, NULL, NULL);
+  tree = cv_json_parse (json, &p);
+  if (tree == NULL)
+    {
+      if (err != NULL)
+        *err = p.first;
+      return false;
+    }
+  earlier = json_object_new_array ();
+  for (i = 0; base != NULL && i < base->nonce_count && i < CV_NONCES_MAX - 1;
+       i++)
+    (void)json_object_array_add (earlier,
+                                 json_object_new_string (base->nonces[i]));
+  (void)json_object_object_add (tree, NONCE, json_object_new_string (nonce));
+  (void)json_object_object_add (tree, NONCES, earlier);
+  text = json_object_to_json_string_ext (
+      tree, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+  cv_buf_add (out, text, strlen (text));
+  json_object_put (tree);
+  return true;
+}
+
+/* ---- reference counts ---- */
 
 cv_config_t *
 cv_config_ref (cv_config_t *c)
--- a/config/config.h
+++ b/config/config.h
@@ -58,6 +58,9 @@
     cv_account_limits_t limits;
   } cv_account_t;
 
+/* Nonces of earlier writes that a document carries.  */
+#define CV_NONCES_MAX 16
+
   /* One accepted version.  Immutable once parsed; shared by reference.  */
   typedef struct cv_config_t
   {
@@ -74,12 +77,14 @@
     const cv_account_t **by_key; /* the accounts sorted by key_hash */
     uint32_t limit_share; /* entries that share each account's limits; 0: as
                              many as the instance list shows */
-    char *text;           /* the document as it was accepted */
+    char nonces[CV_NONCES_MAX][CV_ID_TEXT]; /* of its writes, newest first */
+    size_t nonce_count;
+    char *text; /* the document as it was accepted */
     size_t text_size;
   } cv_config_t;
 
-  /* Parse and check a document; NULL with ERR naming line and field.  A key
-     "nonce" at the top is accepted and ignored.  */
+  /* Parse and check a document; NULL with ERR naming line and field.  The keys
+     "nonce" and "nonces" at the top are left by cv_config_seal.  */
   cv_config_t *cv_config_parse (uint64_t version, cv_slice_t json,
                                 cv_error_t *err);
   /* Check a document and report each problem as "NAME:LINE:COLUMN: text" on
@@ -103,6 +108,13 @@
   /* KEY has this hash; compared in constant time.  False for an empty HASH.  */
   bool cv_key_matches (cv_slice_t key, const char *hash);
 
+  /* Append the document JSON to OUT with "nonce" NONCE and, in "nonces", those
+     of BASE's writes (NULL: none), so that a write whose answer was lost is
+     recognised also after others have followed it.  False when JSON is no
+     object.  */
+  bool cv_config_seal (const cv_config_t *base, cv_slice_t json,
+                       const char *nonce, cv_buf_t *out, cv_error_t *err);
+
   /* ---- the operators' language ---- */
 
   /* Apply a change ("set account X weight 3; ...") to BASE (NULL: the empty
--- a/config/tests/config_test.cc
+++ b/config/tests/config_test.cc
@@ -216,6 +216,32 @@
   cv_buf_finish (&diff);
 }
 
+TEST (Config, SealKeepsTheNoncesOfEarlierWrites)
+{
+  cv_config_t *c = nullptr;
+  for (int i = 0; i < 20; i++)
+    {
+      cv_buf_t out;
+      cv_error_t err = {};
+      cv_buf_init (&out);
+      std::string nonce = "n" + std::to_string (i);
+      std::string text = c == nullptr
+                             ? "{} // empty"
+                             : std::string (c->text, c->text_size); // sealed
+      ASSERT_TRUE (
+          cv_config_seal (c, slice (text), nonce.c_str (), &out, &err));
+      cv_config_unref (c);
+      c = cv_config_parse (1, cv_slice (cv_buf_text (&out)), &err);
+      cv_buf_finish (&out);
+      ASSERT_NE (nullptr, c) << err.text;
+    }
+  ASSERT_EQ (static_cast<size_t> (CV_NONCES_MAX), c->nonce_count);
+  EXPECT_STREQ ("n19", c->nonces[0]);
+  EXPECT_STREQ ("n18", c->nonces[1]);
+  EXPECT_STREQ ("n4", c->nonces[15]);
+  cv_config_unref (c);
+}
+
 TEST (Config, KeyMatchesItsHashOnly)
 {
   char hash[CV_KEY_HASH_TEXT];
