--- a/base/json.c
+++ b/base/json.c
@@ -377,6 +377,9 @@
   json_tokener_set_flags (tok, JSON_TOKENER_VALIDATE_UTF8
                                    | JSON_TOKENER_ALLOW_TRAILING_CHARS);
   tree = json_tokener_parse_ex (tok, text.p, (int)text.n);
+  /* A comment may be the last line and lack its end.  */
+  if (tree == NULL && json_tokener_get_error (tok) == json_tokener_continue)
+    tree = json_tokener_parse_ex (tok, "\n", 1);
   err = json_tokener_get_error (tok);
   end = json_tokener_get_parse_end (tok);
   json_tokener_free (tok);
