--- a/base/json.c
+++ b/base/json.c
@@ -254,7 +254,7 @@
 scan_object (scan_t *s, struct json_object *tree)
 {
   struct json_object *child;
-  cv_slice_t key;
+  cv_slice_t key = { NULL, 0 };
   int column;
   int line;
 
--- a/catkinctl/table.c
+++ b/catkinctl/table.c
@@ -18,7 +18,7 @@
 
 struct cv_table_t
 {
-  STAILQ_HEAD (, cv_table_cell_t) cells;
+  STAILQ_HEAD (cv_table_cells_t, cv_table_cell_t) cells;
   cv_table_cell_t *newest;
   size_t column;
   size_t width[COLUMNS_MAX];
@@ -77,11 +77,11 @@
 {
   const cv_table_cell_t *c;
 
-  STAILQ_FOREACH (c, &t->cells, link)
-  {
-    if (c->last)
-      fprintf (out, "%s\n", c->text);
-    else
-      fprintf (out, "%-*s" GAP, (int)t->width[c->column], c->text);
-  }
+  for (c = STAILQ_FIRST (&t->cells); c != NULL; c = STAILQ_NEXT (c, link))
+    {
+      if (c->last)
+        fprintf (out, "%s\n", c->text);
+      else
+        fprintf (out, "%-*s" GAP, (int)t->width[c->column], c->text);
+    }
 }
--- a/config/change.c
+++ b/config/change.c
@@ -175,12 +175,18 @@
   if (l->word.kind == CV_WORD_PLAIN)
     *kind = cv_kind_find (l->word.text);
   if (*kind == NULL)
-    return cv_lexer_expected (l, "account, class, model, pool or system");
+    {
+      (void)cv_lexer_expected (l, "account, class, model, pool or system");
+      return false;
+    }
   (void)cv_lexer_next (l);
   if ((l->word.kind != CV_WORD_PLAIN && l->word.kind != CV_WORD_QUOTED)
       || !cv_name_valid (l->word.text))
-    return cv_lexer_expected (
-        l, "a name (1 to 63 of letters, digits, '-', '_', '.')");
+    {
+      (void)cv_lexer_expected (
+          l, "a name (1 to 63 of letters, digits, '-', '_', '.')");
+      return false;
+    }
   (void)cv_copy (name, CV_NAME_MAX, l->word.text);
   remember (ch, name, verb->line, verb->column);
   return true;
