--- /dev/null
+++ b/side/core.c
@@ -0,0 +1,149 @@
+/* The core of a side: set-up, dispatch of messages, ticks.  */
+
+#include <stdlib.h>
+
+#include "side/core.h"
+
+#define LENGTH_KEYS 4096 /* account, class and model combinations */
+
+void
+cv_core_init (cv_core_t *c, cv_time_t now, const cv_core_settings_t *set,
+              cv_side_emit_t emit, void *arg)
+{
+  *c = (cv_core_t){ .set = *set, .emit = emit, .arg = arg };
+  c->reported = now;
+  c->config_age_ms = UINT32_MAX;
+  c->gate = cv_gate_new (set->kv_tokens, set->max_batch);
+  c->lengths = cv_length_new (LENGTH_KEYS);
+  c->suspects = cv_suspects_new ();
+  cv_streams_init (c);
+  cv_calls_init (c, now);
+}
+
+void
+cv_core_finish (cv_core_t *c)
+{
+  cv_streams_finish (c);
+  cv_calls_finish (c);
+  cv_docs_finish (c);
+  cv_gate_free (c->gate);
+  cv_length_free (c->lengths);
+  cv_suspects_free (c->suspects);
+  free (c->peers);
+}
+
+void
+cv_core_message (cv_core_t *c, cv_time_t now, uint32_t peer,
+                 const cv_msg_t *msg)
+{
+  cv_peers_hear (c, now, peer);
+  switch (msg->type)
+    {
+    case CV_MSG_HELLO:
+      cv_peers_hello (c, now, peer, &msg->u.hello);
+      break;
+    case CV_MSG_DOC_PULL:
+      cv_docs_pull (c, peer, msg->u.doc_pull.doc);
+      break;
+    case CV_MSG_DOC:
+      cv_docs_doc (c, now, peer, &msg->u.doc);
+      break;
+    case CV_MSG_SUBMIT:
+      cv_streams_submit (c, now, peer, &msg->u.submit);
+      break;
+    case CV_MSG_ATTACH:
+      cv_streams_attach (c, now, peer, &msg->u.attach);
+      break;
+    case CV_MSG_DETACH:
+      cv_streams_detach (c, now, peer, msg->u.stream.stream);
+      break;
+    case CV_MSG_CANCEL:
+      cv_streams_cancel (c, now, peer, msg->u.stream.stream);
+      break;
+    case CV_MSG_CALL:
+      cv_calls_call (c, now, peer, &msg->u.call);
+      break;
+    case CV_MSG_REVOKE:
+      cv_calls_revoke (c, now, peer, &msg->u.revoke);
+      break;
+    case CV_MSG_REPORT:
+    case CV_MSG_ACCEPTED:
+    case CV_MSG_REJECTED:
+    case CV_MSG_TOKENS:
+    case CV_MSG_END:
+    case CV_MSG_CALL_RESULT:
+    case CV_MSG_LAST:
+      break; /* meant for entries */
+    }
+}
+
+void
+cv_core_tick (cv_core_t *c, cv_time_t now, int64_t wall_s)
+{
+  c->wall_s = wall_s;
+  cv_peers_tick (c, now);
+  cv_streams_tick (c, now);
+  cv_calls_tick (c, now);
+  cv_drain_tick (c, now);
+  cv_core_flush (c, now);
+}
+
+void
+cv_core_flush (cv_core_t *c, cv_time_t now)
+{
+  cv_running_gate (c, now);
+  cv_calls_run (c, now);
+  cv_streams_flush (c);
+}
+
+void
+cv_core_send (cv_core_t *c, uint32_t peer, const cv_msg_t *msg)
+{
+  cv_side_out_t out = { .type = CV_OUT_SEND };
+
+  if (!cv_peers_live (c, peer))
+    return;
+  out.u.send.peer = peer;
+  out.u.send.msg = msg;
+  c->emit (c->arg, &out);
+}
+
+void
+cv_core_reject (cv_core_t *c, uint32_t peer, cv_id_t id, cv_reject_t reason,
+                uint32_t retry_after_ms)
+{
+  cv_msg_t msg = { .type = CV_MSG_REJECTED };
+
+  msg.u.rejected.id = id;
+  msg.u.rejected.reason = reason;
+  msg.u.rejected.retry_after_ms = retry_after_ms;
+  c->counts.rejects++;
+  cv_core_send (c, peer, &msg);
+}
+
+cv_target_state_t
+cv_core_state (const cv_core_t *c)
+{
+  if (c->leaving)
+    return CV_TARGET_LEAVING;
+  return c->backend_up ? CV_TARGET_LIVE : CV_TARGET_DOWN;
+}
+
+void
+cv_core_load (const cv_core_t *c, cv_time_t now, cv_load_t *load)
+{
+  cv_time_t age;
+
+  *load = (cv_load_t){ 0 };
+  if (c->set.kind == CV_POOL_SERVICE)
+    {
+      load->running = c->calls_running;
+      load->waiting = c->calls_queued;
+      return;
+    }
+  cv_gate_load (c->gate, load);
+  age = (now - c->engine_seen) / CV_MS;
+  load->preemptions = c->engine.preemptions;
+  load->token_us = c->engine.token_us;
+  load->age_ms = c->engine.age_ms + (uint32_t)age;
+}
--- /dev/null
+++ b/side/docs.c
@@ -0,0 +1,210 @@
+/* Versions of the configuration and of the suspects: gossip with entries.
+
+   A version of the suspects is a counter above 16 bits of a hash of its
+   content, so that two documents made at once differ and the merge of both
+   is newer than either.  */
+
+#include <stdlib.h>
+
+#include "side/core.h"
+
+#define SUSPECTS_HASH_BITS 16
+
+static void doc_store (cv_doc_state_t *d, uint64_t version, cv_slice_t body);
+static void take_config (cv_core_t *c, cv_time_t now, uint32_t peer,
+                         const cv_msg_doc_t *m);
+static void take_suspects (cv_core_t *c, const cv_msg_doc_t *m);
+static uint64_t suspects_version (uint64_t counter, cv_slice_t body);
+static void pull (cv_core_t *c, cv_time_t now, uint32_t peer, cv_doc_t doc);
+
+void
+cv_docs_finish (cv_core_t *c)
+{
+  int i;
+
+  for (i = 0; i < CV_DOC_COUNT; i++)
+    free (c->doc[i].body);
+  cv_config_unref (c->config);
+}
+
+void
+cv_docs_versions (const cv_core_t *c, cv_time_t now, cv_versions_t *out)
+{
+  int64_t age = c->config_age_ms;
+  int i;
+
+  for (i = 0; i < CV_DOC_COUNT; i++)
+    out->version[i] = c->doc[i].version;
+  if (c->config_age_ms != UINT32_MAX)
+    age += (now - c->config_heard) / CV_MS;
+  out->age_ms = age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
+}
+
+void
+cv_docs_heard (cv_core_t *c, cv_time_t now, uint32_t peer,
+               const cv_versions_t *v)
+{
+  cv_versions_t own;
+  int i;
+
+  for (i = 0; i < CV_DOC_COUNT; i++)
+    {
+      if (v->version[i] > c->doc[i].seen)
+        c->doc[i].seen = v->version[i];
+      if (v->version[i] > c->doc[i].version)
+        pull (c, now, peer, (cv_doc_t)i);
+    }
+  cv_docs_versions (c, now, &own);
+  if (v->version[CV_DOC_CONFIG] == own.version[CV_DOC_CONFIG]
+      && v->age_ms < own.age_ms)
+    {
+      c->config_age_ms = v->age_ms;
+      c->config_heard = now;
+    }
+}
+
+bool
+cv_docs_admit (cv_core_t *c, cv_time_t now, uint32_t peer, uint64_t version)
+{
+  cv_doc_state_t *d = &c->doc[CV_DOC_CONFIG];
+
+  if (version > d->seen)
+    d->seen = version;
+  if (version > d->version)
+    pull (c, now, peer, CV_DOC_CONFIG);
+  return version >= d->seen;
+}
+
+void
+cv_docs_pull (cv_core_t *c, uint32_t peer, cv_doc_t doc)
+{
+  cv_msg_t msg = { .type = CV_MSG_DOC };
+  const cv_doc_state_t *d;
+
+  if (doc >= CV_DOC_COUNT || c->doc[doc].body == NULL)
+    return;
+  d = &c->doc[doc];
+  msg.u.doc.doc = doc;
+  msg.u.doc.version = d->version;
+  msg.u.doc.body.p = d->body;
+  msg.u.doc.body.n = d->size;
+  cv_core_send (c, peer, &msg);
+}
+
+void
+cv_docs_doc (cv_core_t *c, cv_time_t now, uint32_t peer,
+             const cv_msg_doc_t *m)
+{
+  if (m->doc >= CV_DOC_COUNT || m->version <= c->doc[m->doc].version)
+    return;
+  if (m->version > c->doc[m->doc].seen)
+    c->doc[m->doc].seen = m->version;
+  switch (m->doc)
+    {
+    case CV_DOC_CONFIG:
+      take_config (c, now, peer, m);
+      break;
+    case CV_DOC_SUSPECTS:
+      take_suspects (c, m);
+      break;
+    case CV_DOC_COUNT:
+      break;
+    }
+}
+
+void
+cv_docs_suspects_changed (cv_core_t *c)
+{
+  cv_doc_state_t *d = &c->doc[CV_DOC_SUSPECTS];
+  uint64_t newest = d->seen > d->version ? d->seen : d->version;
+  cv_buf_t body;
+  cv_slice_t text;
+
+  cv_buf_init (&body);
+  cv_suspects_dump (c->suspects, &body);
+  text = cv_slice (cv_buf_text (&body));
+  doc_store (d, suspects_version ((newest >> SUSPECTS_HASH_BITS) + 1, text),
+             text);
+  cv_buf_finish (&body);
+}
+
+static void
+doc_store (cv_doc_state_t *d, uint64_t version, cv_slice_t body)
+{
+  free (d->body);
+  d->body = cv_strdup_n (body.p, body.n);
+  d->size = body.n;
+  d->version = version;
+  if (version > d->seen)
+    d->seen = version;
+}
+
+static void
+take_config (cv_core_t *c, cv_time_t now, uint32_t peer,
+             const cv_msg_doc_t *m)
+{
+  cv_error_t err;
+  cv_config_t *config = cv_config_parse (m->version, m->body, &err);
+
+  if (config == NULL)
+    {
+      cv_log (CV_EV_SIDE_DOC_INVALID, "config %llu: %s",
+              (unsigned long long)m->version, err.text);
+      return;
+    }
+  cv_config_unref (c->config);
+  c->config = config;
+  doc_store (&c->doc[CV_DOC_CONFIG], m->version, m->body);
+  c->config_age_ms = UINT32_MAX;
+  if (cv_peers_live (c, peer)
+      && c->peers[peer].versions.version[CV_DOC_CONFIG] == m->version)
+    c->config_age_ms = c->peers[peer].versions.age_ms;
+  c->config_heard = now;
+  cv_peers_report_all (c, now);
+}
+
+/* Take the union of both documents; when ours had more, the union is a new
+   version that the peer has yet to pull.  */
+static void
+take_suspects (cv_core_t *c, const cv_msg_doc_t *m)
+{
+  cv_doc_state_t *d = &c->doc[CV_DOC_SUSPECTS];
+  cv_error_t err;
+  cv_buf_t body;
+  cv_slice_t text;
+
+  if (!cv_suspects_merge (c->suspects, m->body, &err))
+    {
+      cv_log (CV_EV_SIDE_DOC_INVALID, "suspects: %s", err.text);
+      return;
+    }
+  cv_buf_init (&body);
+  cv_suspects_dump (c->suspects, &body);
+  text = cv_slice (cv_buf_text (&body));
+  if (cv_slice_equal (text, m->body))
+    doc_store (d, m->version, text);
+  else
+    cv_docs_suspects_changed (c);
+  cv_buf_finish (&body);
+}
+
+static uint64_t
+suspects_version (uint64_t counter, cv_slice_t body)
+{
+  uint64_t mask = (1u << SUSPECTS_HASH_BITS) - 1;
+
+  return (counter << SUSPECTS_HASH_BITS) | (cv_hash (body.p, body.n, 0) & mask);
+}
+
+static void
+pull (cv_core_t *c, cv_time_t now, uint32_t peer, cv_doc_t doc)
+{
+  cv_doc_state_t *d = &c->doc[doc];
+  cv_msg_t msg = { .type = CV_MSG_DOC_PULL };
+
+  if (d->pulled != 0 && now - d->pulled < CV_PULL_INTERVAL)
+    return;
+  d->pulled = now;
+  msg.u.doc_pull.doc = doc;
+  cv_core_send (c, peer, &msg);
+}
--- /dev/null
+++ b/side/running.c
@@ -0,0 +1,230 @@
+/* Streams at the engine: what the gate orders and what the engine tells.  */
+
+#include <stdlib.h>
+
+#include "side/core.h"
+
+#define GATE_BATCH 32   /* actions taken from the gate at once */
+#define TOKENS_FIRST 64 /* room for so many tokens at first */
+
+static void act (cv_core_t *c, cv_time_t now, const cv_gate_action_t *a);
+static void start (cv_core_t *c, cv_stream_t *s);
+static void append (cv_stream_t *s, cv_slice_t text);
+static void strike (cv_core_t *c);
+static void note_natural_end (cv_core_t *c, const cv_stream_t *s);
+
+void
+cv_running_gate (cv_core_t *c, cv_time_t now)
+{
+  cv_gate_action_t action[GATE_BATCH];
+  size_t n;
+  size_t i;
+
+  if (!c->backend_up || c->set.kind != CV_POOL_ENGINE)
+    return;
+  do
+    {
+      n = cv_gate_tick (c->gate, now, action, GATE_BATCH);
+      for (i = 0; i < n; i++)
+        act (c, now, &action[i]);
+    }
+  while (n == GATE_BATCH);
+}
+
+void
+cv_engine_order (cv_core_t *c, cv_out_type_t type, const cv_stream_t *s)
+{
+  cv_side_out_t out = { .type = type };
+
+  out.u.stream.slot = s->slot;
+  out.u.stream.id = s->node.id;
+  c->emit (c->arg, &out);
+}
+
+void
+cv_core_token (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+               uint32_t index, cv_slice_t text)
+{
+  cv_stream_t *s = cv_streams_at (c, ref);
+
+  if (s == NULL || index != s->count)
+    return;
+  append (s, text);
+  c->counts.tokens++;
+  cv_gate_progress (c->gate, now, s->slot, 1);
+  cv_streams_mark (c, s);
+}
+
+void
+cv_core_preempted (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref)
+{
+  cv_stream_t *s = cv_streams_at (c, ref);
+
+  if (s == NULL || s->state != CV_STREAM_RUNNING)
+    return; /* the pause that this side asked for */
+  c->counts.preemptions++;
+  cv_gate_preempted (c->gate, now, s->slot);
+}
+
+void
+cv_core_engine_refused (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+                        cv_reject_t reason)
+{
+  cv_stream_t *s = cv_streams_at (c, ref);
+
+  if (s == NULL)
+    return;
+  CV_INVARIANT (s->count == 0);
+  s->at_engine = false;
+  s->state = CV_STREAM_WAITING;
+  cv_streams_reject (c, now, s, reason, CV_RETRY_DEFAULT_MS);
+}
+
+void
+cv_core_stream_end (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+                    cv_end_t end, uint32_t total)
+{
+  cv_stream_t *s = cv_streams_at (c, ref);
+
+  if (s == NULL)
+    return;
+  if (total != s->count)
+    end = CV_END_ENGINE_LOST; /* tokens are missing: never call it whole */
+  if (end == CV_END_STOP || end == CV_END_LENGTH)
+    note_natural_end (c, s);
+  cv_streams_end (c, now, s, end);
+}
+
+void
+cv_core_engine_lost (cv_core_t *c, cv_time_t now)
+{
+  cv_stream_t *s;
+
+  c->counts.engine_losses++;
+  if (c->reclaim_at == 0)
+    strike (c);
+  TAILQ_FOREACH (s, &c->streams, link)
+    if (s->at_engine && s->state != CV_STREAM_ENDED)
+      cv_streams_end (c, now, s, CV_END_ENGINE_LOST);
+}
+
+void
+cv_core_engine_load (cv_core_t *c, cv_time_t now, const cv_load_t *load)
+{
+  c->engine = *load;
+  c->engine_seen = now;
+  cv_gate_set_total (c->gate, load->kv_total);
+}
+
+void
+cv_core_backend_state (cv_core_t *c, cv_time_t now, bool up)
+{
+  cv_stream_t *s = TAILQ_FIRST (&c->streams);
+
+  if (c->backend_up == up)
+    return;
+  c->backend_up = up;
+  while (!up && s != NULL)
+    {
+      cv_stream_t *next = TAILQ_NEXT (s, link);
+
+      if (s->state == CV_STREAM_WAITING)
+        cv_streams_reject (c, now, s, CV_REJECT_ENGINE, CV_RETRY_DEFAULT_MS);
+      s = next;
+    }
+  cv_peers_report_all (c, now);
+}
+
+static void
+act (cv_core_t *c, cv_time_t now, const cv_gate_action_t *a)
+{
+  cv_stream_t *s;
+
+  CV_INVARIANT (a->slot < c->slot_count);
+  s = c->slots[a->slot];
+  CV_INVARIANT (s != NULL && s->state != CV_STREAM_ENDED);
+  switch (a->verb)
+    {
+    case CV_GATE_START:
+      start (c, s);
+      break;
+    case CV_GATE_PAUSE:
+      s->state = CV_STREAM_PAUSED;
+      c->counts.preemptions++;
+      cv_engine_order (c, CV_OUT_ENGINE_PAUSE, s);
+      break;
+    case CV_GATE_RESUME:
+      if (!s->at_engine)
+        {
+          start (c, s);
+          break;
+        }
+      s->state = CV_STREAM_RUNNING;
+      cv_engine_order (c, CV_OUT_ENGINE_RUN, s);
+      break;
+    case CV_GATE_REFUSE:
+      cv_streams_reject (c, now, s, CV_REJECT_FULL, a->retry_after_ms);
+      break;
+    }
+}
+
+static void
+start (cv_core_t *c, cv_stream_t *s)
+{
+  cv_side_out_t out = { .type = CV_OUT_ENGINE_START };
+  cv_engine_start_t *order = &out.u.start;
+
+  s->state = CV_STREAM_RUNNING;
+  s->at_engine = true;
+  order->ref.slot = s->slot;
+  order->ref.id = s->node.id;
+  order->model = s->model;
+  order->prompt.p = s->prompt;
+  order->prompt.n = s->prompt_size;
+  order->max_tokens = s->max_tokens;
+  order->priority = s->priority;
+  c->emit (c->arg, &out);
+}
+
+static void
+append (cv_stream_t *s, cv_slice_t text)
+{
+  if (s->count == s->cap)
+    {
+      s->cap = s->cap == 0 ? TOKENS_FIRST : s->cap * 2;
+      s->token_end
+          = cv_realloc (s->token_end, s->cap * sizeof *s->token_end);
+    }
+  cv_buf_add (&s->text, text.p, text.n);
+  s->token_end[s->count++] = (uint32_t)s->text.n;
+}
+
+/* Everything that was decoding when the engine died is under suspicion.  */
+static void
+strike (cv_core_t *c)
+{
+  uint64_t *hashes = cv_calloc (c->stream_ids.count + 1, sizeof *hashes);
+  size_t n = 0;
+  cv_stream_t *s;
+
+  TAILQ_FOREACH (s, &c->streams, link)
+    if (s->state == CV_STREAM_RUNNING)
+      hashes[n++] = s->content_hash;
+  if (n > 0)
+    {
+      cv_suspects_strike (c->suspects, hashes, n, c->wall_s);
+      cv_docs_suspects_changed (c);
+    }
+  free (hashes);
+}
+
+static void
+note_natural_end (cv_core_t *c, const cv_stream_t *s)
+{
+  cv_length_observe (c->lengths, &s->key, s->count);
+  if (cv_suspects_state (c->suspects, s->content_hash, c->wall_s)
+      == CV_CONTENT_CLEAR)
+    return;
+  cv_suspects_clear (c->suspects, s->content_hash);
+  cv_docs_suspects_changed (c);
+}
--- /dev/null
+++ b/side/streams.c
@@ -0,0 +1,441 @@
+/* Generations: their table, token buffers, readers and replay.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "side/core.h"
+
+#define SLOTS_FIRST 64
+#define BYTES_PER_TOKEN 4 /* of a prompt, estimated */
+#define LIMIT_DEFAULT 8192 /* tokens, when no model declares one */
+
+static bool admit (cv_core_t *c, cv_time_t now, uint32_t peer,
+                   const cv_msg_submit_t *m);
+static cv_stream_t *stream_new (cv_core_t *c, const cv_msg_submit_t *m);
+static void stream_free (cv_core_t *c, cv_time_t now, cv_stream_t *s);
+static uint32_t slot_take (cv_core_t *c, cv_stream_t *s);
+static void offer (cv_core_t *c, cv_time_t now, cv_stream_t *s,
+                   const cv_msg_submit_t *m);
+static void follow (cv_core_t *c, cv_stream_t *s, uint32_t peer,
+                    uint32_t offset);
+static void stop (cv_core_t *c, cv_time_t now, cv_stream_t *s);
+static void send_tokens (cv_core_t *c, cv_stream_t *s);
+static void send_end (cv_core_t *c, cv_stream_t *s);
+static void bury (cv_core_t *c, cv_time_t now, cv_id_t id);
+static void unbury (cv_core_t *c, cv_tombstone_t *t);
+static cv_stream_t *find (const cv_core_t *c, cv_id_t id);
+
+void
+cv_streams_init (cv_core_t *c)
+{
+  cv_idmap_init (&c->stream_ids);
+  cv_idmap_init (&c->tombstone_ids);
+  TAILQ_INIT (&c->streams);
+  TAILQ_INIT (&c->dirty);
+  TAILQ_INIT (&c->tombstones);
+}
+
+void
+cv_streams_finish (cv_core_t *c)
+{
+  cv_stream_t *s;
+  cv_tombstone_t *t;
+
+  while ((s = TAILQ_FIRST (&c->streams)) != NULL)
+    stream_free (c, 0, s);
+  while ((t = TAILQ_FIRST (&c->tombstones)) != NULL)
+    unbury (c, t);
+  cv_idmap_finish (&c->stream_ids);
+  cv_idmap_finish (&c->tombstone_ids);
+  free (c->slots);
+}
+
+/* ---- messages ---- */
+
+void
+cv_streams_submit (cv_core_t *c, cv_time_t now, uint32_t peer,
+                   const cv_msg_submit_t *m)
+{
+  cv_stream_t *s = find (c, m->stream);
+
+  c->counts.submits++;
+  if (m->incarnation != c->set.incarnation)
+    {
+      cv_core_reject (c, peer, m->stream, CV_REJECT_OLD_EPOCH, 0);
+      return;
+    }
+  if (s != NULL && strcmp (s->account, m->account) == 0)
+    {
+      follow (c, s, peer, 0);
+      return;
+    }
+  if (s != NULL || cv_idmap_find (&c->tombstone_ids, m->stream) != NULL)
+    {
+      cv_core_reject (c, peer, m->stream, CV_REJECT_NOT_FOUND, 0);
+      return;
+    }
+  if (!admit (c, now, peer, m))
+    {
+      bury (c, now, m->stream);
+      return;
+    }
+  s = stream_new (c, m);
+  s->peer = peer;
+  offer (c, now, s, m);
+}
+
+void
+cv_streams_attach (cv_core_t *c, cv_time_t now, uint32_t peer,
+                   const cv_msg_attach_t *m)
+{
+  cv_stream_t *s = find (c, m->stream);
+
+  (void)now;
+  if (m->incarnation != c->set.incarnation)
+    {
+      cv_core_reject (c, peer, m->stream, CV_REJECT_OLD_EPOCH, 0);
+      return;
+    }
+  if (s == NULL || strcmp (s->account, m->account) != 0
+      || m->offset > s->count)
+    {
+      cv_core_reject (c, peer, m->stream, CV_REJECT_NOT_FOUND, 0);
+      return;
+    }
+  follow (c, s, peer, m->offset);
+}
+
+void
+cv_streams_detach (cv_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id)
+{
+  cv_stream_t *s = find (c, id);
+
+  if (s == NULL || s->peer != peer)
+    return; /* read by another entry by now */
+  s->peer = CV_NO_PEER;
+  s->idle = now;
+}
+
+void
+cv_streams_cancel (cv_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id)
+{
+  cv_stream_t *s = find (c, id);
+
+  if (s == NULL)
+    {
+      bury (c, now, id); /* a SUBMIT that arrives later must not start */
+      return;
+    }
+  if (s->peer != peer && s->peer != CV_NO_PEER)
+    return; /* read by another entry by now */
+  stop (c, now, s);
+}
+
+void
+cv_streams_peer_lost (cv_core_t *c, cv_time_t now, uint32_t peer)
+{
+  cv_stream_t *s;
+
+  TAILQ_FOREACH (s, &c->streams, link)
+    if (s->peer == peer)
+      {
+        s->peer = CV_NO_PEER;
+        s->idle = now;
+      }
+}
+
+/* ---- life of a stream ---- */
+
+cv_stream_t *
+cv_streams_at (cv_core_t *c, cv_stream_ref_t ref)
+{
+  cv_stream_t *s;
+
+  if (ref.slot >= c->slot_count)
+    return NULL;
+  s = c->slots[ref.slot];
+  if (s == NULL || s->state == CV_STREAM_ENDED
+      || !cv_id_equal (s->node.id, ref.id))
+    return NULL;
+  return s;
+}
+
+void
+cv_streams_end (cv_core_t *c, cv_time_t now, cv_stream_t *s, cv_end_t end)
+{
+  CV_INVARIANT (s->state != CV_STREAM_ENDED);
+  cv_gate_ended (c->gate, now, s->slot, end == CV_END_STOP);
+  s->state = CV_STREAM_ENDED;
+  s->end = end;
+  if (s->peer != CV_NO_PEER)
+    s->idle = now;
+  c->counts.ends++;
+  cv_streams_mark (c, s);
+}
+
+void
+cv_streams_reject (cv_core_t *c, cv_time_t now, cv_stream_t *s,
+                   cv_reject_t reason, uint32_t retry_after_ms)
+{
+  CV_INVARIANT (s->state == CV_STREAM_WAITING && !s->at_engine);
+  cv_core_reject (c, s->peer, s->node.id, reason, retry_after_ms);
+  cv_gate_ended (c->gate, now, s->slot, false);
+  stream_free (c, now, s);
+}
+
+void
+cv_streams_mark (cv_core_t *c, cv_stream_t *s)
+{
+  if (s->dirty)
+    return;
+  s->dirty = true;
+  TAILQ_INSERT_TAIL (&c->dirty, s, dirty_link);
+}
+
+void
+cv_streams_tick (cv_core_t *c, cv_time_t now)
+{
+  cv_stream_t *s = TAILQ_FIRST (&c->streams);
+  cv_tombstone_t *t;
+
+  while (s != NULL)
+    {
+      cv_stream_t *next = TAILQ_NEXT (s, link);
+      bool idle = s->peer == CV_NO_PEER || s->end_sent;
+
+      if (idle && now - s->idle >= CV_RESUME_WINDOW)
+        stop (c, now, s);
+      s = next;
+    }
+  while ((t = TAILQ_FIRST (&c->tombstones)) != NULL
+         && now - t->since >= CV_TOMBSTONE_AGE)
+    unbury (c, t);
+}
+
+void
+cv_streams_flush (cv_core_t *c)
+{
+  cv_stream_t *s;
+
+  while ((s = TAILQ_FIRST (&c->dirty)) != NULL)
+    {
+      TAILQ_REMOVE (&c->dirty, s, dirty_link);
+      s->dirty = false;
+      if (s->peer == CV_NO_PEER)
+        continue;
+      while (s->sent < s->count)
+        send_tokens (c, s);
+      if (s->state == CV_STREAM_ENDED && !s->end_sent)
+        send_end (c, s);
+    }
+}
+
+/* ---- helpers ---- */
+
+/* Whether a new stream may be taken; rejects it when not.  */
+static bool
+admit (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_submit_t *m)
+{
+  cv_reject_t reason;
+
+  if (!cv_docs_admit (c, now, peer, m->config_version))
+    reason = CV_REJECT_OLD_CONFIG;
+  else if (c->leaving)
+    reason = CV_REJECT_LEAVING;
+  else if (!c->backend_up || c->set.kind != CV_POOL_ENGINE)
+    reason = CV_REJECT_ENGINE;
+  else if (cv_suspects_state (c->suspects, m->content_hash, c->wall_s)
+           == CV_CONTENT_CONDEMNED)
+    reason = CV_REJECT_CONDEMNED;
+  else
+    return true;
+  cv_core_reject (c, peer, m->stream, reason, 0);
+  return false;
+}
+
+static cv_stream_t *
+stream_new (cv_core_t *c, const cv_msg_submit_t *m)
+{
+  cv_stream_t *s = cv_calloc (1, sizeof *s);
+  const cv_model_t *model = NULL;
+
+  (void)cv_copy (s->account, sizeof s->account, m->account);
+  (void)cv_copy (s->model, sizeof s->model, m->model);
+  s->key.account = cv_hash (m->account, strlen (m->account), 0);
+  s->key.class_id = cv_hash (m->class_name, strlen (m->class_name), 0);
+  s->key.model = cv_hash (m->model, strlen (m->model), 0);
+  s->content_hash = m->content_hash;
+  s->priority = m->priority;
+  s->max_tokens = m->max_tokens;
+  if (c->config != NULL)
+    model = cv_config_model (c->config, m->model);
+  if (s->max_tokens == 0)
+    s->max_tokens = model != NULL ? model->max_tokens : LIMIT_DEFAULT;
+  s->prompt = cv_strdup_n (m->prompt.p, m->prompt.n);
+  s->prompt_size = m->prompt.n;
+  s->peer = CV_NO_PEER;
+  cv_buf_init (&s->text);
+  s->slot = slot_take (c, s);
+  cv_idmap_add (&c->stream_ids, &s->node, m->stream);
+  TAILQ_INSERT_TAIL (&c->streams, s, link);
+  return s;
+}
+
+static void
+stream_free (cv_core_t *c, cv_time_t now, cv_stream_t *s)
+{
+  if (s->dirty)
+    TAILQ_REMOVE (&c->dirty, s, dirty_link);
+  TAILQ_REMOVE (&c->streams, s, link);
+  cv_idmap_remove (&c->stream_ids, &s->node);
+  c->slots[s->slot] = NULL;
+  bury (c, now, s->node.id);
+  cv_buf_finish (&s->text);
+  free (s->token_end);
+  free (s->prompt);
+  free (s);
+}
+
+static uint32_t
+slot_take (cv_core_t *c, cv_stream_t *s)
+{
+  uint32_t slot = 0;
+
+  while (slot < c->slot_count && c->slots[slot] != NULL)
+    slot++;
+  if (slot == c->slot_count)
+    {
+      uint32_t count = slot == 0 ? SLOTS_FIRST : slot * 2;
+
+      c->slots = cv_realloc (c->slots, count * sizeof (cv_stream_t *));
+      memset (c->slots + slot, 0, (count - slot) * sizeof (cv_stream_t *));
+      c->slot_count = count;
+    }
+  c->slots[slot] = s;
+  return slot;
+}
+
+static void
+offer (cv_core_t *c, cv_time_t now, cv_stream_t *s, const cv_msg_submit_t *m)
+{
+  cv_gate_work_t work = { .slot = s->slot, .key = s->key, .weight = 1 };
+  const cv_account_t *account = NULL;
+  uint32_t retry_after_ms = CV_RETRY_DEFAULT_MS;
+  cv_msg_t msg = { .type = CV_MSG_ACCEPTED };
+
+  if (c->config != NULL)
+    account = cv_config_account (c->config, s->account);
+  if (account != NULL && account->limits.weight > 0)
+    work.weight = account->limits.weight;
+  work.priority = s->priority;
+  work.prompt_tokens = (uint32_t)(s->prompt_size / BYTES_PER_TOKEN) + 1;
+  work.max_tokens = s->max_tokens;
+  work.deadline = now + m->deadline_ms * CV_MS;
+  work.suspect
+      = cv_suspects_state (c->suspects, s->content_hash, c->wall_s)
+        == CV_CONTENT_SUSPECT;
+  if (!cv_gate_offer (c->gate, now, &work, &retry_after_ms))
+    {
+      cv_core_reject (c, s->peer, s->node.id, CV_REJECT_FULL,
+                      retry_after_ms);
+      stream_free (c, now, s);
+      return;
+    }
+  msg.u.accepted.stream = s->node.id;
+  cv_core_send (c, s->peer, &msg);
+}
+
+/* PEER reads S from OFFSET on.  */
+static void
+follow (cv_core_t *c, cv_stream_t *s, uint32_t peer, uint32_t offset)
+{
+  cv_msg_t msg = { .type = CV_MSG_ACCEPTED };
+
+  s->peer = peer;
+  s->sent = offset;
+  s->end_sent = false;
+  msg.u.accepted.stream = s->node.id;
+  cv_core_send (c, peer, &msg);
+  cv_streams_mark (c, s);
+}
+
+/* Nobody reads S any more: stop it wherever it is and forget it.  */
+static void
+stop (cv_core_t *c, cv_time_t now, cv_stream_t *s)
+{
+  if (s->state != CV_STREAM_ENDED)
+    {
+      if (s->at_engine)
+        cv_engine_order (c, CV_OUT_ENGINE_CANCEL, s);
+      cv_gate_ended (c->gate, now, s->slot, false);
+      c->counts.ends++;
+    }
+  stream_free (c, now, s);
+}
+
+static void
+send_tokens (cv_core_t *c, cv_stream_t *s)
+{
+  cv_msg_t msg;
+  cv_msg_tokens_t *t = &msg.u.tokens;
+  size_t start = s->sent == 0 ? 0 : s->token_end[s->sent - 1];
+
+  msg.type = CV_MSG_TOKENS;
+  t->stream = s->node.id;
+  t->offset = s->sent;
+  t->count = 0;
+  while (t->count < CV_TOKENS_MAX && s->sent < s->count)
+    {
+      size_t end = s->token_end[s->sent];
+
+      t->token[t->count].p = s->text.p + start;
+      t->token[t->count].n = end - start;
+      t->count++;
+      s->sent++;
+      start = end;
+    }
+  c->counts.token_messages++;
+  cv_core_send (c, s->peer, &msg);
+}
+
+static void
+send_end (cv_core_t *c, cv_stream_t *s)
+{
+  cv_msg_t msg = { .type = CV_MSG_END };
+
+  msg.u.end.stream = s->node.id;
+  msg.u.end.end = s->end;
+  msg.u.end.total = s->count;
+  s->end_sent = true;
+  cv_core_send (c, s->peer, &msg);
+}
+
+/* Remember that the stream ID must not start any more.  */
+static void
+bury (cv_core_t *c, cv_time_t now, cv_id_t id)
+{
+  cv_tombstone_t *t;
+
+  if (cv_idmap_find (&c->tombstone_ids, id) != NULL)
+    return;
+  if (c->tombstone_ids.count >= CV_TOMBSTONES_MAX)
+    unbury (c, TAILQ_FIRST (&c->tombstones));
+  t = cv_calloc (1, sizeof *t);
+  t->since = now;
+  cv_idmap_add (&c->tombstone_ids, &t->node, id);
+  TAILQ_INSERT_TAIL (&c->tombstones, t, link);
+}
+
+static void
+unbury (cv_core_t *c, cv_tombstone_t *t)
+{
+  TAILQ_REMOVE (&c->tombstones, t, link);
+  cv_idmap_remove (&c->tombstone_ids, &t->node);
+  free (t);
+}
+
+static cv_stream_t *
+find (const cv_core_t *c, cv_id_t id)
+{
+  return (cv_stream_t *)cv_idmap_find (&c->stream_ids, id);
+}
--- /dev/null
+++ b/side/tests/core_test.cc
@@ -0,0 +1,416 @@
+// Scripted runs of the side's core in virtual time.  A script holds commands
+// and, behind "> ", the outputs that each must cause; the run's transcript
+// must equal the script.
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "side/core.h"
+
+namespace
+{
+
+constexpr cv_time_t kStart = 1000 * CV_SECOND;
+constexpr cv_time_t kTick = 100 * CV_MS;
+constexpr uint64_t kIncarnation = 7;
+
+using args_t = std::vector<std::string>;
+
+std::string
+text_of (cv_slice_t s)
+{
+  return std::string (s.p, s.n);
+}
+
+std::string
+id_of (cv_id_t id)
+{
+  return std::to_string (id.lo);
+}
+
+class Runner
+{
+public:
+  explicit Runner (cv_pool_kind_t kind)
+  {
+    cv_core_settings_t set = {};
+
+    cv_copy (set.target, sizeof set.target, "t1");
+    cv_copy (set.pool, sizeof set.pool, "pool");
+    set.kind = kind;
+    set.incarnation = kIncarnation;
+    set.kv_tokens = 1000;
+    set.max_batch = 2;
+    set.max_calls = 2;
+    cv_core_init (&core_, now_, &set, emit, this);
+    cv_core_tick (&core_, now_, now_ / CV_SECOND);
+  }
+  ~Runner () { cv_core_finish (&core_); }
+
+  std::string
+  run (const std::string &line)
+  {
+    args_t a;
+    std::istringstream in (line);
+    std::string word;
+
+    out_.clear ();
+    while (in >> word)
+      a.push_back (word);
+    if (!command (a) && !message (a) && !engine (a))
+      out_ = "> unknown command\n";
+    cv_core_flush (&core_, now_);
+    return out_;
+  }
+
+private:
+  static void
+  emit (void *arg, const cv_side_out_t *out)
+  {
+    static_cast<Runner *> (arg)->take (out);
+  }
+
+  void
+  say (const std::string &text)
+  {
+    out_ += "> " + text + "\n";
+  }
+
+  void
+  take (const cv_side_out_t *out)
+  {
+    switch (out->type)
+      {
+      case CV_OUT_SEND:
+        sent (out->u.send.peer, out->u.send.msg);
+        break;
+      case CV_OUT_FORGET_PEER:
+        say ("forget " + std::to_string (out->u.forget_peer));
+        break;
+      case CV_OUT_ENGINE_START:
+        slots_[out->u.start.ref.id.lo] = out->u.start.ref;
+        say ("engine start " + id_of (out->u.start.ref.id) + " "
+             + text_of (out->u.start.prompt));
+        break;
+      case CV_OUT_ENGINE_PAUSE:
+        say ("engine pause " + id_of (out->u.stream.id));
+        break;
+      case CV_OUT_ENGINE_RUN:
+        say ("engine run " + id_of (out->u.stream.id));
+        break;
+      case CV_OUT_ENGINE_CANCEL:
+        say ("engine cancel " + id_of (out->u.stream.id));
+        break;
+      case CV_OUT_SERVICE_CALL:
+        say ("service " + std::string (out->u.call.method) + " "
+             + text_of (out->u.call.path) + " key "
+             + id_of (out->u.call.nonce));
+        break;
+      }
+  }
+
+  void
+  sent (uint32_t peer, const cv_msg_t *m)
+  {
+    std::ostringstream o;
+
+    o << peer << " " << cv_msg_name (m->type);
+    switch (m->type)
+      {
+      case CV_MSG_REPORT:
+        if (!reports_)
+          return;
+        o << " state " << m->u.report.state << " generation "
+          << m->u.report.generation << " config "
+          << m->u.report.versions.version[CV_DOC_CONFIG];
+        break;
+      case CV_MSG_ACCEPTED:
+        o << " " << id_of (m->u.accepted.stream);
+        break;
+      case CV_MSG_REJECTED:
+        o << " " << id_of (m->u.rejected.id) << " reason "
+          << m->u.rejected.reason;
+        break;
+      case CV_MSG_TOKENS:
+        o << " " << id_of (m->u.tokens.stream) << " at "
+          << m->u.tokens.offset << ":";
+        for (uint32_t i = 0; i < m->u.tokens.count; i++)
+          o << " " << text_of (m->u.tokens.token[i]);
+        break;
+      case CV_MSG_END:
+        o << " " << id_of (m->u.end.stream) << " end " << m->u.end.end
+          << " total " << m->u.end.total;
+        break;
+      case CV_MSG_CALL_RESULT:
+        o << " " << id_of (m->u.call_result.request) << " "
+          << cv_outcome_name (m->u.call_result.outcome) << " "
+          << m->u.call_result.status << " "
+          << (m->u.call_result.replayed ? "replayed " : "")
+          << text_of (m->u.call_result.body);
+        break;
+      case CV_MSG_DOC_PULL:
+        o << " " << m->u.doc_pull.doc;
+        break;
+      default:
+        break;
+      }
+    say (o.str ());
+  }
+
+  static uint32_t
+  num (const args_t &a, size_t i, uint32_t otherwise = 0)
+  {
+    return i < a.size ()
+               ? static_cast<uint32_t> (std::strtoul (a[i].c_str (), nullptr,
+                                                      10))
+               : otherwise;
+  }
+
+  static cv_id_t
+  id (const args_t &a, size_t i)
+  {
+    return cv_id_t{ 0, num (a, i) };
+  }
+
+  cv_stream_ref_t
+  ref (const args_t &a, size_t i)
+  {
+    return slots_[num (a, i)];
+  }
+
+  bool
+  command (const args_t &a)
+  {
+    if (a[0] == "at")
+      {
+        cv_time_t until = kStart + num (a, 1) * CV_MS;
+
+        while (now_ < until)
+          {
+            now_ = now_ + kTick < until ? now_ + kTick : until;
+            for (uint32_t peer : alive_)
+              hello (peer, "e" + std::to_string (peer), 1, 0);
+            cv_core_tick (&core_, now_, now_ / CV_SECOND);
+          }
+      }
+    else if (a[0] == "reports")
+      reports_ = a[1] == "on";
+    else if (a[0] == "alive")
+      alive_.push_back (num (a, 1));
+    else if (a[0] == "silent")
+      alive_.clear ();
+    else if (a[0] == "up" || a[0] == "down")
+      cv_core_backend_state (&core_, now_, a[0] == "up");
+    else if (a[0] == "leave")
+      cv_core_leave (&core_, now_, num (a, 1) * CV_MS);
+    else if (a[0] == "drained")
+      say (cv_core_drained (&core_, now_) ? "yes" : "no");
+    else
+      return false;
+    return true;
+  }
+
+  void
+  hello (uint32_t peer, const std::string &name, uint64_t incarnation,
+         uint64_t config)
+  {
+    cv_msg_t m = {};
+
+    m.type = CV_MSG_HELLO;
+    cv_copy (m.u.hello.instance, sizeof m.u.hello.instance, name.c_str ());
+    m.u.hello.incarnation = incarnation;
+    m.u.hello.versions.version[CV_DOC_CONFIG] = config;
+    m.u.hello.versions.age_ms = 0;
+    cv_core_message (&core_, now_, peer, &m);
+  }
+
+  // Messages of entries: "KIND PEER ...".
+  bool
+  message (const args_t &a)
+  {
+    cv_msg_t m = {};
+
+    if (a[0] == "hello")
+      {
+        hello (num (a, 1), a[2], num (a, 3, 1), num (a, 4));
+        return true;
+      }
+    if (a[0] == "submit")
+      submit (a, &m.u.submit), m.type = CV_MSG_SUBMIT;
+    else if (a[0] == "attach")
+      {
+        m.type = CV_MSG_ATTACH;
+        m.u.attach.stream = id (a, 2);
+        m.u.attach.offset = num (a, 3);
+        cv_copy (m.u.attach.account, CV_NAME_MAX, a[4].c_str ());
+        m.u.attach.incarnation = num (a, 5, kIncarnation);
+      }
+    else if (a[0] == "detach" || a[0] == "cancel")
+      {
+        m.type = a[0] == "detach" ? CV_MSG_DETACH : CV_MSG_CANCEL;
+        m.u.stream.stream = id (a, 2);
+      }
+    else if (a[0] == "call")
+      call (a, &m.u.call), m.type = CV_MSG_CALL;
+    else if (a[0] == "revoke")
+      {
+        m.type = CV_MSG_REVOKE;
+        m.u.revoke.request = id (a, 2);
+        ticket (&m.u.revoke.ticket, id (a, 3), num (a, 4, 1), num (a, 5, 7));
+        cv_copy (m.u.revoke.account, CV_NAME_MAX, "acc");
+      }
+    else
+      return false;
+    cv_core_message (&core_, now_, num (a, 1), &m);
+    return true;
+  }
+
+  // submit PEER STREAM ACCOUNT [INCARNATION [CONFIG [PROMPT [MS]]]]
+  static void
+  submit (const args_t &a, cv_msg_submit_t *s)
+  {
+    s->stream = id (a, 2);
+    cv_copy (s->account, CV_NAME_MAX, a[3].c_str ());
+    s->incarnation = num (a, 4, kIncarnation);
+    s->config_version = num (a, 5);
+    s->prompt = cv_slice (a.size () > 6 ? a[6].c_str () : "hi");
+    s->content_hash = cv_hash (s->prompt.p, s->prompt.n, 0);
+    s->deadline_ms = num (a, 7, 5000);
+    s->max_tokens = 100;
+    cv_copy (s->class_name, CV_NAME_MAX, "tag");
+    cv_copy (s->model, CV_NAME_MAX, "m");
+  }
+
+  static void
+  ticket (cv_ticket_t *t, cv_id_t nonce, uint32_t generation,
+          uint64_t incarnation)
+  {
+    cv_copy (t->target, CV_NAME_MAX, "t1");
+    t->nonce = nonce;
+    t->generation = generation;
+    t->incarnation = incarnation;
+  }
+
+  // call PEER REQUEST NONCE [GENERATION [INCARNATION [ACCOUNT [MS]]]]
+  static void
+  call (const args_t &a, cv_msg_call_t *c)
+  {
+    c->request = id (a, 2);
+    ticket (&c->ticket, id (a, 3), num (a, 4, 1), num (a, 5, 7));
+    cv_copy (c->account, CV_NAME_MAX, a.size () > 6 ? a[6].c_str () : "acc");
+    cv_copy (c->method, sizeof c->method, "POST");
+    c->path = cv_slice ("/book");
+    c->content_type = cv_slice ("");
+    c->body = cv_slice ("{}");
+    c->deadline_ms = num (a, 7, 5000);
+  }
+
+  bool
+  engine (const args_t &a)
+  {
+    if (a[0] == "token")
+      cv_core_token (&core_, now_, ref (a, 1), num (a, 2),
+                     cv_slice (a[3].c_str ()));
+    else if (a[0] == "tokens")
+      for (uint32_t i = num (a, 2); i < num (a, 3); i++)
+        cv_core_token (&core_, now_, ref (a, 1), i,
+                       cv_slice (std::to_string (i).c_str ()));
+    else if (a[0] == "end")
+      cv_core_stream_end (&core_, now_, ref (a, 1), CV_END_STOP, num (a, 2));
+    else if (a[0] == "refused")
+      cv_core_engine_refused (&core_, now_, ref (a, 1), CV_REJECT_FULL);
+    else if (a[0] == "preempted")
+      cv_core_preempted (&core_, now_, ref (a, 1));
+    else if (a[0] == "lost")
+      cv_core_engine_lost (&core_, now_);
+    else if (a[0] == "load")
+      {
+        cv_load_t load = {};
+
+        load.kv_total = num (a, 1);
+        load.token_us = num (a, 2);
+        cv_core_engine_load (&core_, now_, &load);
+      }
+    else if (a[0] == "result")
+      result (a);
+    else
+      return false;
+    return true;
+  }
+
+  // result NONCE done|unknown|unsent [STATUS [BODY]]
+  void
+  result (const args_t &a)
+  {
+    cv_call_end_t e = {};
+
+    e.call = id (a, 1);
+    e.ran = a[2] != "unsent";
+    e.outcome = a[2] == "done" ? CV_OUTCOME_DONE : CV_OUTCOME_UNKNOWN;
+    e.status = num (a, 3);
+    e.content_type = cv_slice ("text/plain");
+    e.body = cv_slice (a.size () > 4 ? a[4].c_str () : "");
+    cv_core_call_end (&core_, now_, &e);
+  }
+
+  cv_core_t core_;
+  cv_time_t now_ = kStart;
+  bool reports_ = false;
+  std::vector<uint32_t> alive_;
+  std::map<uint64_t, cv_stream_ref_t> slots_;
+  std::string out_;
+};
+
+class Script : public testing::TestWithParam<std::string>
+{
+};
+
+TEST_P (Script, Transcript)
+{
+  std::ifstream in (GetParam ());
+  bool calls = GetParam ().find ("call") != std::string::npos;
+  Runner runner (calls ? CV_POOL_SERVICE : CV_POOL_ENGINE);
+  std::string line, script, transcript;
+
+  ASSERT_TRUE (in.is_open ());
+  while (std::getline (in, line))
+    {
+      script += line + "\n";
+      if (line.rfind ("> ", 0) == 0)
+        continue;
+      transcript += line + "\n";
+      if (!line.empty () && line[0] != '#')
+        transcript += runner.run (line);
+    }
+  EXPECT_EQ (transcript, script);
+}
+
+std::vector<std::string>
+scripts ()
+{
+  std::vector<std::string> all;
+
+  for (const auto &entry :
+       std::filesystem::directory_iterator (CV_TEST_DIR "/scripts"))
+    all.push_back (entry.path ().string ());
+  std::sort (all.begin (), all.end ());
+  return all;
+}
+
+std::string
+name_of (const testing::TestParamInfo<std::string> &info)
+{
+  return std::filesystem::path (info.param).stem ().string ();
+}
+
+INSTANTIATE_TEST_SUITE_P (Core, Script, testing::ValuesIn (scripts ()),
+                          name_of);
+
+} // namespace
