--- a/side/calls.c
+++ b/side/calls.c
@@ -6,27 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "side/core.h"
+#include "side/calls.h"
 
 static bool epoch_known (const cv_core_t *c, const cv_ticket_t *t);
 static bool take_known (cv_core_t *c, uint32_t peer, cv_id_t request,
                         const char *account, cv_call_t *call);
 static bool admit (cv_core_t *c, cv_time_t now, uint32_t peer,
                    const cv_msg_call_t *m);
-static cv_call_t *call_new (cv_core_t *c, cv_id_t id, bool ticketed,
-                            uint32_t generation, const char *account);
-static void call_free (cv_core_t *c, cv_call_t *call);
-static void request_free (cv_call_t *call);
-static void body_free (cv_core_t *c, cv_call_t *call);
-static void wait_for (cv_call_t *call, uint32_t peer, cv_id_t request);
-static void reject_waiters (cv_core_t *c, cv_call_t *call, cv_reject_t reason);
-static void answer_waiters (cv_core_t *c, cv_call_t *call);
-static void answer (cv_core_t *c, uint32_t peer, cv_id_t request,
-                    const cv_call_t *call, bool replayed);
-static void answer_plain (cv_core_t *c, uint32_t peer, cv_id_t request,
-                          cv_outcome_t outcome);
-static void store_result (cv_core_t *c, cv_call_t *call,
-                          const cv_call_end_t *end);
 static void hand_over (cv_core_t *c, cv_time_t now, cv_call_t *call);
 static void give_up_running (cv_core_t *c, cv_time_t now, cv_idmap_t *m);
 static void drop_queued (cv_core_t *c, cv_call_t *call, cv_reject_t reason);
@@ -36,11 +22,6 @@
 static void map_finish (cv_core_t *c, cv_idmap_t *m);
 static cv_call_t *find (const cv_core_t *c, cv_id_t id);
 
-/* What a caller gets in place of an answer that was dropped for room.  */
-static const char dropped_body[]
-    = "{\"error\":{\"code\":\"answer_dropped\",\"message\":\"the call ran "
-      "once; its answer is no longer stored\"}}";
-
 void
 cv_calls_init (cv_core_t *c, cv_time_t now)
 {
@@ -72,7 +53,7 @@
   c->counts.calls++;
   if (ticketed && !epoch_known (c, &m->ticket))
     {
-      answer_plain (c, peer, m->request, CV_OUTCOME_UNKNOWN);
+      cv_call_answer_plain (c, peer, m->request, CV_OUTCOME_UNKNOWN);
       return;
     }
   call = find (c, id);
@@ -83,14 +64,14 @@
     }
   if (call != NULL || !admit (c, now, peer, m))
     return;
-  call = call_new (c, id, ticketed, m->ticket.generation, m->account);
+  call = cv_call_new (c, id, ticketed, m->ticket.generation, m->account);
   (void)cv_copy (call->method, sizeof call->method, m->method);
   call->path = cv_strdup_n (m->path.p, m->path.n);
   call->request_type = cv_strdup_n (m->content_type.p, m->content_type.n);
   call->request_body = cv_strdup_n (m->body.p, m->body.n);
   call->request_size = m->body.n;
   call->deadline = now + m->deadline_ms * CV_MS;
-  wait_for (call, peer, m->request);
+  cv_call_wait (call, peer, m->request);
   queue_add (c, call);
 }
 
@@ -103,7 +84,7 @@
   (void)now;
   if (cv_id_is_zero (m->ticket.nonce) || !epoch_known (c, &m->ticket))
     {
-      answer_plain (c, peer, m->request, CV_OUTCOME_UNKNOWN);
+      cv_call_answer_plain (c, peer, m->request, CV_OUTCOME_UNKNOWN);
       return;
     }
   call = find (c, m->ticket.nonce);
@@ -114,8 +95,8 @@
     }
   if (call == NULL)
     {
-      call = call_new (c, m->ticket.nonce, true, m->ticket.generation,
-                       m->account);
+      call = cv_call_new (c, m->ticket.nonce, true, m->ticket.generation,
+                          m->account);
       call->state = CV_CALL_BARRED;
     }
   if (!take_known (c, peer, m->request, m->account, call))
@@ -124,8 +105,8 @@
     return;
   queue_remove (c, call);
   call->state = CV_CALL_BARRED;
-  request_free (call);
-  answer_waiters (c, call);
+  cv_call_request_free (call);
+  cv_call_answer_all (c, call);
 }
 
 /* ---- running ---- */
@@ -189,25 +170,25 @@
   if (call == NULL || call->state != CV_CALL_RUNNING)
     return;
   c->calls_running--;
-  request_free (call);
+  cv_call_request_free (call);
   if (!end->ran)
     {
       /* Nothing was sent, so the ticket is as good as unused.  */
-      reject_waiters (c, call, CV_REJECT_ENGINE);
-      call_free (c, call);
+      cv_call_reject (c, call, CV_REJECT_ENGINE);
+      cv_call_free (c, call);
       return;
     }
   if (end->outcome != CV_OUTCOME_DONE)
     c->counts.calls_unknown++;
-  store_result (c, call, end);
-  answer_waiters (c, call);
+  cv_call_store (c, call, end);
+  cv_call_answer_all (c, call);
   if (!call->ticketed)
     {
-      call_free (c, call);
+      cv_call_free (c, call);
       return;
     }
   while (c->result_bytes > CV_RESULTS_BYTES)
-    body_free (c, TAILQ_FIRST (&c->calls_done));
+    cv_call_body_free (c, TAILQ_FIRST (&c->calls_done));
 }
 
 /* Answer the running calls of M as unknown; their results come too late.  */
@@ -258,9 +239,9 @@
 drop_queued (cv_core_t *c, cv_call_t *call, cv_reject_t reason)
 {
   queue_remove (c, call);
-  reject_waiters (c, call, reason);
-  request_free (call);
-  call_free (c, call);
+  cv_call_reject (c, call, reason);
+  cv_call_request_free (call);
+  cv_call_free (c, call);
 }
 
 static void
@@ -303,12 +284,12 @@
     {
     case CV_CALL_QUEUED:
     case CV_CALL_RUNNING:
-      wait_for (call, peer, request);
+      cv_call_wait (call, peer, request);
       break;
     case CV_CALL_DONE:
     case CV_CALL_BARRED:
       c->counts.calls_replayed++;
-      answer (c, peer, request, call, true);
+      cv_call_answer (c, peer, request, call, true);
       break;
     }
   return true;
@@ -355,162 +336,11 @@
 
           node = LIST_NEXT (node, link);
           if (over && c->generation - call->generation >= CV_GENERATIONS_KEPT)
-            call_free (c, call);
+            cv_call_free (c, call);
         }
     }
 }
 
-/* ---- answers ---- */
-
-static void
-wait_for (cv_call_t *call, uint32_t peer, cv_id_t request)
-{
-  cv_waiter_t *w = cv_calloc (1, sizeof *w);
-
-  w->peer = peer;
-  w->request = request;
-  STAILQ_INSERT_TAIL (&call->waiters, w, link);
-}
-
-static void
-reject_waiters (cv_core_t *c, cv_call_t *call, cv_reject_t reason)
-{
-  cv_waiter_t *w;
-
-  while ((w = STAILQ_FIRST (&call->waiters)) != NULL)
-    {
-      STAILQ_REMOVE_HEAD (&call->waiters, link);
-      cv_core_reject (c, w->peer, w->request, reason, CV_RETRY_DEFAULT_MS);
-      free (w);
-    }
-}
-
-static void
-answer_waiters (cv_core_t *c, cv_call_t *call)
-{
-  bool replayed = false;
-  cv_waiter_t *w;
-
-  while ((w = STAILQ_FIRST (&call->waiters)) != NULL)
-    {
-      STAILQ_REMOVE_HEAD (&call->waiters, link);
-      answer (c, w->peer, w->request, call, replayed);
-      replayed = true;
-      free (w);
-    }
-}
-
-static void
-answer (cv_core_t *c, uint32_t peer, cv_id_t request, const cv_call_t *call,
-        bool replayed)
-{
-  cv_msg_t msg = { .type = CV_MSG_CALL_RESULT };
-  cv_msg_call_result_t *r = &msg.u.call_result;
-
-  if (call->state == CV_CALL_BARRED)
-    {
-      answer_plain (c, peer, request, CV_OUTCOME_NOT_RUN);
-      return;
-    }
-  r->request = request;
-  r->outcome = call->outcome;
-  r->status = call->status;
-  r->replayed = replayed;
-  r->content_type = cv_slice (call->content_type ? call->content_type : "");
-  r->body.p = call->body != NULL ? call->body : "";
-  r->body.n = call->body_size;
-  if (call->body_dropped)
-    {
-      r->content_type = cv_slice ("application/json");
-      r->body = cv_slice (dropped_body);
-    }
-  cv_core_send (c, peer, &msg);
-}
-
-static void
-answer_plain (cv_core_t *c, uint32_t peer, cv_id_t request,
-              cv_outcome_t outcome)
-{
-  cv_msg_t msg = { .type = CV_MSG_CALL_RESULT };
-
-  msg.u.call_result.request = request;
-  msg.u.call_result.outcome = outcome;
-  msg.u.call_result.content_type = cv_slice ("");
-  msg.u.call_result.body = cv_slice ("");
-  cv_core_send (c, peer, &msg);
-}
-
-/* ---- records ---- */
-
-static cv_call_t *
-call_new (cv_core_t *c, cv_id_t id, bool ticketed, uint32_t generation,
-          const char *account)
-{
-  cv_call_t *call = cv_calloc (1, sizeof *call);
-
-  call->ticketed = ticketed;
-  call->generation = generation;
-  (void)cv_copy (call->account, sizeof call->account, account);
-  STAILQ_INIT (&call->waiters);
-  cv_idmap_add (ticketed ? &c->tickets : &c->plain_calls, &call->node, id);
-  return call;
-}
-
-static void
-call_free (cv_core_t *c, cv_call_t *call)
-{
-  cv_waiter_t *w;
-
-  while ((w = STAILQ_FIRST (&call->waiters)) != NULL)
-    {
-      STAILQ_REMOVE_HEAD (&call->waiters, link);
-      free (w);
-    }
-  request_free (call);
-  body_free (c, call);
-  cv_idmap_remove (call->ticketed ? &c->tickets : &c->plain_calls, &call->node);
-  free (call->content_type);
-  free (call);
-}
-
-static void
-request_free (cv_call_t *call)
-{
-  free (call->path);
-  free (call->request_type);
-  free (call->request_body);
-  call->path = NULL;
-  call->request_type = NULL;
-  call->request_body = NULL;
-}
-
-static void
-store_result (cv_core_t *c, cv_call_t *call, const cv_call_end_t *end)
-{
-  call->state = CV_CALL_DONE;
-  call->outcome = end->outcome;
-  call->status = end->status;
-  call->content_type = cv_strdup_n (end->content_type.p, end->content_type.n);
-  call->body = cv_strdup_n (end->body.p, end->body.n);
-  call->body_size = end->body.n;
-  c->result_bytes += call->body_size;
-  TAILQ_INSERT_TAIL (&c->calls_done, call, link);
-}
-
-/* Drop the stored answer of CALL; its status stays.  */
-static void
-body_free (cv_core_t *c, cv_call_t *call)
-{
-  if (call->body == NULL)
-    return;
-  TAILQ_REMOVE (&c->calls_done, call, link);
-  c->result_bytes -= call->body_size;
-  call->body_dropped = call->body_size > 0;
-  call->body_size = 0;
-  free (call->body);
-  call->body = NULL;
-}
-
 static void
 map_finish (cv_core_t *c, cv_idmap_t *m)
 {
@@ -521,7 +351,7 @@
       cv_idnode_t *node;
 
       while ((node = LIST_FIRST (&m->bucket[i])) != NULL)
-        call_free (c, (cv_call_t *)node);
+        cv_call_free (c, (cv_call_t *)node);
     }
   cv_idmap_finish (m);
 }
--- a/side/core.h
+++ b/side/core.h
@@ -157,6 +157,8 @@
 
   TAILQ_HEAD (cv_stream_list_t, cv_stream_t);
 
+  STAILQ_HEAD (cv_waiter_list_t, cv_waiter_t);
+
   typedef enum
   {
     CV_CALL_QUEUED,
@@ -187,7 +189,7 @@
     char *request_body;
     size_t request_size;
     cv_time_t deadline;
-    STAILQ_HEAD (, cv_waiter_t) waiters;
+    struct cv_waiter_list_t waiters;
     cv_outcome_t outcome; /* when DONE */
     uint32_t status;
     char *content_type; /* owned; NULL when none */
--- a/side/engine.c
+++ b/side/engine.c
@@ -22,6 +22,7 @@
 static void on_order_end (void *arg, const cv_http_result_t *result);
 static cv_run_t *run_new (cv_engine_t *e, cv_stream_ref_t ref);
 static void run_free (cv_run_t *run);
+static void free_over (cv_engine_t *e);
 static cv_run_t *run_find (const cv_engine_t *e, cv_stream_ref_t ref);
 
 void
@@ -45,8 +46,7 @@
 
   while ((run = TAILQ_FIRST (&e->runs)) != NULL)
     cv_engine_over (run);
-  while ((run = TAILQ_FIRST (&e->over)) != NULL)
-    run_free (run);
+  free_over (e);
   while ((cancel = TAILQ_FIRST (&e->cancels)) != NULL)
     {
       TAILQ_REMOVE (&e->cancels, cancel, link);
@@ -97,8 +97,7 @@
   cv_run_t *run;
   cv_run_t *next;
 
-  while ((run = TAILQ_FIRST (&e->over)) != NULL)
-    run_free (run);
+  free_over (e);
   for (run = TAILQ_FIRST (&e->runs); run != NULL; run = next)
     {
       next = TAILQ_NEXT (run, link);
@@ -375,6 +374,20 @@
   free (run);
 }
 
+static void
+free_over (cv_engine_t *e)
+{
+  cv_run_t *run = TAILQ_FIRST (&e->over);
+
+  while (run != NULL)
+    {
+      cv_run_t *next = TAILQ_NEXT (run, link);
+
+      run_free (run);
+      run = next;
+    }
+}
+
 static cv_run_t *
 run_find (const cv_engine_t *e, cv_stream_ref_t ref)
 {
--- a/side/http.c
+++ b/side/http.c
@@ -51,10 +51,15 @@
 void
 cv_http_finish (cv_http_t *h)
 {
-  cv_http_request_t *r;
+  cv_http_request_t *r = LIST_FIRST (&h->requests);
 
-  while ((r = LIST_FIRST (&h->requests)) != NULL)
-    cv_http_cancel (r);
+  while (r != NULL)
+    {
+      cv_http_request_t *next = LIST_NEXT (r, link);
+
+      cv_http_cancel (r);
+      r = next;
+    }
   if (h->multi != NULL)
     curl_multi_cleanup (h->multi);
   h->multi = NULL;
--- a/side/service.h
+++ b/side/service.h
@@ -23,13 +23,15 @@
     cv_http_request_t *request;
   } cv_service_run_t;
 
+  LIST_HEAD (cv_service_list_t, cv_service_run_t);
+
   typedef struct cv_service_t
   {
     cv_core_t *core;
     cv_http_t *http;
     char url[128];
-    LIST_HEAD (, cv_service_run_t) runs;
-    LIST_HEAD (, cv_service_run_t) refused; /* could not be started */
+    struct cv_service_list_t runs;
+    struct cv_service_list_t refused; /* could not be started */
     cv_http_request_t *poll;
     cv_time_t poll_at;
     cv_time_t answered;
