--- /dev/null
+++ b/side/calls.c
@@ -0,0 +1,367 @@
+/* Calls of a plain service.  A ticket runs at most once: this side remembers
+   each one that it used for CV_GENERATIONS_KEPT generations and never runs
+   one of an older generation or of another incarnation.  A used ticket is
+   answered with the result of its one run.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "side/calls.h"
+
+static bool epoch_known (const cv_core_t *c, const cv_ticket_t *t);
+static bool take_known (cv_core_t *c, uint32_t peer, cv_id_t request,
+                        const char *account, cv_call_t *call);
+static bool admit (cv_core_t *c, cv_time_t now, uint32_t peer,
+                   const cv_msg_call_t *m);
+static void hand_over (cv_core_t *c, cv_time_t now, cv_call_t *call);
+static void give_up_running (cv_core_t *c, cv_time_t now, cv_idmap_t *m);
+static void drop_queued (cv_core_t *c, cv_call_t *call, cv_reject_t reason);
+static void queue_add (cv_core_t *c, cv_call_t *call);
+static void queue_remove (cv_core_t *c, cv_call_t *call);
+static void forget_old (cv_core_t *c);
+static void map_finish (cv_core_t *c, cv_idmap_t *m);
+static cv_call_t *find (const cv_core_t *c, cv_id_t id);
+
+void
+cv_calls_init (cv_core_t *c, cv_time_t now)
+{
+  cv_idmap_init (&c->tickets);
+  cv_idmap_init (&c->plain_calls);
+  TAILQ_INIT (&c->call_queue);
+  TAILQ_INIT (&c->calls_done);
+  c->generation = 1;
+  c->generation_since = now;
+}
+
+void
+cv_calls_finish (cv_core_t *c)
+{
+  map_finish (c, &c->tickets);
+  map_finish (c, &c->plain_calls);
+}
+
+/* ---- messages ---- */
+
+void
+cv_calls_call (cv_core_t *c, cv_time_t now, uint32_t peer,
+               const cv_msg_call_t *m)
+{
+  bool ticketed = !cv_id_is_zero (m->ticket.nonce);
+  cv_id_t id = ticketed ? m->ticket.nonce : m->request;
+  cv_call_t *call;
+
+  c->counts.calls++;
+  if (ticketed && !epoch_known (c, &m->ticket))
+    {
+      cv_call_answer_plain (c, peer, m->request, CV_OUTCOME_UNKNOWN);
+      return;
+    }
+  call = find (c, id);
+  if (call != NULL && call->ticketed == ticketed)
+    {
+      (void)take_known (c, peer, m->request, m->account, call);
+      return;
+    }
+  if (call != NULL || !admit (c, now, peer, m))
+    return;
+  call = cv_call_new (c, id, ticketed, m->ticket.generation, m->account);
+  (void)cv_copy (call->method, sizeof call->method, m->method);
+  call->path = cv_strdup_n (m->path.p, m->path.n);
+  call->request_type = cv_strdup_n (m->content_type.p, m->content_type.n);
+  call->request_body = cv_strdup_n (m->body.p, m->body.n);
+  call->request_size = m->body.n;
+  call->deadline = now + m->deadline_ms * CV_MS;
+  cv_call_wait (call, peer, m->request);
+  queue_add (c, call);
+}
+
+void
+cv_calls_revoke (cv_core_t *c, cv_time_t now, uint32_t peer,
+                 const cv_msg_revoke_t *m)
+{
+  cv_call_t *call;
+
+  (void)now;
+  if (cv_id_is_zero (m->ticket.nonce) || !epoch_known (c, &m->ticket))
+    {
+      cv_call_answer_plain (c, peer, m->request, CV_OUTCOME_UNKNOWN);
+      return;
+    }
+  call = find (c, m->ticket.nonce);
+  if (call == NULL && c->tickets.count >= CV_TICKETS_MAX)
+    {
+      cv_core_reject (c, peer, m->request, CV_REJECT_FULL, CV_RETRY_DEFAULT_MS);
+      return;
+    }
+  if (call == NULL)
+    {
+      call = cv_call_new (c, m->ticket.nonce, true, m->ticket.generation,
+                          m->account);
+      call->state = CV_CALL_BARRED;
+    }
+  if (!take_known (c, peer, m->request, m->account, call))
+    return;
+  if (call->state != CV_CALL_QUEUED)
+    return;
+  queue_remove (c, call);
+  call->state = CV_CALL_BARRED;
+  cv_call_request_free (call);
+  cv_call_answer_all (c, call);
+}
+
+/* ---- running ---- */
+
+void
+cv_calls_run (cv_core_t *c, cv_time_t now)
+{
+  cv_call_t *call;
+
+  while (c->backend_up && c->calls_running < c->set.max_calls
+         && (call = TAILQ_FIRST (&c->call_queue)) != NULL)
+    {
+      if (now >= call->deadline)
+        drop_queued (c, call, CV_REJECT_FULL);
+      else
+        hand_over (c, now, call);
+    }
+}
+
+void
+cv_calls_tick (cv_core_t *c, cv_time_t now)
+{
+  cv_call_t *call = TAILQ_FIRST (&c->call_queue);
+
+  while (call != NULL)
+    {
+      cv_call_t *next = TAILQ_NEXT (call, link);
+
+      if (now >= call->deadline)
+        drop_queued (c, call, CV_REJECT_FULL);
+      else if (!c->backend_up)
+        drop_queued (c, call, CV_REJECT_ENGINE);
+      call = next;
+    }
+  if (now - c->generation_since < CV_GENERATION_LIFE)
+    return;
+  c->generation++;
+  c->generation_since = now;
+  forget_old (c);
+}
+
+void
+cv_calls_reclaim (cv_core_t *c, cv_time_t now, bool last)
+{
+  cv_call_t *call;
+
+  while ((call = TAILQ_FIRST (&c->call_queue)) != NULL)
+    drop_queued (c, call, CV_REJECT_LEAVING);
+  if (!last)
+    return;
+  give_up_running (c, now, &c->tickets);
+  give_up_running (c, now, &c->plain_calls);
+}
+
+void
+cv_core_call_end (cv_core_t *c, cv_time_t now, const cv_call_end_t *end)
+{
+  cv_call_t *call = find (c, end->call);
+
+  (void)now;
+  if (call == NULL || call->state != CV_CALL_RUNNING)
+    return;
+  c->calls_running--;
+  cv_call_request_free (call);
+  if (!end->ran)
+    {
+      /* Nothing was sent, so the ticket is as good as unused.  */
+      cv_call_reject (c, call, CV_REJECT_ENGINE);
+      cv_call_free (c, call);
+      return;
+    }
+  if (end->outcome != CV_OUTCOME_DONE)
+    c->counts.calls_unknown++;
+  cv_call_store (c, call, end);
+  cv_call_answer_all (c, call);
+  if (!call->ticketed)
+    {
+      cv_call_free (c, call);
+      return;
+    }
+  while (c->result_bytes > CV_RESULTS_BYTES)
+    cv_call_body_free (c, TAILQ_FIRST (&c->calls_done));
+}
+
+/* Answer the running calls of M as unknown; their results come too late.  */
+static void
+give_up_running (cv_core_t *c, cv_time_t now, cv_idmap_t *m)
+{
+  cv_call_end_t end = { .ran = true, .outcome = CV_OUTCOME_UNKNOWN };
+  size_t i;
+
+  for (i = 0; i < m->buckets; i++)
+    {
+      cv_idnode_t *node = LIST_FIRST (&m->bucket[i]);
+
+      while (node != NULL)
+        {
+          cv_idnode_t *next = LIST_NEXT (node, link);
+
+          end.call = node->id;
+          cv_core_call_end (c, now, &end);
+          node = next;
+        }
+    }
+}
+
+static void
+hand_over (cv_core_t *c, cv_time_t now, cv_call_t *call)
+{
+  cv_side_out_t out = { .type = CV_OUT_SERVICE_CALL };
+  cv_service_call_t *order = &out.u.call;
+
+  queue_remove (c, call);
+  call->state = CV_CALL_RUNNING;
+  c->calls_running++;
+  order->call = call->node.id;
+  if (call->ticketed)
+    order->nonce = call->node.id;
+  order->method = call->method;
+  order->path = cv_slice (call->path);
+  order->content_type = cv_slice (call->request_type);
+  order->body.p = call->request_body;
+  order->body.n = call->request_size;
+  order->timeout_ms = (uint32_t)((call->deadline - now) / CV_MS) + 1;
+  c->emit (c->arg, &out);
+}
+
+/* CALL has not run and will not by the messages that wait for it.  */
+static void
+drop_queued (cv_core_t *c, cv_call_t *call, cv_reject_t reason)
+{
+  queue_remove (c, call);
+  cv_call_reject (c, call, reason);
+  cv_call_request_free (call);
+  cv_call_free (c, call);
+}
+
+static void
+queue_add (cv_core_t *c, cv_call_t *call)
+{
+  TAILQ_INSERT_TAIL (&c->call_queue, call, link);
+  c->calls_queued++;
+}
+
+static void
+queue_remove (cv_core_t *c, cv_call_t *call)
+{
+  TAILQ_REMOVE (&c->call_queue, call, link);
+  c->calls_queued--;
+}
+
+/* ---- tickets ---- */
+
+static bool
+epoch_known (const cv_core_t *c, const cv_ticket_t *t)
+{
+  return strcmp (t->target, c->set.target) == 0
+         && t->incarnation == c->set.incarnation
+         && t->generation <= c->generation
+         && c->generation - t->generation < CV_GENERATIONS_KEPT;
+}
+
+/* REQUEST names a call that is known already: answer it, or let it wait.
+   False when it is another account's.  */
+static bool
+take_known (cv_core_t *c, uint32_t peer, cv_id_t request, const char *account,
+            cv_call_t *call)
+{
+  if (strcmp (call->account, account) != 0)
+    {
+      cv_core_reject (c, peer, request, CV_REJECT_NOT_FOUND, 0);
+      return false;
+    }
+  switch (call->state)
+    {
+    case CV_CALL_QUEUED:
+    case CV_CALL_RUNNING:
+      cv_call_wait (call, peer, request);
+      break;
+    case CV_CALL_DONE:
+    case CV_CALL_BARRED:
+      c->counts.calls_replayed++;
+      cv_call_answer (c, peer, request, call, true);
+      break;
+    }
+  return true;
+}
+
+static bool
+admit (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_call_t *m)
+{
+  cv_reject_t reason;
+  size_t known = c->tickets.count + c->plain_calls.count;
+
+  if (!cv_docs_admit (c, now, peer, m->config_version))
+    reason = CV_REJECT_OLD_CONFIG;
+  else if (c->leaving)
+    reason = CV_REJECT_LEAVING;
+  else if (!c->backend_up || c->set.kind != CV_POOL_SERVICE)
+    reason = CV_REJECT_ENGINE;
+  else if (cv_suspects_state (c->suspects, m->content_hash, c->wall_s)
+           == CV_CONTENT_CONDEMNED)
+    reason = CV_REJECT_CONDEMNED;
+  else if (known >= CV_TICKETS_MAX || c->calls_queued >= CV_CALL_QUEUE_MAX)
+    reason = CV_REJECT_FULL;
+  else
+    return true;
+  cv_core_reject (c, peer, m->request, reason,
+                  reason == CV_REJECT_FULL ? CV_RETRY_DEFAULT_MS : 0);
+  return false;
+}
+
+static void
+forget_old (cv_core_t *c)
+{
+  size_t i;
+
+  for (i = 0; i < c->tickets.buckets; i++)
+    {
+      cv_idnode_t *node = LIST_FIRST (&c->tickets.bucket[i]);
+
+      while (node != NULL)
+        {
+          cv_call_t *call = (cv_call_t *)node;
+          bool over
+              = call->state == CV_CALL_DONE || call->state == CV_CALL_BARRED;
+
+          node = LIST_NEXT (node, link);
+          if (over && c->generation - call->generation >= CV_GENERATIONS_KEPT)
+            cv_call_free (c, call);
+        }
+    }
+}
+
+static void
+map_finish (cv_core_t *c, cv_idmap_t *m)
+{
+  size_t i;
+
+  for (i = 0; i < m->buckets; i++)
+    {
+      cv_idnode_t *node;
+
+      while ((node = LIST_FIRST (&m->bucket[i])) != NULL)
+        cv_call_free (c, (cv_call_t *)node);
+    }
+  cv_idmap_finish (m);
+}
+
+static cv_call_t *
+find (const cv_core_t *c, cv_id_t id)
+{
+  cv_idnode_t *node = cv_idmap_find (&c->tickets, id);
+
+  if (node == NULL)
+    node = cv_idmap_find (&c->plain_calls, id);
+  return (cv_call_t *)node;
+}
