--- /dev/null
+++ b/entry/core_calls.c
@@ -0,0 +1,329 @@
+/* Calls of plain services at the entry.  A call under a ticket runs at most
+   once, at the side incarnation that the ticket names; "not run" is said only
+   when that side barred it.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/core_internal.h"
+
+static void start (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                   const cv_call_spec_t *spec);
+static cv_failure_code_t refusal (const cv_core_t *c, cv_call_mode_t mode);
+static uint32_t choose (cv_core_t *c, cv_time_t now, cv_request_t *r);
+static void call_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                        cv_failure_code_t otherwise);
+static void revoke (cv_core_t *c, cv_time_t now, cv_request_t *r);
+
+void
+cv_core_call (cv_core_t *c, cv_time_t now, void *caller,
+              const cv_call_spec_t *spec)
+{
+  const cv_pool_t *pool;
+  cv_request_t *r;
+
+  if (c->stopping || c->config == NULL)
+    {
+      cv_core_refuse (c, caller, refusal (c, spec->mode),
+                      cv_core_retry_after (c));
+      return;
+    }
+  pool = cv_config_pool (c->config, spec->pool);
+  if (pool == NULL || pool->kind != CV_POOL_SERVICE)
+    {
+      cv_core_refuse (c, caller, CV_FAIL_NO_POOL, 0);
+      return;
+    }
+  r = cv_request_new (c, now, caller, REQUEST_CALL, spec->account);
+  start (c, now, r, spec);
+  if (r->u.call.mode != CV_CALL_TICKET)
+    {
+      cv_admission_t a = cv_limits_admit (c->limits, now, r->account_hash, 0);
+
+      if (!a.admitted)
+        {
+          cv_request_fail (c, now, r, CV_FAIL_LIMIT, a.retry_after_ms);
+          return;
+        }
+      r->admitted = true;
+    }
+  cv_request_first_try (c, r);
+  cv_calls_send (c, now, r);
+}
+
+void
+cv_core_ticket (cv_core_t *c, cv_time_t now, void *caller, const char *pool)
+{
+  cv_route_request_t route = { 0 };
+  cv_reply_t reply = { .type = CV_REPLY_TICKET };
+  const cv_pool_t *p;
+  uint32_t target;
+
+  if (c->stopping || c->config == NULL)
+    {
+      cv_core_refuse (c, caller, refusal (c, CV_CALL_ONCE), cv_core_retry_after (c));
+      return;
+    }
+  p = cv_config_pool (c->config, pool);
+  if (p == NULL || p->kind != CV_POOL_SERVICE)
+    {
+      cv_core_refuse (c, caller, CV_FAIL_NO_POOL, 0);
+      return;
+    }
+  route.pool = cv_core_name_hash (pool);
+  route.avoid = CV_NO_TARGET;
+  target = cv_router_pick (c->router, now, &route);
+  if (target == CV_NO_TARGET)
+    {
+      cv_core_refuse (c, caller, CV_FAIL_NO_TARGET, cv_core_retry_after (c));
+      return;
+    }
+  (void)cv_copy (reply.u.ticket.target, sizeof reply.u.ticket.target,
+                 c->targets[target].name);
+  reply.u.ticket.incarnation = c->targets[target].incarnation;
+  reply.u.ticket.generation = c->targets[target].generation;
+  reply.u.ticket.nonce = c->options.out.new_id (c->options.out.arg);
+  c->options.out.reply (c->options.out.arg, caller, &reply);
+}
+
+void
+cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_request_call_t *s = &r->u.call;
+  uint32_t target = choose (c, now, r);
+  cv_msg_t msg = { .type = CV_MSG_CALL };
+  cv_msg_call_t *m = &msg.u.call;
+
+  if (target == CV_NO_TARGET)
+    {
+      bool given = s->mode == CV_CALL_TICKET;
+
+      cv_request_fail (c, now, r,
+                       given ? CV_FAIL_TICKET_EXPIRED : CV_FAIL_NO_TARGET,
+                       given ? 0 : cv_core_retry_after (c));
+      return;
+    }
+  cv_request_place (c, now, r, target);
+  r->phase = PHASE_SENT;
+  m->request = r->id;
+  m->ticket = s->ticket;
+  m->config_version = c->config->version;
+  (void)cv_copy (m->account, sizeof m->account, r->account);
+  (void)cv_copy (m->method, sizeof m->method, s->method);
+  m->path = cv_slice (s->path);
+  m->content_type = cv_slice (s->content_type);
+  m->body.p = s->body;
+  m->body.n = s->body_size;
+  m->deadline_ms
+      = r->deadline > now ? (uint32_t)((r->deadline - now) / CV_MS) : 0;
+  m->content_hash = s->content_hash;
+  cv_core_send (c, target, &msg);
+}
+
+void
+cv_calls_result (cv_core_t *c, cv_time_t now, uint32_t target,
+                 const cv_msg_call_result_t *m)
+{
+  cv_request_t *r = cv_request_by_id (c, m->request);
+  cv_reply_t reply = { .type = CV_REPLY_CALL };
+
+  if (r == NULL || r->kind != REQUEST_CALL || r->target != target)
+    {
+      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      return;
+    }
+  switch (m->outcome)
+    {
+    case CV_OUTCOME_DONE:
+      reply.u.call.status = m->status;
+      reply.u.call.replayed = m->replayed;
+      reply.u.call.content_type = m->content_type;
+      reply.u.call.body = m->body;
+      reply.u.call.ticket = &r->u.call.ticket;
+      cv_request_end (c, now, r, &reply, CV_OUTCOME_DONE);
+      break;
+    case CV_OUTCOME_NOT_RUN:
+      cv_request_fail (c, now, r, CV_FAIL_NOT_RUN, cv_core_retry_after (c));
+      break;
+    default:
+      r->failed = true;
+      if (r->u.call.mode == CV_CALL_IDEMPOTENT)
+        call_again (c, now, r, CV_FAIL_UNKNOWN);
+      else
+        cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+      break;
+    }
+}
+
+void
+cv_calls_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                   const cv_msg_rejected_t *m)
+{
+  if (r->phase == PHASE_REVOKING)
+    return;
+  if (m->reason == CV_REJECT_OLD_CONFIG)
+    {
+      cv_request_park (c, now, r);
+      return;
+    }
+  if (m->reason == CV_REJECT_CONDEMNED && r->u.call.mode != CV_CALL_TICKET)
+    {
+      cv_request_fail (c, now, r, CV_FAIL_CONDEMNED, 0);
+      return;
+    }
+  if (r->u.call.mode != CV_CALL_TICKET)
+    {
+      r->failed = m->reason == CV_REJECT_ENGINE;
+      call_again (c, now, r,
+                  m->reason == CV_REJECT_FULL ? CV_FAIL_OVERLOADED
+                                              : CV_FAIL_NO_TARGET);
+      return;
+    }
+  if (m->reason == CV_REJECT_OLD_EPOCH)
+    {
+      cv_request_fail (c, now, r, CV_FAIL_TICKET_EXPIRED, 0);
+      return;
+    }
+  /* This message did not run it, but another with the same ticket may.  */
+  revoke (c, now, r);
+}
+
+void
+cv_calls_gone (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_reply_t reply = { .type = CV_REPLY_GONE };
+
+  /* The side keeps the result for whoever repeats the ticket.  */
+  cv_request_end (c, now, r, &reply, CV_OUTCOME_UNKNOWN);
+}
+
+void
+cv_calls_lost (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  if (r->u.call.mode == CV_CALL_IDEMPOTENT)
+    call_again (c, now, r, CV_FAIL_UNKNOWN);
+  else
+    cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+}
+
+void
+cv_calls_tick (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  if (r->phase == PHASE_REVOKING)
+    {
+      if (now >= r->u.call.revoke_until)
+        cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+      return;
+    }
+  if (now < r->deadline + DEADLINE_GRACE)
+    return;
+  if (r->u.call.mode == CV_CALL_IDEMPOTENT)
+    cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+  else
+    revoke (c, now, r);
+}
+
+void
+cv_calls_finish (cv_request_t *r)
+{
+  free (r->u.call.path);
+  free (r->u.call.content_type);
+  free (r->u.call.body);
+}
+
+/* ---- local ---- */
+
+static void
+start (cv_core_t *c, cv_time_t now, cv_request_t *r,
+       const cv_call_spec_t *spec)
+{
+  cv_request_call_t *s = &r->u.call;
+  uint64_t seed = r->account_hash ^ cv_core_name_hash (spec->pool);
+  const cv_account_t *account = cv_config_account (c->config, spec->account);
+
+  if (account != NULL)
+    (void)cv_copy (r->class_name, sizeof r->class_name, "call");
+  r->pool = cv_core_name_hash (spec->pool);
+  r->route.pool = r->pool;
+  r->deadline = now + (cv_time_t)spec->deadline_ms * CV_MS;
+  s->mode = spec->mode;
+  if (spec->mode == CV_CALL_TICKET)
+    s->ticket = spec->ticket;
+  (void)cv_copy (s->method, sizeof s->method, spec->method);
+  s->path = cv_strdup_n (spec->path.p, spec->path.n);
+  s->content_type = cv_strdup_n (spec->content_type.p, spec->content_type.n);
+  s->body = cv_strdup_n (spec->body.p, spec->body.n);
+  s->body_size = spec->body.n;
+  seed = cv_hash (spec->path.p, spec->path.n, seed);
+  s->content_hash = cv_hash (spec->body.p, spec->body.n, seed);
+}
+
+/* Why nothing is taken now.  A caller's own ticket may have run before, so
+   that "refused" cannot be said of it.  */
+static cv_failure_code_t
+refusal (const cv_core_t *c, cv_call_mode_t mode)
+{
+  if (mode == CV_CALL_TICKET)
+    return CV_FAIL_UNKNOWN;
+  return c->stopping ? CV_FAIL_STOPPING : CV_FAIL_NO_CONFIG;
+}
+
+/* The target of the next attempt, with the ticket made out to it.  */
+static uint32_t
+choose (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_ticket_t *t = &r->u.call.ticket;
+  uint32_t target;
+
+  if (r->u.call.mode == CV_CALL_TICKET)
+    {
+      target = cv_targets_find (c, t->target, t->incarnation);
+      if (target != CV_NO_TARGET && c->targets[target].pool_hash != r->pool)
+        return CV_NO_TARGET;
+      return target;
+    }
+  target = cv_router_pick (c->router, now, &r->route);
+  if (target == CV_NO_TARGET)
+    return target;
+  memset (t, 0, sizeof *t);
+  (void)cv_copy (t->target, sizeof t->target, c->targets[target].name);
+  t->incarnation = c->targets[target].incarnation;
+  t->generation = c->targets[target].generation;
+  if (r->u.call.mode == CV_CALL_ONCE)
+    t->nonce = c->options.out.new_id (c->options.out.arg);
+  return target;
+}
+
+/* The attempt did not run, or may be repeated: try another target.  */
+static void
+call_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
+            cv_failure_code_t otherwise)
+{
+  uint32_t old = r->target;
+
+  if (now >= r->deadline || !cv_request_may_retry (c, r))
+    {
+      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
+      return;
+    }
+  cv_request_place (c, now, r, CV_NO_TARGET);
+  cv_request_set_id (c, r, c->options.out.new_id (c->options.out.arg));
+  r->route.avoid = old;
+  cv_calls_send (c, now, r);
+}
+
+/* Have the ticket barred, so that "not run" can be said truly.  */
+static void
+revoke (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_msg_t msg = { .type = CV_MSG_REVOKE };
+
+  r->phase = PHASE_REVOKING;
+  r->u.call.revoke_until = now + REVOKE_TIMEOUT;
+  msg.u.revoke.request = r->id;
+  msg.u.revoke.ticket = r->u.call.ticket;
+  (void)cv_copy (msg.u.revoke.account, sizeof msg.u.revoke.account,
+                 r->account);
+  cv_metrics_count (c->metrics, CV_COUNT_REVOKES);
+  cv_core_send (c, r->target, &msg);
+}
--- /dev/null
+++ b/entry/core_internal.h
@@ -0,0 +1,237 @@
+/* Tables of the entry's core, shared by its files.  */
+
+#ifndef CV_ENTRY_CORE_INTERNAL_H
+#define CV_ENTRY_CORE_INTERNAL_H
+
+#include "entry/core.h"
+
+#define CORE_BUCKETS 8192
+#define BUDGET_BUCKETS 1024
+
+/* Wait for a newer configuration, when a side asked for one.  */
+#define PARK_TIMEOUT (2 * CV_SECOND)
+/* Wait for the answer to a REVOKE.  */
+#define REVOKE_TIMEOUT (1 * CV_SECOND)
+/* Beyond its deadline, a side that said nothing is given up.  */
+#define DEADLINE_GRACE (500 * CV_MS)
+/* Least time between two requests to send a stream again.  */
+#define REATTACH_INTERVAL (200 * CV_MS)
+/* A gap counts as stalled beyond this time.  */
+#define STALL_THRESHOLD (1 * CV_SECOND)
+#define RETRY_AFTER_MS 1000
+#define DEFAULT_FIRST_TOKEN_MS 30000
+/* Output tokens expected while nothing is known.  */
+#define DEFAULT_EXPECT 256
+/* Bytes of the prompt that stand for its cached prefix.  */
+#define PREFIX_BYTES 1024
+#define BYTES_PER_TOKEN 4
+
+typedef struct cv_request_t cv_request_t;
+TAILQ_HEAD (cv_request_list_t, cv_request_t);
+LIST_HEAD (cv_request_bucket_t, cv_request_t);
+
+typedef enum
+{
+  REQUEST_STREAM = 1,
+  REQUEST_CALL
+} cv_request_kind_t;
+
+typedef enum
+{
+  PHASE_PARKED = 1, /* waits for a newer configuration */
+  PHASE_SENT,       /* handed over, not heard of */
+  PHASE_RUNNING,    /* accepted by the side */
+  PHASE_REVOKING    /* a call is being barred */
+} cv_phase_t;
+
+typedef struct
+{
+  char model[CV_NAME_MAX];
+  uint32_t priority;
+  uint32_t max_tokens;
+  uint32_t expect;
+  bool whole;
+  bool resumed;   /* attached by position: it cannot be run again */
+  uint32_t start; /* offset of the first token to deliver */
+  uint32_t next;  /* offset of the token that is accepted next */
+  char *prompt;
+  size_t prompt_size;
+  uint64_t content_hash;
+  cv_buf_t text;  /* tokens of a whole answer */
+  cv_buf_t sizes; /* their lengths, uint32_t each */
+  bool gap; /* frames are missing; asked for again */
+  cv_time_t reattached;
+  cv_time_t last_token;
+  cv_time_t stalled;
+} cv_request_stream_t;
+
+typedef struct
+{
+  cv_call_mode_t mode;
+  cv_ticket_t ticket;
+  char method[8];
+  char *path;
+  char *content_type;
+  char *body;
+  size_t body_size;
+  uint64_t content_hash;
+  cv_time_t revoke_until;
+} cv_request_call_t;
+
+/* One request of a caller, with its current attempt.  */
+struct cv_request_t
+{
+  TAILQ_ENTRY (cv_request_t) all;
+  LIST_ENTRY (cv_request_t) by_id;
+  LIST_ENTRY (cv_request_t) by_caller;
+  cv_request_kind_t kind;
+  cv_phase_t phase;
+  void *caller;
+  cv_id_t id; /* names the attempt */
+  uint32_t target;
+  uint64_t incarnation;
+  char account[CV_NAME_MAX];
+  char class_name[CV_NAME_MAX];
+  uint64_t account_hash;
+  uint64_t pool;
+  bool admitted; /* counted by the account's limits */
+  bool failed;   /* its target did not do its part */
+  cv_time_t submitted;
+  cv_time_t deadline; /* to the first token, or of the call */
+  cv_time_t parked_until;
+  cv_route_request_t route;
+  union
+  {
+    cv_request_stream_t stream;
+    cv_request_call_t call;
+  } u;
+};
+
+typedef struct
+{
+  bool used;
+  bool heard; /* a report came since the connection was made */
+  bool lost;
+  bool listed_leaving;
+  char name[CV_NAME_MAX];
+  char pool[CV_NAME_MAX];
+  char failure_domain[CV_NAME_MAX];
+  uint64_t pool_hash;
+  uint64_t incarnation;
+  uint32_t generation;
+  cv_target_state_t state;
+  cv_load_t load;
+  cv_versions_t versions;
+  cv_time_t last_heard;
+  cv_time_t last_pull;
+  uint32_t requests;
+} cv_target_t;
+
+typedef struct cv_budget_entry_t
+{
+  LIST_ENTRY (cv_budget_entry_t) link;
+  uint64_t account;
+  uint64_t pool;
+  cv_retry_budget_t budget;
+} cv_budget_entry_t;
+
+struct cv_core_t
+{
+  cv_core_options_t options;
+  cv_config_t *config;
+  cv_time_t confirmed; /* when the store confirmed config, 0: never */
+  uint32_t confirmed_age_ms;
+  cv_target_t *targets;
+  uint32_t target_count;
+  struct cv_request_list_t requests;
+  struct cv_request_bucket_t by_id[CORE_BUCKETS];
+  struct cv_request_bucket_t by_caller[CORE_BUCKETS];
+  LIST_HEAD (, cv_budget_entry_t) budgets[BUDGET_BUCKETS];
+  uint32_t in_flight;
+  bool stopping;
+  cv_time_t last_hello;
+  cv_rng_t rng;
+  cv_router_t *router;
+  cv_limits_t *limits;
+  cv_length_t *length;
+  cv_metrics_t *metrics;
+};
+
+/* ---- core.c: requests and replies ---- */
+
+uint64_t cv_core_name_hash (const char *name);
+cv_request_t *cv_request_new (cv_core_t *c, cv_time_t now, void *caller,
+                              cv_request_kind_t kind, const char *account);
+void cv_request_set_id (cv_core_t *c, cv_request_t *r, cv_id_t id);
+cv_request_t *cv_request_by_id (cv_core_t *c, cv_id_t id);
+/* Put the attempt on TARGET, or take it off with CV_NO_TARGET.  */
+void cv_request_place (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                       uint32_t target);
+/* Give the last reply and forget the request.  */
+void cv_request_end (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                     const cv_reply_t *reply, cv_outcome_t outcome);
+void cv_request_fail (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                      cv_failure_code_t code, uint32_t retry_after_ms);
+/* Refuse what never became a request.  */
+void cv_core_refuse (cv_core_t *c, void *caller, cv_failure_code_t code,
+                     uint32_t retry_after_ms);
+void cv_request_park (cv_core_t *c, cv_time_t now, cv_request_t *r);
+/* One more attempt under the retry budget of account and pool?  */
+bool cv_request_may_retry (cv_core_t *c, cv_request_t *r);
+void cv_request_first_try (cv_core_t *c, cv_request_t *r);
+uint32_t cv_core_retry_after (cv_core_t *c);
+void cv_core_send (cv_core_t *c, uint32_t target, const cv_msg_t *msg);
+
+/* ---- core_targets.c ---- */
+
+void cv_targets_report (cv_core_t *c, cv_time_t now, uint32_t target,
+                        const cv_msg_report_t *report);
+void cv_targets_doc (cv_core_t *c, cv_time_t now, uint32_t target,
+                     const cv_msg_doc_t *doc);
+void cv_targets_doc_pull (cv_core_t *c, cv_time_t now, uint32_t target,
+                          cv_doc_t doc);
+/* Ask TARGET for its configuration, at most every second.  */
+void cv_targets_pull (cv_core_t *c, cv_time_t now, uint32_t target);
+void cv_targets_tick (cv_core_t *c, cv_time_t now);
+void cv_targets_hello (cv_core_t *c, cv_time_t now);
+/* The slot of the live incarnation that a ticket or position names, or
+   CV_NO_TARGET.  */
+uint32_t cv_targets_find (const cv_core_t *c, const char *name,
+                          uint64_t incarnation);
+
+/* ---- core_streams.c ---- */
+
+void cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_streams_tokens (cv_core_t *c, cv_time_t now, uint32_t target,
+                        const cv_msg_tokens_t *m);
+void cv_streams_end (cv_core_t *c, cv_time_t now, uint32_t target,
+                     const cv_msg_end_t *m);
+void cv_streams_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                          const cv_msg_rejected_t *m);
+void cv_streams_gone (cv_core_t *c, cv_time_t now, cv_request_t *r);
+/* The side that runs R is lost.  */
+void cv_streams_lost (cv_core_t *c, cv_time_t now, cv_request_t *r);
+/* The attempt is over: start another generation elsewhere while the caller
+   has seen nothing, or end the answer, with OTHERWISE when no retry is
+   possible.  */
+void cv_streams_run_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                           cv_failure_code_t otherwise);
+/* Frames of the stream were lost on the way: ask for them again.  */
+void cv_streams_reattach (cv_core_t *c, cv_time_t now, cv_request_t *r);
+cv_length_key_t cv_streams_length_key (const cv_request_t *r);
+void cv_streams_tick (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_streams_finish (cv_request_t *r);
+
+/* ---- core_calls.c ---- */
+
+void cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_calls_result (cv_core_t *c, cv_time_t now, uint32_t target,
+                      const cv_msg_call_result_t *m);
+void cv_calls_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                        const cv_msg_rejected_t *m);
+void cv_calls_gone (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_calls_lost (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_calls_tick (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_calls_finish (cv_request_t *r);
+
+#endif
--- /dev/null
+++ b/entry/core_streams.c
@@ -0,0 +1,355 @@
+/* Generations at the entry: handing them over, and running them again while
+   nothing was delivered.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/core_internal.h"
+
+static bool resolve (cv_core_t *c, cv_request_t *r,
+                     const cv_stream_spec_t *spec, cv_failure_code_t *fail);
+static void start (cv_request_t *r, const cv_stream_spec_t *spec);
+static bool admit (cv_core_t *c, cv_time_t now, cv_request_t *r);
+static bool may_run_again (const cv_request_t *r);
+static void send_attach (cv_core_t *c, cv_request_t *r);
+static void send_about (cv_core_t *c, const cv_request_t *r,
+                        cv_msg_type_t type);
+
+void
+cv_core_submit (cv_core_t *c, cv_time_t now, void *caller,
+                const cv_stream_spec_t *spec)
+{
+  cv_failure_code_t fail = CV_FAIL_NO_CONFIG;
+  cv_request_t *r;
+
+  if (c->stopping || c->config == NULL)
+    {
+      cv_core_refuse (c, caller, c->stopping ? CV_FAIL_STOPPING : fail,
+                      cv_core_retry_after (c));
+      return;
+    }
+  r = cv_request_new (c, now, caller, REQUEST_STREAM, spec->account);
+  start (r, spec);
+  if (!resolve (c, r, spec, &fail))
+    {
+      cv_request_fail (c, now, r, fail, 0);
+      return;
+    }
+  if (!admit (c, now, r))
+    return;
+  cv_request_first_try (c, r);
+  cv_streams_send (c, now, r);
+}
+
+void
+cv_core_attach (cv_core_t *c, cv_time_t now, void *caller,
+                const char *account, const cv_position_t *first)
+{
+  uint32_t target = cv_targets_find (c, first->target, first->incarnation);
+  cv_request_t *r;
+
+  if (target == CV_NO_TARGET)
+    {
+      cv_core_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
+      return;
+    }
+  r = cv_request_by_id (c, first->stream);
+  if (r != NULL)
+    {
+      /* The same caller came back before its old connection was missed.  */
+      cv_reply_t gone = { .type = CV_REPLY_GONE };
+
+      if (strcmp (r->account, account) != 0)
+        {
+          cv_core_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
+          return;
+        }
+      cv_request_end (c, now, r, &gone, CV_OUTCOME_INTERRUPTED);
+    }
+  r = cv_request_new (c, now, caller, REQUEST_STREAM, account);
+  cv_request_set_id (c, r, first->stream);
+  r->u.stream.resumed = true;
+  r->u.stream.start = first->offset;
+  r->u.stream.next = first->offset;
+  r->u.stream.last_token = now;
+  r->deadline = now + DEFAULT_FIRST_TOKEN_MS * CV_MS;
+  r->pool = c->targets[target].pool_hash;
+  r->route.pool = r->pool;
+  cv_request_place (c, now, r, target);
+  r->phase = PHASE_SENT;
+  send_attach (c, r);
+}
+
+void
+cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_request_stream_t *s = &r->u.stream;
+  uint32_t target = cv_router_pick (c->router, now, &r->route);
+  cv_msg_t msg = { .type = CV_MSG_SUBMIT };
+  cv_msg_submit_t *m = &msg.u.submit;
+
+  if (target == CV_NO_TARGET)
+    {
+      cv_request_fail (c, now, r, CV_FAIL_NO_TARGET, cv_core_retry_after (c));
+      return;
+    }
+  cv_request_place (c, now, r, target);
+  r->phase = PHASE_SENT;
+  m->stream = r->id;
+  m->incarnation = r->incarnation;
+  m->config_version = c->config->version;
+  (void)cv_copy (m->account, sizeof m->account, r->account);
+  (void)cv_copy (m->class_name, sizeof m->class_name, r->class_name);
+  (void)cv_copy (m->model, sizeof m->model, s->model);
+  m->priority = s->priority;
+  m->max_tokens = s->max_tokens;
+  m->deadline_ms
+      = r->deadline > now ? (uint32_t)((r->deadline - now) / CV_MS) : 0;
+  m->expect = s->expect;
+  m->content_hash = s->content_hash;
+  m->prompt.p = s->prompt;
+  m->prompt.n = s->prompt_size;
+  cv_core_send (c, target, &msg);
+}
+
+void
+cv_streams_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                     const cv_msg_rejected_t *m)
+{
+  if (r->u.stream.resumed)
+    {
+      cv_request_fail (c, now, r, CV_FAIL_STREAM_GONE, 0);
+      return;
+    }
+  switch (m->reason)
+    {
+    case CV_REJECT_CONDEMNED:
+      cv_request_fail (c, now, r, CV_FAIL_CONDEMNED, 0);
+      break;
+    case CV_REJECT_OLD_CONFIG:
+      cv_request_park (c, now, r);
+      break;
+    case CV_REJECT_FULL:
+      cv_streams_run_again (c, now, r, CV_FAIL_OVERLOADED);
+      break;
+    case CV_REJECT_LEAVING:
+    case CV_REJECT_OLD_EPOCH:
+    case CV_REJECT_NOT_FOUND:
+    case CV_REJECT_ENGINE:
+      r->failed = m->reason == CV_REJECT_ENGINE;
+      cv_streams_run_again (c, now, r, CV_FAIL_NO_TARGET);
+      break;
+    }
+}
+
+void
+cv_streams_gone (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_reply_t reply = { .type = CV_REPLY_GONE };
+
+  /* Only a caller that saw a position can come back to it.  */
+  if (r->target != CV_NO_TARGET)
+    send_about (c, r, may_run_again (r) ? CV_MSG_CANCEL : CV_MSG_DETACH);
+  cv_request_end (c, now, r, &reply, CV_OUTCOME_INTERRUPTED);
+}
+
+void
+cv_streams_lost (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  if (may_run_again (r))
+    send_about (c, r, CV_MSG_CANCEL);
+  cv_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
+}
+
+void
+cv_streams_tick (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  if (r->u.stream.gap)
+    cv_streams_reattach (c, now, r);
+  if (r->u.stream.next > r->u.stream.start)
+    return;
+  if (now < r->deadline + DEADLINE_GRACE)
+    return;
+  send_about (c, r, CV_MSG_CANCEL);
+  cv_request_fail (c, now, r, CV_FAIL_DEADLINE, cv_core_retry_after (c));
+}
+
+void
+cv_streams_finish (cv_request_t *r)
+{
+  free (r->u.stream.prompt);
+  cv_buf_finish (&r->u.stream.text);
+  cv_buf_finish (&r->u.stream.sizes);
+}
+
+/* ---- local ---- */
+
+static void
+start (cv_request_t *r, const cv_stream_spec_t *spec)
+{
+  cv_request_stream_t *s = &r->u.stream;
+
+  cv_buf_init (&s->text);
+  cv_buf_init (&s->sizes);
+  s->whole = spec->whole;
+  s->prompt = cv_strdup_n (spec->prompt.p, spec->prompt.n);
+  s->prompt_size = spec->prompt.n;
+  (void)cv_copy (s->model, sizeof s->model, spec->model);
+}
+
+/* Look up what the request names in the configuration.  */
+static bool
+resolve (cv_core_t *c, cv_request_t *r, const cv_stream_spec_t *spec,
+         cv_failure_code_t *fail)
+{
+  cv_request_stream_t *s = &r->u.stream;
+  const cv_model_t *model = cv_config_model (c->config, spec->model);
+  const cv_account_t *account = cv_config_account (c->config, spec->account);
+  const char *name = spec->class_name;
+  const cv_class_t *class;
+  uint32_t first_ms;
+  cv_length_key_t key;
+
+  if (name[0] == '\0' && account != NULL)
+    name = account->default_class;
+  class = cv_config_class (c->config, name);
+  if (model == NULL || class == NULL)
+    {
+      *fail = model == NULL ? CV_FAIL_NO_MODEL : CV_FAIL_NO_CLASS;
+      return false;
+    }
+  (void)cv_copy (r->class_name, sizeof r->class_name, name);
+  first_ms = class->first_token_ms;
+  if (first_ms == 0)
+    first_ms = DEFAULT_FIRST_TOKEN_MS;
+  r->deadline = r->submitted + (cv_time_t)first_ms * CV_MS;
+  s->whole = s->whole || class->buffered;
+  s->priority = class->priority;
+  s->max_tokens = spec->max_tokens;
+  if (class->max_tokens != 0
+      && (s->max_tokens == 0 || s->max_tokens > class->max_tokens))
+    s->max_tokens = class->max_tokens;
+  if (model->max_tokens != 0
+      && (s->max_tokens == 0 || s->max_tokens > model->max_tokens))
+    s->max_tokens = model->max_tokens;
+  s->content_hash = cv_hash (s->prompt, s->prompt_size,
+                             r->account_hash ^ cv_core_name_hash (s->model));
+  r->pool = cv_core_name_hash (model->pool);
+  key = cv_streams_length_key (r);
+  s->expect = cv_length_remaining (
+      c->length, &key, 0, s->max_tokens == 0 ? UINT32_MAX : s->max_tokens,
+      0.5);
+  r->route.pool = r->pool;
+  r->route.prefix_hash = cv_hash (
+      s->prompt, s->prompt_size < PREFIX_BYTES ? s->prompt_size : PREFIX_BYTES,
+      cv_core_name_hash (s->model));
+  r->route.prompt_tokens = (uint32_t)(s->prompt_size / BYTES_PER_TOKEN) + 1;
+  r->route.expect = s->expect;
+  return true;
+}
+
+static bool
+admit (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_admission_t a = cv_limits_admit (c->limits, now, r->account_hash,
+                                      r->u.stream.expect);
+
+  if (!a.admitted)
+    {
+      cv_request_fail (c, now, r, CV_FAIL_LIMIT, a.retry_after_ms);
+      return false;
+    }
+  r->admitted = true;
+  return true;
+}
+
+/* Was nothing of the present generation delivered?  */
+static bool
+may_run_again (const cv_request_t *r)
+{
+  const cv_request_stream_t *s = &r->u.stream;
+
+  return !s->resumed && (s->whole || s->next == 0);
+}
+
+/* The attempt is over.  Start another generation elsewhere while the caller
+   has seen nothing, or end the answer.  */
+void
+cv_streams_run_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
+           cv_failure_code_t otherwise)
+{
+  cv_request_stream_t *s = &r->u.stream;
+  uint32_t old = r->target;
+
+  if (!may_run_again (r))
+    {
+      cv_request_fail (c, now, r, CV_FAIL_INTERRUPTED,
+                       cv_core_retry_after (c));
+      return;
+    }
+  if (!s->whole && now >= r->deadline)
+    {
+      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
+      return;
+    }
+  if (!cv_request_may_retry (c, r))
+    {
+      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
+      return;
+    }
+  cv_request_place (c, now, r, CV_NO_TARGET);
+  cv_request_set_id (c, r, c->options.out.new_id (c->options.out.arg));
+  s->next = 0;
+  s->gap = false;
+  cv_buf_reset (&s->text);
+  cv_buf_reset (&s->sizes);
+  r->route.avoid = old;
+  cv_streams_send (c, now, r);
+}
+
+/* Frames of the stream were lost on the way: ask for them again.  */
+void
+cv_streams_reattach (cv_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  cv_request_stream_t *s = &r->u.stream;
+
+  s->gap = true;
+  if (s->reattached != 0 && now - s->reattached < REATTACH_INTERVAL)
+    return;
+  s->reattached = now;
+  cv_metrics_count (c->metrics, CV_COUNT_REATTACHES);
+  send_attach (c, r);
+}
+
+static void
+send_attach (cv_core_t *c, cv_request_t *r)
+{
+  cv_msg_t msg = { .type = CV_MSG_ATTACH };
+
+  msg.u.attach.stream = r->id;
+  msg.u.attach.incarnation = r->incarnation;
+  msg.u.attach.offset = r->u.stream.next;
+  (void)cv_copy (msg.u.attach.account, sizeof msg.u.attach.account,
+                 r->account);
+  cv_core_send (c, r->target, &msg);
+}
+
+static void
+send_about (cv_core_t *c, const cv_request_t *r, cv_msg_type_t type)
+{
+  cv_msg_t msg = { .type = type };
+
+  msg.u.stream.stream = r->id;
+  cv_core_send (c, r->target, &msg);
+}
+
+cv_length_key_t
+cv_streams_length_key (const cv_request_t *r)
+{
+  cv_length_key_t key;
+
+  key.account = r->account_hash;
+  key.class_id = cv_core_name_hash (r->class_name);
+  key.model = cv_core_name_hash (r->u.stream.model);
+  return key;
+}
--- /dev/null
+++ b/entry/core_targets.c
@@ -0,0 +1,308 @@
+/* The entry's table of targets: what their sides report, and their loss.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/core_internal.h"
+
+#define PULL_INTERVAL (500 * CV_MS)
+
+static void report_to_router (cv_core_t *c, cv_time_t now, uint32_t target);
+static void drop_requests (cv_core_t *c, cv_time_t now, uint32_t target);
+static void lose (cv_core_t *c, cv_time_t now, uint32_t target);
+static void hello_one (cv_core_t *c, cv_time_t now, uint32_t target);
+static const char *state_name (const cv_target_t *t);
+static uint32_t config_age (const cv_core_t *c, cv_time_t now);
+
+uint32_t
+cv_core_target_add (cv_core_t *c, cv_time_t now, const char *name,
+                    const char *pool)
+{
+  uint32_t slot = 0;
+  cv_target_t *t;
+
+  while (slot < c->target_count && c->targets[slot].used)
+    slot++;
+  if (slot == c->target_count)
+    {
+      uint32_t count = c->target_count == 0 ? 16 : c->target_count * 2;
+
+      c->targets = cv_realloc (c->targets, count * sizeof *c->targets);
+      memset (c->targets + c->target_count, 0,
+              (count - c->target_count) * sizeof *c->targets);
+      c->target_count = count;
+    }
+  t = &c->targets[slot];
+  memset (t, 0, sizeof *t);
+  t->used = true;
+  t->state = CV_TARGET_DOWN;
+  t->last_heard = now;
+  (void)cv_copy (t->name, sizeof t->name, name);
+  (void)cv_copy (t->pool, sizeof t->pool, pool);
+  t->pool_hash = cv_core_name_hash (pool);
+  hello_one (c, now, slot);
+  return slot;
+}
+
+void
+cv_core_target_listed (cv_core_t *c, cv_time_t now, uint32_t target,
+                       bool leaving)
+{
+  cv_target_t *t = &c->targets[target];
+
+  if (t->listed_leaving == leaving)
+    return;
+  t->listed_leaving = leaving;
+  if (t->heard && !t->lost)
+    report_to_router (c, now, target);
+}
+
+void
+cv_core_target_remove (cv_core_t *c, cv_time_t now, uint32_t target)
+{
+  drop_requests (c, now, target);
+  cv_router_remove (c->router, target);
+  c->targets[target].used = false;
+}
+
+bool
+cv_core_target_lost (const cv_core_t *c, uint32_t target)
+{
+  return c->targets[target].lost;
+}
+
+void
+cv_core_each_target (const cv_core_t *c, cv_time_t now,
+                     void (*fn) (const cv_target_row_t *row, void *arg),
+                     void *arg)
+{
+  for (uint32_t i = 0; i < c->target_count; i++)
+    {
+      const cv_target_t *t = &c->targets[i];
+      cv_target_row_t row = { 0 };
+
+      if (!t->used)
+        continue;
+      (void)cv_copy (row.name, sizeof row.name, t->name);
+      (void)cv_copy (row.pool, sizeof row.pool, t->pool);
+      (void)cv_copy (row.failure_domain, sizeof row.failure_domain,
+                     t->failure_domain);
+      row.state = state_name (t);
+      row.incarnation = t->incarnation;
+      row.versions = t->versions;
+      row.load = t->load;
+      row.requests = t->requests;
+      row.silent_ms = (uint32_t)((now - t->last_heard) / CV_MS);
+      fn (&row, arg);
+    }
+}
+
+void
+cv_targets_report (cv_core_t *c, cv_time_t now, uint32_t target,
+                   const cv_msg_report_t *report)
+{
+  cv_target_t *t = &c->targets[target];
+
+  /* The address may have gone to another target.  */
+  if (strcmp (report->target, t->name) != 0)
+    {
+      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      return;
+    }
+  if (t->heard && t->incarnation != report->incarnation)
+    drop_requests (c, now, target);
+  t->heard = true;
+  t->lost = false;
+  t->last_heard = now;
+  t->incarnation = report->incarnation;
+  t->generation = report->generation;
+  t->state = report->state;
+  t->load = report->load;
+  t->versions = report->versions;
+  (void)cv_copy (t->failure_domain, sizeof t->failure_domain,
+                 report->failure_domain);
+  report_to_router (c, now, target);
+  if (c->config == NULL
+      || report->versions.version[CV_DOC_CONFIG] > c->config->version)
+    cv_targets_pull (c, now, target);
+}
+
+void
+cv_targets_pull (cv_core_t *c, cv_time_t now, uint32_t target)
+{
+  cv_target_t *t = &c->targets[target];
+  cv_msg_t msg = { .type = CV_MSG_DOC_PULL };
+
+  if (t->last_pull != 0 && now - t->last_pull < PULL_INTERVAL)
+    return;
+  t->last_pull = now;
+  msg.u.doc_pull.doc = CV_DOC_CONFIG;
+  cv_core_send (c, target, &msg);
+}
+
+void
+cv_targets_doc (cv_core_t *c, cv_time_t now, uint32_t target,
+                const cv_msg_doc_t *doc)
+{
+  cv_config_t *config;
+  cv_error_t err;
+
+  (void)target;
+  if (doc->doc != CV_DOC_CONFIG)
+    return;
+  if (c->config != NULL && doc->version <= c->config->version)
+    return;
+  config = cv_config_parse (doc->version, doc->body, &err);
+  if (config == NULL)
+    {
+      cv_log (CV_EV_ENTRY_DOC_INVALID, "version %llu: %s",
+              (unsigned long long)doc->version, err.text);
+      return;
+    }
+  (void)cv_core_adopt (c, now, config);
+  cv_config_unref (config);
+}
+
+void
+cv_targets_doc_pull (cv_core_t *c, cv_time_t now, uint32_t target,
+                     cv_doc_t doc)
+{
+  cv_msg_t msg = { .type = CV_MSG_DOC };
+
+  (void)now;
+  if (doc != CV_DOC_CONFIG || c->config == NULL)
+    return;
+  msg.u.doc.doc = CV_DOC_CONFIG;
+  msg.u.doc.version = c->config->version;
+  msg.u.doc.body.p = c->config->text;
+  msg.u.doc.body.n = c->config->text_size;
+  cv_core_send (c, target, &msg);
+}
+
+void
+cv_targets_tick (cv_core_t *c, cv_time_t now)
+{
+  for (uint32_t i = 0; i < c->target_count; i++)
+    {
+      cv_target_t *t = &c->targets[i];
+
+      if (!t->used)
+        continue;
+      if (!t->lost && now - t->last_heard >= CV_PEER_TIMEOUT)
+        lose (c, now, i);
+      else if (!t->heard)
+        hello_one (c, now, i);
+    }
+  if (now - c->last_hello >= CV_REPORT_INTERVAL)
+    cv_targets_hello (c, now);
+}
+
+void
+cv_targets_hello (cv_core_t *c, cv_time_t now)
+{
+  c->last_hello = now;
+  for (uint32_t i = 0; i < c->target_count; i++)
+    if (c->targets[i].used)
+      hello_one (c, now, i);
+}
+
+uint32_t
+cv_targets_find (const cv_core_t *c, const char *name, uint64_t incarnation)
+{
+  for (uint32_t i = 0; i < c->target_count; i++)
+    {
+      const cv_target_t *t = &c->targets[i];
+
+      if (t->used && t->heard && !t->lost && t->incarnation == incarnation
+          && strcmp (t->name, name) == 0)
+        return i;
+    }
+  return CV_NO_TARGET;
+}
+
+/* ---- local ---- */
+
+static void
+report_to_router (cv_core_t *c, cv_time_t now, uint32_t target)
+{
+  const cv_target_t *t = &c->targets[target];
+  cv_target_state_t state = t->state;
+
+  if (t->listed_leaving && state == CV_TARGET_LIVE)
+    state = CV_TARGET_LEAVING;
+  cv_router_report (c->router, now, target, t->pool_hash, state, &t->load);
+}
+
+/* The side at TARGET no longer holds what it was given.  */
+static void
+drop_requests (cv_core_t *c, cv_time_t now, uint32_t target)
+{
+  cv_request_t *r;
+  cv_request_t *next;
+
+  for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, all);
+      if (r->target != target)
+        continue;
+      r->failed = true;
+      if (r->kind == REQUEST_STREAM)
+        cv_streams_lost (c, now, r);
+      else
+        cv_calls_lost (c, now, r);
+    }
+}
+
+static void
+lose (cv_core_t *c, cv_time_t now, uint32_t target)
+{
+  cv_target_t *t = &c->targets[target];
+  cv_load_t none = { 0 };
+
+  t->lost = true;
+  cv_metrics_count (c->metrics, CV_COUNT_TARGETS_LOST);
+  cv_log (CV_EV_ENTRY_TARGET_LOST, "target %s pool %s", t->name, t->pool);
+  cv_router_report (c->router, now, target, t->pool_hash, CV_TARGET_DOWN,
+                    &none);
+  c->options.out.reset (c->options.out.arg, target);
+  drop_requests (c, now, target);
+}
+
+static void
+hello_one (cv_core_t *c, cv_time_t now, uint32_t target)
+{
+  cv_msg_t msg = { .type = CV_MSG_HELLO };
+  cv_msg_hello_t *h = &msg.u.hello;
+
+  (void)cv_copy (h->instance, sizeof h->instance, c->options.instance);
+  h->incarnation = c->options.incarnation;
+  h->versions.version[CV_DOC_CONFIG]
+      = c->config == NULL ? 0 : c->config->version;
+  h->versions.age_ms = config_age (c, now);
+  cv_core_send (c, target, &msg);
+}
+
+static uint32_t
+config_age (const cv_core_t *c, cv_time_t now)
+{
+  cv_time_t age;
+
+  if (c->confirmed_age_ms == UINT32_MAX)
+    return UINT32_MAX;
+  age = (now - c->confirmed) / CV_MS;
+  return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX - 1;
+}
+
+static const char *
+state_name (const cv_target_t *t)
+{
+  if (t->lost)
+    return "lost";
+  if (!t->heard)
+    return "connecting";
+  if (t->state == CV_TARGET_DOWN)
+    return "down";
+  if (t->state == CV_TARGET_LEAVING || t->listed_leaving)
+    return "draining";
+  return "live";
+}
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,133 @@
+/* The role `entry`: starts its threads and stops them in order.  */
+
+#include <signal.h>
+#include <time.h>
+
+#include <ulfius.h>
+
+#include "entry/entry.h"
+#include "entry/http.h"
+#include "entry/instances.h"
+#include "entry/link.h"
+#include "entry/storejobs.h"
+
+#define DEFAULT_PORT 8080
+#define DEFAULT_STORE_TIMEOUT_MS 2000
+#define DEFAULT_CONNECTIONS 2000
+#define DEFAULT_BODY_BYTES (1024 * 1024)
+/* Time for the balancer to look elsewhere before requests are refused.  */
+#define DRAIN_NOTICE_S 1
+/* A planned stop waits so long for requests in flight.  */
+#define DRAIN_TIMEOUT (900 * CV_SECOND)
+#define DRAIN_POLL_NS (50 * 1000 * 1000)
+
+typedef struct
+{
+  cv_link_t *link;
+  cv_storejobs_t *jobs;
+  cv_instances_t *instances;
+  cv_http_t *http;
+} cv_entry_t;
+
+static bool start (cv_entry_t *e, const cv_entry_settings_t *s,
+                   cv_error_t *err);
+static void stop (cv_entry_t *e);
+static void drain (cv_entry_t *e);
+static void count_in_flight (cv_core_t *core, cv_time_t now, void *arg);
+
+void
+cv_entry_settings_init (cv_entry_settings_t *s)
+{
+  cv_entry_settings_t zero = { 0 };
+
+  *s = zero;
+  s->port = DEFAULT_PORT;
+  s->store_timeout_ms = DEFAULT_STORE_TIMEOUT_MS;
+  s->max_connections = DEFAULT_CONNECTIONS;
+  s->max_body_bytes = DEFAULT_BODY_BYTES;
+}
+
+bool
+cv_entry_run (const cv_entry_settings_t *s, cv_error_t *err)
+{
+  cv_entry_t e = { 0 };
+  sigset_t stops;
+  int signal_number;
+
+  (void)sigemptyset (&stops);
+  (void)sigaddset (&stops, SIGTERM);
+  (void)sigaddset (&stops, SIGINT);
+  (void)pthread_sigmask (SIG_BLOCK, &stops, NULL);
+  (void)signal (SIGPIPE, SIG_IGN);
+  if (ulfius_global_init () != U_OK)
+    return cv_fail (err, CV_ERR_SYSTEM, "HTTP library cannot be set up");
+  if (!start (&e, s, err))
+    {
+      stop (&e);
+      return false;
+    }
+  (void)sigwait (&stops, &signal_number);
+  cv_log (CV_EV_DAEMON_STOPPING, "signal %d", signal_number);
+  drain (&e);
+  stop (&e);
+  ulfius_global_close ();
+  return true;
+}
+
+static bool
+start (cv_entry_t *e, const cv_entry_settings_t *s, cv_error_t *err)
+{
+  e->link = cv_link_new (s, err);
+  if (e->link == NULL)
+    return false;
+  e->jobs = cv_storejobs_new (s, e->link, err);
+  if (e->jobs == NULL)
+    return false;
+  e->instances = cv_instances_new (s->instances_url, e->link, err);
+  if (e->instances == NULL)
+    return false;
+  e->http = cv_http_new (s, e->link, e->jobs, err);
+  return e->http != NULL;
+}
+
+static void
+stop (cv_entry_t *e)
+{
+  if (e->http != NULL)
+    cv_http_free (e->http);
+  if (e->instances != NULL)
+    cv_instances_free (e->instances);
+  if (e->jobs != NULL)
+    cv_storejobs_free (e->jobs);
+  if (e->link != NULL)
+    cv_link_free (e->link);
+}
+
+/* Refuse new requests and wait for those in flight.  */
+static void
+drain (cv_entry_t *e)
+{
+  const struct timespec notice = { .tv_sec = DRAIN_NOTICE_S };
+  const struct timespec pause = { .tv_nsec = DRAIN_POLL_NS };
+  cv_time_t until = cv_now () + DRAIN_TIMEOUT;
+  uint32_t in_flight;
+
+  cv_http_drain (e->http);
+  (void)nanosleep (&notice, NULL);
+  cv_link_drain (e->link);
+  do
+    {
+      (void)nanosleep (&pause, NULL);
+      cv_link_inspect (e->link, count_in_flight, &in_flight);
+    }
+  while (in_flight > 0 && cv_now () < until);
+}
+
+static void
+count_in_flight (cv_core_t *core, cv_time_t now, void *arg)
+{
+  uint32_t *count = arg;
+
+  (void)now;
+  *count = cv_core_in_flight (core);
+}
--- /dev/null
+++ b/entry/http.c
@@ -0,0 +1,398 @@
+/* The HTTP server of an entry: limits, keys, errors and plain endpoints.  */
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/http_internal.h"
+
+/* Bytes of request line and headers; more is answered 431 or 414.  */
+#define HEADER_MEMORY (32 * 1024)
+#define THREAD_STACK (256 * 1024)
+#define IDLE_TIMEOUT_S 30
+#define LISTEN_BACKLOG 1024
+/* Connections that one client address may hold.  */
+#define PER_ADDRESS_SHARE 2
+
+static bool start (cv_http_t *h, cv_error_t *err);
+static void add_endpoints (cv_http_t *h);
+static bool listen_on (cv_http_t *h, cv_error_t *err);
+static bool request_id_valid (const char *id);
+static bool bearer (const cv_request_in_t *req, cv_slice_t *key);
+static bool unauthorized (cv_response_t *resp);
+static int healthz (const cv_request_in_t *req, cv_response_t *resp,
+                    void *arg);
+static int metrics (const cv_request_in_t *req, cv_response_t *resp,
+                    void *arg);
+static int not_found (const cv_request_in_t *req, cv_response_t *resp,
+                      void *arg);
+static void write_metrics (cv_core_t *core, cv_time_t now, void *arg);
+
+cv_http_t *
+cv_http_new (const cv_entry_settings_t *s, cv_link_t *link,
+             cv_storejobs_t *jobs, cv_error_t *err)
+{
+  cv_http_t *h = cv_calloc (1, sizeof *h);
+
+  h->settings = s;
+  h->link = link;
+  h->jobs = jobs;
+  if (!start (h, err))
+    {
+      free (h);
+      return NULL;
+    }
+  cv_log (CV_EV_ENTRY_LISTENING, "http://%s:%u", s->address, s->port);
+  return h;
+}
+
+void
+cv_http_free (cv_http_t *h)
+{
+  (void)ulfius_stop_framework (&h->instance);
+  ulfius_clean_instance (&h->instance);
+  free (h);
+}
+
+void
+cv_http_drain (cv_http_t *h)
+{
+  __atomic_store_n (&h->draining, 1, __ATOMIC_RELAXED);
+}
+
+bool
+cv_http_begin (cv_http_t *h, const cv_request_in_t *req, cv_response_t *resp)
+{
+  const char *id = cv_http_header (req, "X-Request-Id");
+  const char *length = cv_http_header (req, "Content-Length");
+  char made[CV_ID_TEXT];
+  const cv_http_error_t too_large
+      = { .status = 413,
+          .code = "body_too_large",
+          .text = "the body is larger than this entry takes",
+          .outcome = CV_OUTCOME_REFUSED };
+
+  if (id == NULL || !request_id_valid (id))
+    id = cv_id_format (cv_id_random (), made);
+  (void)u_map_put (resp->map_header, "X-Request-Id", id);
+  if (req->binary_body_length <= h->settings->max_body_bytes
+      && (length == NULL
+          || strtoull (length, NULL, 10) <= h->settings->max_body_bytes))
+    return true;
+  (void)cv_http_fail (resp, &too_large);
+  return false;
+}
+
+bool
+cv_http_account (cv_http_t *h, const cv_request_in_t *req,
+                 cv_response_t *resp, char account[CV_NAME_MAX])
+{
+  cv_config_t *config = cv_link_config (h->link);
+  const cv_account_t *found = NULL;
+  cv_slice_t key;
+
+  if (config == NULL)
+    {
+      (void)cv_http_failure (resp, CV_FAIL_NO_CONFIG, 1000);
+      return false;
+    }
+  if (bearer (req, &key))
+    found = cv_config_account_by_key (config, key);
+  if (found != NULL)
+    (void)cv_copy (account, CV_NAME_MAX, found->name);
+  cv_config_unref (config);
+  return found != NULL || unauthorized (resp);
+}
+
+bool
+cv_http_operator (cv_http_t *h, const cv_request_in_t *req,
+                  cv_response_t *resp)
+{
+  cv_slice_t key;
+
+  if (bearer (req, &key)
+      && cv_key_matches (key, h->settings->operator_key_hash))
+    return true;
+  return unauthorized (resp);
+}
+
+const char *
+cv_http_header (const cv_request_in_t *req, const char *name)
+{
+  return u_map_get_case (req->map_header, name);
+}
+
+void
+cv_http_error_json (const cv_http_error_t *e, cv_buf_t *out)
+{
+  cv_buf_printf (out, "{\"error\":{\"code\":\"%s\",\"message\":", e->code);
+  cv_json_quote (out, e->text, strlen (e->text));
+  cv_buf_printf (out, ",\"retry_after_ms\":%u,\"outcome\":\"%s\"}}",
+                 e->retry_after_ms, cv_outcome_name (e->outcome));
+}
+
+cv_http_error_t
+cv_http_error_of (cv_failure_code_t code, uint32_t retry_after_ms)
+{
+  const cv_failure_info_t *info = cv_failure_info (code);
+  cv_http_error_t e = { .status = info->status,
+                        .code = info->code,
+                        .text = info->text,
+                        .outcome = info->outcome,
+                        .retry_after_ms = retry_after_ms };
+
+  return e;
+}
+
+int
+cv_http_fail (cv_response_t *resp, const cv_http_error_t *e)
+{
+  cv_buf_t body;
+  char seconds[16];
+  int rc;
+
+  cv_buf_init (&body);
+  cv_http_error_json (e, &body);
+  if (e->retry_after_ms > 0)
+    {
+      (void)snprintf (seconds, sizeof seconds, "%u",
+                      (e->retry_after_ms + 999) / 1000);
+      (void)u_map_put (resp->map_header, "Retry-After", seconds);
+    }
+  rc = cv_http_json (resp, e->status, &body);
+  cv_buf_finish (&body);
+  return rc;
+}
+
+int
+cv_http_bad (cv_response_t *resp, const char *text)
+{
+  const cv_http_error_t e = { .status = 400,
+                              .code = "bad_request",
+                              .text = text,
+                              .outcome = CV_OUTCOME_REFUSED };
+
+  return cv_http_fail (resp, &e);
+}
+
+int
+cv_http_failure (cv_response_t *resp, cv_failure_code_t code,
+                 uint32_t retry_after_ms)
+{
+  cv_http_error_t e = cv_http_error_of (code, retry_after_ms);
+
+  return cv_http_fail (resp, &e);
+}
+
+int
+cv_http_json (cv_response_t *resp, int status, cv_buf_t *body)
+{
+  (void)u_map_put (resp->map_header, "Content-Type", "application/json");
+  (void)ulfius_set_binary_body_response (resp, (unsigned)status,
+                                         cv_buf_text (body), body->n);
+  return U_CALLBACK_COMPLETE;
+}
+
+/* ---- local ---- */
+
+static bool
+start (cv_http_t *h, cv_error_t *err)
+{
+  const cv_entry_settings_t *s = h->settings;
+
+  h->bind.sin_family = AF_INET;
+  h->bind.sin_port = htons (s->port);
+  if (inet_pton (AF_INET, s->address, &h->bind.sin_addr) != 1)
+    return cv_fail (err, CV_ERR_INVALID, "address %s is no IP number",
+                    s->address);
+  if (ulfius_init_instance (&h->instance, s->port, &h->bind, NULL) != U_OK)
+    return cv_fail (err, CV_ERR_SYSTEM, "HTTP server cannot be set up");
+  h->instance.max_post_body_size = (size_t)s->max_body_bytes + 1;
+  h->instance.allowed_post_processor = U_POST_PROCESS_NONE;
+  h->instance.check_utf8 = 0;
+  add_endpoints (h);
+  if (listen_on (h, err))
+    return true;
+  ulfius_clean_instance (&h->instance);
+  return false;
+}
+
+static bool
+listen_on (cv_http_t *h, cv_error_t *err)
+{
+  uint32_t limit = h->settings->max_connections;
+  struct MHD_OptionItem ops[] = {
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL },
+    { MHD_OPTION_SOCK_ADDR, 0, &h->bind },
+    { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)limit, NULL },
+    { MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+      (intptr_t)(limit / PER_ADDRESS_SHARE), NULL },
+    { MHD_OPTION_CONNECTION_MEMORY_LIMIT, HEADER_MEMORY, NULL },
+    { MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL },
+    { MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK, NULL },
+    { MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG, NULL },
+    { MHD_OPTION_END, 0, NULL },
+  };
+  unsigned flags = MHD_USE_THREAD_PER_CONNECTION
+                   | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL
+                   | MHD_USE_ITC;
+
+  if (ulfius_start_framework_with_mhd_options (&h->instance, flags, ops)
+      == U_OK)
+    return true;
+  return cv_fail (err, CV_ERR_SYSTEM, "cannot listen on %s:%u",
+                  h->settings->address, h->settings->port);
+}
+
+typedef struct
+{
+  const char *method;
+  const char *path;
+  int (*fn) (const cv_request_in_t *req, cv_response_t *resp, void *arg);
+} cv_endpoint_t;
+
+static void
+add_endpoints (cv_http_t *h)
+{
+  static const cv_endpoint_t endpoints[] = {
+    { "POST", "/v1/completions", cv_http_completions },
+    { "POST", "/v1/chat/completions", cv_http_chat },
+    { "GET", "/v1/streams/resume", cv_http_resume },
+    { "POST", "/v1/streams/resume", cv_http_resume },
+    { "POST", "/v1/tickets", cv_http_tickets },
+    { "*", "/svc/*", cv_http_service },
+    { "POST", "/v1/operator/query", cv_http_query },
+    { "POST", "/v1/operator/change", cv_http_change },
+    { "GET", "/v1/operator/document", cv_http_document_get },
+    { "PUT", "/v1/operator/document", cv_http_document_put },
+    { "GET", "/healthz", healthz },
+    { "GET", "/metrics", metrics },
+  };
+
+  for (size_t i = 0; i < sizeof endpoints / sizeof endpoints[0]; i++)
+    CV_INVARIANT (ulfius_add_endpoint_by_val (
+                      &h->instance, endpoints[i].method, endpoints[i].path,
+                      NULL, 0, endpoints[i].fn, h)
+                  == U_OK);
+  CV_INVARIANT (ulfius_set_default_endpoint (&h->instance, not_found, h)
+                == U_OK);
+}
+
+static bool
+request_id_valid (const char *id)
+{
+  size_t n = strlen (id);
+
+  if (n == 0 || n > REQUEST_ID_MAX)
+    return false;
+  for (size_t i = 0; i < n; i++)
+    if (!isalnum ((unsigned char)id[i]) && strchr ("-_.:", id[i]) == NULL)
+      return false;
+  return true;
+}
+
+static bool
+bearer (const cv_request_in_t *req, cv_slice_t *key)
+{
+  static const char scheme[] = "Bearer ";
+  const char *value = cv_http_header (req, "Authorization");
+
+  if (value == NULL || strncasecmp (value, scheme, sizeof scheme - 1) != 0)
+    return false;
+  *key = cv_slice (value + sizeof scheme - 1);
+  return key->n > 0;
+}
+
+static bool
+unauthorized (cv_response_t *resp)
+{
+  const cv_http_error_t e = { .status = 401,
+                              .code = "unauthorized",
+                              .text = "no such bearer key",
+                              .outcome = CV_OUTCOME_REFUSED };
+
+  (void)u_map_put (resp->map_header, "WWW-Authenticate", "Bearer");
+  (void)cv_http_fail (resp, &e);
+  return false;
+}
+
+static int
+healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg)
+{
+  cv_http_t *h = arg;
+  cv_config_t *config = cv_link_config (h->link);
+  bool draining = __atomic_load_n (&h->draining, __ATOMIC_RELAXED) != 0;
+  cv_buf_t body;
+  int rc;
+
+  (void)req;
+  cv_buf_init (&body);
+  cv_buf_printf (&body, "{\"state\":\"%s\",\"config_version\":%llu}",
+                 draining         ? "stopping"
+                 : config == NULL ? "starting"
+                                  : "serving",
+                 config == NULL ? 0ULL : (unsigned long long)config->version);
+  rc = cv_http_json (resp, draining || config == NULL ? 503 : 200, &body);
+  if (config != NULL)
+    cv_config_unref (config);
+  cv_buf_finish (&body);
+  return rc;
+}
+
+static int
+metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg)
+{
+  cv_http_t *h = arg;
+  cv_store_counts_t counts = cv_storejobs_counts (h->jobs);
+  cv_buf_t body;
+
+  (void)req;
+  cv_buf_init (&body);
+  cv_link_inspect (h->link, write_metrics, &body);
+  cv_buf_printf (&body,
+                 "# TYPE catkinvale_entry_store_calls_total counter\n"
+                 "catkinvale_entry_store_calls_total{kind=\"read\"} %llu\n"
+                 "catkinvale_entry_store_calls_total{kind=\"write\"} %llu\n"
+                 "catkinvale_entry_store_calls_total{kind=\"failed\"} %llu\n",
+                 (unsigned long long)counts.reads,
+                 (unsigned long long)counts.writes,
+                 (unsigned long long)counts.failures);
+  (void)u_map_put (resp->map_header, "Content-Type",
+                   "text/plain; version=0.0.4");
+  (void)ulfius_set_binary_body_response (resp, 200, cv_buf_text (&body),
+                                         body.n);
+  cv_buf_finish (&body);
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+not_found (const cv_request_in_t *req, cv_response_t *resp, void *arg)
+{
+  const cv_http_error_t e = { .status = 404,
+                              .code = "not_found",
+                              .text = "no such path or method",
+                              .outcome = CV_OUTCOME_REFUSED };
+
+  (void)req;
+  (void)arg;
+  return cv_http_fail (resp, &e);
+}
+
+static void
+write_metrics (cv_core_t *core, cv_time_t now, void *arg)
+{
+  cv_buf_t *body = arg;
+  const cv_config_t *config = cv_core_config (core);
+
+  (void)now;
+  cv_metrics_write (cv_core_metrics (core), body);
+  cv_buf_printf (body,
+                 "# TYPE catkinvale_entry_in_flight gauge\n"
+                 "catkinvale_entry_in_flight %u\n"
+                 "# TYPE catkinvale_entry_config_version gauge\n"
+                 "catkinvale_entry_config_version %llu\n",
+                 cv_core_in_flight (core),
+                 config == NULL ? 0ULL : (unsigned long long)config->version);
+}
--- /dev/null
+++ b/entry/http_streams.c
@@ -0,0 +1,197 @@
+/* Endpoints for generations.  */
+
+#include <string.h>
+#include <time.h>
+
+#include "entry/http_internal.h"
+
+/* A stream that has no first reply by then is answered with an open body;
+   what comes later arrives as an event.  */
+#define STATUS_WAIT (2 * CV_SECOND)
+#define WHOLE_WAIT (3600 * CV_SECOND)
+
+static int complete (cv_http_t *h, const cv_request_in_t *req,
+                     cv_response_t *resp, bool chat);
+static int resume (cv_http_t *h, cv_response_t *resp, const char *account,
+                   const char *last_id, bool chat);
+static int answer_stream (cv_http_t *h, cv_response_t *resp,
+                          cv_caller_t *caller, bool chat);
+static int answer_whole (cv_http_t *h, cv_response_t *resp,
+                         cv_caller_t *caller, const char *model, bool chat);
+static cv_mail_t *collect (cv_caller_t *caller, cv_buf_t *text,
+                           cv_id_t *stream);
+static int write_whole (cv_response_t *resp, const cv_mail_t *end,
+                        const cv_buf_t *text, cv_id_t stream,
+                        const char *model, bool chat);
+
+int
+cv_http_completions (const cv_request_in_t *req, cv_response_t *resp,
+                     void *arg)
+{
+  return complete (arg, req, resp, false);
+}
+
+int
+cv_http_chat (const cv_request_in_t *req, cv_response_t *resp, void *arg)
+{
+  return complete (arg, req, resp, true);
+}
+
+int
+cv_http_resume (const cv_request_in_t *req, cv_response_t *resp, void *arg)
+{
+  cv_http_t *h = arg;
+  const char *last_id = cv_http_header (req, "Last-Event-ID");
+  const char *format = u_map_get (req->map_url, "format");
+  char account[CV_NAME_MAX];
+
+  if (!cv_http_begin (h, req, resp)
+      || !cv_http_account (h, req, resp, account))
+    return U_CALLBACK_COMPLETE;
+  if (last_id == NULL)
+    return cv_http_bad (resp, "the header Last-Event-ID is missing");
+  return resume (h, resp, account, last_id,
+                 format != NULL && strcmp (format, "chat") == 0);
+}
+
+static int
+complete (cv_http_t *h, const cv_request_in_t *req, cv_response_t *resp,
+          bool chat)
+{
+  const char *last_id = cv_http_header (req, "Last-Event-ID");
+  cv_slice_t body = { .p = req->binary_body, .n = req->binary_body_length };
+  cv_stream_spec_t spec = { 0 };
+  cv_completion_t in;
+  cv_caller_t *caller;
+  cv_error_t err;
+
+  if (!cv_http_begin (h, req, resp)
+      || !cv_http_account (h, req, resp, spec.account))
+    return U_CALLBACK_COMPLETE;
+  if (last_id != NULL)
+    return resume (h, resp, spec.account, last_id, chat);
+  if (!cv_completion_parse (body, chat, &in, &err))
+    {
+      cv_buf_finish (&in.prompt);
+      return cv_http_bad (resp, err.text);
+    }
+  memcpy (spec.model, in.model, sizeof spec.model);
+  memcpy (spec.class_name, in.class_name, sizeof spec.class_name);
+  spec.max_tokens = in.max_tokens;
+  spec.whole = !in.stream;
+  spec.prompt.p = in.prompt.p;
+  spec.prompt.n = in.prompt.n;
+  caller = cv_caller_new ();
+  cv_link_submit (h->link, caller, &spec);
+  cv_buf_finish (&in.prompt);
+  if (in.stream)
+    return answer_stream (h, resp, caller, chat);
+  return answer_whole (h, resp, caller, in.model, chat);
+}
+
+/* Go on after the event LAST_ID, at the same generation.  */
+static int
+resume (cv_http_t *h, cv_response_t *resp, const char *account,
+        const char *last_id, bool chat)
+{
+  cv_position_t position;
+  cv_caller_t *caller;
+
+  if (!cv_position_parse (&position, cv_slice (last_id))
+      || position.offset == UINT32_MAX)
+    return cv_http_bad (resp, "Last-Event-ID names no event of a stream");
+  position.offset++;
+  caller = cv_caller_new ();
+  cv_link_attach (h->link, caller, account, &position);
+  return answer_stream (h, resp, caller, chat);
+}
+
+static int
+answer_stream (cv_http_t *h, cv_response_t *resp, cv_caller_t *caller,
+               bool chat)
+{
+  cv_mail_t *first = cv_caller_take (caller, STATUS_WAIT);
+  int rc;
+
+  if (first == NULL || first->type != CV_REPLY_FAILED)
+    return cv_http_sse (h, resp, caller, first, chat);
+  rc = cv_http_failure (resp, first->failure, first->retry_after_ms);
+  cv_mail_free (first);
+  cv_caller_unref (caller);
+  return rc;
+}
+
+static int
+answer_whole (cv_http_t *h, cv_response_t *resp, cv_caller_t *caller,
+              const char *model, bool chat)
+{
+  cv_id_t stream = { 0 };
+  cv_buf_t text;
+  cv_mail_t *last;
+  int rc;
+
+  cv_buf_init (&text);
+  last = collect (caller, &text, &stream);
+  if (last == NULL)
+    {
+      cv_link_gone (h->link, caller);
+      rc = cv_http_failure (resp, CV_FAIL_DEADLINE, 0);
+    }
+  else if (last->type == CV_REPLY_END)
+    rc = write_whole (resp, last, &text, stream, model, chat);
+  else
+    rc = cv_http_failure (resp,
+                          last->type == CV_REPLY_FAILED ? last->failure
+                                                        : CV_FAIL_INTERRUPTED,
+                          last->retry_after_ms);
+  if (last != NULL)
+    cv_mail_free (last);
+  cv_caller_unref (caller);
+  cv_buf_finish (&text);
+  return rc;
+}
+
+/* Gather the tokens; returns the last reply.  */
+static cv_mail_t *
+collect (cv_caller_t *caller, cv_buf_t *text, cv_id_t *stream)
+{
+  cv_mail_t *m;
+
+  while ((m = cv_caller_take (caller, WHOLE_WAIT)) != NULL
+         && !cv_mail_is_last (m))
+    {
+      *stream = m->first.stream;
+      cv_buf_add (text, m->text, m->text_size);
+      cv_mail_free (m);
+    }
+  return m;
+}
+
+static int
+write_whole (cv_response_t *resp, const cv_mail_t *end, const cv_buf_t *text,
+             cv_id_t stream, const char *model, bool chat)
+{
+  char id[CV_ID_TEXT];
+  cv_buf_t body;
+  int rc;
+
+  cv_buf_init (&body);
+  cv_buf_printf (&body, "{\"id\":\"cmpl-%s\",\"object\":\"%s\",",
+                 cv_id_format (stream, id),
+                 chat ? "chat.completion" : "text_completion");
+  cv_buf_printf (&body, "\"created\":%lld,\"model\":",
+                 (long long)time (NULL));
+  cv_json_quote (&body, model, strlen (model));
+  cv_buf_printf (&body, ",\"choices\":[{\"index\":0,%s",
+                 chat ? "\"message\":{\"role\":\"assistant\",\"content\":"
+                      : "\"text\":");
+  cv_json_quote (&body, text->n > 0 ? text->p : "", text->n);
+  cv_buf_printf (&body,
+                 "%s,\"finish_reason\":\"%s\"}],\"usage\":"
+                 "{\"completion_tokens\":%u},\"outcome\":\"done\"}",
+                 chat ? "}" : "",
+                 end->end == CV_END_LENGTH ? "length" : "stop", end->total);
+  rc = cv_http_json (resp, 200, &body);
+  cv_buf_finish (&body);
+  return rc;
+}
--- /dev/null
+++ b/entry/instances.c
@@ -0,0 +1,227 @@
+/* Thread that polls the platform's list of instances.  */
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <json-c/json.h>
+#include <ulfius.h>
+
+#include "entry/instances.h"
+
+#define POLL_INTERVAL_MS 500
+#define POLL_TIMEOUT_S 3
+
+struct cv_instances_t
+{
+  pthread_t thread;
+  pthread_mutex_t lock;
+  pthread_cond_t quit_cond;
+  bool quit;
+  bool failing;
+  cv_link_t *link;
+  char url[160];
+  char rev[32];
+};
+
+static void *run (void *arg);
+static void poll_once (cv_instances_t *i);
+static void take_list (cv_instances_t *i, cv_slice_t json);
+static bool wait_interval (cv_instances_t *i);
+static bool read_one (struct json_object *o, cv_instance_t *out,
+                      bool *is_target);
+static const char *text_of (struct json_object *o, const char *key);
+
+cv_instances_t *
+cv_instances_new (const char *url, cv_link_t *link, cv_error_t *err)
+{
+  cv_instances_t *i = cv_calloc (1, sizeof *i);
+
+  i->link = link;
+  (void)snprintf (i->url, sizeof i->url, "%s/v1/instances", url);
+  CV_INVARIANT (pthread_mutex_init (&i->lock, NULL) == 0);
+  CV_INVARIANT (pthread_cond_init (&i->quit_cond, NULL) == 0);
+  if (pthread_create (&i->thread, NULL, run, i) == 0)
+    return i;
+  (void)cv_fail (err, CV_ERR_SYSTEM, "instance list thread cannot be started");
+  free (i);
+  return NULL;
+}
+
+void
+cv_instances_free (cv_instances_t *i)
+{
+  (void)pthread_mutex_lock (&i->lock);
+  i->quit = true;
+  (void)pthread_cond_signal (&i->quit_cond);
+  (void)pthread_mutex_unlock (&i->lock);
+  (void)pthread_join (i->thread, NULL);
+  (void)pthread_cond_destroy (&i->quit_cond);
+  (void)pthread_mutex_destroy (&i->lock);
+  free (i);
+}
+
+bool
+cv_instances_parse (cv_slice_t json, cv_instance_t **list, size_t *count,
+                    uint32_t *entries, char rev[32], cv_error_t *err)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *root;
+  struct json_object *array;
+  struct json_object *number;
+  size_t n;
+
+  CV_INVARIANT (tokener != NULL);
+  root = json_tokener_parse_ex (tokener, json.p, (int)json.n);
+  json_tokener_free (tokener);
+  if (!json_object_object_get_ex (root, "instances", &array)
+      || !json_object_is_type (array, json_type_array)
+      || !json_object_object_get_ex (root, "rev", &number))
+    {
+      json_object_put (root);
+      return cv_fail (err, CV_ERR_INVALID, "instance list is not as expected");
+    }
+  (void)snprintf (rev, 32, "%lld", (long long)json_object_get_int64 (number));
+  n = json_object_array_length (array);
+  *list = cv_calloc (n + 1, sizeof **list);
+  *count = 0;
+  *entries = 0;
+  for (size_t k = 0; k < n; k++)
+    {
+      bool is_target = false;
+
+      if (!read_one (json_object_array_get_idx (array, k), *list + *count,
+                     &is_target))
+        continue;
+      if (is_target)
+        (*count)++;
+      else
+        (*entries)++;
+    }
+  json_object_put (root);
+  return true;
+}
+
+static void *
+run (void *arg)
+{
+  cv_instances_t *i = arg;
+
+  do
+    poll_once (i);
+  while (wait_interval (i));
+  return NULL;
+}
+
+static void
+poll_once (cv_instances_t *i)
+{
+  struct _u_request req;
+  struct _u_response resp;
+  int rc;
+
+  (void)ulfius_init_request (&req);
+  (void)ulfius_init_response (&resp);
+  req.http_verb = o_strdup ("GET");
+  req.http_url = o_strdup (i->url);
+  req.timeout = POLL_TIMEOUT_S;
+  if (i->rev[0] != '\0')
+    {
+      char etag[40];
+
+      (void)snprintf (etag, sizeof etag, "\"%s\"", i->rev);
+      (void)u_map_put (req.map_header, "If-None-Match", etag);
+    }
+  rc = ulfius_send_http_request (&req, &resp);
+  if (rc == U_OK && resp.status == 200)
+    {
+      cv_slice_t body
+          = { .p = resp.binary_body, .n = resp.binary_body_length };
+
+      take_list (i, body);
+    }
+  if (rc != U_OK || (resp.status != 200 && resp.status != 304))
+    {
+      if (!i->failing)
+        cv_log (CV_EV_ENTRY_LIST_FAILED, "%s status %ld", i->url,
+                rc == U_OK ? resp.status : 0);
+      i->failing = true;
+    }
+  else
+    i->failing = false;
+  (void)ulfius_clean_response (&resp);
+  (void)ulfius_clean_request (&req);
+}
+
+static void
+take_list (cv_instances_t *i, cv_slice_t json)
+{
+  cv_instance_t *list = NULL;
+  size_t count = 0;
+  uint32_t entries = 0;
+  cv_error_t err;
+
+  if (!cv_instances_parse (json, &list, &count, &entries, i->rev, &err))
+    {
+      cv_log (CV_EV_ENTRY_LIST_FAILED, "%s", err.text);
+      return;
+    }
+  cv_link_instances (i->link, list, count, entries);
+  free (list);
+}
+
+/* False when the thread is to end.  */
+static bool
+wait_interval (cv_instances_t *i)
+{
+  struct timespec until;
+  bool quit;
+
+  CV_INVARIANT (clock_gettime (CLOCK_REALTIME, &until) == 0);
+  until.tv_nsec += POLL_INTERVAL_MS * 1000000L;
+  until.tv_sec += until.tv_nsec / 1000000000L;
+  until.tv_nsec %= 1000000000L;
+  (void)pthread_mutex_lock (&i->lock);
+  if (!i->quit)
+    (void)pthread_cond_timedwait (&i->quit_cond, &i->lock, &until);
+  quit = i->quit;
+  (void)pthread_mutex_unlock (&i->lock);
+  return !quit;
+}
+
+static bool
+read_one (struct json_object *o, cv_instance_t *out, bool *is_target)
+{
+  const char *role = text_of (o, "role");
+  struct json_object *port;
+  int64_t number;
+
+  memset (out, 0, sizeof *out);
+  if (strcmp (role, "entry") == 0)
+    return true;
+  if (strcmp (role, "target") != 0
+      || !json_object_object_get_ex (o, "port", &port))
+    return false;
+  number = json_object_get_int64 (port);
+  if (number < 1 || number > UINT16_MAX)
+    return false;
+  *is_target = true;
+  out->port = (uint16_t)number;
+  out->leaving = strcmp (text_of (o, "state"), "leaving") == 0;
+  return cv_copy (out->id, sizeof out->id, text_of (o, "id"))
+         && cv_copy (out->pool, sizeof out->pool, text_of (o, "pool"))
+         && cv_copy (out->address, sizeof out->address,
+                     text_of (o, "address"));
+}
+
+static const char *
+text_of (struct json_object *o, const char *key)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (o, key, &value)
+      || !json_object_is_type (value, json_type_string))
+    return "";
+  return json_object_get_string (value);
+}
--- /dev/null
+++ b/entry/instances.h
@@ -0,0 +1,19 @@
+/* Thread that polls the platform's list of instances for the link.  */
+
+#ifndef CV_ENTRY_INSTANCES_H
+#define CV_ENTRY_INSTANCES_H
+
+#include "entry/link.h"
+
+typedef struct cv_instances_t cv_instances_t;
+
+/* Poll the list at URL (http://IP:PORT) until cv_instances_free.  */
+cv_instances_t *cv_instances_new (const char *url, cv_link_t *link,
+                                  cv_error_t *err);
+void cv_instances_free (cv_instances_t *i);
+
+/* Parse the list's JSON; the caller frees *LIST.  */
+bool cv_instances_parse (cv_slice_t json, cv_instance_t **list, size_t *count,
+                         uint32_t *entries, char rev[32], cv_error_t *err);
+
+#endif
--- /dev/null
+++ b/entry/link_internal.h
@@ -0,0 +1,99 @@
+/* The I/O thread's own tables, shared by the files of the link.  */
+
+#ifndef CV_ENTRY_LINK_INTERNAL_H
+#define CV_ENTRY_LINK_INTERNAL_H
+
+#include <pthread.h>
+
+#include "entry/link.h"
+
+typedef enum
+{
+  COMMAND_SUBMIT = 1,
+  COMMAND_ATTACH,
+  COMMAND_CALL,
+  COMMAND_TICKET,
+  COMMAND_GONE,
+  COMMAND_ADOPT,
+  COMMAND_INSTANCES,
+  COMMAND_DRAIN,
+  COMMAND_INSPECT,
+  COMMAND_QUIT
+} cv_command_type_t;
+
+/* Completion of a command that another thread waits for.  */
+typedef struct
+{
+  pthread_mutex_t lock;
+  pthread_cond_t done_cond;
+  bool done;
+} cv_waiter_t;
+
+/* One piece of work for the I/O thread, with its own copy of all bytes.  */
+typedef struct cv_command_t
+{
+  STAILQ_ENTRY (cv_command_t) link;
+  cv_command_type_t type;
+  cv_caller_t *caller;
+  char *bytes; /* what the slices of the union point to */
+  union
+  {
+    cv_stream_spec_t submit;
+    struct
+    {
+      char account[CV_NAME_MAX];
+      cv_position_t first;
+    } attach;
+    cv_call_spec_t call;
+    char pool[CV_NAME_MAX];
+    cv_config_t *config;
+    struct
+    {
+      cv_instance_t *list;
+      size_t count;
+      uint32_t entries;
+    } instances;
+    struct
+    {
+      void (*fn) (cv_core_t *core, cv_time_t now, void *arg);
+      void *arg;
+      cv_waiter_t *waiter;
+    } inspect;
+  } u;
+} cv_command_t;
+
+/* The connection to one side; its index is the target's slot.  */
+typedef struct
+{
+  void *socket; /* NULL: slot unused */
+  cv_instance_t instance;
+} cv_peer_t;
+
+struct cv_link_t
+{
+  pthread_t thread;
+  void *zmq;
+  int wake; /* eventfd: the queue has work */
+  pthread_mutex_t lock;
+  STAILQ_HEAD (, cv_command_t) queue;
+  uint32_t entries;
+  cv_config_t *config; /* the core's, for other threads */
+  /* Of the I/O thread alone: */
+  cv_core_t *core;
+  cv_peer_t *peers;
+  uint32_t peer_count;
+  cv_buf_t frame;
+  bool quit;
+};
+
+/* link_peers.c */
+
+void cv_link_apply_instances (cv_link_t *l, cv_time_t now,
+                              cv_instance_t *list, size_t count);
+void cv_link_send (void *arg, uint32_t target, const cv_msg_t *msg);
+void cv_link_reset (void *arg, uint32_t target);
+/* Read what one side sent; a bounded number of frames.  */
+void cv_link_receive (cv_link_t *l, uint32_t target);
+void cv_link_close_peers (cv_link_t *l);
+
+#endif
--- /dev/null
+++ b/entry/link_peers.c
@@ -0,0 +1,184 @@
+/* ZeroMQ connections of an entry, one DEALER for each side.  */
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <zmq.h>
+
+#include "entry/link_internal.h"
+
+/* Frames read from one side before the others get their turn.  */
+#define RECEIVE_BATCH 256
+/* Frames held for a side that does not read.  */
+#define SEND_QUEUE 10000
+
+static bool connect_peer (cv_link_t *l, cv_peer_t *p);
+static void add_peer (cv_link_t *l, cv_time_t now, const cv_instance_t *i);
+static cv_instance_t *find_listed (cv_instance_t *list, size_t count,
+                                   const cv_instance_t *peer);
+static void remove_peer (cv_link_t *l, cv_time_t now, uint32_t target);
+
+void
+cv_link_apply_instances (cv_link_t *l, cv_time_t now, cv_instance_t *list,
+                         size_t count)
+{
+  for (uint32_t t = 0; t < l->peer_count; t++)
+    {
+      cv_instance_t *i;
+
+      if (l->peers[t].socket == NULL)
+        continue;
+      i = find_listed (list, count, &l->peers[t].instance);
+      if (i != NULL)
+        {
+          i->seen = true;
+          cv_core_target_listed (l->core, now, t, i->leaving);
+        }
+      else if (cv_core_target_lost (l->core, t))
+        remove_peer (l, now, t);
+      else
+        cv_core_target_listed (l->core, now, t, true);
+    }
+  for (size_t k = 0; k < count; k++)
+    if (!list[k].seen)
+      add_peer (l, now, &list[k]);
+}
+
+void
+cv_link_send (void *arg, uint32_t target, const cv_msg_t *msg)
+{
+  cv_link_t *l = arg;
+
+  if (target >= l->peer_count || l->peers[target].socket == NULL)
+    return;
+  cv_buf_reset (&l->frame);
+  cv_msg_encode (msg, &l->frame);
+  /* A frame that cannot be queued is lost; heartbeats, deadlines and the
+     request to send a stream again find that out.  */
+  (void)zmq_send (l->peers[target].socket, l->frame.p, l->frame.n,
+                  ZMQ_DONTWAIT);
+}
+
+void
+cv_link_reset (void *arg, uint32_t target)
+{
+  cv_link_t *l = arg;
+  cv_peer_t *p = &l->peers[target];
+
+  if (p->socket == NULL)
+    return;
+  (void)zmq_close (p->socket);
+  p->socket = NULL;
+  (void)connect_peer (l, p);
+}
+
+void
+cv_link_receive (cv_link_t *l, uint32_t target)
+{
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    {
+      void *socket = l->peers[target].socket;
+      cv_error_t err;
+      zmq_msg_t frame;
+      cv_msg_t msg;
+
+      if (socket == NULL)
+        return;
+      (void)zmq_msg_init (&frame);
+      if (zmq_msg_recv (&frame, socket, ZMQ_DONTWAIT) < 0)
+        {
+          (void)zmq_msg_close (&frame);
+          return;
+        }
+      if (cv_msg_decode (&msg, zmq_msg_data (&frame), zmq_msg_size (&frame),
+                         &err))
+        cv_core_message (l->core, cv_now (), target, &msg);
+      else
+        cv_log (CV_EV_ENTRY_FRAME_INVALID, "target %s: %s",
+                l->peers[target].instance.id, err.text);
+      (void)zmq_msg_close (&frame);
+    }
+}
+
+void
+cv_link_close_peers (cv_link_t *l)
+{
+  for (uint32_t t = 0; t < l->peer_count; t++)
+    if (l->peers[t].socket != NULL)
+      (void)zmq_close (l->peers[t].socket);
+  free (l->peers);
+  l->peers = NULL;
+  l->peer_count = 0;
+}
+
+static bool
+connect_peer (cv_link_t *l, cv_peer_t *p)
+{
+  char endpoint[80];
+  int zero = 0;
+  int one = 1;
+  int queue = SEND_QUEUE;
+
+  p->socket = zmq_socket (l->zmq, ZMQ_DEALER);
+  if (p->socket == NULL)
+    return false;
+  (void)zmq_setsockopt (p->socket, ZMQ_LINGER, &zero, sizeof zero);
+  (void)zmq_setsockopt (p->socket, ZMQ_SNDHWM, &queue, sizeof queue);
+  /* Queue only for a connected peer: no old frame waits for a new one.  */
+  (void)zmq_setsockopt (p->socket, ZMQ_IMMEDIATE, &one, sizeof one);
+  (void)snprintf (endpoint, sizeof endpoint, "tcp://%s:%u",
+                  p->instance.address, p->instance.port);
+  return zmq_connect (p->socket, endpoint) == 0;
+}
+
+static void
+add_peer (cv_link_t *l, cv_time_t now, const cv_instance_t *i)
+{
+  cv_peer_t peer = { .instance = *i };
+  uint32_t slot;
+
+  if (!connect_peer (l, &peer))
+    {
+      if (peer.socket != NULL)
+        (void)zmq_close (peer.socket);
+      return;
+    }
+  slot = cv_core_target_add (l->core, now, i->id, i->pool);
+  if (slot >= l->peer_count)
+    {
+      uint32_t count = slot + 16;
+
+      l->peers = cv_realloc (l->peers, count * sizeof *l->peers);
+      memset (l->peers + l->peer_count, 0,
+              (count - l->peer_count) * sizeof *l->peers);
+      l->peer_count = count;
+    }
+  l->peers[slot] = peer;
+  cv_core_target_listed (l->core, now, slot, i->leaving);
+  cv_log (CV_EV_ENTRY_TARGET_ADDED, "target %s pool %s at %s:%u", i->id,
+          i->pool, i->address, i->port);
+}
+
+static cv_instance_t *
+find_listed (cv_instance_t *list, size_t count, const cv_instance_t *peer)
+{
+  for (size_t k = 0; k < count; k++)
+    if (strcmp (list[k].id, peer->id) == 0
+        && strcmp (list[k].pool, peer->pool) == 0
+        && strcmp (list[k].address, peer->address) == 0
+        && list[k].port == peer->port)
+      return &list[k];
+  return NULL;
+}
+
+static void
+remove_peer (cv_link_t *l, cv_time_t now, uint32_t target)
+{
+  cv_peer_t *p = &l->peers[target];
+
+  cv_log (CV_EV_ENTRY_TARGET_REMOVED, "target %s", p->instance.id);
+  cv_core_target_remove (l->core, now, target);
+  (void)zmq_close (p->socket);
+  memset (p, 0, sizeof *p);
+}
--- /dev/null
+++ b/entry/metrics.c
@@ -0,0 +1,176 @@
+/* Counters and histograms of an entry, as Prometheus text.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/metrics.h"
+
+#define METRICS_BUCKETS 256
+#define OUTCOMES 5
+
+/* One account and class.  */
+typedef struct cv_series_t
+{
+  LIST_ENTRY (cv_series_t) link;
+  char account[CV_NAME_MAX];
+  char class_name[CV_NAME_MAX];
+  uint64_t outcomes[OUTCOMES];
+  cv_hist_t hist[CV_MEASURE_LAST];
+} cv_series_t;
+
+struct cv_metrics_t
+{
+  uint64_t counts[CV_COUNT_LAST];
+  LIST_HEAD (, cv_series_t) series[METRICS_BUCKETS];
+};
+
+static const char *const count_names[CV_COUNT_LAST] = {
+  [CV_COUNT_FRAMES_DROPPED] = "frames_dropped",
+  [CV_COUNT_REATTACHES] = "reattaches",
+  [CV_COUNT_RETRIES] = "retries",
+  [CV_COUNT_RETRIES_DENIED] = "retries_denied",
+  [CV_COUNT_TARGETS_LOST] = "targets_lost",
+  [CV_COUNT_REVOKES] = "revokes",
+  [CV_COUNT_CONFIGS_ADOPTED] = "configs_adopted",
+};
+
+typedef struct
+{
+  const char *name;
+  double low;
+  double high;
+} cv_measure_info_t;
+
+static const cv_measure_info_t measures[CV_MEASURE_LAST] = {
+  [CV_MEASURE_FIRST_TOKEN] = { "first_token_seconds", 1e-4, 100 },
+  [CV_MEASURE_TOKEN_GAP] = { "token_gap_seconds", 1e-5, 100 },
+  [CV_MEASURE_STALL] = { "stall_seconds", 1e-3, 1000 },
+  [CV_MEASURE_DURATION] = { "duration_seconds", 1e-4, 1e4 },
+  [CV_MEASURE_TOKENS] = { "answer_tokens", 1, 1e6 },
+};
+
+static cv_series_t *series_of (cv_metrics_t *m, const char *account,
+                               const char *class_name);
+static void write_series (const cv_series_t *s, cv_measure_t what,
+                          cv_buf_t *out);
+
+cv_metrics_t *
+cv_metrics_new (void)
+{
+  return cv_calloc (1, sizeof (cv_metrics_t));
+}
+
+void
+cv_metrics_free (cv_metrics_t *m)
+{
+  cv_series_t *s;
+
+  for (size_t b = 0; b < METRICS_BUCKETS; b++)
+    while ((s = LIST_FIRST (&m->series[b])) != NULL)
+      {
+        LIST_REMOVE (s, link);
+        for (int i = 0; i < CV_MEASURE_LAST; i++)
+          cv_hist_finish (&s->hist[i]);
+        free (s);
+      }
+  free (m);
+}
+
+void
+cv_metrics_count (cv_metrics_t *m, cv_count_t what)
+{
+  m->counts[what]++;
+}
+
+uint64_t
+cv_metrics_get (const cv_metrics_t *m, cv_count_t what)
+{
+  return m->counts[what];
+}
+
+void
+cv_metrics_observe (cv_metrics_t *m, const char *account,
+                    const char *class_name, cv_measure_t what, double value)
+{
+  cv_hist_add (&series_of (m, account, class_name)->hist[what], value);
+}
+
+void
+cv_metrics_outcome (cv_metrics_t *m, const char *account,
+                    const char *class_name, cv_outcome_t outcome)
+{
+  CV_INVARIANT ((int)outcome < OUTCOMES);
+  series_of (m, account, class_name)->outcomes[outcome]++;
+}
+
+void
+cv_metrics_write (const cv_metrics_t *m, cv_buf_t *out)
+{
+  const cv_series_t *s;
+
+  for (int i = 0; i < CV_COUNT_LAST; i++)
+    cv_buf_printf (out,
+                   "# TYPE catkinvale_entry_%s_total counter\n"
+                   "catkinvale_entry_%s_total %llu\n",
+                   count_names[i], count_names[i],
+                   (unsigned long long)m->counts[i]);
+  cv_buf_printf (out, "# TYPE catkinvale_entry_requests_total counter\n");
+  for (size_t b = 0; b < METRICS_BUCKETS; b++)
+    LIST_FOREACH (s, &m->series[b], link)
+    for (int i = 0; i < OUTCOMES; i++)
+      cv_buf_printf (out,
+                     "catkinvale_entry_requests_total{account=\"%s\","
+                     "class=\"%s\",outcome=\"%s\"} %llu\n",
+                     s->account, s->class_name,
+                     cv_outcome_name ((cv_outcome_t)i),
+                     (unsigned long long)s->outcomes[i]);
+  for (int i = 0; i < CV_MEASURE_LAST; i++)
+    {
+      cv_buf_printf (out, "# TYPE catkinvale_entry_%s summary\n",
+                     measures[i].name);
+      for (size_t b = 0; b < METRICS_BUCKETS; b++)
+        LIST_FOREACH (s, &m->series[b], link)
+      write_series (s, (cv_measure_t)i, out);
+    }
+}
+
+static cv_series_t *
+series_of (cv_metrics_t *m, const char *account, const char *class_name)
+{
+  uint64_t h = cv_hash (account, strlen (account), 0);
+  size_t b = cv_hash (class_name, strlen (class_name), h) % METRICS_BUCKETS;
+  cv_series_t *s;
+
+  LIST_FOREACH (s, &m->series[b], link)
+  if (strcmp (s->account, account) == 0
+      && strcmp (s->class_name, class_name) == 0)
+    return s;
+  s = cv_calloc (1, sizeof *s);
+  (void)cv_copy (s->account, sizeof s->account, account);
+  (void)cv_copy (s->class_name, sizeof s->class_name, class_name);
+  for (int i = 0; i < CV_MEASURE_LAST; i++)
+    cv_hist_init (&s->hist[i], measures[i].low, measures[i].high);
+  LIST_INSERT_HEAD (&m->series[b], s, link);
+  return s;
+}
+
+static void
+write_series (const cv_series_t *s, cv_measure_t what, cv_buf_t *out)
+{
+  static const double quantiles[] = { 0.5, 0.95, 0.99 };
+  const cv_hist_t *h = &s->hist[what];
+  const char *name = measures[what].name;
+
+  for (size_t i = 0; i < sizeof quantiles / sizeof quantiles[0]; i++)
+    cv_buf_printf (out,
+                   "catkinvale_entry_%s{account=\"%s\",class=\"%s\","
+                   "quantile=\"%g\"} %g\n",
+                   name, s->account, s->class_name, quantiles[i],
+                   cv_hist_quantile (h, quantiles[i]));
+  cv_buf_printf (out,
+                 "catkinvale_entry_%s_sum{account=\"%s\",class=\"%s\"} %g\n"
+                 "catkinvale_entry_%s_count{account=\"%s\",class=\"%s\"} "
+                 "%llu\n",
+                 name, s->account, s->class_name, h->sum, name, s->account,
+                 s->class_name, (unsigned long long)h->count);
+}
--- /dev/null
+++ b/entry/storejobs.h
@@ -0,0 +1,33 @@
+/* The one thread of an entry that speaks with the object API: it polls the
+   configuration, and writes changes and claims for other threads.  */
+
+#ifndef CV_ENTRY_STOREJOBS_H
+#define CV_ENTRY_STOREJOBS_H
+
+#include "entry/link.h"
+#include "store/store.h"
+
+/* Object that holds the configuration.  */
+#define CV_CONFIG_KEY "config/current"
+
+typedef struct cv_storejobs_t cv_storejobs_t;
+
+cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s,
+                                  cv_link_t *link, cv_error_t *err);
+void cv_storejobs_free (cv_storejobs_t *s);
+
+/* Write JSON as the configuration that follows VERSION, and take it in force.
+   *NEW_VERSION is set on success.  ERR: CONFLICT, UNAVAILABLE or UNKNOWN.  */
+bool cv_storejobs_change (cv_storejobs_t *s, uint64_t version,
+                          const char *json, uint64_t *new_version,
+                          cv_error_t *err);
+
+/* Bind KEY (an object's name) to the ticket *TICKET, or read the ticket that
+   it was bound to before into *TICKET.  ERR: UNAVAILABLE or UNKNOWN.  */
+bool cv_storejobs_claim (cv_storejobs_t *s, const char *key,
+                         cv_ticket_t *ticket, cv_error_t *err);
+
+/* Counts of calls so far.  */
+cv_store_counts_t cv_storejobs_counts (cv_storejobs_t *s);
+
+#endif
--- /dev/null
+++ b/entry/tests/core_script.cc
@@ -0,0 +1,486 @@
+/* Runs a script of inputs against an entry's core in virtual time.  */
+
+#include "core_script.h"
+
+#include <cstdlib>
+#include <cstring>
+
+namespace
+{
+
+const char *const kDocument
+    = "{\"pools\":{\"engines\":{\"kind\":\"engine\"},"
+      "\"shop\":{\"kind\":\"service\"}},"
+      "\"models\":{\"m\":{\"pool\":\"engines\"}},"
+      "\"classes\":{\"tag\":{\"priority\":80,\"first_token_ms\":5000},"
+      "\"report\":{\"priority\":20,\"first_token_ms\":5000,"
+      "\"buffered\":true}},"
+      "\"accounts\":{\"portal\":{\"key_hash\":\""
+      "0000000000000000000000000000000000000000000000000000000000000001\","
+      "\"class\":\"tag\"},\"other\":{\"key_hash\":\""
+      "0000000000000000000000000000000000000000000000000000000000000002\","
+      "\"class\":\"tag\"}}}";
+
+cv_slice_t
+slice (const std::string &s)
+{
+  return { s.data (), s.size () };
+}
+
+std::string
+text (cv_slice_t s)
+{
+  return s.n == 0 ? "" : std::string (s.p, s.n);
+}
+
+std::string
+name_of (cv_id_t id)
+{
+  return "#" + std::to_string (id.lo);
+}
+
+uint32_t
+number (const std::string &s)
+{
+  return static_cast<uint32_t> (strtoul (s.c_str (), nullptr, 10));
+}
+
+template <typename T>
+T
+lookup (const std::map<std::string, T> &table, const std::string &key)
+{
+  auto it = table.find (key);
+  if (it == table.end ())
+    {
+      fprintf (stderr, "script: unknown word %s\n", key.c_str ());
+      abort ();
+    }
+  return it->second;
+}
+
+const std::map<std::string, cv_reject_t> kReasons
+    = { { "leaving", CV_REJECT_LEAVING },
+        { "old-config", CV_REJECT_OLD_CONFIG },
+        { "old-epoch", CV_REJECT_OLD_EPOCH },
+        { "full", CV_REJECT_FULL },
+        { "condemned", CV_REJECT_CONDEMNED },
+        { "not-found", CV_REJECT_NOT_FOUND },
+        { "engine", CV_REJECT_ENGINE } };
+
+const std::map<std::string, cv_end_t> kEnds
+    = { { "stop", CV_END_STOP },
+        { "length", CV_END_LENGTH },
+        { "cancelled", CV_END_CANCELLED },
+        { "engine-lost", CV_END_ENGINE_LOST },
+        { "reclaimed", CV_END_RECLAIMED } };
+
+const std::map<std::string, cv_target_state_t> kStates
+    = { { "live", CV_TARGET_LIVE },
+        { "leaving", CV_TARGET_LEAVING },
+        { "down", CV_TARGET_DOWN } };
+
+const std::map<std::string, cv_outcome_t> kOutcomes
+    = { { "done", CV_OUTCOME_DONE },
+        { "not-run", CV_OUTCOME_NOT_RUN },
+        { "unknown", CV_OUTCOME_UNKNOWN } };
+
+}
+
+CoreScript::CoreScript ()
+{
+  cv_core_options_t o = {};
+  strcpy (o.instance, "entry-1");
+  o.incarnation = 9;
+  o.seed = 1;
+  o.out.send = on_send;
+  o.out.reply = on_reply;
+  o.out.reset = on_reset;
+  o.out.new_id = on_new_id;
+  o.out.arg = this;
+  core_ = cv_core_new (&o);
+}
+
+CoreScript::~CoreScript ()
+{
+  cv_core_free (core_);
+  for (auto &c : callers_)
+    delete c.second;
+}
+
+std::string
+CoreScript::run (const std::string &script)
+{
+  std::istringstream in (script);
+  std::string l;
+  while (std::getline (in, l))
+    line (l);
+  out_ << "in flight " << cv_core_in_flight (core_) << ", dropped "
+       << cv_metrics_get (cv_core_metrics (core_), CV_COUNT_FRAMES_DROPPED)
+       << "\n";
+  return out_.str ();
+}
+
+void
+CoreScript::line (const std::string &l)
+{
+  out_ << (l.empty () || l[0] == '#' ? "" : "> ") << l << "\n";
+  std::istringstream in (l);
+  Words w;
+  std::string word;
+  while (in >> word)
+    w.push_back (word);
+  if (w.empty () || w[0][0] == '#')
+    return;
+  if (w[0] == "config")
+    adopt (w);
+  else if (w[0] == "target")
+    target (w);
+  else if (w[0] == "unlist")
+    cv_core_target_remove (core_, now_, targets_.at (w[1]));
+  else if (w[0] == "report")
+    report (w);
+  else if (w[0] == "submit")
+    submit (w);
+  else if (w[0] == "attach")
+    {
+      cv_position_t p;
+      if (!cv_position_parse (&p, slice (w[3])))
+        abort ();
+      cv_core_attach (core_, now_, caller_of (w[1]), w[2].c_str (), &p);
+    }
+  else if (w[0] == "call")
+    call (w);
+  else if (w[0] == "ticket")
+    cv_core_ticket (core_, now_, caller_of (w[1]), w[2].c_str ());
+  else if (w[0] == "gone")
+    cv_core_gone (core_, now_, caller_of (w[1]));
+  else if (w[0] == "stop")
+    cv_core_stop (core_);
+  else if (w[0] == "accept")
+    {
+      cv_msg_t m = {};
+      m.type = CV_MSG_ACCEPTED;
+      m.u.accepted.stream = id_of (w[2]);
+      message (w[1], m);
+    }
+  else if (w[0] == "tokens")
+    tokens (w);
+  else if (w[0] == "end")
+    end (w);
+  else if (w[0] == "reject")
+    reject (w);
+  else if (w[0] == "result")
+    result (w);
+  else if (w[0] == "doc")
+    doc (w);
+  else if (w[0] == "wait")
+    wait (w);
+  else
+    {
+      fprintf (stderr, "script: unknown line %s\n", l.c_str ());
+      abort ();
+    }
+}
+
+/* config VERSION */
+void
+CoreScript::adopt (const Words &w)
+{
+  cv_error_t err;
+  cv_config_t *c
+      = cv_config_parse (number (w[1]), cv_slice (kDocument), &err);
+  if (c == nullptr)
+    {
+      fprintf (stderr, "%s\n", err.text);
+      abort ();
+    }
+  out_ << (cv_core_adopt (core_, now_, c) ? "  adopted\n" : "  kept\n");
+  cv_config_unref (c);
+}
+
+/* target NAME POOL */
+void
+CoreScript::target (const Words &w)
+{
+  uint32_t slot
+      = cv_core_target_add (core_, now_, w[1].c_str (), w[2].c_str ());
+  targets_[w[1]] = slot;
+  names_[slot] = w[1];
+}
+
+/* report TARGET [inc=N] [gen=N] [state=S] [config=N] */
+void
+CoreScript::report (const Words &w)
+{
+  cv_msg_t m = {};
+  m.type = CV_MSG_REPORT;
+  cv_msg_report_t &r = m.u.report;
+  strcpy (r.target, w[1].c_str ());
+  strcpy (r.pool, "engines");
+  r.incarnation = number (option (w, "inc", "1"));
+  r.generation = number (option (w, "gen", "1"));
+  r.state = lookup (kStates, option (w, "state", "live"));
+  r.load.kv_total = 100000;
+  r.load.token_us = 20000;
+  r.versions.version[CV_DOC_CONFIG] = number (option (w, "config", "1"));
+  incarnations_[w[1]] = r.incarnation;
+  message (w[1], m);
+}
+
+/* submit CALLER [class=C] [prompt=P] [max=N] [whole=1] [account=A] */
+void
+CoreScript::submit (const Words &w)
+{
+  cv_stream_spec_t s = {};
+  std::string prompt = option (w, "prompt", "hello");
+  strcpy (s.account, option (w, "account", "portal").c_str ());
+  strcpy (s.class_name, option (w, "class", "").c_str ());
+  strcpy (s.model, option (w, "model", "m").c_str ());
+  s.max_tokens = number (option (w, "max", "0"));
+  s.whole = option (w, "whole", "0") == "1";
+  s.prompt = slice (prompt);
+  cv_core_submit (core_, now_, caller_of (w[1]), &s);
+}
+
+/* call CALLER MODE [ticket=T] [deadline=MS] [pool=P] */
+void
+CoreScript::call (const Words &w)
+{
+  cv_call_spec_t s = {};
+  std::string ticket = option (w, "ticket", "");
+  strcpy (s.account, "portal");
+  strcpy (s.pool, option (w, "pool", "shop").c_str ());
+  strcpy (s.method, "POST");
+  s.mode = w[2] == "idempotent" ? CV_CALL_IDEMPOTENT
+           : w[2] == "once"     ? CV_CALL_ONCE
+                                : CV_CALL_TICKET;
+  if (!ticket.empty () && !cv_ticket_parse (&s.ticket, slice (ticket)))
+    abort ();
+  s.deadline_ms = number (option (w, "deadline", "1000"));
+  s.path = cv_slice ("/book");
+  s.content_type = cv_slice ("application/json");
+  s.body = cv_slice ("{}");
+  cv_core_call (core_, now_, caller_of (w[1]), &s);
+}
+
+/* tokens TARGET STREAM OFFSET TEXT... */
+void
+CoreScript::tokens (const Words &w)
+{
+  cv_msg_t m = {};
+  m.type = CV_MSG_TOKENS;
+  m.u.tokens.stream = id_of (w[2]);
+  m.u.tokens.offset = number (w[3]);
+  for (size_t i = 4; i < w.size (); i++)
+    m.u.tokens.token[m.u.tokens.count++] = slice (w[i]);
+  message (w[1], m);
+}
+
+/* end TARGET STREAM KIND TOTAL */
+void
+CoreScript::end (const Words &w)
+{
+  cv_msg_t m = {};
+  m.type = CV_MSG_END;
+  m.u.end.stream = id_of (w[2]);
+  m.u.end.end = lookup (kEnds, w[3]);
+  m.u.end.total = number (w[4]);
+  message (w[1], m);
+}
+
+/* reject TARGET ID REASON */
+void
+CoreScript::reject (const Words &w)
+{
+  cv_msg_t m = {};
+  m.type = CV_MSG_REJECTED;
+  m.u.rejected.id = id_of (w[2]);
+  m.u.rejected.reason = lookup (kReasons, w[3]);
+  message (w[1], m);
+}
+
+/* result TARGET ID OUTCOME [BODY] [replayed] */
+void
+CoreScript::result (const Words &w)
+{
+  cv_msg_t m = {};
+  m.type = CV_MSG_CALL_RESULT;
+  m.u.call_result.request = id_of (w[2]);
+  m.u.call_result.outcome = lookup (kOutcomes, w[3]);
+  m.u.call_result.status = 200;
+  m.u.call_result.replayed = w.size () > 5;
+  m.u.call_result.body = w.size () > 4 ? slice (w[4]) : cv_slice ("");
+  message (w[1], m);
+}
+
+/* doc TARGET VERSION */
+void
+CoreScript::doc (const Words &w)
+{
+  cv_msg_t m = {};
+  m.type = CV_MSG_DOC;
+  m.u.doc.doc = CV_DOC_CONFIG;
+  m.u.doc.version = number (w[2]);
+  m.u.doc.body = cv_slice (kDocument);
+  message (w[1], m);
+}
+
+/* wait MS [alive=TARGET,...] */
+void
+CoreScript::wait (const Words &w)
+{
+  cv_time_t until = now_ + number (w[1]) * CV_MS;
+  std::string alive = option (w, "alive", "");
+  while (now_ < until)
+    {
+      now_ += CV_CORE_TICK;
+      std::istringstream in (alive);
+      std::string t;
+      while (std::getline (in, t, ','))
+        report ({ "report", t,
+                  "inc=" + std::to_string (incarnations_.at (t)) });
+      cv_core_tick (core_, now_);
+    }
+}
+
+void
+CoreScript::message (const std::string &target, const cv_msg_t &msg)
+{
+  cv_core_message (core_, now_, targets_.at (target), &msg);
+}
+
+cv_id_t
+CoreScript::id_of (const std::string &name)
+{
+  return { 0, number (name.substr (1)) };
+}
+
+void *
+CoreScript::caller_of (const std::string &name)
+{
+  char *&c = callers_[name];
+  if (c == nullptr)
+    c = new char;
+  return c;
+}
+
+std::string
+CoreScript::option (const Words &w, const std::string &key,
+                    const std::string &otherwise)
+{
+  for (const std::string &word : w)
+    if (word.compare (0, key.size () + 1, key + "=") == 0)
+      return word.substr (key.size () + 1);
+  return otherwise;
+}
+
+/* ---- what the core does ---- */
+
+void
+CoreScript::sent (uint32_t target, const cv_msg_t *msg)
+{
+  char ticket[CV_TICKET_TEXT];
+  if (msg->type == CV_MSG_HELLO)
+    return;
+  out_ << "  -> " << names_[target] << " " << cv_msg_name (msg->type);
+  switch (msg->type)
+    {
+    case CV_MSG_SUBMIT:
+      out_ << " " << name_of (msg->u.submit.stream)
+           << " inc=" << msg->u.submit.incarnation
+           << " config=" << msg->u.submit.config_version
+           << " class=" << msg->u.submit.class_name
+           << " deadline=" << msg->u.submit.deadline_ms;
+      break;
+    case CV_MSG_ATTACH:
+      out_ << " " << name_of (msg->u.attach.stream)
+           << " offset=" << msg->u.attach.offset
+           << " account=" << msg->u.attach.account;
+      break;
+    case CV_MSG_DETACH:
+    case CV_MSG_CANCEL:
+      out_ << " " << name_of (msg->u.stream.stream);
+      break;
+    case CV_MSG_CALL:
+      out_ << " " << name_of (msg->u.call.request)
+           << " ticket=" << cv_ticket_format (&msg->u.call.ticket, ticket);
+      break;
+    case CV_MSG_REVOKE:
+      out_ << " " << name_of (msg->u.revoke.request)
+           << " ticket=" << cv_ticket_format (&msg->u.revoke.ticket, ticket);
+      break;
+    case CV_MSG_DOC:
+      out_ << " version=" << msg->u.doc.version;
+      break;
+    default:
+      break;
+    }
+  out_ << "\n";
+}
+
+void
+CoreScript::replied (void *caller, const cv_reply_t *reply)
+{
+  char buf[CV_TICKET_TEXT];
+  std::string name = "?";
+  for (auto &c : callers_)
+    if (c.second == caller)
+      name = c.first;
+  out_ << "  " << name << ": ";
+  switch (reply->type)
+    {
+    case CV_REPLY_TOKENS:
+      out_ << "tokens " << cv_position_format (reply->u.tokens.first, buf);
+      for (uint32_t i = 0; i < reply->u.tokens.count; i++)
+        out_ << " " << text (reply->u.tokens.token[i]);
+      break;
+    case CV_REPLY_END:
+      out_ << "end total=" << reply->u.end.total;
+      break;
+    case CV_REPLY_CALL:
+      out_ << "result " << reply->u.call.status << " "
+           << text (reply->u.call.body)
+           << (reply->u.call.replayed ? " replayed" : "");
+      break;
+    case CV_REPLY_TICKET:
+      out_ << "ticket " << cv_ticket_format (&reply->u.ticket, buf);
+      break;
+    case CV_REPLY_FAILED:
+      {
+        const cv_failure_info_t *i = cv_failure_info (reply->u.failed.code);
+        out_ << "failed " << i->code << " outcome "
+             << cv_outcome_name (i->outcome)
+             << (reply->u.failed.retry_after_ms > 0 ? " come back" : "");
+        break;
+      }
+    case CV_REPLY_GONE:
+      out_ << "gone";
+      break;
+    }
+  out_ << "\n";
+}
+
+void
+CoreScript::on_send (void *arg, uint32_t target, const cv_msg_t *msg)
+{
+  static_cast<CoreScript *> (arg)->sent (target, msg);
+}
+
+void
+CoreScript::on_reply (void *arg, void *caller, const cv_reply_t *reply)
+{
+  static_cast<CoreScript *> (arg)->replied (caller, reply);
+}
+
+void
+CoreScript::on_reset (void *arg, uint32_t target)
+{
+  CoreScript *s = static_cast<CoreScript *> (arg);
+  s->out_ << "  reset " << s->names_[target] << "\n";
+}
+
+cv_id_t
+CoreScript::on_new_id (void *arg)
+{
+  return { 0, ++static_cast<CoreScript *> (arg)->ids_ };
+}
