--- a/policy/policy.h
+++ b/policy/policy.h
@@ -65,6 +65,9 @@
   /* Choose a target, or CV_NO_TARGET when none may take new work.  */
   uint32_t cv_router_pick (cv_router_t *r, cv_time_t now,
                            const cv_route_request_t *req);
+  /* Mean load of the pool's targets as last reported, corrected by own work;
+   1: they hold what they can.  Input to cv_limits_set_pressure.  */
+  double cv_router_pressure (const cv_router_t *r, uint64_t pool);
   /* Own work in flight, which corrects the lagging reports.  */
   void cv_router_started (cv_router_t *r, cv_time_t now, uint32_t target,
                           const cv_route_request_t *req);
@@ -98,6 +101,9 @@
                       const cv_account_limits_t *limits);
   /* Number of entries that share the limits, for each to enforce its part.  */
   void cv_limits_set_share (cv_limits_t *l, uint32_t entries);
+  /* How full the pools are, 1: at what the targets can hold.  From 1 on an
+   account above its weighted share of recent work is refused.  */
+  void cv_limits_set_pressure (cv_limits_t *l, double pressure);
   cv_admission_t cv_limits_admit (cv_limits_t *l, cv_time_t now,
                                   uint64_t account, uint32_t expect);
   /* Charge TOKENS as they are produced.  */
