--- a/entry/caller.c
+++ b/entry/caller.c
@@ -74,6 +74,7 @@
       break;
     case CV_REPLY_FAILED:
       m->failure = reply->u.failed.code;
+      m->outcome = reply->u.failed.outcome;
       m->retry_after_ms = reply->u.failed.retry_after_ms;
       break;
     case CV_REPLY_GONE:
--- a/entry/caller.h
+++ b/entry/caller.h
@@ -25,6 +25,7 @@
   char content_type[128];
   cv_ticket_t ticket;
   cv_failure_code_t failure;
+  cv_outcome_t outcome;
   uint32_t retry_after_ms;
 } cv_mail_t;
 
--- a/entry/core.c
+++ b/entry/core.c
@@ -8,6 +8,8 @@
 static void apply_limits (cv_core_t *c);
 static void send_parked (cv_core_t *c, cv_time_t now);
 static cv_failure_code_t parked_failure (const cv_request_t *r);
+static cv_outcome_t failed_outcome (const cv_request_t *r,
+                                    cv_failure_code_t code);
 static void rejected (cv_core_t *c, cv_time_t now, uint32_t target,
                       const cv_msg_rejected_t *m);
 static void accepted (cv_core_t *c, uint32_t target,
@@ -242,8 +244,7 @@
 }
 
 void
-cv_request_place (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                  uint32_t target)
+cv_request_place (cv_core_t *c, cv_time_t now, cv_request_t *r, uint32_t target)
 {
   if (r->target != CV_NO_TARGET)
     {
@@ -293,8 +294,15 @@
   cv_reply_t reply = { .type = CV_REPLY_FAILED };
 
   reply.u.failed.code = code;
+  reply.u.failed.outcome = failed_outcome (r, code);
   reply.u.failed.retry_after_ms = retry_after_ms;
-  cv_request_end (c, now, r, &reply, cv_failure_info (code)->outcome);
+  cv_request_end (c, now, r, &reply, reply.u.failed.outcome);
+}
+
+void
+cv_request_ran (cv_request_t *r)
+{
+  r->ran = true;
 }
 
 void
@@ -304,6 +312,7 @@
   cv_reply_t reply = { .type = CV_REPLY_FAILED };
 
   reply.u.failed.code = code;
+  reply.u.failed.outcome = cv_failure_info (code)->outcome;
   reply.u.failed.retry_after_ms = retry_after_ms;
   c->options.out.reply (c->options.out.arg, caller, &reply);
 }
@@ -312,6 +321,8 @@
 cv_request_park (cv_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_request_place (c, now, r, CV_NO_TARGET);
+  /* The side may remember the rejected attempt by its name.  */
+  cv_request_set_id (c, r, c->options.out.new_id (c->options.out.arg));
   r->phase = PHASE_PARKED;
   if (r->parked_until == 0)
     r->parked_until = now + PARK_TIMEOUT;
@@ -374,9 +385,9 @@
       if (r->phase != PHASE_PARKED)
         continue;
       if (r->kind == REQUEST_STREAM)
-        cv_streams_send (c, now, r);
+        cv_streams_send (c, now, r, CV_FAIL_NO_TARGET);
       else
-        cv_calls_send (c, now, r);
+        cv_calls_send (c, now, r, CV_FAIL_NO_TARGET);
     }
 }
 
@@ -389,6 +400,19 @@
   return CV_FAIL_NO_TARGET;
 }
 
+/* What did not run by its last attempt may have run by an earlier one.  */
+static cv_outcome_t
+failed_outcome (const cv_request_t *r, cv_failure_code_t code)
+{
+  cv_outcome_t outcome = cv_failure_info (code)->outcome;
+
+  if (!r->ran
+      || (outcome != CV_OUTCOME_REFUSED && outcome != CV_OUTCOME_NOT_RUN))
+    return outcome;
+  return r->kind == REQUEST_STREAM ? CV_OUTCOME_INTERRUPTED
+                                   : CV_OUTCOME_UNKNOWN;
+}
+
 static void
 accepted (cv_core_t *c, uint32_t target, const cv_msg_accepted_t *m)
 {
--- a/entry/core.h
+++ b/entry/core.h
@@ -11,210 +11,212 @@
 #include "wire/wire.h"
 
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
-/* Why a request failed; each has one HTTP status, code and outcome.  */
-typedef enum
-{
-  CV_FAIL_NO_CONFIG,
-  CV_FAIL_NO_MODEL,
-  CV_FAIL_NO_POOL,
-  CV_FAIL_NO_CLASS,
-  CV_FAIL_LIMIT,
-  CV_FAIL_NO_TARGET,
-  CV_FAIL_OVERLOADED,
-  CV_FAIL_CONDEMNED,
-  CV_FAIL_INTERRUPTED,
-  CV_FAIL_STREAM_GONE,
-  CV_FAIL_DEADLINE,
-  CV_FAIL_NOT_RUN,
-  CV_FAIL_UNKNOWN,
-  CV_FAIL_TICKET_EXPIRED,
-  CV_FAIL_STOPPING,
-  CV_FAIL_COUNT
-} cv_failure_code_t;
-
-typedef struct
-{
-  int status;       /* of HTTP */
-  const char *code; /* for programs */
-  const char *text; /* for people */
-  cv_outcome_t outcome;
-} cv_failure_info_t;
+  /* Why a request failed; each has one HTTP status, code and outcome.  */
+  typedef enum
+  {
+    CV_FAIL_NO_CONFIG,
+    CV_FAIL_NO_MODEL,
+    CV_FAIL_NO_POOL,
+    CV_FAIL_NO_CLASS,
+    CV_FAIL_LIMIT,
+    CV_FAIL_NO_TARGET,
+    CV_FAIL_OVERLOADED,
+    CV_FAIL_CONDEMNED,
+    CV_FAIL_INTERRUPTED,
+    CV_FAIL_STREAM_GONE,
+    CV_FAIL_DEADLINE,
+    CV_FAIL_NOT_RUN,
+    CV_FAIL_UNKNOWN,
+    CV_FAIL_TICKET_EXPIRED,
+    CV_FAIL_STOPPING,
+    CV_FAIL_COUNT
+  } cv_failure_code_t;
+
+  typedef struct
+  {
+    int status;       /* of HTTP */
+    const char *code; /* for programs */
+    const char *text; /* for people */
+    cv_outcome_t outcome;
+  } cv_failure_info_t;
 
-const cv_failure_info_t *cv_failure_info (cv_failure_code_t code);
+  const cv_failure_info_t *cv_failure_info (cv_failure_code_t code);
 
-/* What a caller is told.  Each submitted request gets exactly one reply of
-   the kinds END, CALL, TICKET, FAILED and GONE, and it is the last.  */
-typedef enum
-{
-  CV_REPLY_TOKENS,
-  CV_REPLY_END,
-  CV_REPLY_CALL,
-  CV_REPLY_TICKET,
-  CV_REPLY_FAILED,
-  CV_REPLY_GONE
-} cv_reply_type_t;
-
-/* Slices point into memory that lives until the callback returns.  */
-typedef struct
-{
-  cv_reply_type_t type;
-  union
+  /* What a caller is told.  Each submitted request gets exactly one reply of
+     the kinds END, CALL, TICKET, FAILED and GONE, and it is the last.  */
+  typedef enum
   {
-    struct
-    {
-      const cv_position_t *first;
-      uint32_t count;
-      const cv_slice_t *token;
-    } tokens;
-    struct
-    {
-      cv_end_t end;
-      uint32_t total;
-    } end;
-    struct
-    {
-      uint32_t status;
-      bool replayed;
-      cv_slice_t content_type;
-      cv_slice_t body;
-      const cv_ticket_t *ticket;
-    } call;
-    cv_ticket_t ticket;
-    struct
+    CV_REPLY_TOKENS,
+    CV_REPLY_END,
+    CV_REPLY_CALL,
+    CV_REPLY_TICKET,
+    CV_REPLY_FAILED,
+    CV_REPLY_GONE
+  } cv_reply_type_t;
+
+  /* Slices point into memory that lives until the callback returns.  */
+  typedef struct
+  {
+    cv_reply_type_t type;
+    union
     {
-      cv_failure_code_t code;
-      uint32_t retry_after_ms;
-    } failed;
-  } u;
-} cv_reply_t;
-
-/* Where the decisions go.  */
-typedef struct
-{
-  void (*send) (void *arg, uint32_t target, const cv_msg_t *msg);
-  void (*reply) (void *arg, void *caller, const cv_reply_t *reply);
-  /* The peer is lost: frames still queued for it are dropped.  */
-  void (*reset) (void *arg, uint32_t target);
-  cv_id_t (*new_id) (void *arg);
-  void *arg;
-} cv_core_output_t;
-
-typedef struct
-{
-  char instance[CV_NAME_MAX];
-  uint64_t incarnation;
-  uint64_t seed;
-  cv_core_output_t out;
-} cv_core_options_t;
-
-/* A generation to be started.  Strings are copied.  */
-typedef struct
-{
-  char account[CV_NAME_MAX];
-  char class_name[CV_NAME_MAX]; /* "" for the account's default */
-  char model[CV_NAME_MAX];
-  uint32_t max_tokens; /* 0: the class's or model's limit */
-  bool whole;          /* deliver nothing before the end */
-  cv_slice_t prompt;
-} cv_stream_spec_t;
-
-/* How often a call may run.  */
-typedef enum
-{
-  CV_CALL_IDEMPOTENT, /* may be repeated */
-  CV_CALL_ONCE,       /* at most once, under a fresh ticket */
-  CV_CALL_TICKET      /* at most once, under the given ticket */
-} cv_call_mode_t;
+      struct
+      {
+        const cv_position_t *first;
+        uint32_t count;
+        const cv_slice_t *token;
+      } tokens;
+      struct
+      {
+        cv_end_t end;
+        uint32_t total;
+      } end;
+      struct
+      {
+        uint32_t status;
+        bool replayed;
+        cv_slice_t content_type;
+        cv_slice_t body;
+        const cv_ticket_t *ticket;
+      } call;
+      cv_ticket_t ticket;
+      struct
+      {
+        cv_failure_code_t code;
+        cv_outcome_t outcome; /* of all attempts together */
+        uint32_t retry_after_ms;
+      } failed;
+    } u;
+  } cv_reply_t;
+
+  /* Where the decisions go.  */
+  typedef struct
+  {
+    void (*send) (void *arg, uint32_t target, const cv_msg_t *msg);
+    void (*reply) (void *arg, void *caller, const cv_reply_t *reply);
+    /* The peer is lost: frames still queued for it are dropped.  */
+    void (*reset) (void *arg, uint32_t target);
+    cv_id_t (*new_id) (void *arg);
+    void *arg;
+  } cv_core_output_t;
+
+  typedef struct
+  {
+    char instance[CV_NAME_MAX];
+    uint64_t incarnation;
+    uint64_t seed;
+    cv_core_output_t out;
+  } cv_core_options_t;
+
+  /* A generation to be started.  Strings are copied.  */
+  typedef struct
+  {
+    char account[CV_NAME_MAX];
+    char class_name[CV_NAME_MAX]; /* "" for the account's default */
+    char model[CV_NAME_MAX];
+    uint32_t max_tokens; /* 0: the class's or model's limit */
+    bool whole;          /* deliver nothing before the end */
+    cv_slice_t prompt;
+  } cv_stream_spec_t;
+
+  /* How often a call may run.  */
+  typedef enum
+  {
+    CV_CALL_IDEMPOTENT, /* may be repeated */
+    CV_CALL_ONCE,       /* at most once, under a fresh ticket */
+    CV_CALL_TICKET      /* at most once, under the given ticket */
+  } cv_call_mode_t;
 
-typedef struct
-{
-  char account[CV_NAME_MAX];
-  char pool[CV_NAME_MAX];
-  char method[8];
-  cv_call_mode_t mode;
-  cv_ticket_t ticket; /* CV_CALL_TICKET */
-  uint32_t deadline_ms;
-  cv_slice_t path;
-  cv_slice_t content_type;
-  cv_slice_t body;
-} cv_call_spec_t;
-
-typedef struct cv_core_t cv_core_t;
-
-cv_core_t *cv_core_new (const cv_core_options_t *options);
-void cv_core_free (cv_core_t *c);
-
-/* ---- configuration ---- */
-
-/* Take CONFIG in force when it is newer than the present one; a reference is
-   taken.  Returns whether it was.  */
-bool cv_core_adopt (cv_core_t *c, cv_time_t now, cv_config_t *config);
-/* The store confirmed at NOW that VERSION is the current one.  */
-void cv_core_confirmed (cv_core_t *c, cv_time_t now, uint64_t version);
-/* The configuration in force, borrowed; NULL before the first.  */
-cv_config_t *cv_core_config (const cv_core_t *c);
-
-/* ---- targets ---- */
-
-/* A target is on the instance list; returns its slot.  */
-uint32_t cv_core_target_add (cv_core_t *c, cv_time_t now, const char *name,
-                             const char *pool);
-/* The list calls it leaving, or live again.  */
-void cv_core_target_listed (cv_core_t *c, cv_time_t now, uint32_t target,
-                            bool leaving);
-/* It is off the list; its slot may be used again.  */
-void cv_core_target_remove (cv_core_t *c, cv_time_t now, uint32_t target);
-/* Was its side silent for CV_PEER_TIMEOUT?  */
-bool cv_core_target_lost (const cv_core_t *c, uint32_t target);
-
-/* One row of the targets table, for operators.  */
-typedef struct
-{
-  char name[CV_NAME_MAX];
-  char pool[CV_NAME_MAX];
-  char failure_domain[CV_NAME_MAX];
-  const char *state; /* "connecting", "live", "draining", "down", "lost" */
-  uint64_t incarnation;
-  cv_versions_t versions;
-  cv_load_t load;
-  uint32_t requests; /* of this entry, in flight */
-  uint32_t silent_ms;
-} cv_target_row_t;
-
-void cv_core_each_target (const cv_core_t *c, cv_time_t now,
-                          void (*fn) (const cv_target_row_t *row, void *arg),
-                          void *arg);
-
-/* ---- callers ---- */
-
-/* CALLER names the request until its last reply.  */
-void cv_core_submit (cv_core_t *c, cv_time_t now, void *caller,
-                     const cv_stream_spec_t *spec);
-/* Go on with the generation that FIRST names, from its offset.  */
-void cv_core_attach (cv_core_t *c, cv_time_t now, void *caller,
-                     const char *account, const cv_position_t *first);
-void cv_core_call (cv_core_t *c, cv_time_t now, void *caller,
-                   const cv_call_spec_t *spec);
-void cv_core_ticket (cv_core_t *c, cv_time_t now, void *caller,
-                     const char *pool);
-/* The caller went away.  */
-void cv_core_gone (cv_core_t *c, cv_time_t now, void *caller);
-/* Refuse new requests from now on.  */
-void cv_core_stop (cv_core_t *c);
-uint32_t cv_core_in_flight (const cv_core_t *c);
-
-/* ---- peers and time ---- */
-
-void cv_core_message (cv_core_t *c, cv_time_t now, uint32_t target,
-                      const cv_msg_t *msg);
-/* At least every CV_CORE_TICK.  */
-void cv_core_tick (cv_core_t *c, cv_time_t now);
+  typedef struct
+  {
+    char account[CV_NAME_MAX];
+    char pool[CV_NAME_MAX];
+    char method[8];
+    cv_call_mode_t mode;
+    cv_ticket_t ticket; /* CV_CALL_TICKET */
+    uint32_t deadline_ms;
+    cv_slice_t path;
+    cv_slice_t content_type;
+    cv_slice_t body;
+  } cv_call_spec_t;
+
+  typedef struct cv_core_t cv_core_t;
+
+  cv_core_t *cv_core_new (const cv_core_options_t *options);
+  void cv_core_free (cv_core_t *c);
+
+  /* ---- configuration ---- */
+
+  /* Take CONFIG in force when it is newer than the present one; a reference is
+     taken.  Returns whether it was.  */
+  bool cv_core_adopt (cv_core_t *c, cv_time_t now, cv_config_t *config);
+  /* The store confirmed at NOW that VERSION is the current one.  */
+  void cv_core_confirmed (cv_core_t *c, cv_time_t now, uint64_t version);
+  /* The configuration in force, borrowed; NULL before the first.  */
+  cv_config_t *cv_core_config (const cv_core_t *c);
+
+  /* ---- targets ---- */
+
+  /* A target is on the instance list; returns its slot.  */
+  uint32_t cv_core_target_add (cv_core_t *c, cv_time_t now, const char *name,
+                               const char *pool);
+  /* The list calls it leaving, or live again.  */
+  void cv_core_target_listed (cv_core_t *c, cv_time_t now, uint32_t target,
+                              bool leaving);
+  /* It is off the list; its slot may be used again.  */
+  void cv_core_target_remove (cv_core_t *c, cv_time_t now, uint32_t target);
+  /* Was its side silent for CV_PEER_TIMEOUT?  */
+  bool cv_core_target_lost (const cv_core_t *c, uint32_t target);
+
+  /* One row of the targets table, for operators.  */
+  typedef struct
+  {
+    char name[CV_NAME_MAX];
+    char pool[CV_NAME_MAX];
+    char failure_domain[CV_NAME_MAX];
+    const char *state; /* "connecting", "live", "draining", "down", "lost" */
+    uint64_t incarnation;
+    cv_versions_t versions;
+    cv_load_t load;
+    uint32_t requests; /* of this entry, in flight */
+    uint32_t silent_ms;
+  } cv_target_row_t;
+
+  void cv_core_each_target (const cv_core_t *c, cv_time_t now,
+                            void (*fn) (const cv_target_row_t *row, void *arg),
+                            void *arg);
+
+  /* ---- callers ---- */
+
+  /* CALLER names the request until its last reply.  */
+  void cv_core_submit (cv_core_t *c, cv_time_t now, void *caller,
+                       const cv_stream_spec_t *spec);
+  /* Go on with the generation that FIRST names, from its offset.  */
+  void cv_core_attach (cv_core_t *c, cv_time_t now, void *caller,
+                       const char *account, const cv_position_t *first);
+  void cv_core_call (cv_core_t *c, cv_time_t now, void *caller,
+                     const cv_call_spec_t *spec);
+  void cv_core_ticket (cv_core_t *c, cv_time_t now, void *caller,
+                       const char *pool);
+  /* The caller went away.  */
+  void cv_core_gone (cv_core_t *c, cv_time_t now, void *caller);
+  /* Refuse new requests from now on.  */
+  void cv_core_stop (cv_core_t *c);
+  uint32_t cv_core_in_flight (const cv_core_t *c);
+
+  /* ---- peers and time ---- */
+
+  void cv_core_message (cv_core_t *c, cv_time_t now, uint32_t target,
+                        const cv_msg_t *msg);
+  /* At least every CV_CORE_TICK.  */
+  void cv_core_tick (cv_core_t *c, cv_time_t now);
 #define CV_CORE_TICK (50 * CV_MS)
 
-cv_metrics_t *cv_core_metrics (cv_core_t *c);
+  cv_metrics_t *cv_core_metrics (cv_core_t *c);
 
 #ifdef __cplusplus
 }
--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -48,7 +48,7 @@
       r->admitted = true;
     }
   cv_request_first_try (c, r);
-  cv_calls_send (c, now, r);
+  cv_calls_send (c, now, r, CV_FAIL_NO_TARGET);
 }
 
 void
@@ -61,7 +61,8 @@
 
   if (c->stopping || c->config == NULL)
     {
-      cv_core_refuse (c, caller, refusal (c, CV_CALL_ONCE), cv_core_retry_after (c));
+      cv_core_refuse (c, caller, refusal (c, CV_CALL_ONCE),
+                      cv_core_retry_after (c));
       return;
     }
   p = cv_config_pool (c->config, pool);
@@ -87,7 +88,8 @@
 }
 
 void
-cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
+               cv_failure_code_t otherwise)
 {
   cv_request_call_t *s = &r->u.call;
   uint32_t target = choose (c, now, r);
@@ -98,8 +100,7 @@
     {
       bool given = s->mode == CV_CALL_TICKET;
 
-      cv_request_fail (c, now, r,
-                       given ? CV_FAIL_TICKET_EXPIRED : CV_FAIL_NO_TARGET,
+      cv_request_fail (c, now, r, given ? CV_FAIL_TICKET_EXPIRED : otherwise,
                        given ? 0 : cv_core_retry_after (c));
       return;
     }
@@ -147,6 +148,7 @@
       break;
     default:
       r->failed = true;
+      cv_request_ran (r);
       if (r->u.call.mode == CV_CALL_IDEMPOTENT)
         call_again (c, now, r, CV_FAIL_UNKNOWN);
       else
@@ -200,6 +202,7 @@
 void
 cv_calls_lost (cv_core_t *c, cv_time_t now, cv_request_t *r)
 {
+  cv_request_ran (r);
   if (r->u.call.mode == CV_CALL_IDEMPOTENT)
     call_again (c, now, r, CV_FAIL_UNKNOWN);
   else
@@ -234,8 +237,7 @@
 /* ---- local ---- */
 
 static void
-start (cv_core_t *c, cv_time_t now, cv_request_t *r,
-       const cv_call_spec_t *spec)
+start (cv_core_t *c, cv_time_t now, cv_request_t *r, const cv_call_spec_t *spec)
 {
   cv_request_call_t *s = &r->u.call;
   uint64_t seed = r->account_hash ^ cv_core_name_hash (spec->pool);
@@ -309,7 +311,7 @@
   cv_request_place (c, now, r, CV_NO_TARGET);
   cv_request_set_id (c, r, c->options.out.new_id (c->options.out.arg));
   r->route.avoid = old;
-  cv_calls_send (c, now, r);
+  cv_calls_send (c, now, r, otherwise);
 }
 
 /* Have the ticket barred, so that "not run" can be said truly.  */
@@ -322,8 +324,7 @@
   r->u.call.revoke_until = now + REVOKE_TIMEOUT;
   msg.u.revoke.request = r->id;
   msg.u.revoke.ticket = r->u.call.ticket;
-  (void)cv_copy (msg.u.revoke.account, sizeof msg.u.revoke.account,
-                 r->account);
+  (void)cv_copy (msg.u.revoke.account, sizeof msg.u.revoke.account, r->account);
   cv_metrics_count (c->metrics, CV_COUNT_REVOKES);
   cv_core_send (c, r->target, &msg);
 }
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -59,7 +59,7 @@
   uint64_t content_hash;
   cv_buf_t text;  /* tokens of a whole answer */
   cv_buf_t sizes; /* their lengths, uint32_t each */
-  bool gap; /* frames are missing; asked for again */
+  bool gap;       /* frames are missing; asked for again */
   cv_time_t reattached;
   cv_time_t last_token;
   cv_time_t stalled;
@@ -95,6 +95,7 @@
   uint64_t account_hash;
   uint64_t pool;
   bool admitted; /* counted by the account's limits */
+  bool ran;      /* an earlier attempt may have run */
   bool failed;   /* its target did not do its part */
   cv_time_t submitted;
   cv_time_t deadline; /* to the first token, or of the call */
@@ -167,6 +168,8 @@
 /* Put the attempt on TARGET, or take it off with CV_NO_TARGET.  */
 void cv_request_place (cv_core_t *c, cv_time_t now, cv_request_t *r,
                        uint32_t target);
+/* Note that the present attempt may have run.  */
+void cv_request_ran (cv_request_t *r);
 /* Give the last reply and forget the request.  */
 void cv_request_end (cv_core_t *c, cv_time_t now, cv_request_t *r,
                      const cv_reply_t *reply, cv_outcome_t outcome);
@@ -201,7 +204,9 @@
 
 /* ---- core_streams.c ---- */
 
-void cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r);
+/* Hand it to a target, or end it with OTHERWISE when there is none.  */
+void cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                      cv_failure_code_t otherwise);
 void cv_streams_tokens (cv_core_t *c, cv_time_t now, uint32_t target,
                         const cv_msg_tokens_t *m);
 void cv_streams_end (cv_core_t *c, cv_time_t now, uint32_t target,
@@ -224,7 +229,8 @@
 
 /* ---- core_calls.c ---- */
 
-void cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                    cv_failure_code_t otherwise);
 void cv_calls_result (cv_core_t *c, cv_time_t now, uint32_t target,
                       const cv_msg_call_result_t *m);
 void cv_calls_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -38,12 +38,12 @@
   if (!admit (c, now, r))
     return;
   cv_request_first_try (c, r);
-  cv_streams_send (c, now, r);
+  cv_streams_send (c, now, r, CV_FAIL_NO_TARGET);
 }
 
 void
-cv_core_attach (cv_core_t *c, cv_time_t now, void *caller,
-                const char *account, const cv_position_t *first)
+cv_core_attach (cv_core_t *c, cv_time_t now, void *caller, const char *account,
+                const cv_position_t *first)
 {
   uint32_t target = cv_targets_find (c, first->target, first->incarnation);
   cv_request_t *r;
@@ -81,7 +81,8 @@
 }
 
 void
-cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
+                 cv_failure_code_t otherwise)
 {
   cv_request_stream_t *s = &r->u.stream;
   uint32_t target = cv_router_pick (c->router, now, &r->route);
@@ -90,7 +91,7 @@
 
   if (target == CV_NO_TARGET)
     {
-      cv_request_fail (c, now, r, CV_FAIL_NO_TARGET, cv_core_retry_after (c));
+      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
       return;
     }
   cv_request_place (c, now, r, target);
@@ -156,6 +157,7 @@
 void
 cv_streams_lost (cv_core_t *c, cv_time_t now, cv_request_t *r)
 {
+  cv_request_ran (r);
   if (may_run_again (r))
     send_about (c, r, CV_MSG_CANCEL);
   cv_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
@@ -237,8 +239,7 @@
   r->pool = cv_core_name_hash (model->pool);
   key = cv_streams_length_key (r);
   s->expect = cv_length_remaining (
-      c->length, &key, 0, s->max_tokens == 0 ? UINT32_MAX : s->max_tokens,
-      0.5);
+      c->length, &key, 0, s->max_tokens == 0 ? UINT32_MAX : s->max_tokens, 0.5);
   r->route.pool = r->pool;
   r->route.prefix_hash = cv_hash (
       s->prompt, s->prompt_size < PREFIX_BYTES ? s->prompt_size : PREFIX_BYTES,
@@ -251,8 +252,8 @@
 static bool
 admit (cv_core_t *c, cv_time_t now, cv_request_t *r)
 {
-  cv_admission_t a = cv_limits_admit (c->limits, now, r->account_hash,
-                                      r->u.stream.expect);
+  cv_admission_t a
+      = cv_limits_admit (c->limits, now, r->account_hash, r->u.stream.expect);
 
   if (!a.admitted)
     {
@@ -276,15 +277,14 @@
    has seen nothing, or end the answer.  */
 void
 cv_streams_run_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
-           cv_failure_code_t otherwise)
+                      cv_failure_code_t otherwise)
 {
   cv_request_stream_t *s = &r->u.stream;
   uint32_t old = r->target;
 
   if (!may_run_again (r))
     {
-      cv_request_fail (c, now, r, CV_FAIL_INTERRUPTED,
-                       cv_core_retry_after (c));
+      cv_request_fail (c, now, r, CV_FAIL_INTERRUPTED, cv_core_retry_after (c));
       return;
     }
   if (!s->whole && now >= r->deadline)
@@ -304,7 +304,7 @@
   cv_buf_reset (&s->text);
   cv_buf_reset (&s->sizes);
   r->route.avoid = old;
-  cv_streams_send (c, now, r);
+  cv_streams_send (c, now, r, otherwise);
 }
 
 /* Frames of the stream were lost on the way: ask for them again.  */
@@ -329,8 +329,7 @@
   msg.u.attach.stream = r->id;
   msg.u.attach.incarnation = r->incarnation;
   msg.u.attach.offset = r->u.stream.next;
-  (void)cv_copy (msg.u.attach.account, sizeof msg.u.attach.account,
-                 r->account);
+  (void)cv_copy (msg.u.attach.account, sizeof msg.u.attach.account, r->account);
   cv_core_send (c, r->target, &msg);
 }
 
--- a/entry/core_targets.c
+++ b/entry/core_targets.c
@@ -110,7 +110,10 @@
       return;
     }
   if (t->heard && t->incarnation != report->incarnation)
-    drop_requests (c, now, target);
+    {
+      drop_requests (c, now, target);
+      cv_router_remove (c->router, target);
+    }
   t->heard = true;
   t->lost = false;
   t->last_heard = now;
@@ -164,8 +167,7 @@
 }
 
 void
-cv_targets_doc_pull (cv_core_t *c, cv_time_t now, uint32_t target,
-                     cv_doc_t doc)
+cv_targets_doc_pull (cv_core_t *c, cv_time_t now, uint32_t target, cv_doc_t doc)
 {
   cv_msg_t msg = { .type = CV_MSG_DOC };
 
--- a/entry/core_tokens.c
+++ b/entry/core_tokens.c
@@ -66,6 +66,7 @@
     case CV_END_ENGINE_LOST:
     case CV_END_RECLAIMED:
       r->failed = m->end != CV_END_CANCELLED;
+      cv_request_ran (r);
       cv_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
       break;
     }
@@ -92,8 +93,7 @@
   cv_position_t first = { 0 };
   cv_reply_t reply = { .type = CV_REPLY_TOKENS };
 
-  (void)cv_copy (first.target, sizeof first.target,
-                 c->targets[r->target].name);
+  (void)cv_copy (first.target, sizeof first.target, c->targets[r->target].name);
   first.incarnation = r->incarnation;
   first.stream = r->id;
   first.offset = offset;
@@ -150,8 +150,7 @@
 /* The generation ended by itself; the answer is whole only when every token
    of it was accepted.  */
 static void
-complete (cv_core_t *c, cv_time_t now, cv_request_t *r,
-          const cv_msg_end_t *m)
+complete (cv_core_t *c, cv_time_t now, cv_request_t *r, const cv_msg_end_t *m)
 {
   cv_request_stream_t *s = &r->u.stream;
   cv_reply_t reply = { .type = CV_REPLY_END };
@@ -167,15 +166,16 @@
       cv_log (CV_EV_ENTRY_TOTAL_MISMATCH, "stream total %u, accepted %u",
               m->total, s->next);
       r->failed = true;
+      cv_request_ran (r);
       cv_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
       return;
     }
   if (m->end == CV_END_STOP && !s->resumed)
     cv_length_observe (c->length, &key, m->total);
-  cv_metrics_observe (c->metrics, r->account, r->class_name,
-                      CV_MEASURE_TOKENS, m->total);
-  cv_metrics_observe (c->metrics, r->account, r->class_name,
-                      CV_MEASURE_STALL, (double)s->stalled / 1e6);
+  cv_metrics_observe (c->metrics, r->account, r->class_name, CV_MEASURE_TOKENS,
+                      m->total);
+  cv_metrics_observe (c->metrics, r->account, r->class_name, CV_MEASURE_STALL,
+                      (double)s->stalled / 1e6);
   if (s->whole)
     deliver_whole (c, r);
   reply.u.end.end = m->end;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -11,14 +11,8 @@
 #include "entry/link.h"
 #include "entry/storejobs.h"
 
-#define DEFAULT_PORT 8080
-#define DEFAULT_STORE_TIMEOUT_MS 2000
-#define DEFAULT_CONNECTIONS 2000
-#define DEFAULT_BODY_BYTES (1024 * 1024)
 /* Time for the balancer to look elsewhere before requests are refused.  */
 #define DRAIN_NOTICE_S 1
-/* A planned stop waits so long for requests in flight.  */
-#define DRAIN_TIMEOUT (900 * CV_SECOND)
 #define DRAIN_POLL_NS (50 * 1000 * 1000)
 
 typedef struct
@@ -32,21 +26,9 @@
 static bool start (cv_entry_t *e, const cv_entry_settings_t *s,
                    cv_error_t *err);
 static void stop (cv_entry_t *e);
-static void drain (cv_entry_t *e);
+static void drain (cv_entry_t *e, const cv_entry_settings_t *s);
 static void count_in_flight (cv_core_t *core, cv_time_t now, void *arg);
 
-void
-cv_entry_settings_init (cv_entry_settings_t *s)
-{
-  cv_entry_settings_t zero = { 0 };
-
-  *s = zero;
-  s->port = DEFAULT_PORT;
-  s->store_timeout_ms = DEFAULT_STORE_TIMEOUT_MS;
-  s->max_connections = DEFAULT_CONNECTIONS;
-  s->max_body_bytes = DEFAULT_BODY_BYTES;
-}
-
 bool
 cv_entry_run (const cv_entry_settings_t *s, cv_error_t *err)
 {
@@ -68,7 +50,7 @@
     }
   (void)sigwait (&stops, &signal_number);
   cv_log (CV_EV_DAEMON_STOPPING, "signal %d", signal_number);
-  drain (&e);
+  drain (&e, s);
   stop (&e);
   ulfius_global_close ();
   return true;
@@ -83,7 +65,7 @@
   e->jobs = cv_storejobs_new (s, e->link, err);
   if (e->jobs == NULL)
     return false;
-  e->instances = cv_instances_new (s->instances_url, e->link, err);
+  e->instances = cv_instances_new (s, e->link, err);
   if (e->instances == NULL)
     return false;
   e->http = cv_http_new (s, e->link, e->jobs, err);
@@ -105,11 +87,11 @@
 
 /* Refuse new requests and wait for those in flight.  */
 static void
-drain (cv_entry_t *e)
+drain (cv_entry_t *e, const cv_entry_settings_t *s)
 {
   const struct timespec notice = { .tv_sec = DRAIN_NOTICE_S };
   const struct timespec pause = { .tv_nsec = DRAIN_POLL_NS };
-  cv_time_t until = cv_now () + DRAIN_TIMEOUT;
+  cv_time_t until = cv_now () + s->drain_s * CV_SECOND;
   uint32_t in_flight;
 
   cv_http_drain (e->http);
--- a/entry/failure.c
+++ b/entry/failure.c
@@ -3,35 +3,36 @@
 #include "entry/core.h"
 
 static const cv_failure_info_t failures[CV_FAIL_COUNT] = {
-  [CV_FAIL_NO_CONFIG] = { 503, "starting", "no configuration is known yet",
-                          CV_OUTCOME_REFUSED },
-  [CV_FAIL_NO_MODEL] = { 404, "model_not_found", "no such model",
-                         CV_OUTCOME_REFUSED },
+  [CV_FAIL_NO_CONFIG]
+  = { 503, "starting", "no configuration is known yet", CV_OUTCOME_REFUSED },
+  [CV_FAIL_NO_MODEL]
+  = { 404, "model_not_found", "no such model", CV_OUTCOME_REFUSED },
   [CV_FAIL_NO_POOL]
   = { 404, "pool_not_found", "no such pool", CV_OUTCOME_REFUSED },
   [CV_FAIL_NO_CLASS]
   = { 400, "class_not_found", "no such class", CV_OUTCOME_REFUSED },
   [CV_FAIL_LIMIT] = { 429, "rate_limited", "a limit of the account is reached",
                       CV_OUTCOME_REFUSED },
-  [CV_FAIL_NO_TARGET] = { 503, "no_target",
-                          "no target of the pool takes work now",
-                          CV_OUTCOME_REFUSED },
+  [CV_FAIL_NO_TARGET]
+  = { 503, "no_target", "no target of the pool takes work now",
+      CV_OUTCOME_REFUSED },
   [CV_FAIL_OVERLOADED]
   = { 503, "overloaded", "it cannot start in time", CV_OUTCOME_REFUSED },
-  [CV_FAIL_CONDEMNED] = { 422, "content_refused",
-                          "this content has stopped targets before",
-                          CV_OUTCOME_REFUSED },
-  [CV_FAIL_INTERRUPTED] = { 502, "interrupted", "the answer is cut",
-                            CV_OUTCOME_INTERRUPTED },
-  [CV_FAIL_STREAM_GONE] = { 410, "stream_gone",
-                            "the generation cannot be resumed",
-                            CV_OUTCOME_INTERRUPTED },
+  [CV_FAIL_CONDEMNED]
+  = { 422, "content_refused", "this content has stopped targets before",
+      CV_OUTCOME_REFUSED },
+  [CV_FAIL_INTERRUPTED]
+  = { 502, "interrupted", "the answer is cut", CV_OUTCOME_INTERRUPTED },
+  [CV_FAIL_STREAM_GONE]
+  = { 410, "stream_gone", "the generation cannot be resumed",
+      CV_OUTCOME_INTERRUPTED },
   [CV_FAIL_DEADLINE] = { 504, "deadline", "no answer within the deadline",
                          CV_OUTCOME_INTERRUPTED },
   [CV_FAIL_NOT_RUN]
   = { 503, "not_run", "it did not run and never will", CV_OUTCOME_NOT_RUN },
-  [CV_FAIL_UNKNOWN] = { 502, "unknown", "it may have run; ask again with the "
-                                        "same ticket or key",
+  [CV_FAIL_UNKNOWN] = { 502, "unknown",
+                        "it may have run; ask again with the "
+                        "same ticket or key",
                         CV_OUTCOME_UNKNOWN },
   [CV_FAIL_TICKET_EXPIRED] = { 409, "ticket_expired",
                                "the ticket's target has forgotten it; it may "
--- a/entry/http.c
+++ b/entry/http.c
@@ -10,7 +10,6 @@
 /* Bytes of request line and headers; more is answered 431 or 414.  */
 #define HEADER_MEMORY (32 * 1024)
 #define THREAD_STACK (256 * 1024)
-#define IDLE_TIMEOUT_S 30
 #define LISTEN_BACKLOG 1024
 /* Connections that one client address may hold.  */
 #define PER_ADDRESS_SHARE 2
@@ -21,10 +20,10 @@
 static bool request_id_valid (const char *id);
 static bool bearer (const cv_request_in_t *req, cv_slice_t *key);
 static bool unauthorized (cv_response_t *resp);
-static int healthz (const cv_request_in_t *req, cv_response_t *resp,
-                    void *arg);
-static int metrics (const cv_request_in_t *req, cv_response_t *resp,
-                    void *arg);
+static cv_http_error_t error_of (cv_failure_code_t code,
+                                 uint32_t retry_after_ms);
+static int healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg);
+static int metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg);
 static int not_found (const cv_request_in_t *req, cv_response_t *resp,
                       void *arg);
 static void write_metrics (cv_core_t *core, cv_time_t now, void *arg);
@@ -43,7 +42,7 @@
       free (h);
       return NULL;
     }
-  cv_log (CV_EV_ENTRY_LISTENING, "http://%s:%u", s->address, s->port);
+  cv_log (CV_EV_ENTRY_LISTENING, "http://%s:%u", s->http.address, s->http.port);
   return h;
 }
 
@@ -85,8 +84,8 @@
 }
 
 bool
-cv_http_account (cv_http_t *h, const cv_request_in_t *req,
-                 cv_response_t *resp, char account[CV_NAME_MAX])
+cv_http_account (cv_http_t *h, const cv_request_in_t *req, cv_response_t *resp,
+                 char account[CV_NAME_MAX])
 {
   cv_config_t *config = cv_link_config (h->link);
   const cv_account_t *found = NULL;
@@ -106,8 +105,7 @@
 }
 
 bool
-cv_http_operator (cv_http_t *h, const cv_request_in_t *req,
-                  cv_response_t *resp)
+cv_http_operator (cv_http_t *h, const cv_request_in_t *req, cv_response_t *resp)
 {
   cv_slice_t key;
 
@@ -133,15 +131,14 @@
 }
 
 cv_http_error_t
-cv_http_error_of (cv_failure_code_t code, uint32_t retry_after_ms)
+cv_http_error_of (const cv_mail_t *m)
 {
-  const cv_failure_info_t *info = cv_failure_info (code);
-  cv_http_error_t e = { .status = info->status,
-                        .code = info->code,
-                        .text = info->text,
-                        .outcome = info->outcome,
-                        .retry_after_ms = retry_after_ms };
+  cv_failure_code_t code
+      = m->type == CV_REPLY_FAILED ? m->failure : CV_FAIL_INTERRUPTED;
+  cv_http_error_t e = error_of (code, m->retry_after_ms);
 
+  if (m->type == CV_REPLY_FAILED)
+    e.outcome = m->outcome;
   return e;
 }
 
@@ -180,7 +177,15 @@
 cv_http_failure (cv_response_t *resp, cv_failure_code_t code,
                  uint32_t retry_after_ms)
 {
-  cv_http_error_t e = cv_http_error_of (code, retry_after_ms);
+  cv_http_error_t e = error_of (code, retry_after_ms);
+
+  return cv_http_fail (resp, &e);
+}
+
+int
+cv_http_fail_mail (cv_response_t *resp, const cv_mail_t *m)
+{
+  cv_http_error_t e = cv_http_error_of (m);
 
   return cv_http_fail (resp, &e);
 }
@@ -202,11 +207,11 @@
   const cv_entry_settings_t *s = h->settings;
 
   h->bind.sin_family = AF_INET;
-  h->bind.sin_port = htons (s->port);
-  if (inet_pton (AF_INET, s->address, &h->bind.sin_addr) != 1)
-    return cv_fail (err, CV_ERR_INVALID, "address %s is no IP number",
-                    s->address);
-  if (ulfius_init_instance (&h->instance, s->port, &h->bind, NULL) != U_OK)
+  h->bind.sin_port = htons ((uint16_t)s->http.port);
+  if (inet_pton (AF_INET, s->http.address, &h->bind.sin_addr) != 1)
+    return cv_fail (err, CV_ERR_INVALID, "http.address %s is no IPv4 number",
+                    s->http.address);
+  if (ulfius_init_instance (&h->instance, s->http.port, &h->bind, NULL) != U_OK)
     return cv_fail (err, CV_ERR_SYSTEM, "HTTP server cannot be set up");
   h->instance.max_post_body_size = (size_t)s->max_body_bytes + 1;
   h->instance.allowed_post_processor = U_POST_PROCESS_NONE;
@@ -227,10 +232,11 @@
     { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL },
     { MHD_OPTION_SOCK_ADDR, 0, &h->bind },
     { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)limit, NULL },
-    { MHD_OPTION_PER_IP_CONNECTION_LIMIT,
-      (intptr_t)(limit / PER_ADDRESS_SHARE), NULL },
+    { MHD_OPTION_PER_IP_CONNECTION_LIMIT, (intptr_t)(limit / PER_ADDRESS_SHARE),
+      NULL },
     { MHD_OPTION_CONNECTION_MEMORY_LIMIT, HEADER_MEMORY, NULL },
-    { MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL },
+    { MHD_OPTION_CONNECTION_TIMEOUT, (intptr_t)h->settings->idle_timeout_s,
+      NULL },
     { MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK, NULL },
     { MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG, NULL },
     { MHD_OPTION_END, 0, NULL },
@@ -243,7 +249,7 @@
       == U_OK)
     return true;
   return cv_fail (err, CV_ERR_SYSTEM, "cannot listen on %s:%u",
-                  h->settings->address, h->settings->port);
+                  h->settings->http.address, h->settings->http.port);
 }
 
 typedef struct
@@ -251,12 +257,12 @@
   const char *method;
   const char *path;
   int (*fn) (const cv_request_in_t *req, cv_response_t *resp, void *arg);
-} cv_endpoint_t;
+} cv_http_endpoint_t;
 
 static void
 add_endpoints (cv_http_t *h)
 {
-  static const cv_endpoint_t endpoints[] = {
+  static const cv_http_endpoint_t endpoints[] = {
     { "POST", "/v1/completions", cv_http_completions },
     { "POST", "/v1/chat/completions", cv_http_chat },
     { "GET", "/v1/streams/resume", cv_http_resume },
@@ -272,9 +278,9 @@
   };
 
   for (size_t i = 0; i < sizeof endpoints / sizeof endpoints[0]; i++)
-    CV_INVARIANT (ulfius_add_endpoint_by_val (
-                      &h->instance, endpoints[i].method, endpoints[i].path,
-                      NULL, 0, endpoints[i].fn, h)
+    CV_INVARIANT (ulfius_add_endpoint_by_val (&h->instance, endpoints[i].method,
+                                              endpoints[i].path, NULL, 0,
+                                              endpoints[i].fn, h)
                   == U_OK);
   CV_INVARIANT (ulfius_set_default_endpoint (&h->instance, not_found, h)
                 == U_OK);
@@ -318,6 +324,19 @@
   return false;
 }
 
+static cv_http_error_t
+error_of (cv_failure_code_t code, uint32_t retry_after_ms)
+{
+  const cv_failure_info_t *info = cv_failure_info (code);
+  cv_http_error_t e = { .status = info->status,
+                        .code = info->code,
+                        .text = info->text,
+                        .outcome = info->outcome,
+                        .retry_after_ms = retry_after_ms };
+
+  return e;
+}
+
 static int
 healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg)
 {
--- a/entry/http_body.c
+++ b/entry/http_body.c
@@ -13,8 +13,7 @@
                        char *out, cv_error_t *err);
 static bool read_limit (struct json_object *o, cv_completion_t *out,
                         cv_error_t *err);
-static bool read_prompt (struct json_object *o, cv_buf_t *out,
-                         cv_error_t *err);
+static bool read_prompt (struct json_object *o, cv_buf_t *out, cv_error_t *err);
 static bool read_messages (struct json_object *o, cv_buf_t *out,
                            cv_error_t *err);
 static bool read_content (struct json_object *content, cv_buf_t *out);
--- a/entry/http_calls.c
+++ b/entry/http_calls.c
@@ -36,8 +36,7 @@
   cv_buf_t body;
   int rc;
 
-  if (!cv_http_begin (h, req, resp)
-      || !cv_http_account (h, req, resp, account))
+  if (!cv_http_begin (h, req, resp) || !cv_http_account (h, req, resp, account))
     return U_CALLBACK_COMPLETE;
   if (!cv_body_text (in, "pool", pool, sizeof pool, &err))
     return cv_http_bad (resp, err.text);
@@ -141,8 +140,7 @@
 }
 
 static bool
-claim (cv_http_t *h, cv_response_t *resp, const char *key,
-       cv_call_spec_t *spec)
+claim (cv_http_t *h, cv_response_t *resp, const char *key, cv_call_spec_t *spec)
 {
   uint64_t account = cv_hash (spec->account, strlen (spec->account), 0);
   uint64_t pool = cv_hash (spec->pool, strlen (spec->pool), 1);
@@ -183,7 +181,7 @@
   if (m == NULL)
     (void)cv_http_failure (resp, CV_FAIL_NO_TARGET, 1000);
   else if (m->type == CV_REPLY_FAILED)
-    (void)cv_http_failure (resp, m->failure, m->retry_after_ms);
+    (void)cv_http_fail_mail (resp, m);
   else
     {
       *ticket = m->ticket;
@@ -214,9 +212,7 @@
   char text[CV_TICKET_TEXT];
 
   if (m->type != CV_REPLY_CALL)
-    return cv_http_failure (
-        resp, m->type == CV_REPLY_FAILED ? m->failure : CV_FAIL_UNKNOWN,
-        m->retry_after_ms);
+    return cv_http_fail_mail (resp, m);
   (void)u_map_put (resp->map_header, "X-Outcome", "done");
   if (m->replayed)
     (void)u_map_put (resp->map_header, "X-Replayed", "true");
--- a/entry/http_internal.h
+++ b/entry/http_internal.h
@@ -54,8 +54,9 @@
 int cv_http_json (cv_response_t *resp, int status, cv_buf_t *body);
 /* {"error":{...}} appended to OUT.  */
 void cv_http_error_json (const cv_http_error_t *e, cv_buf_t *out);
-cv_http_error_t cv_http_error_of (cv_failure_code_t code,
-                                  uint32_t retry_after_ms);
+/* The error that a last reply other than END and CALL is told as.  */
+cv_http_error_t cv_http_error_of (const cv_mail_t *m);
+int cv_http_fail_mail (cv_response_t *resp, const cv_mail_t *m);
 
 /* http_body.c */
 
@@ -83,15 +84,13 @@
 int cv_http_completions (const cv_request_in_t *req, cv_response_t *resp,
                          void *arg);
 int cv_http_chat (const cv_request_in_t *req, cv_response_t *resp, void *arg);
-int cv_http_resume (const cv_request_in_t *req, cv_response_t *resp,
-                    void *arg);
+int cv_http_resume (const cv_request_in_t *req, cv_response_t *resp, void *arg);
 int cv_http_tickets (const cv_request_in_t *req, cv_response_t *resp,
                      void *arg);
 int cv_http_service (const cv_request_in_t *req, cv_response_t *resp,
                      void *arg);
 int cv_http_query (const cv_request_in_t *req, cv_response_t *resp, void *arg);
-int cv_http_change (const cv_request_in_t *req, cv_response_t *resp,
-                    void *arg);
+int cv_http_change (const cv_request_in_t *req, cv_response_t *resp, void *arg);
 int cv_http_document_get (const cv_request_in_t *req, cv_response_t *resp,
                           void *arg);
 int cv_http_document_put (const cv_request_in_t *req, cv_response_t *resp,
--- a/entry/http_operator.c
+++ b/entry/http_operator.c
@@ -170,8 +170,7 @@
     {
       cv_buf_printf (l->body, "%s\"%s\":", i == 0 ? "" : ",",
                      row->cell[i].column);
-      cv_json_quote (l->body, row->cell[i].value,
-                     strlen (row->cell[i].value));
+      cv_json_quote (l->body, row->cell[i].value, strlen (row->cell[i].value));
     }
   cv_buf_printf (l->body, "}");
 }
@@ -200,8 +199,7 @@
   add_cell (&row, "pool", "%s", t->pool);
   add_cell (&row, "domain", "%s", t->failure_domain);
   add_cell (&row, "state", "%s", t->state);
-  add_cell (&row, "incarnation", "%016llx",
-            (unsigned long long)t->incarnation);
+  add_cell (&row, "incarnation", "%016llx", (unsigned long long)t->incarnation);
   add_cell (&row, "config", "%llu",
             (unsigned long long)t->versions.version[CV_DOC_CONFIG]);
   add_cell (&row, "running", "%u", t->load.running);
@@ -340,8 +338,9 @@
   int rc;
 
   cv_buf_init (&body);
-  cv_buf_printf (&body, "{\"outcome\":\"%s\",\"version\":%llu,\"diff\":",
-                 outcome, (unsigned long long)version);
+  cv_buf_printf (&body,
+                 "{\"outcome\":\"%s\",\"version\":%llu,\"diff\":", outcome,
+                 (unsigned long long)version);
   cv_json_quote (&body, cv_buf_text (diff), diff->n);
   cv_buf_printf (&body, "}");
   rc = cv_http_json (resp, 200, &body);
--- a/entry/http_sse.c
+++ b/entry/http_sse.c
@@ -6,8 +6,6 @@
 
 #include "entry/http_internal.h"
 
-/* A stream that is silent for so long gets a comment line.  */
-#define COMMENT_INTERVAL (5 * CV_SECOND)
 #define BLOCK_SIZE (16 * 1024)
 
 typedef struct
@@ -20,8 +18,7 @@
   bool last; /* the last reply is in OUT */
 } cv_sse_t;
 
-static ssize_t next_block (void *arg, uint64_t offset, char *block,
-                           size_t max);
+static ssize_t next_block (void *arg, uint64_t offset, char *block, size_t max);
 static void finish (void *arg);
 static void fill (cv_sse_t *s);
 static void write_mail (cv_sse_t *s, cv_mail_t *m);
@@ -86,11 +83,13 @@
   free (s);
 }
 
-/* Wait for one reply, and take what else is already there.  */
+/* Wait for one reply or the time of a comment line, and take what else is
+ * already there.  */
 static void
 fill (cv_sse_t *s)
 {
-  cv_mail_t *m = cv_caller_take (s->caller, COMMENT_INTERVAL);
+  cv_mail_t *m
+      = cv_caller_take (s->caller, s->http->settings->keepalive_ms * CV_MS);
 
   if (m == NULL)
     {
@@ -116,11 +115,10 @@
       write_end (s, m);
       break;
     case CV_REPLY_FAILED:
-      write_error (s, m);
-      break;
     case CV_REPLY_CALL:
     case CV_REPLY_TICKET:
     case CV_REPLY_GONE:
+      write_error (s, m);
       break;
     }
   cv_mail_free (m);
@@ -169,7 +167,7 @@
 static void
 write_error (cv_sse_t *s, const cv_mail_t *m)
 {
-  cv_http_error_t e = cv_http_error_of (m->failure, m->retry_after_ms);
+  cv_http_error_t e = cv_http_error_of (m);
 
   cv_buf_printf (&s->out, "event: error\ndata: ");
   cv_http_error_json (&e, &s->out);
--- a/entry/http_streams.c
+++ b/entry/http_streams.c
@@ -16,17 +16,16 @@
                    const char *last_id, bool chat);
 static int answer_stream (cv_http_t *h, cv_response_t *resp,
                           cv_caller_t *caller, bool chat);
-static int answer_whole (cv_http_t *h, cv_response_t *resp,
-                         cv_caller_t *caller, const char *model, bool chat);
+static int answer_whole (cv_http_t *h, cv_response_t *resp, cv_caller_t *caller,
+                         const char *model, bool chat);
 static cv_mail_t *collect (cv_caller_t *caller, cv_buf_t *text,
                            cv_id_t *stream);
 static int write_whole (cv_response_t *resp, const cv_mail_t *end,
-                        const cv_buf_t *text, cv_id_t stream,
-                        const char *model, bool chat);
+                        const cv_buf_t *text, cv_id_t stream, const char *model,
+                        bool chat);
 
 int
-cv_http_completions (const cv_request_in_t *req, cv_response_t *resp,
-                     void *arg)
+cv_http_completions (const cv_request_in_t *req, cv_response_t *resp, void *arg)
 {
   return complete (arg, req, resp, false);
 }
@@ -45,8 +44,7 @@
   const char *format = u_map_get (req->map_url, "format");
   char account[CV_NAME_MAX];
 
-  if (!cv_http_begin (h, req, resp)
-      || !cv_http_account (h, req, resp, account))
+  if (!cv_http_begin (h, req, resp) || !cv_http_account (h, req, resp, account))
     return U_CALLBACK_COMPLETE;
   if (last_id == NULL)
     return cv_http_bad (resp, "the header Last-Event-ID is missing");
@@ -115,7 +113,7 @@
 
   if (first == NULL || first->type != CV_REPLY_FAILED)
     return cv_http_sse (h, resp, caller, first, chat);
-  rc = cv_http_failure (resp, first->failure, first->retry_after_ms);
+  rc = cv_http_fail_mail (resp, first);
   cv_mail_free (first);
   cv_caller_unref (caller);
   return rc;
@@ -140,10 +138,7 @@
   else if (last->type == CV_REPLY_END)
     rc = write_whole (resp, last, &text, stream, model, chat);
   else
-    rc = cv_http_failure (resp,
-                          last->type == CV_REPLY_FAILED ? last->failure
-                                                        : CV_FAIL_INTERRUPTED,
-                          last->retry_after_ms);
+    rc = cv_http_fail_mail (resp, last);
   if (last != NULL)
     cv_mail_free (last);
   cv_caller_unref (caller);
@@ -179,8 +174,7 @@
   cv_buf_printf (&body, "{\"id\":\"cmpl-%s\",\"object\":\"%s\",",
                  cv_id_format (stream, id),
                  chat ? "chat.completion" : "text_completion");
-  cv_buf_printf (&body, "\"created\":%lld,\"model\":",
-                 (long long)time (NULL));
+  cv_buf_printf (&body, "\"created\":%lld,\"model\":", (long long)time (NULL));
   cv_json_quote (&body, model, strlen (model));
   cv_buf_printf (&body, ",\"choices\":[{\"index\":0,%s",
                  chat ? "\"message\":{\"role\":\"assistant\",\"content\":"
@@ -189,8 +183,8 @@
   cv_buf_printf (&body,
                  "%s,\"finish_reason\":\"%s\"}],\"usage\":"
                  "{\"completion_tokens\":%u},\"outcome\":\"done\"}",
-                 chat ? "}" : "",
-                 end->end == CV_END_LENGTH ? "length" : "stop", end->total);
+                 chat ? "}" : "", end->end == CV_END_LENGTH ? "length" : "stop",
+                 end->total);
   rc = cv_http_json (resp, 200, &body);
   cv_buf_finish (&body);
   return rc;
--- a/entry/instances.c
+++ b/entry/instances.c
@@ -10,9 +10,6 @@
 
 #include "entry/instances.h"
 
-#define POLL_INTERVAL_MS 500
-#define POLL_TIMEOUT_S 3
-
 struct cv_instances_t
 {
   pthread_t thread;
@@ -22,6 +19,8 @@
   bool failing;
   cv_link_t *link;
   char url[160];
+  uint32_t interval_ms;
+  unsigned long timeout_s;
   char rev[32];
 };
 
@@ -34,12 +33,16 @@
 static const char *text_of (struct json_object *o, const char *key);
 
 cv_instances_t *
-cv_instances_new (const char *url, cv_link_t *link, cv_error_t *err)
+cv_instances_new (const cv_entry_settings_t *s, cv_link_t *link,
+                  cv_error_t *err)
 {
   cv_instances_t *i = cv_calloc (1, sizeof *i);
 
   i->link = link;
-  (void)snprintf (i->url, sizeof i->url, "%s/v1/instances", url);
+  i->interval_ms = s->instance_poll_ms;
+  i->timeout_s = (s->instance_list.timeout_ms + 999) / 1000;
+  (void)snprintf (i->url, sizeof i->url, "%s/v1/instances",
+                  s->instance_list.url);
   CV_INVARIANT (pthread_mutex_init (&i->lock, NULL) == 0);
   CV_INVARIANT (pthread_cond_init (&i->quit_cond, NULL) == 0);
   if (pthread_create (&i->thread, NULL, run, i) == 0)
@@ -125,7 +128,7 @@
   (void)ulfius_init_response (&resp);
   req.http_verb = o_strdup ("GET");
   req.http_url = o_strdup (i->url);
-  req.timeout = POLL_TIMEOUT_S;
+  req.timeout = i->timeout_s;
   if (i->rev[0] != '\0')
     {
       char etag[40];
@@ -136,8 +139,7 @@
   rc = ulfius_send_http_request (&req, &resp);
   if (rc == U_OK && resp.status == 200)
     {
-      cv_slice_t body
-          = { .p = resp.binary_body, .n = resp.binary_body_length };
+      cv_slice_t body = { .p = resp.binary_body, .n = resp.binary_body_length };
 
       take_list (i, body);
     }
@@ -179,7 +181,8 @@
   bool quit;
 
   CV_INVARIANT (clock_gettime (CLOCK_REALTIME, &until) == 0);
-  until.tv_nsec += POLL_INTERVAL_MS * 1000000L;
+  until.tv_sec += i->interval_ms / 1000;
+  until.tv_nsec += i->interval_ms % 1000 * 1000000L;
   until.tv_sec += until.tv_nsec / 1000000000L;
   until.tv_nsec %= 1000000000L;
   (void)pthread_mutex_lock (&i->lock);
@@ -211,8 +214,7 @@
   out->leaving = strcmp (text_of (o, "state"), "leaving") == 0;
   return cv_copy (out->id, sizeof out->id, text_of (o, "id"))
          && cv_copy (out->pool, sizeof out->pool, text_of (o, "pool"))
-         && cv_copy (out->address, sizeof out->address,
-                     text_of (o, "address"));
+         && cv_copy (out->address, sizeof out->address, text_of (o, "address"));
 }
 
 static const char *
--- a/entry/link.c
+++ b/entry/link.c
@@ -87,8 +87,7 @@
 }
 
 void
-cv_link_submit (cv_link_t *l, cv_caller_t *caller,
-                const cv_stream_spec_t *spec)
+cv_link_submit (cv_link_t *l, cv_caller_t *caller, const cv_stream_spec_t *spec)
 {
   cv_command_t *c = command (COMMAND_SUBMIT, caller);
 
@@ -116,8 +115,8 @@
   char *at;
 
   c->u.call = *spec;
-  c->bytes = cv_calloc (1, spec->path.n + spec->content_type.n
-                               + spec->body.n + 1);
+  c->bytes
+      = cv_calloc (1, spec->path.n + spec->content_type.n + spec->body.n + 1);
   at = c->bytes;
   c->u.call.path = move_in (&at, spec->path);
   c->u.call.content_type = move_in (&at, spec->content_type);
@@ -250,8 +249,7 @@
 
 /* Item 0 is the queue's eventfd, the others are the sides.  */
 static size_t
-poll_items (cv_link_t *l, zmq_pollitem_t **items, size_t *cap,
-            uint32_t **slots)
+poll_items (cv_link_t *l, zmq_pollitem_t **items, size_t *cap, uint32_t **slots)
 {
   size_t n = 1;
 
@@ -309,8 +307,8 @@
       cv_core_submit (l->core, now, cv_caller_ref (caller), &c->u.submit);
       break;
     case COMMAND_ATTACH:
-      cv_core_attach (l->core, now, cv_caller_ref (caller),
-                      c->u.attach.account, &c->u.attach.first);
+      cv_core_attach (l->core, now, cv_caller_ref (caller), c->u.attach.account,
+                      &c->u.attach.first);
       break;
     case COMMAND_CALL:
       cv_core_call (l->core, now, cv_caller_ref (caller), &c->u.call);
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -88,8 +88,8 @@
 
 /* link_peers.c */
 
-void cv_link_apply_instances (cv_link_t *l, cv_time_t now,
-                              cv_instance_t *list, size_t count);
+void cv_link_apply_instances (cv_link_t *l, cv_time_t now, cv_instance_t *list,
+                              size_t count);
 void cv_link_send (void *arg, uint32_t target, const cv_msg_t *msg);
 void cv_link_reset (void *arg, uint32_t target);
 /* Read what one side sent; a bounded number of frames.  */
--- a/entry/link_peers.c
+++ b/entry/link_peers.c
@@ -127,8 +127,8 @@
   (void)zmq_setsockopt (p->socket, ZMQ_SNDHWM, &queue, sizeof queue);
   /* Queue only for a connected peer: no old frame waits for a new one.  */
   (void)zmq_setsockopt (p->socket, ZMQ_IMMEDIATE, &one, sizeof one);
-  (void)snprintf (endpoint, sizeof endpoint, "tcp://%s:%u",
-                  p->instance.address, p->instance.port);
+  (void)snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", p->instance.address,
+                  p->instance.port);
   return zmq_connect (p->socket, endpoint) == 0;
 }
 
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -117,13 +117,12 @@
   cv_buf_printf (out, "# TYPE catkinvale_entry_requests_total counter\n");
   for (size_t b = 0; b < METRICS_BUCKETS; b++)
     LIST_FOREACH (s, &m->series[b], link)
-    for (int i = 0; i < OUTCOMES; i++)
-      cv_buf_printf (out,
-                     "catkinvale_entry_requests_total{account=\"%s\","
-                     "class=\"%s\",outcome=\"%s\"} %llu\n",
-                     s->account, s->class_name,
-                     cv_outcome_name ((cv_outcome_t)i),
-                     (unsigned long long)s->outcomes[i]);
+  for (int i = 0; i < OUTCOMES; i++)
+    cv_buf_printf (out,
+                   "catkinvale_entry_requests_total{account=\"%s\","
+                   "class=\"%s\",outcome=\"%s\"} %llu\n",
+                   s->account, s->class_name, cv_outcome_name ((cv_outcome_t)i),
+                   (unsigned long long)s->outcomes[i]);
   for (int i = 0; i < CV_MEASURE_LAST; i++)
     {
       cv_buf_printf (out, "# TYPE catkinvale_entry_%s summary\n",
--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -17,7 +17,6 @@
 #define SETTLE_TIME (5 * CV_SECOND)
 /* Reads of the configuration by all entries together, per second.  */
 #define POLLS_PER_S 100
-#define POLL_INTERVAL_MIN (1 * CV_SECOND)
 #define POLL_INTERVAL_MAX (10 * CV_SECOND)
 
 typedef enum
@@ -55,7 +54,7 @@
   cv_link_t *link;
   cv_store_t store;
   cv_store_counts_t counts;
-  uint64_t seen;
+  cv_time_t poll_interval; /* of an entry alone */
 };
 
 static void *run (void *arg);
@@ -79,8 +78,10 @@
   pthread_condattr_t attr;
 
   s->link = link;
+  s->poll_interval = settings->store_poll_ms * CV_MS;
   STAILQ_INIT (&s->jobs);
-  cv_store_init (&s->store, settings->store_url, settings->store_timeout_ms);
+  cv_store_init (&s->store, settings->store.url,
+                 (int)settings->store.timeout_ms);
   CV_INVARIANT (pthread_mutex_init (&s->lock, NULL) == 0);
   CV_INVARIANT (pthread_condattr_init (&attr) == 0);
   CV_INVARIANT (pthread_condattr_setclock (&attr, CLOCK_MONOTONIC) == 0);
@@ -257,8 +258,8 @@
   cv_time_t interval
       = (cv_time_t)cv_link_entries (s->link) * CV_SECOND / POLLS_PER_S;
 
-  if (interval < POLL_INTERVAL_MIN)
-    return POLL_INTERVAL_MIN;
+  if (interval < s->poll_interval)
+    return s->poll_interval;
   if (interval > POLL_INTERVAL_MAX)
     return POLL_INTERVAL_MAX;
   return interval;
@@ -294,8 +295,8 @@
   (void)json_object_object_add (doc, "nonce", json_object_new_string (nonce));
   json = json_object_to_json_string_ext (doc, JSON_C_TO_STRING_PLAIN);
   ok = cv_store_put_settled (&s->store, CV_CONFIG_KEY, job->version, json,
-                             nonce, cv_now () + SETTLE_TIME,
-                             &job->new_version, &job->err);
+                             nonce, cv_now () + SETTLE_TIME, &job->new_version,
+                             &job->err);
   if (ok)
     (void)adopt (s, job->new_version, json, &job->err);
   json_object_put (doc);
@@ -314,9 +315,9 @@
   (void)cv_id_format (job->ticket->nonce, nonce);
   cv_buf_printf (&json, "{\"ticket\":\"%s\",\"nonce\":\"%s\"}",
                  cv_ticket_format (job->ticket, text), nonce);
-  ok = cv_store_put_settled (&s->store, job->key, 0, cv_buf_text (&json),
-                             nonce, cv_now () + SETTLE_TIME,
-                             &job->new_version, &job->err);
+  ok = cv_store_put_settled (&s->store, job->key, 0, cv_buf_text (&json), nonce,
+                             cv_now () + SETTLE_TIME, &job->new_version,
+                             &job->err);
   cv_buf_finish (&json);
   if (ok || job->err.code != CV_ERR_CONFLICT)
     return ok;
--- a/entry/storejobs.h
+++ b/entry/storejobs.h
@@ -12,15 +12,14 @@
 
 typedef struct cv_storejobs_t cv_storejobs_t;
 
-cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s,
-                                  cv_link_t *link, cv_error_t *err);
+cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s, cv_link_t *link,
+                                  cv_error_t *err);
 void cv_storejobs_free (cv_storejobs_t *s);
 
 /* Write JSON as the configuration that follows VERSION, and take it in force.
-   *NEW_VERSION is set on success.  ERR: CONFLICT, UNAVAILABLE or UNKNOWN.  */
-bool cv_storejobs_change (cv_storejobs_t *s, uint64_t version,
-                          const char *json, uint64_t *new_version,
-                          cv_error_t *err);
+ *NEW_VERSION is set on success.  ERR: CONFLICT, UNAVAILABLE or UNKNOWN.  */
+bool cv_storejobs_change (cv_storejobs_t *s, uint64_t version, const char *json,
+                          uint64_t *new_version, cv_error_t *err);
 
 /* Bind KEY (an object's name) to the ticket *TICKET, or read the ticket that
    it was bound to before into *TICKET.  ERR: UNAVAILABLE or UNKNOWN.  */
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -58,14 +58,12 @@
   return it->second;
 }
 
-const std::map<std::string, cv_reject_t> kReasons
-    = { { "leaving", CV_REJECT_LEAVING },
-        { "old-config", CV_REJECT_OLD_CONFIG },
-        { "old-epoch", CV_REJECT_OLD_EPOCH },
-        { "full", CV_REJECT_FULL },
-        { "condemned", CV_REJECT_CONDEMNED },
-        { "not-found", CV_REJECT_NOT_FOUND },
-        { "engine", CV_REJECT_ENGINE } };
+const std::map<std::string, cv_reject_t> kReasons = {
+  { "leaving", CV_REJECT_LEAVING },     { "old-config", CV_REJECT_OLD_CONFIG },
+  { "old-epoch", CV_REJECT_OLD_EPOCH }, { "full", CV_REJECT_FULL },
+  { "condemned", CV_REJECT_CONDEMNED }, { "not-found", CV_REJECT_NOT_FOUND },
+  { "engine", CV_REJECT_ENGINE }
+};
 
 const std::map<std::string, cv_end_t> kEnds
     = { { "stop", CV_END_STOP },
@@ -187,8 +185,7 @@
 CoreScript::adopt (const Words &w)
 {
   cv_error_t err;
-  cv_config_t *c
-      = cv_config_parse (number (w[1]), cv_slice (kDocument), &err);
+  cv_config_t *c = cv_config_parse (number (w[1]), cv_slice (kDocument), &err);
   if (c == nullptr)
     {
       fprintf (stderr, "%s\n", err.text);
@@ -337,8 +334,8 @@
       std::istringstream in (alive);
       std::string t;
       while (std::getline (in, t, ','))
-        report ({ "report", t,
-                  "inc=" + std::to_string (incarnations_.at (t)) });
+        report (
+            { "report", t, "inc=" + std::to_string (incarnations_.at (t)) });
       cv_core_tick (core_, now_);
     }
 }
@@ -449,7 +446,7 @@
       {
         const cv_failure_info_t *i = cv_failure_info (reply->u.failed.code);
         out_ << "failed " << i->code << " outcome "
-             << cv_outcome_name (i->outcome)
+             << cv_outcome_name (reply->u.failed.outcome)
              << (reply->u.failed.retry_after_ms > 0 ? " come back" : "");
         break;
       }
--- a/entry/tests/core_test.cc
+++ b/entry/tests/core_test.cc
@@ -40,12 +40,13 @@
 TEST_P (CoreTest, GivesTheExpectedTranscript)
 {
   CoreScript script;
-  std::string got = script.run (read_file (kScripts / (GetParam () + ".script")));
+  std::string got
+      = script.run (read_file (kScripts / (GetParam () + ".script")));
   EXPECT_EQ (read_file (kScripts / (GetParam () + ".expected")), got);
 }
 
 INSTANTIATE_TEST_SUITE_P (Scripts, CoreTest,
                           testing::ValuesIn (script_names ()),
-                          [] (const auto &info) { return info.param; });
+                          [] (const auto &name) { return name.param; });
 
 }
