--- a/entry/core.c
+++ b/entry/core.c
@@ -5,25 +5,25 @@
 
 #include "entry/core_internal.h"
 
-static void apply_limits (cv_core_t *c);
-static void send_parked (cv_core_t *c, cv_time_t now);
+static void apply_limits (cv_entry_core_t *c);
+static void send_parked (cv_entry_core_t *c, cv_time_t now);
 static cv_failure_code_t parked_failure (const cv_request_t *r);
 static cv_outcome_t failed_outcome (const cv_request_t *r,
                                     cv_failure_code_t code);
-static void rejected (cv_core_t *c, cv_time_t now, uint32_t target,
+static void rejected (cv_entry_core_t *c, cv_time_t now, uint32_t target,
                       const cv_msg_rejected_t *m);
-static void accepted (cv_core_t *c, uint32_t target,
+static void accepted (cv_entry_core_t *c, uint32_t target,
                       const cv_msg_accepted_t *m);
-static cv_retry_budget_t *budget_of (cv_core_t *c, const cv_request_t *r);
-static cv_request_t *request_by_caller (cv_core_t *c, const void *caller);
-static struct cv_request_bucket_t *id_bucket (cv_core_t *c, cv_id_t id);
-static struct cv_request_bucket_t *caller_bucket (cv_core_t *c,
+static cv_retry_budget_t *budget_of (cv_entry_core_t *c, const cv_request_t *r);
+static cv_request_t *request_by_caller (cv_entry_core_t *c, const void *caller);
+static struct cv_request_bucket_t *id_bucket (cv_entry_core_t *c, cv_id_t id);
+static struct cv_request_bucket_t *caller_bucket (cv_entry_core_t *c,
                                                   const void *caller);
 
-cv_core_t *
-cv_core_new (const cv_core_options_t *options)
+cv_entry_core_t *
+cv_entry_new (const cv_entry_options_t *options)
 {
-  cv_core_t *c = cv_calloc (1, sizeof *c);
+  cv_entry_core_t *c = cv_calloc (1, sizeof *c);
 
   c->options = *options;
   TAILQ_INIT (&c->requests);
@@ -31,13 +31,13 @@
   c->router = cv_router_new (options->seed);
   c->limits = cv_limits_new (options->seed);
   c->length = cv_length_new (1024);
-  c->metrics = cv_metrics_new ();
+  c->metrics = cv_entry_metrics_new ();
   c->confirmed_age_ms = UINT32_MAX;
   return c;
 }
 
 void
-cv_core_free (cv_core_t *c)
+cv_entry_free (cv_entry_core_t *c)
 {
   cv_request_t *r;
   cv_budget_entry_t *b;
@@ -60,13 +60,13 @@
   cv_router_free (c->router);
   cv_limits_free (c->limits);
   cv_length_free (c->length);
-  cv_metrics_free (c->metrics);
+  cv_entry_metrics_free (c->metrics);
   free (c->targets);
   free (c);
 }
 
 bool
-cv_core_adopt (cv_core_t *c, cv_time_t now, cv_config_t *config)
+cv_entry_adopt (cv_entry_core_t *c, cv_time_t now, cv_config_t *config)
 {
   if (c->config != NULL && config->version <= c->config->version)
     return false;
@@ -75,14 +75,14 @@
   c->config = cv_config_ref (config);
   c->confirmed_age_ms = UINT32_MAX;
   apply_limits (c);
-  cv_metrics_count (c->metrics, CV_COUNT_CONFIGS_ADOPTED);
-  cv_targets_hello (c, now);
+  cv_entry_metrics_count (c->metrics, CV_COUNT_CONFIGS_ADOPTED);
+  cv_entry_targets_hello (c, now);
   send_parked (c, now);
   return true;
 }
 
 void
-cv_core_confirmed (cv_core_t *c, cv_time_t now, uint64_t version)
+cv_entry_confirmed (cv_entry_core_t *c, cv_time_t now, uint64_t version)
 {
   if (c->config == NULL || c->config->version != version)
     return;
@@ -91,31 +91,31 @@
 }
 
 cv_config_t *
-cv_core_config (const cv_core_t *c)
+cv_entry_config (const cv_entry_core_t *c)
 {
   return c->config;
 }
 
-cv_metrics_t *
-cv_core_metrics (cv_core_t *c)
+cv_entry_metrics_t *
+cv_entry_metrics (cv_entry_core_t *c)
 {
   return c->metrics;
 }
 
 void
-cv_core_stop (cv_core_t *c)
+cv_entry_stop (cv_entry_core_t *c)
 {
   c->stopping = true;
 }
 
 uint32_t
-cv_core_in_flight (const cv_core_t *c)
+cv_entry_in_flight (const cv_entry_core_t *c)
 {
   return c->in_flight;
 }
 
 void
-cv_core_gone (cv_core_t *c, cv_time_t now, void *caller)
+cv_entry_gone (cv_entry_core_t *c, cv_time_t now, void *caller)
 {
   cv_request_t *r = request_by_caller (c, caller);
 
@@ -124,17 +124,17 @@
   switch (r->kind)
     {
     case REQUEST_STREAM:
-      cv_streams_gone (c, now, r);
+      cv_entry_streams_gone (c, now, r);
       break;
     case REQUEST_CALL:
-      cv_calls_gone (c, now, r);
+      cv_entry_calls_gone (c, now, r);
       break;
     }
 }
 
 void
-cv_core_message (cv_core_t *c, cv_time_t now, uint32_t target,
-                 const cv_msg_t *msg)
+cv_entry_message (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                  const cv_msg_t *msg)
 {
   CV_INVARIANT (target < c->target_count);
   if (!c->targets[target].used)
@@ -142,13 +142,13 @@
   switch (msg->type)
     {
     case CV_MSG_REPORT:
-      cv_targets_report (c, now, target, &msg->u.report);
+      cv_entry_targets_report (c, now, target, &msg->u.report);
       break;
     case CV_MSG_DOC_PULL:
-      cv_targets_doc_pull (c, now, target, msg->u.doc_pull.doc);
+      cv_entry_targets_doc_pull (c, now, target, msg->u.doc_pull.doc);
       break;
     case CV_MSG_DOC:
-      cv_targets_doc (c, now, target, &msg->u.doc);
+      cv_entry_targets_doc (c, now, target, &msg->u.doc);
       break;
     case CV_MSG_ACCEPTED:
       accepted (c, target, &msg->u.accepted);
@@ -157,27 +157,27 @@
       rejected (c, now, target, &msg->u.rejected);
       break;
     case CV_MSG_TOKENS:
-      cv_streams_tokens (c, now, target, &msg->u.tokens);
+      cv_entry_streams_tokens (c, now, target, &msg->u.tokens);
       break;
     case CV_MSG_END:
-      cv_streams_end (c, now, target, &msg->u.end);
+      cv_entry_streams_end (c, now, target, &msg->u.end);
       break;
     case CV_MSG_CALL_RESULT:
-      cv_calls_result (c, now, target, &msg->u.call_result);
+      cv_entry_calls_result (c, now, target, &msg->u.call_result);
       break;
     default:
-      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       break;
     }
 }
 
 void
-cv_core_tick (cv_core_t *c, cv_time_t now)
+cv_entry_tick (cv_entry_core_t *c, cv_time_t now)
 {
   cv_request_t *r;
   cv_request_t *next;
 
-  cv_targets_tick (c, now);
+  cv_entry_targets_tick (c, now);
   for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
     {
       next = TAILQ_NEXT (r, all);
@@ -185,25 +185,25 @@
         {
           if (now >= r->parked_until)
             cv_request_fail (c, now, r, parked_failure (r),
-                             cv_core_retry_after (c));
+                             cv_entry_retry_after (c));
         }
       else if (r->kind == REQUEST_STREAM)
-        cv_streams_tick (c, now, r);
+        cv_entry_streams_tick (c, now, r);
       else
-        cv_calls_tick (c, now, r);
+        cv_entry_calls_tick (c, now, r);
     }
 }
 
 /* ---- for the other files of the core ---- */
 
 uint64_t
-cv_core_name_hash (const char *name)
+cv_entry_name_hash (const char *name)
 {
   return cv_hash (name, strlen (name), 0);
 }
 
 cv_request_t *
-cv_request_new (cv_core_t *c, cv_time_t now, void *caller,
+cv_request_new (cv_entry_core_t *c, cv_time_t now, void *caller,
                 cv_request_kind_t kind, const char *account)
 {
   cv_request_t *r = cv_calloc (1, sizeof *r);
@@ -214,7 +214,7 @@
   r->submitted = now;
   r->target = CV_NO_TARGET;
   r->route.avoid = CV_NO_TARGET;
-  r->account_hash = cv_core_name_hash (account);
+  r->account_hash = cv_entry_name_hash (account);
   (void)cv_copy (r->account, sizeof r->account, account);
   r->id = c->options.out.new_id (c->options.out.arg);
   TAILQ_INSERT_TAIL (&c->requests, r, all);
@@ -225,7 +225,7 @@
 }
 
 void
-cv_request_set_id (cv_core_t *c, cv_request_t *r, cv_id_t id)
+cv_request_set_id (cv_entry_core_t *c, cv_request_t *r, cv_id_t id)
 {
   LIST_REMOVE (r, by_id);
   r->id = id;
@@ -233,7 +233,7 @@
 }
 
 cv_request_t *
-cv_request_by_id (cv_core_t *c, cv_id_t id)
+cv_request_by_id (cv_entry_core_t *c, cv_id_t id)
 {
   cv_request_t *r;
 
@@ -244,7 +244,8 @@
 }
 
 void
-cv_request_place (cv_core_t *c, cv_time_t now, cv_request_t *r, uint32_t target)
+cv_request_place (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                  uint32_t target)
 {
   if (r->target != CV_NO_TARGET)
     {
@@ -261,15 +262,16 @@
 }
 
 void
-cv_request_end (cv_core_t *c, cv_time_t now, cv_request_t *r,
+cv_request_end (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                 const cv_reply_t *reply, cv_outcome_t outcome)
 {
   cv_request_place (c, now, r, CV_NO_TARGET);
   if (r->admitted)
     cv_limits_ended (c->limits, now, r->account_hash);
-  cv_metrics_outcome (c->metrics, r->account, r->class_name, outcome);
-  cv_metrics_observe (c->metrics, r->account, r->class_name,
-                      CV_MEASURE_DURATION, (double)(now - r->submitted) / 1e6);
+  cv_entry_metrics_outcome (c->metrics, r->account, r->class_name, outcome);
+  cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
+                            CV_MEASURE_DURATION,
+                            (double)(now - r->submitted) / 1e6);
   TAILQ_REMOVE (&c->requests, r, all);
   LIST_REMOVE (r, by_id);
   LIST_REMOVE (r, by_caller);
@@ -278,17 +280,17 @@
   switch (r->kind)
     {
     case REQUEST_STREAM:
-      cv_streams_finish (r);
+      cv_entry_streams_finish (r);
       break;
     case REQUEST_CALL:
-      cv_calls_finish (r);
+      cv_entry_calls_finish (r);
       break;
     }
   free (r);
 }
 
 void
-cv_request_fail (cv_core_t *c, cv_time_t now, cv_request_t *r,
+cv_request_fail (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                  cv_failure_code_t code, uint32_t retry_after_ms)
 {
   cv_reply_t reply = { .type = CV_REPLY_FAILED };
@@ -306,8 +308,8 @@
 }
 
 void
-cv_core_refuse (cv_core_t *c, void *caller, cv_failure_code_t code,
-                uint32_t retry_after_ms)
+cv_entry_refuse (cv_entry_core_t *c, void *caller, cv_failure_code_t code,
+                 uint32_t retry_after_ms)
 {
   cv_reply_t reply = { .type = CV_REPLY_FAILED };
 
@@ -318,7 +320,7 @@
 }
 
 void
-cv_request_park (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_request_park (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_request_place (c, now, r, CV_NO_TARGET);
   /* The side may remember the rejected attempt by its name.  */
@@ -329,31 +331,31 @@
 }
 
 void
-cv_request_first_try (cv_core_t *c, cv_request_t *r)
+cv_request_first_try (cv_entry_core_t *c, cv_request_t *r)
 {
   cv_retry_budget_first (budget_of (c, r));
 }
 
 bool
-cv_request_may_retry (cv_core_t *c, cv_request_t *r)
+cv_request_may_retry (cv_entry_core_t *c, cv_request_t *r)
 {
   if (!cv_retry_budget_take (budget_of (c, r)))
     {
-      cv_metrics_count (c->metrics, CV_COUNT_RETRIES_DENIED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_RETRIES_DENIED);
       return false;
     }
-  cv_metrics_count (c->metrics, CV_COUNT_RETRIES);
+  cv_entry_metrics_count (c->metrics, CV_COUNT_RETRIES);
   return true;
 }
 
 uint32_t
-cv_core_retry_after (cv_core_t *c)
+cv_entry_retry_after (cv_entry_core_t *c)
 {
   return cv_retry_after_ms (&c->rng, RETRY_AFTER_MS);
 }
 
 void
-cv_core_send (cv_core_t *c, uint32_t target, const cv_msg_t *msg)
+cv_entry_send (cv_entry_core_t *c, uint32_t target, const cv_msg_t *msg)
 {
   c->options.out.send (c->options.out.arg, target, msg);
 }
@@ -361,12 +363,12 @@
 /* ---- local ---- */
 
 static void
-apply_limits (cv_core_t *c)
+apply_limits (cv_entry_core_t *c)
 {
   const cv_config_t *config = c->config;
 
   for (size_t i = 0; i < config->account_count; i++)
-    cv_limits_set (c->limits, cv_core_name_hash (config->accounts[i].name),
+    cv_limits_set (c->limits, cv_entry_name_hash (config->accounts[i].name),
                    &config->accounts[i].limits);
   cv_limits_set_share (c->limits,
                        config->limit_share > 0 ? config->limit_share : 1);
@@ -374,7 +376,7 @@
 
 /* A newer configuration came: requests that waited for it go on.  */
 static void
-send_parked (cv_core_t *c, cv_time_t now)
+send_parked (cv_entry_core_t *c, cv_time_t now)
 {
   cv_request_t *r;
   cv_request_t *next;
@@ -385,9 +387,9 @@
       if (r->phase != PHASE_PARKED)
         continue;
       if (r->kind == REQUEST_STREAM)
-        cv_streams_send (c, now, r, CV_FAIL_NO_TARGET);
+        cv_entry_streams_send (c, now, r, CV_FAIL_NO_TARGET);
       else
-        cv_calls_send (c, now, r, CV_FAIL_NO_TARGET);
+        cv_entry_calls_send (c, now, r, CV_FAIL_NO_TARGET);
     }
 }
 
@@ -414,13 +416,13 @@
 }
 
 static void
-accepted (cv_core_t *c, uint32_t target, const cv_msg_accepted_t *m)
+accepted (cv_entry_core_t *c, uint32_t target, const cv_msg_accepted_t *m)
 {
   cv_request_t *r = cv_request_by_id (c, m->stream);
 
   if (r == NULL || r->target != target)
     {
-      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       return;
     }
   if (r->phase == PHASE_SENT)
@@ -428,26 +430,26 @@
 }
 
 static void
-rejected (cv_core_t *c, cv_time_t now, uint32_t target,
+rejected (cv_entry_core_t *c, cv_time_t now, uint32_t target,
           const cv_msg_rejected_t *m)
 {
   cv_request_t *r = cv_request_by_id (c, m->id);
 
   if (r == NULL || r->target != target)
     {
-      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       return;
     }
   if (m->reason == CV_REJECT_OLD_CONFIG)
-    cv_targets_pull (c, now, target);
+    cv_entry_targets_pull (c, now, target);
   if (r->kind == REQUEST_STREAM)
-    cv_streams_rejected (c, now, r, m);
+    cv_entry_streams_rejected (c, now, r, m);
   else
-    cv_calls_rejected (c, now, r, m);
+    cv_entry_calls_rejected (c, now, r, m);
 }
 
 static cv_retry_budget_t *
-budget_of (cv_core_t *c, const cv_request_t *r)
+budget_of (cv_entry_core_t *c, const cv_request_t *r)
 {
   size_t bucket = (size_t)((r->account_hash ^ r->pool) % BUDGET_BUCKETS);
   cv_budget_entry_t *b;
@@ -464,7 +466,7 @@
 }
 
 static cv_request_t *
-request_by_caller (cv_core_t *c, const void *caller)
+request_by_caller (cv_entry_core_t *c, const void *caller)
 {
   cv_request_t *r;
 
@@ -475,13 +477,13 @@
 }
 
 static struct cv_request_bucket_t *
-id_bucket (cv_core_t *c, cv_id_t id)
+id_bucket (cv_entry_core_t *c, cv_id_t id)
 {
   return &c->by_id[cv_hash (&id, sizeof id, 0) % CORE_BUCKETS];
 }
 
 static struct cv_request_bucket_t *
-caller_bucket (cv_core_t *c, const void *caller)
+caller_bucket (cv_entry_core_t *c, const void *caller)
 {
   return &c->by_caller[cv_hash (&caller, sizeof caller, 0) % CORE_BUCKETS];
 }
--- a/entry/core.h
+++ b/entry/core.h
@@ -102,15 +102,15 @@
     void (*reset) (void *arg, uint32_t target);
     cv_id_t (*new_id) (void *arg);
     void *arg;
-  } cv_core_output_t;
+  } cv_entry_output_t;
 
   typedef struct
   {
     char instance[CV_NAME_MAX];
     uint64_t incarnation;
     uint64_t seed;
-    cv_core_output_t out;
-  } cv_core_options_t;
+    cv_entry_output_t out;
+  } cv_entry_options_t;
 
   /* A generation to be started.  Strings are copied.  */
   typedef struct
@@ -144,33 +144,34 @@
     cv_slice_t body;
   } cv_call_spec_t;
 
-  typedef struct cv_core_t cv_core_t;
+  typedef struct cv_entry_core_t cv_entry_core_t;
 
-  cv_core_t *cv_core_new (const cv_core_options_t *options);
-  void cv_core_free (cv_core_t *c);
+  cv_entry_core_t *cv_entry_new (const cv_entry_options_t *options);
+  void cv_entry_free (cv_entry_core_t *c);
 
   /* ---- configuration ---- */
 
   /* Take CONFIG in force when it is newer than the present one; a reference is
      taken.  Returns whether it was.  */
-  bool cv_core_adopt (cv_core_t *c, cv_time_t now, cv_config_t *config);
+  bool cv_entry_adopt (cv_entry_core_t *c, cv_time_t now, cv_config_t *config);
   /* The store confirmed at NOW that VERSION is the current one.  */
-  void cv_core_confirmed (cv_core_t *c, cv_time_t now, uint64_t version);
+  void cv_entry_confirmed (cv_entry_core_t *c, cv_time_t now, uint64_t version);
   /* The configuration in force, borrowed; NULL before the first.  */
-  cv_config_t *cv_core_config (const cv_core_t *c);
+  cv_config_t *cv_entry_config (const cv_entry_core_t *c);
 
   /* ---- targets ---- */
 
   /* A target is on the instance list; returns its slot.  */
-  uint32_t cv_core_target_add (cv_core_t *c, cv_time_t now, const char *name,
-                               const char *pool);
+  uint32_t cv_entry_target_add (cv_entry_core_t *c, cv_time_t now,
+                                const char *name, const char *pool);
   /* The list calls it leaving, or live again.  */
-  void cv_core_target_listed (cv_core_t *c, cv_time_t now, uint32_t target,
-                              bool leaving);
+  void cv_entry_target_listed (cv_entry_core_t *c, cv_time_t now,
+                               uint32_t target, bool leaving);
   /* It is off the list; its slot may be used again.  */
-  void cv_core_target_remove (cv_core_t *c, cv_time_t now, uint32_t target);
+  void cv_entry_target_remove (cv_entry_core_t *c, cv_time_t now,
+                               uint32_t target);
   /* Was its side silent for CV_PEER_TIMEOUT?  */
-  bool cv_core_target_lost (const cv_core_t *c, uint32_t target);
+  bool cv_entry_target_lost (const cv_entry_core_t *c, uint32_t target);
 
   /* One row of the targets table, for operators.  */
   typedef struct
@@ -186,37 +187,37 @@
     uint32_t silent_ms;
   } cv_target_row_t;
 
-  void cv_core_each_target (const cv_core_t *c, cv_time_t now,
-                            void (*fn) (const cv_target_row_t *row, void *arg),
-                            void *arg);
+  void cv_entry_each_target (const cv_entry_core_t *c, cv_time_t now,
+                             void (*fn) (const cv_target_row_t *row, void *arg),
+                             void *arg);
 
   /* ---- callers ---- */
 
   /* CALLER names the request until its last reply.  */
-  void cv_core_submit (cv_core_t *c, cv_time_t now, void *caller,
-                       const cv_stream_spec_t *spec);
+  void cv_entry_submit (cv_entry_core_t *c, cv_time_t now, void *caller,
+                        const cv_stream_spec_t *spec);
   /* Go on with the generation that FIRST names, from its offset.  */
-  void cv_core_attach (cv_core_t *c, cv_time_t now, void *caller,
-                       const char *account, const cv_position_t *first);
-  void cv_core_call (cv_core_t *c, cv_time_t now, void *caller,
-                     const cv_call_spec_t *spec);
-  void cv_core_ticket (cv_core_t *c, cv_time_t now, void *caller,
-                       const char *pool);
+  void cv_entry_attach (cv_entry_core_t *c, cv_time_t now, void *caller,
+                        const char *account, const cv_position_t *first);
+  void cv_entry_call (cv_entry_core_t *c, cv_time_t now, void *caller,
+                      const cv_call_spec_t *spec);
+  void cv_entry_ticket (cv_entry_core_t *c, cv_time_t now, void *caller,
+                        const char *pool);
   /* The caller went away.  */
-  void cv_core_gone (cv_core_t *c, cv_time_t now, void *caller);
+  void cv_entry_gone (cv_entry_core_t *c, cv_time_t now, void *caller);
   /* Refuse new requests from now on.  */
-  void cv_core_stop (cv_core_t *c);
-  uint32_t cv_core_in_flight (const cv_core_t *c);
+  void cv_entry_stop (cv_entry_core_t *c);
+  uint32_t cv_entry_in_flight (const cv_entry_core_t *c);
 
   /* ---- peers and time ---- */
 
-  void cv_core_message (cv_core_t *c, cv_time_t now, uint32_t target,
-                        const cv_msg_t *msg);
-  /* At least every CV_CORE_TICK.  */
-  void cv_core_tick (cv_core_t *c, cv_time_t now);
-#define CV_CORE_TICK (50 * CV_MS)
+  void cv_entry_message (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                         const cv_msg_t *msg);
+  /* At least every CV_ENTRY_TICK.  */
+  void cv_entry_tick (cv_entry_core_t *c, cv_time_t now);
+#define CV_ENTRY_TICK (50 * CV_MS)
 
-  cv_metrics_t *cv_core_metrics (cv_core_t *c);
+  cv_entry_metrics_t *cv_entry_metrics (cv_entry_core_t *c);
 
 #ifdef __cplusplus
 }
--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -7,31 +7,32 @@
 
 #include "entry/core_internal.h"
 
-static void start (cv_core_t *c, cv_time_t now, cv_request_t *r,
+static void start (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                    const cv_call_spec_t *spec);
-static cv_failure_code_t refusal (const cv_core_t *c, cv_call_mode_t mode);
-static uint32_t choose (cv_core_t *c, cv_time_t now, cv_request_t *r);
-static void call_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
+static cv_failure_code_t refusal (const cv_entry_core_t *c,
+                                  cv_call_mode_t mode);
+static uint32_t choose (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+static void call_again (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                         cv_failure_code_t otherwise);
-static void revoke (cv_core_t *c, cv_time_t now, cv_request_t *r);
+static void revoke (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 
 void
-cv_core_call (cv_core_t *c, cv_time_t now, void *caller,
-              const cv_call_spec_t *spec)
+cv_entry_call (cv_entry_core_t *c, cv_time_t now, void *caller,
+               const cv_call_spec_t *spec)
 {
   const cv_pool_t *pool;
   cv_request_t *r;
 
   if (c->stopping || c->config == NULL)
     {
-      cv_core_refuse (c, caller, refusal (c, spec->mode),
-                      cv_core_retry_after (c));
+      cv_entry_refuse (c, caller, refusal (c, spec->mode),
+                       cv_entry_retry_after (c));
       return;
     }
   pool = cv_config_pool (c->config, spec->pool);
   if (pool == NULL || pool->kind != CV_POOL_SERVICE)
     {
-      cv_core_refuse (c, caller, CV_FAIL_NO_POOL, 0);
+      cv_entry_refuse (c, caller, CV_FAIL_NO_POOL, 0);
       return;
     }
   r = cv_request_new (c, now, caller, REQUEST_CALL, spec->account);
@@ -48,11 +49,12 @@
       r->admitted = true;
     }
   cv_request_first_try (c, r);
-  cv_calls_send (c, now, r, CV_FAIL_NO_TARGET);
+  cv_entry_calls_send (c, now, r, CV_FAIL_NO_TARGET);
 }
 
 void
-cv_core_ticket (cv_core_t *c, cv_time_t now, void *caller, const char *pool)
+cv_entry_ticket (cv_entry_core_t *c, cv_time_t now, void *caller,
+                 const char *pool)
 {
   cv_route_request_t route = { 0 };
   cv_reply_t reply = { .type = CV_REPLY_TICKET };
@@ -61,22 +63,22 @@
 
   if (c->stopping || c->config == NULL)
     {
-      cv_core_refuse (c, caller, refusal (c, CV_CALL_ONCE),
-                      cv_core_retry_after (c));
+      cv_entry_refuse (c, caller, refusal (c, CV_CALL_ONCE),
+                       cv_entry_retry_after (c));
       return;
     }
   p = cv_config_pool (c->config, pool);
   if (p == NULL || p->kind != CV_POOL_SERVICE)
     {
-      cv_core_refuse (c, caller, CV_FAIL_NO_POOL, 0);
+      cv_entry_refuse (c, caller, CV_FAIL_NO_POOL, 0);
       return;
     }
-  route.pool = cv_core_name_hash (pool);
+  route.pool = cv_entry_name_hash (pool);
   route.avoid = CV_NO_TARGET;
   target = cv_router_pick (c->router, now, &route);
   if (target == CV_NO_TARGET)
     {
-      cv_core_refuse (c, caller, CV_FAIL_NO_TARGET, cv_core_retry_after (c));
+      cv_entry_refuse (c, caller, CV_FAIL_NO_TARGET, cv_entry_retry_after (c));
       return;
     }
   (void)cv_copy (reply.u.ticket.target, sizeof reply.u.ticket.target,
@@ -88,8 +90,8 @@
 }
 
 void
-cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
-               cv_failure_code_t otherwise)
+cv_entry_calls_send (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                     cv_failure_code_t otherwise)
 {
   cv_request_call_t *s = &r->u.call;
   uint32_t target = choose (c, now, r);
@@ -101,7 +103,7 @@
       bool given = s->mode == CV_CALL_TICKET;
 
       cv_request_fail (c, now, r, given ? CV_FAIL_TICKET_EXPIRED : otherwise,
-                       given ? 0 : cv_core_retry_after (c));
+                       given ? 0 : cv_entry_retry_after (c));
       return;
     }
   cv_request_place (c, now, r, target);
@@ -118,19 +120,19 @@
   m->deadline_ms
       = r->deadline > now ? (uint32_t)((r->deadline - now) / CV_MS) : 0;
   m->content_hash = s->content_hash;
-  cv_core_send (c, target, &msg);
+  cv_entry_send (c, target, &msg);
 }
 
 void
-cv_calls_result (cv_core_t *c, cv_time_t now, uint32_t target,
-                 const cv_msg_call_result_t *m)
+cv_entry_calls_result (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                       const cv_msg_call_result_t *m)
 {
   cv_request_t *r = cv_request_by_id (c, m->request);
   cv_reply_t reply = { .type = CV_REPLY_CALL };
 
   if (r == NULL || r->kind != REQUEST_CALL || r->target != target)
     {
-      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       return;
     }
   switch (m->outcome)
@@ -144,7 +146,7 @@
       cv_request_end (c, now, r, &reply, CV_OUTCOME_DONE);
       break;
     case CV_OUTCOME_NOT_RUN:
-      cv_request_fail (c, now, r, CV_FAIL_NOT_RUN, cv_core_retry_after (c));
+      cv_request_fail (c, now, r, CV_FAIL_NOT_RUN, cv_entry_retry_after (c));
       break;
     default:
       r->failed = true;
@@ -152,14 +154,14 @@
       if (r->u.call.mode == CV_CALL_IDEMPOTENT)
         call_again (c, now, r, CV_FAIL_UNKNOWN);
       else
-        cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+        cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_entry_retry_after (c));
       break;
     }
 }
 
 void
-cv_calls_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                   const cv_msg_rejected_t *m)
+cv_entry_calls_rejected (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                         const cv_msg_rejected_t *m)
 {
   if (r->phase == PHASE_REVOKING)
     return;
@@ -191,7 +193,7 @@
 }
 
 void
-cv_calls_gone (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_entry_calls_gone (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_reply_t reply = { .type = CV_REPLY_GONE };
 
@@ -200,34 +202,34 @@
 }
 
 void
-cv_calls_lost (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_entry_calls_lost (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_request_ran (r);
   if (r->u.call.mode == CV_CALL_IDEMPOTENT)
     call_again (c, now, r, CV_FAIL_UNKNOWN);
   else
-    cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+    cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_entry_retry_after (c));
 }
 
 void
-cv_calls_tick (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_entry_calls_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   if (r->phase == PHASE_REVOKING)
     {
       if (now >= r->u.call.revoke_until)
-        cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+        cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_entry_retry_after (c));
       return;
     }
   if (now < r->deadline + DEADLINE_GRACE)
     return;
   if (r->u.call.mode == CV_CALL_IDEMPOTENT)
-    cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_core_retry_after (c));
+    cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, cv_entry_retry_after (c));
   else
     revoke (c, now, r);
 }
 
 void
-cv_calls_finish (cv_request_t *r)
+cv_entry_calls_finish (cv_request_t *r)
 {
   free (r->u.call.path);
   free (r->u.call.content_type);
@@ -237,15 +239,16 @@
 /* ---- local ---- */
 
 static void
-start (cv_core_t *c, cv_time_t now, cv_request_t *r, const cv_call_spec_t *spec)
+start (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+       const cv_call_spec_t *spec)
 {
   cv_request_call_t *s = &r->u.call;
-  uint64_t seed = r->account_hash ^ cv_core_name_hash (spec->pool);
+  uint64_t seed = r->account_hash ^ cv_entry_name_hash (spec->pool);
   const cv_account_t *account = cv_config_account (c->config, spec->account);
 
   if (account != NULL)
     (void)cv_copy (r->class_name, sizeof r->class_name, "call");
-  r->pool = cv_core_name_hash (spec->pool);
+  r->pool = cv_entry_name_hash (spec->pool);
   r->route.pool = r->pool;
   r->deadline = now + (cv_time_t)spec->deadline_ms * CV_MS;
   s->mode = spec->mode;
@@ -263,7 +266,7 @@
 /* Why nothing is taken now.  A caller's own ticket may have run before, so
    that "refused" cannot be said of it.  */
 static cv_failure_code_t
-refusal (const cv_core_t *c, cv_call_mode_t mode)
+refusal (const cv_entry_core_t *c, cv_call_mode_t mode)
 {
   if (mode == CV_CALL_TICKET)
     return CV_FAIL_UNKNOWN;
@@ -272,14 +275,14 @@
 
 /* The target of the next attempt, with the ticket made out to it.  */
 static uint32_t
-choose (cv_core_t *c, cv_time_t now, cv_request_t *r)
+choose (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_ticket_t *t = &r->u.call.ticket;
   uint32_t target;
 
   if (r->u.call.mode == CV_CALL_TICKET)
     {
-      target = cv_targets_find (c, t->target, t->incarnation);
+      target = cv_entry_targets_find (c, t->target, t->incarnation);
       if (target != CV_NO_TARGET && c->targets[target].pool_hash != r->pool)
         return CV_NO_TARGET;
       return target;
@@ -298,25 +301,25 @@
 
 /* The attempt did not run, or may be repeated: try another target.  */
 static void
-call_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
+call_again (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
             cv_failure_code_t otherwise)
 {
   uint32_t old = r->target;
 
   if (now >= r->deadline || !cv_request_may_retry (c, r))
     {
-      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
+      cv_request_fail (c, now, r, otherwise, cv_entry_retry_after (c));
       return;
     }
   cv_request_place (c, now, r, CV_NO_TARGET);
   cv_request_set_id (c, r, c->options.out.new_id (c->options.out.arg));
   r->route.avoid = old;
-  cv_calls_send (c, now, r, otherwise);
+  cv_entry_calls_send (c, now, r, otherwise);
 }
 
 /* Have the ticket barred, so that "not run" can be said truly.  */
 static void
-revoke (cv_core_t *c, cv_time_t now, cv_request_t *r)
+revoke (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_msg_t msg = { .type = CV_MSG_REVOKE };
 
@@ -325,6 +328,6 @@
   msg.u.revoke.request = r->id;
   msg.u.revoke.ticket = r->u.call.ticket;
   (void)cv_copy (msg.u.revoke.account, sizeof msg.u.revoke.account, r->account);
-  cv_metrics_count (c->metrics, CV_COUNT_REVOKES);
-  cv_core_send (c, r->target, &msg);
+  cv_entry_metrics_count (c->metrics, CV_COUNT_REVOKES);
+  cv_entry_send (c, r->target, &msg);
 }
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -136,9 +136,9 @@
   cv_retry_budget_t budget;
 } cv_budget_entry_t;
 
-struct cv_core_t
+struct cv_entry_core_t
 {
-  cv_core_options_t options;
+  cv_entry_options_t options;
   cv_config_t *config;
   cv_time_t confirmed; /* when the store confirmed config, 0: never */
   uint32_t confirmed_age_ms;
@@ -155,89 +155,90 @@
   cv_router_t *router;
   cv_limits_t *limits;
   cv_length_t *length;
-  cv_metrics_t *metrics;
+  cv_entry_metrics_t *metrics;
 };
 
 /* ---- core.c: requests and replies ---- */
 
-uint64_t cv_core_name_hash (const char *name);
-cv_request_t *cv_request_new (cv_core_t *c, cv_time_t now, void *caller,
+uint64_t cv_entry_name_hash (const char *name);
+cv_request_t *cv_request_new (cv_entry_core_t *c, cv_time_t now, void *caller,
                               cv_request_kind_t kind, const char *account);
-void cv_request_set_id (cv_core_t *c, cv_request_t *r, cv_id_t id);
-cv_request_t *cv_request_by_id (cv_core_t *c, cv_id_t id);
+void cv_request_set_id (cv_entry_core_t *c, cv_request_t *r, cv_id_t id);
+cv_request_t *cv_request_by_id (cv_entry_core_t *c, cv_id_t id);
 /* Put the attempt on TARGET, or take it off with CV_NO_TARGET.  */
-void cv_request_place (cv_core_t *c, cv_time_t now, cv_request_t *r,
+void cv_request_place (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                        uint32_t target);
 /* Note that the present attempt may have run.  */
 void cv_request_ran (cv_request_t *r);
 /* Give the last reply and forget the request.  */
-void cv_request_end (cv_core_t *c, cv_time_t now, cv_request_t *r,
+void cv_request_end (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                      const cv_reply_t *reply, cv_outcome_t outcome);
-void cv_request_fail (cv_core_t *c, cv_time_t now, cv_request_t *r,
+void cv_request_fail (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                       cv_failure_code_t code, uint32_t retry_after_ms);
 /* Refuse what never became a request.  */
-void cv_core_refuse (cv_core_t *c, void *caller, cv_failure_code_t code,
-                     uint32_t retry_after_ms);
-void cv_request_park (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_entry_refuse (cv_entry_core_t *c, void *caller, cv_failure_code_t code,
+                      uint32_t retry_after_ms);
+void cv_request_park (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 /* One more attempt under the retry budget of account and pool?  */
-bool cv_request_may_retry (cv_core_t *c, cv_request_t *r);
-void cv_request_first_try (cv_core_t *c, cv_request_t *r);
-uint32_t cv_core_retry_after (cv_core_t *c);
-void cv_core_send (cv_core_t *c, uint32_t target, const cv_msg_t *msg);
+bool cv_request_may_retry (cv_entry_core_t *c, cv_request_t *r);
+void cv_request_first_try (cv_entry_core_t *c, cv_request_t *r);
+uint32_t cv_entry_retry_after (cv_entry_core_t *c);
+void cv_entry_send (cv_entry_core_t *c, uint32_t target, const cv_msg_t *msg);
 
 /* ---- core_targets.c ---- */
 
-void cv_targets_report (cv_core_t *c, cv_time_t now, uint32_t target,
-                        const cv_msg_report_t *report);
-void cv_targets_doc (cv_core_t *c, cv_time_t now, uint32_t target,
-                     const cv_msg_doc_t *doc);
-void cv_targets_doc_pull (cv_core_t *c, cv_time_t now, uint32_t target,
-                          cv_doc_t doc);
+void cv_entry_targets_report (cv_entry_core_t *c, cv_time_t now,
+                              uint32_t target, const cv_msg_report_t *report);
+void cv_entry_targets_doc (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                           const cv_msg_doc_t *doc);
+void cv_entry_targets_doc_pull (cv_entry_core_t *c, cv_time_t now,
+                                uint32_t target, cv_doc_t doc);
 /* Ask TARGET for its configuration, at most every second.  */
-void cv_targets_pull (cv_core_t *c, cv_time_t now, uint32_t target);
-void cv_targets_tick (cv_core_t *c, cv_time_t now);
-void cv_targets_hello (cv_core_t *c, cv_time_t now);
+void cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target);
+void cv_entry_targets_tick (cv_entry_core_t *c, cv_time_t now);
+void cv_entry_targets_hello (cv_entry_core_t *c, cv_time_t now);
 /* The slot of the live incarnation that a ticket or position names, or
    CV_NO_TARGET.  */
-uint32_t cv_targets_find (const cv_core_t *c, const char *name,
-                          uint64_t incarnation);
+uint32_t cv_entry_targets_find (const cv_entry_core_t *c, const char *name,
+                                uint64_t incarnation);
 
 /* ---- core_streams.c ---- */
 
 /* Hand it to a target, or end it with OTHERWISE when there is none.  */
-void cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                      cv_failure_code_t otherwise);
-void cv_streams_tokens (cv_core_t *c, cv_time_t now, uint32_t target,
-                        const cv_msg_tokens_t *m);
-void cv_streams_end (cv_core_t *c, cv_time_t now, uint32_t target,
-                     const cv_msg_end_t *m);
-void cv_streams_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                          const cv_msg_rejected_t *m);
-void cv_streams_gone (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_entry_streams_send (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                            cv_failure_code_t otherwise);
+void cv_entry_streams_tokens (cv_entry_core_t *c, cv_time_t now,
+                              uint32_t target, const cv_msg_tokens_t *m);
+void cv_entry_streams_end (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                           const cv_msg_end_t *m);
+void cv_entry_streams_rejected (cv_entry_core_t *c, cv_time_t now,
+                                cv_request_t *r, const cv_msg_rejected_t *m);
+void cv_entry_streams_gone (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 /* The side that runs R is lost.  */
-void cv_streams_lost (cv_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_entry_streams_lost (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 /* The attempt is over: start another generation elsewhere while the caller
    has seen nothing, or end the answer, with OTHERWISE when no retry is
    possible.  */
-void cv_streams_run_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                           cv_failure_code_t otherwise);
+void cv_entry_streams_run_again (cv_entry_core_t *c, cv_time_t now,
+                                 cv_request_t *r, cv_failure_code_t otherwise);
 /* Frames of the stream were lost on the way: ask for them again.  */
-void cv_streams_reattach (cv_core_t *c, cv_time_t now, cv_request_t *r);
-cv_length_key_t cv_streams_length_key (const cv_request_t *r);
-void cv_streams_tick (cv_core_t *c, cv_time_t now, cv_request_t *r);
-void cv_streams_finish (cv_request_t *r);
+void cv_entry_streams_reattach (cv_entry_core_t *c, cv_time_t now,
+                                cv_request_t *r);
+cv_length_key_t cv_entry_streams_length_key (const cv_request_t *r);
+void cv_entry_streams_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_entry_streams_finish (cv_request_t *r);
 
 /* ---- core_calls.c ---- */
 
-void cv_calls_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                    cv_failure_code_t otherwise);
-void cv_calls_result (cv_core_t *c, cv_time_t now, uint32_t target,
-                      const cv_msg_call_result_t *m);
-void cv_calls_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                        const cv_msg_rejected_t *m);
-void cv_calls_gone (cv_core_t *c, cv_time_t now, cv_request_t *r);
-void cv_calls_lost (cv_core_t *c, cv_time_t now, cv_request_t *r);
-void cv_calls_tick (cv_core_t *c, cv_time_t now, cv_request_t *r);
-void cv_calls_finish (cv_request_t *r);
+void cv_entry_calls_send (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                          cv_failure_code_t otherwise);
+void cv_entry_calls_result (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                            const cv_msg_call_result_t *m);
+void cv_entry_calls_rejected (cv_entry_core_t *c, cv_time_t now,
+                              cv_request_t *r, const cv_msg_rejected_t *m);
+void cv_entry_calls_gone (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_entry_calls_lost (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_entry_calls_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+void cv_entry_calls_finish (cv_request_t *r);
 
 #endif
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -6,26 +6,26 @@
 
 #include "entry/core_internal.h"
 
-static bool resolve (cv_core_t *c, cv_request_t *r,
+static bool resolve (cv_entry_core_t *c, cv_request_t *r,
                      const cv_stream_spec_t *spec, cv_failure_code_t *fail);
 static void start (cv_request_t *r, const cv_stream_spec_t *spec);
-static bool admit (cv_core_t *c, cv_time_t now, cv_request_t *r);
+static bool admit (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 static bool may_run_again (const cv_request_t *r);
-static void send_attach (cv_core_t *c, cv_request_t *r);
-static void send_about (cv_core_t *c, const cv_request_t *r,
+static void send_attach (cv_entry_core_t *c, cv_request_t *r);
+static void send_about (cv_entry_core_t *c, const cv_request_t *r,
                         cv_msg_type_t type);
 
 void
-cv_core_submit (cv_core_t *c, cv_time_t now, void *caller,
-                const cv_stream_spec_t *spec)
+cv_entry_submit (cv_entry_core_t *c, cv_time_t now, void *caller,
+                 const cv_stream_spec_t *spec)
 {
   cv_failure_code_t fail = CV_FAIL_NO_CONFIG;
   cv_request_t *r;
 
   if (c->stopping || c->config == NULL)
     {
-      cv_core_refuse (c, caller, c->stopping ? CV_FAIL_STOPPING : fail,
-                      cv_core_retry_after (c));
+      cv_entry_refuse (c, caller, c->stopping ? CV_FAIL_STOPPING : fail,
+                       cv_entry_retry_after (c));
       return;
     }
   r = cv_request_new (c, now, caller, REQUEST_STREAM, spec->account);
@@ -38,19 +38,20 @@
   if (!admit (c, now, r))
     return;
   cv_request_first_try (c, r);
-  cv_streams_send (c, now, r, CV_FAIL_NO_TARGET);
+  cv_entry_streams_send (c, now, r, CV_FAIL_NO_TARGET);
 }
 
 void
-cv_core_attach (cv_core_t *c, cv_time_t now, void *caller, const char *account,
-                const cv_position_t *first)
+cv_entry_attach (cv_entry_core_t *c, cv_time_t now, void *caller,
+                 const char *account, const cv_position_t *first)
 {
-  uint32_t target = cv_targets_find (c, first->target, first->incarnation);
+  uint32_t target
+      = cv_entry_targets_find (c, first->target, first->incarnation);
   cv_request_t *r;
 
   if (target == CV_NO_TARGET)
     {
-      cv_core_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
+      cv_entry_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
       return;
     }
   r = cv_request_by_id (c, first->stream);
@@ -61,7 +62,7 @@
 
       if (strcmp (r->account, account) != 0)
         {
-          cv_core_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
+          cv_entry_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
           return;
         }
       cv_request_end (c, now, r, &gone, CV_OUTCOME_INTERRUPTED);
@@ -81,8 +82,8 @@
 }
 
 void
-cv_streams_send (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                 cv_failure_code_t otherwise)
+cv_entry_streams_send (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                       cv_failure_code_t otherwise)
 {
   cv_request_stream_t *s = &r->u.stream;
   uint32_t target = cv_router_pick (c->router, now, &r->route);
@@ -91,7 +92,7 @@
 
   if (target == CV_NO_TARGET)
     {
-      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
+      cv_request_fail (c, now, r, otherwise, cv_entry_retry_after (c));
       return;
     }
   cv_request_place (c, now, r, target);
@@ -110,12 +111,12 @@
   m->content_hash = s->content_hash;
   m->prompt.p = s->prompt;
   m->prompt.n = s->prompt_size;
-  cv_core_send (c, target, &msg);
+  cv_entry_send (c, target, &msg);
 }
 
 void
-cv_streams_rejected (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                     const cv_msg_rejected_t *m)
+cv_entry_streams_rejected (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                           const cv_msg_rejected_t *m)
 {
   if (r->u.stream.resumed)
     {
@@ -131,20 +132,20 @@
       cv_request_park (c, now, r);
       break;
     case CV_REJECT_FULL:
-      cv_streams_run_again (c, now, r, CV_FAIL_OVERLOADED);
+      cv_entry_streams_run_again (c, now, r, CV_FAIL_OVERLOADED);
       break;
     case CV_REJECT_LEAVING:
     case CV_REJECT_OLD_EPOCH:
     case CV_REJECT_NOT_FOUND:
     case CV_REJECT_ENGINE:
       r->failed = m->reason == CV_REJECT_ENGINE;
-      cv_streams_run_again (c, now, r, CV_FAIL_NO_TARGET);
+      cv_entry_streams_run_again (c, now, r, CV_FAIL_NO_TARGET);
       break;
     }
 }
 
 void
-cv_streams_gone (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_entry_streams_gone (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_reply_t reply = { .type = CV_REPLY_GONE };
 
@@ -155,29 +156,29 @@
 }
 
 void
-cv_streams_lost (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_entry_streams_lost (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_request_ran (r);
   if (may_run_again (r))
     send_about (c, r, CV_MSG_CANCEL);
-  cv_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
+  cv_entry_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
 }
 
 void
-cv_streams_tick (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_entry_streams_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   if (r->u.stream.gap)
-    cv_streams_reattach (c, now, r);
+    cv_entry_streams_reattach (c, now, r);
   if (r->u.stream.next > r->u.stream.start)
     return;
   if (now < r->deadline + DEADLINE_GRACE)
     return;
   send_about (c, r, CV_MSG_CANCEL);
-  cv_request_fail (c, now, r, CV_FAIL_DEADLINE, cv_core_retry_after (c));
+  cv_request_fail (c, now, r, CV_FAIL_DEADLINE, cv_entry_retry_after (c));
 }
 
 void
-cv_streams_finish (cv_request_t *r)
+cv_entry_streams_finish (cv_request_t *r)
 {
   free (r->u.stream.prompt);
   cv_buf_finish (&r->u.stream.text);
@@ -201,7 +202,7 @@
 
 /* Look up what the request names in the configuration.  */
 static bool
-resolve (cv_core_t *c, cv_request_t *r, const cv_stream_spec_t *spec,
+resolve (cv_entry_core_t *c, cv_request_t *r, const cv_stream_spec_t *spec,
          cv_failure_code_t *fail)
 {
   cv_request_stream_t *s = &r->u.stream;
@@ -235,22 +236,22 @@
       && (s->max_tokens == 0 || s->max_tokens > model->max_tokens))
     s->max_tokens = model->max_tokens;
   s->content_hash = cv_hash (s->prompt, s->prompt_size,
-                             r->account_hash ^ cv_core_name_hash (s->model));
-  r->pool = cv_core_name_hash (model->pool);
-  key = cv_streams_length_key (r);
+                             r->account_hash ^ cv_entry_name_hash (s->model));
+  r->pool = cv_entry_name_hash (model->pool);
+  key = cv_entry_streams_length_key (r);
   s->expect = cv_length_remaining (
       c->length, &key, 0, s->max_tokens == 0 ? UINT32_MAX : s->max_tokens, 0.5);
   r->route.pool = r->pool;
   r->route.prefix_hash = cv_hash (
       s->prompt, s->prompt_size < PREFIX_BYTES ? s->prompt_size : PREFIX_BYTES,
-      cv_core_name_hash (s->model));
+      cv_entry_name_hash (s->model));
   r->route.prompt_tokens = (uint32_t)(s->prompt_size / BYTES_PER_TOKEN) + 1;
   r->route.expect = s->expect;
   return true;
 }
 
 static bool
-admit (cv_core_t *c, cv_time_t now, cv_request_t *r)
+admit (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_admission_t a
       = cv_limits_admit (c->limits, now, r->account_hash, r->u.stream.expect);
@@ -276,25 +277,26 @@
 /* The attempt is over.  Start another generation elsewhere while the caller
    has seen nothing, or end the answer.  */
 void
-cv_streams_run_again (cv_core_t *c, cv_time_t now, cv_request_t *r,
-                      cv_failure_code_t otherwise)
+cv_entry_streams_run_again (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                            cv_failure_code_t otherwise)
 {
   cv_request_stream_t *s = &r->u.stream;
   uint32_t old = r->target;
 
   if (!may_run_again (r))
     {
-      cv_request_fail (c, now, r, CV_FAIL_INTERRUPTED, cv_core_retry_after (c));
+      cv_request_fail (c, now, r, CV_FAIL_INTERRUPTED,
+                       cv_entry_retry_after (c));
       return;
     }
   if (!s->whole && now >= r->deadline)
     {
-      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
+      cv_request_fail (c, now, r, otherwise, cv_entry_retry_after (c));
       return;
     }
   if (!cv_request_may_retry (c, r))
     {
-      cv_request_fail (c, now, r, otherwise, cv_core_retry_after (c));
+      cv_request_fail (c, now, r, otherwise, cv_entry_retry_after (c));
       return;
     }
   cv_request_place (c, now, r, CV_NO_TARGET);
@@ -304,12 +306,12 @@
   cv_buf_reset (&s->text);
   cv_buf_reset (&s->sizes);
   r->route.avoid = old;
-  cv_streams_send (c, now, r, otherwise);
+  cv_entry_streams_send (c, now, r, otherwise);
 }
 
 /* Frames of the stream were lost on the way: ask for them again.  */
 void
-cv_streams_reattach (cv_core_t *c, cv_time_t now, cv_request_t *r)
+cv_entry_streams_reattach (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_request_stream_t *s = &r->u.stream;
 
@@ -317,12 +319,12 @@
   if (s->reattached != 0 && now - s->reattached < REATTACH_INTERVAL)
     return;
   s->reattached = now;
-  cv_metrics_count (c->metrics, CV_COUNT_REATTACHES);
+  cv_entry_metrics_count (c->metrics, CV_COUNT_REATTACHES);
   send_attach (c, r);
 }
 
 static void
-send_attach (cv_core_t *c, cv_request_t *r)
+send_attach (cv_entry_core_t *c, cv_request_t *r)
 {
   cv_msg_t msg = { .type = CV_MSG_ATTACH };
 
@@ -330,25 +332,25 @@
   msg.u.attach.incarnation = r->incarnation;
   msg.u.attach.offset = r->u.stream.next;
   (void)cv_copy (msg.u.attach.account, sizeof msg.u.attach.account, r->account);
-  cv_core_send (c, r->target, &msg);
+  cv_entry_send (c, r->target, &msg);
 }
 
 static void
-send_about (cv_core_t *c, const cv_request_t *r, cv_msg_type_t type)
+send_about (cv_entry_core_t *c, const cv_request_t *r, cv_msg_type_t type)
 {
   cv_msg_t msg = { .type = type };
 
   msg.u.stream.stream = r->id;
-  cv_core_send (c, r->target, &msg);
+  cv_entry_send (c, r->target, &msg);
 }
 
 cv_length_key_t
-cv_streams_length_key (const cv_request_t *r)
+cv_entry_streams_length_key (const cv_request_t *r)
 {
   cv_length_key_t key;
 
   key.account = r->account_hash;
-  key.class_id = cv_core_name_hash (r->class_name);
-  key.model = cv_core_name_hash (r->u.stream.model);
+  key.class_id = cv_entry_name_hash (r->class_name);
+  key.model = cv_entry_name_hash (r->u.stream.model);
   return key;
 }
--- a/entry/core_targets.c
+++ b/entry/core_targets.c
@@ -7,16 +7,17 @@
 
 #define PULL_INTERVAL (500 * CV_MS)
 
-static void report_to_router (cv_core_t *c, cv_time_t now, uint32_t target);
-static void drop_requests (cv_core_t *c, cv_time_t now, uint32_t target);
-static void lose (cv_core_t *c, cv_time_t now, uint32_t target);
-static void hello_one (cv_core_t *c, cv_time_t now, uint32_t target);
+static void report_to_router (cv_entry_core_t *c, cv_time_t now,
+                              uint32_t target);
+static void drop_requests (cv_entry_core_t *c, cv_time_t now, uint32_t target);
+static void lose (cv_entry_core_t *c, cv_time_t now, uint32_t target);
+static void hello_one (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static const char *state_name (const cv_target_t *t);
-static uint32_t config_age (const cv_core_t *c, cv_time_t now);
+static uint32_t config_age (const cv_entry_core_t *c, cv_time_t now);
 
 uint32_t
-cv_core_target_add (cv_core_t *c, cv_time_t now, const char *name,
-                    const char *pool)
+cv_entry_target_add (cv_entry_core_t *c, cv_time_t now, const char *name,
+                     const char *pool)
 {
   uint32_t slot = 0;
   cv_target_t *t;
@@ -39,14 +40,14 @@
   t->last_heard = now;
   (void)cv_copy (t->name, sizeof t->name, name);
   (void)cv_copy (t->pool, sizeof t->pool, pool);
-  t->pool_hash = cv_core_name_hash (pool);
+  t->pool_hash = cv_entry_name_hash (pool);
   hello_one (c, now, slot);
   return slot;
 }
 
 void
-cv_core_target_listed (cv_core_t *c, cv_time_t now, uint32_t target,
-                       bool leaving)
+cv_entry_target_listed (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                        bool leaving)
 {
   cv_target_t *t = &c->targets[target];
 
@@ -58,7 +59,7 @@
 }
 
 void
-cv_core_target_remove (cv_core_t *c, cv_time_t now, uint32_t target)
+cv_entry_target_remove (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
   drop_requests (c, now, target);
   cv_router_remove (c->router, target);
@@ -66,15 +67,15 @@
 }
 
 bool
-cv_core_target_lost (const cv_core_t *c, uint32_t target)
+cv_entry_target_lost (const cv_entry_core_t *c, uint32_t target)
 {
   return c->targets[target].lost;
 }
 
 void
-cv_core_each_target (const cv_core_t *c, cv_time_t now,
-                     void (*fn) (const cv_target_row_t *row, void *arg),
-                     void *arg)
+cv_entry_each_target (const cv_entry_core_t *c, cv_time_t now,
+                      void (*fn) (const cv_target_row_t *row, void *arg),
+                      void *arg)
 {
   for (uint32_t i = 0; i < c->target_count; i++)
     {
@@ -98,15 +99,15 @@
 }
 
 void
-cv_targets_report (cv_core_t *c, cv_time_t now, uint32_t target,
-                   const cv_msg_report_t *report)
+cv_entry_targets_report (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                         const cv_msg_report_t *report)
 {
   cv_target_t *t = &c->targets[target];
 
   /* The address may have gone to another target.  */
   if (strcmp (report->target, t->name) != 0)
     {
-      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       return;
     }
   if (t->heard && t->incarnation != report->incarnation)
@@ -127,11 +128,11 @@
   report_to_router (c, now, target);
   if (c->config == NULL
       || report->versions.version[CV_DOC_CONFIG] > c->config->version)
-    cv_targets_pull (c, now, target);
+    cv_entry_targets_pull (c, now, target);
 }
 
 void
-cv_targets_pull (cv_core_t *c, cv_time_t now, uint32_t target)
+cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
   cv_target_t *t = &c->targets[target];
   cv_msg_t msg = { .type = CV_MSG_DOC_PULL };
@@ -140,12 +141,12 @@
     return;
   t->last_pull = now;
   msg.u.doc_pull.doc = CV_DOC_CONFIG;
-  cv_core_send (c, target, &msg);
+  cv_entry_send (c, target, &msg);
 }
 
 void
-cv_targets_doc (cv_core_t *c, cv_time_t now, uint32_t target,
-                const cv_msg_doc_t *doc)
+cv_entry_targets_doc (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                      const cv_msg_doc_t *doc)
 {
   cv_config_t *config;
   cv_error_t err;
@@ -162,12 +163,13 @@
               (unsigned long long)doc->version, err.text);
       return;
     }
-  (void)cv_core_adopt (c, now, config);
+  (void)cv_entry_adopt (c, now, config);
   cv_config_unref (config);
 }
 
 void
-cv_targets_doc_pull (cv_core_t *c, cv_time_t now, uint32_t target, cv_doc_t doc)
+cv_entry_targets_doc_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                           cv_doc_t doc)
 {
   cv_msg_t msg = { .type = CV_MSG_DOC };
 
@@ -178,11 +180,11 @@
   msg.u.doc.version = c->config->version;
   msg.u.doc.body.p = c->config->text;
   msg.u.doc.body.n = c->config->text_size;
-  cv_core_send (c, target, &msg);
+  cv_entry_send (c, target, &msg);
 }
 
 void
-cv_targets_tick (cv_core_t *c, cv_time_t now)
+cv_entry_targets_tick (cv_entry_core_t *c, cv_time_t now)
 {
   for (uint32_t i = 0; i < c->target_count; i++)
     {
@@ -196,11 +198,11 @@
         hello_one (c, now, i);
     }
   if (now - c->last_hello >= CV_REPORT_INTERVAL)
-    cv_targets_hello (c, now);
+    cv_entry_targets_hello (c, now);
 }
 
 void
-cv_targets_hello (cv_core_t *c, cv_time_t now)
+cv_entry_targets_hello (cv_entry_core_t *c, cv_time_t now)
 {
   c->last_hello = now;
   for (uint32_t i = 0; i < c->target_count; i++)
@@ -209,7 +211,8 @@
 }
 
 uint32_t
-cv_targets_find (const cv_core_t *c, const char *name, uint64_t incarnation)
+cv_entry_targets_find (const cv_entry_core_t *c, const char *name,
+                       uint64_t incarnation)
 {
   for (uint32_t i = 0; i < c->target_count; i++)
     {
@@ -225,7 +228,7 @@
 /* ---- local ---- */
 
 static void
-report_to_router (cv_core_t *c, cv_time_t now, uint32_t target)
+report_to_router (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
   const cv_target_t *t = &c->targets[target];
   cv_target_state_t state = t->state;
@@ -237,7 +240,7 @@
 
 /* The side at TARGET no longer holds what it was given.  */
 static void
-drop_requests (cv_core_t *c, cv_time_t now, uint32_t target)
+drop_requests (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
   cv_request_t *r;
   cv_request_t *next;
@@ -249,20 +252,20 @@
         continue;
       r->failed = true;
       if (r->kind == REQUEST_STREAM)
-        cv_streams_lost (c, now, r);
+        cv_entry_streams_lost (c, now, r);
       else
-        cv_calls_lost (c, now, r);
+        cv_entry_calls_lost (c, now, r);
     }
 }
 
 static void
-lose (cv_core_t *c, cv_time_t now, uint32_t target)
+lose (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
   cv_target_t *t = &c->targets[target];
   cv_load_t none = { 0 };
 
   t->lost = true;
-  cv_metrics_count (c->metrics, CV_COUNT_TARGETS_LOST);
+  cv_entry_metrics_count (c->metrics, CV_COUNT_TARGETS_LOST);
   cv_log (CV_EV_ENTRY_TARGET_LOST, "target %s pool %s", t->name, t->pool);
   cv_router_report (c->router, now, target, t->pool_hash, CV_TARGET_DOWN,
                     &none);
@@ -271,7 +274,7 @@
 }
 
 static void
-hello_one (cv_core_t *c, cv_time_t now, uint32_t target)
+hello_one (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
   cv_msg_t msg = { .type = CV_MSG_HELLO };
   cv_msg_hello_t *h = &msg.u.hello;
@@ -281,11 +284,11 @@
   h->versions.version[CV_DOC_CONFIG]
       = c->config == NULL ? 0 : c->config->version;
   h->versions.age_ms = config_age (c, now);
-  cv_core_send (c, target, &msg);
+  cv_entry_send (c, target, &msg);
 }
 
 static uint32_t
-config_age (const cv_core_t *c, cv_time_t now)
+config_age (const cv_entry_core_t *c, cv_time_t now)
 {
   cv_time_t age;
 
--- a/entry/core_tokens.c
+++ b/entry/core_tokens.c
@@ -7,16 +7,16 @@
 #include "entry/core_internal.h"
 
 static void keep (cv_request_t *r, const cv_msg_tokens_t *m);
-static void deliver (cv_core_t *c, cv_request_t *r, uint32_t offset,
+static void deliver (cv_entry_core_t *c, cv_request_t *r, uint32_t offset,
                      uint32_t count, const cv_slice_t *token);
-static void deliver_whole (cv_core_t *c, cv_request_t *r);
-static void observe_tokens (cv_core_t *c, cv_time_t now, cv_request_t *r);
-static void complete (cv_core_t *c, cv_time_t now, cv_request_t *r,
+static void deliver_whole (cv_entry_core_t *c, cv_request_t *r);
+static void observe_tokens (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+static void complete (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                       const cv_msg_end_t *m);
 
 void
-cv_streams_tokens (cv_core_t *c, cv_time_t now, uint32_t target,
-                   const cv_msg_tokens_t *m)
+cv_entry_streams_tokens (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                         const cv_msg_tokens_t *m)
 {
   cv_request_t *r = cv_request_by_id (c, m->stream);
   cv_request_stream_t *s;
@@ -25,10 +25,10 @@
       || m->offset != r->u.stream.next || m->count == 0
       || m->count > UINT32_MAX - m->offset)
     {
-      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       if (r != NULL && r->kind == REQUEST_STREAM && r->target == target
           && m->offset > r->u.stream.next)
-        cv_streams_reattach (c, now, r);
+        cv_entry_streams_reattach (c, now, r);
       return;
     }
   s = &r->u.stream;
@@ -46,14 +46,14 @@
 }
 
 void
-cv_streams_end (cv_core_t *c, cv_time_t now, uint32_t target,
-                const cv_msg_end_t *m)
+cv_entry_streams_end (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                      const cv_msg_end_t *m)
 {
   cv_request_t *r = cv_request_by_id (c, m->stream);
 
   if (r == NULL || r->kind != REQUEST_STREAM || r->target != target)
     {
-      cv_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
+      cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       return;
     }
   switch (m->end)
@@ -67,7 +67,7 @@
     case CV_END_RECLAIMED:
       r->failed = m->end != CV_END_CANCELLED;
       cv_request_ran (r);
-      cv_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
+      cv_entry_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
       break;
     }
 }
@@ -87,7 +87,7 @@
 }
 
 static void
-deliver (cv_core_t *c, cv_request_t *r, uint32_t offset, uint32_t count,
+deliver (cv_entry_core_t *c, cv_request_t *r, uint32_t offset, uint32_t count,
          const cv_slice_t *token)
 {
   cv_position_t first = { 0 };
@@ -104,7 +104,7 @@
 }
 
 static void
-deliver_whole (cv_core_t *c, cv_request_t *r)
+deliver_whole (cv_entry_core_t *c, cv_request_t *r)
 {
   const cv_request_stream_t *s = &r->u.stream;
   uint32_t count = (uint32_t)(s->sizes.n / sizeof (uint32_t));
@@ -128,19 +128,19 @@
 }
 
 static void
-observe_tokens (cv_core_t *c, cv_time_t now, cv_request_t *r)
+observe_tokens (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
   cv_request_stream_t *s = &r->u.stream;
   cv_time_t gap = now - s->last_token;
 
   if (s->next == 0)
-    cv_metrics_observe (c->metrics, r->account, r->class_name,
-                        CV_MEASURE_FIRST_TOKEN,
-                        (double)(now - r->submitted) / 1e6);
+    cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
+                              CV_MEASURE_FIRST_TOKEN,
+                              (double)(now - r->submitted) / 1e6);
   else
     {
-      cv_metrics_observe (c->metrics, r->account, r->class_name,
-                          CV_MEASURE_TOKEN_GAP, (double)gap / 1e6);
+      cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
+                                CV_MEASURE_TOKEN_GAP, (double)gap / 1e6);
       if (gap > STALL_THRESHOLD)
         s->stalled += gap - STALL_THRESHOLD;
     }
@@ -150,15 +150,16 @@
 /* The generation ended by itself; the answer is whole only when every token
    of it was accepted.  */
 static void
-complete (cv_core_t *c, cv_time_t now, cv_request_t *r, const cv_msg_end_t *m)
+complete (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+          const cv_msg_end_t *m)
 {
   cv_request_stream_t *s = &r->u.stream;
   cv_reply_t reply = { .type = CV_REPLY_END };
-  cv_length_key_t key = cv_streams_length_key (r);
+  cv_length_key_t key = cv_entry_streams_length_key (r);
 
   if (m->total > s->next)
     {
-      cv_streams_reattach (c, now, r);
+      cv_entry_streams_reattach (c, now, r);
       return;
     }
   if (m->total < s->next)
@@ -167,15 +168,15 @@
               m->total, s->next);
       r->failed = true;
       cv_request_ran (r);
-      cv_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
+      cv_entry_streams_run_again (c, now, r, CV_FAIL_INTERRUPTED);
       return;
     }
   if (m->end == CV_END_STOP && !s->resumed)
     cv_length_observe (c->length, &key, m->total);
-  cv_metrics_observe (c->metrics, r->account, r->class_name, CV_MEASURE_TOKENS,
-                      m->total);
-  cv_metrics_observe (c->metrics, r->account, r->class_name, CV_MEASURE_STALL,
-                      (double)s->stalled / 1e6);
+  cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
+                            CV_MEASURE_TOKENS, m->total);
+  cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
+                            CV_MEASURE_STALL, (double)s->stalled / 1e6);
   if (s->whole)
     deliver_whole (c, r);
   reply.u.end.end = m->end;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -17,22 +17,22 @@
 
 typedef struct
 {
-  cv_link_t *link;
+  cv_entry_link_t *link;
   cv_storejobs_t *jobs;
   cv_instances_t *instances;
   cv_http_t *http;
-} cv_entry_t;
+} cv_entry_threads_t;
 
-static bool start (cv_entry_t *e, const cv_entry_settings_t *s,
+static bool start (cv_entry_threads_t *e, const cv_entry_settings_t *s,
                    cv_error_t *err);
-static void stop (cv_entry_t *e);
-static void drain (cv_entry_t *e, const cv_entry_settings_t *s);
-static void count_in_flight (cv_core_t *core, cv_time_t now, void *arg);
+static void stop (cv_entry_threads_t *e);
+static void drain (cv_entry_threads_t *e, const cv_entry_settings_t *s);
+static void count_in_flight (cv_entry_core_t *core, cv_time_t now, void *arg);
 
 bool
 cv_entry_run (const cv_entry_settings_t *s, cv_error_t *err)
 {
-  cv_entry_t e = { 0 };
+  cv_entry_threads_t e = { 0 };
   sigset_t stops;
   int signal_number;
 
@@ -57,9 +57,9 @@
 }
 
 static bool
-start (cv_entry_t *e, const cv_entry_settings_t *s, cv_error_t *err)
+start (cv_entry_threads_t *e, const cv_entry_settings_t *s, cv_error_t *err)
 {
-  e->link = cv_link_new (s, err);
+  e->link = cv_entry_link_new (s, err);
   if (e->link == NULL)
     return false;
   e->jobs = cv_storejobs_new (s, e->link, err);
@@ -73,7 +73,7 @@
 }
 
 static void
-stop (cv_entry_t *e)
+stop (cv_entry_threads_t *e)
 {
   if (e->http != NULL)
     cv_http_free (e->http);
@@ -82,12 +82,12 @@
   if (e->jobs != NULL)
     cv_storejobs_free (e->jobs);
   if (e->link != NULL)
-    cv_link_free (e->link);
+    cv_entry_link_free (e->link);
 }
 
 /* Refuse new requests and wait for those in flight.  */
 static void
-drain (cv_entry_t *e, const cv_entry_settings_t *s)
+drain (cv_entry_threads_t *e, const cv_entry_settings_t *s)
 {
   const struct timespec notice = { .tv_sec = DRAIN_NOTICE_S };
   const struct timespec pause = { .tv_nsec = DRAIN_POLL_NS };
@@ -96,20 +96,20 @@
 
   cv_http_drain (e->http);
   (void)nanosleep (&notice, NULL);
-  cv_link_drain (e->link);
+  cv_entry_link_drain (e->link);
   do
     {
       (void)nanosleep (&pause, NULL);
-      cv_link_inspect (e->link, count_in_flight, &in_flight);
+      cv_entry_link_inspect (e->link, count_in_flight, &in_flight);
     }
   while (in_flight > 0 && cv_now () < until);
 }
 
 static void
-count_in_flight (cv_core_t *core, cv_time_t now, void *arg)
+count_in_flight (cv_entry_core_t *core, cv_time_t now, void *arg)
 {
   uint32_t *count = arg;
 
   (void)now;
-  *count = cv_core_in_flight (core);
+  *count = cv_entry_in_flight (core);
 }
--- a/entry/http.c
+++ b/entry/http.c
@@ -26,10 +26,10 @@
 static int metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg);
 static int not_found (const cv_request_in_t *req, cv_response_t *resp,
                       void *arg);
-static void write_metrics (cv_core_t *core, cv_time_t now, void *arg);
+static void write_metrics (cv_entry_core_t *core, cv_time_t now, void *arg);
 
 cv_http_t *
-cv_http_new (const cv_entry_settings_t *s, cv_link_t *link,
+cv_http_new (const cv_entry_settings_t *s, cv_entry_link_t *link,
              cv_storejobs_t *jobs, cv_error_t *err)
 {
   cv_http_t *h = cv_calloc (1, sizeof *h);
@@ -87,7 +87,7 @@
 cv_http_account (cv_http_t *h, const cv_request_in_t *req, cv_response_t *resp,
                  char account[CV_NAME_MAX])
 {
-  cv_config_t *config = cv_link_config (h->link);
+  cv_config_t *config = cv_entry_link_config (h->link);
   const cv_account_t *found = NULL;
   cv_slice_t key;
 
@@ -341,7 +341,7 @@
 healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg)
 {
   cv_http_t *h = arg;
-  cv_config_t *config = cv_link_config (h->link);
+  cv_config_t *config = cv_entry_link_config (h->link);
   bool draining = __atomic_load_n (&h->draining, __ATOMIC_RELAXED) != 0;
   cv_buf_t body;
   int rc;
@@ -369,7 +369,7 @@
 
   (void)req;
   cv_buf_init (&body);
-  cv_link_inspect (h->link, write_metrics, &body);
+  cv_entry_link_inspect (h->link, write_metrics, &body);
   cv_buf_printf (&body,
                  "# TYPE catkinvale_entry_store_calls_total counter\n"
                  "catkinvale_entry_store_calls_total{kind=\"read\"} %llu\n"
@@ -400,18 +400,18 @@
 }
 
 static void
-write_metrics (cv_core_t *core, cv_time_t now, void *arg)
+write_metrics (cv_entry_core_t *core, cv_time_t now, void *arg)
 {
   cv_buf_t *body = arg;
-  const cv_config_t *config = cv_core_config (core);
+  const cv_config_t *config = cv_entry_config (core);
 
   (void)now;
-  cv_metrics_write (cv_core_metrics (core), body);
+  cv_entry_metrics_write (cv_entry_metrics (core), body);
   cv_buf_printf (body,
                  "# TYPE catkinvale_entry_in_flight gauge\n"
                  "catkinvale_entry_in_flight %u\n"
                  "# TYPE catkinvale_entry_config_version gauge\n"
                  "catkinvale_entry_config_version %llu\n",
-                 cv_core_in_flight (core),
+                 cv_entry_in_flight (core),
                  config == NULL ? 0ULL : (unsigned long long)config->version);
 }
--- a/entry/http.h
+++ b/entry/http.h
@@ -9,7 +9,7 @@
 typedef struct cv_http_t cv_http_t;
 
 /* Listen; settings and threads are borrowed.  */
-cv_http_t *cv_http_new (const cv_entry_settings_t *s, cv_link_t *link,
+cv_http_t *cv_http_new (const cv_entry_settings_t *s, cv_entry_link_t *link,
                         cv_storejobs_t *jobs, cv_error_t *err);
 /* Waits until each open request is answered.  */
 void cv_http_free (cv_http_t *h);
--- a/entry/http_calls.c
+++ b/entry/http_calls.c
@@ -78,11 +78,11 @@
   if (!read_mode (h, req, resp, &spec))
     return U_CALLBACK_COMPLETE;
   caller = cv_caller_new ();
-  cv_link_call (h->link, caller, &spec);
+  cv_entry_link_call (h->link, caller, &spec);
   m = cv_caller_take (caller, spec.deadline_ms * CV_MS + CALL_SLACK);
   if (m == NULL)
     {
-      cv_link_gone (h->link, caller);
+      cv_entry_link_gone (h->link, caller);
       rc = cv_http_failure (resp, CV_FAIL_UNKNOWN, 1000);
     }
   else
@@ -176,7 +176,7 @@
   cv_mail_t *m;
   bool ok = false;
 
-  cv_link_ticket (h->link, caller, pool);
+  cv_entry_link_ticket (h->link, caller, pool);
   m = cv_caller_take (caller, CALL_SLACK);
   if (m == NULL)
     (void)cv_http_failure (resp, CV_FAIL_NO_TARGET, 1000);
--- a/entry/http_internal.h
+++ b/entry/http_internal.h
@@ -16,7 +16,7 @@
   struct _u_instance instance;
   struct sockaddr_in bind;
   const cv_entry_settings_t *settings;
-  cv_link_t *link;
+  cv_entry_link_t *link;
   cv_storejobs_t *jobs;
   int draining; /* atomic */
 };
--- a/entry/http_operator.c
+++ b/entry/http_operator.c
@@ -19,8 +19,8 @@
 static void add_cell (cv_row_t *row, const char *column, const char *format,
                       ...) __attribute__ ((format (printf, 3, 4)));
 static void add_target (const cv_target_row_t *t, void *arg);
-static void list_targets (cv_core_t *core, cv_time_t now, void *arg);
-static void list_entry (cv_core_t *core, cv_time_t now, void *arg);
+static void list_targets (cv_entry_core_t *core, cv_time_t now, void *arg);
+static void list_entry (cv_entry_core_t *core, cv_time_t now, void *arg);
 static int bad_text (cv_response_t *resp, const cv_error_t *err);
 static bool read_base (const cv_request_in_t *req, cv_response_t *resp,
                        uint64_t present, uint64_t *base);
@@ -49,16 +49,16 @@
   query = cv_query_parse (text, &err);
   if (query == NULL)
     return bad_text (resp, &err);
-  config = cv_link_config (h->link);
+  config = cv_entry_link_config (h->link);
   cv_buf_init (&body);
   cv_buf_printf (&body, "{\"config_version\":%llu,\"rows\":[",
                  config == NULL ? 0ULL : (unsigned long long)config->version);
   listing.query = query;
   listing.body = &body;
   if (strcmp (cv_query_thing (query), "targets") == 0)
-    cv_link_inspect (h->link, list_targets, &listing);
+    cv_entry_link_inspect (h->link, list_targets, &listing);
   else if (strcmp (cv_query_thing (query), "entries") == 0)
-    cv_link_inspect (h->link, list_entry, &listing);
+    cv_entry_link_inspect (h->link, list_entry, &listing);
   else if (config != NULL)
     cv_query_config (query, config, add_row, &listing);
   cv_buf_printf (&body, "]}");
@@ -83,7 +83,7 @@
 
   if (!cv_http_begin (h, req, resp) || !cv_http_operator (h, req, resp))
     return U_CALLBACK_COMPLETE;
-  config = cv_link_config (h->link);
+  config = cv_entry_link_config (h->link);
   if (config == NULL)
     return cv_http_failure (resp, CV_FAIL_NO_CONFIG, 1000);
   cv_buf_init (&json);
@@ -111,7 +111,7 @@
 
   if (!cv_http_begin (h, req, resp) || !cv_http_operator (h, req, resp))
     return U_CALLBACK_COMPLETE;
-  config = cv_link_config (h->link);
+  config = cv_entry_link_config (h->link);
   if (config == NULL)
     return cv_http_failure (resp, CV_FAIL_NO_CONFIG, 1000);
   (void)snprintf (version, sizeof version, "%llu",
@@ -141,7 +141,7 @@
 
   if (!cv_http_begin (h, req, resp) || !cv_http_operator (h, req, resp))
     return U_CALLBACK_COMPLETE;
-  config = cv_link_config (h->link);
+  config = cv_entry_link_config (h->link);
   present = config == NULL ? 0 : config->version;
   cv_config_unref (config);
   if (!read_base (req, resp, present, &base))
@@ -216,23 +216,23 @@
 }
 
 static void
-list_targets (cv_core_t *core, cv_time_t now, void *arg)
+list_targets (cv_entry_core_t *core, cv_time_t now, void *arg)
 {
-  cv_core_each_target (core, now, add_target, arg);
+  cv_entry_each_target (core, now, add_target, arg);
 }
 
 static void
-list_entry (cv_core_t *core, cv_time_t now, void *arg)
+list_entry (cv_entry_core_t *core, cv_time_t now, void *arg)
 {
   cv_listing_t *l = arg;
-  const cv_config_t *config = cv_core_config (core);
+  const cv_config_t *config = cv_entry_config (core);
   cv_row_t row = { .count = 0 };
 
   (void)now;
   add_cell (&row, "name", "%s", l->instance);
   add_cell (&row, "config", "%llu",
             config == NULL ? 0ULL : (unsigned long long)config->version);
-  add_cell (&row, "requests", "%u", cv_core_in_flight (core));
+  add_cell (&row, "requests", "%u", cv_entry_in_flight (core));
   if (cv_query_match (l->query, &row))
     add_row (&row, l);
 }
--- a/entry/http_sse.c
+++ b/entry/http_sse.c
@@ -77,7 +77,7 @@
   cv_sse_t *s = arg;
 
   if (!s->last)
-    cv_link_gone (s->http->link, s->caller);
+    cv_entry_link_gone (s->http->link, s->caller);
   cv_caller_unref (s->caller);
   cv_buf_finish (&s->out);
   free (s);
--- a/entry/http_streams.c
+++ b/entry/http_streams.c
@@ -80,7 +80,7 @@
   spec.prompt.p = in.prompt.p;
   spec.prompt.n = in.prompt.n;
   caller = cv_caller_new ();
-  cv_link_submit (h->link, caller, &spec);
+  cv_entry_link_submit (h->link, caller, &spec);
   cv_buf_finish (&in.prompt);
   if (in.stream)
     return answer_stream (h, resp, caller, chat);
@@ -100,7 +100,7 @@
     return cv_http_bad (resp, "Last-Event-ID names no event of a stream");
   position.offset++;
   caller = cv_caller_new ();
-  cv_link_attach (h->link, caller, account, &position);
+  cv_entry_link_attach (h->link, caller, account, &position);
   return answer_stream (h, resp, caller, chat);
 }
 
@@ -132,7 +132,7 @@
   last = collect (caller, &text, &stream);
   if (last == NULL)
     {
-      cv_link_gone (h->link, caller);
+      cv_entry_link_gone (h->link, caller);
       rc = cv_http_failure (resp, CV_FAIL_DEADLINE, 0);
     }
   else if (last->type == CV_REPLY_END)
--- a/entry/instances.c
+++ b/entry/instances.c
@@ -17,7 +17,7 @@
   pthread_cond_t quit_cond;
   bool quit;
   bool failing;
-  cv_link_t *link;
+  cv_entry_link_t *link;
   char url[160];
   uint32_t interval_ms;
   unsigned long timeout_s;
@@ -33,7 +33,7 @@
 static const char *text_of (struct json_object *o, const char *key);
 
 cv_instances_t *
-cv_instances_new (const cv_entry_settings_t *s, cv_link_t *link,
+cv_instances_new (const cv_entry_settings_t *s, cv_entry_link_t *link,
                   cv_error_t *err)
 {
   cv_instances_t *i = cv_calloc (1, sizeof *i);
@@ -169,7 +169,7 @@
       cv_log (CV_EV_ENTRY_LIST_FAILED, "%s", err.text);
       return;
     }
-  cv_link_instances (i->link, list, count, entries);
+  cv_entry_link_instances (i->link, list, count, entries);
   free (list);
 }
 
--- a/entry/instances.h
+++ b/entry/instances.h
@@ -8,8 +8,8 @@
 typedef struct cv_instances_t cv_instances_t;
 
 /* Poll the list until cv_instances_free.  */
-cv_instances_t *cv_instances_new (const cv_entry_settings_t *s, cv_link_t *link,
-                                  cv_error_t *err);
+cv_instances_t *cv_instances_new (const cv_entry_settings_t *s,
+                                  cv_entry_link_t *link, cv_error_t *err);
 void cv_instances_free (cv_instances_t *i);
 
 /* Parse the list's JSON; the caller frees *LIST.  */
--- a/entry/link.c
+++ b/entry/link.c
@@ -13,27 +13,27 @@
 #define ZMQ_SOCKETS_MAX 16384
 
 static void *run (void *arg);
-static void run_commands (cv_link_t *l);
-static void run_command (cv_link_t *l, cv_time_t now, cv_command_t *c);
+static void run_commands (cv_entry_link_t *l);
+static void run_command (cv_entry_link_t *l, cv_time_t now, cv_command_t *c);
 static void free_command (cv_command_t *c);
-static void publish_config (cv_link_t *l);
-static void push (cv_link_t *l, cv_command_t *c);
+static void publish_config (cv_entry_link_t *l);
+static void push (cv_entry_link_t *l, cv_command_t *c);
 static cv_command_t *command (cv_command_type_t type, cv_caller_t *caller);
 static cv_slice_t move_in (char **at, cv_slice_t s);
-static size_t poll_items (cv_link_t *l, zmq_pollitem_t **items, size_t *cap,
-                          uint32_t **slots);
+static size_t poll_items (cv_entry_link_t *l, zmq_pollitem_t **items,
+                          size_t *cap, uint32_t **slots);
 static void reply (void *arg, void *caller, const cv_reply_t *r);
 static cv_id_t new_id (void *arg);
 
-cv_link_t *
-cv_link_new (const cv_entry_settings_t *s, cv_error_t *err)
+cv_entry_link_t *
+cv_entry_link_new (const cv_entry_settings_t *s, cv_error_t *err)
 {
-  cv_link_t *l = cv_calloc (1, sizeof *l);
-  cv_core_options_t o = { .out = { .send = cv_link_send,
-                                   .reply = reply,
-                                   .reset = cv_link_reset,
-                                   .new_id = new_id,
-                                   .arg = l } };
+  cv_entry_link_t *l = cv_calloc (1, sizeof *l);
+  cv_entry_options_t o = { .out = { .send = cv_entry_link_send,
+                                    .reply = reply,
+                                    .reset = cv_entry_link_reset,
+                                    .new_id = new_id,
+                                    .arg = l } };
 
   STAILQ_INIT (&l->queue);
   cv_buf_init (&l->frame);
@@ -50,11 +50,11 @@
       return NULL;
     }
   (void)zmq_ctx_set (l->zmq, ZMQ_MAX_SOCKETS, ZMQ_SOCKETS_MAX);
-  l->core = cv_core_new (&o);
+  l->core = cv_entry_new (&o);
   if (pthread_create (&l->thread, NULL, run, l) != 0)
     {
       (void)cv_fail (err, CV_ERR_SYSTEM, "I/O thread cannot be started");
-      cv_core_free (l->core);
+      cv_entry_free (l->core);
       (void)zmq_ctx_term (l->zmq);
       (void)close (l->wake);
       free (l);
@@ -64,7 +64,7 @@
 }
 
 void
-cv_link_free (cv_link_t *l)
+cv_entry_link_free (cv_entry_link_t *l)
 {
   cv_command_t *c;
 
@@ -75,10 +75,10 @@
       STAILQ_REMOVE_HEAD (&l->queue, link);
       free_command (c);
     }
-  cv_core_free (l->core);
+  cv_entry_free (l->core);
   if (l->config != NULL)
     cv_config_unref (l->config);
-  cv_link_close_peers (l);
+  cv_entry_link_close_peers (l);
   (void)zmq_ctx_term (l->zmq);
   (void)close (l->wake);
   cv_buf_finish (&l->frame);
@@ -87,7 +87,8 @@
 }
 
 void
-cv_link_submit (cv_link_t *l, cv_caller_t *caller, const cv_stream_spec_t *spec)
+cv_entry_link_submit (cv_entry_link_t *l, cv_caller_t *caller,
+                      const cv_stream_spec_t *spec)
 {
   cv_command_t *c = command (COMMAND_SUBMIT, caller);
 
@@ -98,8 +99,8 @@
 }
 
 void
-cv_link_attach (cv_link_t *l, cv_caller_t *caller, const char *account,
-                const cv_position_t *first)
+cv_entry_link_attach (cv_entry_link_t *l, cv_caller_t *caller,
+                      const char *account, const cv_position_t *first)
 {
   cv_command_t *c = command (COMMAND_ATTACH, caller);
 
@@ -109,7 +110,8 @@
 }
 
 void
-cv_link_call (cv_link_t *l, cv_caller_t *caller, const cv_call_spec_t *spec)
+cv_entry_link_call (cv_entry_link_t *l, cv_caller_t *caller,
+                    const cv_call_spec_t *spec)
 {
   cv_command_t *c = command (COMMAND_CALL, caller);
   char *at;
@@ -125,7 +127,7 @@
 }
 
 void
-cv_link_ticket (cv_link_t *l, cv_caller_t *caller, const char *pool)
+cv_entry_link_ticket (cv_entry_link_t *l, cv_caller_t *caller, const char *pool)
 {
   cv_command_t *c = command (COMMAND_TICKET, caller);
 
@@ -134,13 +136,13 @@
 }
 
 void
-cv_link_gone (cv_link_t *l, cv_caller_t *caller)
+cv_entry_link_gone (cv_entry_link_t *l, cv_caller_t *caller)
 {
   push (l, command (COMMAND_GONE, caller));
 }
 
 void
-cv_link_adopt (cv_link_t *l, cv_config_t *config)
+cv_entry_link_adopt (cv_entry_link_t *l, cv_config_t *config)
 {
   cv_command_t *c = command (COMMAND_ADOPT, NULL);
 
@@ -149,8 +151,8 @@
 }
 
 void
-cv_link_instances (cv_link_t *l, const cv_instance_t *list, size_t count,
-                   uint32_t entries)
+cv_entry_link_instances (cv_entry_link_t *l, const cv_instance_t *list,
+                         size_t count, uint32_t entries)
 {
   cv_command_t *c = command (COMMAND_INSTANCES, NULL);
 
@@ -163,7 +165,7 @@
 }
 
 uint32_t
-cv_link_entries (cv_link_t *l)
+cv_entry_link_entries (cv_entry_link_t *l)
 {
   uint32_t n;
 
@@ -174,15 +176,16 @@
 }
 
 void
-cv_link_drain (cv_link_t *l)
+cv_entry_link_drain (cv_entry_link_t *l)
 {
   push (l, command (COMMAND_DRAIN, NULL));
 }
 
 void
-cv_link_inspect (cv_link_t *l,
-                 void (*fn) (cv_core_t *core, cv_time_t now, void *arg),
-                 void *arg)
+cv_entry_link_inspect (cv_entry_link_t *l,
+                       void (*fn) (cv_entry_core_t *core, cv_time_t now,
+                                   void *arg),
+                       void *arg)
 {
   cv_command_t *c = command (COMMAND_INSPECT, NULL);
   cv_waiter_t w = { .done = false };
@@ -202,7 +205,7 @@
 }
 
 cv_config_t *
-cv_link_config (cv_link_t *l)
+cv_entry_link_config (cv_entry_link_t *l)
 {
   cv_config_t *config;
 
@@ -217,7 +220,7 @@
 static void *
 run (void *arg)
 {
-  cv_link_t *l = arg;
+  cv_entry_link_t *l = arg;
   zmq_pollitem_t *items = NULL;
   uint32_t *slots = NULL;
   size_t cap = 0;
@@ -234,11 +237,11 @@
         run_commands (l);
       for (size_t i = 1; i < n; i++)
         if ((items[i].revents & ZMQ_POLLIN) != 0)
-          cv_link_receive (l, slots[i]);
+          cv_entry_link_receive (l, slots[i]);
       if (cv_now () >= next_tick)
         {
-          cv_core_tick (l->core, cv_now ());
-          next_tick = cv_now () + CV_CORE_TICK;
+          cv_entry_tick (l->core, cv_now ());
+          next_tick = cv_now () + CV_ENTRY_TICK;
         }
       publish_config (l);
     }
@@ -249,7 +252,8 @@
 
 /* Item 0 is the queue's eventfd, the others are the sides.  */
 static size_t
-poll_items (cv_link_t *l, zmq_pollitem_t **items, size_t *cap, uint32_t **slots)
+poll_items (cv_entry_link_t *l, zmq_pollitem_t **items, size_t *cap,
+            uint32_t **slots)
 {
   size_t n = 1;
 
@@ -275,7 +279,7 @@
 }
 
 static void
-run_commands (cv_link_t *l)
+run_commands (cv_entry_link_t *l)
 {
   uint64_t count;
   cv_command_t *c;
@@ -296,7 +300,7 @@
 }
 
 static void
-run_command (cv_link_t *l, cv_time_t now, cv_command_t *c)
+run_command (cv_entry_link_t *l, cv_time_t now, cv_command_t *c)
 {
   cv_caller_t *caller = c->caller;
   cv_waiter_t *w;
@@ -304,34 +308,34 @@
   switch (c->type)
     {
     case COMMAND_SUBMIT:
-      cv_core_submit (l->core, now, cv_caller_ref (caller), &c->u.submit);
+      cv_entry_submit (l->core, now, cv_caller_ref (caller), &c->u.submit);
       break;
     case COMMAND_ATTACH:
-      cv_core_attach (l->core, now, cv_caller_ref (caller), c->u.attach.account,
-                      &c->u.attach.first);
+      cv_entry_attach (l->core, now, cv_caller_ref (caller),
+                       c->u.attach.account, &c->u.attach.first);
       break;
     case COMMAND_CALL:
-      cv_core_call (l->core, now, cv_caller_ref (caller), &c->u.call);
+      cv_entry_call (l->core, now, cv_caller_ref (caller), &c->u.call);
       break;
     case COMMAND_TICKET:
-      cv_core_ticket (l->core, now, cv_caller_ref (caller), c->u.pool);
+      cv_entry_ticket (l->core, now, cv_caller_ref (caller), c->u.pool);
       break;
     case COMMAND_GONE:
-      cv_core_gone (l->core, now, caller);
+      cv_entry_gone (l->core, now, caller);
       break;
     case COMMAND_ADOPT:
-      if (cv_core_adopt (l->core, now, c->u.config))
+      if (cv_entry_adopt (l->core, now, c->u.config))
         cv_log (CV_EV_ENTRY_CONFIG_ADOPTED, "version %llu",
                 (unsigned long long)c->u.config->version);
-      cv_core_confirmed (l->core, now, c->u.config->version);
+      cv_entry_confirmed (l->core, now, c->u.config->version);
       break;
     case COMMAND_INSTANCES:
       l->entries = c->u.instances.entries;
-      cv_link_apply_instances (l, now, c->u.instances.list,
-                               c->u.instances.count);
+      cv_entry_link_apply_instances (l, now, c->u.instances.list,
+                                     c->u.instances.count);
       break;
     case COMMAND_DRAIN:
-      cv_core_stop (l->core);
+      cv_entry_stop (l->core);
       break;
     case COMMAND_INSPECT:
       c->u.inspect.fn (l->core, now, c->u.inspect.arg);
@@ -361,9 +365,9 @@
 }
 
 static void
-publish_config (cv_link_t *l)
+publish_config (cv_entry_link_t *l)
 {
-  cv_config_t *config = cv_core_config (l->core);
+  cv_config_t *config = cv_entry_config (l->core);
   cv_config_t *old;
 
   if (config == l->config)
@@ -377,7 +381,7 @@
 }
 
 static void
-push (cv_link_t *l, cv_command_t *c)
+push (cv_entry_link_t *l, cv_command_t *c)
 {
   uint64_t one = 1;
 
--- a/entry/link.h
+++ b/entry/link.h
@@ -8,7 +8,7 @@
 #include "entry/core.h"
 #include "entry/entry.h"
 
-typedef struct cv_link_t cv_link_t;
+typedef struct cv_entry_link_t cv_entry_link_t;
 
 /* A process of the instance list.  */
 typedef struct
@@ -21,35 +21,38 @@
   bool seen; /* for the link's own use */
 } cv_instance_t;
 
-cv_link_t *cv_link_new (const cv_entry_settings_t *s, cv_error_t *err);
+cv_entry_link_t *cv_entry_link_new (const cv_entry_settings_t *s,
+                                    cv_error_t *err);
 /* Waits for the thread's end.  */
-void cv_link_free (cv_link_t *l);
+void cv_entry_link_free (cv_entry_link_t *l);
 
 /* As the functions of the core, from any thread.  The link keeps a reference
    of CALLER until the last reply.  */
-void cv_link_submit (cv_link_t *l, cv_caller_t *caller,
-                     const cv_stream_spec_t *spec);
-void cv_link_attach (cv_link_t *l, cv_caller_t *caller, const char *account,
-                     const cv_position_t *first);
-void cv_link_call (cv_link_t *l, cv_caller_t *caller,
-                   const cv_call_spec_t *spec);
-void cv_link_ticket (cv_link_t *l, cv_caller_t *caller, const char *pool);
-void cv_link_gone (cv_link_t *l, cv_caller_t *caller);
+void cv_entry_link_submit (cv_entry_link_t *l, cv_caller_t *caller,
+                           const cv_stream_spec_t *spec);
+void cv_entry_link_attach (cv_entry_link_t *l, cv_caller_t *caller,
+                           const char *account, const cv_position_t *first);
+void cv_entry_link_call (cv_entry_link_t *l, cv_caller_t *caller,
+                         const cv_call_spec_t *spec);
+void cv_entry_link_ticket (cv_entry_link_t *l, cv_caller_t *caller,
+                           const char *pool);
+void cv_entry_link_gone (cv_entry_link_t *l, cv_caller_t *caller);
 
 /* CONFIG is the store's current one.  */
-void cv_link_adopt (cv_link_t *l, cv_config_t *config);
+void cv_entry_link_adopt (cv_entry_link_t *l, cv_config_t *config);
 /* The targets on the instance list; ENTRIES counts the entries there.  */
-void cv_link_instances (cv_link_t *l, const cv_instance_t *list, size_t count,
-                        uint32_t entries);
-uint32_t cv_link_entries (cv_link_t *l);
+void cv_entry_link_instances (cv_entry_link_t *l, const cv_instance_t *list,
+                              size_t count, uint32_t entries);
+uint32_t cv_entry_link_entries (cv_entry_link_t *l);
 /* Refuse new requests from now on.  */
-void cv_link_drain (cv_link_t *l);
+void cv_entry_link_drain (cv_entry_link_t *l);
 
 /* Run FN on the I/O thread and wait for it.  */
-void cv_link_inspect (cv_link_t *l,
-                      void (*fn) (cv_core_t *core, cv_time_t now, void *arg),
-                      void *arg);
+void cv_entry_link_inspect (cv_entry_link_t *l,
+                            void (*fn) (cv_entry_core_t *core, cv_time_t now,
+                                        void *arg),
+                            void *arg);
 /* The configuration in force, with a reference, or NULL.  */
-cv_config_t *cv_link_config (cv_link_t *l);
+cv_config_t *cv_entry_link_config (cv_entry_link_t *l);
 
 #endif
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -55,7 +55,7 @@
     } instances;
     struct
     {
-      void (*fn) (cv_core_t *core, cv_time_t now, void *arg);
+      void (*fn) (cv_entry_core_t *core, cv_time_t now, void *arg);
       void *arg;
       cv_waiter_t *waiter;
     } inspect;
@@ -69,7 +69,7 @@
   cv_instance_t instance;
 } cv_peer_t;
 
-struct cv_link_t
+struct cv_entry_link_t
 {
   pthread_t thread;
   void *zmq;
@@ -79,7 +79,7 @@
   uint32_t entries;
   cv_config_t *config; /* the core's, for other threads */
   /* Of the I/O thread alone: */
-  cv_core_t *core;
+  cv_entry_core_t *core;
   cv_peer_t *peers;
   uint32_t peer_count;
   cv_buf_t frame;
@@ -88,12 +88,12 @@
 
 /* link_peers.c */
 
-void cv_link_apply_instances (cv_link_t *l, cv_time_t now, cv_instance_t *list,
-                              size_t count);
-void cv_link_send (void *arg, uint32_t target, const cv_msg_t *msg);
-void cv_link_reset (void *arg, uint32_t target);
+void cv_entry_link_apply_instances (cv_entry_link_t *l, cv_time_t now,
+                                    cv_instance_t *list, size_t count);
+void cv_entry_link_send (void *arg, uint32_t target, const cv_msg_t *msg);
+void cv_entry_link_reset (void *arg, uint32_t target);
 /* Read what one side sent; a bounded number of frames.  */
-void cv_link_receive (cv_link_t *l, uint32_t target);
-void cv_link_close_peers (cv_link_t *l);
+void cv_entry_link_receive (cv_entry_link_t *l, uint32_t target);
+void cv_entry_link_close_peers (cv_entry_link_t *l);
 
 #endif
--- a/entry/link_peers.c
+++ b/entry/link_peers.c
@@ -13,15 +13,16 @@
 /* Frames held for a side that does not read.  */
 #define SEND_QUEUE 10000
 
-static bool connect_peer (cv_link_t *l, cv_peer_t *p);
-static void add_peer (cv_link_t *l, cv_time_t now, const cv_instance_t *i);
+static bool connect_peer (cv_entry_link_t *l, cv_peer_t *p);
+static void add_peer (cv_entry_link_t *l, cv_time_t now,
+                      const cv_instance_t *i);
 static cv_instance_t *find_listed (cv_instance_t *list, size_t count,
                                    const cv_instance_t *peer);
-static void remove_peer (cv_link_t *l, cv_time_t now, uint32_t target);
+static void remove_peer (cv_entry_link_t *l, cv_time_t now, uint32_t target);
 
 void
-cv_link_apply_instances (cv_link_t *l, cv_time_t now, cv_instance_t *list,
-                         size_t count)
+cv_entry_link_apply_instances (cv_entry_link_t *l, cv_time_t now,
+                               cv_instance_t *list, size_t count)
 {
   for (uint32_t t = 0; t < l->peer_count; t++)
     {
@@ -33,12 +34,12 @@
       if (i != NULL)
         {
           i->seen = true;
-          cv_core_target_listed (l->core, now, t, i->leaving);
+          cv_entry_target_listed (l->core, now, t, i->leaving);
         }
-      else if (cv_core_target_lost (l->core, t))
+      else if (cv_entry_target_lost (l->core, t))
         remove_peer (l, now, t);
       else
-        cv_core_target_listed (l->core, now, t, true);
+        cv_entry_target_listed (l->core, now, t, true);
     }
   for (size_t k = 0; k < count; k++)
     if (!list[k].seen)
@@ -46,9 +47,9 @@
 }
 
 void
-cv_link_send (void *arg, uint32_t target, const cv_msg_t *msg)
+cv_entry_link_send (void *arg, uint32_t target, const cv_msg_t *msg)
 {
-  cv_link_t *l = arg;
+  cv_entry_link_t *l = arg;
 
   if (target >= l->peer_count || l->peers[target].socket == NULL)
     return;
@@ -61,9 +62,9 @@
 }
 
 void
-cv_link_reset (void *arg, uint32_t target)
+cv_entry_link_reset (void *arg, uint32_t target)
 {
-  cv_link_t *l = arg;
+  cv_entry_link_t *l = arg;
   cv_peer_t *p = &l->peers[target];
 
   if (p->socket == NULL)
@@ -74,7 +75,7 @@
 }
 
 void
-cv_link_receive (cv_link_t *l, uint32_t target)
+cv_entry_link_receive (cv_entry_link_t *l, uint32_t target)
 {
   for (int i = 0; i < RECEIVE_BATCH; i++)
     {
@@ -93,7 +94,7 @@
         }
       if (cv_msg_decode (&msg, zmq_msg_data (&frame), zmq_msg_size (&frame),
                          &err))
-        cv_core_message (l->core, cv_now (), target, &msg);
+        cv_entry_message (l->core, cv_now (), target, &msg);
       else
         cv_log (CV_EV_ENTRY_FRAME_INVALID, "target %s: %s",
                 l->peers[target].instance.id, err.text);
@@ -102,7 +103,7 @@
 }
 
 void
-cv_link_close_peers (cv_link_t *l)
+cv_entry_link_close_peers (cv_entry_link_t *l)
 {
   for (uint32_t t = 0; t < l->peer_count; t++)
     if (l->peers[t].socket != NULL)
@@ -113,7 +114,7 @@
 }
 
 static bool
-connect_peer (cv_link_t *l, cv_peer_t *p)
+connect_peer (cv_entry_link_t *l, cv_peer_t *p)
 {
   char endpoint[80];
   int zero = 0;
@@ -133,7 +134,7 @@
 }
 
 static void
-add_peer (cv_link_t *l, cv_time_t now, const cv_instance_t *i)
+add_peer (cv_entry_link_t *l, cv_time_t now, const cv_instance_t *i)
 {
   cv_peer_t peer = { .instance = *i };
   uint32_t slot;
@@ -144,7 +145,7 @@
         (void)zmq_close (peer.socket);
       return;
     }
-  slot = cv_core_target_add (l->core, now, i->id, i->pool);
+  slot = cv_entry_target_add (l->core, now, i->id, i->pool);
   if (slot >= l->peer_count)
     {
       uint32_t count = slot + 16;
@@ -155,7 +156,7 @@
       l->peer_count = count;
     }
   l->peers[slot] = peer;
-  cv_core_target_listed (l->core, now, slot, i->leaving);
+  cv_entry_target_listed (l->core, now, slot, i->leaving);
   cv_log (CV_EV_ENTRY_TARGET_ADDED, "target %s pool %s at %s:%u", i->id,
           i->pool, i->address, i->port);
 }
@@ -173,12 +174,12 @@
 }
 
 static void
-remove_peer (cv_link_t *l, cv_time_t now, uint32_t target)
+remove_peer (cv_entry_link_t *l, cv_time_t now, uint32_t target)
 {
   cv_peer_t *p = &l->peers[target];
 
   cv_log (CV_EV_ENTRY_TARGET_REMOVED, "target %s", p->instance.id);
-  cv_core_target_remove (l->core, now, target);
+  cv_entry_target_remove (l->core, now, target);
   (void)zmq_close (p->socket);
   memset (p, 0, sizeof *p);
 }
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -18,7 +18,7 @@
   cv_hist_t hist[CV_MEASURE_LAST];
 } cv_series_t;
 
-struct cv_metrics_t
+struct cv_entry_metrics_t
 {
   uint64_t counts[CV_COUNT_LAST];
   LIST_HEAD (, cv_series_t) series[METRICS_BUCKETS];
@@ -49,19 +49,19 @@
   [CV_MEASURE_TOKENS] = { "answer_tokens", 1, 1e6 },
 };
 
-static cv_series_t *series_of (cv_metrics_t *m, const char *account,
+static cv_series_t *series_of (cv_entry_metrics_t *m, const char *account,
                                const char *class_name);
 static void write_series (const cv_series_t *s, cv_measure_t what,
                           cv_buf_t *out);
 
-cv_metrics_t *
-cv_metrics_new (void)
+cv_entry_metrics_t *
+cv_entry_metrics_new (void)
 {
-  return cv_calloc (1, sizeof (cv_metrics_t));
+  return cv_calloc (1, sizeof (cv_entry_metrics_t));
 }
 
 void
-cv_metrics_free (cv_metrics_t *m)
+cv_entry_metrics_free (cv_entry_metrics_t *m)
 {
   cv_series_t *s;
 
@@ -77,34 +77,35 @@
 }
 
 void
-cv_metrics_count (cv_metrics_t *m, cv_count_t what)
+cv_entry_metrics_count (cv_entry_metrics_t *m, cv_count_t what)
 {
   m->counts[what]++;
 }
 
 uint64_t
-cv_metrics_get (const cv_metrics_t *m, cv_count_t what)
+cv_entry_metrics_get (const cv_entry_metrics_t *m, cv_count_t what)
 {
   return m->counts[what];
 }
 
 void
-cv_metrics_observe (cv_metrics_t *m, const char *account,
-                    const char *class_name, cv_measure_t what, double value)
+cv_entry_metrics_observe (cv_entry_metrics_t *m, const char *account,
+                          const char *class_name, cv_measure_t what,
+                          double value)
 {
   cv_hist_add (&series_of (m, account, class_name)->hist[what], value);
 }
 
 void
-cv_metrics_outcome (cv_metrics_t *m, const char *account,
-                    const char *class_name, cv_outcome_t outcome)
+cv_entry_metrics_outcome (cv_entry_metrics_t *m, const char *account,
+                          const char *class_name, cv_outcome_t outcome)
 {
   CV_INVARIANT ((int)outcome < OUTCOMES);
   series_of (m, account, class_name)->outcomes[outcome]++;
 }
 
 void
-cv_metrics_write (const cv_metrics_t *m, cv_buf_t *out)
+cv_entry_metrics_write (const cv_entry_metrics_t *m, cv_buf_t *out)
 {
   const cv_series_t *s;
 
@@ -134,7 +135,7 @@
 }
 
 static cv_series_t *
-series_of (cv_metrics_t *m, const char *account, const char *class_name)
+series_of (cv_entry_metrics_t *m, const char *account, const char *class_name)
 {
   uint64_t h = cv_hash (account, strlen (account), 0);
   size_t b = cv_hash (class_name, strlen (class_name), h) % METRICS_BUCKETS;
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -12,7 +12,7 @@
 {
 #endif
 
-  typedef struct cv_metrics_t cv_metrics_t;
+  typedef struct cv_entry_metrics_t cv_entry_metrics_t;
 
   /* Counters of the whole entry.  */
   typedef enum
@@ -38,16 +38,16 @@
     CV_MEASURE_LAST
   } cv_measure_t;
 
-  cv_metrics_t *cv_metrics_new (void);
-  void cv_metrics_free (cv_metrics_t *m);
-  void cv_metrics_count (cv_metrics_t *m, cv_count_t what);
-  uint64_t cv_metrics_get (const cv_metrics_t *m, cv_count_t what);
-  void cv_metrics_observe (cv_metrics_t *m, const char *account,
-                           const char *class_name, cv_measure_t what,
-                           double value);
-  void cv_metrics_outcome (cv_metrics_t *m, const char *account,
-                           const char *class_name, cv_outcome_t outcome);
-  void cv_metrics_write (const cv_metrics_t *m, cv_buf_t *out);
+  cv_entry_metrics_t *cv_entry_metrics_new (void);
+  void cv_entry_metrics_free (cv_entry_metrics_t *m);
+  void cv_entry_metrics_count (cv_entry_metrics_t *m, cv_count_t what);
+  uint64_t cv_entry_metrics_get (const cv_entry_metrics_t *m, cv_count_t what);
+  void cv_entry_metrics_observe (cv_entry_metrics_t *m, const char *account,
+                                 const char *class_name, cv_measure_t what,
+                                 double value);
+  void cv_entry_metrics_outcome (cv_entry_metrics_t *m, const char *account,
+                                 const char *class_name, cv_outcome_t outcome);
+  void cv_entry_metrics_write (const cv_entry_metrics_t *m, cv_buf_t *out);
 
 #ifdef __cplusplus
 }
--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -51,7 +51,7 @@
   unsigned waiting;
   bool quit;
   bool failing;
-  cv_link_t *link;
+  cv_entry_link_t *link;
   cv_store_t store;
   cv_store_counts_t counts;
   cv_time_t poll_interval; /* of an entry alone */
@@ -71,7 +71,7 @@
 static struct timespec clock_at (cv_time_t until);
 
 cv_storejobs_t *
-cv_storejobs_new (const cv_entry_settings_t *settings, cv_link_t *link,
+cv_storejobs_new (const cv_entry_settings_t *settings, cv_entry_link_t *link,
                   cv_error_t *err)
 {
   cv_storejobs_t *s = cv_calloc (1, sizeof *s);
@@ -256,7 +256,7 @@
 poll_interval (cv_storejobs_t *s)
 {
   cv_time_t interval
-      = (cv_time_t)cv_link_entries (s->link) * CV_SECOND / POLLS_PER_S;
+      = (cv_time_t)cv_entry_link_entries (s->link) * CV_SECOND / POLLS_PER_S;
 
   if (interval < s->poll_interval)
     return s->poll_interval;
@@ -272,7 +272,7 @@
 
   if (config == NULL)
     return false;
-  cv_link_adopt (s->link, config);
+  cv_entry_link_adopt (s->link, config);
   cv_config_unref (config);
   return true;
 }
--- a/entry/storejobs.h
+++ b/entry/storejobs.h
@@ -12,8 +12,8 @@
 
 typedef struct cv_storejobs_t cv_storejobs_t;
 
-cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s, cv_link_t *link,
-                                  cv_error_t *err);
+cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s,
+                                  cv_entry_link_t *link, cv_error_t *err);
 void cv_storejobs_free (cv_storejobs_t *s);
 
 /* Write JSON as the configuration that follows VERSION, and take it in force.
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -86,7 +86,7 @@
 
 CoreScript::CoreScript ()
 {
-  cv_core_options_t o = {};
+  cv_entry_options_t o = {};
   strcpy (o.instance, "entry-1");
   o.incarnation = 9;
   o.seed = 1;
@@ -95,12 +95,12 @@
   o.out.reset = on_reset;
   o.out.new_id = on_new_id;
   o.out.arg = this;
-  core_ = cv_core_new (&o);
+  core_ = cv_entry_new (&o);
 }
 
 CoreScript::~CoreScript ()
 {
-  cv_core_free (core_);
+  cv_entry_free (core_);
   for (auto &c : callers_)
     delete c.second;
 }
@@ -112,8 +112,9 @@
   std::string l;
   while (std::getline (in, l))
     line (l);
-  out_ << "in flight " << cv_core_in_flight (core_) << ", dropped "
-       << cv_metrics_get (cv_core_metrics (core_), CV_COUNT_FRAMES_DROPPED)
+  out_ << "in flight " << cv_entry_in_flight (core_) << ", dropped "
+       << cv_entry_metrics_get (cv_entry_metrics (core_),
+                                CV_COUNT_FRAMES_DROPPED)
        << "\n";
   return out_.str ();
 }
@@ -134,7 +135,7 @@
   else if (w[0] == "target")
     target (w);
   else if (w[0] == "unlist")
-    cv_core_target_remove (core_, now_, targets_.at (w[1]));
+    cv_entry_target_remove (core_, now_, targets_.at (w[1]));
   else if (w[0] == "report")
     report (w);
   else if (w[0] == "submit")
@@ -144,16 +145,16 @@
       cv_position_t p;
       if (!cv_position_parse (&p, slice (w[3])))
         abort ();
-      cv_core_attach (core_, now_, caller_of (w[1]), w[2].c_str (), &p);
+      cv_entry_attach (core_, now_, caller_of (w[1]), w[2].c_str (), &p);
     }
   else if (w[0] == "call")
     call (w);
   else if (w[0] == "ticket")
-    cv_core_ticket (core_, now_, caller_of (w[1]), w[2].c_str ());
+    cv_entry_ticket (core_, now_, caller_of (w[1]), w[2].c_str ());
   else if (w[0] == "gone")
-    cv_core_gone (core_, now_, caller_of (w[1]));
+    cv_entry_gone (core_, now_, caller_of (w[1]));
   else if (w[0] == "stop")
-    cv_core_stop (core_);
+    cv_entry_stop (core_);
   else if (w[0] == "accept")
     {
       cv_msg_t m = {};
@@ -191,7 +192,7 @@
       fprintf (stderr, "%s\n", err.text);
       abort ();
     }
-  out_ << (cv_core_adopt (core_, now_, c) ? "  adopted\n" : "  kept\n");
+  out_ << (cv_entry_adopt (core_, now_, c) ? "  adopted\n" : "  kept\n");
   cv_config_unref (c);
 }
 
@@ -200,7 +201,7 @@
 CoreScript::target (const Words &w)
 {
   uint32_t slot
-      = cv_core_target_add (core_, now_, w[1].c_str (), w[2].c_str ());
+      = cv_entry_target_add (core_, now_, w[1].c_str (), w[2].c_str ());
   targets_[w[1]] = slot;
   names_[slot] = w[1];
 }
@@ -236,7 +237,7 @@
   s.max_tokens = number (option (w, "max", "0"));
   s.whole = option (w, "whole", "0") == "1";
   s.prompt = slice (prompt);
-  cv_core_submit (core_, now_, caller_of (w[1]), &s);
+  cv_entry_submit (core_, now_, caller_of (w[1]), &s);
 }
 
 /* call CALLER MODE [ticket=T] [deadline=MS] [pool=P] */
@@ -257,7 +258,7 @@
   s.path = cv_slice ("/book");
   s.content_type = cv_slice ("application/json");
   s.body = cv_slice ("{}");
-  cv_core_call (core_, now_, caller_of (w[1]), &s);
+  cv_entry_call (core_, now_, caller_of (w[1]), &s);
 }
 
 /* tokens TARGET STREAM OFFSET TEXT... */
@@ -330,20 +331,20 @@
   std::string alive = option (w, "alive", "");
   while (now_ < until)
     {
-      now_ += CV_CORE_TICK;
+      now_ += CV_ENTRY_TICK;
       std::istringstream in (alive);
       std::string t;
       while (std::getline (in, t, ','))
         report (
             { "report", t, "inc=" + std::to_string (incarnations_.at (t)) });
-      cv_core_tick (core_, now_);
+      cv_entry_tick (core_, now_);
     }
 }
 
 void
 CoreScript::message (const std::string &target, const cv_msg_t &msg)
 {
-  cv_core_message (core_, now_, targets_.at (target), &msg);
+  cv_entry_message (core_, now_, targets_.at (target), &msg);
 }
 
 cv_id_t
--- a/entry/tests/core_script.h
+++ b/entry/tests/core_script.h
@@ -52,7 +52,7 @@
   static void on_reset (void *arg, uint32_t target);
   static cv_id_t on_new_id (void *arg);
 
-  cv_core_t *core_;
+  cv_entry_core_t *core_;
   cv_time_t now_ = 1000 * CV_SECOND;
   uint64_t ids_ = 0;
   std::map<std::string, uint32_t> targets_;
