Merge the entry; settings shared by both roles; frames walked before unpacking

Cause: the side had its own settings structure; a changed length byte in a frame made the msgpack library ask for 128 GB (Codec.ChangedBytesNeverCrash failed under the address sanitizer). Ruled out: a limit of the library (msgpack_unpack_next has none for arrays). Change: the side reads settings/settings.h; the decoder walks each frame and refuses any length that the frame cannot hold, and any item kind that no message uses.

--- /dev/null
+++ b/catkinvaled/main.c
@@ -0,0 +1,81 @@
+/* The daemon: reads its settings and serves in the role that they name.  */
+
+#include <argp.h>
+#include <stdlib.h>
+
+#include "entry/entry.h"
+#include "side/side.h"
+
+const char *argp_program_version = "catkinvaled 0.1.0";
+
+typedef struct
+{
+  const char *path; /* of the settings file */
+} cv_arguments_t;
+
+static error_t parse_option (int key, char *arg, struct argp_state *state);
+static bool serve (const cv_settings_t *settings, cv_error_t *err);
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser
+      = { .parser = parse_option,
+          .args_doc = "SETTINGS",
+          .doc = "Serve in the role that the file SETTINGS names." };
+  cv_arguments_t arguments = { 0 };
+  cv_settings_t settings;
+  cv_error_t err = { 0 };
+
+  (void)argp_parse (&parser, argc, argv, 0, NULL, &arguments);
+  cv_log_init ("catkinvaled");
+  if (!cv_settings_load (arguments.path, &settings, stderr))
+    {
+      cv_log (CV_EV_SETTINGS_INVALID, "%s", arguments.path);
+      return CV_EXIT_SETTINGS;
+    }
+  cv_log (CV_EV_DAEMON_STARTED, "instance %s",
+          cv_settings_instance (&settings));
+  if (!serve (&settings, &err))
+    {
+      cv_log (CV_EV_DAEMON_FAILED, "%s", err.text);
+      return EXIT_FAILURE;
+    }
+  cv_log (CV_EV_DAEMON_STOPPED, "instance %s",
+          cv_settings_instance (&settings));
+  return EXIT_SUCCESS;
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  cv_arguments_t *arguments = state->input;
+
+  switch (key)
+    {
+    case ARGP_KEY_ARG:
+      if (state->arg_num > 0)
+        argp_usage (state);
+      arguments->path = arg;
+      return 0;
+    case ARGP_KEY_END:
+      if (state->arg_num < 1)
+        argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static bool
+serve (const cv_settings_t *settings, cv_error_t *err)
+{
+  switch (settings->role)
+    {
+    case CV_ROLE_ENTRY:
+      return cv_entry_run (&settings->u.entry, err);
+    case CV_ROLE_SIDE:
+      return cv_side_run (&settings->u.side, err);
+    }
+  return cv_fail (err, CV_ERR_INVALID, "this build has no role of that kind");
+}
--- a/side/run.c
+++ b/side/run.c
@@ -19,9 +19,6 @@
 #define TICK_MS 20
 #define METRICS_INTERVAL (1 * CV_SECOND)
 #define EVENTS_MAX 256
-#define KV_TOKENS_DEFAULT 100000
-#define BATCH_DEFAULT 64
-#define CALLS_DEFAULT 64
 
 /* What a descriptor of the loop stands for: upper half of its epoll data. */
 enum
@@ -35,6 +32,7 @@
 typedef struct
 {
   const cv_side_settings_t *set;
+  char bind[CV_ENDPOINT_TEXT + sizeof "tcp://"]; /* for the entries */
   int epoll;
   int signals;
   cv_core_t core;
@@ -61,21 +59,13 @@
 static void tick (loop_t *l, cv_time_t now);
 static int64_t wall_s (void);
 
-void
-cv_side_settings_init (cv_side_settings_t *s)
-{
-  *s = (cv_side_settings_t){ .kind = CV_POOL_ENGINE,
-                             .kv_tokens = KV_TOKENS_DEFAULT,
-                             .max_batch = BATCH_DEFAULT,
-                             .max_calls = CALLS_DEFAULT };
-  (void)cv_copy (s->control_address, sizeof s->control_address, "127.0.0.1");
-}
-
 bool
 cv_side_run (const cv_side_settings_t *s, cv_error_t *err)
 {
   loop_t l = { .set = s, .epoll = -1, .signals = -1 };
 
+  (void)snprintf (l.bind, sizeof l.bind, "tcp://%s:%u", s->wire.address,
+                  (unsigned)s->wire.port);
   l.link.fd = -1;
   l.control.wake = -1;
   if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
@@ -84,7 +74,7 @@
     return false;
   core_init (&l);
   cv_log (CV_EV_SIDE_STARTED, "target %s pool %s at %s before %s, %016llx",
-          s->target, s->pool, s->bind, s->backend,
+          s->target, s->pool, l.bind, s->target_url.url,
           (unsigned long long)l.core.set.incarnation);
   serve (&l);
   cv_log (CV_EV_SIDE_DRAINED, "target %s", s->target);
@@ -109,14 +99,14 @@
       (void)close (l->epoll);
       return false;
     }
-  if (!cv_link_init (&l->link, l->set->bind, err))
+  if (!cv_link_init (&l->link, l->bind, err))
     {
       (void)close (l->signals);
       (void)close (l->epoll);
       return false;
     }
-  if (!cv_control_init (&l->control, l->set->control_address,
-                        l->set->control_port, err))
+  if (!cv_control_init (&l->control, l->set->control.address,
+                        (uint16_t)l->set->control.port, err))
     {
       cv_link_finish (&l->link);
       (void)close (l->signals);
@@ -178,18 +168,20 @@
 core_init (loop_t *l)
 {
   const cv_side_settings_t *s = l->set;
-  cv_core_settings_t set = { .kind = s->kind,
-                             .incarnation = cv_u64_random (),
-                             .kv_tokens = s->kv_tokens,
-                             .max_batch = s->max_batch,
-                             .max_calls = s->max_calls };
+  cv_core_settings_t set
+      = { .kind
+          = s->kind == CV_TARGET_ENGINE ? CV_POOL_ENGINE : CV_POOL_SERVICE,
+          .incarnation = cv_u64_random (),
+          .kv_tokens = s->kv_tokens,
+          .max_batch = s->max_batch,
+          .max_calls = s->max_calls };
 
   memcpy (set.target, s->target, sizeof set.target);
   memcpy (set.pool, s->pool, sizeof set.pool);
   memcpy (set.failure_domain, s->failure_domain, sizeof set.failure_domain);
   cv_core_init (&l->core, cv_now (), &set, emit, l);
-  cv_engine_init (&l->engine, &l->core, &l->http, s->backend);
-  cv_service_init (&l->service, &l->core, &l->http, s->backend);
+  cv_engine_init (&l->engine, &l->core, &l->http, s->target_url.url);
+  cv_service_init (&l->service, &l->core, &l->http, s->target_url.url);
 }
 
 /* ---- the loop ---- */
@@ -303,7 +295,7 @@
   cv_buf_t text;
 
   l->tick_at = now + TICK_MS * CV_MS;
-  if (l->set->kind == CV_POOL_ENGINE)
+  if (l->set->kind == CV_TARGET_ENGINE)
     cv_engine_tick (&l->engine, now);
   else
     cv_service_tick (&l->service, now);
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -6,6 +6,15 @@
 
 #include "wire/wire.h"
 
+/* First bytes of the msgpack items that messages are made of.  */
+#define BYTE_FIXINT_LAST 0x7f
+#define BYTE_FIXARRAY 0x90
+#define BYTE_BIN8 0xc4
+#define BYTE_UINT8 0xcc
+#define BYTE_ARRAY16 0xdc
+/* The message and the tokens within it.  */
+#define MAX_DEPTH 2
+
 /* Reads the fields of one message in order; once a field is wrong, OK stays
    false and all further reads give zero.  */
 typedef struct
@@ -15,6 +24,12 @@
   bool ok;
 } cursor_t;
 
+static bool read_length (const uint8_t *p, size_t n, size_t *at, int width,
+                         uint32_t *length);
+static bool skip_bin (const uint8_t *p, size_t n, size_t *at);
+static bool skip_item (const uint8_t *p, size_t n, size_t *at, int depth);
+static bool skip_array (const uint8_t *p, size_t n, size_t *at, uint32_t count,
+                        int depth);
 static const msgpack_object *take (cursor_t *c);
 static uint64_t get_u64 (cursor_t *c, uint64_t max);
 static cv_slice_t get_slice (cursor_t *c, size_t max);
@@ -31,6 +46,72 @@
 static void get_body (cursor_t *c, cv_msg_t *msg);
 static bool get_message (const msgpack_object *root, cv_msg_t *msg);
 
+/* The library allocates an array by the length that the frame states, so
+   the frame is walked first: arrays, unsigned integers and byte strings only,
+   each within the frame.  */
+
+/* Read a big-endian length of WIDTH bytes at *AT.  */
+static bool
+read_length (const uint8_t *p, size_t n, size_t *at, int width,
+             uint32_t *length)
+{
+  if (n - *at < (size_t)width)
+    return false;
+  *length = 0;
+  for (int i = 0; i < width; i++)
+    *length = *length << 8 | p[(*at)++];
+  return true;
+}
+
+static bool
+skip_bin (const uint8_t *p, size_t n, size_t *at)
+{
+  int width = 1 << (p[*at - 1] - BYTE_BIN8);
+  uint32_t length;
+
+  if (!read_length (p, n, at, width, &length) || n - *at < length)
+    return false;
+  *at += length;
+  return true;
+}
+
+static bool
+skip_array (const uint8_t *p, size_t n, size_t *at, uint32_t count, int depth)
+{
+  /* Each element takes a byte at least.  */
+  if (depth >= MAX_DEPTH || n - *at < count)
+    return false;
+  for (uint32_t i = 0; i < count; i++)
+    if (!skip_item (p, n, at, depth + 1))
+      return false;
+  return true;
+}
+
+static bool
+skip_item (const uint8_t *p, size_t n, size_t *at, int depth)
+{
+  uint32_t count;
+  uint8_t byte;
+
+  if (*at >= n)
+    return false;
+  byte = p[(*at)++];
+  if (byte <= BYTE_FIXINT_LAST)
+    return true;
+  if (byte >= BYTE_UINT8 && byte <= BYTE_UINT8 + 3)
+    {
+      *at += (size_t)1 << (byte - BYTE_UINT8);
+      return *at <= n;
+    }
+  if (byte >= BYTE_BIN8 && byte <= BYTE_BIN8 + 2)
+    return skip_bin (p, n, at);
+  if ((byte & 0xf0) == BYTE_FIXARRAY)
+    return skip_array (p, n, at, byte & 0x0f, depth);
+  if (byte == BYTE_ARRAY16 && read_length (p, n, at, 2, &count))
+    return skip_array (p, n, at, count, depth);
+  return false;
+}
+
 static const msgpack_object *
 take (cursor_t *c)
 {
@@ -303,9 +384,12 @@
 {
   msgpack_unpacked unpacked;
   size_t offset = 0;
+  size_t end = 0;
   msgpack_unpack_return got;
   bool ok;
 
+  if (!skip_item (data, n, &end, 0) || end != n)
+    return cv_fail (err, CV_ERR_INVALID, "frame of %zu bytes: malformed", n);
   msgpack_unpacked_init (&unpacked);
   got = msgpack_unpack_next (&unpacked, data, n, &offset);
   ok = got == MSGPACK_UNPACK_SUCCESS && offset == n
