--- /dev/null
+++ b/bench/relay/load.c
@@ -0,0 +1,264 @@
+/* Client of the relay bench: opens many streams at one server over plain
+   sockets and prints what a caller sees as one line of JSON.
+   relay-load IP PORT PATH KEY STREAMS RAMP_MS TOKENS PROMPT; PATH decides
+   the form of the body.  */
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/base.h"
+#include "bench/relay/chunks.h"
+
+#define BATCH 256
+#define READ_SIZE 16384
+#define REQUEST_MAX 2048
+#define DEADLINE (120 * CV_SECOND)
+#define GAPS_MAX 4000000
+
+typedef struct
+{
+  int fd;
+  bool done;
+  cv_time_t begin;
+  cv_time_t first;
+  cv_time_t last;
+  chunks_t in;
+} stream_t;
+
+typedef struct
+{
+  struct sockaddr_in address;
+  const char *path;
+  const char *key;
+  unsigned tokens;
+  const char *prompt;
+  int epoll;
+  stream_t *streams;
+  unsigned count;
+  unsigned opened;
+  unsigned open;
+  double *gaps; /* microseconds between tokens of one stream */
+  size_t gap_count;
+} load_t;
+
+static void run (load_t *l, cv_time_t ramp);
+static void open_stream (load_t *l, stream_t *s);
+static int request_text (const load_t *l, char *out, size_t size);
+static void ready (load_t *l, stream_t *s);
+static void note_tokens (load_t *l, stream_t *s, unsigned before);
+static void close_stream (load_t *l, stream_t *s);
+static void report (const load_t *l);
+static void print_quantiles (const char *name, double *value, size_t n);
+static int compare (const void *a, const void *b);
+
+int
+main (int argc, char **argv)
+{
+  load_t l = { .epoll = epoll_create1 (EPOLL_CLOEXEC) };
+
+  if (argc != 9 || inet_pton (AF_INET, argv[1], &l.address.sin_addr) != 1)
+    {
+      fprintf (stderr, "usage: relay-load IP PORT PATH KEY STREAMS RAMP_MS "
+                       "TOKENS PROMPT\n");
+      return 2;
+    }
+  l.address.sin_family = AF_INET;
+  l.address.sin_port = htons ((uint16_t)atoi (argv[2]));
+  l.path = argv[3];
+  l.key = argv[4];
+  l.count = (unsigned)atoi (argv[5]);
+  l.tokens = (unsigned)atoi (argv[7]);
+  l.prompt = argv[8];
+  l.streams = cv_calloc (l.count, sizeof *l.streams);
+  l.gaps = cv_calloc (GAPS_MAX, sizeof *l.gaps);
+  run (&l, atoi (argv[6]) * CV_MS);
+  report (&l);
+  free (l.streams);
+  free (l.gaps);
+  return 0;
+}
+
+/* Open the streams evenly over RAMP and read until all have ended.  */
+static void
+run (load_t *l, cv_time_t ramp)
+{
+  struct epoll_event event[BATCH];
+  cv_time_t begin = cv_now ();
+
+  while ((l->opened < l->count || l->open > 0) && cv_now () - begin < DEADLINE)
+    {
+      cv_time_t due = begin + ramp * l->opened / l->count;
+      cv_time_t left = due - cv_now ();
+      int n;
+      int i;
+
+      if (l->opened < l->count && left <= 0)
+        {
+          open_stream (l, &l->streams[l->opened++]);
+          continue;
+        }
+      if (l->opened == l->count)
+        left = CV_SECOND;
+      n = epoll_wait (l->epoll, event, BATCH, (int)(left / CV_MS));
+      for (i = 0; i < n; i++)
+        ready (l, event[i].data.ptr);
+    }
+}
+
+static void
+open_stream (load_t *l, stream_t *s)
+{
+  struct epoll_event ev = { .events = EPOLLIN, .data.ptr = s };
+  char text[REQUEST_MAX];
+  int n = request_text (l, text, sizeof text);
+
+  s->begin = cv_now ();
+  s->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  l->open++;
+  if (n < 0 || s->fd < 0
+      || connect (s->fd, (const struct sockaddr *)&l->address,
+                  sizeof l->address)
+             != 0
+      || send (s->fd, text, (size_t)n, MSG_NOSIGNAL) != n
+      || epoll_ctl (l->epoll, EPOLL_CTL_ADD, s->fd, &ev) != 0)
+    close_stream (l, s);
+}
+
+static int
+request_text (const load_t *l, char *out, size_t size)
+{
+  char body[REQUEST_MAX / 2];
+  char id[CV_ID_TEXT];
+  int n;
+
+  (void)cv_id_format (cv_id_random (), id);
+  if (strcmp (l->path, "/v1/streams") == 0)
+    n = snprintf (body, sizeof body,
+                  "{\"id\":\"%s\",\"model\":\"narrator\",\"prompt\":\"%s\","
+                  "\"max_tokens\":%u,\"priority\":1,\"offset\":0}",
+                  id, l->prompt, l->tokens);
+  else
+    n = snprintf (body, sizeof body,
+                  "{\"model\":\"narrator\",\"prompt\":\"%s\","
+                  "\"max_tokens\":%u,\"stream\":true}",
+                  l->prompt, l->tokens);
+  if (n < 0 || (size_t)n >= sizeof body)
+    return -1;
+  n = snprintf (out, size,
+                "POST %s HTTP/1.1\r\nHost: bench\r\n"
+                "Authorization: Bearer %s\r\nContent-Type: application/json\r\n"
+                "Connection: close\r\nContent-Length: %d\r\n\r\n%s",
+                l->path, l->key, n, body);
+  return n < 0 || (size_t)n >= size ? -1 : n;
+}
+
+static void
+ready (load_t *l, stream_t *s)
+{
+  char block[READ_SIZE];
+  ssize_t n = recv (s->fd, block, sizeof block, MSG_DONTWAIT);
+  unsigned before = s->in.tokens;
+
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (n <= 0)
+    {
+      close_stream (l, s);
+      return;
+    }
+  chunks_feed (&s->in, block, (size_t)n);
+  if (s->in.tokens != before)
+    note_tokens (l, s, before);
+  if (s->in.over)
+    close_stream (l, s);
+}
+
+static void
+note_tokens (load_t *l, stream_t *s, unsigned before)
+{
+  cv_time_t now = cv_now ();
+  double gap = (double)(now - s->last);
+
+  if (s->first == 0)
+    s->first = now;
+  for (; before < s->in.tokens; before++)
+    {
+      if (s->last != 0 && l->gap_count < GAPS_MAX)
+        l->gaps[l->gap_count++] = gap;
+      gap = 0;
+      s->last = now;
+    }
+}
+
+static void
+close_stream (load_t *l, stream_t *s)
+{
+  if (s->fd >= 0)
+    (void)close (s->fd);
+  s->fd = -1;
+  s->done = true;
+  l->open--;
+}
+
+static void
+report (const load_t *l)
+{
+  double *ttft = cv_calloc (l->count, sizeof *ttft);
+  double *pace = cv_calloc (l->count, sizeof *pace);
+  size_t n = 0;
+  unsigned whole = 0;
+  unsigned long tokens = 0;
+  unsigned i;
+
+  for (i = 0; i < l->count; i++)
+    {
+      const stream_t *s = &l->streams[i];
+
+      tokens += s->in.tokens;
+      if (!s->in.ended || s->in.tokens != l->tokens)
+        continue;
+      whole++;
+      ttft[n] = (double)(s->first - s->begin);
+      pace[n] = s->in.tokens < 2
+                    ? 0
+                    : (double)(s->last - s->first) / (s->in.tokens - 1);
+      n++;
+    }
+  printf ("{\"streams\":%u,\"whole\":%u,\"tokens\":%lu,\"status\":%d", l->count,
+          whole, tokens, l->count > 0 ? l->streams[0].in.status : 0);
+  print_quantiles ("ttft_us", ttft, n);
+  print_quantiles ("token_us", pace, n);
+  print_quantiles ("gap_us", l->gaps, l->gap_count);
+  printf ("}\n");
+  free (ttft);
+  free (pace);
+}
+
+static void
+print_quantiles (const char *name, double *value, size_t n)
+{
+  static const int percent[] = { 50, 95, 99 };
+  size_t i;
+
+  qsort (value, n, sizeof *value, compare);
+  printf (",\"%s\":{", name);
+  for (i = 0; i < sizeof percent / sizeof percent[0]; i++)
+    printf ("%s\"p%d\":%.1f", i > 0 ? "," : "", percent[i],
+            n > 0 ? value[(n - 1) * (size_t)percent[i] / 100] : 0.0);
+  printf ("}");
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
