Side: orders to the engine under fencing numbers

The side loads the models of its pool and unloads those that left it. The port that it listens on keeps two living processes of one target apart, also when one is frozen; what a dead one had sent is refused by the engine's number, of which each process claims the next before its first load. A process whose number was overtaken gives no more orders. With weights_url set, a load is preceded by leave of the weight store, with jittered backoff after Retry-After.

Scripts in virtual time: claim, change, unload, lost answer, engine restart, late answer of the engine before, lapse; no fence, freeze, old configuration; leave refused, kept over a repeat, and not used for another model.

--- a/settings/settings.h
+++ b/settings/settings.h
@@ -68,17 +68,18 @@
     char pool[CV_NAME_MAX];
     char failure_domain[CV_NAME_MAX];
     cv_target_kind_t kind;
-    cv_endpoint_t wire;          /* ZeroMQ, for the entries */
-    cv_endpoint_t control;       /* HTTP: /healthz, /metrics, notices */
-    cv_service_url_t target_url; /* the engine or service */
-    uint32_t max_batch;          /* streams of an engine at once */
-    uint64_t kv_tokens;          /* engine memory until it reports */
-    uint32_t max_calls;          /* calls of a service at once */
-    uint32_t buffer_bytes;       /* tokens kept for resuming callers, in all */
-    uint32_t resume_s;           /* a stream without a reader lives so long */
-    uint32_t generation_s;       /* ticket generation */
-    uint32_t load_poll_ms;       /* of the engine's own figures */
-    uint32_t drain_s;            /* longest wait for work in flight at a stop */
+    cv_endpoint_t wire;           /* ZeroMQ, for the entries */
+    cv_endpoint_t control;        /* HTTP: /healthz, /metrics, notices */
+    cv_service_url_t target_url;  /* the engine or service */
+    char weights_url[CV_URL_MAX]; /* weight store asked before a load; "" */
+    uint32_t max_batch;           /* streams of an engine at once */
+    uint64_t kv_tokens;           /* engine memory until it reports */
+    uint32_t max_calls;           /* calls of a service at once */
+    uint32_t buffer_bytes;        /* tokens kept for resuming callers, in all */
+    uint32_t resume_s;            /* a stream without a reader lives so long */
+    uint32_t generation_s;        /* ticket generation */
+    uint32_t load_poll_ms;        /* of the engine's own figures */
+    uint32_t drain_s; /* longest wait for work in flight at a stop */
   } cv_side_settings_t;
 
   typedef struct
--- a/side/core.c
+++ b/side/core.c
@@ -19,6 +19,7 @@
   c->suspects = cv_suspects_new ();
   cv_streams_init (c);
   cv_calls_init (c, now);
+  cv_orders_init (c, now);
 }
 
 void
@@ -27,6 +28,7 @@
   cv_streams_finish (c);
   cv_calls_finish (c);
   cv_docs_finish (c);
+  cv_orders_finish (c);
   cv_gate_free (c->gate);
   cv_length_free (c->lengths);
   cv_suspects_free (c->suspects);
@@ -88,6 +90,7 @@
   cv_peers_tick (c, now);
   cv_streams_tick (c, now);
   cv_calls_tick (c, now);
+  cv_orders_tick (c, now);
   cv_drain_tick (c, now);
   c->gate_due = true; /* time and progress */
   cv_core_flush (c, now);
--- a/side/core.h
+++ b/side/core.h
@@ -7,7 +7,8 @@
    calls.c    calls of a plain service and their tickets
    peers.c    entries, heartbeats
    docs.c     versions of the configuration and of the suspects
-   drain.c    leaving and reclaim  */
+   drain.c    leaving and reclaim
+   orders.c   what the engine should have loaded  */
 
 #ifndef CV_SIDE_CORE_H
 #define CV_SIDE_CORE_H
@@ -15,6 +16,7 @@
 #include "config/config.h"
 #include "policy/policy.h"
 #include "side/idmap.h"
+#include "side/orders.h"
 #include "wire/wire.h"
 
 #ifdef __cplusplus
@@ -61,7 +63,9 @@
     CV_OUT_ENGINE_PAUSE,  /* free its memory, keep its tokens */
     CV_OUT_ENGINE_RUN,    /* queue a paused stream again */
     CV_OUT_ENGINE_CANCEL, /* stop it; no more events of it are wanted */
-    CV_OUT_SERVICE_CALL   /* run a call at the service */
+    CV_OUT_SERVICE_CALL,  /* run a call at the service */
+    CV_OUT_FETCH,         /* ask the weight store for leave to load */
+    CV_OUT_ORDER          /* an order to the engine itself */
   } cv_out_type_t;
 
   /* A stream at the engine.  ID guards against a slot that was used again.  */
@@ -105,6 +109,7 @@
       cv_engine_start_t start;
       cv_stream_ref_t stream; /* PAUSE, RUN, CANCEL */
       cv_service_call_t call;
+      const cv_order_t *order; /* FETCH, ORDER */
     } u;
   } cv_side_out_t;
 
@@ -249,6 +254,8 @@
     uint64_t kv_tokens;
     uint32_t max_batch;
     uint32_t max_calls;
+    bool fetches;  /* a load needs leave of the weight store */
+    uint64_t seed; /* of jitter */
   } cv_core_settings_t;
 
   typedef struct
@@ -296,6 +303,8 @@
     uint32_t config_age_ms; /* at config_heard */
     cv_time_t config_heard;
 
+    cv_orders_t orders;
+
     bool leaving;
     cv_time_t leave_since;
     cv_time_t reclaim_at; /* 0: no reclaim */
@@ -350,6 +359,24 @@
 
   void cv_core_call_end (cv_core_t *c, cv_time_t now, const cv_call_end_t *end);
 
+  /* The engine's answer to an order, or none.  FENCE is the one that a
+     refusal (status 409) names.  */
+  typedef struct
+  {
+    bool answered;
+    uint32_t status;
+    uint64_t fence;
+  } cv_order_end_t;
+
+  void cv_core_order_end (cv_core_t *c, cv_time_t now,
+                          const cv_order_end_t *end);
+  /* The weight store gave leave, or not; RETRY_AFTER_MS is 0 when it named no
+     time.  */
+  void cv_core_fetch_end (cv_core_t *c, cv_time_t now, bool granted,
+                          uint32_t retry_after_ms);
+  /* The engine was started anew and holds nothing that was ordered.  */
+  void cv_core_engine_booted (cv_core_t *c);
+
   /* Begin to drain; WITHIN > 0 is the time until the target is taken away.  */
   void cv_core_leave (cv_core_t *c, cv_time_t now, cv_time_t within);
   /* True when a leaving side holds nothing that must still be finished.  */
@@ -436,6 +463,10 @@
   /* The suspects changed here.  */
   void cv_docs_suspects_changed (cv_core_t *c, cv_time_t now);
 
+  void cv_orders_init (cv_core_t *c, cv_time_t now);
+  void cv_orders_finish (cv_core_t *c);
+  void cv_orders_tick (cv_core_t *c, cv_time_t now);
+
   void cv_drain_tick (cv_core_t *c, cv_time_t now);
 
 #ifdef __cplusplus
--- a/side/engine.c
+++ b/side/engine.c
@@ -90,6 +90,8 @@
     case CV_OUT_SEND:
     case CV_OUT_FORGET_PEER:
     case CV_OUT_SERVICE_CALL:
+    case CV_OUT_FETCH:
+    case CV_OUT_ORDER:
       break;
     }
 }
--- a/side/engine_events.c
+++ b/side/engine_events.c
@@ -216,6 +216,8 @@
 
   if (e->boot != 0 && boot != e->boot && !TAILQ_EMPTY (&e->runs))
     cv_engine_dead (e, false);
+  if (e->boot != 0 && boot != e->boot)
+    cv_core_engine_booted (e->core);
   e->boot = boot;
   e->answered = now;
   load.running = (uint32_t)get_int (o, "running");
--- a/side/http.c
+++ b/side/http.c
@@ -8,6 +8,7 @@
 #include "wire/wire.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
+#define RETRY_AFTER_MAX 3600 /* seconds */
 
 struct cv_http_request_t
 {
@@ -280,16 +281,21 @@
   cv_http_result_t result = { .end = CV_HTTP_WHOLE };
   char *type = NULL;
   curl_off_t connected = 0;
+  curl_off_t retry_after = 0;
 
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &r);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &result.status);
   curl_easy_getinfo (easy, CURLINFO_CONTENT_TYPE, &type);
   curl_easy_getinfo (easy, CURLINFO_CONNECT_TIME_T, &connected);
+  curl_easy_getinfo (easy, CURLINFO_RETRY_AFTER, &retry_after);
   if (code == CURLE_COULDNT_CONNECT
       || (code == CURLE_OPERATION_TIMEDOUT && r->call.once && connected == 0))
     result.end = CV_HTTP_NOT_SENT;
   else if (code != CURLE_OK)
     result.end = CV_HTTP_CUT;
+  if (retry_after > 0)
+    result.retry_after_s = retry_after < RETRY_AFTER_MAX ? (uint32_t)retry_after
+                                                         : RETRY_AFTER_MAX;
   result.content_type = type != NULL ? type : "";
   result.body.p = r->body_in.p;
   result.body.n = r->body_in.n;
--- a/side/http.h
+++ b/side/http.h
@@ -26,7 +26,8 @@
     cv_http_end_t end;
     long status; /* 0 when none came */
     const char *content_type;
-    cv_slice_t body; /* empty when it was passed on piece by piece */
+    uint32_t retry_after_s; /* of the header; 0 when there is none */
+    cv_slice_t body;        /* empty when it was passed on piece by piece */
   } cv_http_result_t;
 
   /* A request.  The strings are copied.  */
--- a/side/run.c
+++ b/side/run.c
@@ -11,6 +11,7 @@
 
 #include "side/control.h"
 #include "side/engine.h"
+#include "side/engine_orders.h"
 #include "side/link.h"
 #include "side/metrics.h"
 #include "side/service.h"
@@ -40,6 +41,7 @@
   cv_http_t http;
   cv_control_t control;
   cv_engine_t engine;
+  cv_engine_orders_t orders;
   cv_service_t service;
   cv_time_t tick_at;
   cv_time_t metrics_at;
@@ -79,6 +81,7 @@
   serve (&l);
   cv_log (CV_EV_SIDE_DRAINED, "target %s", s->target);
   cv_engine_finish (&l.engine);
+  cv_engine_orders_finish (&l.orders);
   cv_service_finish (&l.service);
   cv_core_finish (&l.core);
   close_all (&l);
@@ -174,13 +177,17 @@
           .incarnation = cv_u64_random (),
           .kv_tokens = s->kv_tokens,
           .max_batch = s->max_batch,
-          .max_calls = s->max_calls };
+          .max_calls = s->max_calls,
+          .fetches = s->weights_url[0] != '\0',
+          .seed = cv_u64_random () };
 
   memcpy (set.target, s->target, sizeof set.target);
   memcpy (set.pool, s->pool, sizeof set.pool);
   memcpy (set.failure_domain, s->failure_domain, sizeof set.failure_domain);
   cv_core_init (&l->core, cv_now (), &set, emit, l);
   cv_engine_init (&l->engine, &l->core, &l->http, s->target_url.url);
+  cv_engine_orders_init (&l->orders, &l->core, &l->http, s->target_url.url,
+                         s->weights_url);
   cv_service_init (&l->service, &l->core, &l->http, s->target_url.url);
 }
 
@@ -208,6 +215,12 @@
     case CV_OUT_SERVICE_CALL:
       cv_service_take (&l->service, &out->u.call);
       break;
+    case CV_OUT_FETCH:
+      cv_engine_orders_fetch (&l->orders, out->u.order);
+      break;
+    case CV_OUT_ORDER:
+      cv_engine_orders_send (&l->orders, out->u.order);
+      break;
     }
 }
 
--- a/side/tests/core_test.cc
+++ b/side/tests/core_test.cc
@@ -47,7 +47,7 @@
 class Runner
 {
 public:
-  explicit Runner (cv_pool_kind_t kind)
+  Runner (cv_pool_kind_t kind, bool fetches)
   {
     cv_core_settings_t set = {};
 
@@ -58,6 +58,8 @@
     set.kv_tokens = 1000;
     set.max_batch = 2;
     set.max_calls = 2;
+    set.seed = 1;
+    set.fetches = fetches;
     cv_core_init (&core_, now_, &set, emit, this);
     cv_core_tick (&core_, now_, now_ / CV_SECOND);
   }
@@ -122,6 +124,13 @@
              + text_of (out->u.call.path) + " key "
              + id_of (out->u.call.nonce));
         break;
+      case CV_OUT_FETCH:
+        say ("fetch " + std::string (out->u.order->model) + " "
+             + out->u.order->version);
+        break;
+      case CV_OUT_ORDER:
+        order (out->u.order);
+        break;
       }
   }
 
@@ -173,6 +182,18 @@
     say (o.str ());
   }
 
+  void
+  order (const cv_order_t *o)
+  {
+    static const char *const kinds[] = { "", "load", "unload", "role" };
+    std::string text = "order " + std::to_string (o->fence);
+
+    text = text + " " + kinds[o->kind];
+    for (const char *word : { o->model, o->adapter, o->version })
+      text += *word != 0 ? " " + std::string (word) : "";
+    say (text);
+  }
+
   static uint32_t
   num (const args_t &a, size_t i, uint32_t otherwise = 0)
   {
@@ -204,7 +225,7 @@
           {
             now_ = now_ + kTick < until ? now_ + kTick : until;
             for (uint32_t peer : alive_)
-              hello (peer, "e" + std::to_string (peer), 1, 0);
+              hello (peer, "e" + std::to_string (peer), 1, version_);
             cv_core_tick (&core_, now_, now_ / CV_SECOND);
           }
       }
@@ -212,6 +233,8 @@
       now_ += num (a, 1) * CV_MS; // without a tick
     else if (a[0] == "reports")
       reports_ = a[1] == "on";
+    else if (a[0] == "config")
+      config (a);
     else if (a[0] == "alive")
       alive_.push_back (num (a, 1));
     else if (a[0] == "silent")
@@ -227,6 +250,33 @@
     return true;
   }
 
+  // config PEER VERSION fenced|unfenced [MODEL:VERSION...]
+  void
+  config (const args_t &a)
+  {
+    cv_msg_t m = {};
+    std::string body = "{'pools':{'other':{'kind':'engine'},"
+                       "'pool':{'kind':'engine','checks_fence':";
+
+    body += a[3] == "fenced" ? "true}" : "false}";
+    body += "},'models':{'alien':{'pool':'other','version':'1'}";
+    for (size_t i = 4; i < a.size (); i++)
+      {
+        size_t colon = a[i].find (':');
+
+        body += ",'" + a[i].substr (0, colon) + "':{'pool':'pool','version':'"
+                + a[i].substr (colon + 1) + "'}";
+      }
+    body += "}}";
+    std::replace (body.begin (), body.end (), '\'', '"');
+    version_ = num (a, 2);
+    m.type = CV_MSG_DOC;
+    m.u.doc.doc = CV_DOC_CONFIG;
+    m.u.doc.version = version_;
+    m.u.doc.body = cv_slice (body.c_str ());
+    cv_core_message (&core_, now_, num (a, 1), &m);
+  }
+
   void
   hello (uint32_t peer, const std::string &name, uint64_t incarnation,
          uint64_t config)
@@ -356,6 +406,16 @@
       }
     else if (a[0] == "result")
       result (a);
+    else if (a[0] == "ordered") // ordered STATUS [FENCE], 0: no answer
+      {
+        cv_order_end_t e = { num (a, 1) != 0, num (a, 1), num (a, 2) };
+
+        cv_core_order_end (&core_, now_, &e);
+      }
+    else if (a[0] == "granted" || a[0] == "denied")
+      cv_core_fetch_end (&core_, now_, a[0] == "granted", num (a, 1));
+    else if (a[0] == "booted")
+      cv_core_engine_booted (&core_);
     else
       return false;
     return true;
@@ -382,6 +442,7 @@
   cv_core_t core_;
   cv_time_t now_ = kStart;
   bool reports_ = false;
+  uint64_t version_ = 0; // of the configuration of living entries
   std::vector<uint32_t> alive_;
   std::map<uint64_t, cv_stream_ref_t> slots_;
   std::string out_;
@@ -395,7 +456,8 @@
 {
   std::ifstream in (GetParam ());
   bool calls = GetParam ().find ("call") != std::string::npos;
-  Runner runner (calls ? CV_POOL_SERVICE : CV_POOL_ENGINE);
+  bool fetches = GetParam ().find ("fetch") != std::string::npos;
+  Runner runner (calls ? CV_POOL_SERVICE : CV_POOL_ENGINE, fetches);
   std::string line, script, transcript;
 
   ASSERT_TRUE (in.is_open ());
