--- a/side/calls.c
+++ b/side/calls.c
@@ -302,8 +302,11 @@
   size_t known = c->tickets.count + c->plain_calls.count;
 
   if (!cv_peers_fresh (c, peer))
-    reason = CV_REJECT_ENGINE;
-  else if (!cv_docs_admit (c, now, peer, m->config_version))
+    {
+      cv_core_reject (c, peer, m->request, CV_REJECT_ENGINE, 0);
+      return false;
+    }
+  if (!cv_docs_admit (c, now, peer, m->config_version))
     reason = CV_REJECT_OLD_CONFIG;
   else if (c->leaving)
     reason = CV_REJECT_LEAVING;
