Side: bound of the tokens kept, and less held per stream

buffer_bytes bounds the tokens that all streams hold: streams that nobody reads are forgotten first, ended ones before others, and no new stream is taken while what is read takes up all of it. One stream that is read is bounded by its own max_tokens and is never cut for room. The prompt is freed once the engine has it. Tokens go out after 32 events of the loop instead of 256, so that an entry begins with the first of a batch while the rest is still read.

--- a/side/core.h
+++ b/side/core.h
@@ -254,8 +254,9 @@
     uint64_t kv_tokens;
     uint32_t max_batch;
     uint32_t max_calls;
-    bool fetches;  /* a load needs leave of the weight store */
-    uint64_t seed; /* of jitter */
+    uint64_t buffer_bytes; /* of tokens, in all; 0: no bound */
+    bool fetches;          /* a load needs leave of the weight store */
+    uint64_t seed;         /* of jitter */
   } cv_core_settings_t;
 
   typedef struct
@@ -274,7 +275,8 @@
     cv_idmap_t stream_ids;
     struct cv_stream_list_t streams;
     struct cv_stream_list_t dirty;
-    cv_time_t swept; /* streams were last looked through for idle ones */
+    uint64_t buffered; /* bytes of tokens that all streams hold */
+    cv_time_t swept;   /* streams were last looked through for idle ones */
     cv_stream_t **slots;
     uint32_t slot_count;
     cv_idmap_t tombstone_ids;
--- a/side/run.c
+++ b/side/run.c
@@ -19,7 +19,8 @@
 
 #define TICK_MS 20
 #define METRICS_INTERVAL (1 * CV_SECOND)
-#define EVENTS_MAX 256
+#define EVENTS_MAX 32 /* few, so that tokens go out before the next are read   \
+                       */
 
 /* What a descriptor of the loop stands for: upper half of its epoll data. */
 enum
@@ -178,6 +179,7 @@
           .kv_tokens = s->kv_tokens,
           .max_batch = s->max_batch,
           .max_calls = s->max_calls,
+          .buffer_bytes = s->buffer_bytes,
           .fetches = s->weights_url[0] != '\0',
           .seed = cv_u64_random () };
 
--- a/side/running.c
+++ b/side/running.c
@@ -10,7 +10,7 @@
 
 static void act (cv_core_t *c, cv_time_t now, const cv_gate_action_t *a);
 static void start (cv_core_t *c, cv_stream_t *s);
-static void append (cv_stream_t *s, cv_slice_t text);
+static void append (cv_core_t *c, cv_stream_t *s, cv_slice_t text);
 static void review_waiting (cv_core_t *c, cv_time_t now, cv_stream_t *s);
 static bool strike (cv_core_t *c);
 static void note_natural_end (cv_core_t *c, cv_time_t now,
@@ -106,7 +106,7 @@
 
   if (s == NULL || index != s->count)
     return;
-  append (s, text);
+  append (c, s, text);
   c->counts.tokens++;
   cv_gate_progress (c->gate, now, s->slot, 1);
   cv_streams_mark (c, s);
@@ -267,11 +267,15 @@
   order->max_tokens = s->max_tokens;
   order->priority = s->priority;
   c->emit (c->arg, &out);
+  free (s->prompt); /* the engine has it */
+  s->prompt = NULL;
+  s->prompt_size = 0;
 }
 
 static void
-append (cv_stream_t *s, cv_slice_t text)
+append (cv_core_t *c, cv_stream_t *s, cv_slice_t text)
 {
+  c->buffered += text.n + sizeof *s->token_end;
   if (s->count == s->cap)
     {
       s->cap = s->cap == 0 ? TOKENS_FIRST : s->cap * 2;
--- a/side/streams.c
+++ b/side/streams.c
@@ -18,6 +18,8 @@
 static void stop (cv_core_t *c, cv_time_t now, cv_stream_t *s);
 static void send_tokens (cv_core_t *c, cv_stream_t *s);
 static void send_end (cv_core_t *c, cv_stream_t *s);
+static bool make_room (cv_core_t *c, cv_time_t now);
+static void forget_unread (cv_core_t *c, cv_time_t now, bool ended);
 static void bury (cv_core_t *c, cv_time_t now, cv_id_t id);
 static void unbury (cv_core_t *c, cv_tombstone_t *t);
 static cv_stream_t *find (const cv_core_t *c, cv_id_t id);
@@ -77,6 +79,12 @@
       bury (c, now, m->stream);
       return;
     }
+  if (!make_room (c, now))
+    {
+      cv_core_reject (c, peer, m->stream, CV_REJECT_FULL, CV_RETRY_DEFAULT_MS);
+      bury (c, now, m->stream);
+      return;
+    }
   s = stream_new (c, m);
   s->deadline = now + m->deadline_ms * CV_MS;
   if (cv_running_offer (c, now, s, &retry_after_ms))
@@ -198,12 +206,14 @@
 void
 cv_streams_tick (cv_core_t *c, cv_time_t now)
 {
-  cv_stream_t *s = TAILQ_FIRST (&c->streams);
+  cv_stream_t *s;
   cv_tombstone_t *t;
 
   if (now - c->swept < CV_SWEEP_INTERVAL)
     return;
   c->swept = now;
+  (void)make_room (c, now);
+  s = TAILQ_FIRST (&c->streams);
   while (s != NULL)
     {
       cv_stream_t *next = TAILQ_NEXT (s, link);
@@ -301,6 +311,7 @@
   cv_idmap_remove (&c->stream_ids, &s->node);
   c->slots[s->slot] = NULL;
   bury (c, now, s->node.id);
+  c->buffered -= s->text.n + s->count * sizeof *s->token_end;
   cv_buf_finish (&s->text);
   free (s->token_end);
   free (s->prompt);
@@ -391,6 +402,36 @@
   cv_core_send (c, s->peer, &msg);
 }
 
+/* Keep the tokens of all streams within their bound by forgetting streams
+   that nobody reads, ended ones first.  False when what is read takes up all
+   of it: then no new stream is taken.  */
+static bool
+make_room (cv_core_t *c, cv_time_t now)
+{
+  if (c->set.buffer_bytes == 0 || c->buffered < c->set.buffer_bytes)
+    return true;
+  forget_unread (c, now, true);
+  forget_unread (c, now, false);
+  return c->buffered < c->set.buffer_bytes;
+}
+
+/* Forget streams without a reader, oldest first, until there is room.  */
+static void
+forget_unread (cv_core_t *c, cv_time_t now, bool ended)
+{
+  cv_stream_t *s = TAILQ_FIRST (&c->streams);
+
+  while (s != NULL && c->buffered >= c->set.buffer_bytes)
+    {
+      cv_stream_t *next = TAILQ_NEXT (s, link);
+      bool read = s->end_sent ? false : s->peer != CV_NO_PEER;
+
+      if (!read && (s->state == CV_STREAM_ENDED) == ended)
+        stop (c, now, s);
+      s = next;
+    }
+}
+
 /* Remember that the stream ID must not start any more.  */
 static void
 bury (cv_core_t *c, cv_time_t now, cv_id_t id)
--- a/side/tests/core_test.cc
+++ b/side/tests/core_test.cc
@@ -59,6 +59,7 @@
     set.max_batch = 2;
     set.max_calls = 2;
     set.seed = 1;
+    set.buffer_bytes = 1000;
     set.fetches = fetches;
     cv_core_init (&core_, now_, &set, emit, this);
     cv_core_tick (&core_, now_, now_ / CV_SECOND);
