--- a/side/calls.c
+++ b/side/calls.c
@@ -141,7 +141,7 @@
         drop_queued (c, call, CV_REJECT_ENGINE);
       call = next;
     }
-  if (now - c->generation_since < CV_GENERATION_LIFE)
+  if (now - c->generation_since < c->set.generation)
     return;
   c->generation++;
   c->generation_since = now;
--- a/side/core.h
+++ b/side/core.h
@@ -26,16 +26,12 @@
 
 #define CV_NO_PEER UINT32_MAX
 
-/* A stream that nobody reads is kept for so long, then cancelled; an ended
-   one is kept for replay as long.  */
-#define CV_RESUME_WINDOW (10 * CV_SECOND)
 #define CV_SWEEP_INTERVAL (200 * CV_MS)
 /* Identifiers of streams that must not start any more are remembered.  */
 #define CV_TOMBSTONE_AGE (600 * CV_SECOND)
 #define CV_TOMBSTONES_MAX 65536
-/* Tickets: life of a generation, generations remembered, most tickets, and
+/* Tickets: generations remembered, most tickets, and
    most bytes of stored answers.  */
-#define CV_GENERATION_LIFE (300 * CV_SECOND)
 #define CV_GENERATIONS_KEPT 3
 #define CV_TICKETS_MAX 100000
 #define CV_RESULTS_BYTES (16u * 1024 * 1024)
@@ -255,8 +251,13 @@
     uint32_t max_batch;
     uint32_t max_calls;
     uint64_t buffer_bytes; /* of tokens, in all; 0: no bound */
-    bool fetches;          /* a load needs leave of the weight store */
-    uint64_t seed;         /* of jitter */
+    /* A stream that nobody reads is kept for so long, then cancelled; an
+       ended one is kept for replay as long.  */
+    cv_time_t resume;
+    cv_time_t generation; /* life of a generation of tickets */
+    cv_time_t drain;      /* longest wait for work in flight; 0: no bound */
+    bool fetches;         /* a load needs leave of the weight store */
+    uint64_t seed;        /* of jitter */
   } cv_core_settings_t;
 
   typedef struct
--- a/side/drain.c
+++ b/side/drain.c
@@ -44,6 +44,9 @@
 void
 cv_drain_tick (cv_core_t *c, cv_time_t now)
 {
+  if (c->leaving && c->reclaim_at == 0 && c->set.drain > 0
+      && now - c->leave_since >= c->set.drain - CV_RECLAIM_MARGIN)
+    c->reclaim_at = c->leave_since + c->set.drain;
   if (c->reclaim_at == 0)
     return;
   reclaim_streams (c, now);
--- a/side/engine.h
+++ b/side/engine.h
@@ -68,6 +68,7 @@
     uint64_t boot; /* 0: not known yet */
     cv_http_request_t *poll;
     cv_time_t poll_at;
+    cv_time_t poll_interval;
     cv_time_t answered; /* last load report */
     cv_time_t ticked;
     bool up;
--- a/side/engine_events.c
+++ b/side/engine_events.c
@@ -8,7 +8,6 @@
 #include "side/token_event.h"
 
 #define EVENT_MAX (64 * 1024) /* bytes of one event */
-#define POLL_INTERVAL (250 * CV_MS)
 #define POLL_TIMEOUT_MS 1000
 /* Without an answer for so long the engine takes no new work, and after the
    second time it counts as dead.  */
@@ -179,7 +178,7 @@
     return;
   n = snprintf (url, sizeof url, "%s/v1/load", e->url);
   CV_INVARIANT (n > 0 && (size_t)n < sizeof url);
-  e->poll_at = now + POLL_INTERVAL;
+  e->poll_at = now + e->poll_interval;
   e->poll = cv_http_start (e->http, &call);
 }
 
--- a/side/run.c
+++ b/side/run.c
@@ -19,8 +19,9 @@
 
 #define TICK_MS 20
 #define METRICS_INTERVAL (1 * CV_SECOND)
-#define EVENTS_MAX 32 /* few, so that tokens go out before the next are read   \
-                       */
+#define EVENTS_MAX                                                             \
+  32 /* few, so that tokens go out before the next are read                    \
+      */
 
 /* What a descriptor of the loop stands for: upper half of its epoll data. */
 enum
@@ -180,6 +181,9 @@
           .max_batch = s->max_batch,
           .max_calls = s->max_calls,
           .buffer_bytes = s->buffer_bytes,
+          .resume = s->resume_s * CV_SECOND,
+          .generation = s->generation_s * CV_SECOND,
+          .drain = s->drain_s * CV_SECOND,
           .fetches = s->weights_url[0] != '\0',
           .seed = cv_u64_random () };
 
@@ -188,6 +192,7 @@
   memcpy (set.failure_domain, s->failure_domain, sizeof set.failure_domain);
   cv_core_init (&l->core, cv_now (), &set, emit, l);
   cv_engine_init (&l->engine, &l->core, &l->http, s->target_url.url);
+  l->engine.poll_interval = s->load_poll_ms * CV_MS;
   cv_engine_orders_init (&l->orders, &l->core, &l->http, s->target_url.url,
                          s->weights_url);
   cv_service_init (&l->service, &l->core, &l->http, s->target_url.url);
--- a/side/streams.c
+++ b/side/streams.c
@@ -219,7 +219,7 @@
       cv_stream_t *next = TAILQ_NEXT (s, link);
       bool idle = s->peer == CV_NO_PEER || s->end_sent;
 
-      if (idle && now - s->idle >= CV_RESUME_WINDOW)
+      if (idle && now - s->idle >= c->set.resume)
         stop (c, now, s);
       s = next;
     }
--- a/side/tests/core_test.cc
+++ b/side/tests/core_test.cc
@@ -60,6 +60,9 @@
     set.max_calls = 2;
     set.seed = 1;
     set.buffer_bytes = 1000;
+    set.resume = 10 * CV_SECOND;
+    set.generation = 300 * CV_SECOND;
+    set.drain = 90 * CV_SECOND;
     set.fetches = fetches;
     cv_core_init (&core_, now_, &set, emit, this);
     cv_core_tick (&core_, now_, now_ / CV_SECOND);
