Merge patches between configuration documents; report interval in HELLO

Reports every 500 ms from each target that an entry sees are beyond it as well. Change: config/patch.c makes and applies RFC 7396 merge patches and keeps the latest 32; DOC names the version that a patch starts from, DOC_PULL the version held, HELLO the interval at which the entry wants reports. Not yet used by entry and side. Measured: 500 random documents in a row come out equal.

--- /dev/null
+++ b/config/patch.c
@@ -0,0 +1,205 @@
+/* JSON merge patches between configuration documents.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "config/patch.h"
+
+static struct json_object *parse (cv_slice_t text);
+static bool has_null (struct json_object *o);
+static struct json_object *diff (struct json_object *from,
+                                 struct json_object *to);
+static void merge (struct json_object *target, struct json_object *patch);
+static struct json_object *value_of (struct json_object *o, const char *key);
+static void write_out (struct json_object *o, cv_buf_t *out);
+
+bool
+cv_patch_make (cv_slice_t from, cv_slice_t to, cv_buf_t *patch, cv_error_t *err)
+{
+  struct json_object *a = parse (from);
+  struct json_object *b = parse (to);
+  bool ok = a != NULL && b != NULL && !has_null (b);
+
+  if (ok)
+    {
+      struct json_object *d = diff (a, b);
+
+      write_out (d, patch);
+      json_object_put (d);
+    }
+  json_object_put (a);
+  json_object_put (b);
+  if (!ok)
+    return cv_fail (err, CV_ERR_INVALID, "documents: not objects without null");
+  return true;
+}
+
+bool
+cv_patch_apply (cv_slice_t base, cv_slice_t patch, cv_buf_t *out,
+                cv_error_t *err)
+{
+  struct json_object *a = parse (base);
+  struct json_object *p = parse (patch);
+  bool ok = a != NULL && p != NULL;
+
+  if (ok)
+    {
+      merge (a, p);
+      write_out (a, out);
+    }
+  json_object_put (a);
+  json_object_put (p);
+  if (!ok)
+    return cv_fail (err, CV_ERR_INVALID, "patch or document: not an object");
+  return true;
+}
+
+/* ---- history ---- */
+
+void
+cv_history_init (cv_history_t *h)
+{
+  memset (h, 0, sizeof *h);
+}
+
+void
+cv_history_finish (cv_history_t *h)
+{
+  for (size_t i = 0; i < CV_HISTORY_PATCHES; i++)
+    free (h->patch[i].text);
+  memset (h, 0, sizeof *h);
+}
+
+void
+cv_history_add (cv_history_t *h, uint64_t from, uint64_t to, cv_slice_t text)
+{
+  cv_patch_t *p = &h->patch[h->next];
+
+  free (p->text);
+  p->from = from;
+  p->to = to;
+  p->text = cv_strdup_n (text.p, text.n);
+  p->size = text.n;
+  h->next = (h->next + 1) % CV_HISTORY_PATCHES;
+}
+
+const cv_patch_t *
+cv_history_find (const cv_history_t *h, uint64_t from)
+{
+  const cv_patch_t *best = NULL;
+
+  for (size_t i = 0; i < CV_HISTORY_PATCHES; i++)
+    {
+      const cv_patch_t *p = &h->patch[i];
+
+      if (p->text != NULL && p->from == from
+          && (best == NULL || p->to > best->to))
+        best = p;
+    }
+  return best;
+}
+
+/* ---- local ---- */
+
+/* The object in TEXT, or NULL.  */
+static struct json_object *
+parse (cv_slice_t text)
+{
+  struct json_tokener *tok = json_tokener_new ();
+  struct json_object *o = NULL;
+
+  if (tok != NULL && text.n <= INT32_MAX)
+    o = json_tokener_parse_ex (tok, text.p, (int)text.n);
+  json_tokener_free (tok);
+  if (json_object_is_type (o, json_type_object))
+    return o;
+  json_object_put (o);
+  return NULL;
+}
+
+static bool
+has_null (struct json_object *o)
+{
+  if (o == NULL)
+    return true;
+  if (!json_object_is_type (o, json_type_object))
+    return false;
+  json_object_object_foreach (o, key, value)
+  {
+    (void)key;
+    if (has_null (value))
+      return true;
+  }
+  return false;
+}
+
+static struct json_object *
+value_of (struct json_object *o, const char *key)
+{
+  struct json_object *value = NULL;
+
+  return json_object_object_get_ex (o, key, &value) ? value : NULL;
+}
+
+/* The members of TO that differ, and null for those that it lacks.  */
+static struct json_object *
+diff (struct json_object *from, struct json_object *to)
+{
+  struct json_object *d = json_object_new_object ();
+
+  CV_INVARIANT (d != NULL);
+  json_object_object_foreach (from, old_key, old_value)
+  {
+    (void)old_value;
+    if (!json_object_object_get_ex (to, old_key, NULL))
+      (void)json_object_object_add (d, old_key, NULL);
+  }
+  json_object_object_foreach (to, key, value)
+  {
+    struct json_object *old = value_of (from, key);
+
+    if (json_object_equal (old, value))
+      continue;
+    if (json_object_is_type (old, json_type_object)
+        && json_object_is_type (value, json_type_object))
+      (void)json_object_object_add (d, key, diff (old, value));
+    else
+      (void)json_object_object_add (d, key, json_object_get (value));
+  }
+  return d;
+}
+
+/* Apply PATCH to the object TARGET, as RFC 7396 says.  */
+static void
+merge (struct json_object *target, struct json_object *patch)
+{
+  json_object_object_foreach (patch, key, value)
+  {
+    struct json_object *old = value_of (target, key);
+
+    if (value == NULL)
+      json_object_object_del (target, key);
+    else if (!json_object_is_type (value, json_type_object))
+      (void)json_object_object_add (target, key, json_object_get (value));
+    else
+      {
+        struct json_object *member = json_object_is_type (old, json_type_object)
+                                         ? json_object_get (old)
+                                         : json_object_new_object ();
+
+        CV_INVARIANT (member != NULL);
+        merge (member, value);
+        (void)json_object_object_add (target, key, member);
+      }
+  }
+}
+
+static void
+write_out (struct json_object *o, cv_buf_t *out)
+{
+  const char *text = json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN);
+
+  cv_buf_add (out, text, strlen (text));
+}
--- /dev/null
+++ b/config/tests/patch_test.cc
@@ -0,0 +1,132 @@
+/* Scripted runs of document patches: from, to, and the patch between them. */
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "config/patch.h"
+
+namespace
+{
+
+cv_slice_t
+slice (const std::string &s)
+{
+  return cv_slice_t{ s.data (), s.size () };
+}
+
+std::string
+make (const std::string &from, const std::string &to)
+{
+  cv_buf_t buf;
+  std::string out = "refused";
+
+  cv_buf_init (&buf);
+  if (cv_patch_make (slice (from), slice (to), &buf, nullptr))
+    out.assign (buf.p, buf.n);
+  cv_buf_finish (&buf);
+  return out;
+}
+
+std::string
+patched (const std::string &base, const std::string &patch)
+{
+  cv_buf_t buf;
+  std::string out = "refused";
+
+  cv_buf_init (&buf);
+  if (cv_patch_apply (slice (base), slice (patch), &buf, nullptr))
+    out.assign (buf.p, buf.n);
+  cv_buf_finish (&buf);
+  return out;
+}
+
+TEST (Patch, StepsBetweenDocuments)
+{
+  static const struct
+  {
+    const char *from;
+    const char *to;
+    const char *patch;
+  } steps[] = {
+    { R"({"a":1})", R"({"a":1})", R"({})" },
+    { R"({"a":1})", R"({"a":2})", R"({"a":2})" },
+    { R"({"a":1,"b":2})", R"({"a":1})", R"({"b":null})" },
+    { R"({"a":{"x":1,"y":2}})", R"({"a":{"x":1,"y":3,"z":4}})",
+      R"({"a":{"y":3,"z":4}})" },
+    { R"({"a":{"x":1}})", R"({"a":7})", R"({"a":7})" },
+    { R"({"a":7})", R"({"a":{"x":{"y":1}}})", R"({"a":{"x":{"y":1}}})" },
+    { R"({"a":[1,2]})", R"({"a":[1,3]})", R"({"a":[1,3]})" },
+    { R"({"a":{"x":1}})", R"({"a":{}})", R"({"a":{"x":null}})" },
+  };
+
+  for (const auto &step : steps)
+    {
+      EXPECT_EQ (make (step.from, step.to), step.patch) << step.from;
+      EXPECT_EQ (make (patched (step.from, step.patch), step.to), "{}")
+          << step.from;
+    }
+}
+
+TEST (Patch, MalformedInputIsRefused)
+{
+  EXPECT_EQ (make ("[]", "{}"), "refused");
+  EXPECT_EQ (make ("{}", R"({"a":null})"), "refused");
+  EXPECT_EQ (make ("{}", R"({"a":{"b":null}})"), "refused");
+  EXPECT_EQ (patched ("{}", "{"), "refused");
+  EXPECT_EQ (patched ("7", "{}"), "refused");
+  EXPECT_EQ (patched ("{}", ""), "refused");
+}
+
+/* Documents of random shape: each patch leads from one to the next.  */
+TEST (Patch, RandomDocumentsComeOutEqual)
+{
+  cv_rng_t rng;
+  std::string from = "{}";
+
+  cv_rng_init (&rng, 11);
+  for (int round = 0; round < 500; round++)
+    {
+      std::string to = "{";
+
+      for (int key = 0; key < 6; key++)
+        {
+          uint32_t kind = cv_rng_below (&rng, 4);
+
+          if (kind == 0)
+            continue;
+          to += to.size () > 1 ? "," : "";
+          to += "\"k" + std::to_string (key) + "\":";
+          if (kind == 1)
+            to += std::to_string (cv_rng_below (&rng, 3));
+          else
+            to += "{\"m" + std::to_string (cv_rng_below (&rng, 3))
+                  + "\":" + std::to_string (cv_rng_below (&rng, 2)) + "}";
+        }
+      to += "}";
+      ASSERT_EQ (make (patched (from, make (from, to)), to), "{}")
+          << from << " to " << to;
+      from = to;
+    }
+  cv_rng_finish (&rng);
+}
+
+TEST (History, FindsTheLongestStepAndForgetsTheOldest)
+{
+  cv_history_t h;
+
+  cv_history_init (&h);
+  EXPECT_EQ (cv_history_find (&h, 1), nullptr);
+  cv_history_add (&h, 1, 2, cv_slice ("{\"a\":1}"));
+  cv_history_add (&h, 1, 4, cv_slice ("{\"a\":2}"));
+  cv_history_add (&h, 2, 3, cv_slice ("{}"));
+  ASSERT_NE (cv_history_find (&h, 1), nullptr);
+  EXPECT_EQ (cv_history_find (&h, 1)->to, 4u);
+  EXPECT_STREQ (cv_history_find (&h, 1)->text, "{\"a\":2}");
+  for (uint64_t v = 10; v < 10 + CV_HISTORY_PATCHES; v++)
+    cv_history_add (&h, v, v + 1, cv_slice ("{}"));
+  EXPECT_EQ (cv_history_find (&h, 1), nullptr);
+  cv_history_finish (&h);
+}
+
+}
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -299,6 +299,7 @@
     case CV_MSG_HELLO:
       get_text (c, msg->u.hello.instance, sizeof msg->u.hello.instance);
       msg->u.hello.incarnation = get_u64 (c, UINT64_MAX);
+      msg->u.hello.report_ms = (uint32_t)get_u64 (c, UINT32_MAX);
       get_versions (c, &msg->u.hello.versions);
       break;
     case CV_MSG_REPORT:
@@ -306,10 +307,12 @@
       break;
     case CV_MSG_DOC_PULL:
       msg->u.doc_pull.doc = (cv_doc_t)get_u64 (c, CV_DOC_COUNT - 1);
+      msg->u.doc_pull.have = get_u64 (c, UINT64_MAX);
       break;
     case CV_MSG_DOC:
       msg->u.doc.doc = (cv_doc_t)get_u64 (c, CV_DOC_COUNT - 1);
       msg->u.doc.version = get_u64 (c, UINT64_MAX);
+      msg->u.doc.base = get_u64 (c, UINT64_MAX);
       msg->u.doc.body = get_slice (c, CV_BODY_MAX);
       break;
     case CV_MSG_SUBMIT:
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -160,6 +160,7 @@
     case CV_MSG_HELLO:
       put_text (pk, msg->u.hello.instance);
       put_u64 (pk, msg->u.hello.incarnation);
+      put_u64 (pk, msg->u.hello.report_ms);
       put_versions (pk, &msg->u.hello.versions);
       break;
     case CV_MSG_REPORT:
@@ -167,10 +168,12 @@
       break;
     case CV_MSG_DOC_PULL:
       put_u64 (pk, msg->u.doc_pull.doc);
+      put_u64 (pk, msg->u.doc_pull.have);
       break;
     case CV_MSG_DOC:
       put_u64 (pk, msg->u.doc.doc);
       put_u64 (pk, msg->u.doc.version);
+      put_u64 (pk, msg->u.doc.base);
       put_slice (pk, msg->u.doc.body);
       break;
     case CV_MSG_SUBMIT:
@@ -220,8 +223,8 @@
 
 /* Number of fields of each message, without version and type.  */
 static const uint8_t field_count[CV_MSG_LAST] = {
-  [CV_MSG_HELLO] = 5,  [CV_MSG_REPORT] = 17,  [CV_MSG_DOC_PULL] = 1,
-  [CV_MSG_DOC] = 3,    [CV_MSG_SUBMIT] = 12,  [CV_MSG_ATTACH] = 4,
+  [CV_MSG_HELLO] = 6,  [CV_MSG_REPORT] = 17,  [CV_MSG_DOC_PULL] = 2,
+  [CV_MSG_DOC] = 4,    [CV_MSG_SUBMIT] = 12,  [CV_MSG_ATTACH] = 4,
   [CV_MSG_DETACH] = 1, [CV_MSG_CANCEL] = 1,   [CV_MSG_CALL] = 13,
   [CV_MSG_REVOKE] = 6, [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
   [CV_MSG_TOKENS] = 3, [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -152,6 +152,7 @@
   {
     char instance[CV_NAME_MAX];
     uint64_t incarnation;
+    uint32_t report_ms; /* interval at which this entry wants REPORTs */
     cv_versions_t versions;
   } cv_msg_hello_t;
 
@@ -170,13 +171,16 @@
   typedef struct
   {
     cv_doc_t doc;
+    uint64_t have; /* version that the sender holds, 0: none */
   } cv_msg_doc_pull_t;
 
+  /* A whole document, or the step from version BASE to VERSION.  */
   typedef struct
   {
     cv_doc_t doc;
     uint64_t version;
-    cv_slice_t body; /* JSON */
+    uint64_t base;   /* 0: BODY is the whole document */
+    cv_slice_t body; /* JSON, or a JSON merge patch */
   } cv_msg_doc_t;
 
   /* Start a generation.  STREAM names it; a second SUBMIT of the same stream
