Entry: ask again for silent streams and after a new connection

Cause: a lost END or SUBMIT was noticed by nobody while the side went on reporting; frames lost with a connection likewise; a ticket whose side was not heard yet was answered ticket_expired, and a resumed stream stream_gone.

Change: ATTACH with the next offset after 2 s of silence and on each new connection (the socket's monitor tells of it); calls in flight are sent again under the same ticket, and a rejection after that is settled by REVOKE, as the other copy may still run. The routing id is instance and incarnation, so that a new connection is the same peer. A side that was not heard yet is waited for up to 2 s; then the answer is unknown, or interrupted with when to come back. A whole answer is run again after its first-token deadline only when it had begun.

--- a/entry/core.c
+++ b/entry/core.c
@@ -181,7 +181,7 @@
   for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
     {
       next = TAILQ_NEXT (r, all);
-      if (r->phase == PHASE_PARKED)
+      if (r->phase == PHASE_PARKED || r->phase == PHASE_AWAIT)
         {
           if (now >= r->parked_until)
             cv_request_fail (c, now, r, parked_failure (r),
@@ -330,6 +330,16 @@
     r->parked_until = now + PARK_TIMEOUT;
 }
 
+void
+cv_request_await (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                  const char *name)
+{
+  (void)cv_copy (r->awaited, sizeof r->awaited, name);
+  r->phase = PHASE_AWAIT;
+  r->parked_until = now + AWAIT_TIMEOUT;
+  c->awaiting++;
+}
+
 void
 cv_request_first_try (cv_entry_core_t *c, cv_request_t *r)
 {
@@ -399,6 +409,8 @@
 {
   if (r->kind == REQUEST_CALL && r->u.call.mode == CV_CALL_TICKET)
     return CV_FAIL_UNKNOWN;
+  if (r->kind == REQUEST_STREAM && r->u.stream.resumed)
+    return CV_FAIL_INTERRUPTED;
   return CV_FAIL_NO_TARGET;
 }
 
--- a/entry/core.h
+++ b/entry/core.h
@@ -170,6 +170,10 @@
   /* It is off the list; its slot may be used again.  */
   void cv_entry_target_remove (cv_entry_core_t *c, cv_time_t now,
                                uint32_t target);
+  /* A new connection to its side was made: frames of the old one may be
+     lost, so that what is in flight there is asked for again.  */
+  void cv_entry_target_connected (cv_entry_core_t *c, cv_time_t now,
+                                  uint32_t target);
   /* Was its side silent for CV_PEER_TIMEOUT?  */
   bool cv_entry_target_lost (const cv_entry_core_t *c, uint32_t target);
 
--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -14,7 +14,9 @@
 static uint32_t choose (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 static void call_again (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                         cv_failure_code_t otherwise);
+static void send_call (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 static void revoke (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+static void send_revoke (cv_entry_core_t *c, const cv_request_t *r);
 
 void
 cv_entry_call (cv_entry_core_t *c, cv_time_t now, void *caller,
@@ -95,19 +97,49 @@
 {
   cv_request_call_t *s = &r->u.call;
   uint32_t target = choose (c, now, r);
-  cv_msg_t msg = { .type = CV_MSG_CALL };
-  cv_msg_call_t *m = &msg.u.call;
 
+  if (target == CV_NO_TARGET && s->mode == CV_CALL_TICKET)
+    {
+      if (cv_entry_targets_replaced (c, s->ticket.target,
+                                     s->ticket.incarnation))
+        cv_request_fail (c, now, r, CV_FAIL_TICKET_EXPIRED, 0);
+      else if (r->phase != PHASE_AWAIT)
+        cv_request_await (c, now, r, s->ticket.target);
+      return;
+    }
   if (target == CV_NO_TARGET)
     {
-      bool given = s->mode == CV_CALL_TICKET;
-
-      cv_request_fail (c, now, r, given ? CV_FAIL_TICKET_EXPIRED : otherwise,
-                       given ? 0 : cv_entry_retry_after (c));
+      cv_request_fail (c, now, r, otherwise, cv_entry_retry_after (c));
+      return;
+    }
+  if (c->targets[target].pool_hash != r->pool)
+    {
+      cv_request_fail (c, now, r, CV_FAIL_UNKNOWN, 0);
       return;
     }
   cv_request_place (c, now, r, target);
+  s->resent = false;
   r->phase = PHASE_SENT;
+  send_call (c, now, r);
+}
+
+void
+cv_entry_calls_resend (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  if (r->phase == PHASE_REVOKING)
+    send_revoke (c, r);
+  else
+    send_call (c, now, r);
+  r->u.call.resent = true;
+}
+
+static void
+send_call (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  const cv_request_call_t *s = &r->u.call;
+  cv_msg_t msg = { .type = CV_MSG_CALL };
+  cv_msg_call_t *m = &msg.u.call;
+
   m->request = r->id;
   m->ticket = s->ticket;
   m->config_version = c->config->version;
@@ -120,7 +152,7 @@
   m->deadline_ms
       = r->deadline > now ? (uint32_t)((r->deadline - now) / CV_MS) : 0;
   m->content_hash = s->content_hash;
-  cv_entry_send (c, target, &msg);
+  cv_entry_send (c, r->target, &msg);
 }
 
 void
@@ -165,6 +197,12 @@
 {
   if (r->phase == PHASE_REVOKING)
     return;
+  /* The other copy of the call may still run.  */
+  if (r->u.call.resent && r->u.call.mode != CV_CALL_IDEMPOTENT)
+    {
+      revoke (c, now, r);
+      return;
+    }
   if (m->reason == CV_REJECT_OLD_CONFIG)
     {
       cv_request_park (c, now, r);
@@ -281,12 +319,7 @@
   uint32_t target;
 
   if (r->u.call.mode == CV_CALL_TICKET)
-    {
-      target = cv_entry_targets_find (c, t->target, t->incarnation);
-      if (target != CV_NO_TARGET && c->targets[target].pool_hash != r->pool)
-        return CV_NO_TARGET;
-      return target;
-    }
+    return cv_entry_targets_find (c, t->target, t->incarnation);
   target = cv_router_pick (c->router, now, &r->route);
   if (target == CV_NO_TARGET)
     return target;
@@ -321,13 +354,19 @@
 static void
 revoke (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
-  cv_msg_t msg = { .type = CV_MSG_REVOKE };
-
   r->phase = PHASE_REVOKING;
   r->u.call.revoke_until = now + REVOKE_TIMEOUT;
+  cv_entry_metrics_count (c->metrics, CV_COUNT_REVOKES);
+  send_revoke (c, r);
+}
+
+static void
+send_revoke (cv_entry_core_t *c, const cv_request_t *r)
+{
+  cv_msg_t msg = { .type = CV_MSG_REVOKE };
+
   msg.u.revoke.request = r->id;
   msg.u.revoke.ticket = r->u.call.ticket;
   (void)cv_copy (msg.u.revoke.account, sizeof msg.u.revoke.account, r->account);
-  cv_entry_metrics_count (c->metrics, CV_COUNT_REVOKES);
   cv_entry_send (c, r->target, &msg);
 }
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -14,6 +14,11 @@
 #define REVOKE_TIMEOUT (1 * CV_SECOND)
 /* Beyond its deadline, a side that said nothing is given up.  */
 #define DEADLINE_GRACE (500 * CV_MS)
+/* Wait for a first report of the side that a ticket or position names.  */
+#define AWAIT_TIMEOUT (2 * CV_SECOND)
+/* A stream that was silent for so long is asked for again: a lost END or
+   SUBMIT is noticed by nobody else.  */
+#define SILENCE_LIMIT (2 * CV_SECOND)
 /* Least time between two requests to send a stream again.  */
 #define REATTACH_INTERVAL (200 * CV_MS)
 /* A gap counts as stalled beyond this time.  */
@@ -39,6 +44,7 @@
 typedef enum
 {
   PHASE_PARKED = 1, /* waits for a newer configuration */
+  PHASE_AWAIT,      /* waits for the side that its ticket or position names */
   PHASE_SENT,       /* handed over, not heard of */
   PHASE_RUNNING,    /* accepted by the side */
   PHASE_REVOKING    /* a call is being barred */
@@ -50,6 +56,7 @@
   uint32_t priority;
   uint32_t max_tokens;
   uint32_t expect;
+  uint32_t first_token_ms;
   bool whole;
   bool resumed;   /* attached by position: it cannot be run again */
   uint32_t start; /* offset of the first token to deliver */
@@ -75,6 +82,7 @@
   char *body;
   size_t body_size;
   uint64_t content_hash;
+  bool resent; /* over a second connection: a rejection may be of either */
   cv_time_t revoke_until;
 } cv_request_call_t;
 
@@ -100,6 +108,7 @@
   cv_time_t submitted;
   cv_time_t deadline; /* to the first token, or of the call */
   cv_time_t parked_until;
+  char awaited[CV_NAME_MAX]; /* target of PHASE_AWAIT */
   cv_route_request_t route;
   union
   {
@@ -149,6 +158,7 @@
   struct cv_request_bucket_t by_caller[CORE_BUCKETS];
   LIST_HEAD (cv_budget_bucket_t, cv_budget_entry_t) budgets[BUDGET_BUCKETS];
   uint32_t in_flight;
+  uint32_t awaiting; /* requests in PHASE_AWAIT, at most */
   bool stopping;
   cv_time_t last_hello;
   cv_rng_t rng;
@@ -178,6 +188,9 @@
 /* Refuse what never became a request.  */
 void cv_entry_refuse (cv_entry_core_t *c, void *caller, cv_failure_code_t code,
                       uint32_t retry_after_ms);
+/* Wait for a report of the target NAME, of incarnation R->incarnation.  */
+void cv_request_await (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                       const char *name);
 void cv_request_park (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 /* One more attempt under the retry budget of account and pool?  */
 bool cv_request_may_retry (cv_entry_core_t *c, cv_request_t *r);
@@ -201,6 +214,9 @@
    CV_NO_TARGET.  */
 uint32_t cv_entry_targets_find (const cv_entry_core_t *c, const char *name,
                                 uint64_t incarnation);
+/* Does another incarnation report under NAME?  */
+bool cv_entry_targets_replaced (const cv_entry_core_t *c, const char *name,
+                                uint64_t incarnation);
 
 /* ---- core_streams.c ---- */
 
@@ -226,6 +242,9 @@
                                 cv_request_t *r);
 cv_length_key_t cv_entry_streams_length_key (const cv_request_t *r);
 void cv_entry_streams_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+/* The target that a resumed stream waited for reports, or did not in time.  */
+void cv_entry_streams_awaited (cv_entry_core_t *c, cv_time_t now,
+                               cv_request_t *r);
 void cv_entry_streams_finish (cv_request_t *r);
 
 /* ---- core_calls.c ---- */
@@ -239,6 +258,8 @@
 void cv_entry_calls_gone (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 void cv_entry_calls_lost (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 void cv_entry_calls_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
+/* A new connection to its side was made; the old one may have lost frames.  */
+void cv_entry_calls_resend (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 void cv_entry_calls_finish (cv_request_t *r);
 
 #endif
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -45,11 +45,9 @@
 cv_entry_attach (cv_entry_core_t *c, cv_time_t now, void *caller,
                  const char *account, const cv_position_t *first)
 {
-  uint32_t target
-      = cv_entry_targets_find (c, first->target, first->incarnation);
   cv_request_t *r;
 
-  if (target == CV_NO_TARGET)
+  if (cv_entry_targets_replaced (c, first->target, first->incarnation))
     {
       cv_entry_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
       return;
@@ -74,10 +72,28 @@
   r->u.stream.next = first->offset;
   r->u.stream.last_token = now;
   r->deadline = now + DEFAULT_FIRST_TOKEN_MS * CV_MS;
+  r->incarnation = first->incarnation;
+  cv_request_await (c, now, r, first->target);
+  cv_entry_streams_awaited (c, now, r);
+}
+
+void
+cv_entry_streams_awaited (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  uint32_t target = cv_entry_targets_find (c, r->awaited, r->incarnation);
+
+  if (cv_entry_targets_replaced (c, r->awaited, r->incarnation))
+    {
+      cv_request_fail (c, now, r, CV_FAIL_STREAM_GONE, 0);
+      return;
+    }
+  if (target == CV_NO_TARGET)
+    return;
   r->pool = c->targets[target].pool_hash;
   r->route.pool = r->pool;
   cv_request_place (c, now, r, target);
   r->phase = PHASE_SENT;
+  r->u.stream.reattached = now;
   send_attach (c, r);
 }
 
@@ -97,6 +113,8 @@
     }
   cv_request_place (c, now, r, target);
   r->phase = PHASE_SENT;
+  s->last_token = now;
+  s->reattached = 0;
   m->stream = r->id;
   m->incarnation = r->incarnation;
   m->config_version = c->config->version;
@@ -139,6 +157,9 @@
     case CV_REJECT_NOT_FOUND:
     case CV_REJECT_ENGINE:
       r->failed = m->reason == CV_REJECT_ENGINE;
+      /* It was asked for again and is forgotten by now.  */
+      if (m->reason == CV_REJECT_NOT_FOUND && r->u.stream.reattached != 0)
+        cv_request_ran (r);
       cv_entry_streams_run_again (c, now, r, CV_FAIL_NO_TARGET);
       break;
     }
@@ -167,9 +188,15 @@
 void
 cv_entry_streams_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
-  if (r->u.stream.gap)
+  const cv_request_stream_t *s = &r->u.stream;
+  cv_time_t active
+      = s->reattached > s->last_token ? s->reattached : s->last_token;
+
+  if (s->gap
+      || (now - active >= SILENCE_LIMIT
+          && now - c->targets[r->target].last_heard < 2 * CV_REPORT_INTERVAL))
     cv_entry_streams_reattach (c, now, r);
-  if (r->u.stream.next > r->u.stream.start)
+  if (s->resumed || s->next > s->start)
     return;
   if (now < r->deadline + DEADLINE_GRACE)
     return;
@@ -225,6 +252,7 @@
   first_ms = class->first_token_ms;
   if (first_ms == 0)
     first_ms = DEFAULT_FIRST_TOKEN_MS;
+  s->first_token_ms = first_ms;
   r->deadline = r->submitted + (cv_time_t)first_ms * CV_MS;
   s->whole = s->whole || class->buffered;
   s->priority = class->priority;
@@ -289,7 +317,10 @@
                        cv_entry_retry_after (c));
       return;
     }
-  if (!s->whole && now >= r->deadline)
+  /* Only what had begun in time gets a new time to its first token.  */
+  if (s->whole && r->ran)
+    r->deadline = now + s->first_token_ms * CV_MS;
+  if (now >= r->deadline)
     {
       cv_request_fail (c, now, r, otherwise, cv_entry_retry_after (c));
       return;
@@ -315,7 +346,6 @@
 {
   cv_request_stream_t *s = &r->u.stream;
 
-  s->gap = true;
   if (s->reattached != 0 && now - s->reattached < REATTACH_INTERVAL)
     return;
   s->reattached = now;
--- a/entry/core_targets.c
+++ b/entry/core_targets.c
@@ -11,6 +11,7 @@
                               uint32_t target);
 static void drop_requests (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static void lose (cv_entry_core_t *c, cv_time_t now, uint32_t target);
+static void send_awaiting (cv_entry_core_t *c, cv_time_t now, const char *name);
 static void hello_one (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static const char *state_name (const cv_target_t *t);
 static uint32_t config_age (const cv_entry_core_t *c, cv_time_t now);
@@ -126,6 +127,8 @@
   (void)cv_copy (t->failure_domain, sizeof t->failure_domain,
                  report->failure_domain);
   report_to_router (c, now, target);
+  if (c->awaiting > 0)
+    send_awaiting (c, now, t->name);
   if (c->config == NULL
       || report->versions.version[CV_DOC_CONFIG] > c->config->version)
     cv_entry_targets_pull (c, now, target);
@@ -225,8 +228,68 @@
   return CV_NO_TARGET;
 }
 
+bool
+cv_entry_targets_replaced (const cv_entry_core_t *c, const char *name,
+                           uint64_t incarnation)
+{
+  bool replaced = false;
+
+  for (uint32_t i = 0; i < c->target_count; i++)
+    {
+      const cv_target_t *t = &c->targets[i];
+
+      if (!t->used || !t->heard || t->lost || strcmp (t->name, name) != 0)
+        continue;
+      if (t->incarnation == incarnation)
+        return false;
+      replaced = true;
+    }
+  return replaced;
+}
+
+void
+cv_entry_target_connected (cv_entry_core_t *c, cv_time_t now, uint32_t target)
+{
+  cv_request_t *r;
+
+  if (!c->targets[target].used)
+    return;
+  hello_one (c, now, target);
+  TAILQ_FOREACH (r, &c->requests, all)
+  if (r->target == target && r->kind == REQUEST_STREAM)
+    {
+      r->u.stream.reattached = 0;
+      cv_entry_streams_reattach (c, now, r);
+    }
+  else if (r->target == target)
+    cv_entry_calls_resend (c, now, r);
+}
+
 /* ---- local ---- */
 
+/* NAME reports: requests that waited for it go on.  */
+static void
+send_awaiting (cv_entry_core_t *c, cv_time_t now, const char *name)
+{
+  cv_request_t *r;
+  cv_request_t *next;
+
+  c->awaiting = 0;
+  for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, all);
+      if (r->phase != PHASE_AWAIT)
+        continue;
+      c->awaiting++;
+      if (strcmp (r->awaited, name) != 0)
+        continue;
+      if (r->kind == REQUEST_STREAM)
+        cv_entry_streams_awaited (c, now, r);
+      else
+        cv_entry_calls_send (c, now, r, CV_FAIL_UNKNOWN);
+    }
+}
+
 static void
 report_to_router (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
--- a/entry/core_tokens.c
+++ b/entry/core_tokens.c
@@ -28,7 +28,10 @@
       cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       if (r != NULL && r->kind == REQUEST_STREAM && r->target == target
           && m->offset > r->u.stream.next)
-        cv_entry_streams_reattach (c, now, r);
+        {
+          r->u.stream.gap = true;
+          cv_entry_streams_reattach (c, now, r);
+        }
       return;
     }
   s = &r->u.stream;
@@ -159,6 +162,7 @@
 
   if (m->total > s->next)
     {
+      s->gap = true;
       cv_entry_streams_reattach (c, now, r);
       return;
     }
--- a/entry/link.c
+++ b/entry/link.c
@@ -40,6 +40,8 @@
   CV_INVARIANT (pthread_mutex_init (&l->lock, NULL) == 0);
   (void)cv_copy (o.instance, sizeof o.instance, s->instance);
   o.incarnation = cv_u64_random ();
+  (void)snprintf (l->routing_id, sizeof l->routing_id, "%s~%llx", o.instance,
+                  (unsigned long long)o.incarnation);
   o.seed = cv_u64_random ();
   l->wake = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   l->zmq = zmq_ctx_new ();
@@ -236,7 +238,11 @@
       if ((items[0].revents & ZMQ_POLLIN) != 0)
         run_commands (l);
       for (size_t i = 1; i < n; i++)
-        if ((items[i].revents & ZMQ_POLLIN) != 0)
+        if ((items[i].revents & ZMQ_POLLIN) == 0)
+          continue;
+        else if (items[i].socket == l->peers[slots[i]].monitor)
+          cv_entry_link_watch (l, slots[i]);
+        else
           cv_entry_link_receive (l, slots[i]);
       if (cv_now () >= next_tick)
         {
@@ -250,16 +256,16 @@
   return NULL;
 }
 
-/* Item 0 is the queue's eventfd, the others are the sides.  */
+/* Item 0 is the queue's eventfd, the others are the sides and monitors.  */
 static size_t
 poll_items (cv_entry_link_t *l, zmq_pollitem_t **items, size_t *cap,
             uint32_t **slots)
 {
   size_t n = 1;
 
-  if (*cap < (size_t)l->peer_count + 1)
+  if (*items == NULL || *cap < 2 * (size_t)l->peer_count + 1)
     {
-      *cap = (size_t)l->peer_count + 16;
+      *cap = 2 * (size_t)l->peer_count + 16;
       *items = cv_realloc (*items, *cap * sizeof **items);
       *slots = cv_realloc (*slots, *cap * sizeof **slots);
     }
@@ -274,6 +280,12 @@
       (*items)[n].events = ZMQ_POLLIN;
       (*slots)[n] = t;
       n++;
+      if (l->peers[t].monitor == NULL)
+        continue;
+      (*items)[n].socket = l->peers[t].monitor;
+      (*items)[n].events = ZMQ_POLLIN;
+      (*slots)[n] = t;
+      n++;
     }
   return n;
 }
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -65,7 +65,8 @@
 /* The connection to one side; its index is the target's slot.  */
 typedef struct
 {
-  void *socket; /* NULL: slot unused */
+  void *socket;  /* NULL: slot unused */
+  void *monitor; /* tells of each new connection of SOCKET */
   cv_instance_t instance;
 } cv_peer_t;
 
@@ -83,6 +84,8 @@
   cv_peer_t *peers;
   uint32_t peer_count;
   cv_buf_t frame;
+  char routing_id[CV_NAME_MAX + 20]; /* the same for each connection */
+  uint32_t monitors;                 /* made so far, for their names */
   bool quit;
 };
 
@@ -94,6 +97,8 @@
 void cv_entry_link_reset (void *arg, uint32_t target);
 /* Read what one side sent; a bounded number of frames.  */
 void cv_entry_link_receive (cv_entry_link_t *l, uint32_t target);
+/* Take notice of new connections to TARGET's side.  */
+void cv_entry_link_watch (cv_entry_link_t *l, uint32_t target);
 void cv_entry_link_close_peers (cv_entry_link_t *l);
 
 #endif
--- a/entry/link_peers.c
+++ b/entry/link_peers.c
@@ -14,6 +14,8 @@
 #define SEND_QUEUE 10000
 
 static bool connect_peer (cv_entry_link_t *l, cv_peer_t *p);
+static void open_monitor (cv_entry_link_t *l, cv_peer_t *p);
+static void close_peer (cv_peer_t *p);
 static void add_peer (cv_entry_link_t *l, cv_time_t now,
                       const cv_instance_t *i);
 static cv_instance_t *find_listed (cv_instance_t *list, size_t count,
@@ -69,8 +71,7 @@
 
   if (p->socket == NULL)
     return;
-  (void)zmq_close (p->socket);
-  p->socket = NULL;
+  close_peer (p);
   (void)connect_peer (l, p);
 }
 
@@ -102,12 +103,33 @@
     }
 }
 
+void
+cv_entry_link_watch (cv_entry_link_t *l, uint32_t target)
+{
+  void *monitor = l->peers[target].monitor;
+  bool connected = false;
+  zmq_msg_t part;
+
+  if (monitor == NULL)
+    return;
+  for (;;)
+    {
+      (void)zmq_msg_init (&part);
+      if (zmq_msg_recv (&part, monitor, ZMQ_DONTWAIT) < 0)
+        break;
+      connected = true;
+      (void)zmq_msg_close (&part);
+    }
+  (void)zmq_msg_close (&part);
+  if (connected)
+    cv_entry_target_connected (l->core, cv_now (), target);
+}
+
 void
 cv_entry_link_close_peers (cv_entry_link_t *l)
 {
   for (uint32_t t = 0; t < l->peer_count; t++)
-    if (l->peers[t].socket != NULL)
-      (void)zmq_close (l->peers[t].socket);
+    close_peer (&l->peers[t]);
   free (l->peers);
   l->peers = NULL;
   l->peer_count = 0;
@@ -128,11 +150,42 @@
   (void)zmq_setsockopt (p->socket, ZMQ_SNDHWM, &queue, sizeof queue);
   /* Queue only for a connected peer: no old frame waits for a new one.  */
   (void)zmq_setsockopt (p->socket, ZMQ_IMMEDIATE, &one, sizeof one);
+  (void)zmq_setsockopt (p->socket, ZMQ_ROUTING_ID, l->routing_id,
+                        strlen (l->routing_id));
+  open_monitor (l, p);
   (void)snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", p->instance.address,
                   p->instance.port);
   return zmq_connect (p->socket, endpoint) == 0;
 }
 
+/* Without a monitor, silence alone shows that frames were lost.  */
+static void
+open_monitor (cv_entry_link_t *l, cv_peer_t *p)
+{
+  char name[40];
+  int zero = 0;
+
+  (void)snprintf (name, sizeof name, "inproc://monitor-%u", l->monitors++);
+  if (zmq_socket_monitor (p->socket, name, ZMQ_EVENT_HANDSHAKE_SUCCEEDED) != 0)
+    return;
+  p->monitor = zmq_socket (l->zmq, ZMQ_PAIR);
+  if (p->monitor == NULL)
+    return;
+  (void)zmq_setsockopt (p->monitor, ZMQ_LINGER, &zero, sizeof zero);
+  (void)zmq_connect (p->monitor, name);
+}
+
+static void
+close_peer (cv_peer_t *p)
+{
+  if (p->socket != NULL)
+    (void)zmq_close (p->socket);
+  if (p->monitor != NULL)
+    (void)zmq_close (p->monitor);
+  p->socket = NULL;
+  p->monitor = NULL;
+}
+
 static void
 add_peer (cv_entry_link_t *l, cv_time_t now, const cv_instance_t *i)
 {
@@ -141,8 +194,7 @@
 
   if (!connect_peer (l, &peer))
     {
-      if (peer.socket != NULL)
-        (void)zmq_close (peer.socket);
+      close_peer (&peer);
       return;
     }
   slot = cv_entry_target_add (l->core, now, i->id, i->pool);
@@ -180,6 +232,6 @@
 
   cv_log (CV_EV_ENTRY_TARGET_REMOVED, "target %s", p->instance.id);
   cv_entry_target_remove (l->core, now, target);
-  (void)zmq_close (p->socket);
+  close_peer (p);
   memset (p, 0, sizeof *p);
 }
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -134,6 +134,8 @@
     adopt (w);
   else if (w[0] == "target")
     target (w);
+  else if (w[0] == "connected")
+    cv_entry_target_connected (core_, now_, targets_.at (w[1]));
   else if (w[0] == "unlist")
     cv_entry_target_remove (core_, now_, targets_.at (w[1]));
   else if (w[0] == "report")
