Entry: know the suspects, refuse condemned content at the door

Cause: only sides held the suspects; entries neither passed them on nor kept them, so that a content that killed two engines was handed to a third side that had not heard, and a restart of all sides forgot it.

Change: the entry pulls, merges and gossips CV_DOC_SUSPECTS, and keeps it in the object suspects/current (read at the start, written only when a strike is missing; a merge is idempotent, so a lost answer needs the next try only). A condemned content is refused at once; a suspect one runs at one target at a time; a retry after an engine's death waits up to 500 ms for that side's document and tells it to the next side before the content. The version rule moves from side/docs.c to policy/suspects.c; the dump is sorted and the order in which a full table gives way is total, as otherwise two tables with the same entries in another order made newer versions of each other without end.

With the check at the door disabled, suspects.script fails: B and D are handed over.

--- a/entry/core.h
+++ b/entry/core.h
@@ -8,6 +8,7 @@
 #include "base/base.h"
 #include "config/config.h"
 #include "entry/metrics.h"
+#include "policy/policy.h"
 #include "wire/wire.h"
 
 #ifdef __cplusplus
@@ -26,6 +27,7 @@
     CV_FAIL_NO_TARGET,
     CV_FAIL_OVERLOADED,
     CV_FAIL_CONDEMNED,
+    CV_FAIL_SUSPECT,
     CV_FAIL_INTERRUPTED,
     CV_FAIL_STREAM_GONE,
     CV_FAIL_DEADLINE,
@@ -159,6 +161,16 @@
   /* The configuration in force, borrowed; NULL before the first.  */
   cv_config_t *cv_entry_config (const cv_entry_core_t *c);
 
+  /* ---- suspects ---- */
+
+  /* The wall clock, in seconds; strikes lapse by it.  */
+  void cv_entry_wall (cv_entry_core_t *c, int64_t wall_s);
+  /* Merge the document JSON, as read from the object API.  */
+  bool cv_entry_suspects_merge (cv_entry_core_t *c, cv_time_t now,
+                                cv_slice_t json);
+  /* The present document, borrowed, and its version (0: none yet).  */
+  uint64_t cv_entry_suspects (const cv_entry_core_t *c, cv_slice_t *json);
+
   /* ---- targets ---- */
 
   /* A target is on the instance list; returns its slot.  */
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -16,6 +16,8 @@
 #define DEADLINE_GRACE (500 * CV_MS)
 /* Wait for a first report of the side that a ticket or position names.  */
 #define AWAIT_TIMEOUT (2 * CV_SECOND)
+/* Wait for the suspects of a target whose engine died.  */
+#define HOLD_TIMEOUT (500 * CV_MS)
 /* A stream that was silent for so long is asked for again: a lost END or
    SUBMIT is noticed by nobody else.  */
 #define SILENCE_LIMIT (2 * CV_SECOND)
@@ -45,6 +47,7 @@
 {
   PHASE_PARKED = 1, /* waits for a newer configuration */
   PHASE_AWAIT,      /* waits for the side that its ticket or position names */
+  PHASE_HELD,       /* a retry, until the suspects of its last target came */
   PHASE_SENT,       /* handed over, not heard of */
   PHASE_RUNNING,    /* accepted by the side */
   PHASE_REVOKING    /* a call is being barred */
@@ -133,7 +136,7 @@
   cv_load_t load;
   cv_versions_t versions;
   cv_time_t last_heard;
-  cv_time_t last_pull;
+  cv_time_t last_pull[CV_DOC_COUNT];
   uint32_t requests;
 } cv_target_t;
 
@@ -165,16 +168,28 @@
   cv_router_t *router;
   cv_limits_t *limits;
   cv_length_t *length;
+  struct
+  {
+    cv_suspects_t *table;
+    cv_buf_t body; /* the document of VERSION */
+    uint64_t version;
+  } suspects;
+  int64_t wall_s;
   cv_entry_metrics_t *metrics;
 };
 
-/* ---- core.c: requests and replies ---- */
+/* ---- core.c ---- */
 
 uint64_t cv_entry_name_hash (const char *name);
+void cv_entry_send (cv_entry_core_t *c, uint32_t target, const cv_msg_t *msg);
+
+/* ---- core_requests.c: requests and replies ---- */
+
 cv_request_t *cv_request_new (cv_entry_core_t *c, cv_time_t now, void *caller,
                               cv_request_kind_t kind, const char *account);
 void cv_request_set_id (cv_entry_core_t *c, cv_request_t *r, cv_id_t id);
 cv_request_t *cv_request_by_id (cv_entry_core_t *c, cv_id_t id);
+cv_request_t *cv_request_by_caller (cv_entry_core_t *c, const void *caller);
 /* Put the attempt on TARGET, or take it off with CV_NO_TARGET.  */
 void cv_request_place (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                        uint32_t target);
@@ -196,7 +211,6 @@
 bool cv_request_may_retry (cv_entry_core_t *c, cv_request_t *r);
 void cv_request_first_try (cv_entry_core_t *c, cv_request_t *r);
 uint32_t cv_entry_retry_after (cv_entry_core_t *c);
-void cv_entry_send (cv_entry_core_t *c, uint32_t target, const cv_msg_t *msg);
 
 /* ---- core_targets.c ---- */
 
@@ -206,8 +220,9 @@
                            const cv_msg_doc_t *doc);
 void cv_entry_targets_doc_pull (cv_entry_core_t *c, cv_time_t now,
                                 uint32_t target, cv_doc_t doc);
-/* Ask TARGET for its configuration, at most every second.  */
-void cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target);
+/* Ask TARGET for its document, at a bounded rate.  */
+void cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                            cv_doc_t doc);
 void cv_entry_targets_tick (cv_entry_core_t *c, cv_time_t now);
 void cv_entry_targets_hello (cv_entry_core_t *c, cv_time_t now);
 /* The slot of the live incarnation that a ticket or position names, or
@@ -247,6 +262,20 @@
                                cv_request_t *r);
 void cv_entry_streams_finish (cv_request_t *r);
 
+/* ---- core_suspects.c ---- */
+
+cv_content_state_t cv_entry_suspects_state (const cv_entry_core_t *c,
+                                            uint64_t content_hash);
+void cv_entry_suspects_doc (cv_entry_core_t *c, cv_time_t now,
+                            const cv_msg_doc_t *doc);
+void cv_entry_suspects_send (cv_entry_core_t *c, uint32_t target);
+/* Did TARGET report a newer document than ours?  */
+bool cv_entry_suspects_behind (const cv_entry_core_t *c, uint32_t target);
+/* May R be handed over?  Fails it when its content is condemned, or suspect
+   and at another target.  */
+bool cv_entry_suspects_allow (cv_entry_core_t *c, cv_time_t now,
+                              cv_request_t *r);
+
 /* ---- core_calls.c ---- */
 
 void cv_entry_calls_send (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -102,10 +102,13 @@
                        cv_failure_code_t otherwise)
 {
   cv_request_stream_t *s = &r->u.stream;
-  uint32_t target = cv_router_pick (c->router, now, &r->route);
+  uint32_t target;
   cv_msg_t msg = { .type = CV_MSG_SUBMIT };
   cv_msg_submit_t *m = &msg.u.submit;
 
+  if (!cv_entry_suspects_allow (c, now, r))
+    return;
+  target = cv_router_pick (c->router, now, &r->route);
   if (target == CV_NO_TARGET)
     {
       cv_request_fail (c, now, r, otherwise, cv_entry_retry_after (c));
@@ -115,6 +118,10 @@
   r->phase = PHASE_SENT;
   s->last_token = now;
   s->reattached = 0;
+  /* The side must know of the suspicion before the content.  */
+  if (c->targets[target].versions.version[CV_DOC_SUSPECTS] < c->suspects.version
+      && cv_entry_suspects_state (c, s->content_hash) != CV_CONTENT_CLEAR)
+    cv_entry_suspects_send (c, target);
   m->stream = r->id;
   m->incarnation = r->incarnation;
   m->config_version = c->config->version;
@@ -337,6 +344,12 @@
   cv_buf_reset (&s->text);
   cv_buf_reset (&s->sizes);
   r->route.avoid = old;
+  if (r->ran && old != CV_NO_TARGET && cv_entry_suspects_behind (c, old))
+    {
+      r->phase = PHASE_HELD;
+      r->parked_until = now + HOLD_TIMEOUT;
+      return;
+    }
   cv_entry_streams_send (c, now, r, otherwise);
 }
 
--- a/entry/core_targets.c
+++ b/entry/core_targets.c
@@ -131,19 +131,22 @@
     send_awaiting (c, now, t->name);
   if (c->config == NULL
       || report->versions.version[CV_DOC_CONFIG] > c->config->version)
-    cv_entry_targets_pull (c, now, target);
+    cv_entry_targets_pull (c, now, target, CV_DOC_CONFIG);
+  if (cv_entry_suspects_behind (c, target))
+    cv_entry_targets_pull (c, now, target, CV_DOC_SUSPECTS);
 }
 
 void
-cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target)
+cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                       cv_doc_t doc)
 {
   cv_target_t *t = &c->targets[target];
   cv_msg_t msg = { .type = CV_MSG_DOC_PULL };
 
-  if (t->last_pull != 0 && now - t->last_pull < PULL_INTERVAL)
+  if (t->last_pull[doc] != 0 && now - t->last_pull[doc] < PULL_INTERVAL)
     return;
-  t->last_pull = now;
-  msg.u.doc_pull.doc = CV_DOC_CONFIG;
+  t->last_pull[doc] = now;
+  msg.u.doc_pull.doc = doc;
   cv_entry_send (c, target, &msg);
 }
 
@@ -155,6 +158,8 @@
   cv_error_t err;
 
   (void)target;
+  if (doc->doc == CV_DOC_SUSPECTS)
+    cv_entry_suspects_doc (c, now, doc);
   if (doc->doc != CV_DOC_CONFIG)
     return;
   if (c->config != NULL && doc->version <= c->config->version)
@@ -177,6 +182,8 @@
   cv_msg_t msg = { .type = CV_MSG_DOC };
 
   (void)now;
+  if (doc == CV_DOC_SUSPECTS)
+    cv_entry_suspects_send (c, target);
   if (doc != CV_DOC_CONFIG || c->config == NULL)
     return;
   msg.u.doc.doc = CV_DOC_CONFIG;
@@ -346,6 +353,7 @@
   h->incarnation = c->options.incarnation;
   h->versions.version[CV_DOC_CONFIG]
       = c->config == NULL ? 0 : c->config->version;
+  h->versions.version[CV_DOC_SUSPECTS] = c->suspects.version;
   h->versions.age_ms = config_age (c, now);
   cv_entry_send (c, target, &msg);
 }
--- a/entry/failure.c
+++ b/entry/failure.c
@@ -21,6 +21,10 @@
   [CV_FAIL_CONDEMNED]
   = { 422, "content_refused", "this content has stopped targets before",
       CV_OUTCOME_REFUSED },
+  [CV_FAIL_SUSPECT] = { 503, "content_busy",
+                        "this content was aboard when a target died; it runs "
+                        "at one target at a time",
+                        CV_OUTCOME_REFUSED },
   [CV_FAIL_INTERRUPTED]
   = { 502, "interrupted", "the answer is cut", CV_OUTCOME_INTERRUPTED },
   [CV_FAIL_STREAM_GONE]
--- a/entry/link.c
+++ b/entry/link.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/eventfd.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <zmq.h>
@@ -17,6 +18,7 @@
 static void run_command (cv_entry_link_t *l, cv_time_t now, cv_command_t *c);
 static void free_command (cv_command_t *c);
 static void publish_config (cv_entry_link_t *l);
+static void publish_suspects (cv_entry_link_t *l);
 static void push (cv_entry_link_t *l, cv_command_t *c);
 static cv_command_t *command (cv_command_type_t type, cv_caller_t *caller);
 static cv_slice_t move_in (char **at, cv_slice_t s);
@@ -80,6 +82,7 @@
   cv_entry_free (l->core);
   if (l->config != NULL)
     cv_config_unref (l->config);
+  free (l->suspects);
   cv_entry_link_close_peers (l);
   (void)zmq_ctx_term (l->zmq);
   (void)close (l->wake);
@@ -166,6 +169,28 @@
   push (l, c);
 }
 
+void
+cv_entry_link_merge_suspects (cv_entry_link_t *l, const char *json)
+{
+  cv_command_t *c = command (COMMAND_SUSPECTS, NULL);
+
+  c->bytes = cv_strdup_n (json, strlen (json));
+  push (l, c);
+}
+
+char *
+cv_entry_link_suspects (cv_entry_link_t *l, uint64_t *version)
+{
+  char *text = NULL;
+
+  (void)pthread_mutex_lock (&l->lock);
+  *version = l->suspects_version;
+  if (l->suspects != NULL)
+    text = cv_strdup_n (l->suspects, strlen (l->suspects));
+  (void)pthread_mutex_unlock (&l->lock);
+  return text;
+}
+
 uint32_t
 cv_entry_link_entries (cv_entry_link_t *l)
 {
@@ -246,10 +271,12 @@
           cv_entry_link_receive (l, slots[i]);
       if (cv_now () >= next_tick)
         {
+          cv_entry_wall (l->core, time (NULL));
           cv_entry_tick (l->core, cv_now ());
           next_tick = cv_now () + CV_ENTRY_TICK;
         }
       publish_config (l);
+      publish_suspects (l);
     }
   free (items);
   free (slots);
@@ -346,6 +373,9 @@
       cv_entry_link_apply_instances (l, now, c->u.instances.list,
                                      c->u.instances.count);
       break;
+    case COMMAND_SUSPECTS:
+      (void)cv_entry_suspects_merge (l->core, now, cv_slice (c->bytes));
+      break;
     case COMMAND_DRAIN:
       cv_entry_stop (l->core);
       break;
@@ -392,6 +422,23 @@
     cv_config_unref (old);
 }
 
+static void
+publish_suspects (cv_entry_link_t *l)
+{
+  cv_slice_t json;
+  uint64_t version = cv_entry_suspects (l->core, &json);
+  char *old;
+
+  if (version == l->suspects_version)
+    return;
+  (void)pthread_mutex_lock (&l->lock);
+  old = l->suspects;
+  l->suspects = cv_strdup_n (json.p, json.n);
+  l->suspects_version = version;
+  (void)pthread_mutex_unlock (&l->lock);
+  free (old);
+}
+
 static void
 push (cv_entry_link_t *l, cv_command_t *c)
 {
--- a/entry/link.h
+++ b/entry/link.h
@@ -47,6 +47,12 @@
 /* Refuse new requests from now on.  */
 void cv_entry_link_drain (cv_entry_link_t *l);
 
+/* The document of suspects and its version (0: none yet); the caller frees
+   the text.  */
+char *cv_entry_link_suspects (cv_entry_link_t *l, uint64_t *version);
+/* Merge the document JSON, as read from the object API.  */
+void cv_entry_link_merge_suspects (cv_entry_link_t *l, const char *json);
+
 /* Run FN on the I/O thread and wait for it.  */
 void cv_entry_link_inspect (cv_entry_link_t *l,
                             void (*fn) (cv_entry_core_t *core, cv_time_t now,
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -16,6 +16,7 @@
   COMMAND_GONE,
   COMMAND_ADOPT,
   COMMAND_INSTANCES,
+  COMMAND_SUSPECTS,
   COMMAND_DRAIN,
   COMMAND_INSPECT,
   COMMAND_QUIT
@@ -79,6 +80,8 @@
   STAILQ_HEAD (cv_command_list_t, cv_command_t) queue;
   uint32_t entries;
   cv_config_t *config; /* the core's, for other threads */
+  char *suspects;      /* likewise */
+  uint64_t suspects_version;
   /* Of the I/O thread alone: */
   cv_entry_core_t *core;
   cv_peer_t *peers;
--- /dev/null
+++ b/entry/store_suspects.c
@@ -0,0 +1,66 @@
+/* The object that keeps the suspects while no process of the system runs.
+   Every entry reads it once and writes it when a strike is missing; a merge is
+   idempotent, so that a lost answer needs no more than the next try.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/store_suspects.h"
+#include "policy/policy.h"
+
+static bool write_union (cv_store_t *store, const cv_object_t *object,
+                         const char *text);
+
+bool
+cv_store_suspects_due (const cv_store_suspects_t *s, uint64_t version)
+{
+  return !s->read || s->version != version;
+}
+
+bool
+cv_store_suspects_sync (cv_store_suspects_t *s, cv_store_t *store,
+                        const char *text, uint64_t version, char **stored)
+{
+  cv_object_t object = { 0 };
+
+  *stored = NULL;
+  if (!cv_store_get (store, CV_SUSPECTS_KEY, &object, NULL))
+    return false;
+  if (object.json != NULL)
+    *stored = cv_strdup_n (object.json, strlen (object.json));
+  s->read = true;
+  if (text != NULL && !write_union (store, &object, text))
+    {
+      cv_object_finish (&object);
+      return false;
+    }
+  cv_object_finish (&object);
+  s->version = version;
+  return true;
+}
+
+static bool
+write_union (cv_store_t *store, const cv_object_t *object, const char *text)
+{
+  cv_suspects_t *table = cv_suspects_new ();
+  uint64_t new_version;
+  cv_buf_t before;
+  cv_buf_t after;
+  bool ok = true;
+
+  cv_buf_init (&before);
+  cv_buf_init (&after);
+  /* An object that cannot be read is replaced.  */
+  if (object->json != NULL)
+    (void)cv_suspects_merge (table, cv_slice (object->json), NULL);
+  cv_suspects_dump (table, &before);
+  (void)cv_suspects_merge (table, cv_slice (text), NULL);
+  cv_suspects_dump (table, &after);
+  if (strcmp (cv_buf_text (&before), cv_buf_text (&after)) != 0)
+    ok = cv_store_put (store, CV_SUSPECTS_KEY, object->version,
+                       cv_buf_text (&after), &new_version, NULL);
+  cv_buf_finish (&before);
+  cv_buf_finish (&after);
+  cv_suspects_free (table);
+  return ok;
+}
--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -8,6 +8,7 @@
 
 #include <json-c/json.h>
 
+#include "entry/store_suspects.h"
 #include "entry/storejobs.h"
 
 /* Jobs that may wait; more are refused at once.  */
@@ -54,6 +55,7 @@
   cv_entry_link_t *link;
   cv_store_t store;
   cv_store_counts_t counts;
+  cv_store_suspects_t suspects;
   cv_time_t poll_interval; /* of an entry alone */
 };
 
@@ -62,6 +64,7 @@
 static void run_job (cv_storejobs_t *s, cv_job_t *job);
 static bool submit (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err);
 static void poll_config (cv_storejobs_t *s);
+static void sync_suspects (cv_storejobs_t *s);
 static cv_time_t poll_interval (cv_storejobs_t *s);
 static bool run_change (cv_storejobs_t *s, cv_job_t *job);
 static bool run_claim (cv_storejobs_t *s, cv_job_t *job);
@@ -180,6 +183,7 @@
       if (cv_now () >= next_poll)
         {
           poll_config (s);
+          sync_suspects (s);
           next_poll = cv_now () + poll_interval (s);
         }
       job = next_job (s, next_poll);
@@ -251,6 +255,22 @@
   cv_object_finish (&object);
 }
 
+static void
+sync_suspects (cv_storejobs_t *s)
+{
+  uint64_t version;
+  char *stored = NULL;
+  char *text = cv_entry_link_suspects (s->link, &version);
+
+  if (!s->failing && cv_store_suspects_due (&s->suspects, version))
+    (void)cv_store_suspects_sync (&s->suspects, &s->store, text, version,
+                                  &stored);
+  if (stored != NULL)
+    cv_entry_link_merge_suspects (s->link, stored);
+  free (stored);
+  free (text);
+}
+
 /* All entries together stay under POLLS_PER_S.  */
 static cv_time_t
 poll_interval (cv_storejobs_t *s)
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -96,6 +96,7 @@
   o.out.new_id = on_new_id;
   o.out.arg = this;
   core_ = cv_entry_new (&o);
+  cv_entry_wall (core_, 2000000);
 }
 
 CoreScript::~CoreScript ()
@@ -172,6 +173,15 @@
     reject (w);
   else if (w[0] == "result")
     result (w);
+  else if (w[0] == "suspects")
+    suspects (w);
+  else if (w[0] == "pull")
+    {
+      cv_msg_t m = {};
+      m.type = CV_MSG_DOC_PULL;
+      m.u.doc_pull.doc = CV_DOC_SUSPECTS;
+      message (w[1], m);
+    }
   else if (w[0] == "doc")
     doc (w);
   else if (w[0] == "wait")
@@ -208,7 +218,7 @@
   names_[slot] = w[1];
 }
 
-/* report TARGET [inc=N] [gen=N] [state=S] [config=N] */
+/* report TARGET [inc=N] [gen=N] [state=S] [config=N] [suspects=N] */
 void
 CoreScript::report (const Words &w)
 {
@@ -223,6 +233,7 @@
   r.load.kv_total = 100000;
   r.load.token_us = 20000;
   r.versions.version[CV_DOC_CONFIG] = number (option (w, "config", "1"));
+  r.versions.version[CV_DOC_SUSPECTS] = number (option (w, "suspects", "0"));
   incarnations_[w[1]] = r.incarnation;
   message (w[1], m);
 }
@@ -313,6 +324,27 @@
   message (w[1], m);
 }
 
+/* suspects TARGET VERSION STRIKES [PROMPT]: the content of a stream of
+   "portal", with its strikes.  */
+void
+CoreScript::suspects (const Words &w)
+{
+  std::string prompt = w.size () > 4 ? w[4] : "hello";
+  uint64_t hash = cv_hash (prompt.data (), prompt.size (),
+                           cv_hash ("portal", 6, 0) ^ cv_hash ("m", 1, 0));
+  char body[200];
+  snprintf (body, sizeof body,
+            "{\"suspects\":[{\"hash\":\"%016llx\","
+            "\"strikes\":[%s],\"cleared\":0}]}",
+            static_cast<unsigned long long> (hash), w[3].c_str ());
+  cv_msg_t m = {};
+  m.type = CV_MSG_DOC;
+  m.u.doc.doc = CV_DOC_SUSPECTS;
+  m.u.doc.version = number (w[2]);
+  m.u.doc.body = cv_slice (body);
+  message (w[1], m);
+}
+
 /* doc TARGET VERSION */
 void
 CoreScript::doc (const Words &w)
@@ -409,8 +441,14 @@
       out_ << " " << name_of (msg->u.revoke.request)
            << " ticket=" << cv_ticket_format (&msg->u.revoke.ticket, ticket);
       break;
+    case CV_MSG_DOC_PULL:
+      out_ << (msg->u.doc_pull.doc == CV_DOC_SUSPECTS ? " suspects" : "");
+      break;
     case CV_MSG_DOC:
-      out_ << " version=" << msg->u.doc.version;
+      if (msg->u.doc.doc == CV_DOC_SUSPECTS)
+        out_ << " suspects counter=" << (msg->u.doc.version >> 16);
+      else
+        out_ << " version=" << msg->u.doc.version;
       break;
     default:
       break;
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -205,6 +205,10 @@
   /* JSON body of the document CV_DOC_SUSPECTS, and its union with ours.  */
   void cv_suspects_dump (const cv_suspects_t *s, cv_buf_t *out);
   bool cv_suspects_merge (cv_suspects_t *s, cv_slice_t json, cv_error_t *err);
+  /* Version of the document BODY, newer than NEWEST: a counter above 16 bits
+     of a hash of BODY, so that two documents made at once differ and the merge
+     of both is newer than either.  */
+  uint64_t cv_suspects_version (uint64_t newest, cv_slice_t body);
 
 #ifdef __cplusplus
 }
--- a/policy/suspects.c
+++ b/policy/suspects.c
@@ -13,6 +13,8 @@
 #define SUSPECTS_MAX 1024
 /* A strike counts for so long.  */
 #define STRIKE_LIFETIME_S (6 * 3600)
+/* Bits of the content's hash in a version.  */
+#define VERSION_HASH_BITS 16
 
 typedef struct
 {
@@ -30,6 +32,9 @@
 
 static int strikes (const suspect_t *e, int64_t wall_s);
 static suspect_t *suspect_get (cv_suspects_t *s, uint64_t hash);
+static bool older (int64_t strike, uint64_t hash, const suspect_t *e);
+static uint32_t oldest (const cv_suspects_t *s);
+static int by_hash (const void *a, const void *b);
 static void strike_add (suspect_t *e, int64_t wall_s);
 static bool merge_one (cv_suspects_t *s, json_object *item);
 
@@ -74,8 +79,26 @@
   return n > 0 ? CV_CONTENT_SUSPECT : CV_CONTENT_CLEAR;
 }
 
-/* Find or make the entry of HASH; when full, the one whose newest strike is
-   oldest gives way.  */
+/* The order in which entries give way when the table is full; it is total, so
+   that merges in any order keep the same ones.  */
+static bool
+older (int64_t strike, uint64_t hash, const suspect_t *e)
+{
+  return strike < e->strike[0] || (strike == e->strike[0] && hash < e->hash);
+}
+
+static uint32_t
+oldest (const cv_suspects_t *s)
+{
+  uint32_t i = 0;
+
+  for (uint32_t k = 1; k < s->count; k++)
+    if (older (s->entry[k].strike[0], s->entry[k].hash, &s->entry[i]))
+      i = k;
+  return i;
+}
+
+/* Find or make the entry of HASH; when full, the oldest gives way.  */
 static suspect_t *
 suspect_get (cv_suspects_t *s, uint64_t hash)
 {
@@ -87,10 +110,7 @@
     i = s->count++;
   else
     {
-      i = 0;
-      for (uint32_t k = 1; k < s->count; k++)
-        if (s->entry[k].strike[0] < s->entry[i].strike[0])
-          i = k;
+      i = oldest (s);
       cv_map_remove (&s->index, s->entry[i].hash);
     }
   s->entry[i] = (suspect_t){ .hash = hash };
@@ -138,13 +158,28 @@
     s->entry[i].cleared = s->entry[i].strike[0];
 }
 
+static int
+by_hash (const void *a, const void *b)
+{
+  const uint64_t *x = a;
+  const uint64_t *y = b;
+
+  return (*x > *y) - (*x < *y);
+}
+
+/* Sorted, so that equal tables give equal documents.  */
 void
 cv_suspects_dump (const cv_suspects_t *s, cv_buf_t *out)
 {
+  uint64_t sorted[SUSPECTS_MAX] = { 0 };
+
+  for (uint32_t i = 0; i < s->count; i++)
+    sorted[i] = s->entry[i].hash;
+  qsort (sorted, s->count, sizeof sorted[0], by_hash);
   cv_buf_printf (out, "{\"suspects\":[");
   for (uint32_t i = 0; i < s->count; i++)
     {
-      const suspect_t *e = &s->entry[i];
+      const suspect_t *e = &s->entry[cv_map_get (&s->index, sorted[i])];
 
       cv_buf_printf (out,
                      "%s{\"hash\":\"%016" PRIx64 "\",\"strikes\":[%" PRId64
@@ -165,6 +200,7 @@
   char *end;
   uint64_t h;
   suspect_t *e;
+  int64_t newest = 0;
 
   if (!json_object_object_get_ex (item, "hash", &hash)
       || !json_object_object_get_ex (item, "strikes", &list)
@@ -176,6 +212,15 @@
   h = strtoull (text, &end, 16);
   if (end == text || *end != '\0')
     return false;
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      int64_t t = json_object_get_int64 (json_object_array_get_idx (list, i));
+
+      newest = t > newest ? t : newest;
+    }
+  if (s->count == SUSPECTS_MAX && cv_map_get (&s->index, h) == CV_MAP_NONE
+      && older (newest, h, &s->entry[oldest (s)]))
+    return true;
   e = suspect_get (s, h);
   for (size_t i = 0; i < json_object_array_length (list); i++)
     strike_add (e, json_object_get_int64 (json_object_array_get_idx (list, i)));
@@ -206,3 +251,12 @@
     json_tokener_free (tok);
   return ok || cv_fail (err, CV_ERR_INVALID, "suspects: not a valid document");
 }
+
+uint64_t
+cv_suspects_version (uint64_t newest, cv_slice_t body)
+{
+  uint64_t mask = (1u << VERSION_HASH_BITS) - 1;
+  uint64_t counter = (newest >> VERSION_HASH_BITS) + 1;
+
+  return counter << VERSION_HASH_BITS | (cv_hash (body.p, body.n, 0) & mask);
+}
--- a/side/docs.c
+++ b/side/docs.c
@@ -1,21 +1,14 @@
-/* Versions of the configuration and of the suspects: gossip with entries.
-
-   A version of the suspects is a counter above 16 bits of a hash of its
-   content, so that two documents made at once differ and the merge of both
-   is newer than either.  */
+/* Versions of the configuration and of the suspects: gossip with entries.  */
 
 #include <stdlib.h>
 
 #include "side/core.h"
 
-#define SUSPECTS_HASH_BITS 16
-
 static void doc_store (cv_doc_state_t *d, uint64_t version, cv_slice_t body);
 static void take_config (cv_core_t *c, cv_time_t now, uint32_t peer,
                          const cv_msg_doc_t *m);
 static void take_suspects (cv_core_t *c, cv_time_t now, const cv_msg_doc_t *m);
 static void suspects_store (cv_core_t *c);
-static uint64_t suspects_version (uint64_t counter, cv_slice_t body);
 static void pull (cv_core_t *c, cv_time_t now, uint32_t peer, cv_doc_t doc);
 
 void
@@ -132,8 +125,7 @@
   cv_buf_init (&body);
   cv_suspects_dump (c->suspects, &body);
   text = cv_slice (cv_buf_text (&body));
-  doc_store (d, suspects_version ((newest >> SUSPECTS_HASH_BITS) + 1, text),
-             text);
+  doc_store (d, cv_suspects_version (newest, text), text);
   cv_buf_finish (&body);
 }
 
@@ -197,14 +189,6 @@
   cv_running_review (c, now);
 }
 
-static uint64_t
-suspects_version (uint64_t counter, cv_slice_t body)
-{
-  uint64_t mask = (1u << SUSPECTS_HASH_BITS) - 1;
-
-  return (counter << SUSPECTS_HASH_BITS) | (cv_hash (body.p, body.n, 0) & mask);
-}
-
 static void
 pull (cv_core_t *c, cv_time_t now, uint32_t peer, cv_doc_t doc)
 {
