Entry: after a start or a freeze, ask before deciding new work

Cause: an entry that woke from SIGSTOP went on with reports and a configuration of before; its own frozen targets looked lost or live by chance; REPORTs that had waited in the socket counted as fresh. The configuration's age was known only where the object API had been read. Entries that began together read the object API in waves.

Change: a gap of CV_PEER_TIMEOUT between ticks puts every target in doubt and makes its connection anew (queued frames go with the old one, streams are asked for again); new work waits for a read of the object API that began after the wake, or for a peer's report when it is down; the same after a start. Ages of the configuration are taken from peers, so that they add up over hops. healthz says why it is not ready. Reads are spread over an interval that grows with the entries.

Not covered: before the first instance list an entry does not know how many there are and reads once a second.

--- a/entry/core.c
+++ b/entry/core.c
@@ -5,8 +5,6 @@
 
 #include "entry/core_internal.h"
 
-static void apply_limits (cv_entry_core_t *c);
-static void send_parked (cv_entry_core_t *c, cv_time_t now);
 static cv_failure_code_t parked_failure (const cv_request_t *r);
 static void rejected (cv_entry_core_t *c, cv_time_t now, uint32_t target,
                       const cv_msg_rejected_t *m);
@@ -27,7 +25,6 @@
   c->suspects.table = cv_suspects_new ();
   cv_buf_init (&c->suspects.body);
   c->metrics = cv_entry_metrics_new ();
-  c->confirmed_age_ms = UINT32_MAX;
   return c;
 }
 
@@ -62,37 +59,6 @@
   free (c);
 }
 
-bool
-cv_entry_adopt (cv_entry_core_t *c, cv_time_t now, cv_config_t *config)
-{
-  if (c->config != NULL && config->version <= c->config->version)
-    return false;
-  if (c->config != NULL)
-    cv_config_unref (c->config);
-  c->config = cv_config_ref (config);
-  c->confirmed_age_ms = UINT32_MAX;
-  apply_limits (c);
-  cv_entry_metrics_count (c->metrics, CV_COUNT_CONFIGS_ADOPTED);
-  cv_entry_targets_hello (c, now);
-  send_parked (c, now);
-  return true;
-}
-
-void
-cv_entry_confirmed (cv_entry_core_t *c, cv_time_t now, uint64_t version)
-{
-  if (c->config == NULL || c->config->version != version)
-    return;
-  c->confirmed = now;
-  c->confirmed_age_ms = 0;
-}
-
-cv_config_t *
-cv_entry_config (const cv_entry_core_t *c)
-{
-  return c->config;
-}
-
 cv_entry_metrics_t *
 cv_entry_metrics (cv_entry_core_t *c)
 {
@@ -134,7 +100,8 @@
                   const cv_msg_t *msg)
 {
   CV_INVARIANT (target < c->target_count);
-  if (!c->targets[target].used)
+  /* What was on its way during a freeze is no fresh news.  */
+  if (cv_entry_awake (c, now) || !c->targets[target].used)
     return;
   switch (msg->type)
     {
@@ -174,6 +141,8 @@
   cv_request_t *r;
   cv_request_t *next;
 
+  (void)cv_entry_awake (c, now);
+  c->last_tick = now;
   cv_entry_targets_tick (c, now);
   for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
     {
@@ -210,37 +179,6 @@
 
 /* ---- local ---- */
 
-static void
-apply_limits (cv_entry_core_t *c)
-{
-  const cv_config_t *config = c->config;
-
-  for (size_t i = 0; i < config->account_count; i++)
-    cv_limits_set (c->limits, cv_entry_name_hash (config->accounts[i].name),
-                   &config->accounts[i].limits);
-  cv_limits_set_share (c->limits,
-                       config->limit_share > 0 ? config->limit_share : 1);
-}
-
-/* A newer configuration came: requests that waited for it go on.  */
-static void
-send_parked (cv_entry_core_t *c, cv_time_t now)
-{
-  cv_request_t *r;
-  cv_request_t *next;
-
-  for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
-    {
-      next = TAILQ_NEXT (r, all);
-      if (r->phase != PHASE_PARKED)
-        continue;
-      if (r->kind == REQUEST_STREAM)
-        cv_entry_streams_send (c, now, r, CV_FAIL_NO_TARGET);
-      else
-        cv_entry_calls_send (c, now, r, CV_FAIL_NO_TARGET);
-    }
-}
-
 /* An earlier message with a caller's own ticket may have run it.  */
 static cv_failure_code_t
 parked_failure (const cv_request_t *r)
--- a/entry/core.h
+++ b/entry/core.h
@@ -156,8 +156,17 @@
   /* Take CONFIG in force when it is newer than the present one; a reference is
      taken.  Returns whether it was.  */
   bool cv_entry_adopt (cv_entry_core_t *c, cv_time_t now, cv_config_t *config);
-  /* The store confirmed at NOW that VERSION is the current one.  */
-  void cv_entry_confirmed (cv_entry_core_t *c, cv_time_t now, uint64_t version);
+  /* The store, asked at ASKED, said that VERSION is the current one.  */
+  void cv_entry_confirmed (cv_entry_core_t *c, cv_time_t asked,
+                           uint64_t version);
+  /* The store, asked at ASKED, did not answer.  */
+  void cv_entry_store_failed (cv_entry_core_t *c, cv_time_t asked);
+  /* Why no new work is taken, or NULL when it is: after its start and after a
+     freeze an entry first asks the store, or a peer when the store is down. */
+  const char *cv_entry_unready (const cv_entry_core_t *c);
+  /* Time since the store confirmed the configuration, over all hops;
+     UINT32_MAX when never.  */
+  uint32_t cv_entry_config_age_ms (const cv_entry_core_t *c, cv_time_t now);
   /* The configuration in force, borrowed; NULL before the first.  */
   cv_config_t *cv_entry_config (const cv_entry_core_t *c);
 
--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -25,7 +25,8 @@
   const cv_pool_t *pool;
   cv_request_t *r;
 
-  if (c->stopping || c->config == NULL)
+  (void)cv_entry_awake (c, now);
+  if (c->stopping || cv_entry_unready (c) != NULL)
     {
       cv_entry_refuse (c, caller, refusal (c, spec->mode),
                        cv_entry_retry_after (c));
@@ -63,7 +64,8 @@
   const cv_pool_t *p;
   uint32_t target;
 
-  if (c->stopping || c->config == NULL)
+  (void)cv_entry_awake (c, now);
+  if (c->stopping || cv_entry_unready (c) != NULL)
     {
       cv_entry_refuse (c, caller, refusal (c, CV_CALL_ONCE),
                        cv_entry_retry_after (c));
--- /dev/null
+++ b/entry/core_config.c
@@ -0,0 +1,142 @@
+/* The configuration in force at the entry, and whether the entry may decide
+   about new work under it: not before it asked after its start or a freeze.  */
+
+#include "entry/core_internal.h"
+
+static void apply_limits (cv_entry_core_t *c);
+static void send_parked (cv_entry_core_t *c, cv_time_t now);
+static void learn_age (cv_entry_core_t *c, cv_time_t confirmed);
+
+bool
+cv_entry_adopt (cv_entry_core_t *c, cv_time_t now, cv_config_t *config)
+{
+  if (c->config != NULL && config->version <= c->config->version)
+    return false;
+  if (c->config != NULL)
+    cv_config_unref (c->config);
+  c->config = cv_config_ref (config);
+  c->confirmed = 0;
+  apply_limits (c);
+  cv_entry_metrics_count (c->metrics, CV_COUNT_CONFIGS_ADOPTED);
+  cv_entry_targets_hello (c, now);
+  send_parked (c, now);
+  return true;
+}
+
+void
+cv_entry_confirmed (cv_entry_core_t *c, cv_time_t asked, uint64_t version)
+{
+  if (asked < c->woken)
+    return;
+  c->store_asked = true;
+  if (c->config != NULL && c->config->version == version)
+    learn_age (c, asked);
+}
+
+void
+cv_entry_store_failed (cv_entry_core_t *c, cv_time_t asked)
+{
+  if (asked >= c->woken)
+    c->store_down = true;
+}
+
+cv_config_t *
+cv_entry_config (const cv_entry_core_t *c)
+{
+  return c->config;
+}
+
+const char *
+cv_entry_unready (const cv_entry_core_t *c)
+{
+  if (c->config == NULL)
+    return "no configuration is known: neither the object API nor a peer gave "
+           "one";
+  if (c->store_asked || (c->store_down && c->peer_heard))
+    return NULL;
+  if (c->store_down)
+    return "the configuration is not confirmed: the object API is down and no "
+           "peer reported";
+  return "the configuration is not confirmed: the object API was not read yet";
+}
+
+uint32_t
+cv_entry_config_age_ms (const cv_entry_core_t *c, cv_time_t now)
+{
+  cv_time_t age = (now - c->confirmed) / CV_MS;
+
+  if (c->confirmed == 0)
+    return UINT32_MAX;
+  return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX - 1;
+}
+
+void
+cv_entry_config_heard (cv_entry_core_t *c, cv_time_t now,
+                       const cv_versions_t *versions)
+{
+  if (c->config == NULL
+      || versions->version[CV_DOC_CONFIG] > c->config->version)
+    return;
+  c->peer_heard = true;
+  if (versions->version[CV_DOC_CONFIG] == c->config->version
+      && versions->age_ms != UINT32_MAX)
+    learn_age (c, now - versions->age_ms * CV_MS);
+}
+
+bool
+cv_entry_awake (cv_entry_core_t *c, cv_time_t now)
+{
+  if (c->last_tick == 0)
+    c->last_tick = now;
+  if (now - c->last_tick < CV_PEER_TIMEOUT)
+    return false;
+  cv_log (CV_EV_ENTRY_FROZEN, "for %lld ms",
+          (long long)((now - c->last_tick) / CV_MS));
+  c->last_tick = now;
+  c->woken = now;
+  c->store_asked = false;
+  c->store_down = false;
+  c->peer_heard = false;
+  cv_entry_targets_doubt (c, now);
+  return true;
+}
+
+/* ---- local ---- */
+
+static void
+learn_age (cv_entry_core_t *c, cv_time_t confirmed)
+{
+  if (confirmed > c->confirmed)
+    c->confirmed = confirmed;
+}
+
+static void
+apply_limits (cv_entry_core_t *c)
+{
+  const cv_config_t *config = c->config;
+
+  for (size_t i = 0; i < config->account_count; i++)
+    cv_limits_set (c->limits, cv_entry_name_hash (config->accounts[i].name),
+                   &config->accounts[i].limits);
+  cv_limits_set_share (c->limits,
+                       config->limit_share > 0 ? config->limit_share : 1);
+}
+
+/* A newer configuration came: requests that waited for it go on.  */
+static void
+send_parked (cv_entry_core_t *c, cv_time_t now)
+{
+  cv_request_t *r;
+  cv_request_t *next;
+
+  for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, all);
+      if (r->phase != PHASE_PARKED)
+        continue;
+      if (r->kind == REQUEST_STREAM)
+        cv_entry_streams_send (c, now, r, CV_FAIL_NO_TARGET);
+      else
+        cv_entry_calls_send (c, now, r, CV_FAIL_NO_TARGET);
+    }
+}
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -125,6 +125,7 @@
   bool used;
   bool heard; /* a report came since the connection was made */
   bool lost;
+  bool doubted; /* no report since this process was frozen */
   bool listed_leaving;
   char name[CV_NAME_MAX];
   char pool[CV_NAME_MAX];
@@ -153,7 +154,11 @@
   cv_entry_options_t options;
   cv_config_t *config;
   cv_time_t confirmed; /* when the store confirmed config, 0: never */
-  uint32_t confirmed_age_ms;
+  cv_time_t last_tick;
+  cv_time_t woken;  /* from the last freeze */
+  bool store_asked; /* since the start or the last freeze; so are the others */
+  bool store_down;
+  bool peer_heard; /* a peer whose configuration is not newer */
   cv_target_t *targets;
   uint32_t target_count;
   struct cv_request_list_t requests;
@@ -183,6 +188,15 @@
 uint64_t cv_entry_name_hash (const char *name);
 void cv_entry_send (cv_entry_core_t *c, uint32_t target, const cv_msg_t *msg);
 
+/* ---- core_config.c ---- */
+
+/* What a peer's REPORT says of the configuration.  */
+void cv_entry_config_heard (cv_entry_core_t *c, cv_time_t now,
+                            const cv_versions_t *versions);
+/* Was the process frozen until NOW?  Everything that it knew of its peers is
+   then in doubt.  */
+bool cv_entry_awake (cv_entry_core_t *c, cv_time_t now);
+
 /* ---- core_requests.c: requests and replies ---- */
 
 cv_request_t *cv_request_new (cv_entry_core_t *c, cv_time_t now, void *caller,
@@ -223,6 +237,8 @@
 /* Ask TARGET for its document, at a bounded rate.  */
 void cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target,
                             cv_doc_t doc);
+/* Trust no target before it reports over a new connection.  */
+void cv_entry_targets_doubt (cv_entry_core_t *c, cv_time_t now);
 void cv_entry_targets_tick (cv_entry_core_t *c, cv_time_t now);
 void cv_entry_targets_hello (cv_entry_core_t *c, cv_time_t now);
 /* The slot of the live incarnation that a ticket or position names, or
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -22,7 +22,8 @@
   cv_failure_code_t fail = CV_FAIL_NO_CONFIG;
   cv_request_t *r;
 
-  if (c->stopping || c->config == NULL)
+  (void)cv_entry_awake (c, now);
+  if (c->stopping || cv_entry_unready (c) != NULL)
     {
       cv_entry_refuse (c, caller, c->stopping ? CV_FAIL_STOPPING : fail,
                        cv_entry_retry_after (c));
@@ -47,6 +48,7 @@
 {
   cv_request_t *r;
 
+  (void)cv_entry_awake (c, now);
   if (cv_entry_targets_replaced (c, first->target, first->incarnation))
     {
       cv_entry_refuse (c, caller, CV_FAIL_STREAM_GONE, 0);
--- a/entry/core_targets.c
+++ b/entry/core_targets.c
@@ -14,7 +14,6 @@
 static void send_awaiting (cv_entry_core_t *c, cv_time_t now, const char *name);
 static void hello_one (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static const char *state_name (const cv_target_t *t);
-static uint32_t config_age (const cv_entry_core_t *c, cv_time_t now);
 
 uint32_t
 cv_entry_target_add (cv_entry_core_t *c, cv_time_t now, const char *name,
@@ -55,7 +54,7 @@
   if (t->listed_leaving == leaving)
     return;
   t->listed_leaving = leaving;
-  if (t->heard && !t->lost)
+  if (t->heard && !t->lost && !t->doubted)
     report_to_router (c, now, target);
 }
 
@@ -118,6 +117,7 @@
     }
   t->heard = true;
   t->lost = false;
+  t->doubted = false;
   t->last_heard = now;
   t->incarnation = report->incarnation;
   t->generation = report->generation;
@@ -132,6 +132,7 @@
   if (c->config == NULL
       || report->versions.version[CV_DOC_CONFIG] > c->config->version)
     cv_entry_targets_pull (c, now, target, CV_DOC_CONFIG);
+  cv_entry_config_heard (c, now, &report->versions);
   if (cv_entry_suspects_behind (c, target))
     cv_entry_targets_pull (c, now, target, CV_DOC_SUSPECTS);
 }
@@ -193,6 +194,24 @@
   cv_entry_send (c, target, &msg);
 }
 
+void
+cv_entry_targets_doubt (cv_entry_core_t *c, cv_time_t now)
+{
+  for (uint32_t i = 0; i < c->target_count; i++)
+    {
+      cv_target_t *t = &c->targets[i];
+
+      if (!t->used)
+        continue;
+      t->doubted = true;
+      t->last_heard = now;
+      cv_router_remove (c->router, i);
+      /* Old frames wait in the socket; they go with it.  */
+      c->options.out.reset (c->options.out.arg, i);
+      hello_one (c, now, i);
+    }
+}
+
 void
 cv_entry_targets_tick (cv_entry_core_t *c, cv_time_t now)
 {
@@ -204,7 +223,7 @@
         continue;
       if (!t->lost && now - t->last_heard >= CV_PEER_TIMEOUT)
         lose (c, now, i);
-      else if (!t->heard)
+      else if (!t->heard || t->doubted)
         hello_one (c, now, i);
     }
   if (now - c->last_hello >= CV_REPORT_INTERVAL)
@@ -228,8 +247,8 @@
     {
       const cv_target_t *t = &c->targets[i];
 
-      if (t->used && t->heard && !t->lost && t->incarnation == incarnation
-          && strcmp (t->name, name) == 0)
+      if (t->used && t->heard && !t->lost && !t->doubted
+          && t->incarnation == incarnation && strcmp (t->name, name) == 0)
         return i;
     }
   return CV_NO_TARGET;
@@ -245,7 +264,8 @@
     {
       const cv_target_t *t = &c->targets[i];
 
-      if (!t->used || !t->heard || t->lost || strcmp (t->name, name) != 0)
+      if (!t->used || !t->heard || t->lost || t->doubted
+          || strcmp (t->name, name) != 0)
         continue;
       if (t->incarnation == incarnation)
         return false;
@@ -354,27 +374,16 @@
   h->versions.version[CV_DOC_CONFIG]
       = c->config == NULL ? 0 : c->config->version;
   h->versions.version[CV_DOC_SUSPECTS] = c->suspects.version;
-  h->versions.age_ms = config_age (c, now);
+  h->versions.age_ms = cv_entry_config_age_ms (c, now);
   cv_entry_send (c, target, &msg);
 }
 
-static uint32_t
-config_age (const cv_entry_core_t *c, cv_time_t now)
-{
-  cv_time_t age;
-
-  if (c->confirmed_age_ms == UINT32_MAX)
-    return UINT32_MAX;
-  age = (now - c->confirmed) / CV_MS;
-  return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX - 1;
-}
-
 static const char *
 state_name (const cv_target_t *t)
 {
   if (t->lost)
     return "lost";
-  if (!t->heard)
+  if (!t->heard || t->doubted)
     return "connecting";
   if (t->state == CV_TARGET_DOWN)
     return "down";
--- a/entry/http.c
+++ b/entry/http.c
@@ -22,7 +22,15 @@
 static bool unauthorized (cv_response_t *resp);
 static cv_http_error_t error_of (cv_failure_code_t code,
                                  uint32_t retry_after_ms);
+typedef struct
+{
+  const char *unready;
+  uint64_t version;
+  uint32_t age_ms;
+} cv_health_t;
+
 static int healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg);
+static void read_health (cv_entry_core_t *core, cv_time_t now, void *arg);
 static int metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg);
 static int not_found (const cv_request_in_t *req, cv_response_t *resp,
                       void *arg);
@@ -341,25 +349,42 @@
 healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg)
 {
   cv_http_t *h = arg;
-  cv_config_t *config = cv_entry_link_config (h->link);
   bool draining = __atomic_load_n (&h->draining, __ATOMIC_RELAXED) != 0;
+  cv_health_t health = { 0 };
   cv_buf_t body;
   int rc;
 
   (void)req;
+  cv_entry_link_inspect (h->link, read_health, &health);
+  if (draining)
+    health.unready = "this entry is being stopped";
   cv_buf_init (&body);
-  cv_buf_printf (&body, "{\"state\":\"%s\",\"config_version\":%llu}",
-                 draining         ? "stopping"
-                 : config == NULL ? "starting"
-                                  : "serving",
-                 config == NULL ? 0ULL : (unsigned long long)config->version);
-  rc = cv_http_json (resp, draining || config == NULL ? 503 : 200, &body);
-  if (config != NULL)
-    cv_config_unref (config);
+  cv_buf_printf (&body, "{\"state\":\"%s\",\"config_version\":%llu",
+                 draining                 ? "stopping"
+                 : health.unready != NULL ? "starting"
+                                          : "serving",
+                 (unsigned long long)health.version);
+  if (health.age_ms != UINT32_MAX)
+    cv_buf_printf (&body, ",\"config_age_ms\":%u", health.age_ms);
+  if (health.unready != NULL)
+    cv_buf_printf (&body, ",\"reason\":\"%s\"", health.unready);
+  cv_buf_printf (&body, "}");
+  rc = cv_http_json (resp, health.unready != NULL ? 503 : 200, &body);
   cv_buf_finish (&body);
   return rc;
 }
 
+static void
+read_health (cv_entry_core_t *core, cv_time_t now, void *arg)
+{
+  cv_health_t *health = arg;
+  const cv_config_t *config = cv_entry_config (core);
+
+  health->unready = cv_entry_unready (core);
+  health->version = config == NULL ? 0 : config->version;
+  health->age_ms = cv_entry_config_age_ms (core, now);
+}
+
 static int
 metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg)
 {
--- a/entry/link.c
+++ b/entry/link.c
@@ -1,4 +1,4 @@
-/* The I/O thread of an entry and the queue in front of it.  */
+/* The I/O thread of an entry.  */
 
 #include <errno.h>
 #include <stdlib.h>
@@ -16,12 +16,8 @@
 static void *run (void *arg);
 static void run_commands (cv_entry_link_t *l);
 static void run_command (cv_entry_link_t *l, cv_time_t now, cv_command_t *c);
-static void free_command (cv_command_t *c);
 static void publish_config (cv_entry_link_t *l);
 static void publish_suspects (cv_entry_link_t *l);
-static void push (cv_entry_link_t *l, cv_command_t *c);
-static cv_command_t *command (cv_command_type_t type, cv_caller_t *caller);
-static cv_slice_t move_in (char **at, cv_slice_t s);
 static size_t poll_items (cv_entry_link_t *l, zmq_pollitem_t **items,
                           size_t *cap, uint32_t **slots);
 static void reply (void *arg, void *caller, const cv_reply_t *r);
@@ -72,12 +68,12 @@
 {
   cv_command_t *c;
 
-  push (l, command (COMMAND_QUIT, NULL));
+  cv_entry_link_quit (l);
   (void)pthread_join (l->thread, NULL);
   while ((c = STAILQ_FIRST (&l->queue)) != NULL)
     {
       STAILQ_REMOVE_HEAD (&l->queue, link);
-      free_command (c);
+      cv_entry_link_free_command (c);
     }
   cv_entry_free (l->core);
   if (l->config != NULL)
@@ -91,157 +87,6 @@
   free (l);
 }
 
-void
-cv_entry_link_submit (cv_entry_link_t *l, cv_caller_t *caller,
-                      const cv_stream_spec_t *spec)
-{
-  cv_command_t *c = command (COMMAND_SUBMIT, caller);
-
-  c->u.submit = *spec;
-  c->bytes = cv_strdup_n (spec->prompt.p, spec->prompt.n);
-  c->u.submit.prompt.p = c->bytes;
-  push (l, c);
-}
-
-void
-cv_entry_link_attach (cv_entry_link_t *l, cv_caller_t *caller,
-                      const char *account, const cv_position_t *first)
-{
-  cv_command_t *c = command (COMMAND_ATTACH, caller);
-
-  (void)cv_copy (c->u.attach.account, sizeof c->u.attach.account, account);
-  c->u.attach.first = *first;
-  push (l, c);
-}
-
-void
-cv_entry_link_call (cv_entry_link_t *l, cv_caller_t *caller,
-                    const cv_call_spec_t *spec)
-{
-  cv_command_t *c = command (COMMAND_CALL, caller);
-  char *at;
-
-  c->u.call = *spec;
-  c->bytes
-      = cv_calloc (1, spec->path.n + spec->content_type.n + spec->body.n + 1);
-  at = c->bytes;
-  c->u.call.path = move_in (&at, spec->path);
-  c->u.call.content_type = move_in (&at, spec->content_type);
-  c->u.call.body = move_in (&at, spec->body);
-  push (l, c);
-}
-
-void
-cv_entry_link_ticket (cv_entry_link_t *l, cv_caller_t *caller, const char *pool)
-{
-  cv_command_t *c = command (COMMAND_TICKET, caller);
-
-  (void)cv_copy (c->u.pool, sizeof c->u.pool, pool);
-  push (l, c);
-}
-
-void
-cv_entry_link_gone (cv_entry_link_t *l, cv_caller_t *caller)
-{
-  push (l, command (COMMAND_GONE, caller));
-}
-
-void
-cv_entry_link_adopt (cv_entry_link_t *l, cv_config_t *config)
-{
-  cv_command_t *c = command (COMMAND_ADOPT, NULL);
-
-  c->u.config = cv_config_ref (config);
-  push (l, c);
-}
-
-void
-cv_entry_link_instances (cv_entry_link_t *l, const cv_instance_t *list,
-                         size_t count, uint32_t entries)
-{
-  cv_command_t *c = command (COMMAND_INSTANCES, NULL);
-
-  c->u.instances.list = cv_calloc (count + 1, sizeof *list);
-  if (count > 0)
-    memcpy (c->u.instances.list, list, count * sizeof *list);
-  c->u.instances.count = count;
-  c->u.instances.entries = entries;
-  push (l, c);
-}
-
-void
-cv_entry_link_merge_suspects (cv_entry_link_t *l, const char *json)
-{
-  cv_command_t *c = command (COMMAND_SUSPECTS, NULL);
-
-  c->bytes = cv_strdup_n (json, strlen (json));
-  push (l, c);
-}
-
-char *
-cv_entry_link_suspects (cv_entry_link_t *l, uint64_t *version)
-{
-  char *text = NULL;
-
-  (void)pthread_mutex_lock (&l->lock);
-  *version = l->suspects_version;
-  if (l->suspects != NULL)
-    text = cv_strdup_n (l->suspects, strlen (l->suspects));
-  (void)pthread_mutex_unlock (&l->lock);
-  return text;
-}
-
-uint32_t
-cv_entry_link_entries (cv_entry_link_t *l)
-{
-  uint32_t n;
-
-  (void)pthread_mutex_lock (&l->lock);
-  n = l->entries;
-  (void)pthread_mutex_unlock (&l->lock);
-  return n;
-}
-
-void
-cv_entry_link_drain (cv_entry_link_t *l)
-{
-  push (l, command (COMMAND_DRAIN, NULL));
-}
-
-void
-cv_entry_link_inspect (cv_entry_link_t *l,
-                       void (*fn) (cv_entry_core_t *core, cv_time_t now,
-                                   void *arg),
-                       void *arg)
-{
-  cv_command_t *c = command (COMMAND_INSPECT, NULL);
-  cv_waiter_t w = { .done = false };
-
-  CV_INVARIANT (pthread_mutex_init (&w.lock, NULL) == 0);
-  CV_INVARIANT (pthread_cond_init (&w.done_cond, NULL) == 0);
-  c->u.inspect.fn = fn;
-  c->u.inspect.arg = arg;
-  c->u.inspect.waiter = &w;
-  push (l, c);
-  (void)pthread_mutex_lock (&w.lock);
-  while (!w.done)
-    (void)pthread_cond_wait (&w.done_cond, &w.lock);
-  (void)pthread_mutex_unlock (&w.lock);
-  (void)pthread_cond_destroy (&w.done_cond);
-  (void)pthread_mutex_destroy (&w.lock);
-}
-
-cv_config_t *
-cv_entry_link_config (cv_entry_link_t *l)
-{
-  cv_config_t *config;
-
-  (void)pthread_mutex_lock (&l->lock);
-  config = l->config == NULL ? NULL : cv_config_ref (l->config);
-  (void)pthread_mutex_unlock (&l->lock);
-  return config;
-}
-
 /* ---- the I/O thread ---- */
 
 static void *
@@ -334,7 +179,7 @@
       if (c == NULL)
         return;
       run_command (l, cv_now (), c);
-      free_command (c);
+      cv_entry_link_free_command (c);
     }
 }
 
@@ -366,7 +211,10 @@
       if (cv_entry_adopt (l->core, now, c->u.config))
         cv_log (CV_EV_ENTRY_CONFIG_ADOPTED, "version %llu",
                 (unsigned long long)c->u.config->version);
-      cv_entry_confirmed (l->core, now, c->u.config->version);
+      cv_entry_confirmed (l->core, c->asked, c->u.config->version);
+      break;
+    case COMMAND_STORE_FAILED:
+      cv_entry_store_failed (l->core, c->asked);
       break;
     case COMMAND_INSTANCES:
       l->entries = c->u.instances.entries;
@@ -393,19 +241,6 @@
     }
 }
 
-static void
-free_command (cv_command_t *c)
-{
-  if (c->type == COMMAND_ADOPT)
-    cv_config_unref (c->u.config);
-  if (c->type == COMMAND_INSTANCES)
-    free (c->u.instances.list);
-  if (c->caller != NULL)
-    cv_caller_unref (c->caller);
-  free (c->bytes);
-  free (c);
-}
-
 static void
 publish_config (cv_entry_link_t *l)
 {
@@ -439,38 +274,6 @@
   free (old);
 }
 
-static void
-push (cv_entry_link_t *l, cv_command_t *c)
-{
-  uint64_t one = 1;
-
-  (void)pthread_mutex_lock (&l->lock);
-  STAILQ_INSERT_TAIL (&l->queue, c, link);
-  (void)pthread_mutex_unlock (&l->lock);
-  (void)!write (l->wake, &one, sizeof one);
-}
-
-static cv_command_t *
-command (cv_command_type_t type, cv_caller_t *caller)
-{
-  cv_command_t *c = cv_calloc (1, sizeof *c);
-
-  c->type = type;
-  c->caller = caller == NULL ? NULL : cv_caller_ref (caller);
-  return c;
-}
-
-static cv_slice_t
-move_in (char **at, cv_slice_t s)
-{
-  cv_slice_t moved = { .p = *at, .n = s.n };
-
-  if (s.n > 0)
-    memcpy (*at, s.p, s.n);
-  *at += s.n;
-  return moved;
-}
-
 /* ---- outputs of the core ---- */
 
 static void
--- a/entry/link.h
+++ b/entry/link.h
@@ -38,8 +38,11 @@
                            const char *pool);
 void cv_entry_link_gone (cv_entry_link_t *l, cv_caller_t *caller);
 
-/* CONFIG is the store's current one.  */
-void cv_entry_link_adopt (cv_entry_link_t *l, cv_config_t *config);
+/* CONFIG is the current one of the store, which was asked at ASKED.  */
+void cv_entry_link_adopt (cv_entry_link_t *l, cv_time_t asked,
+                          cv_config_t *config);
+/* The store, asked at ASKED, did not answer.  */
+void cv_entry_link_store_failed (cv_entry_link_t *l, cv_time_t asked);
 /* The targets on the instance list; ENTRIES counts the entries there.  */
 void cv_entry_link_instances (cv_entry_link_t *l, const cv_instance_t *list,
                               size_t count, uint32_t entries);
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -15,6 +15,7 @@
   COMMAND_TICKET,
   COMMAND_GONE,
   COMMAND_ADOPT,
+  COMMAND_STORE_FAILED,
   COMMAND_INSTANCES,
   COMMAND_SUSPECTS,
   COMMAND_DRAIN,
@@ -36,7 +37,8 @@
   STAILQ_ENTRY (cv_command_t) link;
   cv_command_type_t type;
   cv_caller_t *caller;
-  char *bytes; /* what the slices of the union point to */
+  cv_time_t asked; /* ADOPT, STORE_FAILED */
+  char *bytes;     /* what the slices of the union point to */
   union
   {
     cv_stream_spec_t submit;
@@ -92,6 +94,11 @@
   bool quit;
 };
 
+/* link_queue.c */
+
+void cv_entry_link_quit (cv_entry_link_t *l);
+void cv_entry_link_free_command (cv_command_t *c);
+
 /* link_peers.c */
 
 void cv_entry_link_apply_instances (cv_entry_link_t *l, cv_time_t now,
--- /dev/null
+++ b/entry/link_queue.c
@@ -0,0 +1,223 @@
+/* The queue in front of the I/O thread: what other threads ask of it.  */
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "entry/link_internal.h"
+
+static void push (cv_entry_link_t *l, cv_command_t *c);
+static cv_command_t *command (cv_command_type_t type, cv_caller_t *caller);
+static cv_slice_t move_in (char **at, cv_slice_t s);
+
+void
+cv_entry_link_submit (cv_entry_link_t *l, cv_caller_t *caller,
+                      const cv_stream_spec_t *spec)
+{
+  cv_command_t *c = command (COMMAND_SUBMIT, caller);
+
+  c->u.submit = *spec;
+  c->bytes = cv_strdup_n (spec->prompt.p, spec->prompt.n);
+  c->u.submit.prompt.p = c->bytes;
+  push (l, c);
+}
+
+void
+cv_entry_link_attach (cv_entry_link_t *l, cv_caller_t *caller,
+                      const char *account, const cv_position_t *first)
+{
+  cv_command_t *c = command (COMMAND_ATTACH, caller);
+
+  (void)cv_copy (c->u.attach.account, sizeof c->u.attach.account, account);
+  c->u.attach.first = *first;
+  push (l, c);
+}
+
+void
+cv_entry_link_call (cv_entry_link_t *l, cv_caller_t *caller,
+                    const cv_call_spec_t *spec)
+{
+  cv_command_t *c = command (COMMAND_CALL, caller);
+  char *at;
+
+  c->u.call = *spec;
+  c->bytes
+      = cv_calloc (1, spec->path.n + spec->content_type.n + spec->body.n + 1);
+  at = c->bytes;
+  c->u.call.path = move_in (&at, spec->path);
+  c->u.call.content_type = move_in (&at, spec->content_type);
+  c->u.call.body = move_in (&at, spec->body);
+  push (l, c);
+}
+
+void
+cv_entry_link_ticket (cv_entry_link_t *l, cv_caller_t *caller, const char *pool)
+{
+  cv_command_t *c = command (COMMAND_TICKET, caller);
+
+  (void)cv_copy (c->u.pool, sizeof c->u.pool, pool);
+  push (l, c);
+}
+
+void
+cv_entry_link_gone (cv_entry_link_t *l, cv_caller_t *caller)
+{
+  push (l, command (COMMAND_GONE, caller));
+}
+
+void
+cv_entry_link_adopt (cv_entry_link_t *l, cv_time_t asked, cv_config_t *config)
+{
+  cv_command_t *c = command (COMMAND_ADOPT, NULL);
+
+  c->asked = asked;
+  c->u.config = cv_config_ref (config);
+  push (l, c);
+}
+
+void
+cv_entry_link_store_failed (cv_entry_link_t *l, cv_time_t asked)
+{
+  cv_command_t *c = command (COMMAND_STORE_FAILED, NULL);
+
+  c->asked = asked;
+  push (l, c);
+}
+
+void
+cv_entry_link_instances (cv_entry_link_t *l, const cv_instance_t *list,
+                         size_t count, uint32_t entries)
+{
+  cv_command_t *c = command (COMMAND_INSTANCES, NULL);
+
+  c->u.instances.list = cv_calloc (count + 1, sizeof *list);
+  if (count > 0)
+    memcpy (c->u.instances.list, list, count * sizeof *list);
+  c->u.instances.count = count;
+  c->u.instances.entries = entries;
+  push (l, c);
+}
+
+void
+cv_entry_link_merge_suspects (cv_entry_link_t *l, const char *json)
+{
+  cv_command_t *c = command (COMMAND_SUSPECTS, NULL);
+
+  c->bytes = cv_strdup_n (json, strlen (json));
+  push (l, c);
+}
+
+char *
+cv_entry_link_suspects (cv_entry_link_t *l, uint64_t *version)
+{
+  char *text = NULL;
+
+  (void)pthread_mutex_lock (&l->lock);
+  *version = l->suspects_version;
+  if (l->suspects != NULL)
+    text = cv_strdup_n (l->suspects, strlen (l->suspects));
+  (void)pthread_mutex_unlock (&l->lock);
+  return text;
+}
+
+uint32_t
+cv_entry_link_entries (cv_entry_link_t *l)
+{
+  uint32_t n;
+
+  (void)pthread_mutex_lock (&l->lock);
+  n = l->entries;
+  (void)pthread_mutex_unlock (&l->lock);
+  return n;
+}
+
+void
+cv_entry_link_drain (cv_entry_link_t *l)
+{
+  push (l, command (COMMAND_DRAIN, NULL));
+}
+
+void
+cv_entry_link_inspect (cv_entry_link_t *l,
+                       void (*fn) (cv_entry_core_t *core, cv_time_t now,
+                                   void *arg),
+                       void *arg)
+{
+  cv_command_t *c = command (COMMAND_INSPECT, NULL);
+  cv_waiter_t w = { .done = false };
+
+  CV_INVARIANT (pthread_mutex_init (&w.lock, NULL) == 0);
+  CV_INVARIANT (pthread_cond_init (&w.done_cond, NULL) == 0);
+  c->u.inspect.fn = fn;
+  c->u.inspect.arg = arg;
+  c->u.inspect.waiter = &w;
+  push (l, c);
+  (void)pthread_mutex_lock (&w.lock);
+  while (!w.done)
+    (void)pthread_cond_wait (&w.done_cond, &w.lock);
+  (void)pthread_mutex_unlock (&w.lock);
+  (void)pthread_cond_destroy (&w.done_cond);
+  (void)pthread_mutex_destroy (&w.lock);
+}
+
+cv_config_t *
+cv_entry_link_config (cv_entry_link_t *l)
+{
+  cv_config_t *config;
+
+  (void)pthread_mutex_lock (&l->lock);
+  config = l->config == NULL ? NULL : cv_config_ref (l->config);
+  (void)pthread_mutex_unlock (&l->lock);
+  return config;
+}
+
+void
+cv_entry_link_quit (cv_entry_link_t *l)
+{
+  push (l, command (COMMAND_QUIT, NULL));
+}
+
+void
+cv_entry_link_free_command (cv_command_t *c)
+{
+  if (c->type == COMMAND_ADOPT)
+    cv_config_unref (c->u.config);
+  if (c->type == COMMAND_INSTANCES)
+    free (c->u.instances.list);
+  if (c->caller != NULL)
+    cv_caller_unref (c->caller);
+  free (c->bytes);
+  free (c);
+}
+
+static void
+push (cv_entry_link_t *l, cv_command_t *c)
+{
+  uint64_t one = 1;
+
+  (void)pthread_mutex_lock (&l->lock);
+  STAILQ_INSERT_TAIL (&l->queue, c, link);
+  (void)pthread_mutex_unlock (&l->lock);
+  (void)!write (l->wake, &one, sizeof one);
+}
+
+static cv_command_t *
+command (cv_command_type_t type, cv_caller_t *caller)
+{
+  cv_command_t *c = cv_calloc (1, sizeof *c);
+
+  c->type = type;
+  c->caller = caller == NULL ? NULL : cv_caller_ref (caller);
+  return c;
+}
+
+static cv_slice_t
+move_in (char **at, cv_slice_t s)
+{
+  cv_slice_t moved = { .p = *at, .n = s.n };
+
+  if (s.n > 0)
+    memcpy (*at, s.p, s.n);
+  *at += s.n;
+  return moved;
+}
--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -8,6 +8,7 @@
 
 #include <json-c/json.h>
 
+#include "entry/poll.h"
 #include "entry/store_suspects.h"
 #include "entry/storejobs.h"
 
@@ -16,9 +17,6 @@
 /* A job that has not begun by then is refused.  */
 #define JOB_WAIT (3 * CV_SECOND)
 #define SETTLE_TIME (5 * CV_SECOND)
-/* Reads of the configuration by all entries together, per second.  */
-#define POLLS_PER_S 100
-#define POLL_INTERVAL_MAX (10 * CV_SECOND)
 
 typedef enum
 {
@@ -57,6 +55,7 @@
   cv_store_counts_t counts;
   cv_store_suspects_t suspects;
   cv_time_t poll_interval; /* of an entry alone */
+  cv_poll_t poll;
 };
 
 static void *run (void *arg);
@@ -65,12 +64,11 @@
 static bool submit (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err);
 static void poll_config (cv_storejobs_t *s);
 static void sync_suspects (cv_storejobs_t *s);
-static cv_time_t poll_interval (cv_storejobs_t *s);
 static bool run_change (cv_storejobs_t *s, cv_job_t *job);
 static bool run_claim (cv_storejobs_t *s, cv_job_t *job);
 static bool read_claim (cv_storejobs_t *s, cv_job_t *job);
-static bool adopt (cv_storejobs_t *s, uint64_t version, const char *json,
-                   cv_error_t *err);
+static bool adopt (cv_storejobs_t *s, cv_time_t asked, uint64_t version,
+                   const char *json, cv_error_t *err);
 static struct timespec clock_at (cv_time_t until);
 
 cv_storejobs_t *
@@ -82,6 +80,7 @@
 
   s->link = link;
   s->poll_interval = settings->store_poll_ms * CV_MS;
+  cv_poll_init (&s->poll, cv_u64_random ());
   STAILQ_INIT (&s->jobs);
   cv_store_init (&s->store, settings->store.url,
                  (int)settings->store.timeout_ms);
@@ -95,6 +94,7 @@
     return s;
   (void)cv_fail (err, CV_ERR_SYSTEM, "object API thread cannot be started");
   cv_store_finish (&s->store);
+  cv_poll_finish (&s->poll);
   free (s);
   return NULL;
 }
@@ -108,6 +108,7 @@
   (void)pthread_mutex_unlock (&s->lock);
   (void)pthread_join (s->thread, NULL);
   cv_store_finish (&s->store);
+  cv_poll_finish (&s->poll);
   (void)pthread_cond_destroy (&s->queued);
   (void)pthread_cond_destroy (&s->finished);
   (void)pthread_mutex_destroy (&s->lock);
@@ -173,7 +174,7 @@
 run (void *arg)
 {
   cv_storejobs_t *s = arg;
-  cv_time_t next_poll = 0;
+  cv_time_t next_poll = cv_now () + cv_poll_first (&s->poll);
   bool quit = false;
 
   while (!quit)
@@ -184,7 +185,9 @@
         {
           poll_config (s);
           sync_suspects (s);
-          next_poll = cv_now () + poll_interval (s);
+          next_poll = cv_now ()
+                      + cv_poll_wait (&s->poll, s->poll_interval,
+                                      cv_entry_link_entries (s->link));
         }
       job = next_job (s, next_poll);
       if (job != NULL)
@@ -239,17 +242,20 @@
 poll_config (cv_storejobs_t *s)
 {
   cv_object_t object = { 0 };
+  cv_time_t asked = cv_now ();
   cv_error_t err;
 
   if (!cv_store_get (&s->store, CV_CONFIG_KEY, &object, &err))
     {
+      cv_entry_link_store_failed (s->link, asked);
       if (!s->failing)
         cv_log (CV_EV_ENTRY_STORE_FAILED, "%s", err.text);
       s->failing = true;
       return;
     }
   s->failing = false;
-  if (object.version != 0 && !adopt (s, object.version, object.json, &err))
+  if (object.version != 0
+      && !adopt (s, asked, object.version, object.json, &err))
     cv_log (CV_EV_ENTRY_DOC_INVALID, "version %llu: %s",
             (unsigned long long)object.version, err.text);
   cv_object_finish (&object);
@@ -271,28 +277,15 @@
   free (text);
 }
 
-/* All entries together stay under POLLS_PER_S.  */
-static cv_time_t
-poll_interval (cv_storejobs_t *s)
-{
-  cv_time_t interval
-      = (cv_time_t)cv_entry_link_entries (s->link) * CV_SECOND / POLLS_PER_S;
-
-  if (interval < s->poll_interval)
-    return s->poll_interval;
-  if (interval > POLL_INTERVAL_MAX)
-    return POLL_INTERVAL_MAX;
-  return interval;
-}
-
 static bool
-adopt (cv_storejobs_t *s, uint64_t version, const char *json, cv_error_t *err)
+adopt (cv_storejobs_t *s, cv_time_t asked, uint64_t version, const char *json,
+       cv_error_t *err)
 {
   cv_config_t *config = cv_config_parse (version, cv_slice (json), err);
 
   if (config == NULL)
     return false;
-  cv_entry_link_adopt (s->link, config);
+  cv_entry_link_adopt (s->link, asked, config);
   cv_config_unref (config);
   return true;
 }
@@ -318,7 +311,7 @@
                              nonce, cv_now () + SETTLE_TIME, &job->new_version,
                              &job->err);
   if (ok)
-    (void)adopt (s, job->new_version, json, &job->err);
+    (void)adopt (s, cv_now (), job->new_version, json, &job->err);
   json_object_put (doc);
   return ok;
 }
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -137,6 +137,21 @@
     target (w);
   else if (w[0] == "connected")
     cv_entry_target_connected (core_, now_, targets_.at (w[1]));
+  else if (w[0] == "freeze")
+    now_ += number (w[1]) * CV_MS;
+  else if (w[0] == "store-failed")
+    cv_entry_store_failed (core_, now_ - number (w[1]) * CV_MS);
+  else if (w[0] == "confirmed")
+    cv_entry_confirmed (core_, now_ - number (w[2]) * CV_MS, number (w[1]));
+  else if (w[0] == "ready")
+    {
+      const char *why = cv_entry_unready (core_);
+      out_ << "  " << (why == nullptr ? "ready" : why);
+      uint32_t age = cv_entry_config_age_ms (core_, now_);
+      if (age != UINT32_MAX)
+        out_ << ", age " << age;
+      out_ << "\n";
+    }
   else if (w[0] == "unlist")
     cv_entry_target_remove (core_, now_, targets_.at (w[1]));
   else if (w[0] == "report")
@@ -205,6 +220,7 @@
       abort ();
     }
   out_ << (cv_entry_adopt (core_, now_, c) ? "  adopted\n" : "  kept\n");
+  cv_entry_confirmed (core_, now_, c->version);
   cv_config_unref (c);
 }
 
@@ -234,6 +250,8 @@
   r.load.token_us = 20000;
   r.versions.version[CV_DOC_CONFIG] = number (option (w, "config", "1"));
   r.versions.version[CV_DOC_SUSPECTS] = number (option (w, "suspects", "0"));
+  std::string age = option (w, "age", "");
+  r.versions.age_ms = age.empty () ? UINT32_MAX : number (age);
   incarnations_[w[1]] = r.incarnation;
   message (w[1], m);
 }
