Entry: pressure of pools and number of entries reach the account limits

Cause: cv_limits_set_pressure was never called and the share was 1 unless the configuration set it, so that overload was refused by no account's share and N entries allowed N times a limit.

Change: the pressure of each pool is taken on the tick and set before each admission to that pool; the entries on the instance list share the limits. The grace after the first-token deadline, in which the side's own refusal is awaited, is 200 ms.

--- a/entry/core.c
+++ b/entry/core.c
@@ -56,6 +56,7 @@
   cv_buf_finish (&c->suspects.body);
   cv_entry_metrics_free (c->metrics);
   free (c->targets);
+  free (c->pressures);
   free (c);
 }
 
@@ -144,6 +145,7 @@
   (void)cv_entry_awake (c, now);
   c->last_tick = now;
   cv_entry_targets_tick (c, now);
+  cv_entry_admission_tick (c);
   for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
     {
       next = TAILQ_NEXT (r, all);
--- a/entry/core.h
+++ b/entry/core.h
@@ -180,6 +180,12 @@
   /* The present document, borrowed, and its version (0: none yet).  */
   uint64_t cv_entry_suspects (const cv_entry_core_t *c, cv_slice_t *json);
 
+  /* ---- limits ---- */
+
+  /* Number of entries on the instance list; each enforces its part of the
+     limits, unless the configuration sets the number.  */
+  void cv_entry_set_entries (cv_entry_core_t *c, uint32_t entries);
+
   /* ---- targets ---- */
 
   /* A target is on the instance list; returns its slot.  */
--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -40,17 +40,8 @@
     }
   r = cv_request_new (c, now, caller, REQUEST_CALL, spec->account);
   start (c, now, r, spec);
-  if (r->u.call.mode != CV_CALL_TICKET)
-    {
-      cv_admission_t a = cv_limits_admit (c->limits, now, r->account_hash, 0);
-
-      if (!a.admitted)
-        {
-          cv_request_fail (c, now, r, CV_FAIL_LIMIT, a.retry_after_ms);
-          return;
-        }
-      r->admitted = true;
-    }
+  if (r->u.call.mode != CV_CALL_TICKET && !cv_entry_admit (c, now, r, 0))
+    return;
   cv_request_first_try (c, r);
   cv_entry_calls_send (c, now, r, CV_FAIL_NO_TARGET);
 }
--- a/entry/core_config.c
+++ b/entry/core_config.c
@@ -3,7 +3,6 @@
 
 #include "entry/core_internal.h"
 
-static void apply_limits (cv_entry_core_t *c);
 static void send_parked (cv_entry_core_t *c, cv_time_t now);
 static void learn_age (cv_entry_core_t *c, cv_time_t confirmed);
 
@@ -16,7 +15,7 @@
     cv_config_unref (c->config);
   c->config = cv_config_ref (config);
   c->confirmed = 0;
-  apply_limits (c);
+  cv_entry_apply_limits (c);
   cv_entry_metrics_count (c->metrics, CV_COUNT_CONFIGS_ADOPTED);
   cv_entry_targets_hello (c, now);
   send_parked (c, now);
@@ -110,18 +109,6 @@
     c->confirmed = confirmed;
 }
 
-static void
-apply_limits (cv_entry_core_t *c)
-{
-  const cv_config_t *config = c->config;
-
-  for (size_t i = 0; i < config->account_count; i++)
-    cv_limits_set (c->limits, cv_entry_name_hash (config->accounts[i].name),
-                   &config->accounts[i].limits);
-  cv_limits_set_share (c->limits,
-                       config->limit_share > 0 ? config->limit_share : 1);
-}
-
 /* A newer configuration came: requests that waited for it go on.  */
 static void
 send_parked (cv_entry_core_t *c, cv_time_t now)
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -13,7 +13,7 @@
 /* Wait for the answer to a REVOKE.  */
 #define REVOKE_TIMEOUT (1 * CV_SECOND)
 /* Beyond its deadline, a side that said nothing is given up.  */
-#define DEADLINE_GRACE (500 * CV_MS)
+#define DEADLINE_GRACE (200 * CV_MS)
 /* Wait for a first report of the side that a ticket or position names.  */
 #define AWAIT_TIMEOUT (2 * CV_SECOND)
 /* Wait for the suspects of a target whose engine died.  */
@@ -27,8 +27,6 @@
 #define STALL_THRESHOLD (1 * CV_SECOND)
 #define RETRY_AFTER_MS 1000
 #define DEFAULT_FIRST_TOKEN_MS 30000
-/* Output tokens expected while nothing is known.  */
-#define DEFAULT_EXPECT 256
 /* Bytes of the prompt that stand for its cached prefix.  */
 #define PREFIX_BYTES 1024
 #define BYTES_PER_TOKEN 4
@@ -141,6 +139,13 @@
   uint32_t requests;
 } cv_target_t;
 
+/* How full a pool is, as of the last tick.  */
+typedef struct
+{
+  uint64_t pool;
+  double pressure;
+} cv_pool_pressure_t;
+
 typedef struct cv_budget_entry_t
 {
   LIST_ENTRY (cv_budget_entry_t) link;
@@ -172,6 +177,10 @@
   cv_rng_t rng;
   cv_router_t *router;
   cv_limits_t *limits;
+  cv_pool_pressure_t *pressures;
+  uint32_t pressure_count;
+  uint32_t pressure_cap;
+  uint32_t entries; /* on the instance list */
   cv_length_t *length;
   struct
   {
@@ -188,6 +197,16 @@
 uint64_t cv_entry_name_hash (const char *name);
 void cv_entry_send (cv_entry_core_t *c, uint32_t target, const cv_msg_t *msg);
 
+/* ---- core_admission.c ---- */
+
+/* May R, of the pool R->pool, be taken by the limits of its account?  Fails it
+   when not.  */
+bool cv_entry_admit (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
+                     uint32_t expect);
+/* Take the account limits and the number of entries that share them.  */
+void cv_entry_apply_limits (cv_entry_core_t *c);
+void cv_entry_admission_tick (cv_entry_core_t *c);
+
 /* ---- core_config.c ---- */
 
 /* What a peer's REPORT says of the configuration.  */
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -9,7 +9,6 @@
 static bool resolve (cv_entry_core_t *c, cv_request_t *r,
                      const cv_stream_spec_t *spec, cv_failure_code_t *fail);
 static void start (cv_request_t *r, const cv_stream_spec_t *spec);
-static bool admit (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 static bool may_run_again (const cv_request_t *r);
 static void send_attach (cv_entry_core_t *c, cv_request_t *r);
 static void send_about (cv_entry_core_t *c, const cv_request_t *r,
@@ -36,7 +35,7 @@
       cv_request_fail (c, now, r, fail, 0);
       return;
     }
-  if (!admit (c, now, r))
+  if (!cv_entry_admit (c, now, r, r->u.stream.expect))
     return;
   cv_request_first_try (c, r);
   cv_entry_streams_send (c, now, r, CV_FAIL_NO_TARGET);
@@ -287,21 +286,6 @@
   return true;
 }
 
-static bool
-admit (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
-{
-  cv_admission_t a
-      = cv_limits_admit (c->limits, now, r->account_hash, r->u.stream.expect);
-
-  if (!a.admitted)
-    {
-      cv_request_fail (c, now, r, CV_FAIL_LIMIT, a.retry_after_ms);
-      return false;
-    }
-  r->admitted = true;
-  return true;
-}
-
 /* Was nothing of the present generation delivered?  */
 static bool
 may_run_again (const cv_request_t *r)
--- a/entry/link.c
+++ b/entry/link.c
@@ -218,6 +218,7 @@
       break;
     case COMMAND_INSTANCES:
       l->entries = c->u.instances.entries;
+      cv_entry_set_entries (l->core, c->u.instances.entries);
       cv_entry_link_apply_instances (l, now, c->u.instances.list,
                                      c->u.instances.count);
       break;
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -19,7 +19,9 @@
       "0000000000000000000000000000000000000000000000000000000000000001\","
       "\"class\":\"tag\"},\"other\":{\"key_hash\":\""
       "0000000000000000000000000000000000000000000000000000000000000002\","
-      "\"class\":\"tag\"}}}";
+      "\"class\":\"tag\"},\"small\":{\"key_hash\":\""
+      "0000000000000000000000000000000000000000000000000000000000000003\","
+      "\"class\":\"tag\",\"concurrency\":4}}}";
 
 cv_slice_t
 slice (const std::string &s)
@@ -143,6 +145,10 @@
     cv_entry_store_failed (core_, now_ - number (w[1]) * CV_MS);
   else if (w[0] == "confirmed")
     cv_entry_confirmed (core_, now_ - number (w[2]) * CV_MS, number (w[1]));
+  else if (w[0] == "show-expect")
+    expect_ = true;
+  else if (w[0] == "entries")
+    cv_entry_set_entries (core_, number (w[1]));
   else if (w[0] == "ready")
     {
       const char *why = cv_entry_unready (core_);
@@ -247,6 +253,7 @@
   r.generation = number (option (w, "gen", "1"));
   r.state = lookup (kStates, option (w, "state", "live"));
   r.load.kv_total = 100000;
+  r.load.kv_used = number (option (w, "used", "0"));
   r.load.token_us = 20000;
   r.versions.version[CV_DOC_CONFIG] = number (option (w, "config", "1"));
   r.versions.version[CV_DOC_SUSPECTS] = number (option (w, "suspects", "0"));
@@ -440,6 +447,8 @@
            << " inc=" << msg->u.submit.incarnation
            << " config=" << msg->u.submit.config_version
            << " class=" << msg->u.submit.class_name
+           << (expect_ ? " expect=" + std::to_string (msg->u.submit.expect)
+                       : "")
            << " deadline=" << msg->u.submit.deadline_ms;
       break;
     case CV_MSG_ATTACH:
--- a/entry/tests/core_script.h
+++ b/entry/tests/core_script.h
@@ -56,6 +56,7 @@
   cv_entry_core_t *core_;
   cv_time_t now_ = 1000 * CV_SECOND;
   uint64_t ids_ = 0;
+  bool expect_ = false; /* show the expected length of each SUBMIT */
   std::map<std::string, uint32_t> targets_;
   std::map<uint32_t, std::string> names_;
   std::map<std::string, uint64_t> incarnations_;
