--- a/entry/core.h
+++ b/entry/core.h
@@ -8,6 +8,7 @@
 #include "base/base.h"
 #include "config/config.h"
 #include "entry/metrics.h"
+#include "policy/policy.h"
 #include "wire/wire.h"
 
 #ifdef __cplusplus
@@ -26,6 +27,7 @@
     CV_FAIL_NO_TARGET,
     CV_FAIL_OVERLOADED,
     CV_FAIL_CONDEMNED,
+    CV_FAIL_SUSPECT,
     CV_FAIL_INTERRUPTED,
     CV_FAIL_STREAM_GONE,
     CV_FAIL_DEADLINE,
@@ -154,11 +156,36 @@
   /* Take CONFIG in force when it is newer than the present one; a reference is
      taken.  Returns whether it was.  */
   bool cv_entry_adopt (cv_entry_core_t *c, cv_time_t now, cv_config_t *config);
-  /* The store confirmed at NOW that VERSION is the current one.  */
-  void cv_entry_confirmed (cv_entry_core_t *c, cv_time_t now, uint64_t version);
+  /* The store, asked at ASKED, said that VERSION is the current one.  */
+  void cv_entry_confirmed (cv_entry_core_t *c, cv_time_t asked,
+                           uint64_t version);
+  /* The store, asked at ASKED, did not answer.  */
+  void cv_entry_store_failed (cv_entry_core_t *c, cv_time_t asked);
+  /* Why no new work is taken, or NULL when it is: after its start and after a
+     freeze an entry first asks the store, or a peer when the store is down. */
+  const char *cv_entry_unready (const cv_entry_core_t *c);
+  /* Time since the store confirmed the configuration, over all hops;
+     UINT32_MAX when never.  */
+  uint32_t cv_entry_config_age_ms (const cv_entry_core_t *c, cv_time_t now);
   /* The configuration in force, borrowed; NULL before the first.  */
   cv_config_t *cv_entry_config (const cv_entry_core_t *c);
 
+  /* ---- suspects ---- */
+
+  /* The wall clock, in seconds; strikes lapse by it.  */
+  void cv_entry_wall (cv_entry_core_t *c, int64_t wall_s);
+  /* Merge the document JSON, as read from the object API.  */
+  bool cv_entry_suspects_merge (cv_entry_core_t *c, cv_time_t now,
+                                cv_slice_t json);
+  /* The present document, borrowed, and its version (0: none yet).  */
+  uint64_t cv_entry_suspects (const cv_entry_core_t *c, cv_slice_t *json);
+
+  /* ---- limits ---- */
+
+  /* Number of entries on the instance list; each enforces its part of the
+     limits, unless the configuration sets the number.  */
+  void cv_entry_set_entries (cv_entry_core_t *c, uint32_t entries);
+
   /* ---- targets ---- */
 
   /* A target is on the instance list; returns its slot.  */
@@ -170,6 +197,10 @@
   /* It is off the list; its slot may be used again.  */
   void cv_entry_target_remove (cv_entry_core_t *c, cv_time_t now,
                                uint32_t target);
+  /* A new connection to its side was made: frames of the old one may be
+     lost, so that what is in flight there is asked for again.  */
+  void cv_entry_target_connected (cv_entry_core_t *c, cv_time_t now,
+                                  uint32_t target);
   /* Was its side silent for CV_PEER_TIMEOUT?  */
   bool cv_entry_target_lost (const cv_entry_core_t *c, uint32_t target);
 
--- a/entry/core_targets.c
+++ b/entry/core_targets.c
@@ -11,9 +11,9 @@
                               uint32_t target);
 static void drop_requests (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static void lose (cv_entry_core_t *c, cv_time_t now, uint32_t target);
+static void send_awaiting (cv_entry_core_t *c, cv_time_t now, const char *name);
 static void hello_one (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static const char *state_name (const cv_target_t *t);
-static uint32_t config_age (const cv_entry_core_t *c, cv_time_t now);
 
 uint32_t
 cv_entry_target_add (cv_entry_core_t *c, cv_time_t now, const char *name,
@@ -54,7 +54,7 @@
   if (t->listed_leaving == leaving)
     return;
   t->listed_leaving = leaving;
-  if (t->heard && !t->lost)
+  if (t->heard && !t->lost && !t->doubted)
     report_to_router (c, now, target);
 }
 
@@ -117,6 +117,7 @@
     }
   t->heard = true;
   t->lost = false;
+  t->doubted = false;
   t->last_heard = now;
   t->incarnation = report->incarnation;
   t->generation = report->generation;
@@ -126,21 +127,27 @@
   (void)cv_copy (t->failure_domain, sizeof t->failure_domain,
                  report->failure_domain);
   report_to_router (c, now, target);
+  if (c->awaiting > 0)
+    send_awaiting (c, now, t->name);
   if (c->config == NULL
       || report->versions.version[CV_DOC_CONFIG] > c->config->version)
-    cv_entry_targets_pull (c, now, target);
+    cv_entry_targets_pull (c, now, target, CV_DOC_CONFIG);
+  cv_entry_config_heard (c, now, &report->versions);
+  if (cv_entry_suspects_behind (c, target))
+    cv_entry_targets_pull (c, now, target, CV_DOC_SUSPECTS);
 }
 
 void
-cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target)
+cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target,
+                       cv_doc_t doc)
 {
   cv_target_t *t = &c->targets[target];
   cv_msg_t msg = { .type = CV_MSG_DOC_PULL };
 
-  if (t->last_pull != 0 && now - t->last_pull < PULL_INTERVAL)
+  if (t->last_pull[doc] != 0 && now - t->last_pull[doc] < PULL_INTERVAL)
     return;
-  t->last_pull = now;
-  msg.u.doc_pull.doc = CV_DOC_CONFIG;
+  t->last_pull[doc] = now;
+  msg.u.doc_pull.doc = doc;
   cv_entry_send (c, target, &msg);
 }
 
@@ -152,6 +159,8 @@
   cv_error_t err;
 
   (void)target;
+  if (doc->doc == CV_DOC_SUSPECTS)
+    cv_entry_suspects_doc (c, now, doc);
   if (doc->doc != CV_DOC_CONFIG)
     return;
   if (c->config != NULL && doc->version <= c->config->version)
@@ -174,6 +183,8 @@
   cv_msg_t msg = { .type = CV_MSG_DOC };
 
   (void)now;
+  if (doc == CV_DOC_SUSPECTS)
+    cv_entry_suspects_send (c, target);
   if (doc != CV_DOC_CONFIG || c->config == NULL)
     return;
   msg.u.doc.doc = CV_DOC_CONFIG;
@@ -183,6 +194,24 @@
   cv_entry_send (c, target, &msg);
 }
 
+void
+cv_entry_targets_doubt (cv_entry_core_t *c, cv_time_t now)
+{
+  for (uint32_t i = 0; i < c->target_count; i++)
+    {
+      cv_target_t *t = &c->targets[i];
+
+      if (!t->used)
+        continue;
+      t->doubted = true;
+      t->last_heard = now;
+      cv_router_remove (c->router, i);
+      /* Old frames wait in the socket; they go with it.  */
+      c->options.out.reset (c->options.out.arg, i);
+      hello_one (c, now, i);
+    }
+}
+
 void
 cv_entry_targets_tick (cv_entry_core_t *c, cv_time_t now)
 {
@@ -194,7 +223,7 @@
         continue;
       if (!t->lost && now - t->last_heard >= CV_PEER_TIMEOUT)
         lose (c, now, i);
-      else if (!t->heard)
+      else if (!t->heard || t->doubted)
         hello_one (c, now, i);
     }
   if (now - c->last_hello >= CV_REPORT_INTERVAL)
@@ -218,15 +247,76 @@
     {
       const cv_target_t *t = &c->targets[i];
 
-      if (t->used && t->heard && !t->lost && t->incarnation == incarnation
-          && strcmp (t->name, name) == 0)
+      if (t->used && t->heard && !t->lost && !t->doubted
+          && t->incarnation == incarnation && strcmp (t->name, name) == 0)
         return i;
     }
   return CV_NO_TARGET;
 }
 
+bool
+cv_entry_targets_replaced (const cv_entry_core_t *c, const char *name,
+                           uint64_t incarnation)
+{
+  bool replaced = false;
+
+  for (uint32_t i = 0; i < c->target_count; i++)
+    {
+      const cv_target_t *t = &c->targets[i];
+
+      if (!t->used || !t->heard || t->lost || t->doubted
+          || strcmp (t->name, name) != 0)
+        continue;
+      if (t->incarnation == incarnation)
+        return false;
+      replaced = true;
+    }
+  return replaced;
+}
+
+void
+cv_entry_target_connected (cv_entry_core_t *c, cv_time_t now, uint32_t target)
+{
+  cv_request_t *r;
+
+  if (!c->targets[target].used)
+    return;
+  hello_one (c, now, target);
+  TAILQ_FOREACH (r, &c->requests, all)
+  if (r->target == target && r->kind == REQUEST_STREAM)
+    {
+      r->u.stream.reattached = 0;
+      cv_entry_streams_reattach (c, now, r);
+    }
+  else if (r->target == target)
+    cv_entry_calls_resend (c, now, r);
+}
+
 /* ---- local ---- */
 
+/* NAME reports: requests that waited for it go on.  */
+static void
+send_awaiting (cv_entry_core_t *c, cv_time_t now, const char *name)
+{
+  cv_request_t *r;
+  cv_request_t *next;
+
+  c->awaiting = 0;
+  for (r = TAILQ_FIRST (&c->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, all);
+      if (r->phase != PHASE_AWAIT)
+        continue;
+      c->awaiting++;
+      if (strcmp (r->awaited, name) != 0)
+        continue;
+      if (r->kind == REQUEST_STREAM)
+        cv_entry_streams_awaited (c, now, r);
+      else
+        cv_entry_calls_send (c, now, r, CV_FAIL_UNKNOWN);
+    }
+}
+
 static void
 report_to_router (cv_entry_core_t *c, cv_time_t now, uint32_t target)
 {
@@ -283,27 +373,17 @@
   h->incarnation = c->options.incarnation;
   h->versions.version[CV_DOC_CONFIG]
       = c->config == NULL ? 0 : c->config->version;
-  h->versions.age_ms = config_age (c, now);
+  h->versions.version[CV_DOC_SUSPECTS] = c->suspects.version;
+  h->versions.age_ms = cv_entry_config_age_ms (c, now);
   cv_entry_send (c, target, &msg);
 }
 
-static uint32_t
-config_age (const cv_entry_core_t *c, cv_time_t now)
-{
-  cv_time_t age;
-
-  if (c->confirmed_age_ms == UINT32_MAX)
-    return UINT32_MAX;
-  age = (now - c->confirmed) / CV_MS;
-  return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX - 1;
-}
-
 static const char *
 state_name (const cv_target_t *t)
 {
   if (t->lost)
     return "lost";
-  if (!t->heard)
+  if (!t->heard || t->doubted)
     return "connecting";
   if (t->state == CV_TARGET_DOWN)
     return "down";
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -15,7 +15,9 @@
   COMMAND_TICKET,
   COMMAND_GONE,
   COMMAND_ADOPT,
+  COMMAND_STORE_FAILED,
   COMMAND_INSTANCES,
+  COMMAND_SUSPECTS,
   COMMAND_DRAIN,
   COMMAND_INSPECT,
   COMMAND_QUIT
@@ -35,7 +37,8 @@
   STAILQ_ENTRY (cv_command_t) link;
   cv_command_type_t type;
   cv_caller_t *caller;
-  char *bytes; /* what the slices of the union point to */
+  cv_time_t asked; /* ADOPT, STORE_FAILED */
+  char *bytes;     /* what the slices of the union point to */
   union
   {
     cv_stream_spec_t submit;
@@ -65,7 +68,8 @@
 /* The connection to one side; its index is the target's slot.  */
 typedef struct
 {
-  void *socket; /* NULL: slot unused */
+  void *socket;  /* NULL: slot unused */
+  void *monitor; /* tells of each new connection of SOCKET */
   cv_instance_t instance;
 } cv_peer_t;
 
@@ -78,14 +82,23 @@
   STAILQ_HEAD (cv_command_list_t, cv_command_t) queue;
   uint32_t entries;
   cv_config_t *config; /* the core's, for other threads */
+  char *suspects;      /* likewise */
+  uint64_t suspects_version;
   /* Of the I/O thread alone: */
   cv_entry_core_t *core;
   cv_peer_t *peers;
   uint32_t peer_count;
   cv_buf_t frame;
+  char routing_id[CV_NAME_MAX + 20]; /* the same for each connection */
+  uint32_t monitors;                 /* made so far, for their names */
   bool quit;
 };
 
+/* link_queue.c */
+
+void cv_entry_link_quit (cv_entry_link_t *l);
+void cv_entry_link_free_command (cv_command_t *c);
+
 /* link_peers.c */
 
 void cv_entry_link_apply_instances (cv_entry_link_t *l, cv_time_t now,
@@ -94,6 +107,8 @@
 void cv_entry_link_reset (void *arg, uint32_t target);
 /* Read what one side sent; a bounded number of frames.  */
 void cv_entry_link_receive (cv_entry_link_t *l, uint32_t target);
+/* Take notice of new connections to TARGET's side.  */
+void cv_entry_link_watch (cv_entry_link_t *l, uint32_t target);
 void cv_entry_link_close_peers (cv_entry_link_t *l);
 
 #endif
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -19,7 +19,9 @@
       "0000000000000000000000000000000000000000000000000000000000000001\","
       "\"class\":\"tag\"},\"other\":{\"key_hash\":\""
       "0000000000000000000000000000000000000000000000000000000000000002\","
-      "\"class\":\"tag\"}}}";
+      "\"class\":\"tag\"},\"small\":{\"key_hash\":\""
+      "0000000000000000000000000000000000000000000000000000000000000003\","
+      "\"class\":\"tag\",\"concurrency\":4}}}";
 
 cv_slice_t
 slice (const std::string &s)
@@ -96,6 +98,7 @@
   o.out.new_id = on_new_id;
   o.out.arg = this;
   core_ = cv_entry_new (&o);
+  cv_entry_wall (core_, 2000000);
 }
 
 CoreScript::~CoreScript ()
@@ -134,6 +137,27 @@
     adopt (w);
   else if (w[0] == "target")
     target (w);
+  else if (w[0] == "connected")
+    cv_entry_target_connected (core_, now_, targets_.at (w[1]));
+  else if (w[0] == "freeze")
+    now_ += number (w[1]) * CV_MS;
+  else if (w[0] == "store-failed")
+    cv_entry_store_failed (core_, now_ - number (w[1]) * CV_MS);
+  else if (w[0] == "confirmed")
+    cv_entry_confirmed (core_, now_ - number (w[2]) * CV_MS, number (w[1]));
+  else if (w[0] == "show-expect")
+    expect_ = true;
+  else if (w[0] == "entries")
+    cv_entry_set_entries (core_, number (w[1]));
+  else if (w[0] == "ready")
+    {
+      const char *why = cv_entry_unready (core_);
+      out_ << "  " << (why == nullptr ? "ready" : why);
+      uint32_t age = cv_entry_config_age_ms (core_, now_);
+      if (age != UINT32_MAX)
+        out_ << ", age " << age;
+      out_ << "\n";
+    }
   else if (w[0] == "unlist")
     cv_entry_target_remove (core_, now_, targets_.at (w[1]));
   else if (w[0] == "report")
@@ -170,6 +194,15 @@
     reject (w);
   else if (w[0] == "result")
     result (w);
+  else if (w[0] == "suspects")
+    suspects (w);
+  else if (w[0] == "pull")
+    {
+      cv_msg_t m = {};
+      m.type = CV_MSG_DOC_PULL;
+      m.u.doc_pull.doc = CV_DOC_SUSPECTS;
+      message (w[1], m);
+    }
   else if (w[0] == "doc")
     doc (w);
   else if (w[0] == "wait")
@@ -193,6 +226,7 @@
       abort ();
     }
   out_ << (cv_entry_adopt (core_, now_, c) ? "  adopted\n" : "  kept\n");
+  cv_entry_confirmed (core_, now_, c->version);
   cv_config_unref (c);
 }
 
@@ -206,7 +240,7 @@
   names_[slot] = w[1];
 }
 
-/* report TARGET [inc=N] [gen=N] [state=S] [config=N] */
+/* report TARGET [inc=N] [gen=N] [state=S] [config=N] [suspects=N] */
 void
 CoreScript::report (const Words &w)
 {
@@ -219,8 +253,12 @@
   r.generation = number (option (w, "gen", "1"));
   r.state = lookup (kStates, option (w, "state", "live"));
   r.load.kv_total = 100000;
+  r.load.kv_used = number (option (w, "used", "0"));
   r.load.token_us = 20000;
   r.versions.version[CV_DOC_CONFIG] = number (option (w, "config", "1"));
+  r.versions.version[CV_DOC_SUSPECTS] = number (option (w, "suspects", "0"));
+  std::string age = option (w, "age", "");
+  r.versions.age_ms = age.empty () ? UINT32_MAX : number (age);
   incarnations_[w[1]] = r.incarnation;
   message (w[1], m);
 }
@@ -311,6 +349,27 @@
   message (w[1], m);
 }
 
+/* suspects TARGET VERSION STRIKES [PROMPT]: the content of a stream of
+   "portal", with its strikes.  */
+void
+CoreScript::suspects (const Words &w)
+{
+  std::string prompt = w.size () > 4 ? w[4] : "hello";
+  uint64_t hash = cv_hash (prompt.data (), prompt.size (),
+                           cv_hash ("portal", 6, 0) ^ cv_hash ("m", 1, 0));
+  char body[200];
+  snprintf (body, sizeof body,
+            "{\"suspects\":[{\"hash\":\"%016llx\","
+            "\"strikes\":[%s],\"cleared\":0}]}",
+            static_cast<unsigned long long> (hash), w[3].c_str ());
+  cv_msg_t m = {};
+  m.type = CV_MSG_DOC;
+  m.u.doc.doc = CV_DOC_SUSPECTS;
+  m.u.doc.version = number (w[2]);
+  m.u.doc.body = cv_slice (body);
+  message (w[1], m);
+}
+
 /* doc TARGET VERSION */
 void
 CoreScript::doc (const Words &w)
@@ -388,6 +447,8 @@
            << " inc=" << msg->u.submit.incarnation
            << " config=" << msg->u.submit.config_version
            << " class=" << msg->u.submit.class_name
+           << (expect_ ? " expect=" + std::to_string (msg->u.submit.expect)
+                       : "")
            << " deadline=" << msg->u.submit.deadline_ms;
       break;
     case CV_MSG_ATTACH:
@@ -407,8 +468,14 @@
       out_ << " " << name_of (msg->u.revoke.request)
            << " ticket=" << cv_ticket_format (&msg->u.revoke.ticket, ticket);
       break;
+    case CV_MSG_DOC_PULL:
+      out_ << (msg->u.doc_pull.doc == CV_DOC_SUSPECTS ? " suspects" : "");
+      break;
     case CV_MSG_DOC:
-      out_ << " version=" << msg->u.doc.version;
+      if (msg->u.doc.doc == CV_DOC_SUSPECTS)
+        out_ << " suspects counter=" << (msg->u.doc.version >> 16);
+      else
+        out_ << " version=" << msg->u.doc.version;
       break;
     default:
       break;
