Settle lost answers of changes; say what a conflict is with

Cause: a change whose answer was lost and that another one overwrote was told as a conflict, because the document kept the nonce of its last write alone. A conflict did not say what had changed, a change right after an accepted one could meet the older configuration at the same entry, and each poll read the whole document. Change: writes carry earlier nonces (cv_config_seal); a settled write is read back and not assumed; the entry keeps its last 8 configurations and names the objects that differ from the base; an unknown outcome names the nonce to look for; a document over the object API's limit is refused before the write; polls ask for the version alone (cv_store_version).

--- a/catkinctl/check.c
+++ b/catkinctl/check.c
@@ -154,7 +154,7 @@
         check_pair (&c, &c.files[j], &c.files[i]);
     }
   if (c.problems == 0 && !ctl->json)
-    printf ("%zu files are good\n", ctl->arg_count);
+    printf ("%zu checked, no problem\n", ctl->arg_count);
   cv_config_unref (c.config);
   free (c.files);
   return c.problems == 0 ? CV_EXIT_OK : CV_EXIT_INVALID;
--- a/catkinctl/client.c
+++ b/catkinctl/client.c
@@ -91,13 +91,32 @@
     }
 }
 
+/* What changed since the base of a change that came too late.  */
+static void
+print_changed (struct json_object *tree)
+{
+  struct json_object *version = NULL;
+  struct json_object *changed = NULL;
+  size_t i;
+
+  if (json_object_object_get_ex (tree, "version", &version)
+      && json_object_get_int64 (version) > 0)
+    fprintf (stderr, "catkinctl: the current version is %s\n",
+             json_object_get_string (version));
+  if (!json_object_object_get_ex (tree, "changed", &changed)
+      || !json_object_is_type (changed, json_type_array))
+    return;
+  for (i = 0; i < json_object_array_length (changed); i++)
+    fprintf (stderr, "catkinctl: changed since the base: %s\n",
+             json_object_get_string (json_object_array_get_idx (changed, i)));
+}
+
 static void
 print_error (cv_answer_t *a)
 {
   struct json_object *tree = json_tokener_parse (cv_buf_text (&a->body));
   struct json_object *error = NULL;
   struct json_object *text = NULL;
-  struct json_object *version = NULL;
 
   if (json_object_object_get_ex (tree, "error", &error)
       && json_object_object_get_ex (error, "message", &text))
@@ -105,11 +124,8 @@
   else
     fprintf (stderr, "catkinctl: the entry answered %d: %.200s\n", a->status,
              cv_buf_text (&a->body));
-  if (a->status == STATUS_CONFLICT
-      && json_object_object_get_ex (tree, "version", &version)
-      && json_object_get_int64 (version) > 0)
-    fprintf (stderr, "catkinctl: the current version is %s\n",
-             json_object_get_string (version));
+  if (a->status == STATUS_CONFLICT)
+    print_changed (tree);
   json_object_put (tree);
 }
 
--- /dev/null
+++ b/catkinctl/tests/processes.cc
@@ -0,0 +1,328 @@
+#include "processes.h"
+
+#include <sys/wait.h>
+
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+#include <stdexcept>
+
+extern char **environ;
+
+namespace
+{
+
+constexpr int kPollUs = 20000;
+constexpr int kPolls = 750; // 15 s
+
+const std::map<std::string, std::string> kHosts
+    = { { "store", "1:9000" }, { "list", "2:9001" },  { "a", "11:8080" },
+        { "b", "12:8080" },    { "none", "99:8080" }, { "raw", "3:9002" } };
+
+// Words are parted by blanks; "..." and '...' hold blanks.
+Words
+split (const std::string &line)
+{
+  Words words;
+  std::string word;
+  char quote = 0;
+  bool open = false;
+  for (char c : line + " ")
+    {
+      if (quote == 0 && (c == '"' || c == '\''))
+        {
+          quote = c;
+          open = true;
+        }
+      else if (c == quote)
+        quote = 0;
+      else if (c == ' ' && quote == 0)
+        {
+          if (open || !word.empty ())
+            words.push_back (word);
+          word.clear ();
+          open = false;
+        }
+      else
+        word += c;
+    }
+  return words;
+}
+
+size_t
+append (char *data, size_t size, size_t count, void *out)
+{
+  static_cast<std::string *> (out)->append (data, size * count);
+  return size * count;
+}
+
+}
+
+Child::Child (const Words &command)
+{
+  int ends[2];
+  if (pipe2 (ends, O_CLOEXEC) != 0)
+    throw std::runtime_error ("pipe");
+  std::vector<char *> argv;
+  for (const auto &word : command)
+    argv.push_back (const_cast<char *> (word.c_str ()));
+  argv.push_back (nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_adddup2 (&actions, ends[1], 1);
+  posix_spawn_file_actions_adddup2 (&actions, ends[1], 2);
+  int rc
+      = posix_spawn (&pid_, argv[0], &actions, nullptr, argv.data (), environ);
+  posix_spawn_file_actions_destroy (&actions);
+  close (ends[1]);
+  out_ = ends[0];
+  if (rc != 0)
+    throw std::runtime_error ("cannot start " + command[0]);
+}
+
+Child::~Child ()
+{
+  if (pid_ > 0)
+    {
+      kill (pid_, SIGKILL);
+      waitpid (pid_, nullptr, 0);
+    }
+  close (out_);
+}
+
+Output
+Child::finish ()
+{
+  Output out;
+  char piece[4096];
+  ssize_t n;
+  int status = 0;
+  while ((n = read (out_, piece, sizeof piece)) > 0)
+    out.text.append (piece, static_cast<size_t> (n));
+  waitpid (pid_, &status, 0);
+  pid_ = -1;
+  if (WIFEXITED (status))
+    out.code = WEXITSTATUS (status);
+  return out;
+}
+
+void
+Child::signal (int number) const
+{
+  kill (pid_, number);
+}
+
+Processes::Processes ()
+{
+  unsigned pid = static_cast<unsigned> (getpid ());
+  net_ = "127." + std::to_string (100 + pid / 250 % 100) + "."
+         + std::to_string (1 + pid % 250) + ".";
+  char dir[] = "/tmp/catkinctl-test-XXXXXX";
+  if (mkdtemp (dir) == nullptr)
+    throw std::runtime_error ("mkdtemp");
+  dir_ = dir;
+}
+
+Processes::~Processes ()
+{
+  for (auto &[name, child] : running_)
+    delete child;
+  std::filesystem::remove_all (dir_);
+}
+
+std::string
+Processes::url (const std::string &name) const
+{
+  return "http://" + net_ + kHosts.at (name);
+}
+
+std::string
+Processes::write (const std::string &name, const std::string &text) const
+{
+  std::string path = dir_ + "/" + name;
+  std::ofstream (path) << text;
+  return path;
+}
+
+std::string
+Processes::settings (const std::string &name) const
+{
+  std::string host = kHosts.at (name);
+  std::string address = net_ + host.substr (0, host.find (':'));
+  return "{\"role\": \"entry\", \"instance\": \"entry-" + name
+         + "\", \"failure_domain\": \"lhr-a\",\n\"http\": {\"address\": \""
+         + address + "\", \"port\": 8080},\n\"store\": {\"url\": \""
+         + url ("store") + "\", \"timeout_ms\": 500},\n\"instance_list\": "
+         + "{\"url\": \"" + url ("list") + "\"},\n\"store_poll_ms\": 100, "
+         + "\"drain_s\": 1,\n\"operator_key_hash\": \""
+         // of the key "op"
+         + "037aeaeaf4bbf26ddabe7256a8294dc52da48d575a1247b5c2598c47de7aebab"
+         + "\"}\n";
+}
+
+std::string
+Processes::http (const std::string &target, const std::string &body) const
+{
+  std::string answer;
+  CURL *c = curl_easy_init ();
+  curl_easy_setopt (c, CURLOPT_URL, target.c_str ());
+  curl_easy_setopt (c, CURLOPT_PROXY, "");
+  curl_easy_setopt (c, CURLOPT_TIMEOUT_MS, 2000L);
+  curl_easy_setopt (c, CURLOPT_WRITEFUNCTION, append);
+  curl_easy_setopt (c, CURLOPT_WRITEDATA, &answer);
+  if (!body.empty ())
+    curl_easy_setopt (c, CURLOPT_POSTFIELDS, body.c_str ());
+  if (curl_easy_perform (c) != CURLE_OK)
+    answer.clear ();
+  curl_easy_cleanup (c);
+  return answer;
+}
+
+void
+Processes::start (const Words &words)
+{
+  const std::string &name = words[1];
+  std::string host = kHosts.at (name);
+  size_t colon = host.find (':');
+  Words command;
+  if (name == "store" || name == "list")
+    {
+      command = { name == "store" ? STANDIN_STORE : STANDIN_INSTANCES,
+                  "--bind",
+                  net_ + host.substr (0, colon),
+                  "--port",
+                  host.substr (colon + 1),
+                  "--lifetime-s",
+                  "120" };
+      command.insert (command.end (), words.begin () + 2, words.end ());
+    }
+  else
+    command = { CATKINVALED, write (name + ".json", settings (name)) };
+  running_[name] = new Child (command);
+  for (int i = 0; i < kPolls && http (url (name) + "/healthz", "").empty ();
+       i++)
+    usleep (kPollUs);
+}
+
+void
+Processes::stop (const std::string &name, int number)
+{
+  Child *child = running_.at (name);
+  running_.erase (name);
+  child->signal (number);
+  child->finish ();
+  delete child;
+}
+
+// Until the health of NAME shows WHAT.
+std::string
+Processes::wait (const std::string &name, const std::string &what) const
+{
+  std::string health;
+  for (int i = 0; i < kPolls; i++)
+    {
+      health = http (url (name) + "/healthz", "");
+      health.erase (std::remove (health.begin (), health.end (), '"'),
+                    health.end ());
+      if (health.find (what) != std::string::npos)
+        return "";
+      usleep (kPollUs);
+    }
+  return "never: " + health + "\n";
+}
+
+Words
+Processes::ctl (const std::string &name, const Words &words) const
+{
+  Words command = { CATKINCTL };
+  if (name != "-")
+    command.insert (command.end (), { "--entry", url (name), "--key", "op" });
+  for (std::string word : words)
+    command.push_back (
+        std::regex_replace (word, std::regex ("@"), CV_TEST_DIR "/scripts/"));
+  return command;
+}
+
+// Two commands at once, "race A WORDS | B WORDS"; what they print is sorted,
+// as either may win.
+std::string
+Processes::race (const Words &words) const
+{
+  auto bar = std::find (words.begin (), words.end (), "|");
+  Child one (ctl (words[1], Words (words.begin () + 2, bar)));
+  Child two (ctl (*(bar + 1), Words (bar + 2, words.end ())));
+  std::vector<std::string> lines;
+  for (const Output &out : { one.finish (), two.finish () })
+    {
+      std::istringstream in (out.text);
+      std::string line;
+      while (std::getline (in, line))
+        if (line[0] != '~')
+          lines.push_back (line);
+      lines.push_back ("exit " + std::to_string (out.code));
+    }
+  std::sort (lines.begin (), lines.end ());
+  std::string text;
+  for (const auto &line : lines)
+    text += plain (line) + "\n";
+  return text;
+}
+
+std::string
+Processes::plain (std::string text) const
+{
+  for (size_t at; (at = text.find (net_)) != std::string::npos;)
+    text.replace (at, net_.size (), "127.N.N.");
+  for (size_t at;
+       (at = text.find (CV_TEST_DIR "/scripts/")) != std::string::npos;)
+    text.replace (at, sizeof (CV_TEST_DIR "/scripts/") - 1, "@");
+  text = std::regex_replace (text, std::regex ("[0-9a-f]{32}"), "NONCE");
+  return std::regex_replace (text, std::regex ("\\[[0-9]+\\]:"), "[PID]:");
+}
+
+std::string
+Processes::run (const std::string &line)
+{
+  Words words = split (line);
+  const std::string verb = words[0];
+  Words rest (words.begin () + 1, words.end ());
+  if (verb == "start")
+    start (words);
+  else if (verb == "stop")
+    stop (words[1], SIGTERM);
+  else if (verb == "kill")
+    stop (words[1], SIGKILL);
+  else if (verb == "freeze")
+    running_.at (words[1])->signal (SIGSTOP);
+  else if (verb == "thaw")
+    running_.at (words[1])->signal (SIGCONT);
+  else if (verb == "wait")
+    return wait (words[1], words[2]);
+  else if (verb == "fault")
+    http (url (words[1]) + "/fault", words[2]);
+  else if (verb == "get")
+    return plain (http (url (words[1]) + words[2], "")) + "\n";
+  else if (verb == "race")
+    return race (words);
+  else if (verb == "ctl" || verb == "daemon")
+    {
+      Words command
+          = verb == "ctl"
+                ? ctl (words[1], Words (rest.begin () + 1, rest.end ()))
+                : Words{ CATKINVALED, CV_TEST_DIR "/scripts/" + words[1] };
+      Output out = Child (command).finish ();
+      return plain (out.text) + "exit " + std::to_string (out.code) + "\n";
+    }
+  else
+    return "there is no verb " + verb + "\n";
+  return "";
+}
--- /dev/null
+++ b/catkinctl/tests/processes.h
@@ -0,0 +1,65 @@
+// The processes of one scripted run, on loopback addresses of their own.
+
+#ifndef CV_TEST_PROCESSES_H
+#define CV_TEST_PROCESSES_H
+
+#include <sys/types.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using Words = std::vector<std::string>;
+
+struct Output
+{
+  std::string text; // standard output and error
+  int code = -1;    // exit code; -1 for a signal
+};
+
+// A program that runs while the script goes on.
+class Child
+{
+public:
+  explicit Child (const Words &command);
+  Child (const Child &) = delete;
+  Child &operator= (const Child &) = delete;
+  ~Child ();
+  Output finish (); // reads to the end and waits
+  void signal (int number) const;
+
+private:
+  pid_t pid_ = -1;
+  int out_ = -1;
+};
+
+class Processes
+{
+public:
+  Processes ();
+  Processes (const Processes &) = delete;
+  Processes &operator= (const Processes &) = delete;
+  ~Processes ();
+
+  // Each line of a script gives what it prints.
+  std::string run (const std::string &line);
+
+private:
+  std::string net_; // "127.A.B.", of this test program alone
+  std::string dir_;
+  std::map<std::string, Child *> running_;
+
+  std::string url (const std::string &name) const;
+  std::string write (const std::string &name, const std::string &text) const;
+  void start (const Words &words);
+  void stop (const std::string &name, int number);
+  std::string wait (const std::string &name, const std::string &what) const;
+  Words ctl (const std::string &name, const Words &words) const;
+  std::string race (const Words &words) const;
+  // Addresses, process ids and nonces become the same in every run.
+  std::string plain (std::string text) const;
+  std::string settings (const std::string &name) const;
+  std::string http (const std::string &url, const std::string &body) const;
+};
+
+#endif
--- a/entry/http_operator.c
+++ b/entry/http_operator.c
@@ -22,15 +22,21 @@
 static void list_targets (cv_entry_core_t *core, cv_time_t now, void *arg);
 static void list_entry (cv_entry_core_t *core, cv_time_t now, void *arg);
 static int bad_text (cv_response_t *resp, const cv_error_t *err);
-static bool read_base (const cv_request_in_t *req, cv_response_t *resp,
-                       uint64_t present, uint64_t *base);
+static cv_config_t *present_config (cv_http_t *h);
+static void take_config (cv_entry_core_t *core, cv_time_t now, void *arg);
+static uint64_t version_of (const cv_config_t *config);
+static bool base_is_present (cv_http_t *h, const cv_request_in_t *req,
+                             cv_response_t *resp, const cv_config_t *present);
 static bool dry_run (const cv_request_in_t *req);
-static int conflict (cv_response_t *resp, uint64_t base, uint64_t present,
-                     const char *text);
-static int write_change (cv_http_t *h, cv_response_t *resp, uint64_t base,
+static int conflict (cv_http_t *h, cv_response_t *resp, uint64_t base);
+static void add_changed (cv_http_t *h, cv_buf_t *body, uint64_t base,
+                         const cv_config_t *present);
+static int write_change (cv_http_t *h, cv_response_t *resp, cv_config_t *base,
                          const char *json, cv_buf_t *diff, bool dry);
+static int change_failed (cv_http_t *h, cv_response_t *resp, uint64_t base,
+                          const cv_change_t *change, const cv_error_t *err);
 static int answer_change (cv_response_t *resp, const char *outcome,
-                          uint64_t version, cv_buf_t *diff);
+                          const cv_change_t *change, cv_buf_t *diff);
 
 int
 cv_http_query (const cv_request_in_t *req, cv_response_t *resp, void *arg)
@@ -78,22 +84,21 @@
   cv_error_t err;
   cv_buf_t json;
   cv_buf_t diff;
-  uint64_t base;
   int rc = U_CALLBACK_COMPLETE;
 
   if (!cv_http_begin (h, req, resp) || !cv_http_operator (h, req, resp))
     return U_CALLBACK_COMPLETE;
-  config = cv_entry_link_config (h->link);
+  config = present_config (h);
   if (config == NULL)
     return cv_http_failure (resp, CV_FAIL_NO_CONFIG, 1000);
   cv_buf_init (&json);
   cv_buf_init (&diff);
-  if (!read_base (req, resp, config->version, &base))
-    ;
+  if (!base_is_present (h, req, resp, config))
+    ; /* answered */
   else if (!cv_change_apply (config, text, &json, &diff, &err))
     rc = bad_text (resp, &err);
   else
-    rc = write_change (h, resp, base, cv_buf_text (&json), &diff,
+    rc = write_change (h, resp, config, cv_buf_text (&json), &diff,
                        dry_run (req));
   cv_buf_finish (&json);
   cv_buf_finish (&diff);
@@ -131,30 +136,32 @@
   cv_http_t *h = arg;
   cv_slice_t text = { .p = req->binary_body, .n = req->binary_body_length };
   cv_config_t *config;
-  cv_config_t *checked;
-  uint64_t present;
-  uint64_t base;
+  cv_config_t *checked = NULL;
   cv_error_t err;
   cv_buf_t diff;
   char *json;
-  int rc;
+  int rc = U_CALLBACK_COMPLETE;
 
   if (!cv_http_begin (h, req, resp) || !cv_http_operator (h, req, resp))
     return U_CALLBACK_COMPLETE;
-  config = cv_entry_link_config (h->link);
-  present = config == NULL ? 0 : config->version;
-  cv_config_unref (config);
-  if (!read_base (req, resp, present, &base))
-    return U_CALLBACK_COMPLETE;
-  checked = cv_config_parse (base + 1, text, &err);
-  if (checked == NULL)
-    return bad_text (resp, &err);
+  config = present_config (h);
+  if (base_is_present (h, req, resp, config))
+    {
+      checked = cv_config_parse (version_of (config) + 1, text, &err);
+      if (checked == NULL)
+        rc = bad_text (resp, &err);
+    }
+  if (checked != NULL)
+    {
+      cv_buf_init (&diff);
+      cv_config_diff (config, checked, &diff);
+      json = cv_strdup_n (text.p, text.n);
+      rc = write_change (h, resp, config, json, &diff, dry_run (req));
+      free (json);
+      cv_buf_finish (&diff);
+    }
   cv_config_unref (checked);
-  cv_buf_init (&diff);
-  json = cv_strdup_n (text.p, text.n);
-  rc = write_change (h, resp, base, json, &diff, dry_run (req));
-  free (json);
-  cv_buf_finish (&diff);
+  cv_config_unref (config);
   return rc;
 }
 
@@ -257,27 +264,55 @@
   return cv_http_bad (resp, text);
 }
 
-/* The version that the operator looked at; absent: the present one.  */
+/* The configuration in force, as the I/O thread has it now: a change that was
+   accepted a moment ago is seen by the next one.  */
+static cv_config_t *
+present_config (cv_http_t *h)
+{
+  cv_config_t *config = NULL;
+
+  cv_entry_link_inspect (h->link, take_config, &config);
+  return config;
+}
+
+static void
+take_config (cv_entry_core_t *core, cv_time_t now, void *arg)
+{
+  cv_config_t **out = arg;
+
+  (void)now;
+  if (cv_entry_config (core) != NULL)
+    *out = cv_config_ref (cv_entry_config (core));
+}
+
+static uint64_t
+version_of (const cv_config_t *config)
+{
+  return config == NULL ? 0 : config->version;
+}
+
+/* The version that the operator looked at is PRESENT, or none is stated;
+   false when an error was answered.  */
 static bool
-read_base (const cv_request_in_t *req, cv_response_t *resp, uint64_t present,
-           uint64_t *base)
+base_is_present (cv_http_t *h, const cv_request_in_t *req, cv_response_t *resp,
+                 const cv_config_t *present)
 {
   const char *value = cv_http_header (req, "X-Base-Version");
+  uint64_t base;
   char *end;
 
-  *base = present;
   if (value == NULL)
     return true;
   errno = 0;
-  *base = strtoull (value, &end, 10);
+  base = strtoull (value, &end, 10);
   if (errno != 0 || end == value || *end != '\0')
     {
       (void)cv_http_bad (resp, "X-Base-Version: expected a number");
       return false;
     }
-  if (*base == present)
+  if (base == version_of (present))
     return true;
-  (void)conflict (resp, *base, present, "the base is not the version here");
+  (void)conflict (h, resp, base);
   return false;
 }
 
@@ -290,63 +325,126 @@
 }
 
 static int
-conflict (cv_response_t *resp, uint64_t base, uint64_t present,
-          const char *text)
+conflict (cv_http_t *h, cv_response_t *resp, uint64_t base)
 {
+  cv_config_t *present = present_config (h);
   cv_buf_t body;
   int rc;
 
   cv_buf_init (&body);
+  cv_buf_printf (&body, "{\"outcome\":\"conflict\",\"base\":%llu,\"version\":",
+                 (unsigned long long)base);
+  /* A version that this entry has yet to see is told as 0.  */
+  cv_buf_printf (&body, "%llu,\"changed\":",
+                 (unsigned long long)(version_of (present) > base
+                                          ? version_of (present)
+                                          : 0));
+  add_changed (h, &body, base, present);
   cv_buf_printf (&body,
-                 "{\"outcome\":\"conflict\",\"base\":%llu,\"version\":%llu,"
-                 "\"error\":{\"code\":\"conflict\",\"message\":\"%s\","
+                 ",\"error\":{\"code\":\"conflict\",\"message\":"
+                 "\"version %llu is not the one in force\","
                  "\"retry_after_ms\":0,\"outcome\":\"refused\"}}",
-                 (unsigned long long)base, (unsigned long long)present, text);
+                 (unsigned long long)base);
   rc = cv_http_json (resp, 409, &body);
   cv_buf_finish (&body);
+  cv_config_unref (present);
   return rc;
 }
 
+/* Append a list of what differs between BASE and PRESENT, or null when BASE is
+   not known here.  */
+static void
+add_changed (cv_http_t *h, cv_buf_t *body, uint64_t base,
+             const cv_config_t *present)
+{
+  cv_config_t *from = cv_storejobs_earlier (h->jobs, base);
+  cv_buf_t names;
+  char *name;
+  char *rest;
+  size_t n = 0;
+
+  if (version_of (present) <= base || (from == NULL && base != 0))
+    {
+      cv_buf_printf (body, "null");
+      cv_config_unref (from);
+      return;
+    }
+  cv_buf_init (&names);
+  cv_config_changed (from, present, &names);
+  cv_buf_printf (body, "[");
+  (void)cv_buf_text (&names);
+  for (name = strtok_r (names.p, "\n", &rest); name != NULL;
+       name = strtok_r (NULL, "\n", &rest))
+    {
+      cv_buf_printf (body, "%s", n++ > 0 ? "," : "");
+      cv_json_quote (body, name, strlen (name));
+    }
+  cv_buf_printf (body, "]");
+  cv_buf_finish (&names);
+  cv_config_unref (from);
+}
+
 static int
-write_change (cv_http_t *h, cv_response_t *resp, uint64_t base,
+write_change (cv_http_t *h, cv_response_t *resp, cv_config_t *base,
               const char *json, cv_buf_t *diff, bool dry)
 {
-  uint64_t version = 0;
+  cv_change_t change = { .version = version_of (base) };
   cv_error_t err = { 0 };
+
+  if (dry)
+    return answer_change (resp, "dry_run", &change, diff);
+  if (cv_storejobs_change (h->jobs, base, json, &change, &err))
+    return answer_change (resp, "accepted", &change, diff);
+  return change_failed (h, resp, version_of (base), &change, &err);
+}
+
+static int
+change_failed (cv_http_t *h, cv_response_t *resp, uint64_t base,
+               const cv_change_t *change, const cv_error_t *err)
+{
   cv_http_error_t e = { .status = 503,
                         .code = "store_unavailable",
                         .text = "the object API took no write",
                         .outcome = CV_OUTCOME_NOT_RUN,
                         .retry_after_ms = 2000 };
+  char text[256];
 
-  if (dry)
-    return answer_change (resp, "dry_run", base, diff);
-  if (cv_storejobs_change (h->jobs, base, json, &version, &err))
-    return answer_change (resp, "accepted", version, diff);
-  if (err.code == CV_ERR_CONFLICT)
-    return conflict (resp, base, 0, "another change was accepted before");
-  if (err.code == CV_ERR_UNKNOWN)
+  switch (err->code)
     {
+    case CV_ERR_CONFLICT:
+      return conflict (h, resp, base);
+    case CV_ERR_INVALID:
+    case CV_ERR_LIMIT:
+      return bad_text (resp, err);
+    case CV_ERR_UNKNOWN:
+      (void)snprintf (text, sizeof text,
+                      "the answer of the object API was lost; the change was "
+                      "accepted if a document after version %llu names %s",
+                      (unsigned long long)base, change->nonce);
       e.status = 504;
       e.code = "unknown";
-      e.text = "the answer of the object API was lost; read the document and "
-               "compare its version";
+      e.text = text;
       e.outcome = CV_OUTCOME_UNKNOWN;
+      break;
+    default:
+      break;
     }
   return cv_http_fail (resp, &e);
 }
 
 static int
-answer_change (cv_response_t *resp, const char *outcome, uint64_t version,
-               cv_buf_t *diff)
+answer_change (cv_response_t *resp, const char *outcome,
+               const cv_change_t *change, cv_buf_t *diff)
 {
   cv_buf_t body;
   int rc;
 
   cv_buf_init (&body);
-  cv_buf_printf (&body,
-                 "{\"outcome\":\"%s\",\"version\":%llu,\"diff\":", outcome,
-                 (unsigned long long)version);
+  cv_buf_printf (&body, "{\"outcome\":\"%s\",\"version\":%llu,", outcome,
+                 (unsigned long long)change->version);
+  if (change->nonce[0] != '\0')
+    cv_buf_printf (&body, "\"change\":\"%s\",", change->nonce);
+  cv_buf_printf (&body, "\"diff\":");
   cv_json_quote (&body, cv_buf_text (diff), diff->n);
   cv_buf_printf (&body, "}");
   rc = cv_http_json (resp, 200, &body);
--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -18,6 +18,10 @@
 /* Reads of the configuration by all entries together, per second.  */
 #define POLLS_PER_S 100
 #define POLL_INTERVAL_MAX (10 * CV_SECOND)
+/* Largest value that the object API holds, and what its call adds.  */
+#define DOCUMENT_MAX (1024 * 1024 - 256)
+/* Configurations kept to tell what changed since an operator's base.  */
+#define EARLIER_MAX 8
 
 typedef enum
 {
@@ -32,8 +36,8 @@
   job_type_t type;
   const char *key;
   const char *json;
-  uint64_t version;
-  uint64_t new_version;
+  cv_config_t *base;
+  cv_change_t *change;
   cv_ticket_t *ticket;
   cv_time_t queued;
   bool done;
@@ -54,7 +58,8 @@
   cv_entry_link_t *link;
   cv_store_t store;
   cv_store_counts_t counts;
-  cv_time_t poll_interval; /* of an entry alone */
+  cv_time_t poll_interval;           /* of an entry alone */
+  cv_config_t *earlier[EARLIER_MAX]; /* newest first, NULL at the end */
 };
 
 static void *run (void *arg);
@@ -62,6 +67,8 @@
 static void run_job (cv_storejobs_t *s, cv_job_t *job);
 static bool submit (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err);
 static void poll_config (cv_storejobs_t *s);
+static bool read_config (cv_storejobs_t *s, cv_error_t *err);
+static void remember (cv_storejobs_t *s, cv_config_t *config);
 static cv_time_t poll_interval (cv_storejobs_t *s);
 static bool run_change (cv_storejobs_t *s, cv_job_t *job);
 static bool run_claim (cv_storejobs_t *s, cv_job_t *job);
@@ -105,6 +112,8 @@
   (void)pthread_mutex_unlock (&s->lock);
   (void)pthread_join (s->thread, NULL);
   cv_store_finish (&s->store);
+  for (size_t i = 0; i < EARLIER_MAX; i++)
+    cv_config_unref (s->earlier[i]);
   (void)pthread_cond_destroy (&s->queued);
   (void)pthread_cond_destroy (&s->finished);
   (void)pthread_mutex_destroy (&s->lock);
@@ -112,15 +121,27 @@
 }
 
 bool
-cv_storejobs_change (cv_storejobs_t *s, uint64_t version, const char *json,
-                     uint64_t *new_version, cv_error_t *err)
+cv_storejobs_change (cv_storejobs_t *s, cv_config_t *base, const char *json,
+                     cv_change_t *change, cv_error_t *err)
 {
-  cv_job_t job = { .type = JOB_CHANGE, .version = version, .json = json };
+  cv_job_t job
+      = { .type = JOB_CHANGE, .base = base, .json = json, .change = change };
 
-  if (!submit (s, &job, err))
-    return false;
-  *new_version = job.new_version;
-  return true;
+  (void)cv_id_format (cv_id_random (), change->nonce);
+  return submit (s, &job, err);
+}
+
+cv_config_t *
+cv_storejobs_earlier (cv_storejobs_t *s, uint64_t version)
+{
+  cv_config_t *found = NULL;
+
+  (void)pthread_mutex_lock (&s->lock);
+  for (size_t i = 0; i < EARLIER_MAX && s->earlier[i] != NULL; i++)
+    if (s->earlier[i]->version == version)
+      found = cv_config_ref (s->earlier[i]);
+  (void)pthread_mutex_unlock (&s->lock);
+  return found;
 }
 
 bool
@@ -234,21 +255,61 @@
 static void
 poll_config (cv_storejobs_t *s)
 {
-  cv_object_t object = { 0 };
+  cv_config_t *present;
   cv_error_t err;
 
-  if (!cv_store_get (&s->store, CV_CONFIG_KEY, &object, &err))
+  if (read_config (s, &err))
+    s->failing = false;
+  else
     {
       if (!s->failing)
         cv_log (CV_EV_ENTRY_STORE_FAILED, "%s", err.text);
       s->failing = true;
-      return;
     }
-  s->failing = false;
-  if (object.version != 0 && !adopt (s, object.version, object.json, &err))
-    cv_log (CV_EV_ENTRY_DOC_INVALID, "version %llu: %s",
-            (unsigned long long)object.version, err.text);
-  cv_object_finish (&object);
+  present = cv_entry_link_config (s->link);
+  remember (s, present);
+  cv_config_unref (present);
+}
+
+/* Fetch the document when it is not the one in force; its version alone costs
+   little to ask for.  An older one, from a replica of the store that lags, is
+   left alone here, and the core refuses it, too.  */
+static bool
+read_config (cv_storejobs_t *s, cv_error_t *err)
+{
+  cv_config_t *present = cv_entry_link_config (s->link);
+  cv_object_t object = { 0 };
+  uint64_t version;
+  bool ok = cv_store_version (&s->store, CV_CONFIG_KEY, &version, err);
+
+  if (ok && present != NULL && version == present->version)
+    cv_entry_link_adopt (s->link, present); /* confirms it */
+  else if (ok && version > (present == NULL ? 0 : present->version))
+    {
+      ok = cv_store_get (&s->store, CV_CONFIG_KEY, &object, err);
+      if (ok && object.version != 0
+          && !adopt (s, object.version, object.json, err))
+        cv_log (CV_EV_ENTRY_DOC_INVALID, "version %llu: %s",
+                (unsigned long long)object.version, err->text);
+      cv_object_finish (&object);
+    }
+  cv_config_unref (present);
+  return ok;
+}
+
+/* Keep CONFIG among the last ones.  */
+static void
+remember (cv_storejobs_t *s, cv_config_t *config)
+{
+  if (config == NULL
+      || (s->earlier[0] != NULL && s->earlier[0]->version >= config->version))
+    return;
+  (void)pthread_mutex_lock (&s->lock);
+  cv_config_unref (s->earlier[EARLIER_MAX - 1]);
+  for (size_t i = EARLIER_MAX - 1; i > 0; i--)
+    s->earlier[i] = s->earlier[i - 1];
+  s->earlier[0] = cv_config_ref (config);
+  (void)pthread_mutex_unlock (&s->lock);
 }
 
 /* All entries together stay under POLLS_PER_S.  */
@@ -277,29 +338,39 @@
   return true;
 }
 
-/* Add a nonce to the document, by which a lost answer is recognised.  */
+/* The nonce, kept in the documents that follow, tells a write whose answer was
+   lost from one that lost its race, also when others have overwritten it.  */
 static bool
 run_change (cv_storejobs_t *s, cv_job_t *job)
 {
-  struct json_object *doc = json_tokener_parse (job->json);
-  char nonce[CV_ID_TEXT];
-  const char *json;
+  cv_change_t *change = job->change;
+  uint64_t base = job->base == NULL ? 0 : job->base->version;
+  uint64_t settled = s->store.counts.settled;
+  cv_error_t ignored;
+  cv_buf_t doc;
   bool ok;
 
-  if (!json_object_is_type (doc, json_type_object))
+  remember (s, job->base);
+  cv_buf_init (&doc);
+  ok = cv_config_seal (job->base, cv_slice (job->json), change->nonce, &doc,
+                       &job->err);
+  if (ok && doc.n > DOCUMENT_MAX)
+    ok = cv_fail (&job->err, CV_ERR_LIMIT,
+                  "the document would have %zu bytes, more than %d", doc.n,
+                  DOCUMENT_MAX);
+  if (ok)
     {
-      json_object_put (doc);
-      return cv_fail (&job->err, CV_ERR_INVALID, "document is no object");
+      ok = cv_store_put_settled (
+          &s->store, CV_CONFIG_KEY, base, cv_buf_text (&doc), change->nonce,
+          cv_now () + SETTLE_TIME, &change->version, &job->err);
+      /* A settled write may have been overwritten: what is in the store
+         counts then, and not our text.  */
+      if (ok && settled == s->store.counts.settled)
+        (void)adopt (s, change->version, cv_buf_text (&doc), &ignored);
+      else if (ok || job->err.code == CV_ERR_CONFLICT)
+        (void)read_config (s, &ignored);
     }
-  (void)cv_id_format (cv_id_random (), nonce);
-  (void)json_object_object_add (doc, "nonce", json_object_new_string (nonce));
-  json = json_object_to_json_string_ext (doc, JSON_C_TO_STRING_PLAIN);
-  ok = cv_store_put_settled (&s->store, CV_CONFIG_KEY, job->version, json,
-                             nonce, cv_now () + SETTLE_TIME, &job->new_version,
-                             &job->err);
-  if (ok)
-    (void)adopt (s, job->new_version, json, &job->err);
-  json_object_put (doc);
+  cv_buf_finish (&doc);
   return ok;
 }
 
@@ -308,6 +379,7 @@
 {
   char text[CV_TICKET_TEXT];
   char nonce[CV_ID_TEXT];
+  uint64_t version;
   cv_buf_t json;
   bool ok;
 
@@ -316,8 +388,7 @@
   cv_buf_printf (&json, "{\"ticket\":\"%s\",\"nonce\":\"%s\"}",
                  cv_ticket_format (job->ticket, text), nonce);
   ok = cv_store_put_settled (&s->store, job->key, 0, cv_buf_text (&json), nonce,
-                             cv_now () + SETTLE_TIME, &job->new_version,
-                             &job->err);
+                             cv_now () + SETTLE_TIME, &version, &job->err);
   cv_buf_finish (&json);
   if (ok || job->err.code != CV_ERR_CONFLICT)
     return ok;
--- a/entry/storejobs.h
+++ b/entry/storejobs.h
@@ -16,10 +16,23 @@
                                   cv_entry_link_t *link, cv_error_t *err);
 void cv_storejobs_free (cv_storejobs_t *s);
 
-/* Write JSON as the configuration that follows VERSION, and take it in force.
- *NEW_VERSION is set on success.  ERR: CONFLICT, UNAVAILABLE or UNKNOWN.  */
-bool cv_storejobs_change (cv_storejobs_t *s, uint64_t version, const char *json,
-                          uint64_t *new_version, cv_error_t *err);
+/* A write of the configuration.  */
+typedef struct
+{
+  uint64_t version;       /* that holds it; later ones may have followed */
+  char nonce[CV_ID_TEXT]; /* in the document's "nonce" or "nonces" */
+} cv_change_t;
+
+/* Write JSON as the configuration that follows BASE (NULL: there is none
+   yet), and hand it to the link before returning.  CHANGE->nonce is set also
+   on failure.  ERR: CONFLICT (the link then has the newer configuration, when
+   it could be read), LIMIT (too large), INVALID, UNAVAILABLE or UNKNOWN.  */
+bool cv_storejobs_change (cv_storejobs_t *s, cv_config_t *base,
+                          const char *json, cv_change_t *change,
+                          cv_error_t *err);
+
+/* One of the last configurations of this entry, with a reference, or NULL. */
+cv_config_t *cv_storejobs_earlier (cv_storejobs_t *s, uint64_t version);
 
 /* Bind KEY (an object's name) to the ticket *TICKET, or read the ticket that
    it was bound to before into *TICKET.  ERR: UNAVAILABLE or UNKNOWN.  */
--- a/store/store.c
+++ b/store/store.c
@@ -10,6 +10,7 @@
 #include "store/http.h"
 
 #define OBJECTS "/v1/objects/"
+#define LIST "/v1/objects?limit=1&prefix="
 #define PATH_TEXT 384
 #define PAUSE_FIRST (20 * CV_MS)
 #define PAUSE_MAX (500 * CV_MS)
@@ -73,6 +74,13 @@
 
 /* ---- reads ---- */
 
+static bool
+is_text (struct json_object *value, const char *text)
+{
+  return json_object_is_type (value, json_type_string)
+         && strcmp (json_object_get_string (value), text) == 0;
+}
+
 static bool
 take_object (const cv_reply_t *reply, cv_object_t *out, cv_error_t *err)
 {
@@ -118,6 +126,54 @@
   return ok;
 }
 
+/* The first key that KEY is a prefix of is KEY itself, if it exists.  */
+static bool
+take_version (const cv_reply_t *reply, const char *key, uint64_t *version,
+              cv_error_t *err)
+{
+  struct json_object *tree = parse_reply (reply);
+  struct json_object *items = NULL;
+  struct json_object *item;
+  struct json_object *name = NULL;
+  bool ok;
+
+  *version = 0;
+  ok = json_object_object_get_ex (tree, "items", &items)
+       && json_object_is_type (items, json_type_array);
+  item = ok ? json_object_array_get_idx (items, 0) : NULL;
+  if (item != NULL)
+    ok = json_object_object_get_ex (item, "key", &name)
+         && (!is_text (name, key) || get_version (item, version));
+  json_object_put (tree);
+  return ok
+         || cv_fail (err, CV_ERR_UNAVAILABLE, "store: answer without %s",
+                     "items");
+}
+
+bool
+cv_store_version (cv_store_t *s, const char *key, uint64_t *version,
+                  cv_error_t *err)
+{
+  char path[PATH_TEXT];
+  cv_reply_t reply;
+  bool ok;
+  int n = snprintf (path, sizeof path, "%s%s", LIST, key);
+
+  if (!key_valid (key) || n < 0 || (size_t)n >= sizeof path)
+    return cv_fail (err, CV_ERR_INVALID, "store: bad key \"%.100s\"", key);
+  s->counts.reads++;
+  ok = cv_store_exchange (s, "GET", path, NULL, &reply, err);
+  if (ok && reply.status == STATUS_OK)
+    ok = take_version (&reply, key, version, err);
+  else if (ok)
+    ok = cv_fail (err, CV_ERR_UNAVAILABLE, "store: read of %s: status %d", key,
+                  reply.status);
+  if (!ok)
+    s->counts.failures++;
+  cv_buf_finish (&reply.body);
+  return ok;
+}
+
 /* ---- writes ---- */
 
 /* What an answer to a write means.  */
@@ -208,13 +264,6 @@
   SETTLED_SILENT   /* the store did not answer */
 } settled_t;
 
-static bool
-is_text (struct json_object *value, const char *text)
-{
-  return json_object_is_type (value, json_type_string)
-         && strcmp (json_object_get_string (value), text) == 0;
-}
-
 /* NONCE is the object's own or one of the earlier writes'.  */
 static bool
 carries_nonce (const char *json, const char *nonce)
--- a/store/store.h
+++ b/store/store.h
@@ -44,6 +44,11 @@
   bool cv_store_get (cv_store_t *s, const char *key, cv_object_t *out,
                      cv_error_t *err);
 
+  /* Version of KEY without its value; 0 when it does not exist.  A read as
+     for the limits.  */
+  bool cv_store_version (cv_store_t *s, const char *key, uint64_t *version,
+                         cv_error_t *err);
+
   /* Conditional write: succeeds only on VERSION (0 creates).  *NEW_VERSION is
      set on success.  ERR: CONFLICT, UNAVAILABLE (took no effect) or UNKNOWN
      (the answer was lost).  */
--- a/store/tests/fake_store.h
+++ b/store/tests/fake_store.h
@@ -88,6 +88,13 @@
     std::lock_guard<std::mutex> hold (lock_);
     objects_[key] = { ++revision_, json };
   }
+  // What a replica that lags would show.
+  void
+  rewind (const std::string &key, long version, const std::string &json)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    objects_[key] = { version, json };
+  }
   std::string
   value (const std::string &key)
   {
@@ -118,6 +125,8 @@
     std::string prefix = "/v1/objects/";
     std::string path = req->url_path;
     std::string key = path.substr (std::min (prefix.size (), path.size ()));
+    if (path == "/v1/objects")
+      return store->list (u_map_get (req->map_url, "prefix"), res);
     if (strcmp (req->http_verb, "GET") == 0)
       return store->read (key, res);
     std::string body (static_cast<const char *> (req->binary_body),
@@ -140,6 +149,19 @@
     ulfius_set_string_body_response (res, 200, text.c_str ());
     return U_CALLBACK_COMPLETE;
   }
+  int
+  list (const std::string &prefix, struct _u_response *res)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    std::string items;
+    for (const auto &[key, object] : objects_)
+      if (key.compare (0, prefix.size (), prefix) == 0 && object.version > 0)
+        items += std::string (items.empty () ? "" : ",") + "{\"key\":\"" + key
+                 + "\",\"version\":" + std::to_string (object.version) + "}";
+    ulfius_set_string_body_response (res, 200,
+                                     ("{\"items\":[" + items + "]}").c_str ());
+    return U_CALLBACK_COMPLETE;
+  }
   Fault
   next_fault ()
   {
--- a/store/tests/store_test.cc
+++ b/store/tests/store_test.cc
@@ -56,6 +56,22 @@
   EXPECT_EQ (0u, store.counts.failures);
 }
 
+TEST_F (StoreTest, ReadsVersionAlone)
+{
+  uint64_t found = 7;
+  ASSERT_TRUE (cv_store_version (&store, "config/current", &found, &err));
+  EXPECT_EQ (0u, found);
+  fake.overwrite ("config/current2", "{}");
+  ASSERT_TRUE (cv_store_version (&store, "config/current", &found, &err));
+  EXPECT_EQ (0u, found);
+  fake.overwrite ("config/current", "{}");
+  ASSERT_TRUE (cv_store_version (&store, "config/current", &found, &err));
+  EXPECT_EQ (2u, found);
+  fake.stop ();
+  EXPECT_FALSE (cv_store_version (&store, "config/current", &found, &err));
+  EXPECT_EQ (CV_ERR_UNAVAILABLE, err.code);
+}
+
 TEST_F (StoreTest, RefusesBadKeys)
 {
   cv_object_t o;
