catkinctl load: a bounded mix of summaries, tags and bookings

Callers in threads take numbered requests; the kind depends on the seed and the number alone. Each event's generation and offset, and the total of the end, are checked; bookings are sent twice under one ticket. Outcomes, reasons, time to first token, gaps and stall time (gaps beyond a second, as the entry counts them) go to a table or JSON. Preemptions are shown when the entry's metrics have them, which they have not yet. Entries are named by IP numbers: other URLs are refused.

--- a/catkinctl/client.c
+++ b/catkinctl/client.c
@@ -30,6 +30,8 @@
     }
   if (rc == U_OK && ctl->base != NULL)
     rc = u_map_put (req->map_header, "X-Base-Version", ctl->base);
+  if (rc == U_OK && ctl->ticket != NULL)
+    rc = u_map_put (req->map_header, "Idempotency-Key", ctl->ticket);
   if (rc == U_OK && ctl->dry_run)
     rc = u_map_put (req->map_header, "X-Dry-Run", "1");
   if (rc == U_OK)
@@ -37,33 +39,54 @@
   return rc == U_OK;
 }
 
+bool
+cv_ctl_request (const cv_ctl_t *ctl, const char *method, const char *path,
+                const char *body, size_t n, struct _u_request *req)
+{
+  char url[URL_TEXT];
+
+  (void)snprintf (url, sizeof url, "%s%s", ctl->entry, path);
+  if (ulfius_init_request (req) != U_OK)
+    return false;
+  if (add_headers (ctl, req)
+      && ulfius_set_request_properties (
+             req, U_OPT_HTTP_VERB, method, U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
+             (unsigned long)ctl->timeout_s, U_OPT_NONE)
+             == U_OK
+      && (n == 0 || ulfius_set_binary_body_request (req, body, n) == U_OK))
+    return true;
+  ulfius_clean_request (req);
+  return false;
+}
+
+static void
+take_answer (const struct _u_response *resp, cv_answer_t *a)
+{
+  const char *outcome = u_map_get_case (resp->map_header, "X-Outcome");
+
+  a->connected = true;
+  a->status = (int)resp->status;
+  a->replayed = u_map_get_case (resp->map_header, "X-Replayed") != NULL;
+  if (outcome != NULL)
+    (void)cv_copy (a->outcome, sizeof a->outcome, outcome);
+  cv_buf_add (&a->body, resp->binary_body, resp->binary_body_length);
+}
+
 void
 cv_ctl_call (const cv_ctl_t *ctl, const char *method, const char *path,
              const char *body, size_t n, cv_answer_t *a)
 {
   struct _u_request req;
   struct _u_response resp;
-  char url[URL_TEXT];
 
   memset (a, 0, sizeof *a);
   cv_buf_init (&a->body);
-  (void)snprintf (url, sizeof url, "%s%s", ctl->entry, path);
-  if (ulfius_init_request (&req) != U_OK)
+  if (!cv_ctl_request (ctl, method, path, body, n, &req))
     return;
   if (ulfius_init_response (&resp) == U_OK)
     {
-      if (add_headers (ctl, &req)
-          && ulfius_set_request_properties (
-                 &req, U_OPT_HTTP_VERB, method, U_OPT_HTTP_URL, url,
-                 U_OPT_TIMEOUT, (unsigned long)ctl->timeout_s, U_OPT_NONE)
-                 == U_OK
-          && (n == 0 || ulfius_set_binary_body_request (&req, body, n) == U_OK)
-          && ulfius_send_http_request (&req, &resp) == U_OK)
-        {
-          a->connected = true;
-          a->status = (int)resp.status;
-          cv_buf_add (&a->body, resp.binary_body, resp.binary_body_length);
-        }
+      if (ulfius_send_http_request (&req, &resp) == U_OK)
+        take_answer (&resp, a);
       ulfius_clean_response (&resp);
     }
   ulfius_clean_request (&req);
--- a/catkinctl/ctl.h
+++ b/catkinctl/ctl.h
@@ -28,24 +28,38 @@
   const char *model;      /* of load's streams */
   const char *long_class; /* class of load's summaries */
   const char *tag_class;  /* class of load's tags */
+  const char *ticket;     /* idempotency key of a call, or NULL */
   bool json;
   bool dry_run;
-  uint32_t count;       /* requests of load */
-  uint32_t concurrency; /* callers of load */
-  uint32_t seconds;     /* longest time of load */
-  uint32_t timeout_s;   /* of one call */
-  char **args;          /* words after the verb */
+  uint32_t count;           /* requests of load */
+  uint32_t concurrency;     /* callers of load */
+  uint32_t seconds;         /* load begins no request after them */
+  uint32_t seed;            /* of load's mix */
+  uint32_t tag_percent;     /* share of tags among load's requests */
+  uint32_t booking_percent; /* share of bookings */
+  uint32_t long_tokens;     /* longest summary */
+  uint32_t tag_tokens;      /* longest tag */
+  uint32_t timeout_s;       /* of one call */
+  char **args;              /* words after the verb */
   size_t arg_count;
 } cv_ctl_t;
 
+#define CV_LOAD_CALLERS_MAX 256
+
 /* One answer of an entry.  */
 typedef struct
 {
-  bool connected; /* an entry answered; else the rest is empty */
-  int status;     /* HTTP status */
+  bool connected;   /* an entry answered; else the rest is empty */
+  int status;       /* HTTP status */
+  char outcome[16]; /* of a call of a plain service, or "" */
+  bool replayed;    /* it is the result of an earlier call */
   cv_buf_t body;
 } cv_answer_t;
 
+struct _u_request;
+/* Prepare a request of an entry; the caller cleans REQ when this is true.  */
+bool cv_ctl_request (const cv_ctl_t *ctl, const char *method, const char *path,
+                     const char *body, size_t n, struct _u_request *req);
 /* One call of an entry; BODY may be NULL.  The caller finishes A.  */
 void cv_ctl_call (const cv_ctl_t *ctl, const char *method, const char *path,
                   const char *body, size_t n, cv_answer_t *a);
@@ -79,5 +93,6 @@
 int cv_ctl_status (const cv_ctl_t *ctl);
 int cv_ctl_histograms (const cv_ctl_t *ctl);
 int cv_ctl_hash (const cv_ctl_t *ctl);
+int cv_ctl_load (const cv_ctl_t *ctl);
 
 #endif
--- a/catkinctl/main.c
+++ b/catkinctl/main.c
@@ -4,9 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "catkinctl/ctl.h"
 
 #define DEFAULT_TIMEOUT_S 10
+#define URL_TEXT 128
 #define ENTRY_VARIABLE "CATKINVALE_ENTRY"
 #define KEY_VARIABLE "CATKINVALE_KEY"
 
@@ -21,15 +23,32 @@
   OPT_BASE = 256,
   OPT_DRY_RUN,
   OPT_JSON,
-  OPT_TIMEOUT
+  OPT_TIMEOUT,
+  OPT_MODEL,
+  OPT_POOL,
+  OPT_LONG_CLASS,
+  OPT_TAG_CLASS,
+  OPT_COUNT,
+  OPT_CONCURRENCY,
+  OPT_SECONDS,
+  OPT_SEED,
+  OPT_TAGS,
+  OPT_BOOKINGS,
+  OPT_LONG_TOKENS,
+  OPT_TAG_TOKENS
 } option_key_t;
 
-static const verb_t verbs[]
-    = { { "check", cv_ctl_check },     { "show", cv_ctl_show },
-        { "query", cv_ctl_query },     { "change", cv_ctl_change },
-        { "install", cv_ctl_install }, { "document", cv_ctl_document },
-        { "status", cv_ctl_status },   { "histograms", cv_ctl_histograms },
-        { "hash", cv_ctl_hash },       { NULL, NULL } };
+static const verb_t verbs[] = { { "check", cv_ctl_check },
+                                { "show", cv_ctl_show },
+                                { "query", cv_ctl_query },
+                                { "change", cv_ctl_change },
+                                { "install", cv_ctl_install },
+                                { "document", cv_ctl_document },
+                                { "status", cv_ctl_status },
+                                { "histograms", cv_ctl_histograms },
+                                { "hash", cv_ctl_hash },
+                                { "load", cv_ctl_load },
+                                { NULL, NULL } };
 
 static const char doc[]
     = "Ask and change what catkinvale serves.\v"
@@ -47,6 +66,9 @@
       "  histograms           latencies and stall time by account and class\n"
       "  hash                 read a bearer key from standard input, print "
       "its hash\n"
+      "  load                 drive the entry with summaries, tags and "
+      "bookings, as the\n"
+      "                       account of --key\n"
       "\n"
       "Exit codes: 0 done, 1 refused, 2 invalid file, 3 conflict, 4 outcome "
       "unknown, 5 no entry answered, 64 usage.";
@@ -63,9 +85,50 @@
   { "dry-run", OPT_DRY_RUN, NULL, 0, "show the difference only", 0 },
   { "json", OPT_JSON, NULL, 0, "print the answer as JSON", 0 },
   { "timeout", OPT_TIMEOUT, "SECONDS", 0, "longest wait for an answer", 0 },
+  { NULL, 0, NULL, 0, "Of load:", 1 },
+  { "model", OPT_MODEL, "NAME", 0, "model of the summaries and tags", 1 },
+  { "pool", OPT_POOL, "NAME", 0, "service pool of the bookings", 1 },
+  { "long-class", OPT_LONG_CLASS, "NAME", 0, "class of the summaries", 1 },
+  { "tag-class", OPT_TAG_CLASS, "NAME", 0, "class of the tags", 1 },
+  { "count", OPT_COUNT, "N", 0, "requests at most (200)", 1 },
+  { "concurrency", OPT_CONCURRENCY, "N", 0, "callers at once (8)", 1 },
+  { "seconds", OPT_SECONDS, "N", 0, "no new request after them (30)", 1 },
+  { "seed", OPT_SEED, "N", 0, "of the mix (1)", 1 },
+  { "tags", OPT_TAGS, "PERCENT", 0, "share of tags (70)", 1 },
+  { "bookings", OPT_BOOKINGS, "PERCENT", 0, "share of bookings (0)", 1 },
+  { "long-tokens", OPT_LONG_TOKENS, "N", 0, "longest summary (1024)", 1 },
+  { "tag-tokens", OPT_TAG_TOKENS, "N", 0, "longest tag (32)", 1 },
   { NULL, 0, NULL, 0, NULL, 0 }
 };
 
+/* A number of load and its range.  */
+typedef struct
+{
+  const char *name;
+  size_t offset;
+  option_key_t key;
+  uint32_t low;
+  uint32_t high;
+  uint32_t preset;
+} number_t;
+
+static const number_t numbers[] = {
+  { "timeout", offsetof (cv_ctl_t, timeout_s), OPT_TIMEOUT, 1, 3600,
+    DEFAULT_TIMEOUT_S },
+  { "count", offsetof (cv_ctl_t, count), OPT_COUNT, 1, 1000000, 200 },
+  { "concurrency", offsetof (cv_ctl_t, concurrency), OPT_CONCURRENCY, 1,
+    CV_LOAD_CALLERS_MAX, 8 },
+  { "seconds", offsetof (cv_ctl_t, seconds), OPT_SECONDS, 1, 3600, 30 },
+  { "seed", offsetof (cv_ctl_t, seed), OPT_SEED, 0, UINT32_MAX, 1 },
+  { "tags", offsetof (cv_ctl_t, tag_percent), OPT_TAGS, 0, 100, 70 },
+  { "bookings", offsetof (cv_ctl_t, booking_percent), OPT_BOOKINGS, 0, 100, 0 },
+  { "long-tokens", offsetof (cv_ctl_t, long_tokens), OPT_LONG_TOKENS, 1,
+    1000000, 1024 },
+  { "tag-tokens", offsetof (cv_ctl_t, tag_tokens), OPT_TAG_TOKENS, 1, 1000000,
+    32 },
+};
+#define NUMBER_COUNT (sizeof numbers / sizeof *numbers)
+
 static uint32_t
 parse_number (struct argp_state *state, const char *name, const char *text,
               uint32_t low, uint32_t high)
@@ -79,6 +142,45 @@
   return (uint32_t)n;
 }
 
+static void
+set_number (cv_ctl_t *ctl, const number_t *n, uint32_t value)
+{
+  memcpy ((char *)ctl + n->offset, &value, sizeof value);
+}
+
+static error_t
+parse_load_option (int key, char *arg, struct argp_state *state)
+{
+  cv_ctl_t *ctl = state->input;
+  size_t i;
+
+  for (i = 0; i < NUMBER_COUNT; i++)
+    if ((int)numbers[i].key == key)
+      {
+        set_number (ctl, &numbers[i],
+                    parse_number (state, numbers[i].name, arg, numbers[i].low,
+                                  numbers[i].high));
+        return 0;
+      }
+  switch (key)
+    {
+    case OPT_MODEL:
+      ctl->model = arg;
+      return 0;
+    case OPT_POOL:
+      ctl->pool = arg;
+      return 0;
+    case OPT_LONG_CLASS:
+      ctl->long_class = arg;
+      return 0;
+    case OPT_TAG_CLASS:
+      ctl->tag_class = arg;
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -105,9 +207,6 @@
     case OPT_JSON:
       ctl->json = true;
       return 0;
-    case OPT_TIMEOUT:
-      ctl->timeout_s = parse_number (state, "timeout", arg, 1, 3600);
-      return 0;
     case ARGP_KEY_ARGS:
       ctl->args = state->argv + state->next;
       ctl->arg_count = (size_t)(state->argc - state->next);
@@ -116,27 +215,47 @@
       argp_usage (state);
       return 0;
     default:
-      return ARGP_ERR_UNKNOWN;
+      return parse_load_option (key, arg, state);
     }
 }
 
 static const struct argp parser
     = { options, parse_option, "VERB [WORD...]", doc, NULL, NULL, NULL };
 
+/* Entries are named by IP numbers.  */
+static bool
+entry_valid (const char *url)
+{
+  static const cv_field_t field
+      = { .key = "entry", .kind = CV_FIELD_URL, .size = URL_TEXT };
+  char copy[URL_TEXT];
+  char expected[URL_TEXT];
+
+  if (cv_field_set_text (&field, url, copy, expected, sizeof expected))
+    return true;
+  fprintf (stderr, "catkinctl: --entry: expected %s, found \"%s\"\n", expected,
+           url);
+  return false;
+}
+
 int
 main (int argc, char **argv)
 {
   cv_ctl_t ctl = { 0 };
   const verb_t *v;
+  size_t i;
 
   argp_program_version = "catkinctl 0.1.0";
   argp_err_exit_status = CV_EXIT_USAGE;
   cv_log_init ("catkinctl");
   ctl.entry = getenv (ENTRY_VARIABLE);
   ctl.key = getenv (KEY_VARIABLE);
-  ctl.timeout_s = DEFAULT_TIMEOUT_S;
+  for (i = 0; i < NUMBER_COUNT; i++)
+    set_number (&ctl, &numbers[i], numbers[i].preset);
   if (argp_parse (&parser, argc, argv, 0, NULL, &ctl) != 0)
     return CV_EXIT_USAGE;
+  if (ctl.entry != NULL && !entry_valid (ctl.entry))
+    return CV_EXIT_USAGE;
   for (v = verbs; v->name != NULL; v++)
     if (strcmp (v->name, ctl.args[0]) == 0)
       {
--- a/catkinctl/tests/processes.cc
+++ b/catkinctl/tests/processes.cc
@@ -1,5 +1,7 @@
 #include "processes.h"
 
+#include "fake_entry.h"
+
 #include <sys/wait.h>
 
 #include <curl/curl.h>
@@ -25,8 +27,17 @@
 constexpr int kPolls = 750; // 15 s
 
 const std::map<std::string, std::string> kHosts
-    = { { "store", "1:9000" }, { "list", "2:9001" },  { "a", "11:8080" },
-        { "b", "12:8080" },    { "none", "99:8080" }, { "raw", "3:9002" } };
+    = { { "store", "1:9000" },    { "list", "2:9001" },
+        { "a", "11:8080" },       { "b", "12:8080" },
+        { "none", "99:8080" },    { "fake", "13:8080" },
+        { "engine", "21:9100" },  { "narrator", "22:7002" },
+        { "service", "31:9200" }, { "portal", "32:7002" } };
+
+const std::map<std::string, std::string> kStandins
+    = { { "store", STANDIN_STORE },
+        { "list", STANDIN_INSTANCES },
+        { "engine", STANDIN_ENGINE },
+        { "service", STANDIN_SERVICE } };
 
 // Words are parted by blanks; "..." and '...' hold blanks.
 Words
@@ -134,8 +145,7 @@
 
 Processes::~Processes ()
 {
-  for (auto &[name, child] : running_)
-    delete child;
+  running_.clear ();
   std::filesystem::remove_all (dir_);
 }
 
@@ -154,7 +164,7 @@
 }
 
 std::string
-Processes::settings (const std::string &name) const
+Processes::entry_settings (const std::string &name) const
 {
   std::string host = kHosts.at (name);
   std::string address = net_ + host.substr (0, host.find (':'));
@@ -170,7 +180,22 @@
 }
 
 std::string
-Processes::http (const std::string &target, const std::string &body) const
+Processes::side_settings (const std::string &name) const
+{
+  bool engine = name == "narrator";
+  std::string address = net_ + (engine ? "22" : "32");
+  return "{\"role\": \"side\", \"target\": \"" + name
+         + "-1\", \"failure_domain\": \"lhr-a\",\n\"pool\": \"" + name
+         + "-pool\", \"kind\": \"" + (engine ? "engine" : "service")
+         + "\",\n\"wire\": {\"address\": \"" + address
+         + "\", \"port\": 7001},\n\"control\": {\"address\": \"" + address
+         + "\", \"port\": 7002},\n\"target_url\": {\"url\": \""
+         + url (engine ? "engine" : "service") + "\"}, \"drain_s\": 1}\n";
+}
+
+std::string
+Processes::http (const std::string &target, const std::string &body,
+                 const char *method) const
 {
   std::string answer;
   CURL *c = curl_easy_init ();
@@ -181,6 +206,8 @@
   curl_easy_setopt (c, CURLOPT_WRITEDATA, &answer);
   if (!body.empty ())
     curl_easy_setopt (c, CURLOPT_POSTFIELDS, body.c_str ());
+  if (method != nullptr)
+    curl_easy_setopt (c, CURLOPT_CUSTOMREQUEST, method);
   if (curl_easy_perform (c) != CURLE_OK)
     answer.clear ();
   curl_easy_cleanup (c);
@@ -193,34 +220,43 @@
   const std::string &name = words[1];
   std::string host = kHosts.at (name);
   size_t colon = host.find (':');
+  std::string address = net_ + host.substr (0, colon);
+  bool side = name == "narrator" || name == "portal";
   Words command;
-  if (name == "store" || name == "list")
+  if (name == "fake")
     {
-      command = { name == "store" ? STANDIN_STORE : STANDIN_INSTANCES,
-                  "--bind",
-                  net_ + host.substr (0, colon),
-                  "--port",
-                  host.substr (colon + 1),
-                  "--lifetime-s",
-                  "120" };
+      fake_.reset (); // the address must be free
+      fake_ = std::make_unique<FakeEntry> (address, words[2]);
+      return;
+    }
+  if (kStandins.count (name) > 0)
+    {
+      command = { kStandins.at (name),     "--bind",       address, "--port",
+                  host.substr (colon + 1), "--lifetime-s", "120" };
       command.insert (command.end (), words.begin () + 2, words.end ());
     }
   else
-    command = { CATKINVALED, write (name + ".json", settings (name)) };
-  running_[name] = new Child (command);
-  for (int i = 0; i < kPolls && http (url (name) + "/healthz", "").empty ();
-       i++)
+    command
+        = { CATKINVALED, write (name + ".json", side ? side_settings (name)
+                                                     : entry_settings (name)) };
+  running_[name] = std::make_unique<Child> (command);
+  for (int i = 0; i < kPolls && http (url (name) + "/healthz").empty (); i++)
     usleep (kPollUs);
+  if (side)
+    http (url ("list") + "/v1/instances/" + name + "-1",
+          "{\"id\":\"" + name + "-1\",\"pool\":\"" + name
+              + "-pool\",\"role\":\"target\",\"failure_domain\":\"lhr-a\","
+                "\"address\":\""
+              + address + "\",\"port\":7001,\"state\":\"live\"}",
+          "PUT");
 }
 
 void
 Processes::stop (const std::string &name, int number)
 {
-  Child *child = running_.at (name);
+  running_.at (name)->signal (number);
+  running_.at (name)->finish ();
   running_.erase (name);
-  child->signal (number);
-  child->finish ();
-  delete child;
 }
 
 // Until the health of NAME shows WHAT.
@@ -230,7 +266,7 @@
   std::string health;
   for (int i = 0; i < kPolls; i++)
     {
-      health = http (url (name) + "/healthz", "");
+      health = http (url (name) + "/healthz");
       health.erase (std::remove (health.begin (), health.end (), '"'),
                     health.end ());
       if (health.find (what) != std::string::npos)
@@ -277,6 +313,37 @@
   return text;
 }
 
+// A load, whose times and column widths differ from run to run.
+std::string
+Processes::load (const Words &words) const
+{
+  Words all = { "load", "--key", "mall-key" };
+  all.insert (all.end (), words.begin () + 2, words.end ());
+  Output out = Child (ctl (words[1], all)).finish ();
+  std::string text = std::regex_replace (
+      out.text, std::regex ("[0-9]+\\.[0-9]+(e-[0-9]+)?"), "T");
+  text = std::regex_replace (text, std::regex (" +"), " ");
+  text = std::regex_replace (text, std::regex ("elapsed_ms\":[0-9]+"),
+                             "elapsed_ms\":T");
+  return text + "exit " + std::to_string (out.code) + "\n";
+}
+
+// Repeats a query until it prints TEXT: "until TEXT A WORDS".
+std::string
+Processes::until (const Words &words) const
+{
+  Output out;
+  for (int i = 0; i < kPolls; i++)
+    {
+      out = Child (ctl (words[2], Words (words.begin () + 3, words.end ())))
+                .finish ();
+      if (out.text.find (words[1]) != std::string::npos)
+        return "";
+      usleep (kPollUs);
+    }
+  return "never: " + out.text;
+}
+
 std::string
 Processes::plain (std::string text) const
 {
@@ -310,9 +377,13 @@
   else if (verb == "fault")
     http (url (words[1]) + "/fault", words[2]);
   else if (verb == "get")
-    return plain (http (url (words[1]) + words[2], "")) + "\n";
+    return plain (http (url (words[1]) + words[2])) + "\n";
   else if (verb == "race")
     return race (words);
+  else if (verb == "load")
+    return load (words);
+  else if (verb == "until")
+    return until (words);
   else if (verb == "ctl" || verb == "daemon")
     {
       Words command
--- a/catkinctl/tests/processes.h
+++ b/catkinctl/tests/processes.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   int out_ = -1;
 };
 
+class FakeEntry;
+
 class Processes
 {
 public:
@@ -47,7 +50,8 @@
 private:
   std::string net_; // "127.A.B.", of this test program alone
   std::string dir_;
-  std::map<std::string, Child *> running_;
+  std::map<std::string, std::unique_ptr<Child> > running_;
+  std::unique_ptr<FakeEntry> fake_;
 
   std::string url (const std::string &name) const;
   std::string write (const std::string &name, const std::string &text) const;
@@ -55,11 +59,15 @@
   void stop (const std::string &name, int number);
   std::string wait (const std::string &name, const std::string &what) const;
   Words ctl (const std::string &name, const Words &words) const;
+  std::string load (const Words &words) const;
+  std::string until (const Words &words) const;
   std::string race (const Words &words) const;
   // Addresses, process ids and nonces become the same in every run.
   std::string plain (std::string text) const;
-  std::string settings (const std::string &name) const;
-  std::string http (const std::string &url, const std::string &body) const;
+  std::string entry_settings (const std::string &name) const;
+  std::string side_settings (const std::string &name) const;
+  std::string http (const std::string &url, const std::string &body = "",
+                    const char *method = nullptr) const;
 };
 
 #endif
