Suspects: each engine death counts once, bodies in a fixed order

Cause: strikes were told apart by their second only, so two engine deaths within one second counted as one and a content could kill one engine more than its bound; a content cleared and struck again within its second was not counted at all; the body listed contents in the order they were met, so equal contents gave unequal bodies.

Change: cv_suspects_strike takes the identity of the death (the side hashes its incarnation with its count of losses); bodies carry "deaths" beside "strikes" and are sorted by hash.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -197,12 +197,14 @@
   cv_content_state_t cv_suspects_state (const cv_suspects_t *s,
                                         uint64_t content_hash, int64_t wall_s);
   /* One engine death with these contents aboard.  CULPRITS are those that were
-     already suspect; when none was, all of them become suspect.  */
+     already suspect; when none was, all of them become suspect.  DEATH differs
+     from that of any other engine death of the fleet.  */
   void cv_suspects_strike (cv_suspects_t *s, const uint64_t *hashes, size_t n,
-                           int64_t wall_s);
+                           int64_t wall_s, uint64_t death);
   /* The content ran to its end.  */
   void cv_suspects_clear (cv_suspects_t *s, uint64_t content_hash);
-  /* JSON body of the document CV_DOC_SUSPECTS, and its union with ours.  */
+  /* JSON body of the document CV_DOC_SUSPECTS, ordered by hash so that equal
+     contents give equal bodies, and its union with ours.  */
   void cv_suspects_dump (const cv_suspects_t *s, cv_buf_t *out);
   bool cv_suspects_merge (cv_suspects_t *s, cv_slice_t json, cv_error_t *err);
 
--- a/policy/suspects.c
+++ b/policy/suspects.c
@@ -1,6 +1,7 @@
 /* Suspects: contents that were aboard when an engine died.  A content keeps
-   the times of its strikes; the union of two documents is the union of these
-   times, so that merging is idempotent and works in any order.  */
+   the times of its strikes and the engine deaths they stand for; the union of
+   two documents is the union of these, so that merging is idempotent and works
+   in any order, and two deaths within a second are two strikes.  */
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -14,11 +15,18 @@
 /* A strike counts for so long.  */
 #define STRIKE_LIFETIME_S (6 * 3600)
 
+/* One engine death.  */
+typedef struct
+{
+  int64_t wall_s; /* 0: none */
+  uint64_t death; /* identity of the death */
+} strike_t;
+
 typedef struct
 {
   uint64_t hash;
-  int64_t strike[CV_SUSPECT_STRIKES]; /* newest first, 0: none */
-  int64_t cleared;                    /* strikes up to here do not count */
+  strike_t strike[CV_SUSPECT_STRIKES]; /* newest first */
+  int64_t cleared;                     /* strikes up to here do not count */
 } suspect_t;
 
 struct cv_suspects_t
@@ -30,7 +38,11 @@
 
 static int strikes (const suspect_t *e, int64_t wall_s);
 static suspect_t *suspect_get (cv_suspects_t *s, uint64_t hash);
-static void strike_add (suspect_t *e, int64_t wall_s);
+static bool newer (const strike_t *a, const strike_t *b);
+static void strike_add (suspect_t *e, strike_t strike);
+static int by_hash (const void *a, const void *b);
+static bool merge_strikes (suspect_t *e, json_object *list,
+                           json_object *deaths);
 static bool merge_one (cv_suspects_t *s, json_object *item);
 
 cv_suspects_t *
@@ -57,7 +69,8 @@
   int n = 0;
 
   for (int i = 0; i < CV_SUSPECT_STRIKES; i++)
-    if (e->strike[i] > e->cleared && wall_s - e->strike[i] < STRIKE_LIFETIME_S)
+    if (e->strike[i].wall_s > e->cleared
+        && wall_s - e->strike[i].wall_s < STRIKE_LIFETIME_S)
       n++;
   return n;
 }
@@ -89,7 +102,7 @@
     {
       i = 0;
       for (uint32_t k = 1; k < s->count; k++)
-        if (s->entry[k].strike[0] < s->entry[i].strike[0])
+        if (newer (&s->entry[i].strike[0], &s->entry[k].strike[0]))
           i = k;
       cv_map_remove (&s->index, s->entry[i].hash);
     }
@@ -98,26 +111,34 @@
   return &s->entry[i];
 }
 
-/* Keep the newest strikes, each time once.  */
+static bool
+newer (const strike_t *a, const strike_t *b)
+{
+  if (a->wall_s != b->wall_s)
+    return a->wall_s > b->wall_s;
+  return a->death > b->death;
+}
+
+/* Keep the newest strikes, each death once.  */
 static void
-strike_add (suspect_t *e, int64_t wall_s)
+strike_add (suspect_t *e, strike_t strike)
 {
   for (int i = 0; i < CV_SUSPECT_STRIKES; i++)
     {
-      int64_t other = e->strike[i];
+      strike_t other = e->strike[i];
 
-      if (other == wall_s)
+      if (other.wall_s == strike.wall_s && other.death == strike.death)
         return;
-      if (wall_s < other)
+      if (newer (&other, &strike))
         continue;
-      e->strike[i] = wall_s;
-      wall_s = other;
+      e->strike[i] = strike;
+      strike = other;
     }
 }
 
 void
 cv_suspects_strike (cv_suspects_t *s, const uint64_t *hashes, size_t n,
-                    int64_t wall_s)
+                    int64_t wall_s, uint64_t death)
 {
   size_t culprits = 0;
 
@@ -126,7 +147,15 @@
   for (size_t i = 0; i < n; i++)
     if (culprits == 0
         || cv_suspects_state (s, hashes[i], wall_s) != CV_CONTENT_CLEAR)
-      strike_add (suspect_get (s, hashes[i]), wall_s);
+      {
+        suspect_t *e = suspect_get (s, hashes[i]);
+
+        /* Cleared within this second and struck again: it counts.  */
+        strike_add (
+            e,
+            (strike_t){ .wall_s = wall_s > e->cleared ? wall_s : e->cleared + 1,
+                        .death = death });
+      }
 }
 
 void
@@ -135,24 +164,70 @@
   uint32_t i = cv_map_get (&s->index, content_hash);
 
   if (i != CV_MAP_NONE)
-    s->entry[i].cleared = s->entry[i].strike[0];
+    s->entry[i].cleared = s->entry[i].strike[0].wall_s;
+}
+
+static int
+by_hash (const void *a, const void *b)
+{
+  const suspect_t *const *x = a;
+  const suspect_t *const *y = b;
+
+  return ((*x)->hash > (*y)->hash) - ((*x)->hash < (*y)->hash);
 }
 
 void
 cv_suspects_dump (const cv_suspects_t *s, cv_buf_t *out)
 {
+  const suspect_t **sorted
+      = cv_calloc (s->count + 1, sizeof (const suspect_t *));
+
+  for (uint32_t i = 0; i < s->count; i++)
+    sorted[i] = &s->entry[i];
+  qsort (sorted, s->count, sizeof (const suspect_t *), by_hash);
   cv_buf_printf (out, "{\"suspects\":[");
   for (uint32_t i = 0; i < s->count; i++)
     {
-      const suspect_t *e = &s->entry[i];
+      const suspect_t *e = sorted[i];
 
       cv_buf_printf (out,
                      "%s{\"hash\":\"%016" PRIx64 "\",\"strikes\":[%" PRId64
-                     ",%" PRId64 "],\"cleared\":%" PRId64 "}",
-                     i ? "," : "", e->hash, e->strike[0], e->strike[1],
-                     e->cleared);
+                     ",%" PRId64 "],\"deaths\":[\"%016" PRIx64
+                     "\",\"%016" PRIx64 "\"],\"cleared\":%" PRId64 "}",
+                     i ? "," : "", e->hash, e->strike[0].wall_s,
+                     e->strike[1].wall_s, e->strike[0].death,
+                     e->strike[1].death, e->cleared);
     }
   cv_buf_printf (out, "]}");
+  free (sorted);
+}
+
+/* Add the strikes of LIST, whose deaths are at the same places of DEATHS.  */
+static bool
+merge_strikes (suspect_t *e, json_object *list, json_object *deaths)
+{
+  size_t n = json_object_array_length (list);
+
+  if (json_object_array_length (deaths) != n)
+    return false;
+  for (size_t i = 0; i < n; i++)
+    {
+      json_object *death = json_object_array_get_idx (deaths, i);
+      strike_t strike;
+      const char *text;
+      char *end;
+
+      if (!json_object_is_type (death, json_type_string))
+        return false;
+      text = json_object_get_string (death);
+      strike.wall_s
+          = json_object_get_int64 (json_object_array_get_idx (list, i));
+      strike.death = strtoull (text, &end, 16);
+      if (end == text || *end != '\0')
+        return false;
+      strike_add (e, strike);
+    }
+  return true;
 }
 
 static bool
@@ -160,6 +235,7 @@
 {
   json_object *hash;
   json_object *list;
+  json_object *deaths;
   json_object *cleared;
   const char *text;
   char *end;
@@ -168,17 +244,19 @@
 
   if (!json_object_object_get_ex (item, "hash", &hash)
       || !json_object_object_get_ex (item, "strikes", &list)
+      || !json_object_object_get_ex (item, "deaths", &deaths)
       || !json_object_object_get_ex (item, "cleared", &cleared)
       || !json_object_is_type (hash, json_type_string)
-      || !json_object_is_type (list, json_type_array))
+      || !json_object_is_type (list, json_type_array)
+      || !json_object_is_type (deaths, json_type_array))
     return false;
   text = json_object_get_string (hash);
   h = strtoull (text, &end, 16);
   if (end == text || *end != '\0')
     return false;
   e = suspect_get (s, h);
-  for (size_t i = 0; i < json_object_array_length (list); i++)
-    strike_add (e, json_object_get_int64 (json_object_array_get_idx (list, i)));
+  if (!merge_strikes (e, list, deaths))
+    return false;
   if (json_object_get_int64 (cleared) > e->cleared)
     e->cleared = json_object_get_int64 (cleared);
   return true;
--- a/policy/tests/script_test.cc
+++ b/policy/tests/script_test.cc
@@ -81,6 +81,7 @@
   cv_limits_t *limits;
   cv_gate_t *gate;
   cv_suspects_t *suspects;
+  uint64_t deaths = 0;
   cv_retry_budget_t budget;
   std::ostringstream out;
 
@@ -298,7 +299,7 @@
         for (size_t i = 2; i < w.size (); i++)
           hashes.push_back (std::stoull (w[i]));
         cv_suspects_strike (suspects, hashes.data (), hashes.size (),
-                            std::stol (w[1]));
+                            std::stol (w[1]), ++deaths);
       }
     else if (w[0] == "suspects.state")
       out << name[cv_suspects_state (suspects, std::stoull (w[2]),
--- a/side/running.c
+++ b/side/running.c
@@ -281,7 +281,9 @@
   if (s->state == CV_STREAM_RUNNING)
     hashes[n++] = s->content_hash;
   if (n > 0)
-    cv_suspects_strike (c->suspects, hashes, n, c->wall_s);
+    cv_suspects_strike (c->suspects, hashes, n, c->wall_s,
+                        cv_hash (&c->set.incarnation, sizeof c->set.incarnation,
+                                 c->counts.engine_losses));
   free (hashes);
   return n > 0;
 }
