Bench of the decisions on a small fake engine in virtual time

The product's own policy code of entries and sides against round robin, least in flight and two random choices, each of these with the engine's last-in preemption and no admission control; both deployments, seven cases, loads relative to the best throughput that the fake engine reached with a fixed number of streams.

--- /dev/null
+++ b/bench/decisions/engine.c
@@ -0,0 +1,158 @@
+/* The fake engine.  */
+
+#include "bench/decisions/engine.h"
+
+/* Part of the memory that admission leaves free.  */
+#define WATERMARK 0.01
+
+static uint64_t size_of (const job_t *job);
+static bool prefix_cached (engine_t *e, uint32_t prefix);
+static bool make_room (engine_t *e);
+static void admit (engine_t *e);
+
+void
+engine_init (engine_t *e, const engine_model_t *model)
+{
+  *e = (engine_t){ .model = *model };
+  TAILQ_INIT (&e->running);
+  TAILQ_INIT (&e->waiting);
+  for (int i = 0; i < ENGINE_PREFIXES; i++)
+    e->prefix[i] = UINT32_MAX;
+}
+
+static uint64_t
+size_of (const job_t *job)
+{
+  return (uint64_t)job->prompt + job->produced;
+}
+
+void
+engine_submit (engine_t *e, job_t *job)
+{
+  job->state = JOB_WAITING;
+  job->prefill = (uint32_t)size_of (job);
+  TAILQ_INSERT_TAIL (&e->waiting, job, link);
+  e->waiting_count++;
+}
+
+void
+engine_remove (engine_t *e, job_t *job)
+{
+  if (job->state == JOB_WAITING)
+    {
+      TAILQ_REMOVE (&e->waiting, job, link);
+      e->waiting_count--;
+    }
+  else if (job->state == JOB_RUNNING)
+    {
+      TAILQ_REMOVE (&e->running, job, link);
+      e->running_count--;
+      e->used -= size_of (job);
+    }
+  job->state = JOB_OUT;
+}
+
+/* Whether PREFIX was in the cache; it is now.  */
+static bool
+prefix_cached (engine_t *e, uint32_t prefix)
+{
+  int i = 0;
+  bool found;
+
+  while (i < ENGINE_PREFIXES - 1 && e->prefix[i] != prefix)
+    i++;
+  found = e->prefix[i] == prefix;
+  for (; i > 0; i--)
+    e->prefix[i] = e->prefix[i - 1];
+  e->prefix[0] = prefix;
+  return found;
+}
+
+/* Preempt the last admitted until each running stream has room for a token.
+   True when one was preempted.  */
+static bool
+make_room (engine_t *e)
+{
+  bool any = false;
+
+  while (e->running_count > 1 && e->used + e->running_count > e->model.kv_total)
+    {
+      job_t *last = TAILQ_LAST (&e->running, job_list_t);
+
+      engine_remove (e, last);
+      last->state = JOB_WAITING;
+      last->preempted = true;
+      last->prefill = (uint32_t)size_of (last);
+      TAILQ_INSERT_HEAD (&e->waiting, last, link);
+      e->waiting_count++;
+      any = true;
+    }
+  return any;
+}
+
+static void
+admit (engine_t *e)
+{
+  uint64_t most = (uint64_t)((1 - WATERMARK) * (double)e->model.kv_total);
+  job_t *job;
+
+  while ((job = TAILQ_FIRST (&e->waiting)) != NULL
+         && e->running_count < e->model.max_batch
+         && (e->running_count == 0
+             || e->used + size_of (job) + e->running_count < most))
+    {
+      TAILQ_REMOVE (&e->waiting, job, link);
+      e->waiting_count--;
+      TAILQ_INSERT_TAIL (&e->running, job, link);
+      e->running_count++;
+      e->used += size_of (job);
+      job->state = JOB_RUNNING;
+      if (prefix_cached (e, job->prefix))
+        job->prefill -= job->prefix_tokens;
+    }
+}
+
+cv_time_t
+engine_plan (engine_t *e)
+{
+  uint32_t budget = e->model.prefill_chunk;
+  double us = e->model.step_us;
+  job_t *job;
+
+  TAILQ_FOREACH (job, &e->waiting, link)
+  job->preempted = false;
+  if (!make_room (e))
+    admit (e);
+  if (e->running_count == 0)
+    return 0;
+  TAILQ_FOREACH (job, &e->running, link)
+  {
+    uint32_t part = job->prefill < budget ? job->prefill : budget;
+
+    if (job->prefill == 0)
+      us += e->model.stream_us + e->model.context_us * (double)size_of (job);
+    us += e->model.prefill_us * part;
+    budget -= part;
+    job->prefill -= part;
+  }
+  return (cv_time_t)us;
+}
+
+void
+engine_finish (engine_t *e, void (*token) (void *arg, job_t *job), void *arg)
+{
+  job_t *job = TAILQ_FIRST (&e->running);
+
+  while (job != NULL)
+    {
+      job_t *next = TAILQ_NEXT (job, link);
+
+      if (job->prefill == 0)
+        {
+          job->produced++;
+          e->used++;
+          token (arg, job);
+        }
+      job = next;
+    }
+}
--- /dev/null
+++ b/bench/decisions/report.c
@@ -0,0 +1,239 @@
+/* Parallel runs, medians, the table and the JSON file.  */
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "bench/decisions/report.h"
+
+#define THREADS_MAX 8
+
+typedef struct
+{
+  line_t *lines;
+  size_t n;
+  uint64_t first;
+  size_t seeds;
+  atomic_size_t next;
+} work_t;
+
+static void *worker (void *arg);
+static int by_value (const void *a, const void *b);
+static spread_t spread (double *v, size_t n);
+static bool higher_is_better (figure_t f);
+static void json_group (FILE *out, const char *name, const line_t *line,
+                        way_t way, size_t seeds, int class, int account);
+static void json_line (FILE *out, const line_t *line, size_t seeds);
+
+static void *
+worker (void *arg)
+{
+  work_t *w = arg;
+  size_t i;
+
+  while ((i = atomic_fetch_add (&w->next, 1)) < w->n * WAYS * w->seeds)
+    {
+      line_t *line = &w->lines[i / (WAYS * w->seeds)];
+      way_t way = (way_t)(i / w->seeds % WAYS);
+      size_t seed = i % w->seeds;
+      run_t r = { .setup = line->setup,
+                  .what = line->what,
+                  .load = line->load,
+                  .way = way,
+                  .seed = w->first + seed };
+
+      run (&r, &line->runs[way][seed]);
+    }
+  return NULL;
+}
+
+void
+report_run (line_t *lines, size_t n, uint64_t first, size_t seeds)
+{
+  work_t w = { .lines = lines, .n = n, .first = first, .seeds = seeds };
+  pthread_t thread[THREADS_MAX];
+  int started = 0;
+
+  for (size_t i = 0; i < n; i++)
+    for (int way = 0; way < WAYS; way++)
+      lines[i].runs[way] = cv_calloc (seeds, sizeof (metrics_t));
+  while (started < THREADS_MAX
+         && pthread_create (&thread[started], NULL, worker, &w) == 0)
+    started++;
+  (void)worker (&w);
+  while (started > 0)
+    (void)pthread_join (thread[--started], NULL);
+}
+
+void
+report_free (line_t *lines, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    for (int way = 0; way < WAYS; way++)
+      free (lines[i].runs[way]);
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+static spread_t
+spread (double *v, size_t n)
+{
+  qsort (v, n, sizeof *v, by_value);
+  return (spread_t){ .median = (v[(n - 1) / 2] + v[n / 2]) / 2,
+                     .low = v[0],
+                     .high = v[n - 1] };
+}
+
+spread_t
+report_spread (const line_t *line, way_t way, size_t seeds, figure_t f)
+{
+  double v[SEEDS_MAX];
+
+  for (size_t i = 0; i < seeds; i++)
+    v[i] = metrics_figure (&line->runs[way][i], line->setup, f);
+  return spread (v, seeds);
+}
+
+static bool
+higher_is_better (figure_t f)
+{
+  return f == FIGURE_GOODPUT || f == FIGURE_FAIRNESS;
+}
+
+double
+report_best (const line_t *line, size_t seeds, figure_t f)
+{
+  double best = 0;
+
+  for (int way = WAY_ROUND_ROBIN; way < WAYS; way++)
+    {
+      double x = report_spread (line, (way_t)way, seeds, f).median;
+
+      if (way == WAY_ROUND_ROBIN || (x > best) == higher_is_better (f))
+        best = x;
+    }
+  return best;
+}
+
+void
+report_table (const line_t *lines, size_t n, size_t seeds)
+{
+  printf ("median over %zu seeds (lowest to highest)\n", seeds);
+  for (size_t i = 0; i < n; i++)
+    {
+      const line_t *l = &lines[i];
+
+      printf ("\n%s %s load %.2f\n  %-16s", l->setup->name, case_name[l->what],
+              l->load, "");
+      printf (" %20s %20s %17s %8s %8s %18s %7s %7s %5s %6s\n",
+              "stall s/1k tok", "preempt/1k answers", "gap p99 ms", "ttft p50",
+              "ttft p95", "goodput tok/s", "refus%", "inter%", "fair",
+              "ms/tok");
+      for (int way = 0; way < WAYS; way++)
+        {
+          spread_t s[FIGURES];
+
+          for (int f = 0; f < FIGURES; f++)
+            s[f] = report_spread (l, (way_t)way, seeds, (figure_t)f);
+          printf ("  %-16s %6.3f (%5.3f-%6.3f) %5.0f (%4.0f - %4.0f) "
+                  "%5.0f (%4.0f-%4.0f) %8.0f %8.0f %6.0f (%4.0f-%4.0f) %7.2f "
+                  "%7.2f %5.3f %6.1f\n",
+                  way_name[way], s[0].median, s[0].low, s[0].high, s[1].median,
+                  s[1].low, s[1].high, s[2].median, s[2].low, s[2].high,
+                  s[3].median, s[4].median, s[5].median, s[5].low, s[5].high,
+                  s[6].median, s[7].median, s[8].median, s[9].median);
+        }
+    }
+}
+
+/* Figures of one class or account, or of all when both are negative.  */
+static void
+json_group (FILE *out, const char *name, const line_t *line, way_t way,
+            size_t seeds, int class, int account)
+{
+  fprintf (out, "{\"name\":\"%s\"", name);
+  for (int f = 0; f < FIGURES; f++)
+    {
+      spread_t s;
+      double v[SEEDS_MAX];
+
+      if (f == FIGURE_FAIRNESS && (class >= 0 || account >= 0))
+        continue;
+      for (size_t i = 0; i < seeds; i++)
+        {
+          const metrics_t *m = &line->runs[way][i];
+
+          v[i] = class >= 0 ? group_figure (m, &m->class[class], (figure_t)f)
+                 : account >= 0
+                     ? group_figure (m, &m->account[account], (figure_t)f)
+                     : metrics_figure (m, line->setup, (figure_t)f);
+        }
+      s = spread (v, seeds);
+      fprintf (out, ",\"%s\":[%.6g,%.6g,%.6g]", figure_name[f], s.median, s.low,
+               s.high);
+    }
+  fprintf (out, "}");
+}
+
+static void
+json_line (FILE *out, const line_t *line, size_t seeds)
+{
+  fprintf (out,
+           "{\"deployment\":\"%s\",\"case\":\"%s\",\"load\":%.2f,\"ways\":[",
+           line->setup->name, case_name[line->what], line->load);
+  for (int way = 0; way < WAYS; way++)
+    {
+      fprintf (out, "%s\n{\"way\":\"%s\",\"all\":", way ? "," : "",
+               way_name[way]);
+      json_group (out, "all", line, (way_t)way, seeds, -1, -1);
+      fprintf (out, ",\"classes\":[");
+      for (int c = 0; c < CLASSES; c++)
+        {
+          fprintf (out, "%s", c ? "," : "");
+          json_group (out, line->setup->class[c].name, line, (way_t)way, seeds,
+                      c, -1);
+        }
+      fprintf (out, "],\"accounts\":[");
+      for (int a = 0; a < ACCOUNTS; a++)
+        {
+          char name[16];
+
+          (void)snprintf (name, sizeof name, "account-%d", a);
+          fprintf (out, "%s", a ? "," : "");
+          json_group (out, name, line, (way_t)way, seeds, -1, a);
+        }
+      fprintf (out, "]}");
+    }
+  fprintf (out, "]}");
+}
+
+bool
+report_json (const char *path, const char *revision, const line_t *lines,
+             size_t n, uint64_t first, size_t seeds)
+{
+  FILE *out = fopen (path, "w");
+
+  if (out == NULL)
+    return false;
+  fprintf (out,
+           "{\"bench\":\"decisions\",\"revision\":\"%s\",\"first_seed\":%llu,"
+           "\"seeds\":%zu,\"figures\":\"[median, lowest, highest]\","
+           "\"lines\":[\n",
+           revision, (unsigned long long)first, seeds);
+  for (size_t i = 0; i < n; i++)
+    {
+      json_line (out, &lines[i], seeds);
+      fprintf (out, i + 1 < n ? ",\n" : "\n");
+    }
+  fprintf (out, "]}\n");
+  return fclose (out) == 0;
+}
