--- a/catkinctl/tests/processes.h
+++ b/catkinctl/tests/processes.h
@@ -50,7 +50,7 @@
 private:
   std::string net_; // "127.A.B.", of this test program alone
   std::string dir_;
-  std::map<std::string, std::unique_ptr<Child> > running_;
+  std::map<std::string, std::unique_ptr<Child>> running_;
   std::unique_ptr<FakeEntry> fake_;
 
   std::string url (const std::string &name) const;
--- a/side/tests/token_event_test.cc
+++ b/side/tests/token_event_test.cc
@@ -27,7 +27,7 @@
 
 TEST (TokenEvent, Table)
 {
-  const std::vector<std::pair<std::string, std::string> > table = {
+  const std::vector<std::pair<std::string, std::string>> table = {
     { "{'i':0,'t':'word '}", "0 [word ]" },
     { "{'i':123456789,'t':''}", "123456789 []" },
     { "{'i':7,'t':'z\xc4\x81'}", "7 [z\xc4\x81]" },
