--- a/catkinctl/main.c
+++ b/catkinctl/main.c
@@ -8,6 +8,7 @@
 #include "catkinctl/ctl.h"
 
 #define DEFAULT_TIMEOUT_S 10
+#define LOAD_TIMEOUT_S 120 /* a summary may take long */
 #define URL_TEXT 128
 #define ENTRY_VARIABLE "CATKINVALE_ENTRY"
 #define KEY_VARIABLE "CATKINVALE_KEY"
@@ -113,8 +114,7 @@
 } number_t;
 
 static const number_t numbers[] = {
-  { "timeout", offsetof (cv_ctl_t, timeout_s), OPT_TIMEOUT, 1, 3600,
-    DEFAULT_TIMEOUT_S },
+  { "timeout", offsetof (cv_ctl_t, timeout_s), OPT_TIMEOUT, 1, 3600, 0 },
   { "count", offsetof (cv_ctl_t, count), OPT_COUNT, 1, 1000000, 200 },
   { "concurrency", offsetof (cv_ctl_t, concurrency), OPT_CONCURRENCY, 1,
     CV_LOAD_CALLERS_MAX, 8 },
@@ -261,6 +261,9 @@
       {
         ctl.args++;
         ctl.arg_count--;
+        if (ctl.timeout_s == 0)
+          ctl.timeout_s
+              = v->run == cv_ctl_load ? LOAD_TIMEOUT_S : DEFAULT_TIMEOUT_S;
         return v->run (&ctl);
       }
   fprintf (stderr, "catkinctl: there is no verb \"%s\"; see --help\n",
--- a/config/tests/config_test.cc
+++ b/config/tests/config_test.cc
@@ -10,7 +10,12 @@
 #include <sstream>
 #include <string>
 
+#include "base/tests/field_rows.h"
 #include "config/config.h"
+extern "C"
+{
+#include "config/kinds.h"
+}
 
 namespace
 {
@@ -253,4 +258,25 @@
   EXPECT_FALSE (cv_key_matches (cv_slice (""), ""));
 }
 
+TEST (Config, PageHasEachKeyWithItsRangeAndDefault)
+{
+  std::string page
+      = slurp (std::string (CV_TEST_DIR) + "/../../docs/CONFIGURATION.md");
+  std::string man
+      = slurp (std::string (CV_TEST_DIR) + "/../../man/catkinvale-config.5");
+  for (const cv_kind_t &kind : cv_kinds)
+    {
+      size_t at = page.find (std::string ("\n### ") + kind.plural + "\n");
+      ASSERT_NE (std::string::npos, at) << kind.plural;
+      size_t end = page.find ("\n### ", at + 1);
+      for (const auto &row : field_rows (kind.fields))
+        {
+          EXPECT_LT (page.find ("\n" + row, at), end) << row;
+          EXPECT_NE (std::string::npos, man.find (man_item (row))) << row;
+        }
+    }
+  for (const auto &row : field_rows (cv_system_fields))
+    EXPECT_NE (std::string::npos, page.find ("\n" + row)) << row;
+}
+
 } // namespace
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -4,8 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/json.h"
-#include "settings/settings.h"
+#include "settings/fields.h"
 
 #define FILE_MAX (256u * 1024)
 #define PORT_MAX 65535
@@ -295,6 +294,12 @@
   return 0;
 }
 
+const cv_field_t *
+cv_settings_fields (cv_role_t role)
+{
+  return role == CV_ROLE_ENTRY ? entry_fields : side_fields;
+}
+
 const char *
 cv_settings_instance (const cv_settings_t *s)
 {
--- a/settings/tests/settings_test.cc
+++ b/settings/tests/settings_test.cc
@@ -9,6 +9,8 @@
 #include <sstream>
 #include <string>
 
+#include "base/tests/field_rows.h"
+#include "settings/fields.h"
 #include "settings/settings.h"
 
 namespace
@@ -105,4 +107,24 @@
   free (report);
 }
 
+TEST (Settings, PageHasEachKeyWithItsRangeAndDefault)
+{
+  std::string page
+      = slurp (std::string (CV_TEST_DIR) + "/../../docs/SETTINGS.md");
+  size_t side = page.find ("\n## Role `side`");
+  ASSERT_NE (std::string::npos, side);
+  std::string man
+      = slurp (std::string (CV_TEST_DIR) + "/../../man/catkinvale.conf.5");
+  for (const auto &row : field_rows (cv_settings_fields (CV_ROLE_ENTRY)))
+    {
+      EXPECT_LT (page.find ("\n" + row), side) << row;
+      EXPECT_NE (std::string::npos, man.find (man_item (row))) << row;
+    }
+  for (const auto &row : field_rows (cv_settings_fields (CV_ROLE_SIDE)))
+    {
+      EXPECT_NE (std::string::npos, page.find ("\n" + row, side)) << row;
+      EXPECT_NE (std::string::npos, man.find (man_item (row))) << row;
+    }
+}
+
 } // namespace
