--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -8,6 +8,8 @@
 
 #include <json-c/json.h>
 
+#include "entry/poll.h"
+#include "entry/store_suspects.h"
 #include "entry/storejobs.h"
 
 /* Jobs that may wait; more are refused at once.  */
@@ -15,9 +17,6 @@
 /* A job that has not begun by then is refused.  */
 #define JOB_WAIT (3 * CV_SECOND)
 #define SETTLE_TIME (5 * CV_SECOND)
-/* Reads of the configuration by all entries together, per second.  */
-#define POLLS_PER_S 100
-#define POLL_INTERVAL_MAX (10 * CV_SECOND)
 /* Largest value that the object API holds, and what its call adds.  */
 #define DOCUMENT_MAX (1024 * 1024 - 256)
 /* Configurations kept to tell what changed since an operator's base.  */
@@ -58,7 +57,9 @@
   cv_entry_link_t *link;
   cv_store_t store;
   cv_store_counts_t counts;
-  cv_time_t poll_interval;           /* of an entry alone */
+  cv_store_suspects_t suspects;
+  cv_time_t poll_interval; /* of an entry alone */
+  cv_poll_t poll;
   cv_config_t *earlier[EARLIER_MAX]; /* newest first, NULL at the end */
 };
 
@@ -69,12 +70,12 @@
 static void poll_config (cv_storejobs_t *s);
 static bool read_config (cv_storejobs_t *s, cv_error_t *err);
 static void remember (cv_storejobs_t *s, cv_config_t *config);
-static cv_time_t poll_interval (cv_storejobs_t *s);
+static void sync_suspects (cv_storejobs_t *s);
 static bool run_change (cv_storejobs_t *s, cv_job_t *job);
 static bool run_claim (cv_storejobs_t *s, cv_job_t *job);
 static bool read_claim (cv_storejobs_t *s, cv_job_t *job);
-static bool adopt (cv_storejobs_t *s, uint64_t version, const char *json,
-                   cv_error_t *err);
+static bool adopt (cv_storejobs_t *s, cv_time_t asked, uint64_t version,
+                   const char *json, cv_error_t *err);
 static struct timespec clock_at (cv_time_t until);
 
 cv_storejobs_t *
@@ -86,6 +87,7 @@
 
   s->link = link;
   s->poll_interval = settings->store_poll_ms * CV_MS;
+  cv_poll_init (&s->poll, cv_u64_random ());
   STAILQ_INIT (&s->jobs);
   cv_store_init (&s->store, settings->store.url,
                  (int)settings->store.timeout_ms);
@@ -99,6 +101,7 @@
     return s;
   (void)cv_fail (err, CV_ERR_SYSTEM, "object API thread cannot be started");
   cv_store_finish (&s->store);
+  cv_poll_finish (&s->poll);
   free (s);
   return NULL;
 }
@@ -112,6 +115,7 @@
   (void)pthread_mutex_unlock (&s->lock);
   (void)pthread_join (s->thread, NULL);
   cv_store_finish (&s->store);
+  cv_poll_finish (&s->poll);
   for (size_t i = 0; i < EARLIER_MAX; i++)
     cv_config_unref (s->earlier[i]);
   (void)pthread_cond_destroy (&s->queued);
@@ -191,7 +195,7 @@
 run (void *arg)
 {
   cv_storejobs_t *s = arg;
-  cv_time_t next_poll = 0;
+  cv_time_t next_poll = cv_now () + cv_poll_first (&s->poll);
   bool quit = false;
 
   while (!quit)
@@ -201,7 +205,10 @@
       if (cv_now () >= next_poll)
         {
           poll_config (s);
-          next_poll = cv_now () + poll_interval (s);
+          sync_suspects (s);
+          next_poll = cv_now ()
+                      + cv_poll_wait (&s->poll, s->poll_interval,
+                                      cv_entry_link_entries (s->link));
         }
       job = next_job (s, next_poll);
       if (job != NULL)
@@ -255,6 +262,7 @@
 static void
 poll_config (cv_storejobs_t *s)
 {
+  cv_time_t asked = cv_now ();
   cv_config_t *present;
   cv_error_t err;
 
@@ -262,6 +270,7 @@
     s->failing = false;
   else
     {
+      cv_entry_link_store_failed (s->link, asked);
       if (!s->failing)
         cv_log (CV_EV_ENTRY_STORE_FAILED, "%s", err.text);
       s->failing = true;
@@ -278,17 +287,18 @@
 read_config (cv_storejobs_t *s, cv_error_t *err)
 {
   cv_config_t *present = cv_entry_link_config (s->link);
+  cv_time_t asked = cv_now ();
   cv_object_t object = { 0 };
   uint64_t version;
   bool ok = cv_store_version (&s->store, CV_CONFIG_KEY, &version, err);
 
   if (ok && present != NULL && version == present->version)
-    cv_entry_link_adopt (s->link, present); /* confirms it */
+    cv_entry_link_adopt (s->link, asked, present); /* confirms it */
   else if (ok && version > (present == NULL ? 0 : present->version))
     {
       ok = cv_store_get (&s->store, CV_CONFIG_KEY, &object, err);
       if (ok && object.version != 0
-          && !adopt (s, object.version, object.json, err))
+          && !adopt (s, asked, object.version, object.json, err))
         cv_log (CV_EV_ENTRY_DOC_INVALID, "version %llu: %s",
                 (unsigned long long)object.version, err->text);
       cv_object_finish (&object);
@@ -312,28 +322,31 @@
   (void)pthread_mutex_unlock (&s->lock);
 }
 
-/* All entries together stay under POLLS_PER_S.  */
-static cv_time_t
-poll_interval (cv_storejobs_t *s)
+static void
+sync_suspects (cv_storejobs_t *s)
 {
-  cv_time_t interval
-      = (cv_time_t)cv_entry_link_entries (s->link) * CV_SECOND / POLLS_PER_S;
-
-  if (interval < s->poll_interval)
-    return s->poll_interval;
-  if (interval > POLL_INTERVAL_MAX)
-    return POLL_INTERVAL_MAX;
-  return interval;
+  uint64_t version;
+  char *stored = NULL;
+  char *text = cv_entry_link_suspects (s->link, &version);
+
+  if (!s->failing && cv_store_suspects_due (&s->suspects, version))
+    (void)cv_store_suspects_sync (&s->suspects, &s->store, text, version,
+                                  &stored);
+  if (stored != NULL)
+    cv_entry_link_merge_suspects (s->link, stored);
+  free (stored);
+  free (text);
 }
 
 static bool
-adopt (cv_storejobs_t *s, uint64_t version, const char *json, cv_error_t *err)
+adopt (cv_storejobs_t *s, cv_time_t asked, uint64_t version, const char *json,
+       cv_error_t *err)
 {
   cv_config_t *config = cv_config_parse (version, cv_slice (json), err);
 
   if (config == NULL)
     return false;
-  cv_entry_link_adopt (s->link, config);
+  cv_entry_link_adopt (s->link, asked, config);
   cv_config_unref (config);
   return true;
 }
@@ -346,6 +359,7 @@
   cv_change_t *change = job->change;
   uint64_t base = job->base == NULL ? 0 : job->base->version;
   uint64_t settled = s->store.counts.settled;
+  cv_time_t asked = cv_now ();
   cv_error_t ignored;
   cv_buf_t doc;
   bool ok;
@@ -366,7 +380,7 @@
       /* A settled write may have been overwritten: what is in the store
          counts then, and not our text.  */
       if (ok && settled == s->store.counts.settled)
-        (void)adopt (s, change->version, cv_buf_text (&doc), &ignored);
+        (void)adopt (s, asked, change->version, cv_buf_text (&doc), &ignored);
       else if (ok || job->err.code == CV_ERR_CONFLICT)
         (void)read_config (s, &ignored);
     }
--- a/entry/tests/storejobs_test.cc
+++ b/entry/tests/storejobs_test.cc
@@ -161,7 +161,7 @@
   EXPECT_EQ ("accepted 2", a.change (base, document (2)));
   EXPECT_EQ (2u, b.weight (2));
   // Both a lagging replica of the store and a peer may show version 1 again.
-  cv_entry_link_adopt (b.link, base);
+  cv_entry_link_adopt (b.link, cv_now (), base);
   store.rewind ("config/current", 1, document (1));
   uint64_t reads = cv_storejobs_counts (b.jobs).reads;
   while (cv_storejobs_counts (b.jobs).reads < reads + 3)
