--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -68,9 +68,9 @@
 static void run_job (cv_storejobs_t *s, cv_job_t *job);
 static bool submit (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err);
 static void poll_config (cv_storejobs_t *s);
-static void sync_suspects (cv_storejobs_t *s);
 static bool read_config (cv_storejobs_t *s, cv_error_t *err);
 static void remember (cv_storejobs_t *s, cv_config_t *config);
+static void sync_suspects (cv_storejobs_t *s);
 static bool run_change (cv_storejobs_t *s, cv_job_t *job);
 static bool run_claim (cv_storejobs_t *s, cv_job_t *job);
 static bool read_claim (cv_storejobs_t *s, cv_job_t *job);
@@ -287,8 +287,8 @@
 read_config (cv_storejobs_t *s, cv_error_t *err)
 {
   cv_config_t *present = cv_entry_link_config (s->link);
-  cv_object_t object = { 0 };
   cv_time_t asked = cv_now ();
+  cv_object_t object = { 0 };
   uint64_t version;
   bool ok = cv_store_version (&s->store, CV_CONFIG_KEY, &version, err);
 
