Entry: a planned stop waits for slow readers; callers that left are noticed

Cause: the drain waited for the core only, so that bytes of an answer that a slow reader had not taken were cut when the HTTP server stopped; a caller of a whole answer that went away was noticed by nobody, and its generation ran on.

Change: the HTTP server counts requests from their first line until the library has sent the answer's last byte; the drain waits for these too, and connections close after their answer meanwhile. Sockets are found by the client's address, which is all that the HTTP library shows; while a caller waits for a whole answer its socket is looked at every 250 ms.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -85,7 +85,8 @@
     cv_entry_link_free (e->link);
 }
 
-/* Refuse new requests and wait for those in flight.  */
+/* Refuse new requests and wait for those in flight, and until their answers
+   are sent to slow readers.  */
 static void
 drain (cv_entry_threads_t *e, const cv_entry_settings_t *s)
 {
@@ -102,7 +103,7 @@
       (void)nanosleep (&pause, NULL);
       cv_entry_link_inspect (e->link, count_in_flight, &in_flight);
     }
-  while (in_flight > 0 && cv_now () < until);
+  while ((in_flight > 0 || cv_http_active (e->http) > 0) && cv_now () < until);
 }
 
 static void
--- a/entry/http.c
+++ b/entry/http.c
@@ -13,6 +13,8 @@
 #define LISTEN_BACKLOG 1024
 /* Connections that one client address may hold.  */
 #define PER_ADDRESS_SHARE 2
+/* Between looks whether a caller that waits for a whole answer is there.  */
+#define GONE_CHECK_INTERVAL (250 * CV_MS)
 
 static bool start (cv_http_t *h, cv_error_t *err);
 static void add_endpoints (cv_http_t *h);
@@ -45,8 +47,10 @@
   h->settings = s;
   h->link = link;
   h->jobs = jobs;
+  cv_http_conns_init (&h->conns);
   if (!start (h, err))
     {
+      cv_http_conns_finish (&h->conns);
       free (h);
       return NULL;
     }
@@ -59,6 +63,7 @@
 {
   (void)ulfius_stop_framework (&h->instance);
   ulfius_clean_instance (&h->instance);
+  cv_http_conns_finish (&h->conns);
   free (h);
 }
 
@@ -83,6 +88,8 @@
   if (id == NULL || !request_id_valid (id))
     id = cv_id_format (cv_id_random (), made);
   (void)u_map_put (resp->map_header, "X-Request-Id", id);
+  if (__atomic_load_n (&h->draining, __ATOMIC_RELAXED) != 0)
+    (void)u_map_put (resp->map_header, "Connection", "close");
   if (req->binary_body_length <= h->settings->max_body_bytes
       && (length == NULL
           || strtoull (length, NULL, 10) <= h->settings->max_body_bytes))
@@ -123,6 +130,25 @@
   return unauthorized (resp);
 }
 
+uint32_t
+cv_http_active (cv_http_t *h)
+{
+  return cv_http_conns_requests (&h->conns);
+}
+
+cv_mail_t *
+cv_http_take (cv_http_t *h, const cv_request_in_t *req, cv_caller_t *caller,
+              cv_time_t wait)
+{
+  cv_time_t until = cv_now () + wait;
+  cv_mail_t *m = NULL;
+
+  while (m == NULL && cv_now () < until
+         && !cv_http_conns_gone (&h->conns, req->client_address))
+    m = cv_caller_take (caller, GONE_CHECK_INTERVAL);
+  return m;
+}
+
 const char *
 cv_http_header (const cv_request_in_t *req, const char *name)
 {
@@ -236,8 +262,10 @@
 {
   uint32_t limit = h->settings->max_connections;
   struct MHD_OptionItem ops[] = {
-    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL },
-    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL },
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)cv_http_conns_completed,
+      &h->conns },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)cv_http_conns_begun, &h->conns },
+    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)cv_http_conns_notify, &h->conns },
     { MHD_OPTION_SOCK_ADDR, 0, &h->bind },
     { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)limit, NULL },
     { MHD_OPTION_PER_IP_CONNECTION_LIMIT, (intptr_t)(limit / PER_ADDRESS_SHARE),
--- a/entry/http_calls.c
+++ b/entry/http_calls.c
@@ -79,7 +79,7 @@
     return U_CALLBACK_COMPLETE;
   caller = cv_caller_new ();
   cv_entry_link_call (h->link, caller, &spec);
-  m = cv_caller_take (caller, spec.deadline_ms * CV_MS + CALL_SLACK);
+  m = cv_http_take (h, req, caller, spec.deadline_ms * CV_MS + CALL_SLACK);
   if (m == NULL)
     {
       cv_entry_link_gone (h->link, caller);
--- /dev/null
+++ b/entry/http_conns.c
@@ -0,0 +1,141 @@
+/* Connections and requests of the HTTP server.  The HTTP library shows a
+   handler the client's address only, so that sockets are found by it.  */
+
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <ulfius.h>
+
+#include "entry/http_conns.h"
+
+struct cv_conn_t
+{
+  LIST_ENTRY (cv_conn_t) link;
+  struct sockaddr_in address;
+  int fd;
+};
+
+static struct cv_conn_list_t *bucket (cv_http_conns_t *c,
+                                      const struct sockaddr_in *address);
+static cv_conn_t *add (cv_http_conns_t *c, struct MHD_Connection *connection);
+
+void
+cv_http_conns_init (cv_http_conns_t *c)
+{
+  memset (c, 0, sizeof *c);
+  CV_INVARIANT (pthread_mutex_init (&c->lock, NULL) == 0);
+}
+
+void
+cv_http_conns_finish (cv_http_conns_t *c)
+{
+  cv_conn_t *conn;
+
+  for (size_t i = 0; i < CV_CONN_BUCKETS; i++)
+    while ((conn = LIST_FIRST (&c->buckets[i])) != NULL)
+      {
+        LIST_REMOVE (conn, link);
+        free (conn);
+      }
+  (void)pthread_mutex_destroy (&c->lock);
+}
+
+void
+cv_http_conns_notify (void *arg, struct MHD_Connection *connection,
+                      void **context, enum MHD_ConnectionNotificationCode code)
+{
+  cv_http_conns_t *c = arg;
+
+  (void)pthread_mutex_lock (&c->lock);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    *context = add (c, connection);
+  else if (*context != NULL)
+    {
+      LIST_REMOVE ((cv_conn_t *)*context, link);
+      free (*context);
+      *context = NULL;
+    }
+  (void)pthread_mutex_unlock (&c->lock);
+}
+
+void *
+cv_http_conns_begun (void *arg, const char *uri,
+                     struct MHD_Connection *connection)
+{
+  cv_http_conns_t *c = arg;
+
+  (void)connection;
+  (void)__atomic_add_fetch (&c->requests, 1, __ATOMIC_RELAXED);
+  return ulfius_uri_logger (NULL, uri);
+}
+
+void
+cv_http_conns_completed (void *arg, struct MHD_Connection *connection,
+                         void **context, enum MHD_RequestTerminationCode code)
+{
+  cv_http_conns_t *c = arg;
+
+  mhd_request_completed (NULL, connection, context, code);
+  (void)__atomic_sub_fetch (&c->requests, 1, __ATOMIC_RELAXED);
+}
+
+uint32_t
+cv_http_conns_requests (cv_http_conns_t *c)
+{
+  int n = __atomic_load_n (&c->requests, __ATOMIC_RELAXED);
+
+  return n > 0 ? (uint32_t)n : 0;
+}
+
+bool
+cv_http_conns_gone (cv_http_conns_t *c, const struct sockaddr *address)
+{
+  const struct sockaddr_in *in
+      = (const struct sockaddr_in *)(const void *)address;
+  struct pollfd p = { .events = POLLRDHUP };
+  const cv_conn_t *conn;
+  bool gone = false;
+
+  if (address == NULL || address->sa_family != AF_INET)
+    return false;
+  (void)pthread_mutex_lock (&c->lock);
+  LIST_FOREACH (conn, bucket (c, in), link)
+  if (conn->address.sin_port == in->sin_port
+      && conn->address.sin_addr.s_addr == in->sin_addr.s_addr)
+    {
+      p.fd = conn->fd;
+      gone = poll (&p, 1, 0) > 0
+             && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+  (void)pthread_mutex_unlock (&c->lock);
+  return gone;
+}
+
+static struct cv_conn_list_t *
+bucket (cv_http_conns_t *c, const struct sockaddr_in *address)
+{
+  uint64_t h = cv_hash (&address->sin_addr, sizeof address->sin_addr,
+                        address->sin_port);
+
+  return &c->buckets[h % CV_CONN_BUCKETS];
+}
+
+static cv_conn_t *
+add (cv_http_conns_t *c, struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *address = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  const union MHD_ConnectionInfo *fd
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  cv_conn_t *conn;
+
+  if (address == NULL || fd == NULL
+      || address->client_addr->sa_family != AF_INET)
+    return NULL;
+  conn = cv_calloc (1, sizeof *conn);
+  memcpy (&conn->address, address->client_addr, sizeof conn->address);
+  conn->fd = fd->connect_fd;
+  LIST_INSERT_HEAD (bucket (c, &conn->address), conn, link);
+  return conn;
+}
--- a/entry/http_internal.h
+++ b/entry/http_internal.h
@@ -8,6 +8,7 @@
 #include <ulfius.h>
 
 #include "entry/http.h"
+#include "entry/http_conns.h"
 
 #define REQUEST_ID_MAX 64
 
@@ -18,6 +19,7 @@
   const cv_entry_settings_t *settings;
   cv_entry_link_t *link;
   cv_storejobs_t *jobs;
+  cv_http_conns_t conns;
   int draining; /* atomic */
 };
 
@@ -45,6 +47,9 @@
                       cv_response_t *resp, char account[CV_NAME_MAX]);
 bool cv_http_operator (cv_http_t *h, const cv_request_in_t *req,
                        cv_response_t *resp);
+/* The next reply, or NULL after WAIT, or when the caller went away.  */
+cv_mail_t *cv_http_take (cv_http_t *h, const cv_request_in_t *req,
+                         cv_caller_t *caller, cv_time_t wait);
 /* Value of a header, or NULL.  */
 const char *cv_http_header (const cv_request_in_t *req, const char *name);
 int cv_http_fail (cv_response_t *resp, const cv_http_error_t *e);
--- a/entry/http_streams.c
+++ b/entry/http_streams.c
@@ -16,9 +16,11 @@
                    const char *last_id, bool chat);
 static int answer_stream (cv_http_t *h, cv_response_t *resp,
                           cv_caller_t *caller, bool chat);
-static int answer_whole (cv_http_t *h, cv_response_t *resp, cv_caller_t *caller,
+static int answer_whole (cv_http_t *h, const cv_request_in_t *req,
+                         cv_response_t *resp, cv_caller_t *caller,
                          const char *model, bool chat);
-static cv_mail_t *collect (cv_caller_t *caller, cv_buf_t *text,
+static cv_mail_t *collect (cv_http_t *h, const cv_request_in_t *req,
+                           cv_caller_t *caller, cv_buf_t *text,
                            cv_id_t *stream);
 static int write_whole (cv_response_t *resp, const cv_mail_t *end,
                         const cv_buf_t *text, cv_id_t stream, const char *model,
@@ -84,7 +86,7 @@
   cv_buf_finish (&in.prompt);
   if (in.stream)
     return answer_stream (h, resp, caller, chat);
-  return answer_whole (h, resp, caller, in.model, chat);
+  return answer_whole (h, req, resp, caller, in.model, chat);
 }
 
 /* Go on after the event LAST_ID, at the same generation.  */
@@ -120,8 +122,8 @@
 }
 
 static int
-answer_whole (cv_http_t *h, cv_response_t *resp, cv_caller_t *caller,
-              const char *model, bool chat)
+answer_whole (cv_http_t *h, const cv_request_in_t *req, cv_response_t *resp,
+              cv_caller_t *caller, const char *model, bool chat)
 {
   cv_id_t stream = { 0 };
   cv_buf_t text;
@@ -129,7 +131,7 @@
   int rc;
 
   cv_buf_init (&text);
-  last = collect (caller, &text, &stream);
+  last = collect (h, req, caller, &text, &stream);
   if (last == NULL)
     {
       cv_entry_link_gone (h->link, caller);
@@ -146,13 +148,15 @@
   return rc;
 }
 
-/* Gather the tokens; returns the last reply.  */
+/* Gather the tokens; returns the last reply, or NULL when the caller went
+   away.  */
 static cv_mail_t *
-collect (cv_caller_t *caller, cv_buf_t *text, cv_id_t *stream)
+collect (cv_http_t *h, const cv_request_in_t *req, cv_caller_t *caller,
+         cv_buf_t *text, cv_id_t *stream)
 {
   cv_mail_t *m;
 
-  while ((m = cv_caller_take (caller, WHOLE_WAIT)) != NULL
+  while ((m = cv_http_take (h, req, caller, WHOLE_WAIT)) != NULL
          && !cv_mail_is_last (m))
     {
       *stream = m->first.stream;
--- a/entry/storejobs.h
+++ b/entry/storejobs.h
@@ -10,23 +10,33 @@
 /* Object that holds the configuration.  */
 #define CV_CONFIG_KEY "config/current"
 
-typedef struct cv_storejobs_t cv_storejobs_t;
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  typedef struct cv_storejobs_t cv_storejobs_t;
 
-cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s,
-                                  cv_entry_link_t *link, cv_error_t *err);
-void cv_storejobs_free (cv_storejobs_t *s);
+  cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s,
+                                    cv_entry_link_t *link, cv_error_t *err);
+  void cv_storejobs_free (cv_storejobs_t *s);
 
-/* Write JSON as the configuration that follows VERSION, and take it in force.
- *NEW_VERSION is set on success.  ERR: CONFLICT, UNAVAILABLE or UNKNOWN.  */
-bool cv_storejobs_change (cv_storejobs_t *s, uint64_t version, const char *json,
-                          uint64_t *new_version, cv_error_t *err);
+  /* Write JSON as the configuration that follows VERSION, and take it in force.
+   *NEW_VERSION is set on success.  ERR: CONFLICT, UNAVAILABLE or UNKNOWN.  */
+  bool cv_storejobs_change (cv_storejobs_t *s, uint64_t version,
+                            const char *json, uint64_t *new_version,
+                            cv_error_t *err);
 
-/* Bind KEY (an object's name) to the ticket *TICKET, or read the ticket that
-   it was bound to before into *TICKET.  ERR: UNAVAILABLE or UNKNOWN.  */
-bool cv_storejobs_claim (cv_storejobs_t *s, const char *key,
-                         cv_ticket_t *ticket, cv_error_t *err);
+  /* Bind KEY (an object's name) to the ticket *TICKET, or read the ticket that
+     it was bound to before into *TICKET.  ERR: UNAVAILABLE or UNKNOWN.  */
+  bool cv_storejobs_claim (cv_storejobs_t *s, const char *key,
+                           cv_ticket_t *ticket, cv_error_t *err);
 
-/* Counts of calls so far.  */
-cv_store_counts_t cv_storejobs_counts (cv_storejobs_t *s);
+  /* Counts of calls so far.  */
+  cv_store_counts_t cv_storejobs_counts (cv_storejobs_t *s);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
