Entry: Prometheus histograms with buckets, failures by reason

Cause: measures were summaries, whose quantiles cannot be added over entries; refusals were not told apart. Each token looked its series up by hashing the names of account and class.

Change: three buckets a decade from the bins that are kept anyway, quantiles under a name of their own (catkinctl histograms reads them there), failures by the code that the caller is told. A request keeps its series.

--- a/base/base.h
+++ b/base/base.h
@@ -156,6 +156,11 @@
   /* The upper edge of the bin that holds quantile Q in [0, 1]; 0 when empty. */
   double cv_hist_quantile (const cv_hist_t *h, double q);
 
+  /* Number of bins; the upper edge of bin I, and the values in it.  */
+  size_t cv_hist_bins (const cv_hist_t *h);
+  double cv_hist_edge (const cv_hist_t *h, size_t i);
+  uint64_t cv_hist_bin (const cv_hist_t *h, size_t i);
+
   /* ---- growing byte buffer ---- */
 
   typedef struct
--- a/base/hist.c
+++ b/base/hist.c
@@ -72,3 +72,25 @@
     }
   return h->max;
 }
+
+size_t
+cv_hist_bins (const cv_hist_t *h)
+{
+  return gsl_histogram_bins (h->bins);
+}
+
+double
+cv_hist_edge (const cv_hist_t *h, size_t i)
+{
+  double lower = 0;
+  double upper = 0;
+
+  (void)gsl_histogram_get_range (h->bins, i, &lower, &upper);
+  return pow (10, upper);
+}
+
+uint64_t
+cv_hist_bin (const cv_hist_t *h, size_t i)
+{
+  return (uint64_t)gsl_histogram_get (h->bins, i);
+}
--- a/catkinctl/status.c
+++ b/catkinctl/status.c
@@ -119,6 +119,7 @@
     find_histogram (h, s)->count = s->value;
   else if (s->quantile[0] != '\0')
     {
+      (void)cut_suffix (s->name, "_quantile");
       item = find_histogram (h, s);
       if (strcmp (s->quantile, "0.5") == 0)
         item->p50 = s->value;
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -103,9 +103,10 @@
   char class_name[CV_NAME_MAX];
   uint64_t account_hash;
   uint64_t pool;
-  bool admitted; /* counted by the account's limits */
-  bool ran;      /* an earlier attempt may have run */
-  bool failed;   /* its target did not do its part */
+  cv_series_t *series; /* of account and class, once asked for */
+  bool admitted;       /* counted by the account's limits */
+  bool ran;            /* an earlier attempt may have run */
+  bool failed;         /* its target did not do its part */
   cv_time_t submitted;
   cv_time_t deadline; /* to the first token, or of the call */
   cv_time_t parked_until;
@@ -226,6 +227,8 @@
 /* Put the attempt on TARGET, or take it off with CV_NO_TARGET.  */
 void cv_request_place (cv_entry_core_t *c, cv_time_t now, cv_request_t *r,
                        uint32_t target);
+/* The metrics of R's account and class.  */
+cv_series_t *cv_request_series (cv_entry_core_t *c, cv_request_t *r);
 /* Note that the present attempt may have run.  */
 void cv_request_ran (cv_request_t *r);
 /* Give the last reply and forget the request.  */
--- a/entry/core_requests.c
+++ b/entry/core_requests.c
@@ -78,9 +78,8 @@
   cv_request_place (c, now, r, CV_NO_TARGET);
   if (r->admitted)
     cv_limits_ended (c->limits, now, r->account_hash);
-  cv_entry_metrics_outcome (c->metrics, r->account, r->class_name, outcome);
-  cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
-                            CV_MEASURE_DURATION,
+  cv_entry_metrics_outcome (cv_request_series (c, r), outcome);
+  cv_entry_metrics_observe (cv_request_series (c, r), CV_MEASURE_DURATION,
                             (double)(now - r->submitted) / 1e6);
   TAILQ_REMOVE (&c->requests, r, all);
   LIST_REMOVE (r, by_id);
@@ -108,9 +107,18 @@
   reply.u.failed.code = code;
   reply.u.failed.outcome = failed_outcome (r, code);
   reply.u.failed.retry_after_ms = retry_after_ms;
+  cv_entry_metrics_failure (cv_request_series (c, r), (int)code);
   cv_request_end (c, now, r, &reply, reply.u.failed.outcome);
 }
 
+cv_series_t *
+cv_request_series (cv_entry_core_t *c, cv_request_t *r)
+{
+  if (r->series == NULL)
+    r->series = cv_entry_metrics_series (c->metrics, r->account, r->class_name);
+  return r->series;
+}
+
 void
 cv_request_ran (cv_request_t *r)
 {
@@ -124,6 +132,8 @@
   cv_reply_t reply = { .type = CV_REPLY_FAILED };
 
   reply.u.failed.code = code;
+  cv_entry_metrics_failure (cv_entry_metrics_series (c->metrics, "", ""),
+                            (int)code);
   reply.u.failed.outcome = cv_failure_info (code)->outcome;
   reply.u.failed.retry_after_ms = retry_after_ms;
   c->options.out.reply (c->options.out.arg, caller, &reply);
--- a/entry/core_tokens.c
+++ b/entry/core_tokens.c
@@ -137,13 +137,12 @@
   cv_time_t gap = now - s->last_token;
 
   if (s->next == 0)
-    cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
-                              CV_MEASURE_FIRST_TOKEN,
+    cv_entry_metrics_observe (cv_request_series (c, r), CV_MEASURE_FIRST_TOKEN,
                               (double)(now - r->submitted) / 1e6);
   else
     {
-      cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
-                                CV_MEASURE_TOKEN_GAP, (double)gap / 1e6);
+      cv_entry_metrics_observe (cv_request_series (c, r), CV_MEASURE_TOKEN_GAP,
+                                (double)gap / 1e6);
       if (gap > STALL_THRESHOLD)
         s->stalled += gap - STALL_THRESHOLD;
     }
@@ -177,10 +176,10 @@
     }
   if (m->end == CV_END_STOP && !s->resumed)
     cv_length_observe (c->length, &key, m->total);
-  cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
-                            CV_MEASURE_TOKENS, m->total);
-  cv_entry_metrics_observe (c->metrics, r->account, r->class_name,
-                            CV_MEASURE_STALL, (double)s->stalled / 1e6);
+  cv_entry_metrics_observe (cv_request_series (c, r), CV_MEASURE_TOKENS,
+                            m->total);
+  cv_entry_metrics_observe (cv_request_series (c, r), CV_MEASURE_STALL,
+                            (double)s->stalled / 1e6);
   if (s->whole)
     deliver_whole (c, r);
   reply.u.end.end = m->end;
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -3,20 +3,24 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry/core.h"
 #include "entry/metrics.h"
 
 #define METRICS_BUCKETS 256
 #define OUTCOMES 5
+/* Bins of a histogram that make one bucket: three in a decade.  */
+#define BINS_PER_BUCKET 11
 
 /* One account and class.  */
-typedef struct cv_series_t
+struct cv_series_t
 {
   LIST_ENTRY (cv_series_t) link;
   char account[CV_NAME_MAX];
   char class_name[CV_NAME_MAX];
   uint64_t outcomes[OUTCOMES];
+  uint64_t failures[CV_FAIL_COUNT];
   cv_hist_t hist[CV_MEASURE_LAST];
-} cv_series_t;
+};
 
 struct cv_entry_metrics_t
 {
@@ -49,10 +53,14 @@
   [CV_MEASURE_TOKENS] = { "answer_tokens", 1, 1e6 },
 };
 
-static cv_series_t *series_of (cv_entry_metrics_t *m, const char *account,
-                               const char *class_name);
-static void write_series (const cv_series_t *s, cv_measure_t what,
-                          cv_buf_t *out);
+static void each_series (const cv_entry_metrics_t *m,
+                         void (*write) (const cv_series_t *s, int what,
+                                        cv_buf_t *out),
+                         int what, cv_buf_t *out);
+static void write_outcomes (const cv_series_t *s, int what, cv_buf_t *out);
+static void write_failures (const cv_series_t *s, int what, cv_buf_t *out);
+static void write_buckets (const cv_series_t *s, int what, cv_buf_t *out);
+static void write_quantiles (const cv_series_t *s, int what, cv_buf_t *out);
 
 cv_entry_metrics_t *
 cv_entry_metrics_new (void)
@@ -89,26 +97,28 @@
 }
 
 void
-cv_entry_metrics_observe (cv_entry_metrics_t *m, const char *account,
-                          const char *class_name, cv_measure_t what,
-                          double value)
+cv_entry_metrics_observe (cv_series_t *s, cv_measure_t what, double value)
 {
-  cv_hist_add (&series_of (m, account, class_name)->hist[what], value);
+  cv_hist_add (&s->hist[what], value);
 }
 
 void
-cv_entry_metrics_outcome (cv_entry_metrics_t *m, const char *account,
-                          const char *class_name, cv_outcome_t outcome)
+cv_entry_metrics_outcome (cv_series_t *s, cv_outcome_t outcome)
 {
   CV_INVARIANT ((int)outcome < OUTCOMES);
-  series_of (m, account, class_name)->outcomes[outcome]++;
+  s->outcomes[outcome]++;
 }
 
 void
-cv_entry_metrics_write (const cv_entry_metrics_t *m, cv_buf_t *out)
+cv_entry_metrics_failure (cv_series_t *s, int code)
 {
-  const cv_series_t *s;
+  CV_INVARIANT (code >= 0 && code < CV_FAIL_COUNT);
+  s->failures[code]++;
+}
 
+void
+cv_entry_metrics_write (const cv_entry_metrics_t *m, cv_buf_t *out)
+{
   for (int i = 0; i < CV_COUNT_LAST; i++)
     cv_buf_printf (out,
                    "# TYPE catkinvale_entry_%s_total counter\n"
@@ -116,26 +126,107 @@
                    count_names[i], count_names[i],
                    (unsigned long long)m->counts[i]);
   cv_buf_printf (out, "# TYPE catkinvale_entry_requests_total counter\n");
+  each_series (m, write_outcomes, 0, out);
+  cv_buf_printf (out, "# TYPE catkinvale_entry_failures_total counter\n");
+  each_series (m, write_failures, 0, out);
+  for (int i = 0; i < CV_MEASURE_LAST; i++)
+    {
+      cv_buf_printf (out, "# TYPE catkinvale_entry_%s histogram\n",
+                     measures[i].name);
+      each_series (m, write_buckets, i, out);
+      cv_buf_printf (out, "# TYPE catkinvale_entry_%s_quantile gauge\n",
+                     measures[i].name);
+      each_series (m, write_quantiles, i, out);
+    }
+}
+
+static void
+each_series (const cv_entry_metrics_t *m,
+             void (*write) (const cv_series_t *s, int what, cv_buf_t *out),
+             int what, cv_buf_t *out)
+{
+  const cv_series_t *s;
+
   for (size_t b = 0; b < METRICS_BUCKETS; b++)
     LIST_FOREACH (s, &m->series[b], link)
+  write (s, what, out);
+}
+
+static void
+write_outcomes (const cv_series_t *s, int what, cv_buf_t *out)
+{
+  (void)what;
   for (int i = 0; i < OUTCOMES; i++)
     cv_buf_printf (out,
                    "catkinvale_entry_requests_total{account=\"%s\","
                    "class=\"%s\",outcome=\"%s\"} %llu\n",
                    s->account, s->class_name, cv_outcome_name ((cv_outcome_t)i),
                    (unsigned long long)s->outcomes[i]);
-  for (int i = 0; i < CV_MEASURE_LAST; i++)
+}
+
+static void
+write_failures (const cv_series_t *s, int what, cv_buf_t *out)
+{
+  (void)what;
+  for (int i = 0; i < CV_FAIL_COUNT; i++)
+    if (s->failures[i] > 0)
+      cv_buf_printf (out,
+                     "catkinvale_entry_failures_total{account=\"%s\","
+                     "class=\"%s\",reason=\"%s\"} %llu\n",
+                     s->account, s->class_name,
+                     cv_failure_info ((cv_failure_code_t)i)->code,
+                     (unsigned long long)s->failures[i]);
+}
+
+/* Empty measures are left out, but for their count.  */
+static void
+write_buckets (const cv_series_t *s, int what, cv_buf_t *out)
+{
+  const cv_hist_t *h = &s->hist[what];
+  const char *name = measures[what].name;
+  size_t bins = cv_hist_bins (h);
+  uint64_t below = 0;
+
+  for (size_t i = 0; i < bins && h->count > 0; i++)
     {
-      cv_buf_printf (out, "# TYPE catkinvale_entry_%s summary\n",
-                     measures[i].name);
-      for (size_t b = 0; b < METRICS_BUCKETS; b++)
-        LIST_FOREACH (s, &m->series[b], link)
-      write_series (s, (cv_measure_t)i, out);
+      below += cv_hist_bin (h, i);
+      /* The last bin holds what is above all edges too.  */
+      if ((i + 1) % BINS_PER_BUCKET == 0 && i + 1 < bins)
+        cv_buf_printf (out,
+                       "catkinvale_entry_%s_bucket{account=\"%s\","
+                       "class=\"%s\",le=\"%.3g\"} %llu\n",
+                       name, s->account, s->class_name, cv_hist_edge (h, i),
+                       (unsigned long long)below);
     }
+  cv_buf_printf (out,
+                 "catkinvale_entry_%s_bucket{account=\"%s\",class=\"%s\","
+                 "le=\"+Inf\"} %llu\n"
+                 "catkinvale_entry_%s_sum{account=\"%s\",class=\"%s\"} %g\n"
+                 "catkinvale_entry_%s_count{account=\"%s\",class=\"%s\"} "
+                 "%llu\n",
+                 name, s->account, s->class_name, (unsigned long long)h->count,
+                 name, s->account, s->class_name, h->sum, name, s->account,
+                 s->class_name, (unsigned long long)h->count);
+}
+
+static void
+write_quantiles (const cv_series_t *s, int what, cv_buf_t *out)
+{
+  static const double quantiles[] = { 0.5, 0.95, 0.99 };
+  const cv_hist_t *h = &s->hist[what];
+
+  for (size_t i = 0; i < sizeof quantiles / sizeof quantiles[0]; i++)
+    if (h->count > 0)
+      cv_buf_printf (out,
+                     "catkinvale_entry_%s_quantile{account=\"%s\","
+                     "class=\"%s\",quantile=\"%g\"} %g\n",
+                     measures[what].name, s->account, s->class_name,
+                     quantiles[i], cv_hist_quantile (h, quantiles[i]));
 }
 
-static cv_series_t *
-series_of (cv_entry_metrics_t *m, const char *account, const char *class_name)
+cv_series_t *
+cv_entry_metrics_series (cv_entry_metrics_t *m, const char *account,
+                         const char *class_name)
 {
   uint64_t h = cv_hash (account, strlen (account), 0);
   size_t b = cv_hash (class_name, strlen (class_name), h) % METRICS_BUCKETS;
@@ -153,24 +244,3 @@
   LIST_INSERT_HEAD (&m->series[b], s, link);
   return s;
 }
-
-static void
-write_series (const cv_series_t *s, cv_measure_t what, cv_buf_t *out)
-{
-  static const double quantiles[] = { 0.5, 0.95, 0.99 };
-  const cv_hist_t *h = &s->hist[what];
-  const char *name = measures[what].name;
-
-  for (size_t i = 0; i < sizeof quantiles / sizeof quantiles[0]; i++)
-    cv_buf_printf (out,
-                   "catkinvale_entry_%s{account=\"%s\",class=\"%s\","
-                   "quantile=\"%g\"} %g\n",
-                   name, s->account, s->class_name, quantiles[i],
-                   cv_hist_quantile (h, quantiles[i]));
-  cv_buf_printf (out,
-                 "catkinvale_entry_%s_sum{account=\"%s\",class=\"%s\"} %g\n"
-                 "catkinvale_entry_%s_count{account=\"%s\",class=\"%s\"} "
-                 "%llu\n",
-                 name, s->account, s->class_name, h->sum, name, s->account,
-                 s->class_name, (unsigned long long)h->count);
-}
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -13,6 +13,7 @@
 #endif
 
   typedef struct cv_entry_metrics_t cv_entry_metrics_t;
+  typedef struct cv_series_t cv_series_t;
 
   /* Counters of the whole entry.  */
   typedef enum
@@ -42,11 +43,15 @@
   void cv_entry_metrics_free (cv_entry_metrics_t *m);
   void cv_entry_metrics_count (cv_entry_metrics_t *m, cv_count_t what);
   uint64_t cv_entry_metrics_get (const cv_entry_metrics_t *m, cv_count_t what);
-  void cv_entry_metrics_observe (cv_entry_metrics_t *m, const char *account,
-                                 const char *class_name, cv_measure_t what,
+  /* The series of one account and class; it lives as long as M.  */
+  cv_series_t *cv_entry_metrics_series (cv_entry_metrics_t *m,
+                                        const char *account,
+                                        const char *class_name);
+  void cv_entry_metrics_observe (cv_series_t *s, cv_measure_t what,
                                  double value);
-  void cv_entry_metrics_outcome (cv_entry_metrics_t *m, const char *account,
-                                 const char *class_name, cv_outcome_t outcome);
+  void cv_entry_metrics_outcome (cv_series_t *s, cv_outcome_t outcome);
+  /* CODE is a cv_failure_code_t.  */
+  void cv_entry_metrics_failure (cv_series_t *s, int code);
   void cv_entry_metrics_write (const cv_entry_metrics_t *m, cv_buf_t *out);
 
 #ifdef __cplusplus
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -145,6 +145,8 @@
     cv_entry_store_failed (core_, now_ - number (w[1]) * CV_MS);
   else if (w[0] == "confirmed")
     cv_entry_confirmed (core_, now_ - number (w[2]) * CV_MS, number (w[1]));
+  else if (w[0] == "metrics")
+    metrics (w);
   else if (w[0] == "show-expect")
     expect_ = true;
   else if (w[0] == "entries")
@@ -370,6 +372,21 @@
   message (w[1], m);
 }
 
+/* metrics TEXT: the lines of the metrics that hold it.  */
+void
+CoreScript::metrics (const Words &w)
+{
+  cv_buf_t buf;
+  cv_buf_init (&buf);
+  cv_entry_metrics_write (cv_entry_metrics (core_), &buf);
+  std::istringstream in (cv_buf_text (&buf));
+  std::string l;
+  while (std::getline (in, l))
+    if (l.find (w[1]) != std::string::npos)
+      out_ << "  " << l << "\n";
+  cv_buf_finish (&buf);
+}
+
 /* doc TARGET VERSION */
 void
 CoreScript::doc (const Words &w)
--- a/entry/tests/core_script.h
+++ b/entry/tests/core_script.h
@@ -36,6 +36,7 @@
   void reject (const Words &w);
   void result (const Words &w);
   void doc (const Words &w);
+  void metrics (const Words &w);
   void suspects (const Words &w);
   void wait (const Words &w);
   void message (const std::string &target, const cv_msg_t &msg);
