--- a/tests/standins/engine_http.c
+++ b/tests/standins/engine_http.c
@@ -118,6 +118,7 @@
     case SCHED_TOO_LONG:
       return standin_error (response, 400, "too_long");
     }
+  stream->submitted_ms = standin_now_ms ();
   stream->user = malloc (sizeof (pthread_cond_t));
   if (stream->user == NULL)
     abort ();
@@ -444,6 +445,8 @@
             (unsigned long long)stream->prompt_hash);
   standin_set_text (o, "id", stream->id);
   standin_set_text (o, "prompt_hash", hash);
+  standin_set_text (o, "prompt_head", stream->prompt_head);
+  standin_set_int (o, "at_ms", stream->submitted_ms);
   standin_set_int (o, "produced", stream->produced);
   standin_set_int (o, "sent", stream->sent);
   json_object_object_add (
--- a/tests/standins/scheduler.c
+++ b/tests/standins/scheduler.c
@@ -91,6 +91,8 @@
   new->order = s->next_order++;
   new->prompt_hash = XXH3_64bits (prompt, bytes);
   new->prompt_bytes = bytes;
+  snprintf (new->prompt_head, sizeof new->prompt_head, "%.*s",
+            (int)strcspn (prompt, " \n"), prompt);
   new->prompt_tokens = (uint32_t)tokens;
   new->priority = priority;
   new->poison = strstr (prompt, "poison") != NULL;
--- a/tests/standins/scheduler.h
+++ b/tests/standins/scheduler.h
@@ -18,6 +18,7 @@
 #endif
 
 #define SCHED_ID_MAX 65
+#define SCHED_HEAD_MAX 32
 #define SCHED_TEXT_MAX 64       /* longest token text with its null byte */
 #define SCHED_BUCKETS 4096      /* of the table of streams */
 #define SCHED_SNAPSHOTS 64      /* kept for the lagged load report */
@@ -55,7 +56,9 @@
     char id[SCHED_ID_MAX];
     uint64_t order; /* of arrival */
     uint64_t prompt_hash;
-    char *prompt; /* NULL once ended */
+    char prompt_head[SCHED_HEAD_MAX]; /* its first word, for the audit */
+    int64_t submitted_ms;             /* of the process's clock */
+    char *prompt;                     /* NULL once ended */
     size_t prompt_bytes;
     int priority; /* the greater goes first */
     uint32_t prompt_tokens;
--- a/tests/standins/service.c
+++ b/tests/standins/service.c
@@ -9,12 +9,13 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static json_object *effects;
 static int64_t total;
+static json_object *calls; /* each arrival: key, path and time */
 static atomic_llong work_ms;
 static atomic_bool drop_answer;
 
 static int run (const struct _u_request *request, struct _u_response *response,
                 void *data);
-static int64_t count_effect (const char *key);
+static int64_t count_effect (const char *key, const char *path);
 static void set_fault (json_object *switches);
 static json_object *audit (void);
 
@@ -28,6 +29,7 @@
 {
   standin_init (&service, argc, argv);
   effects = json_object_new_object ();
+  calls = json_object_new_array ();
   work_ms = work_option;
   standin_on_any (run);
   standin_run ();
@@ -40,7 +42,8 @@
   json_object *o = json_object_new_object ();
 
   (void)data;
-  standin_set_int (o, "effect", count_effect (key != NULL ? key : ""));
+  standin_set_int (o, "effect",
+                   count_effect (key != NULL ? key : "", request->url_path));
   standin_sleep_ms (work_ms);
   if (!drop_answer)
     return standin_reply (response, 200, o);
@@ -50,13 +53,19 @@
 
 /* Count one effect of KEY and return how many it has had.  */
 static int64_t
-count_effect (const char *key)
+count_effect (const char *key, const char *path)
 {
+  json_object *call = json_object_new_object ();
   int64_t n;
 
+  standin_set_text (call, "key", key);
+  standin_set_text (call, "path", path);
+  standin_set_int (call, "at_ms", standin_now_ms ());
+
   pthread_mutex_lock (&lock);
   n = standin_int (effects, key, 0) + 1;
   standin_set_int (effects, key, n);
+  json_object_array_add (calls, call);
   total++;
   pthread_mutex_unlock (&lock);
   return n;
@@ -74,11 +83,14 @@
 {
   json_object *o = json_object_new_object ();
   json_object *copy = NULL;
+  json_object *copy_calls = NULL;
 
   pthread_mutex_lock (&lock);
   json_object_deep_copy (effects, &copy, NULL);
+  json_object_deep_copy (calls, &copy_calls, NULL);
   standin_set_int (o, "total", total);
   pthread_mutex_unlock (&lock);
   json_object_object_add (o, "effects", copy);
+  json_object_object_add (o, "calls", copy_calls);
   return o;
 }
