--- /dev/null
+++ b/tests/process/scenarios/retries.py
@@ -0,0 +1,39 @@
+"""Attempts at the targets while one keeps failing stay within the budget."""
+
+from cluster import wait_for
+
+FIRST = 24
+START, RATIO = 3, 0.1  # of the budget: policy/retry.c
+KILLS = 3
+
+
+def run(s):
+    c = s.start(entries=1, engines=2, services=0,
+                engine_flags=["--token-ms", "20"])
+    callers = []
+    for _ in range(KILLS):
+        batch = [s.generate(f"p{len(callers) + k}", entries=(0,), tokens=60,
+                            whole=True) for k in range(FIRST // KILLS)]
+        callers += batch
+        wait_for("both engines run", lambda n=len(callers): _busy(c))
+        c.kill_target("e0")
+        for caller in batch:
+            caller.wait_end()
+        c.start_target("e0")
+        c.wait_state(0, "e0", "live")
+    attempts = sum(len(a["streams"]) for a in c.audits())
+    budget = START + RATIO * FIRST
+    s.note(f"{attempts} attempts for {FIRST} requests")
+    s.judge(FIRST <= attempts <= FIRST + budget,
+            "attempts stay within the retry budget", attempts)
+    s.judge(all(x.outcome == "done" or x.record["error"]["retry_after_ms"] > 0
+                for x in callers),
+            "each is done, or told when to come back",
+            [(x.outcome, x.record["error"]) for x in callers])
+    s.judge(any(x.outcome == "done" for x in callers), "most are done",
+            [x.outcome for x in callers])
+
+
+def _busy(c):
+    return all(any(s["produced"] > 0 and s["ended"] == "none"
+                   for s in c.audit(name)["streams"]) for name in c.targets)
