--- a/entry/link.h
+++ b/entry/link.h
@@ -38,8 +38,11 @@
                            const char *pool);
 void cv_entry_link_gone (cv_entry_link_t *l, cv_caller_t *caller);
 
-/* CONFIG is the store's current one.  */
-void cv_entry_link_adopt (cv_entry_link_t *l, cv_config_t *config);
+/* CONFIG is the current one of the store, which was asked at ASKED.  */
+void cv_entry_link_adopt (cv_entry_link_t *l, cv_time_t asked,
+                          cv_config_t *config);
+/* The store, asked at ASKED, did not answer.  */
+void cv_entry_link_store_failed (cv_entry_link_t *l, cv_time_t asked);
 /* The targets on the instance list; ENTRIES counts the entries there.  */
 void cv_entry_link_instances (cv_entry_link_t *l, const cv_instance_t *list,
                               size_t count, uint32_t entries);
@@ -47,6 +50,12 @@
 /* Refuse new requests from now on.  */
 void cv_entry_link_drain (cv_entry_link_t *l);
 
+/* The document of suspects and its version (0: none yet); the caller frees
+   the text.  */
+char *cv_entry_link_suspects (cv_entry_link_t *l, uint64_t *version);
+/* Merge the document JSON, as read from the object API.  */
+void cv_entry_link_merge_suspects (cv_entry_link_t *l, const char *json);
+
 /* Run FN on the I/O thread and wait for it.  */
 void cv_entry_link_inspect (cv_entry_link_t *l,
                             void (*fn) (cv_entry_core_t *core, cv_time_t now,
