--- a/tests/process/scenarios/pairs.py
+++ b/tests/process/scenarios/pairs.py
@@ -56,6 +56,9 @@
             "those of the other engine are resumed and whole")
     c.start_target("e0")
     c["entry0"].thaw()
+    # What an entry shows just after it woke is what it knew before.
+    wait_for("entry 0 serves", lambda: s.generate(
+        "awake", entries=(0,), tokens=5).wait_end().outcome == "done")
     for entry in (0, 1):
         c.wait_state(entry, "e0", "live")
     later = [s.generate(f"later{k}", tokens=20, entries=(k % 2,))
