Limits: a greedy account is refused before the pool is full

Cause: the share was enforced from a pressure of 1 on only, so a greedy account first filled the engines and its neighbours paid with full batches. Change: from 0.8 on an account that takes a multiple of its share is refused, at 0.9 2.7 times, at 1 as before 1.2 times.

The distribution of lengths is read with its totals worked out once a stream.

--- a/policy/length.c
+++ b/policy/length.c
@@ -24,12 +24,14 @@
   uint32_t used;         /* tick of the last observation */
 } length_dist_t;
 
-/* All, class and model, and these with the account; NULL where unseen.  */
+/* All, class and model, and these with the account; weightless where unseen. */
 #define LEVELS 3
 
 typedef struct
 {
   const length_dist_t *dist[LEVELS];
+  double parent[LEVELS]; /* weight of the level above */
+  double own[LEVELS];    /* of a weight in the histogram */
 } length_levels_t;
 
 struct cv_length_t
@@ -47,7 +49,6 @@
 static uint64_t full_name (const cv_length_key_t *key);
 static length_dist_t *dist_get (cv_length_t *l, uint64_t name);
 static void dist_add (length_dist_t *d, uint32_t bin);
-static double dist_above (const length_dist_t *d, double x);
 static void levels_get (const cv_length_t *l, const cv_length_key_t *key,
                         length_levels_t *levels);
 static double blended (const length_levels_t *levels, double x);
@@ -159,23 +160,6 @@
   dist_add (d, bin);
 }
 
-/* Weight of the samples longer than 2^(X/4) tokens, interpolated in the
-   bin and in units of one fresh sample.  */
-static double
-dist_above (const length_dist_t *d, double x)
-{
-  uint32_t b;
-  double part;
-
-  if (d->increment <= 0)
-    return 0;
-  if (x >= BINS)
-    return 0;
-  b = (uint32_t)x;
-  part = x - b;
-  return ((1 - part) * d->above[b] + part * d->above[b + 1]) / d->increment;
-}
-
 /* Find the histograms that KEY leans on.  */
 static void
 levels_get (const cv_length_t *l, const cv_length_key_t *key,
@@ -185,22 +169,32 @@
                              cv_map_get (&l->index, full_name (key)) };
 
   for (int i = 0; i < LEVELS; i++)
-    levels->dist[i] = index[i] == CV_MAP_NONE ? NULL : &l->dists[index[i]];
+    {
+      const length_dist_t *d
+          = &l->dists[index[i] == CV_MAP_NONE ? 0 : index[i]];
+      bool seen = index[i] != CV_MAP_NONE && d->increment > 0;
+      double total = seen ? d->above[0] / d->increment : 0;
+
+      levels->dist[i] = d;
+      levels->parent[i] = PARENT_SAMPLES / (PARENT_SAMPLES + total);
+      levels->own[i] = seen ? 1 / ((PARENT_SAMPLES + total) * d->increment) : 0;
+    }
 }
 
 /* Probability that an output is longer than 2^(X/4) tokens.  */
 static double
 blended (const length_levels_t *levels, double x)
 {
+  uint32_t b = x >= BINS ? BINS - 1 : (uint32_t)x;
+  double part = x >= BINS ? 1 : x - b;
   double p = x >= BINS ? 0 : 1.0 - x / BINS;
 
   for (int i = 0; i < LEVELS; i++)
     {
-      const length_dist_t *d = levels->dist[i];
+      const float *above = levels->dist[i]->above + b;
 
-      if (d != NULL)
-        p = (PARENT_SAMPLES * p + dist_above (d, x))
-            / (PARENT_SAMPLES + dist_above (d, 0));
+      p = levels->parent[i] * p
+          + levels->own[i] * ((1 - part) * above[0] + part * above[1]);
     }
   return p;
 }
--- a/policy/limits.c
+++ b/policy/limits.c
@@ -10,8 +10,11 @@
 
 /* Time in which recent work decays to 1/e.  */
 #define RECENT_US (10.0 * 1e6)
-/* An account may take this multiple of its weighted share under pressure.  */
+/* An account may take this multiple of its weighted share at full pressure,
+   and so much more for each part of the pressure that is missing.  */
 #define SHARE_SLACK 1.2
+#define SHARE_SLACK_SLOPE 15.0
+#define PRESSURE_MIN 0.8
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 30000
 #define RETRY_CONCURRENCY_MS 500
@@ -191,12 +194,15 @@
 static bool
 over_share (const cv_limits_t *l, const account_t *a)
 {
+  double slack = SHARE_SLACK;
   double fair;
 
+  if (l->pressure < 1)
+    slack += SHARE_SLACK_SLOPE * (1 - l->pressure);
   if (l->recent_sum <= 0 || l->weight_sum <= 0)
     return false;
   fair = l->recent_sum * a->limits.weight / l->weight_sum;
-  return a->recent > SHARE_SLACK * fair;
+  return a->recent > slack * fair;
 }
 
 cv_admission_t
@@ -215,7 +221,7 @@
   if (a->limits.tokens_per_s > 0 && a->bucket <= 0)
     return refuse (l, "rate",
                    1000 * (1 - a->bucket) * l->share / a->limits.tokens_per_s);
-  if (l->pressure >= 1 && over_share (l, a))
+  if (l->pressure >= PRESSURE_MIN && over_share (l, a))
     return refuse (l, "overload", RETRY_OVERLOAD_MS);
   a->in_flight++;
   return (cv_admission_t){ .admitted = true, .reason = "" };
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -102,7 +102,8 @@
   /* Number of entries that share the limits, for each to enforce its part.  */
   void cv_limits_set_share (cv_limits_t *l, uint32_t entries);
   /* How full the pools are, 1: at what the targets can hold.  From 1 on an
-   account above its weighted share of recent work is refused.  */
+   account above its weighted share of recent work is refused; from 0.8 on,
+   one that takes a multiple of it.  */
   void cv_limits_set_pressure (cv_limits_t *l, double pressure);
   cv_admission_t cv_limits_admit (cv_limits_t *l, cv_time_t now,
                                   uint64_t account, uint32_t expect);
