--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -39,8 +39,11 @@
   start (c, now, r, spec);
   if (r->u.call.mode != CV_CALL_TICKET)
     {
-      cv_admission_t a = cv_limits_admit (c->limits, now, r->account_hash, 0);
+      cv_admission_t a;
 
+      cv_limits_set_pressure (c->limits,
+                              cv_router_pressure (c->router, r->pool));
+      a = cv_limits_admit (c->limits, now, r->account_hash, 0);
       if (!a.admitted)
         {
           cv_request_fail (c, now, r, CV_FAIL_LIMIT, a.retry_after_ms);
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -253,9 +253,10 @@
 static bool
 admit (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
-  cv_admission_t a
-      = cv_limits_admit (c->limits, now, r->account_hash, r->u.stream.expect);
+  cv_admission_t a;
 
+  cv_limits_set_pressure (c->limits, cv_router_pressure (c->router, r->pool));
+  a = cv_limits_admit (c->limits, now, r->account_hash, r->u.stream.expect);
   if (!a.admitted)
     {
       cv_request_fail (c, now, r, CV_FAIL_LIMIT, a.retry_after_ms);
--- a/policy/router.c
+++ b/policy/router.c
@@ -23,6 +23,8 @@
 /* Load that streams held at the gate stand for, beside their memory.  */
 #define WAITING_COST 0.05
 #define NOISE 0.02
+/* Targets whose mean load is the pool's pressure.  */
+#define PRESSURE_SAMPLE 64
 /* Load that a stream of ours stands for, beside its memory: the batch it
    slows down and the prefill that no report has shown yet.  */
 #define IN_FLIGHT_COST 0.03
@@ -277,7 +279,7 @@
   if (i == CV_MAP_NONE)
     return 0;
   p = &r->pools[i];
-  for (uint32_t k = 0; k < p->count; k++)
+  for (uint32_t k = 0; k < p->count && k < PRESSURE_SAMPLE; k++)
     {
       const target_t *t = &r->targets[p->targets[k]];
 
