Subset of the targets that an entry sees

Each entry ranks the targets of a failure domain by a hash with its own name and takes the domain's part of 64, more when 64 would cover a target less than 12 times on average; the choice does not depend on the list's order.

Measured (subset.script): 1,800 entries and 7,400 targets in 13 domains: a target is seen by 3 to 34 entries, mean 15.6 (most 2.2 times the mean); one replaced target changes 31 picks of 115,200, a lost domain 8,878 (7.7%). With 40 entries and 200 targets 6 to 20, mean 12.8; at the two deployments' sizes each entry sees all.

Ruled out: dealing targets in rounds by the entry's number (even cover, but needs a dense numbering that all agree on, and a change of the target list deals a round anew).

--- /dev/null
+++ b/policy/subset.c
@@ -0,0 +1,155 @@
+/* Subsets by rendezvous hashing in each failure domain: a target ranks by a
+   hash of its name and the entry's, so that one that comes or goes changes the
+   subsets of the few entries that rank it high, by one place each.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/map.h"
+#include "policy/subset.h"
+
+typedef struct
+{
+  uint64_t name;
+  size_t targets;
+  size_t quota;
+  size_t first; /* place of its first pick */
+  size_t picks;
+} domain_t;
+
+typedef struct
+{
+  uint64_t rank;
+  uint32_t target;
+} pick_t;
+
+static int by_name (const void *a, const void *b);
+static domain_t *domains_get (const cv_subset_target_t *targets, size_t n,
+                              size_t *count);
+static domain_t *domain_find (domain_t *d, size_t count, uint64_t name);
+static void quotas_set (domain_t *d, size_t count, size_t n, size_t want,
+                        uint64_t seed);
+static void pick_add (domain_t *d, pick_t *picks, pick_t pick);
+
+static int
+by_name (const void *a, const void *b)
+{
+  uint64_t x = ((const domain_t *)a)->name;
+  uint64_t y = ((const domain_t *)b)->name;
+
+  return (x > y) - (x < y);
+}
+
+static domain_t *
+domain_find (domain_t *d, size_t count, uint64_t name)
+{
+  domain_t key = { .name = name };
+
+  return bsearch (&key, d, count, sizeof *d, by_name);
+}
+
+/* The failure domains of TARGETS in the order of their names.  */
+static domain_t *
+domains_get (const cv_subset_target_t *targets, size_t n, size_t *count)
+{
+  domain_t *d = cv_calloc (n, sizeof *d);
+
+  *count = 0;
+  for (size_t i = 0; i < n; i++)
+    {
+      domain_t *known = domain_find (d, *count, targets[i].domain);
+
+      if (known != NULL)
+        {
+          known->targets++;
+          continue;
+        }
+      d[(*count)++] = (domain_t){ .name = targets[i].domain, .targets = 1 };
+      qsort (d, *count, sizeof *d, by_name);
+    }
+  return d;
+}
+
+/* Each domain's part of WANT, rounded so that the sum is WANT and the entries'
+   mean is the exact part.  */
+static void
+quotas_set (domain_t *d, size_t count, size_t n, size_t want, uint64_t seed)
+{
+  double offset = (double)(seed >> 11) / (double)(1ULL << 53);
+  double sum = 0;
+  size_t given = 0;
+  size_t first = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t upto;
+
+      sum += (double)want * (double)d[i].targets / (double)n;
+      upto = i + 1 == count ? want : (size_t)(sum + offset);
+      if (upto > want)
+        upto = want;
+      d[i].quota = upto > given ? upto - given : 0;
+      if (d[i].quota > d[i].targets)
+        d[i].quota = d[i].targets;
+      given = upto;
+      d[i].first = first;
+      first += d[i].quota;
+    }
+}
+
+/* Keep the highest ranks of the domain, highest first.  */
+static void
+pick_add (domain_t *d, pick_t *picks, pick_t pick)
+{
+  size_t i = d->picks;
+
+  if (d->quota == 0)
+    return;
+  if (i == d->quota)
+    {
+      if (picks[d->first + i - 1].rank >= pick.rank)
+        return;
+      i--;
+    }
+  else
+    d->picks++;
+  for (; i > 0 && picks[d->first + i - 1].rank < pick.rank; i--)
+    picks[d->first + i] = picks[d->first + i - 1];
+  picks[d->first + i] = pick;
+}
+
+size_t
+cv_subset_choose (const char *entry, uint32_t entries,
+                  const cv_subset_target_t *targets, size_t n, size_t want,
+                  uint32_t *out)
+{
+  uint64_t seed = cv_hash (entry, strlen (entry), 0);
+  size_t cover
+      = entries > 0 ? (CV_SUBSET_COVER * n + entries - 1) / entries : n;
+  domain_t *d;
+  pick_t *picks;
+  size_t count;
+  size_t chosen = 0;
+
+  if (want < cover)
+    want = cover;
+  if (want >= n)
+    {
+      for (size_t i = 0; i < n; i++)
+        out[i] = (uint32_t)i;
+      return n;
+    }
+  d = domains_get (targets, n, &count);
+  picks = cv_calloc (want, sizeof *picks);
+  quotas_set (d, count, n, want, cv_mix (seed));
+  for (size_t i = 0; i < n; i++)
+    pick_add (domain_find (d, count, targets[i].domain), picks,
+              (pick_t){ .rank = cv_mix (targets[i].name ^ seed),
+                        .target = (uint32_t)i });
+  for (size_t i = 0; i < count; i++)
+    for (size_t k = 0; k < d[i].picks; k++)
+      out[chosen++] = picks[d[i].first + k].target;
+  free (picks);
+  free (d);
+  return chosen;
+}
--- a/policy/tests/script_test.cc
+++ b/policy/tests/script_test.cc
@@ -3,16 +3,19 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
 
 #include "policy/length.h"
 #include "policy/policy.h"
+#include "policy/subset.h"
 
 namespace
 {
@@ -98,6 +101,8 @@
       limits_command (w);
     else if (w[0].rfind ("suspects.", 0) == 0)
       suspects_command (w);
+    else if (w[0] == "subset")
+      subset_command (w);
     else if (w[0].rfind ("length.", 0) == 0)
       length_command (w);
     else if (w[0] == "retry.first")
@@ -109,6 +114,82 @@
       FAIL () << "unknown command " << w[0];
   }
 
+  using Subsets = std::vector<std::set<uint64_t> >;
+
+  static Subsets
+  subsets (uint32_t entries, const std::vector<cv_subset_target_t> &targets,
+           size_t want)
+  {
+    std::vector<uint32_t> picks (targets.size ());
+    Subsets all (entries);
+
+    for (uint32_t e = 0; e < entries; e++)
+      {
+        std::string name = "entry-" + std::to_string (e);
+        size_t n = cv_subset_choose (name.c_str (), entries, targets.data (),
+                                     targets.size (), want, picks.data ());
+
+        for (size_t i = 0; i < n; i++)
+          all[e].insert (targets[picks[i]].name);
+      }
+    return all;
+  }
+
+  /* Picks of B that are not in A.  */
+  static size_t
+  fresh (const Subsets &a, const Subsets &b)
+  {
+    size_t n = 0;
+
+    for (size_t e = 0; e < a.size (); e++)
+      for (uint64_t t : b[e])
+        n += a[e].count (t) == 0;
+    return n;
+  }
+
+  void
+  subset_command (const Words &w)
+  {
+    uint32_t entries = (uint32_t)number (w, "entries", 3);
+    size_t want = (size_t)number (w, "want", 64);
+    uint32_t domains = (uint32_t)number (w, "domains", 3);
+    std::vector<cv_subset_target_t> targets;
+    std::map<uint64_t, size_t> seen;
+    size_t picks = 0;
+    size_t most = 0;
+    size_t least = SIZE_MAX;
+
+    for (uint32_t i = 0; i < number (w, "targets", 10); i++)
+      targets.push_back ({ name_hash ("target-" + std::to_string (i)),
+                           name_hash (std::to_string (i % domains)) });
+    Subsets before = subsets (entries, targets, want);
+    for (const auto &subset : before)
+      for (uint64_t t : subset)
+        picks++, seen[t]++;
+    for (const auto &t : targets)
+      {
+        most = std::max (most, seen[t.name]);
+        least = std::min (least, seen[t.name]);
+      }
+    out << "each entry sees " << picks / entries << ", each target is seen by "
+        << least << " to " << most << ", mean " << picks / targets.size ()
+        << "\n";
+    std::reverse (targets.begin (), targets.end ());
+    out << "another order: " << fresh (before, subsets (entries, targets, want))
+        << " new picks\n";
+    targets.front ().name = name_hash ("another");
+    out << "a target replaced: "
+        << fresh (before, subsets (entries, targets, want)) << " new picks\n";
+    targets.erase (std::remove_if (targets.begin (), targets.end (),
+                                   [] (const cv_subset_target_t &t) {
+                                     return t.domain == name_hash ("0");
+                                   }),
+                   targets.end ());
+    Subsets after = subsets (entries, targets, want);
+    out << "a failure domain lost: " << fresh (before, after)
+        << " new picks of " << picks << "\n";
+  }
+
   cv_length_key_t
   key (const std::string &account, const std::string &class_name)
   {
@@ -354,7 +435,7 @@
 
 INSTANTIATE_TEST_SUITE_P (Policy, Scripts,
                           testing::Values ("gate", "length", "limits", "retry",
-                                           "router", "suspects"),
+                                           "router", "subset", "suspects"),
                           [] (const auto &param) { return param.param; });
 
 } /* namespace */
