--- a/bench/relay/load.c
+++ b/bench/relay/load.c
@@ -42,12 +42,14 @@
   stream_t *streams;
   unsigned count;
   unsigned opened;
+  cv_time_t jitter; /* of the next stream's opening */
   unsigned open;
   double *gaps; /* microseconds between tokens of one stream */
   size_t gap_count;
 } load_t;
 
 static void run (load_t *l, cv_time_t ramp);
+static cv_time_t jitter (cv_time_t most);
 static void open_stream (load_t *l, stream_t *s);
 static int request_text (const load_t *l, char *out, size_t size);
 static void ready (load_t *l, stream_t *s);
@@ -91,9 +93,10 @@
   struct epoll_event event[BATCH];
   cv_time_t begin = cv_now ();
 
+  l->jitter = jitter (ramp / l->count);
   while ((l->opened < l->count || l->open > 0) && cv_now () - begin < DEADLINE)
     {
-      cv_time_t due = begin + ramp * l->opened / l->count;
+      cv_time_t due = begin + ramp * l->opened / l->count + l->jitter;
       cv_time_t left = due - cv_now ();
       int n;
       int i;
@@ -101,6 +104,7 @@
       if (l->opened < l->count && left <= 0)
         {
           open_stream (l, &l->streams[l->opened++]);
+          l->jitter = jitter (ramp / l->count);
           continue;
         }
       if (l->opened == l->count)
@@ -111,6 +115,13 @@
     }
 }
 
+/* Openings at even distances would keep step with the engine's iterations.  */
+static cv_time_t
+jitter (cv_time_t most)
+{
+  return (cv_time_t)(cv_u64_random () % (uint64_t)(most + 1));
+}
+
 static void
 open_stream (load_t *l, stream_t *s)
 {
