--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -145,6 +145,8 @@
     cv_entry_store_failed (core_, now_ - number (w[1]) * CV_MS);
   else if (w[0] == "confirmed")
     cv_entry_confirmed (core_, now_ - number (w[2]) * CV_MS, number (w[1]));
+  else if (w[0] == "metrics")
+    metrics (w);
   else if (w[0] == "show-expect")
     expect_ = true;
   else if (w[0] == "entries")
@@ -357,10 +359,11 @@
   std::string prompt = w.size () > 4 ? w[4] : "hello";
   uint64_t hash = cv_hash (prompt.data (), prompt.size (),
                            cv_hash ("portal", 6, 0) ^ cv_hash ("m", 1, 0));
-  char body[200];
+  char body[320];
   snprintf (body, sizeof body,
             "{\"suspects\":[{\"hash\":\"%016llx\","
-            "\"strikes\":[%s],\"cleared\":0}]}",
+            "\"strikes\":[%s],\"deaths\":[\"0000000000000001\","
+            "\"0000000000000002\"],\"cleared\":0}]}",
             static_cast<unsigned long long> (hash), w[3].c_str ());
   cv_msg_t m = {};
   m.type = CV_MSG_DOC;
@@ -370,6 +373,21 @@
   message (w[1], m);
 }
 
+/* metrics TEXT: the lines of the metrics that hold it.  */
+void
+CoreScript::metrics (const Words &w)
+{
+  cv_buf_t buf;
+  cv_buf_init (&buf);
+  cv_entry_metrics_write (cv_entry_metrics (core_), &buf);
+  std::istringstream in (cv_buf_text (&buf));
+  std::string l;
+  while (std::getline (in, l))
+    if (l.find (w[1]) != std::string::npos)
+      out_ << "  " << l << "\n";
+  cv_buf_finish (&buf);
+}
+
 /* doc TARGET VERSION */
 void
 CoreScript::doc (const Words &w)
