catkinctl histograms reads the entry's new names of quantiles

Cause: the entry's metrics became histograms with buckets and gauges named ..._quantile; catkinctl joined quantiles to sums by the old names and would have printed them in rows of their own without a count, which it leaves out. Change: the suffix is cut, and a fake entry's metrics are read in a test.

--- a/catkinctl/status.c
+++ b/catkinctl/status.c
@@ -8,7 +8,7 @@
 #include "catkinctl/ctl.h"
 
 #define STATUS_OK 200
-#define PREFIX "catkinvale_"
+#define PREFIX "catkinvale_entry_"
 #define LABEL_TEXT 80
 #define MEASURE_TEXT 80
 
@@ -119,6 +119,7 @@
     find_histogram (h, s)->count = s->value;
   else if (s->quantile[0] != '\0')
     {
+      (void)cut_suffix (s->name, "_quantile");
       (void)cut_suffix (s->name, "_quantile");
       item = find_histogram (h, s);
       if (strcmp (s->quantile, "0.5") == 0)
--- a/catkinctl/tests/fake_entry.h
+++ b/catkinctl/tests/fake_entry.h
@@ -78,6 +78,14 @@
       {
         std::string text = "catkinvale_preemptions_total "
                            + std::to_string (entry->preemptions_) + "\n";
+        std::string name = "catkinvale_entry_first_token_seconds";
+        std::string labels = "{account=\"mall\",class=\"tag\"";
+        text += name + "_bucket" + labels + ",le=\"1\"} 6\n";
+        text += name + "_sum" + labels + "} 3\n";
+        text += name + "_count" + labels + "} 6\n";
+        for (const char *q : { "0.5", "0.95", "0.99" })
+          text += name + "_quantile" + labels + ",quantile=\"" + q + "\"} " + q
+                  + "\n";
         ulfius_set_string_body_response (res, 200, text.c_str ());
       }
     else if (entry->mode_ == "refuse")
