Entry: fewer allocations and no formatting per relayed token

Change: tokens that follow a waiting reply of the same stream are added to it, so that what is there already goes out in one write; one spare reply is kept; what all events of a stream have in common is formatted once; the signal comes after the unlock. Nothing waits for more tokens.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -7,7 +7,14 @@
 
 #include "entry/caller.h"
 
-static void copy_tokens (cv_mail_t *m, const cv_reply_t *reply);
+/* Bytes of text that a first token makes room for.  */
+#define TEXT_FIRST 64
+/* Larger texts are not kept for the next reply.  */
+#define SPARE_TEXT_MAX 4096
+
+static void fill (cv_mail_t *m, const cv_reply_t *reply);
+static bool follows (const cv_mail_t *m, const cv_reply_t *reply);
+static void add_tokens (cv_mail_t *m, const cv_reply_t *reply);
 static void copy_call (cv_mail_t *m, const cv_reply_t *reply);
 static struct timespec deadline_after (cv_time_t wait);
 
@@ -22,7 +29,7 @@
   CV_INVARIANT (pthread_condattr_setclock (&attr, CLOCK_MONOTONIC) == 0);
   CV_INVARIANT (pthread_cond_init (&c->filled, &attr) == 0);
   (void)pthread_condattr_destroy (&attr);
-  STAILQ_INIT (&c->mails);
+  TAILQ_INIT (&c->mails);
   c->refs = 1;
   return c;
 }
@@ -41,11 +48,13 @@
 
   if (__atomic_sub_fetch (&c->refs, 1, __ATOMIC_ACQ_REL) > 0)
     return;
-  while ((m = STAILQ_FIRST (&c->mails)) != NULL)
+  while ((m = TAILQ_FIRST (&c->mails)) != NULL)
     {
-      STAILQ_REMOVE_HEAD (&c->mails, link);
+      TAILQ_REMOVE (&c->mails, m, link);
       cv_mail_free (m);
     }
+  if (c->spare != NULL)
+    cv_mail_free (c->spare);
   (void)pthread_cond_destroy (&c->filled);
   (void)pthread_mutex_destroy (&c->lock);
   free (c);
@@ -54,36 +63,22 @@
 void
 cv_caller_put (cv_caller_t *c, const cv_reply_t *reply)
 {
-  cv_mail_t *m = cv_calloc (1, sizeof *m);
+  cv_mail_t *m;
 
-  m->type = reply->type;
-  switch (reply->type)
+  (void)pthread_mutex_lock (&c->lock);
+  m = TAILQ_LAST (&c->mails, cv_mail_list_t);
+  if (reply->type == CV_REPLY_TOKENS && m != NULL && follows (m, reply))
+    add_tokens (m, reply);
+  else
     {
-    case CV_REPLY_TOKENS:
-      copy_tokens (m, reply);
-      break;
-    case CV_REPLY_END:
-      m->end = reply->u.end.end;
-      m->total = reply->u.end.total;
-      break;
-    case CV_REPLY_CALL:
-      copy_call (m, reply);
-      break;
-    case CV_REPLY_TICKET:
-      m->ticket = reply->u.ticket;
-      break;
-    case CV_REPLY_FAILED:
-      m->failure = reply->u.failed.code;
-      m->outcome = reply->u.failed.outcome;
-      m->retry_after_ms = reply->u.failed.retry_after_ms;
-      break;
-    case CV_REPLY_GONE:
-      break;
+      m = c->spare != NULL ? c->spare : cv_calloc (1, sizeof *m);
+      c->spare = NULL;
+      fill (m, reply);
+      TAILQ_INSERT_TAIL (&c->mails, m, link);
     }
-  (void)pthread_mutex_lock (&c->lock);
-  STAILQ_INSERT_TAIL (&c->mails, m, link);
-  (void)pthread_cond_signal (&c->filled);
   (void)pthread_mutex_unlock (&c->lock);
+  /* After the lock, so that the thread that wakes finds it free.  */
+  (void)pthread_cond_signal (&c->filled);
 }
 
 cv_mail_t *
@@ -93,11 +88,11 @@
   cv_mail_t *m;
 
   (void)pthread_mutex_lock (&c->lock);
-  while ((m = STAILQ_FIRST (&c->mails)) == NULL && wait > 0)
+  while ((m = TAILQ_FIRST (&c->mails)) == NULL && wait > 0)
     if (pthread_cond_timedwait (&c->filled, &c->lock, &until) == ETIMEDOUT)
       wait = 0;
   if (m != NULL)
-    STAILQ_REMOVE_HEAD (&c->mails, link);
+    TAILQ_REMOVE (&c->mails, m, link);
   (void)pthread_mutex_unlock (&c->lock);
   return m;
 }
@@ -110,6 +105,24 @@
   free (m);
 }
 
+void
+cv_caller_recycle (cv_caller_t *c, cv_mail_t *m)
+{
+  cv_mail_t *old;
+
+  if (m->text_cap > SPARE_TEXT_MAX)
+    {
+      cv_mail_free (m);
+      return;
+    }
+  (void)pthread_mutex_lock (&c->lock);
+  old = c->spare;
+  c->spare = m;
+  (void)pthread_mutex_unlock (&c->lock);
+  if (old != NULL)
+    cv_mail_free (old);
+}
+
 bool
 cv_mail_is_last (const cv_mail_t *m)
 {
@@ -117,25 +130,70 @@
 }
 
 static void
-copy_tokens (cv_mail_t *m, const cv_reply_t *reply)
+fill (cv_mail_t *m, const cv_reply_t *reply)
+{
+  m->type = reply->type;
+  switch (reply->type)
+    {
+    case CV_REPLY_TOKENS:
+      m->first = *reply->u.tokens.first;
+      m->count = 0;
+      m->text_size = 0;
+      add_tokens (m, reply);
+      break;
+    case CV_REPLY_END:
+      m->end = reply->u.end.end;
+      m->total = reply->u.end.total;
+      break;
+    case CV_REPLY_CALL:
+      copy_call (m, reply);
+      break;
+    case CV_REPLY_TICKET:
+      m->ticket = reply->u.ticket;
+      break;
+    case CV_REPLY_FAILED:
+      m->failure = reply->u.failed.code;
+      m->outcome = reply->u.failed.outcome;
+      m->retry_after_ms = reply->u.failed.retry_after_ms;
+      break;
+    case CV_REPLY_GONE:
+      break;
+    }
+}
+
+/* Do the tokens of REPLY come right after those of M?  */
+static bool
+follows (const cv_mail_t *m, const cv_reply_t *reply)
+{
+  const cv_position_t *first = reply->u.tokens.first;
+
+  return m->type == CV_REPLY_TOKENS
+         && cv_id_equal (m->first.stream, first->stream)
+         && m->first.offset + m->count == first->offset;
+}
+
+static void
+add_tokens (cv_mail_t *m, const cv_reply_t *reply)
 {
-  char *p;
+  uint32_t n = reply->u.tokens.count;
+  const cv_slice_t *token = reply->u.tokens.token;
 
-  m->first = *reply->u.tokens.first;
-  m->count = reply->u.tokens.count;
-  m->sizes = cv_calloc (m->count, sizeof *m->sizes);
-  for (uint32_t i = 0; i < m->count; i++)
+  if (m->count + n > m->sizes_cap)
     {
-      m->sizes[i] = (uint32_t)reply->u.tokens.token[i].n;
-      m->text_size += m->sizes[i];
+      m->sizes_cap = 2 * (m->count + n);
+      m->sizes = cv_realloc (m->sizes, m->sizes_cap * sizeof *m->sizes);
     }
-  m->text = cv_calloc (1, m->text_size + 1);
-  p = m->text;
-  for (uint32_t i = 0; i < m->count; i++)
+  for (uint32_t i = 0; i < n; i++)
     {
-      if (m->sizes[i] > 0)
-        memcpy (p, reply->u.tokens.token[i].p, m->sizes[i]);
-      p += m->sizes[i];
+      if (m->text_size + token[i].n > m->text_cap)
+        {
+          m->text_cap = 2 * (m->text_size + token[i].n) + TEXT_FIRST;
+          m->text = cv_realloc (m->text, m->text_cap);
+        }
+      if (token[i].n > 0)
+        memcpy (m->text + m->text_size, token[i].p, token[i].n);
+      m->text_size += token[i].n;
+      m->sizes[m->count++] = (uint32_t)token[i].n;
     }
 }
 
@@ -147,7 +205,9 @@
   m->ticket = *reply->u.call.ticket;
   (void)cv_copy_slice (m->content_type, sizeof m->content_type,
                        reply->u.call.content_type);
+  free (m->text);
   m->text = cv_strdup_n (reply->u.call.body.p, reply->u.call.body.n);
+  m->text_cap = reply->u.call.body.n;
   m->text_size = reply->u.call.body.n;
 }
 
--- a/entry/caller.h
+++ b/entry/caller.h
@@ -11,13 +11,15 @@
 /* A reply with its own copy of the bytes.  */
 typedef struct cv_mail_t
 {
-  STAILQ_ENTRY (cv_mail_t) link;
+  TAILQ_ENTRY (cv_mail_t) link;
   cv_reply_type_t type;
   cv_position_t first; /* TOKENS */
   uint32_t count;
   uint32_t *sizes;
+  uint32_t sizes_cap;
   char *text; /* tokens one after another, or the body of a call */
   size_t text_size;
+  size_t text_cap;
   cv_end_t end;
   uint32_t total;
   uint32_t status;
@@ -34,7 +36,8 @@
 {
   pthread_mutex_t lock;
   pthread_cond_t filled;
-  STAILQ_HEAD (cv_mail_list_t, cv_mail_t) mails;
+  TAILQ_HEAD (cv_mail_list_t, cv_mail_t) mails;
+  cv_mail_t *spare; /* its memory serves the next reply */
   int refs;
 } cv_caller_t;
 
@@ -46,6 +49,8 @@
 /* The next reply, or NULL after WAIT (microseconds; 0: do not wait).  */
 cv_mail_t *cv_caller_take (cv_caller_t *c, cv_time_t wait);
 void cv_mail_free (cv_mail_t *m);
+/* As cv_mail_free, but its memory may serve C's next reply.  */
+void cv_caller_recycle (cv_caller_t *c, cv_mail_t *m);
 /* Is it the last reply of its request?  */
 bool cv_mail_is_last (const cv_mail_t *m);
 
--- a/entry/http_sse.c
+++ b/entry/http_sse.c
@@ -7,13 +7,18 @@
 #include "entry/http_internal.h"
 
 #define BLOCK_SIZE (16 * 1024)
+/* Digits of a uint32_t.  */
+#define NUMBER_TEXT 10
 
 typedef struct
 {
   cv_http_t *http;
   cv_caller_t *caller;
   cv_buf_t out;
-  size_t sent; /* bytes of OUT that were handed over */
+  size_t sent;    /* bytes of OUT that were handed over */
+  cv_id_t stream; /* of the tokens so far; HEAD and BODY are made for it */
+  cv_buf_t head;  /* of each event, up to the offset */
+  cv_buf_t body;  /* between offset and text */
   bool chat;
   bool last; /* the last reply is in OUT */
 } cv_sse_t;
@@ -23,6 +28,8 @@
 static void fill (cv_sse_t *s);
 static void write_mail (cv_sse_t *s, cv_mail_t *m);
 static void write_tokens (cv_sse_t *s, const cv_mail_t *m);
+static void make_parts (cv_sse_t *s, const cv_position_t *first);
+static void add_number (cv_buf_t *out, uint32_t n);
 static void write_end (cv_sse_t *s, const cv_mail_t *m);
 static void write_error (cv_sse_t *s, const cv_mail_t *m);
 
@@ -36,6 +43,8 @@
   s->caller = caller;
   s->chat = chat;
   cv_buf_init (&s->out);
+  cv_buf_init (&s->head);
+  cv_buf_init (&s->body);
   if (first != NULL)
     write_mail (s, first);
   (void)u_map_put (resp->map_header, "Content-Type", "text/event-stream");
@@ -80,6 +89,8 @@
     cv_entry_link_gone (s->http->link, s->caller);
   cv_caller_unref (s->caller);
   cv_buf_finish (&s->out);
+  cv_buf_finish (&s->head);
+  cv_buf_finish (&s->body);
   free (s);
 }
 
@@ -121,36 +132,70 @@
       write_error (s, m);
       break;
     }
-  cv_mail_free (m);
+  cv_caller_recycle (s->caller, m);
 }
 
 static void
 write_tokens (cv_sse_t *s, const cv_mail_t *m)
 {
-  char id[CV_TICKET_TEXT];
-  char stream[CV_ID_TEXT];
-  cv_position_t position = m->first;
+  static const char chat_end[] = "}}]}\n\n";
+  static const char text_end[] = "}]}\n\n";
   const char *text = m->text;
 
-  (void)cv_id_format (position.stream, stream);
+  if (s->head.n == 0 || !cv_id_equal (s->stream, m->first.stream))
+    make_parts (s, &m->first);
   for (uint32_t i = 0; i < m->count; i++)
     {
-      cv_buf_printf (&s->out, "id: %s\ndata: {\"id\":\"cmpl-%s\",",
-                     cv_position_format (&position, id), stream);
+      cv_buf_add (&s->out, s->head.p, s->head.n);
+      add_number (&s->out, m->first.offset + i);
+      cv_buf_add (&s->out, s->body.p, s->body.n);
+      cv_json_quote (&s->out, text, m->sizes[i]);
       if (s->chat)
-        cv_buf_printf (&s->out, "\"object\":\"chat.completion.chunk\","
-                                "\"choices\":[{\"index\":0,\"delta\":"
-                                "{\"content\":");
+        cv_buf_add (&s->out, chat_end, sizeof chat_end - 1);
       else
-        cv_buf_printf (&s->out, "\"object\":\"text_completion\","
-                                "\"choices\":[{\"index\":0,\"text\":");
-      cv_json_quote (&s->out, text, m->sizes[i]);
-      cv_buf_printf (&s->out, s->chat ? "}}]}\n\n" : "}]}\n\n");
+        cv_buf_add (&s->out, text_end, sizeof text_end - 1);
       text += m->sizes[i];
-      position.offset++;
     }
 }
 
+/* What all events of one generation have in common.  */
+static void
+make_parts (cv_sse_t *s, const cv_position_t *first)
+{
+  char id[CV_TICKET_TEXT];
+  char stream[CV_ID_TEXT];
+  char *offset;
+
+  s->stream = first->stream;
+  cv_buf_reset (&s->head);
+  cv_buf_reset (&s->body);
+  (void)cv_position_format (first, id);
+  offset = strrchr (id, '~');
+  CV_INVARIANT (offset != NULL);
+  cv_buf_printf (&s->head, "id: %.*s", (int)(offset + 1 - id), id);
+  cv_buf_printf (&s->body, "\ndata: {\"id\":\"cmpl-%s\",%s",
+                 cv_id_format (first->stream, stream),
+                 s->chat ? "\"object\":\"chat.completion.chunk\","
+                           "\"choices\":[{\"index\":0,\"delta\":{\"content\":"
+                         : "\"object\":\"text_completion\","
+                           "\"choices\":[{\"index\":0,\"text\":");
+}
+
+static void
+add_number (cv_buf_t *out, uint32_t n)
+{
+  char text[NUMBER_TEXT];
+  size_t at = sizeof text;
+
+  do
+    {
+      text[--at] = (char)('0' + n % 10);
+      n /= 10;
+    }
+  while (n > 0);
+  cv_buf_add (out, text + at, sizeof text - at);
+}
+
 static void
 write_end (cv_sse_t *s, const cv_mail_t *m)
 {
