--- a/side/running.c
+++ b/side/running.c
@@ -10,7 +10,7 @@
 
 static void act (cv_core_t *c, cv_time_t now, const cv_gate_action_t *a);
 static void start (cv_core_t *c, cv_stream_t *s);
-static void append (cv_stream_t *s, cv_slice_t text);
+static void append (cv_core_t *c, cv_stream_t *s, cv_slice_t text);
 static void review_waiting (cv_core_t *c, cv_time_t now, cv_stream_t *s);
 static bool strike (cv_core_t *c);
 static void note_natural_end (cv_core_t *c, cv_time_t now,
@@ -34,9 +34,18 @@
   work.max_tokens = s->max_tokens;
   work.deadline = s->deadline;
   work.suspect = s->suspect;
+  c->gate_due = true;
   return cv_gate_offer (c->gate, now, &work, retry_after_ms);
 }
 
+void
+cv_running_ended (cv_core_t *c, cv_time_t now, const cv_stream_t *s,
+                  bool natural)
+{
+  cv_gate_ended (c->gate, now, s->slot, natural);
+  c->gate_due = true;
+}
+
 void
 cv_running_gate (cv_core_t *c, cv_time_t now)
 {
@@ -44,8 +53,9 @@
   size_t n;
   size_t i;
 
-  if (!c->backend_up || c->set.kind != CV_POOL_ENGINE)
+  if (!c->gate_due || !c->backend_up || c->set.kind != CV_POOL_ENGINE)
     return;
+  c->gate_due = false;
   do
     {
       n = cv_gate_tick (c->gate, now, action, GATE_BATCH);
@@ -96,7 +106,7 @@
 
   if (s == NULL || index != s->count)
     return;
-  append (s, text);
+  append (c, s, text);
   c->counts.tokens++;
   cv_gate_progress (c->gate, now, s->slot, 1);
   cv_streams_mark (c, s);
@@ -110,6 +120,7 @@
   if (s == NULL || s->state != CV_STREAM_RUNNING)
     return; /* the pause that this side asked for */
   c->counts.preemptions++;
+  c->gate_due = true;
   cv_gate_preempted (c->gate, now, s->slot);
 }
 
@@ -163,6 +174,7 @@
   c->engine = *load;
   c->engine_seen = now;
   cv_gate_set_total (c->gate, load->kv_total);
+  c->gate_due = true;
 }
 
 void
@@ -173,6 +185,7 @@
   if (c->backend_up == up)
     return;
   c->backend_up = up;
+  c->gate_due = true;
   while (!up && s != NULL)
     {
       cv_stream_t *next = TAILQ_NEXT (s, link);
@@ -199,7 +212,7 @@
     }
   if (s->suspect == (state == CV_CONTENT_SUSPECT))
     return;
-  cv_gate_ended (c->gate, now, s->slot, false);
+  cv_running_ended (c, now, s, false);
   if (cv_running_offer (c, now, s, &retry_after_ms))
     return;
   cv_streams_reject (c, now, s, CV_REJECT_FULL, retry_after_ms);
@@ -254,11 +267,15 @@
   order->max_tokens = s->max_tokens;
   order->priority = s->priority;
   c->emit (c->arg, &out);
+  free (s->prompt); /* the engine has it */
+  s->prompt = NULL;
+  s->prompt_size = 0;
 }
 
 static void
-append (cv_stream_t *s, cv_slice_t text)
+append (cv_core_t *c, cv_stream_t *s, cv_slice_t text)
 {
+  c->buffered += text.n + sizeof *s->token_end;
   if (s->count == s->cap)
     {
       s->cap = s->cap == 0 ? TOKENS_FIRST : s->cap * 2;
@@ -281,7 +298,9 @@
   if (s->state == CV_STREAM_RUNNING)
     hashes[n++] = s->content_hash;
   if (n > 0)
-    cv_suspects_strike (c->suspects, hashes, n, c->wall_s);
+    cv_suspects_strike (c->suspects, hashes, n, c->wall_s,
+                        cv_hash (&c->set.incarnation, sizeof c->set.incarnation,
+                                 c->counts.engine_losses));
   free (hashes);
   return n > 0;
 }
