--- a/catkinctl/tests/processes.cc
+++ b/catkinctl/tests/processes.cc
@@ -421,7 +421,8 @@
 {
   text = replace_all (text, net_, "127.N.N.");
   text = replace_all (text, CV_TEST_DIR "/scripts/", "@");
-  return hide_number (hide_nonces (text), "[", "]:", "PID");
+  return hide_number (hide_number (hide_nonces (text), "[", "]:", "PID"),
+                      "at_ms\":", "}", "T");
 }
 
 std::string
