--- a/entry/http.c
+++ b/entry/http.c
@@ -13,6 +13,8 @@
 #define LISTEN_BACKLOG 1024
 /* Connections that one client address may hold.  */
 #define PER_ADDRESS_SHARE 2
+/* Between looks whether a caller that waits for a whole answer is there.  */
+#define GONE_CHECK_INTERVAL (250 * CV_MS)
 
 static bool start (cv_http_t *h, cv_error_t *err);
 static void add_endpoints (cv_http_t *h);
@@ -22,7 +24,15 @@
 static bool unauthorized (cv_response_t *resp);
 static cv_http_error_t error_of (cv_failure_code_t code,
                                  uint32_t retry_after_ms);
+typedef struct
+{
+  const char *unready;
+  uint64_t version;
+  uint32_t age_ms;
+} cv_health_t;
+
 static int healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg);
+static void read_health (cv_entry_core_t *core, cv_time_t now, void *arg);
 static int metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg);
 static int not_found (const cv_request_in_t *req, cv_response_t *resp,
                       void *arg);
@@ -37,8 +47,10 @@
   h->settings = s;
   h->link = link;
   h->jobs = jobs;
+  cv_http_conns_init (&h->conns);
   if (!start (h, err))
     {
+      cv_http_conns_finish (&h->conns);
       free (h);
       return NULL;
     }
@@ -51,6 +63,7 @@
 {
   (void)ulfius_stop_framework (&h->instance);
   ulfius_clean_instance (&h->instance);
+  cv_http_conns_finish (&h->conns);
   free (h);
 }
 
@@ -75,6 +88,8 @@
   if (id == NULL || !request_id_valid (id))
     id = cv_id_format (cv_id_random (), made);
   (void)u_map_put (resp->map_header, "X-Request-Id", id);
+  if (__atomic_load_n (&h->draining, __ATOMIC_RELAXED) != 0)
+    (void)u_map_put (resp->map_header, "Connection", "close");
   if (req->binary_body_length <= h->settings->max_body_bytes
       && (length == NULL
           || strtoull (length, NULL, 10) <= h->settings->max_body_bytes))
@@ -115,6 +130,25 @@
   return unauthorized (resp);
 }
 
+uint32_t
+cv_http_active (cv_http_t *h)
+{
+  return cv_http_conns_requests (&h->conns);
+}
+
+cv_mail_t *
+cv_http_take (cv_http_t *h, const cv_request_in_t *req, cv_caller_t *caller,
+              cv_time_t wait)
+{
+  cv_time_t until = cv_now () + wait;
+  cv_mail_t *m = NULL;
+
+  while (m == NULL && cv_now () < until
+         && !cv_http_conns_gone (&h->conns, req->client_address))
+    m = cv_caller_take (caller, GONE_CHECK_INTERVAL);
+  return m;
+}
+
 const char *
 cv_http_header (const cv_request_in_t *req, const char *name)
 {
@@ -228,8 +262,10 @@
 {
   uint32_t limit = h->settings->max_connections;
   struct MHD_OptionItem ops[] = {
-    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL },
-    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL },
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)cv_http_conns_completed,
+      &h->conns },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)cv_http_conns_begun, &h->conns },
+    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)cv_http_conns_notify, &h->conns },
     { MHD_OPTION_SOCK_ADDR, 0, &h->bind },
     { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)limit, NULL },
     { MHD_OPTION_PER_IP_CONNECTION_LIMIT, (intptr_t)(limit / PER_ADDRESS_SHARE),
@@ -341,25 +377,42 @@
 healthz (const cv_request_in_t *req, cv_response_t *resp, void *arg)
 {
   cv_http_t *h = arg;
-  cv_config_t *config = cv_entry_link_config (h->link);
   bool draining = __atomic_load_n (&h->draining, __ATOMIC_RELAXED) != 0;
+  cv_health_t health = { 0 };
   cv_buf_t body;
   int rc;
 
   (void)req;
+  cv_entry_link_inspect (h->link, read_health, &health);
+  if (draining)
+    health.unready = "this entry is being stopped";
   cv_buf_init (&body);
-  cv_buf_printf (&body, "{\"state\":\"%s\",\"config_version\":%llu}",
-                 draining         ? "stopping"
-                 : config == NULL ? "starting"
-                                  : "serving",
-                 config == NULL ? 0ULL : (unsigned long long)config->version);
-  rc = cv_http_json (resp, draining || config == NULL ? 503 : 200, &body);
-  if (config != NULL)
-    cv_config_unref (config);
+  cv_buf_printf (&body, "{\"state\":\"%s\",\"config_version\":%llu",
+                 draining                 ? "stopping"
+                 : health.unready != NULL ? "starting"
+                                          : "serving",
+                 (unsigned long long)health.version);
+  if (health.age_ms != UINT32_MAX)
+    cv_buf_printf (&body, ",\"config_age_ms\":%u", health.age_ms);
+  if (health.unready != NULL)
+    cv_buf_printf (&body, ",\"reason\":\"%s\"", health.unready);
+  cv_buf_printf (&body, "}");
+  rc = cv_http_json (resp, health.unready != NULL ? 503 : 200, &body);
   cv_buf_finish (&body);
   return rc;
 }
 
+static void
+read_health (cv_entry_core_t *core, cv_time_t now, void *arg)
+{
+  cv_health_t *health = arg;
+  const cv_config_t *config = cv_entry_config (core);
+
+  health->unready = cv_entry_unready (core);
+  health->version = config == NULL ? 0 : config->version;
+  health->age_ms = cv_entry_config_age_ms (core, now);
+}
+
 static int
 metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg)
 {
--- a/policy/suspects.c
+++ b/policy/suspects.c
@@ -14,6 +14,8 @@
 #define SUSPECTS_MAX 1024
 /* A strike counts for so long.  */
 #define STRIKE_LIFETIME_S (6 * 3600)
+/* Bits of the content's hash in a version.  */
+#define VERSION_HASH_BITS 16
 
 /* One engine death.  */
 typedef struct
@@ -38,6 +40,8 @@
 
 static int strikes (const suspect_t *e, int64_t wall_s);
 static suspect_t *suspect_get (cv_suspects_t *s, uint64_t hash);
+static bool older (int64_t strike, uint64_t hash, const suspect_t *e);
+static uint32_t oldest (const cv_suspects_t *s);
 static bool newer (const strike_t *a, const strike_t *b);
 static void strike_add (suspect_t *e, strike_t strike);
 static int by_hash (const void *a, const void *b);
@@ -87,8 +91,27 @@
   return n > 0 ? CV_CONTENT_SUSPECT : CV_CONTENT_CLEAR;
 }
 
-/* Find or make the entry of HASH; when full, the one whose newest strike is
-   oldest gives way.  */
+/* The order in which entries give way when the table is full; it is total, so
+   that merges in any order keep the same ones.  */
+static bool
+older (int64_t strike, uint64_t hash, const suspect_t *e)
+{
+  return strike < e->strike[0].wall_s
+         || (strike == e->strike[0].wall_s && hash < e->hash);
+}
+
+static uint32_t
+oldest (const cv_suspects_t *s)
+{
+  uint32_t i = 0;
+
+  for (uint32_t k = 1; k < s->count; k++)
+    if (older (s->entry[k].strike[0].wall_s, s->entry[k].hash, &s->entry[i]))
+      i = k;
+  return i;
+}
+
+/* Find or make the entry of HASH; when full, the oldest gives way.  */
 static suspect_t *
 suspect_get (cv_suspects_t *s, uint64_t hash)
 {
@@ -100,10 +123,7 @@
     i = s->count++;
   else
     {
-      i = 0;
-      for (uint32_t k = 1; k < s->count; k++)
-        if (newer (&s->entry[i].strike[0], &s->entry[k].strike[0]))
-          i = k;
+      i = oldest (s);
       cv_map_remove (&s->index, s->entry[i].hash);
     }
   s->entry[i] = (suspect_t){ .hash = hash };
@@ -176,6 +196,7 @@
   return ((*x)->hash > (*y)->hash) - ((*x)->hash < (*y)->hash);
 }
 
+/* Sorted, so that equal tables give equal documents.  */
 void
 cv_suspects_dump (const cv_suspects_t *s, cv_buf_t *out)
 {
@@ -241,6 +262,7 @@
   char *end;
   uint64_t h;
   suspect_t *e;
+  int64_t newest = 0;
 
   if (!json_object_object_get_ex (item, "hash", &hash)
       || !json_object_object_get_ex (item, "strikes", &list)
@@ -254,6 +276,15 @@
   h = strtoull (text, &end, 16);
   if (end == text || *end != '\0')
     return false;
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      int64_t t = json_object_get_int64 (json_object_array_get_idx (list, i));
+
+      newest = t > newest ? t : newest;
+    }
+  if (s->count == SUSPECTS_MAX && cv_map_get (&s->index, h) == CV_MAP_NONE
+      && older (newest, h, &s->entry[oldest (s)]))
+    return true;
   e = suspect_get (s, h);
   if (!merge_strikes (e, list, deaths))
     return false;
@@ -284,3 +315,12 @@
     json_tokener_free (tok);
   return ok || cv_fail (err, CV_ERR_INVALID, "suspects: not a valid document");
 }
+
+uint64_t
+cv_suspects_version (uint64_t newest, cv_slice_t body)
+{
+  uint64_t mask = (1u << VERSION_HASH_BITS) - 1;
+  uint64_t counter = (newest >> VERSION_HASH_BITS) + 1;
+
+  return counter << VERSION_HASH_BITS | (cv_hash (body.p, body.n, 0) & mask);
+}
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -4,8 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/json.h"
-#include "settings/settings.h"
+#include "settings/fields.h"
 
 #define FILE_MAX (256u * 1024)
 #define PORT_MAX 65535
@@ -93,6 +92,10 @@
         OBJECT ("wire", SIDE (wire), endpoint_fields),
         OBJECT ("control", SIDE (control), endpoint_fields),
         OBJECT ("target_url", SIDE (target_url), service_fields),
+        { .key = "weights_url",
+          .kind = CV_FIELD_URL,
+          .offset = SIDE (weights_url),
+          .size = CV_URL_MAX },
         NUMBER ("max_batch", SIDE (max_batch), 1, 4096, 16),
         { .key = "kv_tokens",
           .kind = CV_FIELD_U64,
@@ -295,6 +298,12 @@
   return 0;
 }
 
+const cv_field_t *
+cv_settings_fields (cv_role_t role)
+{
+  return role == CV_ROLE_ENTRY ? entry_fields : side_fields;
+}
+
 const char *
 cv_settings_instance (const cv_settings_t *s)
 {
--- a/side/core.h
+++ b/side/core.h
@@ -7,7 +7,8 @@
    calls.c    calls of a plain service and their tickets
    peers.c    entries, heartbeats
    docs.c     versions of the configuration and of the suspects
-   drain.c    leaving and reclaim  */
+   drain.c    leaving and reclaim
+   orders.c   what the engine should have loaded  */
 
 #ifndef CV_SIDE_CORE_H
 #define CV_SIDE_CORE_H
@@ -15,6 +16,7 @@
 #include "config/config.h"
 #include "policy/policy.h"
 #include "side/idmap.h"
+#include "side/orders.h"
 #include "wire/wire.h"
 
 #ifdef __cplusplus
@@ -24,19 +26,19 @@
 
 #define CV_NO_PEER UINT32_MAX
 
-/* A stream that nobody reads is kept for so long, then cancelled; an ended
-   one is kept for replay as long.  */
-#define CV_RESUME_WINDOW (10 * CV_SECOND)
+#define CV_SWEEP_INTERVAL (200 * CV_MS)
 /* Identifiers of streams that must not start any more are remembered.  */
 #define CV_TOMBSTONE_AGE (600 * CV_SECOND)
 #define CV_TOMBSTONES_MAX 65536
-/* Tickets: life of a generation, generations remembered, most tickets, and
+/* Tickets: generations remembered, most tickets, and
    most bytes of stored answers.  */
-#define CV_GENERATION_LIFE (300 * CV_SECOND)
 #define CV_GENERATIONS_KEPT 3
 #define CV_TICKETS_MAX 100000
 #define CV_RESULTS_BYTES (16u * 1024 * 1024)
 #define CV_CALL_QUEUE_MAX 1024
+/* A process that ran no tick for CV_PEER_TIMEOUT was frozen.  What lies in
+   its socket then is of unknown age; after so long it has been read.  */
+#define CV_WAKE_SETTLE (500 * CV_MS)
 /* A document is not asked for again before this time.  */
 #define CV_PULL_INTERVAL (1 * CV_SECOND)
 /* A leaving side stays at least so long, so that work that was sent before
@@ -57,7 +59,9 @@
     CV_OUT_ENGINE_PAUSE,  /* free its memory, keep its tokens */
     CV_OUT_ENGINE_RUN,    /* queue a paused stream again */
     CV_OUT_ENGINE_CANCEL, /* stop it; no more events of it are wanted */
-    CV_OUT_SERVICE_CALL   /* run a call at the service */
+    CV_OUT_SERVICE_CALL,  /* run a call at the service */
+    CV_OUT_FETCH,         /* ask the weight store for leave to load */
+    CV_OUT_ORDER          /* an order to the engine itself */
   } cv_out_type_t;
 
   /* A stream at the engine.  ID guards against a slot that was used again.  */
@@ -101,6 +105,7 @@
       cv_engine_start_t start;
       cv_stream_ref_t stream; /* PAUSE, RUN, CANCEL */
       cv_service_call_t call;
+      const cv_order_t *order; /* FETCH, ORDER */
     } u;
   } cv_side_out_t;
 
@@ -114,6 +119,7 @@
     char instance[CV_NAME_MAX]; /* "" until its HELLO */
     uint64_t incarnation;
     cv_time_t heard;
+    cv_time_t greeted; /* its last HELLO */
     cv_versions_t versions;
   } cv_peer_t;
 
@@ -231,6 +237,7 @@
     uint64_t calls_replayed;
     uint64_t calls_unknown;
     uint64_t token_messages;
+    uint64_t freezes;
   } cv_side_counts_t;
 
   typedef struct
@@ -243,6 +250,14 @@
     uint64_t kv_tokens;
     uint32_t max_batch;
     uint32_t max_calls;
+    uint64_t buffer_bytes; /* of tokens, in all; 0: no bound */
+    /* A stream that nobody reads is kept for so long, then cancelled; an
+       ended one is kept for replay as long.  */
+    cv_time_t resume;
+    cv_time_t generation; /* life of a generation of tickets */
+    cv_time_t drain;      /* longest wait for work in flight; 0: no bound */
+    bool fetches;         /* a load needs leave of the weight store */
+    uint64_t seed;        /* of jitter */
   } cv_core_settings_t;
 
   typedef struct
@@ -255,16 +270,21 @@
     cv_peer_t *peers; /* indexed by peer number */
     uint32_t peer_count;
     cv_time_t reported;
+    cv_time_t ticked; /* last tick */
+    cv_time_t woke;   /* when it last went on after a freeze; 0: never */
 
     cv_idmap_t stream_ids;
     struct cv_stream_list_t streams;
     struct cv_stream_list_t dirty;
+    uint64_t buffered; /* bytes of tokens that all streams hold */
+    cv_time_t swept;   /* streams were last looked through for idle ones */
     cv_stream_t **slots;
     uint32_t slot_count;
     cv_idmap_t tombstone_ids;
     struct cv_tombstone_list_t tombstones; /* oldest first */
 
     cv_gate_t *gate;
+    bool gate_due; /* what the gate decides by has changed */
     cv_length_t *lengths;
     cv_suspects_t *suspects;
     cv_load_t engine; /* as the engine reported it */
@@ -286,6 +306,8 @@
     uint32_t config_age_ms; /* at config_heard */
     cv_time_t config_heard;
 
+    cv_orders_t orders;
+
     bool leaving;
     cv_time_t leave_since;
     cv_time_t reclaim_at; /* 0: no reclaim */
@@ -340,6 +362,24 @@
 
   void cv_core_call_end (cv_core_t *c, cv_time_t now, const cv_call_end_t *end);
 
+  /* The engine's answer to an order, or none.  FENCE is the one that a
+     refusal (status 409) names.  */
+  typedef struct
+  {
+    bool answered;
+    uint32_t status;
+    uint64_t fence;
+  } cv_order_end_t;
+
+  void cv_core_order_end (cv_core_t *c, cv_time_t now,
+                          const cv_order_end_t *end);
+  /* The weight store gave leave, or not; RETRY_AFTER_MS is 0 when it named no
+     time.  */
+  void cv_core_fetch_end (cv_core_t *c, cv_time_t now, bool granted,
+                          uint32_t retry_after_ms);
+  /* The engine was started anew and holds nothing that was ordered.  */
+  void cv_core_engine_booted (cv_core_t *c);
+
   /* Begin to drain; WITHIN > 0 is the time until the target is taken away.  */
   void cv_core_leave (cv_core_t *c, cv_time_t now, cv_time_t within);
   /* True when a leaving side holds nothing that must still be finished.  */
@@ -359,6 +399,11 @@
   void cv_peers_tick (cv_core_t *c, cv_time_t now);
   void cv_peers_report (cv_core_t *c, cv_time_t now, uint32_t peer);
   void cv_peers_report_all (cv_core_t *c, cv_time_t now);
+  /* Note that the process was frozen, when it was.  */
+  void cv_peers_wake (cv_core_t *c, cv_time_t now);
+  /* Whether work from PEER is new: it sent a HELLO since this process went on
+     after its last freeze.  */
+  bool cv_peers_fresh (const cv_core_t *c, uint32_t peer);
   bool cv_peers_live (const cv_core_t *c, uint32_t peer);
 
   void cv_streams_init (cv_core_t *c);
@@ -386,6 +431,10 @@
   /* Queue a new stream at the gate; false when it cannot start in time.  */
   bool cv_running_offer (cv_core_t *c, cv_time_t now, cv_stream_t *s,
                          uint32_t *retry_after_ms);
+  /* The stream left the gate; NATURAL as of cv_gate_ended.  */
+  void cv_running_ended (cv_core_t *c, cv_time_t now, const cv_stream_t *s,
+                         bool natural);
+  /* Ask the gate when anything changed since the last time, or at a tick.  */
   void cv_running_gate (cv_core_t *c, cv_time_t now);
   /* The suspects changed: judge the streams anew.  */
   void cv_running_review (cv_core_t *c, cv_time_t now);
@@ -417,6 +466,10 @@
   /* The suspects changed here.  */
   void cv_docs_suspects_changed (cv_core_t *c, cv_time_t now);
 
+  void cv_orders_init (cv_core_t *c, cv_time_t now);
+  void cv_orders_finish (cv_core_t *c);
+  void cv_orders_tick (cv_core_t *c, cv_time_t now);
+
   void cv_drain_tick (cv_core_t *c, cv_time_t now);
 
 #ifdef __cplusplus
--- a/side/streams.c
+++ b/side/streams.c
@@ -18,6 +18,8 @@
 static void stop (cv_core_t *c, cv_time_t now, cv_stream_t *s);
 static void send_tokens (cv_core_t *c, cv_stream_t *s);
 static void send_end (cv_core_t *c, cv_stream_t *s);
+static bool make_room (cv_core_t *c, cv_time_t now);
+static void forget_unread (cv_core_t *c, cv_time_t now, bool ended);
 static void bury (cv_core_t *c, cv_time_t now, cv_id_t id);
 static void unbury (cv_core_t *c, cv_tombstone_t *t);
 static cv_stream_t *find (const cv_core_t *c, cv_id_t id);
@@ -77,6 +79,12 @@
       bury (c, now, m->stream);
       return;
     }
+  if (!make_room (c, now))
+    {
+      cv_core_reject (c, peer, m->stream, CV_REJECT_FULL, CV_RETRY_DEFAULT_MS);
+      bury (c, now, m->stream);
+      return;
+    }
   s = stream_new (c, m);
   s->deadline = now + m->deadline_ms * CV_MS;
   if (cv_running_offer (c, now, s, &retry_after_ms))
@@ -167,7 +175,7 @@
 cv_streams_end (cv_core_t *c, cv_time_t now, cv_stream_t *s, cv_end_t end)
 {
   CV_INVARIANT (s->state != CV_STREAM_ENDED);
-  cv_gate_ended (c->gate, now, s->slot, end == CV_END_STOP);
+  cv_running_ended (c, now, s, end == CV_END_STOP);
   s->state = CV_STREAM_ENDED;
   s->end = end;
   if (s->peer != CV_NO_PEER)
@@ -182,7 +190,7 @@
 {
   CV_INVARIANT (s->state == CV_STREAM_WAITING && !s->at_engine);
   cv_core_reject (c, s->peer, s->node.id, reason, retry_after_ms);
-  cv_gate_ended (c->gate, now, s->slot, false);
+  cv_running_ended (c, now, s, false);
   stream_free (c, now, s);
 }
 
@@ -198,15 +206,20 @@
 void
 cv_streams_tick (cv_core_t *c, cv_time_t now)
 {
-  cv_stream_t *s = TAILQ_FIRST (&c->streams);
+  cv_stream_t *s;
   cv_tombstone_t *t;
 
+  if (now - c->swept < CV_SWEEP_INTERVAL)
+    return;
+  c->swept = now;
+  (void)make_room (c, now);
+  s = TAILQ_FIRST (&c->streams);
   while (s != NULL)
     {
       cv_stream_t *next = TAILQ_NEXT (s, link);
       bool idle = s->peer == CV_NO_PEER || s->end_sent;
 
-      if (idle && now - s->idle >= CV_RESUME_WINDOW)
+      if (idle && now - s->idle >= c->set.resume)
         stop (c, now, s);
       s = next;
     }
@@ -241,6 +254,11 @@
 {
   cv_reject_t reason;
 
+  if (!cv_peers_fresh (c, peer))
+    {
+      cv_core_reject (c, peer, m->stream, CV_REJECT_ENGINE, 0);
+      return false;
+    }
   if (!cv_docs_admit (c, now, peer, m->config_version))
     reason = CV_REJECT_OLD_CONFIG;
   else if (c->leaving)
@@ -293,6 +311,7 @@
   cv_idmap_remove (&c->stream_ids, &s->node);
   c->slots[s->slot] = NULL;
   bury (c, now, s->node.id);
+  c->buffered -= s->text.n + s->count * sizeof *s->token_end;
   cv_buf_finish (&s->text);
   free (s->token_end);
   free (s->prompt);
@@ -340,7 +359,7 @@
     {
       if (s->at_engine)
         cv_engine_order (c, CV_OUT_ENGINE_CANCEL, s);
-      cv_gate_ended (c->gate, now, s->slot, false);
+      cv_running_ended (c, now, s, false);
       c->counts.ends++;
     }
   stream_free (c, now, s);
@@ -383,6 +402,36 @@
   cv_core_send (c, s->peer, &msg);
 }
 
+/* Keep the tokens of all streams within their bound by forgetting streams
+   that nobody reads, ended ones first.  False when what is read takes up all
+   of it: then no new stream is taken.  */
+static bool
+make_room (cv_core_t *c, cv_time_t now)
+{
+  if (c->set.buffer_bytes == 0 || c->buffered < c->set.buffer_bytes)
+    return true;
+  forget_unread (c, now, true);
+  forget_unread (c, now, false);
+  return c->buffered < c->set.buffer_bytes;
+}
+
+/* Forget streams without a reader, oldest first, until there is room.  */
+static void
+forget_unread (cv_core_t *c, cv_time_t now, bool ended)
+{
+  cv_stream_t *s = TAILQ_FIRST (&c->streams);
+
+  while (s != NULL && c->buffered >= c->set.buffer_bytes)
+    {
+      cv_stream_t *next = TAILQ_NEXT (s, link);
+      bool read = s->end_sent ? false : s->peer != CV_NO_PEER;
+
+      if (!read && (s->state == CV_STREAM_ENDED) == ended)
+        stop (c, now, s);
+      s = next;
+    }
+}
+
 /* Remember that the stream ID must not start any more.  */
 static void
 bury (cv_core_t *c, cv_time_t now, cv_id_t id)
