--- a/bench/decisions/check.c
+++ b/bench/decisions/check.c
@@ -12,16 +12,16 @@
 typedef struct
 {
   const char *name;
-  figure_t figure;
   double factor; /* of the best baseline's median */
+  figure_t figure;
   bool at_least;
 } bound_t;
 
 static const bound_t bounds[] = {
-  { "stall", FIGURE_STALL, 1. / 3, false },
-  { "preemptions", FIGURE_PREEMPT, 1. / 4, false },
-  { "gap", FIGURE_GAP, 1. / 2, false },
-  { "goodput", FIGURE_GOODPUT, 1, true },
+  { "stall", 1. / 3, FIGURE_STALL, false },
+  { "preemptions", 1. / 4, FIGURE_PREEMPT, false },
+  { "gap", 1. / 2, FIGURE_GAP, false },
+  { "goodput", 1, FIGURE_GOODPUT, true },
 };
 
 static bool verdict (const char *name, const line_t *l, figure_t f, double got,
--- a/bench/decisions/report.c
+++ b/bench/decisions/report.c
@@ -99,7 +99,7 @@
 spread_t
 report_spread (const line_t *line, way_t way, size_t seeds, figure_t f)
 {
-  double v[SEEDS_MAX];
+  double v[SEEDS_MAX] = { 0 };
 
   for (size_t i = 0; i < seeds; i++)
     v[i] = metrics_figure (&line->runs[way][i], line->setup, f);
@@ -167,7 +167,7 @@
   for (int f = 0; f < FIGURES; f++)
     {
       spread_t s;
-      double v[SEEDS_MAX];
+      double v[SEEDS_MAX] = { 0 };
 
       if (f == FIGURE_FAIRNESS && (class >= 0 || account >= 0))
         continue;
--- a/policy/tests/script_test.cc
+++ b/policy/tests/script_test.cc
@@ -114,7 +114,7 @@
       FAIL () << "unknown command " << w[0];
   }
 
-  using Subsets = std::vector<std::set<uint64_t> >;
+  using Subsets = std::vector<std::set<uint64_t>>;
 
   static Subsets
   subsets (uint32_t entries, const std::vector<cv_subset_target_t> &targets,
