Control traffic of a large fleet: subset of targets, spread heartbeats, changes as steps

Cause: an entry connected to every listed target, had a report from each every 500 ms, and a change of the configuration travelled as the whole document: 3.6 MB/s and 26 KB/s for a node at the size of docs/CAPACITY.md, of its 7 KB/s. Change: an entry of a large fleet connects to a balanced subset of each pool, and to others when a ticket or position names them; its HELLOs come at an interval that keeps the pair of HELLO and REPORT within 5 KB/s, and a side reports by itself only when HELLOs fail to come; a peer is lost after three intervals, 3 s at least; DOC carries merge patches to whoever holds a version that the kept steps lead from.

--- a/config/patch.c
+++ b/config/patch.c
@@ -101,6 +101,20 @@
   return best;
 }
 
+bool
+cv_history_leads (const cv_history_t *h, uint64_t from, uint64_t to)
+{
+  while (from < to)
+    {
+      const cv_patch_t *p = cv_history_find (h, from);
+
+      if (p == NULL || p->to <= from)
+        return false;
+      from = p->to;
+    }
+  return from == to;
+}
+
 /* ---- local ---- */
 
 /* The object in TEXT, or NULL.  */
--- a/config/patch.h
+++ b/config/patch.h
@@ -46,6 +46,8 @@
                        cv_slice_t text);
   /* The step that starts at version FROM and leads furthest, or NULL.  */
   const cv_patch_t *cv_history_find (const cv_history_t *h, uint64_t from);
+  /* Do the kept steps lead from version FROM to version TO?  */
+  bool cv_history_leads (const cv_history_t *h, uint64_t from, uint64_t to);
 
 #ifdef __cplusplus
 }
--- a/entry/core.c
+++ b/entry/core.c
@@ -48,6 +48,7 @@
       }
   if (c->config != NULL)
     cv_config_unref (c->config);
+  cv_history_finish (&c->history);
   cv_rng_finish (&c->rng);
   cv_router_free (c->router);
   cv_limits_free (c->limits);
@@ -110,7 +111,7 @@
       cv_entry_targets_report (c, now, target, &msg->u.report);
       break;
     case CV_MSG_DOC_PULL:
-      cv_entry_targets_doc_pull (c, now, target, msg->u.doc_pull.doc);
+      cv_entry_targets_doc_pull (c, now, target, &msg->u.doc_pull);
       break;
     case CV_MSG_DOC:
       cv_entry_targets_doc (c, now, target, &msg->u.doc);
--- a/entry/core.h
+++ b/entry/core.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 #include "config/config.h"
+#include "config/patch.h"
 #include "entry/metrics.h"
 #include "policy/policy.h"
 #include "wire/wire.h"
@@ -102,6 +103,8 @@
     void (*reply) (void *arg, void *caller, const cv_reply_t *reply);
     /* The peer is lost: frames still queued for it are dropped.  */
     void (*reset) (void *arg, uint32_t target);
+    /* A request names the target NAME, which is not heard of: connect.  */
+    void (*want) (void *arg, const char *name);
     cv_id_t (*new_id) (void *arg);
     void *arg;
   } cv_entry_output_t;
@@ -202,6 +205,8 @@
   void cv_entry_target_connected (cv_entry_core_t *c, cv_time_t now,
                                   uint32_t target);
   /* Was its side silent for CV_PEER_TIMEOUT?  */
+  /* Requests in flight at the target.  */
+  uint32_t cv_entry_target_requests (const cv_entry_core_t *c, uint32_t target);
   bool cv_entry_target_lost (const cv_entry_core_t *c, uint32_t target);
 
   /* One row of the targets table, for operators.  */
--- a/entry/core_config.c
+++ b/entry/core_config.c
@@ -4,6 +4,7 @@
 #include "entry/core_internal.h"
 
 static void send_parked (cv_entry_core_t *c, cv_time_t now);
+static void keep_step (cv_entry_core_t *c, const cv_config_t *config);
 static void learn_age (cv_entry_core_t *c, cv_time_t confirmed);
 
 bool
@@ -12,7 +13,10 @@
   if (c->config != NULL && config->version <= c->config->version)
     return false;
   if (c->config != NULL)
-    cv_config_unref (c->config);
+    {
+      keep_step (c, config);
+      cv_config_unref (c->config);
+    }
   c->config = cv_config_ref (config);
   c->confirmed = 0;
   cv_entry_apply_limits (c);
@@ -22,6 +26,62 @@
   return true;
 }
 
+cv_config_t *
+cv_entry_config_from (cv_entry_core_t *c, const cv_msg_doc_t *doc,
+                      cv_error_t *err)
+{
+  cv_config_t *config = NULL;
+  cv_slice_t own;
+  cv_buf_t text;
+
+  if (doc->base == 0)
+    return cv_config_parse (doc->version, doc->body, err);
+  if (c->config == NULL || c->config->version != doc->base)
+    {
+      (void)cv_fail (err, CV_ERR_CONFLICT, "step from version %llu",
+                     (unsigned long long)doc->base);
+      return NULL;
+    }
+  own.p = c->config->text;
+  own.n = c->config->text_size;
+  cv_buf_init (&text);
+  if (cv_patch_apply (own, doc->body, &text, err))
+    config
+        = cv_config_parse (doc->version, cv_slice (cv_buf_text (&text)), err);
+  if (config != NULL)
+    cv_history_add (&c->history, doc->base, doc->version, doc->body);
+  cv_buf_finish (&text);
+  return config;
+}
+
+void
+cv_entry_config_send (cv_entry_core_t *c, uint32_t target, uint64_t have)
+{
+  cv_msg_t msg = { .type = CV_MSG_DOC };
+  cv_msg_doc_t *doc = &msg.u.doc;
+
+  doc->doc = CV_DOC_CONFIG;
+  if (have == 0 || !cv_history_leads (&c->history, have, c->config->version))
+    {
+      doc->version = c->config->version;
+      doc->body.p = c->config->text;
+      doc->body.n = c->config->text_size;
+      cv_entry_send (c, target, &msg);
+      return;
+    }
+  while (have < c->config->version)
+    {
+      const cv_patch_t *step = cv_history_find (&c->history, have);
+
+      doc->base = step->from;
+      doc->version = step->to;
+      doc->body.p = step->text;
+      doc->body.n = step->size;
+      cv_entry_send (c, target, &msg);
+      have = step->to;
+    }
+}
+
 void
 cv_entry_confirmed (cv_entry_core_t *c, cv_time_t asked, uint64_t version)
 {
@@ -102,6 +162,24 @@
 
 /* ---- local ---- */
 
+/* Keep the step from the present configuration to CONFIG, unless it came as
+   one.  */
+static void
+keep_step (cv_entry_core_t *c, const cv_config_t *config)
+{
+  cv_slice_t from = { c->config->text, c->config->text_size };
+  cv_slice_t to = { config->text, config->text_size };
+  cv_buf_t patch;
+
+  if (cv_history_leads (&c->history, c->config->version, config->version))
+    return;
+  cv_buf_init (&patch);
+  if (cv_patch_make (from, to, &patch, NULL))
+    cv_history_add (&c->history, c->config->version, config->version,
+                    cv_slice (cv_buf_text (&patch)));
+  cv_buf_finish (&patch);
+}
+
 static void
 learn_age (cv_entry_core_t *c, cv_time_t confirmed)
 {
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -159,7 +159,8 @@
 {
   cv_entry_options_t options;
   cv_config_t *config;
-  cv_time_t confirmed; /* when the store confirmed config, 0: never */
+  cv_history_t history; /* steps between versions of the configuration */
+  cv_time_t confirmed;  /* when the store confirmed config, 0: never */
   cv_time_t last_tick;
   cv_time_t woken;  /* from the last freeze */
   bool store_asked; /* since the start or the last freeze; so are the others */
@@ -167,6 +168,7 @@
   bool peer_heard; /* a peer whose configuration is not newer */
   cv_target_t *targets;
   uint32_t target_count;
+  uint32_t targets_used;
   struct cv_request_list_t requests;
   struct cv_request_bucket_t by_id[CORE_BUCKETS];
   struct cv_request_bucket_t by_caller[CORE_BUCKETS];
@@ -211,6 +213,12 @@
 /* ---- core_config.c ---- */
 
 /* What a peer's REPORT says of the configuration.  */
+/* The configuration that DOC holds, or leads to from ours; CONFLICT when it
+   starts from another version.  */
+cv_config_t *cv_entry_config_from (cv_entry_core_t *c, const cv_msg_doc_t *doc,
+                                   cv_error_t *err);
+/* Send TARGET the steps from version HAVE, or the whole document.  */
+void cv_entry_config_send (cv_entry_core_t *c, uint32_t target, uint64_t have);
 void cv_entry_config_heard (cv_entry_core_t *c, cv_time_t now,
                             const cv_versions_t *versions);
 /* Was the process frozen until NOW?  Everything that it knew of its peers is
@@ -255,7 +263,7 @@
 void cv_entry_targets_doc (cv_entry_core_t *c, cv_time_t now, uint32_t target,
                            const cv_msg_doc_t *doc);
 void cv_entry_targets_doc_pull (cv_entry_core_t *c, cv_time_t now,
-                                uint32_t target, cv_doc_t doc);
+                                uint32_t target, const cv_msg_doc_pull_t *m);
 /* Ask TARGET for its document, at a bounded rate.  */
 void cv_entry_targets_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target,
                             cv_doc_t doc);
--- a/entry/core_requests.c
+++ b/entry/core_requests.c
@@ -158,6 +158,8 @@
   r->phase = PHASE_AWAIT;
   r->parked_until = now + AWAIT_TIMEOUT;
   c->awaiting++;
+  if (c->options.out.want != NULL)
+    c->options.out.want (c->options.out.arg, name);
 }
 
 void
--- a/entry/core_targets.c
+++ b/entry/core_targets.c
@@ -6,12 +6,17 @@
 #include "entry/core_internal.h"
 
 #define PULL_INTERVAL (500 * CV_MS)
+/* What an entry spends on heartbeats, and one HELLO with its REPORT, headers
+   of TCP/IP and ZeroMQ included (bench/slopes).  */
+#define HEARTBEAT_BYTES_S 5000
+#define HEARTBEAT_PAIR_BYTES 245
 
 static void report_to_router (cv_entry_core_t *c, cv_time_t now,
                               uint32_t target);
 static void drop_requests (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static void lose (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static void send_awaiting (cv_entry_core_t *c, cv_time_t now, const char *name);
+static uint32_t hello_ms (const cv_entry_core_t *c);
 static void hello_one (cv_entry_core_t *c, cv_time_t now, uint32_t target);
 static const char *state_name (const cv_target_t *t);
 
@@ -36,6 +41,7 @@
   t = &c->targets[slot];
   memset (t, 0, sizeof *t);
   t->used = true;
+  c->targets_used++;
   t->state = CV_TARGET_DOWN;
   t->last_heard = now;
   (void)cv_copy (t->name, sizeof t->name, name);
@@ -64,6 +70,13 @@
   drop_requests (c, now, target);
   cv_router_remove (c->router, target);
   c->targets[target].used = false;
+  c->targets_used--;
+}
+
+uint32_t
+cv_entry_target_requests (const cv_entry_core_t *c, uint32_t target)
+{
+  return c->targets[target].requests;
 }
 
 bool
@@ -148,6 +161,8 @@
     return;
   t->last_pull[doc] = now;
   msg.u.doc_pull.doc = doc;
+  if (doc == CV_DOC_CONFIG && c->config != NULL)
+    msg.u.doc_pull.have = c->config->version;
   cv_entry_send (c, target, &msg);
 }
 
@@ -165,11 +180,13 @@
     return;
   if (c->config != NULL && doc->version <= c->config->version)
     return;
-  config = cv_config_parse (doc->version, doc->body, &err);
+  config = cv_entry_config_from (c, doc, &err);
   if (config == NULL)
     {
-      cv_log (CV_EV_ENTRY_DOC_INVALID, "version %llu: %s",
-              (unsigned long long)doc->version, err.text);
+      /* A step from another version is not for us; the whole comes later. */
+      if (err.code != CV_ERR_CONFLICT)
+        cv_log (CV_EV_ENTRY_DOC_INVALID, "version %llu: %s",
+                (unsigned long long)doc->version, err.text);
       return;
     }
   (void)cv_entry_adopt (c, now, config);
@@ -178,20 +195,13 @@
 
 void
 cv_entry_targets_doc_pull (cv_entry_core_t *c, cv_time_t now, uint32_t target,
-                           cv_doc_t doc)
+                           const cv_msg_doc_pull_t *m)
 {
-  cv_msg_t msg = { .type = CV_MSG_DOC };
-
   (void)now;
-  if (doc == CV_DOC_SUSPECTS)
+  if (m->doc == CV_DOC_SUSPECTS)
     cv_entry_suspects_send (c, target);
-  if (doc != CV_DOC_CONFIG || c->config == NULL)
-    return;
-  msg.u.doc.doc = CV_DOC_CONFIG;
-  msg.u.doc.version = c->config->version;
-  msg.u.doc.body.p = c->config->text;
-  msg.u.doc.body.n = c->config->text_size;
-  cv_entry_send (c, target, &msg);
+  else if (c->config != NULL)
+    cv_entry_config_send (c, target, m->have);
 }
 
 void
@@ -215,18 +225,20 @@
 void
 cv_entry_targets_tick (cv_entry_core_t *c, cv_time_t now)
 {
+  cv_time_t timeout = cv_peer_timeout (hello_ms (c));
+
   for (uint32_t i = 0; i < c->target_count; i++)
     {
       cv_target_t *t = &c->targets[i];
 
       if (!t->used)
         continue;
-      if (!t->lost && now - t->last_heard >= CV_PEER_TIMEOUT)
+      if (!t->lost && now - t->last_heard >= timeout)
         lose (c, now, i);
       else if (!t->heard || t->doubted)
         hello_one (c, now, i);
     }
-  if (now - c->last_hello >= CV_REPORT_INTERVAL)
+  if (now - c->last_hello >= hello_ms (c) * CV_MS)
     cv_entry_targets_hello (c, now);
 }
 
@@ -371,6 +383,7 @@
 
   (void)cv_copy (h->instance, sizeof h->instance, c->options.instance);
   h->incarnation = c->options.incarnation;
+  h->report_ms = hello_ms (c);
   h->versions.version[CV_DOC_CONFIG]
       = c->config == NULL ? 0 : c->config->version;
   h->versions.version[CV_DOC_SUSPECTS] = c->suspects.version;
@@ -378,6 +391,19 @@
   cv_entry_send (c, target, &msg);
 }
 
+/* Interval of HELLOs, each answered by a REPORT: longer the more targets
+   there are, so that both together stay within HEARTBEAT_BYTES_S.  */
+static uint32_t
+hello_ms (const cv_entry_core_t *c)
+{
+  uint32_t ms
+      = c->targets_used * (HEARTBEAT_PAIR_BYTES * 1000 / HEARTBEAT_BYTES_S);
+
+  return ms > CV_REPORT_INTERVAL / CV_MS
+             ? ms
+             : (uint32_t)(CV_REPORT_INTERVAL / CV_MS);
+}
+
 static const char *
 state_name (const cv_target_t *t)
 {
--- a/entry/instances.c
+++ b/entry/instances.c
@@ -214,6 +214,8 @@
   out->leaving = strcmp (text_of (o, "state"), "leaving") == 0;
   return cv_copy (out->id, sizeof out->id, text_of (o, "id"))
          && cv_copy (out->pool, sizeof out->pool, text_of (o, "pool"))
+         && cv_copy (out->failure_domain, sizeof out->failure_domain,
+                     text_of (o, "failure_domain"))
          && cv_copy (out->address, sizeof out->address, text_of (o, "address"));
 }
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -30,6 +30,7 @@
   cv_entry_options_t o = { .out = { .send = cv_entry_link_send,
                                     .reply = reply,
                                     .reset = cv_entry_link_reset,
+                                    .want = cv_entry_link_want,
                                     .new_id = new_id,
                                     .arg = l } };
 
@@ -37,6 +38,7 @@
   cv_buf_init (&l->frame);
   CV_INVARIANT (pthread_mutex_init (&l->lock, NULL) == 0);
   (void)cv_copy (o.instance, sizeof o.instance, s->instance);
+  memcpy (l->instance, o.instance, sizeof l->instance);
   o.incarnation = cv_u64_random ();
   (void)snprintf (l->routing_id, sizeof l->routing_id, "%s~%llx", o.instance,
                   (unsigned long long)o.incarnation);
@@ -80,6 +82,7 @@
     cv_config_unref (l->config);
   free (l->suspects);
   cv_entry_link_close_peers (l);
+  free (l->listed);
   (void)zmq_ctx_term (l->zmq);
   (void)close (l->wake);
   cv_buf_finish (&l->frame);
--- a/entry/link.h
+++ b/entry/link.h
@@ -20,10 +20,12 @@
   {
     char id[CV_NAME_MAX];
     char pool[CV_NAME_MAX];
+    char failure_domain[CV_NAME_MAX];
     char address[46];
     uint16_t port;
     bool leaving;
-    bool seen; /* for the link's own use */
+    bool seen;   /* for the link's own use */
+    bool chosen; /* likewise */
   } cv_instance_t;
 
   cv_entry_link_t *cv_entry_link_new (const cv_entry_settings_t *s,
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -71,6 +71,7 @@
   void *socket;  /* NULL: slot unused */
   void *monitor; /* tells of each new connection of SOCKET */
   cv_instance_t instance;
+  cv_time_t wanted; /* when a request named it; 0: never */
 } cv_peer_t;
 
 struct cv_entry_link_t
@@ -86,9 +87,12 @@
   uint64_t suspects_version;
   /* Of the I/O thread alone: */
   cv_entry_core_t *core;
+  cv_instance_t *listed; /* the whole list, as it came last */
+  size_t listed_count;
   cv_peer_t *peers;
   uint32_t peer_count;
   cv_buf_t frame;
+  char instance[CV_NAME_MAX];
   char routing_id[CV_NAME_MAX + 20]; /* the same for each connection */
   uint32_t monitors;                 /* made so far, for their names */
   bool quit;
@@ -99,8 +103,18 @@
 void cv_entry_link_quit (cv_entry_link_t *l);
 void cv_entry_link_free_command (cv_command_t *c);
 
+/* link_subset.c */
+
+/* Mark the targets of LIST that this entry connects to as chosen.  */
+void cv_entry_link_choose (const cv_entry_link_t *l, cv_instance_t *list,
+                           size_t count);
+
 /* link_peers.c */
 
+/* A ticket or position names the target NAME: connect to it, whether it is
+   chosen or not.  */
+void cv_entry_link_want (void *arg, const char *name);
+
 void cv_entry_link_apply_instances (cv_entry_link_t *l, cv_time_t now,
                                     cv_instance_t *list, size_t count);
 void cv_entry_link_send (void *arg, uint32_t target, const cv_msg_t *msg);
--- a/entry/link_peers.c
+++ b/entry/link_peers.c
@@ -10,14 +10,19 @@
 
 /* Frames read from one side before the others get their turn.  */
 #define RECEIVE_BATCH 256
+/* A connection that a request asked for is kept so long without use.  */
+#define WANTED_KEEP (60 * CV_SECOND)
 /* Frames held for a side that does not read.  */
 #define SEND_QUEUE 10000
 
 static bool connect_peer (cv_entry_link_t *l, cv_peer_t *p);
 static void open_monitor (cv_entry_link_t *l, cv_peer_t *p);
 static void close_peer (cv_peer_t *p);
-static void add_peer (cv_entry_link_t *l, cv_time_t now,
-                      const cv_instance_t *i);
+static uint32_t add_peer (cv_entry_link_t *l, cv_time_t now,
+                          const cv_instance_t *i);
+static void keep_list (cv_entry_link_t *l, const cv_instance_t *list,
+                       size_t count);
+static bool in_use (const cv_entry_link_t *l, cv_time_t now, uint32_t t);
 static cv_instance_t *find_listed (cv_instance_t *list, size_t count,
                                    const cv_instance_t *peer);
 static void remove_peer (cv_entry_link_t *l, cv_time_t now, uint32_t target);
@@ -26,6 +31,7 @@
 cv_entry_link_apply_instances (cv_entry_link_t *l, cv_time_t now,
                                cv_instance_t *list, size_t count)
 {
+  cv_entry_link_choose (l, list, count);
   for (uint32_t t = 0; t < l->peer_count; t++)
     {
       cv_instance_t *i;
@@ -34,18 +40,44 @@
         continue;
       i = find_listed (list, count, &l->peers[t].instance);
       if (i != NULL)
-        {
-          i->seen = true;
-          cv_entry_target_listed (l->core, now, t, i->leaving);
-        }
+        i->seen = true;
+      if (i != NULL && (i->chosen || in_use (l, now, t)))
+        cv_entry_target_listed (l->core, now, t, i->leaving);
+      else if (i != NULL)
+        remove_peer (l, now, t);
       else if (cv_entry_target_lost (l->core, t))
         remove_peer (l, now, t);
       else
         cv_entry_target_listed (l->core, now, t, true);
     }
   for (size_t k = 0; k < count; k++)
-    if (!list[k].seen)
-      add_peer (l, now, &list[k]);
+    if (!list[k].seen && list[k].chosen)
+      (void)add_peer (l, now, &list[k]);
+  keep_list (l, list, count);
+}
+
+void
+cv_entry_link_want (void *arg, const char *name)
+{
+  cv_entry_link_t *l = arg;
+  cv_time_t now = cv_now ();
+
+  for (uint32_t t = 0; t < l->peer_count; t++)
+    if (l->peers[t].socket != NULL
+        && strcmp (l->peers[t].instance.id, name) == 0)
+      {
+        l->peers[t].wanted = now;
+        return;
+      }
+  for (size_t k = 0; k < l->listed_count; k++)
+    if (strcmp (l->listed[k].id, name) == 0)
+      {
+        uint32_t slot = add_peer (l, now, &l->listed[k]);
+
+        if (slot != CV_NO_TARGET)
+          l->peers[slot].wanted = now;
+        return;
+      }
 }
 
 void
@@ -187,6 +219,27 @@
 }
 
 static void
+keep_list (cv_entry_link_t *l, const cv_instance_t *list, size_t count)
+{
+  free (l->listed);
+  l->listed = cv_calloc (count + 1, sizeof *list);
+  if (count > 0)
+    memcpy (l->listed, list, count * sizeof *list);
+  l->listed_count = count;
+}
+
+/* Is the target T still needed, though it is not among the chosen?  */
+static bool
+in_use (const cv_entry_link_t *l, cv_time_t now, uint32_t t)
+{
+  const cv_peer_t *p = &l->peers[t];
+
+  return cv_entry_target_requests (l->core, t) > 0
+         || (p->wanted != 0 && now - p->wanted < WANTED_KEEP);
+}
+
+/* The slot of the new connection, or CV_NO_TARGET.  */
+static uint32_t
 add_peer (cv_entry_link_t *l, cv_time_t now, const cv_instance_t *i)
 {
   cv_peer_t peer = { .instance = *i };
@@ -195,7 +248,7 @@
   if (!connect_peer (l, &peer))
     {
       close_peer (&peer);
-      return;
+      return CV_NO_TARGET;
     }
   slot = cv_entry_target_add (l->core, now, i->id, i->pool);
   if (slot >= l->peer_count)
@@ -211,6 +264,7 @@
   cv_entry_target_listed (l->core, now, slot, i->leaving);
   cv_log (CV_EV_ENTRY_TARGET_ADDED, "target %s pool %s at %s:%u", i->id,
           i->pool, i->address, i->port);
+  return slot;
 }
 
 static cv_instance_t *
--- /dev/null
+++ b/entry/tests/fleet_test.cc
@@ -0,0 +1,234 @@
+// An entry in a fleet of the size in docs/CAPACITY.md: which targets it
+// connects to, what its heartbeats cost, and how a change travels.
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "entry/link_internal.h"
+}
+
+namespace
+{
+
+constexpr int kEntries = 1800;
+constexpr int kPools = 14;
+constexpr int kTargetsPerPool = 529;
+// Bytes of headers of TCP/IP and ZeroMQ for each message.
+constexpr size_t kPacket = 54;
+constexpr double kControlBytesPerSecond = 7000;
+
+std::string
+document (int weight)
+{
+  return "{\"classes\":{\"tag\":{}},\"accounts\":{\"mall\":{\"key_hash\":\""
+         + std::string (64, 'a')
+         + "\",\"class\":\"tag\",\"weight\":" + std::to_string (weight) + "}}}";
+}
+
+class Core
+{
+public:
+  Core ()
+  {
+    cv_entry_options_t o = {};
+    (void)cv_copy (o.instance, sizeof o.instance, "entry-1");
+    o.out = { send, nullptr, nullptr, nullptr, nullptr, this };
+    core = cv_entry_new (&o);
+  }
+
+  ~Core () { cv_entry_free (core); }
+
+  bool
+  adopt (uint64_t version, int weight)
+  {
+    std::string text = document (weight);
+    cv_config_t *c
+        = cv_config_parse (version, { text.data (), text.size () }, nullptr);
+    bool taken = cv_entry_adopt (core, now, c);
+    cv_config_unref (c);
+    return taken;
+  }
+
+  void
+  deliver (const std::string &frame)
+  {
+    cv_msg_t msg;
+    ASSERT_TRUE (cv_msg_decode (&msg, frame.data (), frame.size (), nullptr));
+    cv_entry_message (core, now, 0, &msg);
+  }
+
+  std::vector<std::string>
+  pull (uint64_t have)
+  {
+    cv_msg_t msg = {};
+    msg.type = CV_MSG_DOC_PULL;
+    msg.u.doc_pull.have = have;
+    sent.clear ();
+    cv_entry_message (core, now, 0, &msg);
+    return sent;
+  }
+
+  std::string
+  held () const
+  {
+    const cv_config_t *c = cv_entry_config (core);
+    return std::to_string (c->version) + " weight "
+           + std::to_string (cv_config_account (c, "mall")->limits.weight);
+  }
+
+  cv_entry_core_t *core;
+  cv_time_t now = CV_SECOND;
+  std::vector<std::string> sent;
+
+private:
+  static void
+  send (void *arg, uint32_t, const cv_msg_t *msg)
+  {
+    cv_buf_t frame;
+    cv_buf_init (&frame);
+    cv_msg_encode (msg, &frame);
+    static_cast<Core *> (arg)->sent.emplace_back (frame.p, frame.n);
+    cv_buf_finish (&frame);
+  }
+};
+
+cv_msg_doc_t
+doc_of (const std::string &frame)
+{
+  cv_msg_t msg = {};
+  EXPECT_TRUE (cv_msg_decode (&msg, frame.data (), frame.size (), nullptr));
+  EXPECT_EQ (CV_MSG_DOC, msg.type);
+  return msg.u.doc;
+}
+
+TEST (Fleet, AChangeTravelsAsStepsAndTheWholeOnlyWithoutThem)
+{
+  Core writer;
+  cv_entry_target_add (writer.core, writer.now, "t", "p");
+  writer.adopt (10, 1);
+  Core reader;
+  cv_entry_target_add (reader.core, reader.now, "t", "p");
+  reader.adopt (10, 1);
+  writer.adopt (11, 2);
+  writer.adopt (12, 3);
+
+  auto steps = writer.pull (10);
+  ASSERT_EQ (2u, steps.size ());
+  EXPECT_EQ (10u, doc_of (steps[0]).base);
+  EXPECT_LT (steps[0].size () + steps[1].size (), 120u);
+  auto whole = writer.pull (3);
+  ASSERT_EQ (1u, whole.size ());
+  EXPECT_EQ (0u, doc_of (whole[0]).base);
+
+  reader.deliver (steps[1]); // starts from a version that it does not hold
+  EXPECT_EQ ("10 weight 1", reader.held ());
+  reader.deliver (steps[0]);
+  EXPECT_EQ ("11 weight 2", reader.held ());
+  reader.deliver (steps[1]);
+  EXPECT_EQ ("12 weight 3", reader.held ());
+  reader.deliver (steps[0]); // late
+  EXPECT_EQ ("12 weight 3", reader.held ());
+  // What came as a step is handed on as one.
+  ASSERT_EQ (1u, reader.pull (11).size ());
+  EXPECT_EQ (11u, doc_of (reader.sent[0]).base);
+}
+
+TEST (Fleet, HeartbeatsStayWithinTheBudget)
+{
+  for (int targets : { 1, 12, 84, 200 })
+    {
+      Core c;
+      size_t bytes = 0;
+      std::string report;
+      cv_msg_t msg = {};
+      cv_buf_t frame;
+
+      c.adopt (1, 1);
+      for (int i = 0; i < targets; i++)
+        cv_entry_target_add (c.core, c.now,
+                             ("target-lhr-a-00" + std::to_string (i)).c_str (),
+                             "narrator-pool");
+      msg.type = CV_MSG_REPORT;
+      (void)cv_copy (msg.u.report.pool, CV_NAME_MAX, "narrator-pool");
+      (void)cv_copy (msg.u.report.failure_domain, CV_NAME_MAX, "lhr-a");
+      msg.u.report.incarnation = UINT64_MAX;
+      msg.u.report.state = CV_TARGET_LIVE;
+      msg.u.report.load
+          = { 60, 300, 900000, 1000000, 900000, 100000, 50000, 1000 };
+      cv_buf_init (&frame);
+      for (int s = 0; s < 60 * 1000; s += 20)
+        {
+          c.sent.clear ();
+          c.now += 20 * CV_MS;
+          cv_entry_tick (c.core, c.now);
+          // Each HELLO is answered by a REPORT.
+          for (size_t i = 0; i < c.sent.size (); i++)
+            {
+              uint32_t t = static_cast<uint32_t> (i) % targets;
+              (void)snprintf (msg.u.report.target, CV_NAME_MAX,
+                              "target-lhr-a-00%u", t);
+              cv_buf_reset (&frame);
+              cv_msg_encode (&msg, &frame);
+              if (s >= 20 * 1000) // all have reported by then
+                bytes += c.sent[i].size () + frame.n + 2 * kPacket;
+              cv_entry_message (c.core, c.now, t, &msg);
+            }
+        }
+      cv_buf_finish (&frame);
+      EXPECT_LE (bytes / 40., kControlBytesPerSecond) << targets;
+      EXPECT_GT (bytes, 0u);
+      EXPECT_FALSE (cv_entry_target_lost (c.core, 0)) << targets;
+    }
+}
+
+std::vector<cv_instance_t>
+fleet (int pools, int per_pool)
+{
+  std::vector<cv_instance_t> list;
+
+  for (int i = 0; i < pools * per_pool; i++)
+    {
+      cv_instance_t one = {};
+      (void)snprintf (one.id, sizeof one.id, "t%d", i);
+      (void)snprintf (one.pool, sizeof one.pool, "p%d", i % pools);
+      (void)snprintf (one.failure_domain, sizeof one.failure_domain, "d%d",
+                      i % 13);
+      list.push_back (one);
+    }
+  return list;
+}
+
+std::map<std::string, int>
+chosen (int entries, std::vector<cv_instance_t> list)
+{
+  cv_entry_link_t link = {};
+  std::map<std::string, int> by_pool;
+
+  (void)cv_copy (link.instance, sizeof link.instance, "entry-lhr-a-1");
+  link.entries = static_cast<uint32_t> (entries);
+  cv_entry_link_choose (&link, list.data (), list.size ());
+  for (const auto &one : list)
+    by_pool[one.pool] += one.chosen;
+  return by_pool;
+}
+
+TEST (Fleet, AllTargetsOfASmallFleetAndAFewOfALargeOne)
+{
+  for (const auto &[pool, count] : chosen (4, fleet (2, 8)))
+    EXPECT_EQ (8, count) << pool;
+  auto large = chosen (kEntries, fleet (kPools, kTargetsPerPool));
+  EXPECT_EQ (static_cast<size_t> (kPools), large.size ());
+  for (const auto &[pool, count] : large)
+    {
+      EXPECT_GE (count, 4) << pool;
+      EXPECT_LE (count, 14) << pool;
+    }
+}
+
+}
--- a/side/core.c
+++ b/side/core.c
@@ -11,7 +11,6 @@
               cv_side_emit_t emit, void *arg)
 {
   *c = (cv_core_t){ .set = *set, .emit = emit, .arg = arg };
-  c->reported = now;
   c->ticked = now;
   c->config_age_ms = UINT32_MAX;
   c->gate = cv_gate_new (set->kv_tokens, set->max_batch);
@@ -47,7 +46,7 @@
       cv_peers_hello (c, now, peer, &msg->u.hello);
       break;
     case CV_MSG_DOC_PULL:
-      cv_docs_pull (c, peer, msg->u.doc_pull.doc);
+      cv_docs_pull (c, peer, &msg->u.doc_pull);
       break;
     case CV_MSG_DOC:
       cv_docs_doc (c, now, peer, &msg->u.doc);
--- a/side/core.h
+++ b/side/core.h
@@ -14,6 +14,7 @@
 #define CV_SIDE_CORE_H
 
 #include "config/config.h"
+#include "config/patch.h"
 #include "policy/policy.h"
 #include "side/idmap.h"
 #include "side/orders.h"
@@ -119,7 +120,9 @@
     char instance[CV_NAME_MAX]; /* "" until its HELLO */
     uint64_t incarnation;
     cv_time_t heard;
-    cv_time_t greeted; /* its last HELLO */
+    cv_time_t greeted;  /* its last HELLO */
+    cv_time_t reported; /* the last REPORT sent to it */
+    uint32_t report_ms; /* interval of its HELLOs */
     cv_versions_t versions;
   } cv_peer_t;
 
@@ -220,8 +223,9 @@
     uint64_t version;
     char *body; /* owned JSON; NULL when version is 0 */
     size_t size;
-    uint64_t seen;    /* newest version that any peer named */
-    cv_time_t pulled; /* time of the last DOC_PULL */
+    uint64_t seen;        /* newest version that any peer named */
+    cv_time_t pulled;     /* time of the last DOC_PULL */
+    cv_history_t history; /* steps between versions, of the configuration */
   } cv_doc_state_t;
 
   /* Counts since the start, for /metrics.  */
@@ -269,7 +273,6 @@
 
     cv_peer_t *peers; /* indexed by peer number */
     uint32_t peer_count;
-    cv_time_t reported;
     cv_time_t ticked; /* last tick */
     cv_time_t woke;   /* when it last went on after a freeze; 0: never */
 
@@ -460,7 +463,7 @@
      than what this side knows of.  */
   bool cv_docs_admit (cv_core_t *c, cv_time_t now, uint32_t peer,
                       uint64_t version);
-  void cv_docs_pull (cv_core_t *c, uint32_t peer, cv_doc_t doc);
+  void cv_docs_pull (cv_core_t *c, uint32_t peer, const cv_msg_doc_pull_t *m);
   void cv_docs_doc (cv_core_t *c, cv_time_t now, uint32_t peer,
                     const cv_msg_doc_t *m);
   /* The suspects changed here.  */
--- a/side/docs.c
+++ b/side/docs.c
@@ -5,6 +5,11 @@
 #include "side/core.h"
 
 static void doc_store (cv_doc_state_t *d, uint64_t version, cv_slice_t body);
+static void send_steps (cv_core_t *c, uint32_t peer, const cv_doc_state_t *d,
+                        uint64_t have);
+static bool config_text (const cv_core_t *c, const cv_msg_doc_t *m,
+                         cv_buf_t *out, cv_error_t *err);
+static void keep_step (cv_core_t *c, const cv_msg_doc_t *m, cv_slice_t text);
 static void take_config (cv_core_t *c, cv_time_t now, uint32_t peer,
                          const cv_msg_doc_t *m);
 static void take_suspects (cv_core_t *c, cv_time_t now, const cv_msg_doc_t *m);
@@ -17,7 +22,10 @@
   int i;
 
   for (i = 0; i < CV_DOC_COUNT; i++)
-    free (c->doc[i].body);
+    {
+      free (c->doc[i].body);
+      cv_history_finish (&c->doc[i].history);
+    }
   cv_config_unref (c->config);
 }
 
@@ -70,15 +78,20 @@
 }
 
 void
-cv_docs_pull (cv_core_t *c, uint32_t peer, cv_doc_t doc)
+cv_docs_pull (cv_core_t *c, uint32_t peer, const cv_msg_doc_pull_t *m)
 {
   cv_msg_t msg = { .type = CV_MSG_DOC };
   const cv_doc_state_t *d;
 
-  if (doc >= CV_DOC_COUNT || c->doc[doc].body == NULL)
+  if (m->doc >= CV_DOC_COUNT || c->doc[m->doc].body == NULL)
     return;
-  d = &c->doc[doc];
-  msg.u.doc.doc = doc;
+  d = &c->doc[m->doc];
+  msg.u.doc.doc = m->doc;
+  if (m->have != 0 && cv_history_leads (&d->history, m->have, d->version))
+    {
+      send_steps (c, peer, d, m->have);
+      return;
+    }
   msg.u.doc.version = d->version;
   msg.u.doc.body.p = d->body;
   msg.u.doc.body.n = d->size;
@@ -140,21 +153,95 @@
     d->seen = version;
 }
 
+/* The kept steps that lead from version HAVE to the present one.  */
+static void
+send_steps (cv_core_t *c, uint32_t peer, const cv_doc_state_t *d, uint64_t have)
+{
+  cv_msg_t msg = { .type = CV_MSG_DOC };
+
+  msg.u.doc.doc = CV_DOC_CONFIG;
+  while (have < d->version)
+    {
+      const cv_patch_t *step = cv_history_find (&d->history, have);
+
+      msg.u.doc.base = step->from;
+      msg.u.doc.version = step->to;
+      msg.u.doc.body.p = step->text;
+      msg.u.doc.body.n = step->size;
+      cv_core_send (c, peer, &msg);
+      have = step->to;
+    }
+}
+
+/* The whole text of the configuration in M, or what the step in M makes of
+   ours; false when the step starts from another version.  */
+static bool
+config_text (const cv_core_t *c, const cv_msg_doc_t *m, cv_buf_t *out,
+             cv_error_t *err)
+{
+  const cv_doc_state_t *d = &c->doc[CV_DOC_CONFIG];
+  cv_slice_t own = { d->body, d->size };
+
+  if (m->base == 0)
+    {
+      cv_buf_add (out, m->body.p, m->body.n);
+      return true;
+    }
+  if (m->base != d->version)
+    return cv_fail (err, CV_ERR_CONFLICT, "step from version %llu",
+                    (unsigned long long)m->base);
+  return cv_patch_apply (own, m->body, out, err);
+}
+
+/* Keep the step that leads to version TO, as it came or by comparison.  */
+static void
+keep_step (cv_core_t *c, const cv_msg_doc_t *m, cv_slice_t text)
+{
+  cv_doc_state_t *d = &c->doc[CV_DOC_CONFIG];
+  cv_slice_t own = { d->body, d->size };
+  cv_buf_t patch;
+
+  if (d->body == NULL)
+    return;
+  if (m->base != 0)
+    {
+      cv_history_add (&d->history, m->base, m->version, m->body);
+      return;
+    }
+  cv_buf_init (&patch);
+  if (cv_patch_make (own, text, &patch, NULL))
+    cv_history_add (&d->history, d->version, m->version,
+                    cv_slice (cv_buf_text (&patch)));
+  cv_buf_finish (&patch);
+}
+
 static void
 take_config (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_doc_t *m)
 {
   cv_error_t err;
-  cv_config_t *config = cv_config_parse (m->version, m->body, &err);
+  cv_config_t *config = NULL;
+  cv_slice_t text;
+  cv_buf_t doc;
 
+  cv_buf_init (&doc);
+  if (config_text (c, m, &doc, &err))
+    {
+      text = cv_slice (cv_buf_text (&doc));
+      config = cv_config_parse (m->version, text, &err);
+    }
   if (config == NULL)
     {
-      cv_log (CV_EV_SIDE_DOC_INVALID, "config %llu: %s",
-              (unsigned long long)m->version, err.text);
+      if (err.code != CV_ERR_CONFLICT)
+        cv_log (CV_EV_SIDE_DOC_INVALID, "config %llu: %s",
+                (unsigned long long)m->version, err.text);
+      cv_buf_finish (&doc);
       return;
     }
   cv_config_unref (c->config);
   c->config = config;
-  doc_store (&c->doc[CV_DOC_CONFIG], m->version, m->body);
+  keep_step (c, m, text);
+  doc_store (&c->doc[CV_DOC_CONFIG], m->version, text);
+  cv_buf_finish (&doc);
   c->config_age_ms = UINT32_MAX;
   if (cv_peers_live (c, peer)
       && c->peers[peer].versions.version[CV_DOC_CONFIG] == m->version)
@@ -199,5 +286,6 @@
     return;
   d->pulled = now;
   msg.u.doc_pull.doc = doc;
+  msg.u.doc_pull.have = d->version;
   cv_core_send (c, peer, &msg);
 }
--- a/side/peers.c
+++ b/side/peers.c
@@ -4,6 +4,7 @@
 
 #include "side/core.h"
 
+static cv_time_t report_interval (const cv_peer_t *p);
 static void supersede (cv_core_t *c, cv_time_t now, uint32_t peer,
                        const cv_msg_hello_t *hello);
 
@@ -74,6 +75,7 @@
   (void)cv_copy (p->instance, sizeof p->instance, hello->instance);
   p->incarnation = hello->incarnation;
   p->versions = hello->versions;
+  p->report_ms = hello->report_ms;
   p->greeted = now;
   cv_docs_heard (c, now, peer, &hello->versions);
   cv_peers_report (c, now, peer);
@@ -98,10 +100,16 @@
   uint32_t i;
 
   for (i = 0; i < c->peer_count; i++)
-    if (c->peers[i].used && now - c->peers[i].heard >= CV_PEER_TIMEOUT)
-      cv_core_peer_lost (c, now, i);
-  if (now - c->reported >= CV_REPORT_INTERVAL)
-    cv_peers_report_all (c, now);
+    {
+      const cv_peer_t *p = &c->peers[i];
+
+      if (!p->used)
+        continue;
+      if (now - p->heard >= cv_peer_timeout (p->report_ms))
+        cv_core_peer_lost (c, now, i);
+      else if (now - p->reported >= report_interval (p))
+        cv_peers_report (c, now, i);
+    }
 }
 
 void
@@ -118,6 +126,8 @@
   r->state = cv_core_state (c);
   cv_core_load (c, now, &r->load);
   cv_docs_versions (c, now, &r->versions);
+  if (cv_peers_live (c, peer))
+    c->peers[peer].reported = now;
   cv_core_send (c, peer, &msg);
 }
 
@@ -126,12 +136,21 @@
 {
   uint32_t i;
 
-  c->reported = now;
   for (i = 0; i < c->peer_count; i++)
     if (c->peers[i].used)
       cv_peers_report (c, now, i);
 }
 
+/* A HELLO is answered by a REPORT, so that reports without one are needed
+   only when HELLOs fail to come.  */
+static cv_time_t
+report_interval (const cv_peer_t *p)
+{
+  cv_time_t late = p->report_ms * CV_MS * 3 / 2;
+
+  return late > CV_REPORT_INTERVAL ? late : CV_REPORT_INTERVAL;
+}
+
 /* An entry that connected anew leaves its old connection behind; what was
    sent there may be lost, so its streams wait for an ATTACH.  */
 static void
--- a/wire/text.c
+++ b/wire/text.c
@@ -110,6 +110,14 @@
   return true;
 }
 
+cv_time_t
+cv_peer_timeout (uint32_t report_ms)
+{
+  cv_time_t three = 3 * (cv_time_t)report_ms * CV_MS;
+
+  return three > CV_PEER_TIMEOUT ? three : CV_PEER_TIMEOUT;
+}
+
 const char *
 cv_outcome_name (cv_outcome_t outcome)
 {
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -117,6 +117,9 @@
 /* A peer that was silent for so long is treated as lost.  */
 #define CV_PEER_TIMEOUT (3 * CV_SECOND)
 
+  /* Silence after which a peer is lost, with HELLOs every REPORT_MS.  */
+  cv_time_t cv_peer_timeout (uint32_t report_ms);
+
   typedef enum
   {
     /* both directions */
