--- a/bench/decision_cost/main.c
+++ b/bench/decision_cost/main.c
@@ -15,6 +15,10 @@
 #define CLASSES 3
 #define OUTPUT_MAX 32768
 
+static uint64_t allocations;
+
+#ifndef CV_NO_WRAP
+
 extern void *__real_malloc (size_t n);
 extern void *__real_calloc (size_t n, size_t size);
 extern void *__real_realloc (void *p, size_t n);
@@ -22,8 +26,6 @@
 void *__wrap_calloc (size_t n, size_t size);
 void *__wrap_realloc (void *p, size_t n);
 
-static uint64_t allocations;
-
 void *
 __wrap_malloc (size_t n)
 {
@@ -45,6 +47,8 @@
   return __real_realloc (p, n);
 }
 
+#endif
+
 typedef struct
 {
   cv_router_t *router;
