One branch for each fate of a listed target; audit as the service gives it

Cause: the linter found two branches alike; the stand-in lists calls only when asked, so the expected text is the former one again. Measured: entry, side and catkinctl tests pass; lint passes.

--- a/entry/link_peers.c
+++ b/entry/link_peers.c
@@ -41,14 +41,12 @@
       i = find_listed (list, count, &l->peers[t].instance);
       if (i != NULL)
         i->seen = true;
-      if (i != NULL && (i->chosen || in_use (l, now, t)))
-        cv_entry_target_listed (l->core, now, t, i->leaving);
-      else if (i != NULL)
-        remove_peer (l, now, t);
-      else if (cv_entry_target_lost (l->core, t))
+      /* One that is no longer listed stays until its side falls silent.  */
+      if (i == NULL ? cv_entry_target_lost (l->core, t)
+                    : !i->chosen && !in_use (l, now, t))
         remove_peer (l, now, t);
       else
-        cv_entry_target_listed (l->core, now, t, true);
+        cv_entry_target_listed (l->core, now, t, i == NULL || i->leaving);
     }
   for (size_t k = 0; k < count; k++)
     if (!list[k].seen && list[k].chosen)
