Service stand-in lists its calls without a flag

catkinctl's load test meanwhile expects the list, its times masked; the flag that hid it broke that test.

--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -192,7 +192,7 @@
 
     def start_target(self, name):
         target = self.targets[name]
-        flags = ["--audit-calls", "1", *self.service_flags]
+        flags = self.service_flags
         if target["kind"] == "engine":
             self.boot += 1
             flags = ["--boot", str(self.boot), *self.engine_flags]
--- a/tests/standins/service.c
+++ b/tests/standins/service.c
@@ -6,7 +6,6 @@
 #include <stdatomic.h>
 
 static long long work_option = 5;
-static long long audit_calls;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static json_object *effects;
 static int64_t total;
@@ -21,10 +20,9 @@
 static json_object *audit (void);
 
 static const standin_option_t options[]
-    = { { "work-ms", &work_option, "time that one call takes" },
-        { "audit-calls", &audit_calls, "1: the audit lists each call" } };
+    = { { "work-ms", &work_option, "time that one call takes" } };
 static const standin_t service
-    = { "standin-service", options, 2, set_fault, audit };
+    = { "standin-service", options, 1, set_fault, audit };
 
 int
 main (int argc, char **argv)
@@ -93,9 +91,6 @@
   standin_set_int (o, "total", total);
   pthread_mutex_unlock (&lock);
   json_object_object_add (o, "effects", copy);
-  if (audit_calls != 0)
-    json_object_object_add (o, "calls", copy_calls);
-  else
-    json_object_put (copy_calls);
+  json_object_object_add (o, "calls", copy_calls);
   return o;
 }
