--- a/side/tests/core_test.cc
+++ b/side/tests/core_test.cc
@@ -179,6 +179,13 @@
         break;
       case CV_MSG_DOC_PULL:
         o << " " << m->u.doc_pull.doc;
+        if (m->u.doc_pull.have != 0)
+          o << " have " << m->u.doc_pull.have;
+        break;
+      case CV_MSG_DOC:
+        o << " " << m->u.doc.doc << " from " << m->u.doc.base << " to "
+          << m->u.doc.version << " "
+          << (m->u.doc.base != 0 ? text_of (m->u.doc.body) : "whole");
         break;
       default:
         break;
@@ -336,6 +343,18 @@
         ticket (&m.u.revoke.ticket, id (a, 3), num (a, 4, 1), num (a, 5, 7));
         cv_copy (m.u.revoke.account, CV_NAME_MAX, "acc");
       }
+    else if (a[0] == "pull")
+      {
+        m.type = CV_MSG_DOC_PULL;
+        m.u.doc_pull.have = num (a, 2);
+      }
+    else if (a[0] == "step") // step PEER BASE VERSION PATCH
+      {
+        m.type = CV_MSG_DOC;
+        m.u.doc.base = num (a, 2);
+        m.u.doc.version = num (a, 3);
+        m.u.doc.body = cv_slice (a[4].c_str ());
+      }
     else
       return false;
     cv_core_message (&core_, now_, num (a, 1), &m);
