--- /dev/null
+++ b/tests/process/scenarios/bad_callers.py
@@ -0,0 +1,111 @@
+"""Callers that misbehave get a clear answer and disturb nobody."""
+
+import json
+import socket
+import time
+
+from caller import HEADERS
+from cluster import http_call, wait_for
+
+RESUME_S = 2  # of the side: a stream without a reader lives so long
+BODY_MAX = 1 << 20
+TOKENS = 500
+
+
+def run(s):
+    c = s.start(engines=2, services=1, engine_flags=["--token-ms", "10"],
+                side_settings={"resume_s": RESUME_S})
+    good = [s.generate(f"good{k}", entries=(k % 2,), tokens=TOKENS)
+            for k in range(4)]
+    for caller in good:
+        caller.wait_tokens(5)
+    address = c.entries[0]
+    open_sockets = [_slow_writer(address) for _ in range(8)]
+    open_sockets += [_slow_reader(address, k) for k in range(4)]
+    _clear_answers(s, address)
+    _gone(s, c, address)
+    for caller in good:
+        caller.wait_end()
+    s.judge(all(x.outcome == "done" and x.record["connections"] == 1
+                for x in good), "the others' streams are whole, undisturbed",
+            [(x.outcome, x.record["error"]) for x in good])
+    for one in open_sockets:
+        one.close()
+    wait_for("every stream of a caller that left has ended",
+             lambda: not _running(c, "slow-reader"))
+    s.say("slow readers that left: their streams have ended")
+    after = s.generate("after", tokens=20).wait_end()
+    s.judge(after.outcome == "done", "the entry serves on")
+
+
+def _clear_answers(s, address):
+    """Each kind of bad request: its status and the code in the body."""
+    ask = json.dumps({"model": "m", "prompt": "p"})
+    key = {**HEADERS, "Authorization": "Bearer wrong"}
+    for text, headers, body, status, code in (
+            ("wrong key", key, ask, 401, "unauthorized"),
+            ("cut JSON", HEADERS, ask[:-3], 400, "bad_request"),
+            ("a number for the prompt", HEADERS,
+             '{"model":"m","prompt":7}', 400, "bad_request"),
+            ("unknown model", HEADERS, '{"model":"x","prompt":"p"}', 404,
+             "model_not_found"),
+            ("oversize body", HEADERS,
+             json.dumps({"model": "m", "prompt": "p" * (2 * BODY_MAX)}), 413,
+             "body_too_large")):
+        got, _, answer = http_call(address, "POST", "/v1/completions", body,
+                                   headers)
+        seen = (got, json.loads(answer)["error"]["code"])
+        s.judge(seen == (status, code), f"{text}: {status} {code}", seen)
+    flood = {**HEADERS, **{f"X-Flood-{k}": "f" * 1000 for k in range(100)}}
+    got, _, _ = http_call(address, "POST", "/v1/completions", ask, flood)
+    s.judge(got in (414, 431), "a flood of headers: refused", got)
+
+
+def _connect(address):
+    return socket.create_connection(address, timeout=10)
+
+
+def _slow_writer(address):
+    """Half of a request, and then nothing."""
+    one = _connect(address)
+    one.sendall(b"POST /v1/completions HTTP/1.1\r\nHost: e\r\nContent-Len")
+    return one
+
+
+def _stream(address, mark, tokens):
+    one = _connect(address)
+    body = json.dumps({"model": "m", "prompt": f"{mark} len={tokens}",
+                       "max_tokens": tokens, "stream": True})
+    head = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+    one.sendall(f"POST /v1/completions HTTP/1.1\r\nHost: e\r\n{head}"
+                f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
+    return one
+
+
+def _slow_reader(address, k):
+    """A stream that nobody reads."""
+    return _stream(address, f"slow-reader{k}", TOKENS)
+
+
+def _running(c, head):
+    return [x for audit in c.audits() for x in audit.get("streams", [])
+            if x["prompt_head"].startswith(head)
+            and not x["cancelled"] and not x["ended"]]
+
+
+def _gone(s, c, address):
+    """A caller reads a little, leaves, and does not come back."""
+    one = _stream(address, "gone", 4000)
+    text = b""
+    while text.count(b"data: ") < 5:
+        text += one.recv(4096)
+    one.close()
+    left = time.monotonic()
+    wait_for("the engine's stream is cancelled",
+             lambda: not _running(c, "gone"))
+    took = time.monotonic() - left
+    cancelled = [x for audit in c.audits() for x in audit.get("streams", [])
+                 if x["prompt_head"] == "gone" and x["cancelled"]]
+    s.judge(len(cancelled) == 1 and took >= RESUME_S * 0.8,
+            "a caller that left: its stream is cancelled after the time "
+            "to resume", (len(cancelled), took))
