--- /dev/null
+++ b/fuzz/fuzz_settings.c
@@ -0,0 +1,17 @@
+/* Settings files of both roles, and with them the checked reader of JSON.  */
+
+#include "fuzz/fuzz.h"
+#include "settings/settings.h"
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t n)
+{
+  cv_slice_t text = { (const char *)data, n };
+  cv_settings_t first;
+  cv_settings_t again;
+  bool ok = cv_settings_parse ("input", text, &first, NULL);
+
+  CV_INVARIANT (ok == cv_settings_parse ("input", text, &again, NULL));
+  CV_INVARIANT (!ok || cv_settings_instance (&first)[0] != '\0');
+  return 0;
+}
