Quoting an empty text adds no offset to a null pointer

Cause: cv_json_quote did arithmetic on a text that is NULL when its length is 0, as the prompt buffer of an empty prompt is: undefined, and stopped by the sanitizer. No wrong output was seen.

--- a/entry/http_body.c
+++ b/entry/http_body.c
@@ -39,7 +39,8 @@
       else
         cv_buf_add (out, escape, sizeof escape);
     }
-  cv_buf_add (out, text + plain, n - plain);
+  if (n > plain) /* an empty text may be NULL */
+    cv_buf_add (out, text + plain, n - plain);
   cv_buf_add (out, "\"", 1);
 }
 
