Tests of catkinctl load: the check for doubled bookings is seen to fail

Cause: no test showed that load reports a booking with two effects. Change: the fake entry books; once well, with a second effect told as new or as a repeat, and with a repeat that is not marked as one.

--- a/catkinctl/tests/fake_entry.h
+++ b/catkinctl/tests/fake_entry.h
@@ -1,4 +1,4 @@
-// An entry that breaks one promise on every stream.
+// An entry that breaks one promise on every stream or booking.
 
 #ifndef CV_TEST_FAKE_ENTRY_H
 #define CV_TEST_FAKE_ENTRY_H
@@ -36,6 +36,8 @@
   struct _u_instance instance_ = {};
   std::string mode_;
   std::atomic<int> preemptions_{ 0 };
+  std::atomic<int> effects_{ 0 };
+  std::atomic<bool> repeated_{ false };
 
   static std::string
   token (const std::string &generation, int offset)
@@ -69,6 +71,19 @@
                "\"outcome\":\"interrupted\"}}\n\n";
     return token ("g", 0) + token ("g", 1) + end (2) + done;
   }
+  // Every second call is the repeat of the one before.
+  void
+  book (struct _u_response *res)
+  {
+    bool again = repeated_.exchange (!repeated_);
+    if (!again || mode_ == "booked-twice" || mode_ == "booked-twice-marked")
+      effects_++;
+    if (again && mode_ != "booked-twice" && mode_ != "booked-unmarked")
+      u_map_put (res->map_header, "X-Replayed", "true");
+    u_map_put (res->map_header, "X-Outcome", "done");
+    ulfius_set_string_body_response (
+        res, 200, ("{\"effect\":" + std::to_string (effects_) + "}").c_str ());
+  }
   static int
   serve (const struct _u_request *req, struct _u_response *res, void *self)
   {
@@ -93,6 +108,10 @@
           res, 429,
           "{\"error\":{\"code\":\"rate_limited\",\"message\":\"m\","
           "\"retry_after_ms\":5,\"outcome\":\"refused\"}}");
+    else if (path == "/v1/tickets")
+      ulfius_set_string_body_response (res, 200, "{\"ticket\":\"t\"}");
+    else if (path.compare (0, 5, "/svc/") == 0)
+      entry->book (res);
     else
       {
         entry->preemptions_++;
