--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -9,6 +9,7 @@
 #include <json-c/json.h>
 
 #include "entry/poll.h"
+#include "entry/store_claims.h"
 #include "entry/store_suspects.h"
 #include "entry/storejobs.h"
 
@@ -58,6 +59,7 @@
   cv_store_t store;
   cv_store_counts_t counts;
   cv_store_suspects_t suspects;
+  cv_store_claims_t claims;
   cv_time_t poll_interval; /* of an entry alone */
   cv_poll_t poll;
   cv_config_t *earlier[EARLIER_MAX]; /* newest first, NULL at the end */
@@ -88,6 +90,7 @@
   s->link = link;
   s->poll_interval = settings->store_poll_ms * CV_MS;
   cv_poll_init (&s->poll, cv_u64_random ());
+  cv_store_claims_init (&s->claims, cv_now (), cv_u64_random ());
   STAILQ_INIT (&s->jobs);
   cv_store_init (&s->store, settings->store.url,
                  (int)settings->store.timeout_ms);
@@ -102,6 +105,7 @@
   (void)cv_fail (err, CV_ERR_SYSTEM, "object API thread cannot be started");
   cv_store_finish (&s->store);
   cv_poll_finish (&s->poll);
+  cv_store_claims_finish (&s->claims);
   free (s);
   return NULL;
 }
@@ -116,6 +120,7 @@
   (void)pthread_join (s->thread, NULL);
   cv_store_finish (&s->store);
   cv_poll_finish (&s->poll);
+  cv_store_claims_finish (&s->claims);
   for (size_t i = 0; i < EARLIER_MAX; i++)
     cv_config_unref (s->earlier[i]);
   (void)pthread_cond_destroy (&s->queued);
@@ -201,6 +206,7 @@
   while (!quit)
     {
       cv_job_t *job;
+      cv_time_t due;
 
       if (cv_now () >= next_poll)
         {
@@ -210,7 +216,10 @@
                       + cv_poll_wait (&s->poll, s->poll_interval,
                                       cv_entry_link_entries (s->link));
         }
-      job = next_job (s, next_poll);
+      if (cv_now () >= cv_store_claims_due (&s->claims))
+        cv_store_claims_run (&s->claims, &s->store, cv_now ());
+      due = cv_store_claims_due (&s->claims);
+      job = next_job (s, due < next_poll ? due : next_poll);
       if (job != NULL)
         run_job (s, job);
       (void)pthread_mutex_lock (&s->lock);
--- a/store/http.h
+++ b/store/http.h
@@ -18,4 +18,14 @@
 bool cv_store_exchange (cv_store_t *s, const char *method, const char *path,
                         const char *body, cv_reply_t *reply, cv_error_t *err);
 
+/* Longest path of a call, with its null byte.  */
+#define CV_STORE_PATH_TEXT 384
+
+/* KEY has only the characters that the store takes; "" is no key.  */
+bool cv_store_key_valid (const char *key);
+bool cv_store_path (char path[CV_STORE_PATH_TEXT], const char *key,
+                    cv_error_t *err);
+/* The JSON of an answer, to be put by the caller; NULL when it is none.  */
+struct json_object *cv_store_tree (const cv_reply_t *reply);
+
 #endif
--- a/store/store.c
+++ b/store/store.c
@@ -11,7 +11,6 @@
 
 #define OBJECTS "/v1/objects/"
 #define LIST "/v1/objects?limit=1&prefix="
-#define PATH_TEXT 384
 #define PAUSE_FIRST (20 * CV_MS)
 #define PAUSE_MAX (500 * CV_MS)
 
@@ -29,26 +28,26 @@
   o->version = 0;
 }
 
-static bool
-key_valid (const char *key)
+bool
+cv_store_key_valid (const char *key)
 {
   return key[0] != '\0'
          && strspn (key, "abcdefghijklmnopqrstuvwxyz0123456789/_.-")
                 == strlen (key);
 }
 
-static bool
-make_path (char path[PATH_TEXT], const char *key, cv_error_t *err)
+bool
+cv_store_path (char path[CV_STORE_PATH_TEXT], const char *key, cv_error_t *err)
 {
-  int n = snprintf (path, PATH_TEXT, "%s%s", OBJECTS, key);
+  int n = snprintf (path, CV_STORE_PATH_TEXT, "%s%s", OBJECTS, key);
 
-  if (!key_valid (key) || n < 0 || n >= PATH_TEXT)
+  if (!cv_store_key_valid (key) || n < 0 || n >= CV_STORE_PATH_TEXT)
     return cv_fail (err, CV_ERR_INVALID, "store: bad key \"%.100s\"", key);
   return true;
 }
 
-static struct json_object *
-parse_reply (const cv_reply_t *reply)
+struct json_object *
+cv_store_tree (const cv_reply_t *reply)
 {
   struct json_tokener *tok = json_tokener_new ();
   struct json_object *tree = NULL;
@@ -84,7 +83,7 @@
 static bool
 take_object (const cv_reply_t *reply, cv_object_t *out, cv_error_t *err)
 {
-  struct json_object *tree = parse_reply (reply);
+  struct json_object *tree = cv_store_tree (reply);
   struct json_object *value = NULL;
   const char *text;
   bool ok;
@@ -106,12 +105,12 @@
 bool
 cv_store_get (cv_store_t *s, const char *key, cv_object_t *out, cv_error_t *err)
 {
-  char path[PATH_TEXT];
+  char path[CV_STORE_PATH_TEXT];
   cv_reply_t reply;
   bool ok;
 
   memset (out, 0, sizeof *out);
-  if (!make_path (path, key, err))
+  if (!cv_store_path (path, key, err))
     return false;
   s->counts.reads++;
   ok = cv_store_exchange (s, "GET", path, NULL, &reply, err);
@@ -131,7 +130,7 @@
 take_version (const cv_reply_t *reply, const char *key, uint64_t *version,
               cv_error_t *err)
 {
-  struct json_object *tree = parse_reply (reply);
+  struct json_object *tree = cv_store_tree (reply);
   struct json_object *items = NULL;
   struct json_object *item;
   struct json_object *name = NULL;
@@ -154,12 +153,12 @@
 cv_store_version (cv_store_t *s, const char *key, uint64_t *version,
                   cv_error_t *err)
 {
-  char path[PATH_TEXT];
+  char path[CV_STORE_PATH_TEXT];
   cv_reply_t reply;
   bool ok;
   int n = snprintf (path, sizeof path, "%s%s", LIST, key);
 
-  if (!key_valid (key) || n < 0 || (size_t)n >= sizeof path)
+  if (!cv_store_key_valid (key) || n < 0 || (size_t)n >= sizeof path)
     return cv_fail (err, CV_ERR_INVALID, "store: bad key \"%.100s\"", key);
   s->counts.reads++;
   ok = cv_store_exchange (s, "GET", path, NULL, &reply, err);
@@ -187,7 +186,7 @@
   switch (reply->status)
     {
     case STATUS_OK:
-      tree = parse_reply (reply);
+      tree = cv_store_tree (reply);
       ok = tree != NULL && get_version (tree, new_version);
       json_object_put (tree);
       return ok
@@ -212,7 +211,7 @@
 cv_store_put (cv_store_t *s, const char *key, uint64_t version,
               const char *json, uint64_t *new_version, cv_error_t *err)
 {
-  char path[PATH_TEXT];
+  char path[CV_STORE_PATH_TEXT];
   cv_error_t local;
   cv_reply_t reply;
   cv_buf_t body;
@@ -220,7 +219,7 @@
 
   if (err == NULL)
     err = &local;
-  if (!make_path (path, key, err))
+  if (!cv_store_path (path, key, err))
     return false;
   cv_buf_init (&body);
   cv_buf_printf (&body, "{\"version\":%" PRIu64 ",\"value\":", version);
--- a/store/store.h
+++ b/store/store.h
@@ -67,6 +67,28 @@
                              cv_time_t deadline, uint64_t *new_version,
                              cv_error_t *err);
 
+  /* Conditional delete of KEY at VERSION.  ERR: CONFLICT (another version),
+     UNAVAILABLE or UNKNOWN; an object that does not exist is success.  Counted
+     as a write.  */
+  bool cv_store_delete (cv_store_t *s, const char *key, uint64_t version,
+                        cv_error_t *err);
+
+/* Longest key of a listed object, with its null byte.  */
+#define CV_STORE_KEY_TEXT 128
+
+  typedef struct
+  {
+    char key[CV_STORE_KEY_TEXT];
+    uint64_t version;
+  } cv_listed_t;
+
+  /* Keys that begin with PREFIX and follow AFTER ("": from the first), in
+     order, at most MAX of them; *COUNT fewer than MAX: there are no more.  One
+     read.  */
+  bool cv_store_list (cv_store_t *s, const char *prefix, const char *after,
+                      cv_listed_t *out, size_t max, size_t *count,
+                      cv_error_t *err);
+
   /* Append the JSON object JSON to OUT with the first key "nonce".  */
   void cv_store_add_nonce (cv_slice_t json, const char *nonce, cv_buf_t *out);
 
--- a/store/tests/fake_store.h
+++ b/store/tests/fake_store.h
@@ -126,7 +126,10 @@
     std::string path = req->url_path;
     std::string key = path.substr (std::min (prefix.size (), path.size ()));
     if (path == "/v1/objects")
-      return store->list (u_map_get (req->map_url, "prefix"), res);
+      return store->list (req->map_url, res);
+    if (strcmp (req->http_verb, "DELETE") == 0)
+      return store->remove (key, atol (u_map_get (req->map_url, "version")),
+                            res);
     if (strcmp (req->http_verb, "GET") == 0)
       return store->read (key, res);
     std::string body (static_cast<const char *> (req->binary_body),
@@ -150,18 +153,38 @@
     return U_CALLBACK_COMPLETE;
   }
   int
-  list (const std::string &prefix, struct _u_response *res)
+  list (const struct _u_map *query, struct _u_response *res)
   {
     std::lock_guard<std::mutex> hold (lock_);
+    std::string prefix = u_map_get (query, "prefix");
+    const char *after = u_map_get (query, "after");
+    const char *limit = u_map_get (query, "limit");
+    long left = limit == nullptr ? 1000 : atol (limit);
     std::string items;
     for (const auto &[key, object] : objects_)
-      if (key.compare (0, prefix.size (), prefix) == 0 && object.version > 0)
+      if (key.compare (0, prefix.size (), prefix) == 0 && object.version > 0
+          && (after == nullptr || key > after) && left-- > 0)
         items += std::string (items.empty () ? "" : ",") + "{\"key\":\"" + key
                  + "\",\"version\":" + std::to_string (object.version) + "}";
     ulfius_set_string_body_response (res, 200,
                                      ("{\"items\":[" + items + "]}").c_str ());
     return U_CALLBACK_COMPLETE;
   }
+  int
+  remove (const std::string &key, long version, struct _u_response *res)
+  {
+    std::lock_guard<std::mutex> hold (lock_);
+    auto it = objects_.find (key);
+    bool exists = it != objects_.end () && it->second.version > 0;
+    bool ok = exists && it->second.version == version;
+    if (ok)
+      {
+        objects_.erase (it);
+        revision_++;
+      }
+    ulfius_set_string_body_response (res, !exists ? 404 : ok ? 200 : 409, "{}");
+    return U_CALLBACK_COMPLETE;
+  }
   Fault
   next_fault ()
   {
--- a/store/tests/store_test.cc
+++ b/store/tests/store_test.cc
@@ -56,6 +56,30 @@
   EXPECT_EQ (0u, store.counts.failures);
 }
 
+TEST_F (StoreTest, ListsAndDeletesOnAVersion)
+{
+  cv_listed_t listed[2];
+  size_t n;
+  for (const char *key : { "a/1", "a/2", "a/3", "b/1" })
+    fake.overwrite (key, "{}");
+  ASSERT_TRUE (cv_store_list (&store, "a/", "", listed, 2, &n, &err));
+  ASSERT_EQ (2u, n);
+  EXPECT_STREQ ("a/1", listed[0].key);
+  ASSERT_TRUE (cv_store_list (&store, "a/", "a/2", listed, 2, &n, &err));
+  ASSERT_EQ (1u, n);
+  EXPECT_STREQ ("a/3", listed[0].key);
+  EXPECT_FALSE (cv_store_delete (&store, "a/3", listed[0].version + 1, &err));
+  EXPECT_EQ (CV_ERR_CONFLICT, err.code);
+  EXPECT_EQ ("{}", fake.value ("a/3"));
+  EXPECT_TRUE (cv_store_delete (&store, "a/3", listed[0].version, &err));
+  EXPECT_EQ ("", fake.value ("a/3"));
+  EXPECT_TRUE (cv_store_delete (&store, "a/3", listed[0].version, &err));
+  EXPECT_FALSE (cv_store_list (&store, "a/", "a b", listed, 2, &n, &err));
+  EXPECT_EQ (CV_ERR_INVALID, err.code);
+  EXPECT_EQ (2u, store.counts.reads);
+  EXPECT_EQ (3u, store.counts.writes);
+}
+
 TEST_F (StoreTest, ReadsVersionAlone)
 {
   uint64_t found = 7;
