Steps between documents take no NaN or Infinity

Cause: json-c reads NaN and Infinity, which are no JSON. NaN is not equal to itself, so a step to a document with one never leads there. Such a text was refused later, by the configuration's own checks; no wrong configuration was accepted.

--- a/config/patch.c
+++ b/config/patch.c
@@ -1,5 +1,6 @@
 /* JSON merge patches between configuration documents.  */
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 #include "config/patch.h"
 
 static struct json_object *parse (cv_slice_t text);
+static bool is_finite (struct json_object *o);
 static bool has_null (struct json_object *o);
 static struct json_object *diff (struct json_object *from,
                                  struct json_object *to);
@@ -127,12 +129,35 @@
   if (tok != NULL && text.n <= INT32_MAX)
     o = json_tokener_parse_ex (tok, text.p, (int)text.n);
   json_tokener_free (tok);
-  if (json_object_is_type (o, json_type_object))
+  if (json_object_is_type (o, json_type_object) && is_finite (o))
     return o;
   json_object_put (o);
   return NULL;
 }
 
+/* json-c takes NaN and Infinity, which are no JSON; NaN is not even equal to
+   itself, so that a step to it would never lead there.  */
+static bool
+is_finite (struct json_object *o)
+{
+  if (json_object_is_type (o, json_type_double))
+    return isfinite (json_object_get_double (o)) != 0;
+  if (json_object_is_type (o, json_type_array))
+    for (size_t i = 0; i < json_object_array_length (o); i++)
+      if (!is_finite (json_object_array_get_idx (o, i)))
+        return false;
+  if (json_object_is_type (o, json_type_object))
+    {
+      json_object_object_foreach (o, key, value)
+      {
+        (void)key;
+        if (!is_finite (value))
+          return false;
+      }
+    }
+  return true;
+}
+
 static bool
 has_null (struct json_object *o)
 {
