One piece of code follows and keeps the steps between documents

Cause: entry and side had the same logic twice. Change: cv_patch_follow and cv_history_compare in config/patch.c serve both. Measured: tests of config, entry and side pass; the mutants of older documents and of steps from another version are killed.

--- a/config/patch.c
+++ b/config/patch.c
@@ -56,6 +56,21 @@
   return true;
 }
 
+bool
+cv_patch_follow (uint64_t have, cv_slice_t own, uint64_t base, cv_slice_t body,
+                 cv_buf_t *out, cv_error_t *err)
+{
+  if (base == 0)
+    {
+      cv_buf_add (out, body.p, body.n);
+      return true;
+    }
+  if (base != have)
+    return cv_fail (err, CV_ERR_CONFLICT, "step from version %llu",
+                    (unsigned long long)base);
+  return cv_patch_apply (own, body, out, err);
+}
+
 /* ---- history ---- */
 
 void
@@ -101,6 +116,20 @@
   return best;
 }
 
+void
+cv_history_compare (cv_history_t *h, uint64_t from, cv_slice_t old_text,
+                    uint64_t to, cv_slice_t new_text)
+{
+  cv_buf_t patch;
+
+  if (cv_history_leads (h, from, to))
+    return;
+  cv_buf_init (&patch);
+  if (cv_patch_make (old_text, new_text, &patch, NULL))
+    cv_history_add (h, from, to, cv_slice (cv_buf_text (&patch)));
+  cv_buf_finish (&patch);
+}
+
 bool
 cv_history_leads (const cv_history_t *h, uint64_t from, uint64_t to)
 {
--- a/entry/core_config.c
+++ b/entry/core_config.c
@@ -4,7 +4,6 @@
 #include "entry/core_internal.h"
 
 static void send_parked (cv_entry_core_t *c, cv_time_t now);
-static void keep_step (cv_entry_core_t *c, const cv_config_t *config);
 static void learn_age (cv_entry_core_t *c, cv_time_t confirmed);
 
 bool
@@ -14,7 +13,11 @@
     return false;
   if (c->config != NULL)
     {
-      keep_step (c, config);
+      cv_slice_t from = { c->config->text, c->config->text_size };
+      cv_slice_t to = { config->text, config->text_size };
+
+      cv_history_compare (&c->history, c->config->version, from,
+                          config->version, to);
       cv_config_unref (c->config);
     }
   c->config = cv_config_ref (config);
@@ -31,24 +34,21 @@
                       cv_error_t *err)
 {
   cv_config_t *config = NULL;
-  cv_slice_t own;
+  uint64_t have = 0;
+  cv_slice_t own = { "", 0 };
   cv_buf_t text;
 
-  if (doc->base == 0)
-    return cv_config_parse (doc->version, doc->body, err);
-  if (c->config == NULL || c->config->version != doc->base)
+  if (c->config != NULL)
     {
-      (void)cv_fail (err, CV_ERR_CONFLICT, "step from version %llu",
-                     (unsigned long long)doc->base);
-      return NULL;
+      have = c->config->version;
+      own.p = c->config->text;
+      own.n = c->config->text_size;
     }
-  own.p = c->config->text;
-  own.n = c->config->text_size;
   cv_buf_init (&text);
-  if (cv_patch_apply (own, doc->body, &text, err))
+  if (cv_patch_follow (have, own, doc->base, doc->body, &text, err))
     config
         = cv_config_parse (doc->version, cv_slice (cv_buf_text (&text)), err);
-  if (config != NULL)
+  if (config != NULL && doc->base != 0)
     cv_history_add (&c->history, doc->base, doc->version, doc->body);
   cv_buf_finish (&text);
   return config;
@@ -162,24 +162,6 @@
 
 /* ---- local ---- */
 
-/* Keep the step from the present configuration to CONFIG, unless it came as
-   one.  */
-static void
-keep_step (cv_entry_core_t *c, const cv_config_t *config)
-{
-  cv_slice_t from = { c->config->text, c->config->text_size };
-  cv_slice_t to = { config->text, config->text_size };
-  cv_buf_t patch;
-
-  if (cv_history_leads (&c->history, c->config->version, config->version))
-    return;
-  cv_buf_init (&patch);
-  if (cv_patch_make (from, to, &patch, NULL))
-    cv_history_add (&c->history, c->config->version, config->version,
-                    cv_slice (cv_buf_text (&patch)));
-  cv_buf_finish (&patch);
-}
-
 static void
 learn_age (cv_entry_core_t *c, cv_time_t confirmed)
 {
--- a/side/docs.c
+++ b/side/docs.c
@@ -7,9 +7,6 @@
 static void doc_store (cv_doc_state_t *d, uint64_t version, cv_slice_t body);
 static void send_steps (cv_core_t *c, uint32_t peer, const cv_doc_state_t *d,
                         uint64_t have);
-static bool config_text (const cv_core_t *c, const cv_msg_doc_t *m,
-                         cv_buf_t *out, cv_error_t *err);
-static void keep_step (cv_core_t *c, const cv_msg_doc_t *m, cv_slice_t text);
 static void take_config (cv_core_t *c, cv_time_t now, uint32_t peer,
                          const cv_msg_doc_t *m);
 static void take_suspects (cv_core_t *c, cv_time_t now, const cv_msg_doc_t *m);
@@ -173,58 +170,18 @@
     }
 }
 
-/* The whole text of the configuration in M, or what the step in M makes of
-   ours; false when the step starts from another version.  */
-static bool
-config_text (const cv_core_t *c, const cv_msg_doc_t *m, cv_buf_t *out,
-             cv_error_t *err)
-{
-  const cv_doc_state_t *d = &c->doc[CV_DOC_CONFIG];
-  cv_slice_t own = { d->body, d->size };
-
-  if (m->base == 0)
-    {
-      cv_buf_add (out, m->body.p, m->body.n);
-      return true;
-    }
-  if (m->base != d->version)
-    return cv_fail (err, CV_ERR_CONFLICT, "step from version %llu",
-                    (unsigned long long)m->base);
-  return cv_patch_apply (own, m->body, out, err);
-}
-
-/* Keep the step that leads to version TO, as it came or by comparison.  */
 static void
-keep_step (cv_core_t *c, const cv_msg_doc_t *m, cv_slice_t text)
+take_config (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_doc_t *m)
 {
   cv_doc_state_t *d = &c->doc[CV_DOC_CONFIG];
   cv_slice_t own = { d->body, d->size };
-  cv_buf_t patch;
-
-  if (d->body == NULL)
-    return;
-  if (m->base != 0)
-    {
-      cv_history_add (&d->history, m->base, m->version, m->body);
-      return;
-    }
-  cv_buf_init (&patch);
-  if (cv_patch_make (own, text, &patch, NULL))
-    cv_history_add (&d->history, d->version, m->version,
-                    cv_slice (cv_buf_text (&patch)));
-  cv_buf_finish (&patch);
-}
-
-static void
-take_config (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_doc_t *m)
-{
   cv_error_t err;
   cv_config_t *config = NULL;
   cv_slice_t text;
   cv_buf_t doc;
 
   cv_buf_init (&doc);
-  if (config_text (c, m, &doc, &err))
+  if (cv_patch_follow (d->version, own, m->base, m->body, &doc, &err))
     {
       text = cv_slice (cv_buf_text (&doc));
       config = cv_config_parse (m->version, text, &err);
@@ -239,8 +196,11 @@
     }
   cv_config_unref (c->config);
   c->config = config;
-  keep_step (c, m, text);
-  doc_store (&c->doc[CV_DOC_CONFIG], m->version, text);
+  if (m->base != 0)
+    cv_history_add (&d->history, m->base, m->version, m->body);
+  else if (d->body != NULL)
+    cv_history_compare (&d->history, d->version, own, m->version, text);
+  doc_store (d, m->version, text);
   cv_buf_finish (&doc);
   c->config_age_ms = UINT32_MAX;
   if (cv_peers_live (c, peer)
