Entry: a caller waits on a semaphore, not on a condition variable

Cause: strace of a caller's thread shows four system calls an event: the wait, a FUTEX_WAKE that finds nobody, poll and sendto. The second comes from the condition variable: after a wait the C library takes the mutex back as a contended one, so that each unlock makes a call.

Ruled out: timed waits as such (the same call waits without a time), more than one write an event (one sendto of 211 bytes), contention of the mailbox (the signal came after the unlock).

Change: a semaphore, posted only for a reader that waits; the mutex stays uncontended, and a put for a reader at work makes no system call.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -12,6 +12,7 @@
 /* Larger texts are not kept for the next reply.  */
 #define SPARE_TEXT_MAX 4096
 
+static cv_mail_t *take_first (cv_caller_t *c, bool waiting);
 static void fill (cv_mail_t *m, const cv_reply_t *reply);
 static bool follows (const cv_mail_t *m, const cv_reply_t *reply);
 static void add_tokens (cv_mail_t *m, const cv_reply_t *reply);
@@ -22,13 +23,9 @@
 cv_caller_new (void)
 {
   cv_caller_t *c = cv_calloc (1, sizeof *c);
-  pthread_condattr_t attr;
 
   CV_INVARIANT (pthread_mutex_init (&c->lock, NULL) == 0);
-  CV_INVARIANT (pthread_condattr_init (&attr) == 0);
-  CV_INVARIANT (pthread_condattr_setclock (&attr, CLOCK_MONOTONIC) == 0);
-  CV_INVARIANT (pthread_cond_init (&c->filled, &attr) == 0);
-  (void)pthread_condattr_destroy (&attr);
+  CV_INVARIANT (sem_init (&c->filled, 0, 0) == 0);
   TAILQ_INIT (&c->mails);
   c->refs = 1;
   return c;
@@ -55,7 +52,7 @@
     }
   if (c->spare != NULL)
     cv_mail_free (c->spare);
-  (void)pthread_cond_destroy (&c->filled);
+  (void)sem_destroy (&c->filled);
   (void)pthread_mutex_destroy (&c->lock);
   free (c);
 }
@@ -64,6 +61,7 @@
 cv_caller_put (cv_caller_t *c, const cv_reply_t *reply)
 {
   cv_mail_t *m;
+  bool wake;
 
   (void)pthread_mutex_lock (&c->lock);
   m = TAILQ_LAST (&c->mails, cv_mail_list_t);
@@ -76,24 +74,33 @@
       fill (m, reply);
       TAILQ_INSERT_TAIL (&c->mails, m, link);
     }
+  wake = c->waiting;
+  c->waiting = false;
   (void)pthread_mutex_unlock (&c->lock);
-  /* After the lock, so that the thread that wakes finds it free.  */
-  (void)pthread_cond_signal (&c->filled);
+  /* After the lock, so that the thread that wakes finds it free.  A condition
+     variable would cost the reader one more system call: it takes the mutex
+     back as a contended one.  */
+  if (wake)
+    (void)sem_post (&c->filled);
 }
 
 cv_mail_t *
 cv_caller_take (cv_caller_t *c, cv_time_t wait)
 {
-  struct timespec until = deadline_after (wait);
-  cv_mail_t *m;
-
-  (void)pthread_mutex_lock (&c->lock);
-  while ((m = TAILQ_FIRST (&c->mails)) == NULL && wait > 0)
-    if (pthread_cond_timedwait (&c->filled, &c->lock, &until) == ETIMEDOUT)
-      wait = 0;
-  if (m != NULL)
-    TAILQ_REMOVE (&c->mails, m, link);
-  (void)pthread_mutex_unlock (&c->lock);
+  cv_mail_t *m = take_first (c, wait > 0);
+  struct timespec until;
+
+  if (m != NULL || wait <= 0)
+    return m;
+  until = deadline_after (wait);
+  /* A post that came after an earlier timeout ends a wait for nothing.  */
+  while (m == NULL && wait > 0)
+    {
+      if (sem_clockwait (&c->filled, CLOCK_MONOTONIC, &until) != 0
+          && errno == ETIMEDOUT)
+        wait = 0;
+      m = take_first (c, wait > 0);
+    }
   return m;
 }
 
@@ -129,6 +136,21 @@
   return m->type != CV_REPLY_TOKENS;
 }
 
+/* The first reply, or NULL; the caller then waits or not.  */
+static cv_mail_t *
+take_first (cv_caller_t *c, bool waiting)
+{
+  cv_mail_t *m;
+
+  (void)pthread_mutex_lock (&c->lock);
+  m = TAILQ_FIRST (&c->mails);
+  if (m != NULL)
+    TAILQ_REMOVE (&c->mails, m, link);
+  c->waiting = waiting && m == NULL;
+  (void)pthread_mutex_unlock (&c->lock);
+  return m;
+}
+
 static void
 fill (cv_mail_t *m, const cv_reply_t *reply)
 {
--- a/entry/caller.h
+++ b/entry/caller.h
@@ -5,6 +5,7 @@
 #define CV_ENTRY_CALLER_H
 
 #include <pthread.h>
+#include <semaphore.h>
 
 #include "entry/core.h"
 
@@ -35,7 +36,8 @@
 typedef struct
 {
   pthread_mutex_t lock;
-  pthread_cond_t filled;
+  sem_t filled; /* posted for a reader that waits */
+  bool waiting;
   TAILQ_HEAD (cv_mail_list_t, cv_mail_t) mails;
   cv_mail_t *spare; /* its memory serves the next reply */
   int refs;
