Entry: few reads of the store before the first instance list

Cause: an entry that does not know how many there are read the store every 1 to 1.5 s, and its first read cost two calls (the version, then the document).

An entry without a document asks for it at once. The first read stays within 250 ms of the start: a later one would delay each single start, and a restart within a minute makes 30 of them a second. The number of entries is now written under the lock under which other threads read it.

Not covered: 1,800 entries that start within the same second read within 250 ms.

--- a/entry/link.c
+++ b/entry/link.c
@@ -220,7 +220,10 @@
       cv_entry_store_failed (l->core, c->asked);
       break;
     case COMMAND_INSTANCES:
+      (void)pthread_mutex_lock (&l->lock);
       l->entries = c->u.instances.entries;
+      l->knows_entries = true;
+      (void)pthread_mutex_unlock (&l->lock);
       cv_entry_set_entries (l->core, c->u.instances.entries);
       cv_entry_link_apply_instances (l, now, c->u.instances.list,
                                      c->u.instances.count);
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -82,6 +82,7 @@
   pthread_mutex_t lock;
   STAILQ_HEAD (cv_command_list_t, cv_command_t) queue;
   uint32_t entries;
+  bool knows_entries;  /* an instance list came */
   cv_config_t *config; /* the core's, for other threads */
   char *suspects;      /* likewise */
   uint64_t suspects_version;
--- a/entry/link_queue.c
+++ b/entry/link_queue.c
@@ -126,7 +126,7 @@
   uint32_t n;
 
   (void)pthread_mutex_lock (&l->lock);
-  n = l->entries;
+  n = l->entries > 0 || !l->knows_entries ? l->entries : 1;
   (void)pthread_mutex_unlock (&l->lock);
   return n;
 }
--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -64,6 +64,7 @@
 };
 
 static void *run (void *arg);
+static cv_time_t soonest (const cv_storejobs_t *s, cv_time_t next_poll);
 static cv_job_t *next_job (cv_storejobs_t *s, cv_time_t until);
 static void run_job (cv_storejobs_t *s, cv_job_t *job);
 static bool submit (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err);
@@ -196,21 +197,26 @@
 {
   cv_storejobs_t *s = arg;
   cv_time_t next_poll = cv_now () + cv_poll_first (&s->poll);
+  bool blind = false;
   bool quit = false;
 
   while (!quit)
     {
+      uint32_t entries = cv_entry_link_entries (s->link);
+      bool due = cv_now () >= next_poll;
       cv_job_t *job;
 
-      if (cv_now () >= next_poll)
+      if (due)
         {
           poll_config (s);
           sync_suspects (s);
-          next_poll = cv_now ()
-                      + cv_poll_wait (&s->poll, s->poll_interval,
-                                      cv_entry_link_entries (s->link));
         }
-      job = next_job (s, next_poll);
+      /* A long wait for want of the number of entries ends with its cause.  */
+      if (due || (blind && entries > 0))
+        next_poll
+            = cv_now () + cv_poll_wait (&s->poll, s->poll_interval, entries);
+      blind = entries == 0;
+      job = next_job (s, blind ? soonest (s, next_poll) : next_poll);
       if (job != NULL)
         run_job (s, job);
       (void)pthread_mutex_lock (&s->lock);
@@ -221,6 +227,15 @@
   return NULL;
 }
 
+/* When to look again for the number of entries; this calls nobody.  */
+static cv_time_t
+soonest (const cv_storejobs_t *s, cv_time_t next_poll)
+{
+  cv_time_t look = cv_now () + s->poll_interval;
+
+  return look < next_poll ? look : next_poll;
+}
+
 static cv_job_t *
 next_job (cv_storejobs_t *s, cv_time_t until)
 {
@@ -290,8 +305,13 @@
   cv_time_t asked = cv_now ();
   cv_object_t object = { 0 };
   uint64_t version;
-  bool ok = cv_store_version (&s->store, CV_CONFIG_KEY, &version, err);
+  bool ok = true;
 
+  /* Without a document its version alone is of no use.  */
+  if (present == NULL)
+    version = 1;
+  else
+    ok = cv_store_version (&s->store, CV_CONFIG_KEY, &version, err);
   if (ok && present != NULL && version == present->version)
     cv_entry_link_adopt (s->link, asked, present); /* confirms it */
   else if (ok && version > (present == NULL ? 0 : present->version))
