--- a/entry/link_peers.c
+++ b/entry/link_peers.c
@@ -43,9 +43,7 @@
         i->seen = true;
       if (i != NULL && (i->chosen || in_use (l, now, t)))
         cv_entry_target_listed (l->core, now, t, i->leaving);
-      else if (i != NULL)
-        remove_peer (l, now, t);
-      else if (cv_entry_target_lost (l->core, t))
+      else if (i != NULL || cv_entry_target_lost (l->core, t))
         remove_peer (l, now, t);
       else
         cv_entry_target_listed (l->core, now, t, true);
