--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -9,6 +9,7 @@
 #include <json-c/json.h>
 
 #include "entry/poll.h"
+#include "entry/store_claims.h"
 #include "entry/store_suspects.h"
 #include "entry/storejobs.h"
 
@@ -58,13 +59,15 @@
   cv_store_t store;
   cv_store_counts_t counts;
   cv_store_suspects_t suspects;
+  cv_store_claims_t claims;
   cv_time_t poll_interval; /* of an entry alone */
   cv_poll_t poll;
   cv_config_t *earlier[EARLIER_MAX]; /* newest first, NULL at the end */
 };
 
 static void *run (void *arg);
-static cv_time_t soonest (const cv_storejobs_t *s, cv_time_t next_poll);
+static cv_time_t soonest (const cv_storejobs_t *s, cv_time_t next_poll,
+                          bool blind);
 static cv_job_t *next_job (cv_storejobs_t *s, cv_time_t until);
 static void run_job (cv_storejobs_t *s, cv_job_t *job);
 static bool submit (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err);
@@ -89,6 +92,7 @@
   s->link = link;
   s->poll_interval = settings->store_poll_ms * CV_MS;
   cv_poll_init (&s->poll, cv_u64_random ());
+  cv_store_claims_init (&s->claims, cv_now (), cv_u64_random ());
   STAILQ_INIT (&s->jobs);
   cv_store_init (&s->store, settings->store.url,
                  (int)settings->store.timeout_ms);
@@ -103,6 +107,7 @@
   (void)cv_fail (err, CV_ERR_SYSTEM, "object API thread cannot be started");
   cv_store_finish (&s->store);
   cv_poll_finish (&s->poll);
+  cv_store_claims_finish (&s->claims);
   free (s);
   return NULL;
 }
@@ -117,6 +122,7 @@
   (void)pthread_join (s->thread, NULL);
   cv_store_finish (&s->store);
   cv_poll_finish (&s->poll);
+  cv_store_claims_finish (&s->claims);
   for (size_t i = 0; i < EARLIER_MAX; i++)
     cv_config_unref (s->earlier[i]);
   (void)pthread_cond_destroy (&s->queued);
@@ -216,7 +222,9 @@
         next_poll
             = cv_now () + cv_poll_wait (&s->poll, s->poll_interval, entries);
       blind = entries == 0;
-      job = next_job (s, blind ? soonest (s, next_poll) : next_poll);
+      if (cv_now () >= cv_store_claims_due (&s->claims))
+        cv_store_claims_run (&s->claims, &s->store, cv_now ());
+      job = next_job (s, soonest (s, next_poll, blind));
       if (job != NULL)
         run_job (s, job);
       (void)pthread_mutex_lock (&s->lock);
@@ -227,13 +235,16 @@
   return NULL;
 }
 
-/* When to look again for the number of entries; this calls nobody.  */
+/* When the thread has work of its own again.  A BLIND entry looks for the
+   number of entries meanwhile, which calls nobody.  */
 static cv_time_t
-soonest (const cv_storejobs_t *s, cv_time_t next_poll)
+soonest (const cv_storejobs_t *s, cv_time_t next_poll, bool blind)
 {
   cv_time_t look = cv_now () + s->poll_interval;
+  cv_time_t claims = cv_store_claims_due (&s->claims);
+  cv_time_t at = claims < next_poll ? claims : next_poll;
 
-  return look < next_poll ? look : next_poll;
+  return blind && look < at ? look : at;
 }
 
 static cv_job_t *
