Side: an engine that came back unseen leaves its strikes

Ruled out: the identity of deaths (each side counts its own). Change: a stream that the engine does not know waits for a load report asked for after that; another boot is a death with all that was aboard, the same boot ends the stream alone.

--- a/side/engine.c
+++ b/side/engine.c
@@ -18,7 +18,6 @@
 static void on_data (void *arg, const char *p, size_t n);
 static void on_body_end (void *arg, const cv_http_result_t *result);
 static void start_failed (cv_run_t *run, const cv_http_result_t *result);
-static void lose (cv_run_t *run);
 static void want (cv_run_t *run, bool paused);
 static void send_order (cv_run_t *run);
 static void repeat_order (cv_run_t *run);
@@ -236,7 +235,7 @@
   if (run->tries++ >= RETRIES_MAX)
     {
       cv_engine_cancel (run->engine, run->ref.id);
-      lose (run);
+      cv_engine_lose (run);
       return;
     }
   (void)snprintf (suffix, sizeof suffix, "?offset=%u", run->offset);
@@ -277,7 +276,9 @@
     }
   if (result->end == CV_HTTP_WHOLE && result->status == 404)
     {
-      lose (run);
+      /* Another boot may have come up unseen; its load report tells.  */
+      run->missing_at = cv_now ();
+      run->engine->poll_at = 0;
       return;
     }
   run->broken = false;
@@ -302,9 +303,8 @@
   cv_core_engine_refused (run->engine->core, cv_now (), run->ref, reason);
 }
 
-/* The stream cannot go on, though the engine may live.  */
-static void
-lose (cv_run_t *run)
+void
+cv_engine_lose (cv_run_t *run)
 {
   cv_engine_over (run);
   cv_core_stream_end (run->engine->core, cv_now (), run->ref,
--- a/side/engine.h
+++ b/side/engine.h
@@ -31,6 +31,7 @@
     bool broken;              /* an event made no sense: open the body anew */
     uint32_t tries;           /* of opening the body since the last token */
     cv_time_t retry_at;       /* when to open the body, 0: no need */
+    cv_time_t missing_at;     /* when the engine did not know it, 0: never */
     bool over;                /* ended or given up; freed by the next tick */
     bool want_paused;         /* as last ordered by the gate */
     bool is_paused;           /* as last confirmed by the engine */
@@ -68,6 +69,7 @@
     uint64_t boot; /* 0: not known yet */
     cv_http_request_t *poll;
     cv_time_t poll_at;
+    cv_time_t asked; /* when the last poll began */
     cv_time_t poll_interval;
     cv_time_t answered; /* last load report */
     cv_time_t ticked;
@@ -88,6 +90,8 @@
   void cv_engine_feed (cv_run_t *run, const char *p, size_t n);
   /* Take the run off its slot; the next tick frees it.  */
   void cv_engine_over (cv_run_t *run);
+  /* The stream cannot go on, though the engine may live.  */
+  void cv_engine_lose (cv_run_t *run);
   /* Tell the core that the engine has died, and drop all runs.  */
   void cv_engine_dead (cv_engine_t *e, bool may_return);
   /* The load report, polled.  */
--- a/side/engine_events.c
+++ b/side/engine_events.c
@@ -25,6 +25,7 @@
 static bool end_event (cv_run_t *run, json_object *o);
 static void on_load (void *arg, const cv_http_result_t *result);
 static void take_load (cv_engine_t *e, json_object *o);
+static void lose_missing (cv_engine_t *e);
 static void set_up (cv_engine_t *e, bool up);
 static int64_t get_int (json_object *o, const char *key);
 static void on_cancelled (void *arg, const cv_http_result_t *result);
@@ -179,6 +180,7 @@
   n = snprintf (url, sizeof url, "%s/v1/load", e->url);
   CV_INVARIANT (n > 0 && (size_t)n < sizeof url);
   e->poll_at = now + e->poll_interval;
+  e->asked = now;
   e->poll = cv_http_start (e->http, &call);
 }
 
@@ -219,6 +221,7 @@
     cv_core_engine_booted (e->core);
   e->boot = boot;
   e->answered = now;
+  lose_missing (e);
   load.running = (uint32_t)get_int (o, "running");
   load.waiting = (uint32_t)get_int (o, "waiting");
   load.kv_used = (uint64_t)get_int (o, "kv_used");
@@ -230,6 +233,21 @@
   set_up (e, true);
 }
 
+/* The engine is the one that had the streams, and no longer knows some.  */
+static void
+lose_missing (cv_engine_t *e)
+{
+  cv_run_t *run;
+  cv_run_t *next;
+
+  for (run = TAILQ_FIRST (&e->runs); run != NULL; run = next)
+    {
+      next = TAILQ_NEXT (run, link);
+      if (run->missing_at != 0 && run->missing_at <= e->asked)
+        cv_engine_lose (run);
+    }
+}
+
 static void
 set_up (cv_engine_t *e, bool up)
 {
--- a/tests/process/scenarios/poison.py
+++ b/tests/process/scenarios/poison.py
@@ -39,7 +39,7 @@
 
     # Both deaths may fall into one second of the wall clock.
     time.sleep(1 - time.time() % 1)
-    _send_again(s, c, restarter, "alone")
+    send_again(s, c, restarter, "alone")
 
     for entry in (0, 1):
         wait_for(f"entry{entry} uses every target again",
@@ -48,7 +48,7 @@
                  for k in range(6)]
     for caller in innocents[1::2]:
         caller.wait_tokens(1)
-    _send_again(s, c, restarter, "beside")
+    send_again(s, c, restarter, "beside")
     for caller in innocents:
         caller.wait_end()
     s.judge(all(x.outcome in ("done", "interrupted") for x in innocents),
@@ -67,7 +67,7 @@
     restarter.join()
 
 
-def _send_again(s, c, restarter, mark):
+def send_again(s, c, restarter, mark):
     """The content goes to both entries in turn, and is condemned."""
     before = restarter.deaths
     ends = []
