Decisions bench: what the gaps between tokens consist of

Cause sought: the 99th percentile of gaps misses its bound in all lines. Option -g divides gaps into plain steps, steps with short and with long prefill, and pauses, per way and class, and prints the share of such steps.

--- a/bench/decisions/driver.c
+++ b/bench/decisions/driver.c
@@ -15,6 +15,8 @@
 
 static void counted (fleet_t *f, const request_t *r, group_t *group[3]);
 static void note_preempted (fleet_t *f, target_t *t);
+static gap_kind_t step_kind (const target_t *t);
+static gap_kind_t gap_kind (const target_t *t, const request_t *r);
 static void token (void *arg, job_t *job);
 static void finished (fleet_t *f, request_t *r, group_t *group[3]);
 static void step_end (fleet_t *f, target_t *t);
@@ -76,6 +78,7 @@
   if (length == 0)
     return;
   note_preempted (f, t);
+  t->step_from = f->now;
   t->step_end = f->now + length;
 }
 
@@ -96,12 +99,28 @@
   fleet_ended (f, r);
 }
 
+static gap_kind_t
+step_kind (const target_t *t)
+{
+  if (t->engine.prefilled == 0)
+    return GAP_PLAIN;
+  return t->engine.prefilled <= SHORT_PREFILL ? GAP_SHORT : GAP_LONG;
+}
+
+/* What the gap that ends with R's token consists of.  */
+static gap_kind_t
+gap_kind (const target_t *t, const request_t *r)
+{
+  return r->last < t->step_from ? GAP_BROKEN : step_kind (t);
+}
+
 static void
 token (void *arg, job_t *job)
 {
   fleet_t *f = arg;
   request_t *r = &f->requests[job->slot];
   cv_time_t gap = f->now - r->last;
+  gap_kind_t kind = gap_kind (&f->targets[r->target], r);
   group_t *group[3];
 
   counted (f, r, group);
@@ -111,7 +130,10 @@
       if (r->first == 0)
         histogram_add (&group[i]->first, f->now - r->arrival->at);
       else
-        histogram_add (&group[i]->gap, gap);
+        {
+          histogram_add (&group[i]->gap, gap);
+          histogram_add (&group[i]->gap_of[kind], gap);
+        }
       if (r->first != 0 && gap > STALL_GAP)
         group[i]->stalled += gap;
     }
@@ -127,6 +149,8 @@
 step_end (fleet_t *f, target_t *t)
 {
   t->step_end = 0;
+  if (fleet_measures (f))
+    histogram_add (&f->metrics->step[step_kind (t)], f->now - t->step_from);
   engine_finish (&t->engine, token, f);
   t->dirty = true;
 }
--- a/bench/decisions/engine.c
+++ b/bench/decisions/engine.c
@@ -135,6 +135,7 @@
     budget -= part;
     job->prefill -= part;
   }
+  e->prefilled = e->model.prefill_chunk - budget;
   return (cv_time_t)us;
 }
 
--- a/bench/decisions/engine.h
+++ b/bench/decisions/engine.h
@@ -55,6 +55,7 @@
   uint32_t running_count;
   uint32_t waiting_count;
   uint64_t used;
+  uint32_t prefilled;               /* prompt tokens in the present step */
   uint32_t prefix[ENGINE_PREFIXES]; /* last used first */
 } engine_t;
 
--- a/bench/decisions/fleet.h
+++ b/bench/decisions/fleet.h
@@ -30,7 +30,8 @@
 typedef struct
 {
   engine_t engine;
-  cv_gate_t *gate;    /* NULL under a baseline */
+  cv_gate_t *gate; /* NULL under a baseline */
+  cv_time_t step_from;
   cv_time_t step_end; /* 0: idle */
   cv_time_t report_at;
   bool lost;
--- a/bench/decisions/main.c
+++ b/bench/decisions/main.c
@@ -1,7 +1,8 @@
 /* Bench of the decisions.
 
-   decisions [-q] [-s FIRST_SEED] [-n SEEDS] [-o JSON] [-r REVISION]
-     prints the table; -q only steady and burst at 0.95 and 1.2.
+   decisions [-gq] [-s FIRST_SEED] [-n SEEDS] [-o JSON] [-r REVISION]
+     prints the table; -q only steady and burst at 0.95 and 1.2, -g also
+     what the gaps between tokens consist of.
    decisions -c
      prints the regression bounds and what they are held against.  */
 
@@ -66,6 +67,7 @@
   const char *json = NULL;
   const char *revision = "unknown";
   bool quick = false;
+  bool gaps = false;
   size_t n;
   int opt;
 
@@ -75,11 +77,14 @@
       printf ("%s: best of one engine %.0f tokens/s\n", setups[i].name,
               setups[i].best_tokens_per_s);
     }
-  while ((opt = getopt (argc, argv, "cqs:n:o:r:")) != -1)
+  while ((opt = getopt (argc, argv, "cgqs:n:o:r:")) != -1)
     switch (opt)
       {
       case 'c':
         return check (setups) ? 0 : 1;
+      case 'g':
+        gaps = true;
+        break;
       case 'q':
         quick = true;
         break;
@@ -103,6 +108,8 @@
   n = quick ? lines_quick (lines, setups) : lines_all (lines, setups);
   report_run (lines, n, WAYS, first, seeds);
   report_table (lines, n, seeds);
+  if (gaps)
+    report_gaps (lines, n, seeds);
   if (json != NULL && !report_json (json, revision, lines, n, first, seeds))
     perror (json);
   report_free (lines, n);
--- a/bench/decisions/metrics.c
+++ b/bench/decisions/metrics.c
@@ -15,6 +15,8 @@
   "ms_per_answer_token"
 };
 
+const char *const gap_name[GAP_KINDS] = { "plain", "short", "long", "broken" };
+
 static double ratio (double a, double b);
 static double fairness (const metrics_t *m, const setup_t *s);
 static double slowness (const metrics_t *m);
@@ -29,6 +31,14 @@
   h->n++;
 }
 
+void
+histogram_merge (histogram_t *h, const histogram_t *with)
+{
+  for (int i = 0; i < HISTOGRAM_BINS; i++)
+    h->bin[i] += with->bin[i];
+  h->n += with->n;
+}
+
 double
 histogram_quantile (const histogram_t *h, double q)
 {
--- a/bench/decisions/metrics.h
+++ b/bench/decisions/metrics.h
@@ -9,6 +9,19 @@
 #define STALL_GAP (200 * CV_MS)
 #define HISTOGRAM_BINS 800
 
+/* Prompt tokens whose prefill lengthens a step by a third at most.  */
+#define SHORT_PREFILL 200
+
+/* What a gap between two tokens consists of.  */
+typedef enum
+{
+  GAP_PLAIN,  /* a step without prefill */
+  GAP_SHORT,  /* a step with up to SHORT_PREFILL prompt tokens */
+  GAP_LONG,   /* a step with more */
+  GAP_BROKEN, /* several steps: paused or preempted */
+  GAP_KINDS
+} gap_kind_t;
+
 /* Times in bins of equal ratio.  */
 typedef struct
 {
@@ -31,6 +44,7 @@
   cv_time_t answering; /* from arrival to end, of finished answers */
   histogram_t first;
   histogram_t gap;
+  histogram_t gap_of[GAP_KINDS];
 } group_t;
 
 typedef struct
@@ -40,6 +54,7 @@
   group_t class[CLASSES];
   group_t account[ACCOUNTS];
   group_t all;
+  histogram_t step[GAP_KINDS]; /* lengths of steps */
 } metrics_t;
 
 /* One figure of a run.  */
@@ -63,7 +78,10 @@
 
 extern const char *const figure_name[FIGURES];
 
+extern const char *const gap_name[GAP_KINDS];
+
 void histogram_add (histogram_t *h, cv_time_t t);
+void histogram_merge (histogram_t *h, const histogram_t *with);
 /* Quantile Q in milliseconds, 0 when empty.  */
 double histogram_quantile (const histogram_t *h, double q);
 double group_figure (const metrics_t *m, const group_t *g, figure_t f);
--- a/bench/decisions/report.c
+++ b/bench/decisions/report.c
@@ -24,6 +24,7 @@
 static int by_value (const void *a, const void *b);
 static spread_t spread (double *v, size_t n);
 static bool higher_is_better (figure_t f);
+static void gaps_of (const line_t *line, way_t way, size_t seeds, int class);
 static void json_group (FILE *out, const char *name, const line_t *line,
                         way_t way, size_t seeds, int class, int account);
 static void json_line (FILE *out, const line_t *line, size_t seeds);
@@ -158,6 +159,61 @@
     }
 }
 
+/* One line: of one class, or of all when negative, over all seeds.  */
+static void
+gaps_of (const line_t *line, way_t way, size_t seeds, int class)
+{
+  histogram_t gap = { 0 };
+  histogram_t first = { 0 };
+  histogram_t of[GAP_KINDS] = { 0 };
+  histogram_t step[GAP_KINDS] = { 0 };
+  uint64_t steps = 0;
+
+  for (size_t i = 0; i < seeds; i++)
+    {
+      const metrics_t *m = &line->runs[way][i];
+      const group_t *g = class < 0 ? &m->all : &m->class[class];
+
+      histogram_merge (&gap, &g->gap);
+      histogram_merge (&first, &g->first);
+      for (int k = 0; k < GAP_KINDS; k++)
+        {
+          histogram_merge (&of[k], &g->gap_of[k]);
+          histogram_merge (&step[k], &m->step[k]);
+          steps += m->step[k].n;
+        }
+    }
+  printf ("  %-16s %-7s gap p99 %4.0f  ttft p50 %5.0f p95 %5.0f", way_name[way],
+          class < 0 ? "all" : line->setup->class[class].name,
+          histogram_quantile (&gap, .99), histogram_quantile (&first, .5),
+          histogram_quantile (&first, .95));
+  for (int k = 0; k < GAP_KINDS; k++)
+    printf ("  %s %6.2f%% (%3.0f, %3.0f)", gap_name[k],
+            gap.n > 0 ? 100 * (double)of[k].n / (double)gap.n : 0,
+            histogram_quantile (&of[k], .5), histogram_quantile (&of[k], .99));
+  for (int k = 0; k < GAP_BROKEN && class < 0; k++)
+    printf ("  %s steps %5.2f%% (%3.0f)", gap_name[k],
+            steps > 0 ? 100 * (double)step[k].n / (double)steps : 0,
+            histogram_quantile (&step[k], .5));
+  printf ("\n");
+}
+
+void
+report_gaps (const line_t *lines, size_t n, size_t seeds)
+{
+  printf ("\nkinds of gaps over all seeds: part (p50, p99 ms); steps: part "
+          "(p50 ms)\n");
+  for (size_t i = 0; i < n; i++)
+    {
+      printf ("%s %s load %.2f\n", lines[i].setup->name,
+              case_name[lines[i].what], lines[i].load);
+      for (int way = 0; way < WAYS; way++)
+        gaps_of (&lines[i], (way_t)way, seeds, -1);
+      for (int c = 0; c < CLASSES; c++)
+        gaps_of (&lines[i], WAY_CATKINVALE, seeds, c);
+    }
+}
+
 /* Figures of one class or account, or of all when both are negative.  */
 static void
 json_group (FILE *out, const char *name, const line_t *line, way_t way,
--- a/bench/decisions/report.h
+++ b/bench/decisions/report.h
@@ -32,6 +32,9 @@
 /* The best baseline's median.  */
 double report_best (const line_t *line, size_t seeds, figure_t f);
 void report_table (const line_t *lines, size_t n, size_t seeds);
+/* How the gaps of all ways divide into kinds, and the first token by class.
+ */
+void report_gaps (const line_t *lines, size_t n, size_t seeds);
 bool report_json (const char *path, const char *revision, const line_t *lines,
                   size_t n, uint64_t first, size_t seeds);
 
