Route long prompts to targets that hold long ones

Change: the router keeps the pool's mean prompt and mean memory of a running stream; a prompt above the mean favours targets whose streams are longer than the mean, a shorter one avoids them. It needs only the present reports, so that all entries agree. The random part of the cost is 0.005 instead of 0.02.

--- a/bench/decisions/driver.c
+++ b/bench/decisions/driver.c
@@ -123,6 +123,12 @@
   gap_kind_t kind = gap_kind (&f->targets[r->target], r);
   group_t *group[3];
 
+  if (fleet_measures (f) && r->first == 0)
+    {
+      histogram_add (&f->metrics->uncached, 1000 * (cv_time_t)job->uncached);
+      histogram_add (&f->metrics->own,
+                     1000 * (cv_time_t)(job->prompt - job->prefix_tokens));
+    }
   counted (f, r, group);
   for (int i = 0; i < 3 && fleet_measures (f); i++)
     {
--- a/bench/decisions/engine.c
+++ b/bench/decisions/engine.c
@@ -109,6 +109,7 @@
       job->state = JOB_RUNNING;
       if (prefix_cached (e, job->prefix))
         job->prefill -= job->prefix_tokens;
+      job->uncached = job->prefill;
     }
 }
 
--- a/bench/decisions/engine.h
+++ b/bench/decisions/engine.h
@@ -29,8 +29,9 @@
   uint32_t prefix_tokens; /* of the prompt */
   uint32_t output;        /* tokens that it will produce */
   uint32_t produced;
-  uint32_t prefill; /* tokens still to prefill */
-  bool preempted;   /* in the present step */
+  uint32_t prefill;  /* tokens still to prefill */
+  uint32_t uncached; /* tokens to prefill when last admitted */
+  bool preempted;    /* in the present step */
 } job_t;
 
 typedef TAILQ_HEAD (job_list_t, job_t) job_list_t;
--- a/bench/decisions/metrics.c
+++ b/bench/decisions/metrics.c
@@ -53,6 +53,30 @@
   return BIN_FIRST / 1000 * pow (BIN_RATIO, i);
 }
 
+double
+histogram_count_above (const histogram_t *h, double min)
+{
+  double n = 0;
+
+  for (int i = 0; i < HISTOGRAM_BINS; i++)
+    n += BIN_FIRST * pow (BIN_RATIO, i) > min ? h->bin[i] : 0;
+  return n;
+}
+
+double
+histogram_above (const histogram_t *h, double min)
+{
+  double sum = 0;
+
+  for (int i = 0; i < HISTOGRAM_BINS; i++)
+    {
+      double value = BIN_FIRST * pow (BIN_RATIO, i - .5);
+
+      sum += value > min ? h->bin[i] * (value - min) : 0;
+    }
+  return sum;
+}
+
 static double
 ratio (double a, double b)
 {
--- a/bench/decisions/metrics.h
+++ b/bench/decisions/metrics.h
@@ -55,6 +55,9 @@
   group_t account[ACCOUNTS];
   group_t all;
   histogram_t step[GAP_KINDS]; /* lengths of steps */
+  /* Tokens of each prompt, times 1,000: to prefill, and without prefix.  */
+  histogram_t uncached;
+  histogram_t own;
 } metrics_t;
 
 /* One figure of a run.  */
@@ -84,6 +87,10 @@
 void histogram_merge (histogram_t *h, const histogram_t *with);
 /* Quantile Q in milliseconds, 0 when empty.  */
 double histogram_quantile (const histogram_t *h, double q);
+/* Entries above MIN, and the sum of what they are above it.  */
+double histogram_count_above (const histogram_t *h, double min);
+/* Sum of what the entries have above MIN.  */
+double histogram_above (const histogram_t *h, double min);
 double group_figure (const metrics_t *m, const group_t *g, figure_t f);
 double metrics_figure (const metrics_t *m, const setup_t *s, figure_t f);
 
--- a/bench/decisions/report.c
+++ b/bench/decisions/report.c
@@ -24,6 +24,7 @@
 static int by_value (const void *a, const void *b);
 static spread_t spread (double *v, size_t n);
 static bool higher_is_better (figure_t f);
+static void floor_of (const line_t *line, size_t seeds);
 static void gaps_of (const line_t *line, way_t way, size_t seeds, int class);
 static void json_group (FILE *out, const char *name, const line_t *line,
                         way_t way, size_t seeds, int class, int account);
@@ -198,6 +199,48 @@
   printf ("\n");
 }
 
+/* The fewest steps that our prompts need beyond the gaps' bound.  A step
+   within the bound carries at most SPARE prompt tokens, and only the last of a
+   prompt's can be so short, as the engine fills its chunk.  */
+static void
+floor_of (const line_t *line, size_t seeds)
+{
+  const engine_model_t *e = &line->setup->engine;
+  double bound = report_best (line, seeds, FIGURE_GAP) / 2;
+  histogram_t plain = { 0 };
+  double steps = 0;
+  double uncached = 0;
+  double own = 0;
+  double beyond = 0;
+  double all = 0;
+  double spare;
+
+  for (size_t i = 0; i < seeds; i++)
+    {
+      const metrics_t *m = &line->runs[WAY_CATKINVALE][i];
+
+      histogram_merge (&plain, &m->step[GAP_PLAIN]);
+      for (int k = 0; k < GAP_KINDS; k++)
+        steps += (double)m->step[k].n;
+    }
+  spare = 1000 * (bound - histogram_quantile (&plain, .5)) / e->prefill_us;
+  for (size_t i = 0; i < seeds; i++)
+    {
+      const metrics_t *m = &line->runs[WAY_CATKINVALE][i];
+
+      beyond += histogram_count_above (&m->all.gap, 1000 * bound);
+      all += (double)m->all.gap.n;
+      uncached += histogram_above (&m->uncached, 1000 * spare) / 1000;
+      own += histogram_above (&m->own, 1000 * spare) / 1000;
+    }
+  printf ("  bound %.1f ms, %.0f prompt tokens of a step within it; gaps "
+          "beyond %.2f%%, fewest steps beyond %.2f%%, with every prefix cached "
+          "%.2f%%\n",
+          bound, spare, 100 * beyond / all,
+          100 * uncached / e->prefill_chunk / steps,
+          100 * own / e->prefill_chunk / steps);
+}
+
 void
 report_gaps (const line_t *lines, size_t n, size_t seeds)
 {
@@ -207,6 +250,7 @@
     {
       printf ("%s %s load %.2f\n", lines[i].setup->name,
               case_name[lines[i].what], lines[i].load);
+      floor_of (&lines[i], seeds);
       for (int way = 0; way < WAYS; way++)
         gaps_of (&lines[i], (way_t)way, seeds, -1);
       for (int c = 0; c < CLASSES; c++)
--- a/policy/router.c
+++ b/policy/router.c
@@ -22,7 +22,13 @@
 #define PROBE_MAX (30 * CV_SECOND)
 /* Load that streams held at the gate stand for, beside their memory.  */
 #define WAITING_COST 0.05
-#define NOISE 0.02
+#define NOISE 0.005
+/* Load that a target of twice the mean memory of a stream counts less for a
+   long prompt and more for a short one.  Long prompts so come together, where
+   few streams wait for their prefill.  */
+#define LENGTH_GAIN 0.5
+/* Part of the old in the pool's means.  */
+#define MEAN_KEEP 0.99
 /* Targets whose mean load is the pool's pressure.  */
 #define PRESSURE_SAMPLE 64
 /* Load that a stream of ours stands for, beside its memory: the batch it
@@ -37,6 +43,7 @@
   cv_target_state_t state;
   cv_load_t load;
   cv_time_t reported;
+  double context;    /* memory of a stream beside the pool's mean, -1 to 1 */
   double unreported; /* own work started since the report, tokens */
   uint32_t in_flight;
   uint32_t decoding;    /* own streams that have shown a token */
@@ -51,6 +58,8 @@
   uint32_t *targets;
   uint32_t count;
   uint32_t cap;
+  double prompt;  /* mean of prompts, smoothed */
+  double context; /* mean memory of a running stream, smoothed */
 } pool_t;
 
 typedef struct
@@ -73,12 +82,14 @@
 static pool_t *pool_get (cv_router_t *r, uint64_t name);
 static void pool_add (cv_router_t *r, pool_t *p, uint32_t target);
 static void pool_remove (cv_router_t *r, uint32_t target);
+static double smooth (double mean, double value);
+static void note_context (cv_router_t *r, target_t *t);
 static affinity_t *affinity_cell (cv_router_t *r,
                                   const cv_route_request_t *req);
 static bool stalled (const target_t *t, cv_time_t now);
 static bool usable (const target_t *t, cv_time_t now, uint32_t id,
                     const cv_route_request_t *req);
-static double cost (cv_router_t *r, const target_t *t,
+static double cost (cv_router_t *r, const pool_t *p, const target_t *t,
                     const cv_route_request_t *req, bool cached);
 static double load_of (const target_t *t);
 
@@ -144,6 +155,27 @@
   r->targets[last].place = t->place;
 }
 
+static double
+smooth (double mean, double value)
+{
+  return mean > 0 ? MEAN_KEEP * mean + (1 - MEAN_KEEP) * value : value;
+}
+
+/* How long the streams of T are, by its report, beside those of its pool.  */
+static void
+note_context (cv_router_t *r, target_t *t)
+{
+  pool_t *p = pool_get (r, t->pool);
+  double own;
+
+  t->context = 0;
+  if (t->load.running == 0 || t->load.kv_used == 0)
+    return;
+  own = (double)t->load.kv_used / t->load.running;
+  p->context = smooth (p->context, own);
+  t->context = own < 2 * p->context ? own / p->context - 1 : 1;
+}
+
 void
 cv_router_report (cv_router_t *r, cv_time_t now, uint32_t target, uint64_t pool,
                   cv_target_state_t state, const cv_load_t *load)
@@ -173,6 +205,7 @@
   t->load = *load;
   t->reported = now;
   t->unreported = 0;
+  note_context (r, t);
 }
 
 void
@@ -222,13 +255,15 @@
 }
 
 static double
-cost (cv_router_t *r, const target_t *t, const cv_route_request_t *req,
-      bool cached)
+cost (cv_router_t *r, const pool_t *p, const target_t *t,
+      const cv_route_request_t *req, bool cached)
 {
   double total = t->load.kv_total > 0 ? (double)t->load.kv_total : 1e5;
   double c = load_of (t) + IN_FLIGHT_COST * t->in_flight
              + NOISE * cv_rng_uniform (&r->rng);
 
+  c += req->prompt_tokens > p->prompt ? -LENGTH_GAIN * t->context
+                                      : LENGTH_GAIN * t->context;
   return cached ? c - AFFINITY_GAIN * req->prompt_tokens / total : c;
 }
 
@@ -252,7 +287,7 @@
         break;
       if (!usable (&r->targets[id], now, id, req))
         continue;
-      c = cost (r, &r->targets[id], req, cached);
+      c = cost (r, p, &r->targets[id], req, cached);
       if (best == CV_NO_TARGET || c < best_cost)
         {
           best = id;
@@ -263,7 +298,7 @@
       && r->targets[a->target].known && r->targets[a->target].pool == req->pool
       && usable (&r->targets[a->target], now, a->target, req)
       && (best == CV_NO_TARGET
-          || cost (r, &r->targets[a->target], req, true) < best_cost))
+          || cost (r, p, &r->targets[a->target], req, true) < best_cost))
     best = a->target;
   return best;
 }
@@ -296,6 +331,7 @@
                    const cv_route_request_t *req)
 {
   target_t *t;
+  pool_t *p;
   affinity_t *a = affinity_cell (r, req);
 
   if (target >= r->cap || !r->targets[target].known)
@@ -304,6 +340,8 @@
   a->prefix = req->prefix_hash;
   a->target = target;
   t->unreported += (double)req->prompt_tokens + req->expect;
+  p = pool_get (r, t->pool);
+  p->prompt = smooth (p->prompt, req->prompt_tokens);
   if (t->in_flight++ == 0)
     t->progress = now;
   if (t->probe_wait > 0)
