--- a/policy/tests/script_test.cc
+++ b/policy/tests/script_test.cc
@@ -226,6 +226,7 @@
     load.kv_total = 100000;
     load.kv_used = (uint64_t)number (w, "used", 0);
     load.waiting = (uint32_t)number (w, "waiting", 0);
+    load.running = (uint32_t)number (w, "running", 0);
     if (w[0] == "router.report")
       cv_router_report (router, now, target, 7,
                         (cv_target_state_t)number (w, "state", 1), &load);
