--- a/bench/decisions/check.c
+++ b/bench/decisions/check.c
@@ -48,21 +48,14 @@
   return report_spread (l, WAY_CATKINVALE, CHECK_SEEDS, f).median;
 }
 
-/* Both deployments, steady and with bursts, at 0.95 and 1.2, against the best
-   baseline.  */
+/* Each bounded line against the best baseline.  */
 static bool
 check_bounds (const setup_t *setups)
 {
-  line_t l[8];
-  size_t n = 0;
+  line_t l[LINES_BOUNDED];
+  size_t n = report_lines_bounded (l, setups);
   bool ok = true;
 
-  for (size_t s = 0; s < setup_count (); s++)
-    for (int what = CASE_STEADY; what <= CASE_BURST; what++)
-      for (int i = 0; i < 2; i++)
-        l[n++] = (line_t){ .setup = &setups[s],
-                           .what = (case_t)what,
-                           .load = i == 0 ? .95 : 1.2 };
   report_run (l, n, WAYS, CHECK_SEED, CHECK_SEEDS);
   for (size_t b = 0; b < sizeof bounds / sizeof *bounds; b++)
     for (size_t i = 0; i < n; i++)
--- a/bench/decisions/main.c
+++ b/bench/decisions/main.c
@@ -19,7 +19,6 @@
 #define REPORT_SEEDS 5
 
 static size_t lines_all (line_t *lines, const setup_t *setups);
-static size_t lines_quick (line_t *lines, const setup_t *setups);
 
 static size_t
 lines_all (line_t *lines, const setup_t *setups)
@@ -43,20 +42,6 @@
   return n;
 }
 
-static size_t
-lines_quick (line_t *lines, const setup_t *setups)
-{
-  size_t n = 0;
-
-  for (size_t s = 0; s < setup_count (); s++)
-    for (int what = CASE_STEADY; what <= CASE_BURST; what++)
-      for (int i = 0; i < 2; i++)
-        lines[n++] = (line_t){ .setup = &setups[s],
-                               .what = (case_t)what,
-                               .load = i == 0 ? .95 : 1.2 };
-  return n;
-}
-
 int
 main (int argc, char **argv)
 {
@@ -105,7 +90,7 @@
       }
   if (seeds < 1 || seeds > SEEDS_MAX)
     return 2;
-  n = quick ? lines_quick (lines, setups) : lines_all (lines, setups);
+  n = quick ? report_lines_bounded (lines, setups) : lines_all (lines, setups);
   report_run (lines, n, WAYS, first, seeds);
   report_table (lines, n, seeds);
   if (gaps)
--- a/bench/decisions/report.c
+++ b/bench/decisions/report.c
@@ -52,6 +52,20 @@
   return NULL;
 }
 
+size_t
+report_lines_bounded (line_t *lines, const setup_t *setups)
+{
+  size_t n = 0;
+
+  for (size_t s = 0; s < setup_count (); s++)
+    for (int what = CASE_STEADY; what <= CASE_BURST; what++)
+      for (int i = 0; i < 2; i++)
+        lines[n++] = (line_t){ .setup = &setups[s],
+                               .what = (case_t)what,
+                               .load = i == 0 ? .95 : 1.2 };
+  return n;
+}
+
 void
 report_run (line_t *lines, size_t n, size_t ways, uint64_t first, size_t seeds)
 {
--- a/bench/decisions/report.h
+++ b/bench/decisions/report.h
@@ -23,6 +23,10 @@
   double high;
 } spread_t;
 
+/* Write the lines that bounds are held against: both deployments, steady and
+   with bursts, at 0.95 and 1.2.  Return their number.  */
+#define LINES_BOUNDED 8
+size_t report_lines_bounded (line_t *lines, const setup_t *setups);
 /* Run LINES by the first WAYS ways over SEEDS seeds from FIRST on.  */
 void report_run (line_t *lines, size_t n, size_t ways, uint64_t first,
                  size_t seeds);
