--- a/bench/decisions/engine.c
+++ b/bench/decisions/engine.c
@@ -109,6 +109,7 @@
       job->state = JOB_RUNNING;
       if (prefix_cached (e, job->prefix))
         job->prefill -= job->prefix_tokens;
+      job->uncached = job->prefill;
     }
 }
 
@@ -135,6 +136,7 @@
     budget -= part;
     job->prefill -= part;
   }
+  e->prefilled = e->model.prefill_chunk - budget;
   return (cv_time_t)us;
 }
 
--- a/bench/decisions/main.c
+++ b/bench/decisions/main.c
@@ -1,7 +1,8 @@
 /* Bench of the decisions.
 
-   decisions [-q] [-s FIRST_SEED] [-n SEEDS] [-o JSON] [-r REVISION]
-     prints the table; -q only steady and burst at 0.95 and 1.2.
+   decisions [-gq] [-s FIRST_SEED] [-n SEEDS] [-o JSON] [-r REVISION]
+     prints the table; -q only steady and burst at 0.95 and 1.2, -g also
+     what the gaps between tokens consist of.
    decisions -c
      prints the regression bounds and what they are held against.  */
 
@@ -18,7 +19,6 @@
 #define REPORT_SEEDS 5
 
 static size_t lines_all (line_t *lines, const setup_t *setups);
-static size_t lines_quick (line_t *lines, const setup_t *setups);
 
 static size_t
 lines_all (line_t *lines, const setup_t *setups)
@@ -42,20 +42,6 @@
   return n;
 }
 
-static size_t
-lines_quick (line_t *lines, const setup_t *setups)
-{
-  size_t n = 0;
-
-  for (size_t s = 0; s < setup_count (); s++)
-    for (int what = CASE_STEADY; what <= CASE_BURST; what++)
-      for (int i = 0; i < 2; i++)
-        lines[n++] = (line_t){ .setup = &setups[s],
-                               .what = (case_t)what,
-                               .load = i == 0 ? .95 : 1.2 };
-  return n;
-}
-
 int
 main (int argc, char **argv)
 {
@@ -66,6 +52,7 @@
   const char *json = NULL;
   const char *revision = "unknown";
   bool quick = false;
+  bool gaps = false;
   size_t n;
   int opt;
 
@@ -75,11 +62,14 @@
       printf ("%s: best of one engine %.0f tokens/s\n", setups[i].name,
               setups[i].best_tokens_per_s);
     }
-  while ((opt = getopt (argc, argv, "cqs:n:o:r:")) != -1)
+  while ((opt = getopt (argc, argv, "cgqs:n:o:r:")) != -1)
     switch (opt)
       {
       case 'c':
         return check (setups) ? 0 : 1;
+      case 'g':
+        gaps = true;
+        break;
       case 'q':
         quick = true;
         break;
@@ -100,9 +90,11 @@
       }
   if (seeds < 1 || seeds > SEEDS_MAX)
     return 2;
-  n = quick ? lines_quick (lines, setups) : lines_all (lines, setups);
+  n = quick ? report_lines_bounded (lines, setups) : lines_all (lines, setups);
   report_run (lines, n, WAYS, first, seeds);
   report_table (lines, n, seeds);
+  if (gaps)
+    report_gaps (lines, n, seeds);
   if (json != NULL && !report_json (json, revision, lines, n, first, seeds))
     perror (json);
   report_free (lines, n);
--- a/bench/decisions/report.c
+++ b/bench/decisions/report.c
@@ -24,6 +24,8 @@
 static int by_value (const void *a, const void *b);
 static spread_t spread (double *v, size_t n);
 static bool higher_is_better (figure_t f);
+static void floor_of (const line_t *line, size_t seeds);
+static void gaps_of (const line_t *line, way_t way, size_t seeds, int class);
 static void json_group (FILE *out, const char *name, const line_t *line,
                         way_t way, size_t seeds, int class, int account);
 static void json_line (FILE *out, const line_t *line, size_t seeds);
@@ -50,6 +52,20 @@
   return NULL;
 }
 
+size_t
+report_lines_bounded (line_t *lines, const setup_t *setups)
+{
+  size_t n = 0;
+
+  for (size_t s = 0; s < setup_count (); s++)
+    for (int what = CASE_STEADY; what <= CASE_BURST; what++)
+      for (int i = 0; i < 2; i++)
+        lines[n++] = (line_t){ .setup = &setups[s],
+                               .what = (case_t)what,
+                               .load = i == 0 ? .95 : 1.2 };
+  return n;
+}
+
 void
 report_run (line_t *lines, size_t n, size_t ways, uint64_t first, size_t seeds)
 {
@@ -158,6 +174,104 @@
     }
 }
 
+/* One line: of one class, or of all when negative, over all seeds.  */
+static void
+gaps_of (const line_t *line, way_t way, size_t seeds, int class)
+{
+  histogram_t gap = { 0 };
+  histogram_t first = { 0 };
+  histogram_t of[GAP_KINDS] = { 0 };
+  histogram_t step[GAP_KINDS] = { 0 };
+  uint64_t steps = 0;
+
+  for (size_t i = 0; i < seeds; i++)
+    {
+      const metrics_t *m = &line->runs[way][i];
+      const group_t *g = class < 0 ? &m->all : &m->class[class];
+
+      histogram_merge (&gap, &g->gap);
+      histogram_merge (&first, &g->first);
+      for (int k = 0; k < GAP_KINDS; k++)
+        {
+          histogram_merge (&of[k], &g->gap_of[k]);
+          histogram_merge (&step[k], &m->step[k]);
+          steps += m->step[k].n;
+        }
+    }
+  printf ("  %-16s %-7s gap p99 %4.0f  ttft p50 %5.0f p95 %5.0f", way_name[way],
+          class < 0 ? "all" : line->setup->class[class].name,
+          histogram_quantile (&gap, .99), histogram_quantile (&first, .5),
+          histogram_quantile (&first, .95));
+  for (int k = 0; k < GAP_KINDS; k++)
+    printf ("  %s %6.2f%% (%3.0f, %3.0f)", gap_name[k],
+            gap.n > 0 ? 100 * (double)of[k].n / (double)gap.n : 0,
+            histogram_quantile (&of[k], .5), histogram_quantile (&of[k], .99));
+  for (int k = 0; k < GAP_BROKEN && class < 0; k++)
+    printf ("  %s steps %5.2f%% (%3.0f)", gap_name[k],
+            steps > 0 ? 100 * (double)step[k].n / (double)steps : 0,
+            histogram_quantile (&step[k], .5));
+  printf ("\n");
+}
+
+/* The fewest steps that our prompts need beyond the gaps' bound.  A step
+   within the bound carries at most SPARE prompt tokens, and only the last of a
+   prompt's can be so short, as the engine fills its chunk.  */
+static void
+floor_of (const line_t *line, size_t seeds)
+{
+  const engine_model_t *e = &line->setup->engine;
+  double bound = report_best (line, seeds, FIGURE_GAP) / 2;
+  histogram_t plain = { 0 };
+  double steps = 0;
+  double uncached = 0;
+  double own = 0;
+  double beyond = 0;
+  double all = 0;
+  double spare;
+
+  for (size_t i = 0; i < seeds; i++)
+    {
+      const metrics_t *m = &line->runs[WAY_CATKINVALE][i];
+
+      histogram_merge (&plain, &m->step[GAP_PLAIN]);
+      for (int k = 0; k < GAP_KINDS; k++)
+        steps += (double)m->step[k].n;
+    }
+  spare = 1000 * (bound - histogram_quantile (&plain, .5)) / e->prefill_us;
+  for (size_t i = 0; i < seeds; i++)
+    {
+      const metrics_t *m = &line->runs[WAY_CATKINVALE][i];
+
+      beyond += histogram_count_above (&m->all.gap, 1000 * bound);
+      all += (double)m->all.gap.n;
+      uncached += histogram_above (&m->uncached, 1000 * spare) / 1000;
+      own += histogram_above (&m->own, 1000 * spare) / 1000;
+    }
+  printf ("  bound %.1f ms, %.0f prompt tokens of a step within it; gaps "
+          "beyond %.2f%%, fewest steps beyond %.2f%%, with every prefix cached "
+          "%.2f%%\n",
+          bound, spare, 100 * beyond / all,
+          100 * uncached / e->prefill_chunk / steps,
+          100 * own / e->prefill_chunk / steps);
+}
+
+void
+report_gaps (const line_t *lines, size_t n, size_t seeds)
+{
+  printf ("\nkinds of gaps over all seeds: part (p50, p99 ms); steps: part "
+          "(p50 ms)\n");
+  for (size_t i = 0; i < n; i++)
+    {
+      printf ("%s %s load %.2f\n", lines[i].setup->name,
+              case_name[lines[i].what], lines[i].load);
+      floor_of (&lines[i], seeds);
+      for (int way = 0; way < WAYS; way++)
+        gaps_of (&lines[i], (way_t)way, seeds, -1);
+      for (int c = 0; c < CLASSES; c++)
+        gaps_of (&lines[i], WAY_CATKINVALE, seeds, c);
+    }
+}
+
 /* Figures of one class or account, or of all when both are negative.  */
 static void
 json_group (FILE *out, const char *name, const line_t *line, way_t way,
