Headers are not indented within extern "C"

Cause: the preset of the formatter indents the block, so that every declaration of a header stood two columns in.

--- a/base/base.h
+++ b/base/base.h
@@ -13,176 +13,175 @@
 #include <stdio.h>
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
 /* Longest name of an account, model, pool, target or instance, with its
    terminating null byte.  */
 #define CV_NAME_MAX 64
 
-  /* ---- errors ---- */
-
-  /* What kind of failure an operation met.  */
-  typedef enum
-  {
-    CV_ERR_NONE = 0,
-    CV_ERR_INVALID,     /* input does not have the required form */
-    CV_ERR_NOT_FOUND,   /* the named object does not exist */
-    CV_ERR_CONFLICT,    /* a conditional update lost its race */
-    CV_ERR_UNAVAILABLE, /* the peer did not answer and took no effect */
-    CV_ERR_UNKNOWN,     /* the operation may or may not have taken effect */
-    CV_ERR_LIMIT,       /* a limit or rate was exceeded */
-    CV_ERR_SYSTEM       /* a call to the system or a library failed */
-  } cv_error_code_t;
-
-  /* One failure, filled by the callee and passed down by the caller.  */
-  typedef struct
-  {
-    cv_error_code_t code;
-    int line;       /* 1-based position in an input, 0 when none */
-    int column;     /* 1-based, 0 when none */
-    char text[256]; /* one line that names the object */
-  } cv_error_t;
-
-  /* Fill ERR (may be NULL) and return false, so that a caller can write
-     `return cv_fail (...)`.  */
-  bool cv_fail (cv_error_t *err, cv_error_code_t code, const char *format, ...)
-      __attribute__ ((format (printf, 3, 4)));
-  bool cv_fail_at (cv_error_t *err, int line, int column, const char *format,
-                   ...) __attribute__ ((format (printf, 4, 5)));
+/* ---- errors ---- */
+
+/* What kind of failure an operation met.  */
+typedef enum
+{
+  CV_ERR_NONE = 0,
+  CV_ERR_INVALID,     /* input does not have the required form */
+  CV_ERR_NOT_FOUND,   /* the named object does not exist */
+  CV_ERR_CONFLICT,    /* a conditional update lost its race */
+  CV_ERR_UNAVAILABLE, /* the peer did not answer and took no effect */
+  CV_ERR_UNKNOWN,     /* the operation may or may not have taken effect */
+  CV_ERR_LIMIT,       /* a limit or rate was exceeded */
+  CV_ERR_SYSTEM       /* a call to the system or a library failed */
+} cv_error_code_t;
+
+/* One failure, filled by the callee and passed down by the caller.  */
+typedef struct
+{
+  cv_error_code_t code;
+  int line;       /* 1-based position in an input, 0 when none */
+  int column;     /* 1-based, 0 when none */
+  char text[256]; /* one line that names the object */
+} cv_error_t;
+
+/* Fill ERR (may be NULL) and return false, so that a caller can write
+   `return cv_fail (...)`.  */
+bool cv_fail (cv_error_t *err, cv_error_code_t code, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+bool cv_fail_at (cv_error_t *err, int line, int column, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
 
 /* Stop the process: an invariant of the program itself is broken.  */
 #define CV_INVARIANT(cond)                                                     \
   ((cond) ? (void)0 : cv_invariant_failed (#cond, __FILE__, __LINE__))
-  void cv_invariant_failed (const char *cond, const char *file, int line)
-      __attribute__ ((noreturn));
+void cv_invariant_failed (const char *cond, const char *file, int line)
+    __attribute__ ((noreturn));
 
-  /* ---- time ---- */
+/* ---- time ---- */
 
-  /* Microseconds on a clock that never runs backwards; decision logic takes it
-     as an argument and never reads it.  */
-  typedef int64_t cv_time_t;
+/* Microseconds on a clock that never runs backwards; decision logic takes it
+   as an argument and never reads it.  */
+typedef int64_t cv_time_t;
 
 #define CV_MS ((cv_time_t)1000)
 #define CV_SECOND ((cv_time_t)1000000)
 
-  /* The monotonic clock, in microseconds.  */
-  cv_time_t cv_now (void);
+/* The monotonic clock, in microseconds.  */
+cv_time_t cv_now (void);
 
-  /* ---- slices and bounded strings ---- */
+/* ---- slices and bounded strings ---- */
 
-  /* Bytes owned by somebody else.  */
-  typedef struct
-  {
-    const char *p;
-    size_t n;
-  } cv_slice_t;
+/* Bytes owned by somebody else.  */
+typedef struct
+{
+  const char *p;
+  size_t n;
+} cv_slice_t;
 
-  cv_slice_t cv_slice (const char *text);
-  bool cv_slice_equal (cv_slice_t a, cv_slice_t b);
-  /* Copy TEXT into the array DST of SIZE bytes; false when it does not fit
-     (DST then holds "").  */
-  bool cv_copy (char *dst, size_t size, const char *text);
-  bool cv_copy_slice (char *dst, size_t size, cv_slice_t text);
+cv_slice_t cv_slice (const char *text);
+bool cv_slice_equal (cv_slice_t a, cv_slice_t b);
+/* Copy TEXT into the array DST of SIZE bytes; false when it does not fit
+   (DST then holds "").  */
+bool cv_copy (char *dst, size_t size, const char *text);
+bool cv_copy_slice (char *dst, size_t size, cv_slice_t text);
 
-  /* ---- identifiers ---- */
+/* ---- identifiers ---- */
 
-  /* 128 random bits.  */
-  typedef struct
-  {
-    uint64_t hi;
-    uint64_t lo;
-  } cv_id_t;
+/* 128 random bits.  */
+typedef struct
+{
+  uint64_t hi;
+  uint64_t lo;
+} cv_id_t;
 
 #define CV_ID_TEXT 33 /* 32 hexadecimal digits and a null byte */
 
-  cv_id_t cv_id_random (void);
-  uint64_t cv_u64_random (void);
-  bool cv_id_equal (cv_id_t a, cv_id_t b);
-  bool cv_id_is_zero (cv_id_t id);
-  const char *cv_id_format (cv_id_t id, char text[CV_ID_TEXT]);
-  bool cv_id_parse (cv_id_t *id, cv_slice_t text);
+cv_id_t cv_id_random (void);
+uint64_t cv_u64_random (void);
+bool cv_id_equal (cv_id_t a, cv_id_t b);
+bool cv_id_is_zero (cv_id_t id);
+const char *cv_id_format (cv_id_t id, char text[CV_ID_TEXT]);
+bool cv_id_parse (cv_id_t *id, cv_slice_t text);
 
-  /* 64-bit hash (XXH3) of N bytes.  */
-  uint64_t cv_hash (const void *data, size_t n, uint64_t seed);
+/* 64-bit hash (XXH3) of N bytes.  */
+uint64_t cv_hash (const void *data, size_t n, uint64_t seed);
 
-  /* ---- seeded random numbers (GSL) ---- */
+/* ---- seeded random numbers (GSL) ---- */
 
-  typedef struct
-  {
-    void *state; /* gsl_rng */
-  } cv_rng_t;
+typedef struct
+{
+  void *state; /* gsl_rng */
+} cv_rng_t;
 
-  void cv_rng_init (cv_rng_t *rng, uint64_t seed);
-  void cv_rng_finish (cv_rng_t *rng);
-  /* Uniform in [0, 1).  */
-  double cv_rng_uniform (cv_rng_t *rng);
-  /* Uniform in [0, BOUND), BOUND > 0.  */
-  uint32_t cv_rng_below (cv_rng_t *rng, uint32_t bound);
+void cv_rng_init (cv_rng_t *rng, uint64_t seed);
+void cv_rng_finish (cv_rng_t *rng);
+/* Uniform in [0, 1).  */
+double cv_rng_uniform (cv_rng_t *rng);
+/* Uniform in [0, BOUND), BOUND > 0.  */
+uint32_t cv_rng_below (cv_rng_t *rng, uint32_t bound);
 
-  /* ---- log ---- */
+/* ---- log ---- */
 
-  /* Event numbers; each is explained in base/events.def and docs/EVENTS.md.  */
-  typedef enum
-  {
+/* Event numbers; each is explained in base/events.def and docs/EVENTS.md.  */
+typedef enum
+{
 #define CV_EVENT(number, priority, name, text) CV_EV_##name = (number),
 #include "base/events.def"
 #undef CV_EVENT
-    CV_EV_LAST
-  } cv_event_t;
-
-  /* Name of this process in log lines; the text is copied.  */
-  void cv_log_init (const char *ident);
-  /* One line on standard error: "<PRI>IDENT[PID]: EVENT NAME: text".  */
-  void cv_log (cv_event_t event, const char *format, ...)
-      __attribute__ ((format (printf, 2, 3)));
-
-  /* ---- histograms (GSL, logarithmic bins) ---- */
-
-  typedef struct
-  {
-    void *bins; /* gsl_histogram over log10 of the value */
-    double sum;
-    double max;
-    uint64_t count;
-  } cv_hist_t;
-
-  /* Values from LOW to HIGH (both > 0) fall into bins of equal ratio; values
-     outside are counted in the first or last bin.  */
-  void cv_hist_init (cv_hist_t *h, double low, double high);
-  void cv_hist_finish (cv_hist_t *h);
-  void cv_hist_add (cv_hist_t *h, double value);
-  /* The upper edge of the bin that holds quantile Q in [0, 1]; 0 when empty. */
-  double cv_hist_quantile (const cv_hist_t *h, double q);
-
-  /* Number of bins; the upper edge of bin I, and the values in it.  */
-  size_t cv_hist_bins (const cv_hist_t *h);
-  double cv_hist_edge (const cv_hist_t *h, size_t i);
-  uint64_t cv_hist_bin (const cv_hist_t *h, size_t i);
-
-  /* ---- growing byte buffer ---- */
-
-  typedef struct
-  {
-    char *p;
-    size_t n;
-    size_t cap;
-  } cv_buf_t;
-
-  void cv_buf_init (cv_buf_t *b);
-  void cv_buf_finish (cv_buf_t *b);
-  void cv_buf_reset (cv_buf_t *b);
-  void cv_buf_add (cv_buf_t *b, const void *data, size_t n);
-  void cv_buf_printf (cv_buf_t *b, const char *format, ...)
-      __attribute__ ((format (printf, 2, 3)));
-  /* The content as a null-terminated string.  */
-  const char *cv_buf_text (cv_buf_t *b);
-
-  /* Allocate zeroed memory or stop the process.  */
-  void *cv_calloc (size_t count, size_t size);
-  void *cv_realloc (void *p, size_t size);
-  char *cv_strdup_n (const char *p, size_t n);
+  CV_EV_LAST
+} cv_event_t;
+
+/* Name of this process in log lines; the text is copied.  */
+void cv_log_init (const char *ident);
+/* One line on standard error: "<PRI>IDENT[PID]: EVENT NAME: text".  */
+void cv_log (cv_event_t event, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/* ---- histograms (GSL, logarithmic bins) ---- */
+
+typedef struct
+{
+  void *bins; /* gsl_histogram over log10 of the value */
+  double sum;
+  double max;
+  uint64_t count;
+} cv_hist_t;
+
+/* Values from LOW to HIGH (both > 0) fall into bins of equal ratio; values
+   outside are counted in the first or last bin.  */
+void cv_hist_init (cv_hist_t *h, double low, double high);
+void cv_hist_finish (cv_hist_t *h);
+void cv_hist_add (cv_hist_t *h, double value);
+/* The upper edge of the bin that holds quantile Q in [0, 1]; 0 when empty. */
+double cv_hist_quantile (const cv_hist_t *h, double q);
+
+/* Number of bins; the upper edge of bin I, and the values in it.  */
+size_t cv_hist_bins (const cv_hist_t *h);
+double cv_hist_edge (const cv_hist_t *h, size_t i);
+uint64_t cv_hist_bin (const cv_hist_t *h, size_t i);
+
+/* ---- growing byte buffer ---- */
+
+typedef struct
+{
+  char *p;
+  size_t n;
+  size_t cap;
+} cv_buf_t;
+
+void cv_buf_init (cv_buf_t *b);
+void cv_buf_finish (cv_buf_t *b);
+void cv_buf_reset (cv_buf_t *b);
+void cv_buf_add (cv_buf_t *b, const void *data, size_t n);
+void cv_buf_printf (cv_buf_t *b, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/* The content as a null-terminated string.  */
+const char *cv_buf_text (cv_buf_t *b);
+
+/* Allocate zeroed memory or stop the process.  */
+void *cv_calloc (size_t count, size_t size);
+void *cv_realloc (void *p, size_t size);
+char *cv_strdup_n (const char *p, size_t n);
 
 #ifdef __cplusplus
 }
--- a/config/tests/config_test.cc
+++ b/config/tests/config_test.cc
@@ -12,8 +12,7 @@
 
 #include "base/tests/field_rows.h"
 #include "config/config.h"
-extern "C"
-{
+extern "C" {
 #include "config/kinds.h"
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -7,12 +7,11 @@
 #include "settings/settings.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
-  /* Serve until SIGTERM or SIGINT; false when it could not start.  */
-  bool cv_entry_run (const cv_entry_settings_t *s, cv_error_t *err);
+/* Serve until SIGTERM or SIGINT; false when it could not start.  */
+bool cv_entry_run (const cv_entry_settings_t *s, cv_error_t *err);
 
 #ifdef __cplusplus
 }
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -8,51 +8,49 @@
 #include "wire/wire.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
-  typedef struct cv_entry_metrics_t cv_entry_metrics_t;
-  typedef struct cv_series_t cv_series_t;
-
-  /* Counters of the whole entry.  */
-  typedef enum
-  {
-    CV_COUNT_FRAMES_DROPPED, /* late, crossed or duplicate */
-    CV_COUNT_REATTACHES,     /* gaps closed by asking again */
-    CV_COUNT_RETRIES,
-    CV_COUNT_RETRIES_DENIED, /* by the retry budget */
-    CV_COUNT_TARGETS_LOST,
-    CV_COUNT_REVOKES,
-    CV_COUNT_CONFIGS_ADOPTED,
-    CV_COUNT_LAST
-  } cv_count_t;
-
-  /* Measures of one account and class.  */
-  typedef enum
-  {
-    CV_MEASURE_FIRST_TOKEN, /* s from request to first token */
-    CV_MEASURE_TOKEN_GAP,   /* s between deliveries of one stream */
-    CV_MEASURE_STALL,       /* s of gaps beyond a second, per answer */
-    CV_MEASURE_DURATION,    /* s from request to last reply */
-    CV_MEASURE_TOKENS,      /* tokens of a whole answer */
-    CV_MEASURE_LAST
-  } cv_measure_t;
-
-  cv_entry_metrics_t *cv_entry_metrics_new (void);
-  void cv_entry_metrics_free (cv_entry_metrics_t *m);
-  void cv_entry_metrics_count (cv_entry_metrics_t *m, cv_count_t what);
-  uint64_t cv_entry_metrics_get (const cv_entry_metrics_t *m, cv_count_t what);
-  /* The series of one account and class; it lives as long as M.  */
-  cv_series_t *cv_entry_metrics_series (cv_entry_metrics_t *m,
-                                        const char *account,
-                                        const char *class_name);
-  void cv_entry_metrics_observe (cv_series_t *s, cv_measure_t what,
-                                 double value);
-  void cv_entry_metrics_outcome (cv_series_t *s, cv_outcome_t outcome);
-  /* CODE is a cv_failure_code_t.  */
-  void cv_entry_metrics_failure (cv_series_t *s, int code);
-  void cv_entry_metrics_write (const cv_entry_metrics_t *m, cv_buf_t *out);
+typedef struct cv_entry_metrics_t cv_entry_metrics_t;
+typedef struct cv_series_t cv_series_t;
+
+/* Counters of the whole entry.  */
+typedef enum
+{
+  CV_COUNT_FRAMES_DROPPED, /* late, crossed or duplicate */
+  CV_COUNT_REATTACHES,     /* gaps closed by asking again */
+  CV_COUNT_RETRIES,
+  CV_COUNT_RETRIES_DENIED, /* by the retry budget */
+  CV_COUNT_TARGETS_LOST,
+  CV_COUNT_REVOKES,
+  CV_COUNT_CONFIGS_ADOPTED,
+  CV_COUNT_LAST
+} cv_count_t;
+
+/* Measures of one account and class.  */
+typedef enum
+{
+  CV_MEASURE_FIRST_TOKEN, /* s from request to first token */
+  CV_MEASURE_TOKEN_GAP,   /* s between deliveries of one stream */
+  CV_MEASURE_STALL,       /* s of gaps beyond a second, per answer */
+  CV_MEASURE_DURATION,    /* s from request to last reply */
+  CV_MEASURE_TOKENS,      /* tokens of a whole answer */
+  CV_MEASURE_LAST
+} cv_measure_t;
+
+cv_entry_metrics_t *cv_entry_metrics_new (void);
+void cv_entry_metrics_free (cv_entry_metrics_t *m);
+void cv_entry_metrics_count (cv_entry_metrics_t *m, cv_count_t what);
+uint64_t cv_entry_metrics_get (const cv_entry_metrics_t *m, cv_count_t what);
+/* The series of one account and class; it lives as long as M.  */
+cv_series_t *cv_entry_metrics_series (cv_entry_metrics_t *m,
+                                      const char *account,
+                                      const char *class_name);
+void cv_entry_metrics_observe (cv_series_t *s, cv_measure_t what, double value);
+void cv_entry_metrics_outcome (cv_series_t *s, cv_outcome_t outcome);
+/* CODE is a cv_failure_code_t.  */
+void cv_entry_metrics_failure (cv_series_t *s, int code);
+void cv_entry_metrics_write (const cv_entry_metrics_t *m, cv_buf_t *out);
 
 #ifdef __cplusplus
 }
--- a/entry/store_claims.h
+++ b/entry/store_claims.h
@@ -14,8 +14,7 @@
 #include "store/store.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
 #define CV_CLAIMS_PREFIX "claims/"
@@ -33,27 +32,26 @@
 /* A piece begins no more deletes after this time: the thread is needed.  */
 #define CV_CLAIMS_BUSY (100 * CV_MS)
 
-  typedef struct
-  {
-    cv_rng_t rng;
-    cv_time_t look_at;  /* next look at the clock */
-    cv_time_t piece_at; /* next piece of the sweep, when there is one */
-    cv_time_t since;    /* when VERSION was first seen */
-    uint64_t version;   /* of the clock; 0: not seen yet */
-    uint64_t horizon;   /* claims up to it are deleted; 0: no sweep */
-    char after[CV_STORE_KEY_TEXT]; /* last key that the sweep has done */
-    uint64_t deleted;
-  } cv_store_claims_t;
-
-  void cv_store_claims_init (cv_store_claims_t *c, cv_time_t now,
-                             uint64_t seed);
-  void cv_store_claims_finish (cv_store_claims_t *c);
-  /* When cv_store_claims_run has something to do.  */
-  cv_time_t cv_store_claims_due (const cv_store_claims_t *c);
-  /* Do what is due at NOW: at most a look (two reads and a write), and one
-     piece of a sweep.  */
-  void cv_store_claims_run (cv_store_claims_t *c, cv_store_t *store,
-                            cv_time_t now);
+typedef struct
+{
+  cv_rng_t rng;
+  cv_time_t look_at;  /* next look at the clock */
+  cv_time_t piece_at; /* next piece of the sweep, when there is one */
+  cv_time_t since;    /* when VERSION was first seen */
+  uint64_t version;   /* of the clock; 0: not seen yet */
+  uint64_t horizon;   /* claims up to it are deleted; 0: no sweep */
+  char after[CV_STORE_KEY_TEXT]; /* last key that the sweep has done */
+  uint64_t deleted;
+} cv_store_claims_t;
+
+void cv_store_claims_init (cv_store_claims_t *c, cv_time_t now, uint64_t seed);
+void cv_store_claims_finish (cv_store_claims_t *c);
+/* When cv_store_claims_run has something to do.  */
+cv_time_t cv_store_claims_due (const cv_store_claims_t *c);
+/* Do what is due at NOW: at most a look (two reads and a write), and one
+   piece of a sweep.  */
+void cv_store_claims_run (cv_store_claims_t *c, cv_store_t *store,
+                          cv_time_t now);
 
 #ifdef __cplusplus
 }
--- a/entry/tests/fleet_test.cc
+++ b/entry/tests/fleet_test.cc
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-extern "C"
-{
+extern "C" {
 #include "entry/link_internal.h"
 }
 
--- a/entry/tests/storejobs_test.cc
+++ b/entry/tests/storejobs_test.cc
@@ -4,8 +4,7 @@
 
 #include <thread>
 
-extern "C"
-{
+extern "C" {
 #include "entry/storejobs.h"
 }
 #include "store/tests/fake_store.h"
--- a/policy/map.h
+++ b/policy/map.h
@@ -7,35 +7,34 @@
 #include "base/base.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
 #define CV_MAP_NONE UINT32_MAX
 
-  typedef struct
-  {
-    uint64_t key;
-    uint32_t value;
-    bool used;
-  } cv_map_cell_t;
-
-  typedef struct
-  {
-    cv_map_cell_t *cells;
-    size_t mask; /* number of cells - 1, a power of two less one */
-    size_t count;
-  } cv_map_t;
-
-  void cv_map_init (cv_map_t *m);
-  void cv_map_finish (cv_map_t *m);
-  /* The value of KEY, or CV_MAP_NONE.  */
-  uint32_t cv_map_get (const cv_map_t *m, uint64_t key);
-  void cv_map_put (cv_map_t *m, uint64_t key, uint32_t value);
-  void cv_map_remove (cv_map_t *m, uint64_t key);
-
-  /* Spread the bits of X over all 64.  */
-  uint64_t cv_mix (uint64_t x);
+typedef struct
+{
+  uint64_t key;
+  uint32_t value;
+  bool used;
+} cv_map_cell_t;
+
+typedef struct
+{
+  cv_map_cell_t *cells;
+  size_t mask; /* number of cells - 1, a power of two less one */
+  size_t count;
+} cv_map_t;
+
+void cv_map_init (cv_map_t *m);
+void cv_map_finish (cv_map_t *m);
+/* The value of KEY, or CV_MAP_NONE.  */
+uint32_t cv_map_get (const cv_map_t *m, uint64_t key);
+void cv_map_put (cv_map_t *m, uint64_t key, uint32_t value);
+void cv_map_remove (cv_map_t *m, uint64_t key);
+
+/* Spread the bits of X over all 64.  */
+uint64_t cv_mix (uint64_t x);
 
 #ifdef __cplusplus
 }
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -10,173 +10,171 @@
 #include "wire/wire.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
-  /* ---- output length ---- */
-
-  /* What a stream's length is expected to depend on.  */
-  typedef struct
-  {
-    uint64_t account; /* hash of the name */
-    uint64_t class_id;
-    uint64_t model;
-  } cv_length_key_t;
-
-  /* Distribution of output lengths by account, class and model, decayed so
-     that a shift of behaviour is followed.  */
-  typedef struct cv_length_t cv_length_t;
-
-  cv_length_t *cv_length_new (uint32_t max_keys);
-  void cv_length_free (cv_length_t *l);
-  /* A stream of KEY ended by itself after TOKENS.  */
-  void cv_length_observe (cv_length_t *l, const cv_length_key_t *key,
-                          uint32_t tokens);
-  /* Tokens still to come, at quantile Q, of a stream that has produced
-     PRODUCED; at most LIMIT - PRODUCED.  */
-  uint32_t cv_length_remaining (const cv_length_t *l,
-                                const cv_length_key_t *key, uint32_t produced,
-                                uint32_t limit, double q);
-
-  /* ---- routing (entry) ---- */
-
-  typedef struct cv_router_t cv_router_t;
-
-  /* A piece of work as the router sees it.  */
-  typedef struct
-  {
-    uint64_t pool;        /* hash of the pool's name */
-    uint64_t prefix_hash; /* of the prompt's first bytes, for cache locality */
-    uint32_t prompt_tokens; /* estimated */
-    uint32_t expect;        /* expected output tokens */
-    uint32_t avoid;         /* target to leave out, or CV_NO_TARGET */
-  } cv_route_request_t;
+/* ---- output length ---- */
+
+/* What a stream's length is expected to depend on.  */
+typedef struct
+{
+  uint64_t account; /* hash of the name */
+  uint64_t class_id;
+  uint64_t model;
+} cv_length_key_t;
+
+/* Distribution of output lengths by account, class and model, decayed so
+   that a shift of behaviour is followed.  */
+typedef struct cv_length_t cv_length_t;
+
+cv_length_t *cv_length_new (uint32_t max_keys);
+void cv_length_free (cv_length_t *l);
+/* A stream of KEY ended by itself after TOKENS.  */
+void cv_length_observe (cv_length_t *l, const cv_length_key_t *key,
+                        uint32_t tokens);
+/* Tokens still to come, at quantile Q, of a stream that has produced
+   PRODUCED; at most LIMIT - PRODUCED.  */
+uint32_t cv_length_remaining (const cv_length_t *l, const cv_length_key_t *key,
+                              uint32_t produced, uint32_t limit, double q);
+
+/* ---- routing (entry) ---- */
+
+typedef struct cv_router_t cv_router_t;
+
+/* A piece of work as the router sees it.  */
+typedef struct
+{
+  uint64_t pool;          /* hash of the pool's name */
+  uint64_t prefix_hash;   /* of the prompt's first bytes, for cache locality */
+  uint32_t prompt_tokens; /* estimated */
+  uint32_t expect;        /* expected output tokens */
+  uint32_t avoid;         /* target to leave out, or CV_NO_TARGET */
+} cv_route_request_t;
 
 #define CV_NO_TARGET UINT32_MAX
 
-  cv_router_t *cv_router_new (uint64_t seed);
-  void cv_router_free (cv_router_t *r);
-  /* Add or update the target in slot TARGET (small dense integers).  */
-  void cv_router_report (cv_router_t *r, cv_time_t now, uint32_t target,
-                         uint64_t pool, cv_target_state_t state,
-                         const cv_load_t *load);
-  void cv_router_remove (cv_router_t *r, uint32_t target);
-  /* Choose a target, or CV_NO_TARGET when none may take new work.  */
-  uint32_t cv_router_pick (cv_router_t *r, cv_time_t now,
-                           const cv_route_request_t *req);
-  /* Mean load of the pool's targets as last reported, corrected by own work;
-   1: they hold what they can.  Input to cv_limits_set_pressure.  */
-  double cv_router_pressure (const cv_router_t *r, uint64_t pool);
-  /* Own work in flight, which corrects the lagging reports.  */
-  void cv_router_started (cv_router_t *r, cv_time_t now, uint32_t target,
-                          const cv_route_request_t *req);
-  void cv_router_progress (cv_router_t *r, cv_time_t now, uint32_t target,
-                           uint32_t tokens);
-  void cv_router_ended (cv_router_t *r, cv_time_t now, uint32_t target,
-                        const cv_route_request_t *req, bool ok);
-
-  /* ---- account limits and refusal at the door (entry) ---- */
-
-  typedef struct
-  {
-    uint32_t weight;       /* share under contention, >= 1 */
-    uint32_t concurrency;  /* most requests in flight, 0: no limit */
-    uint32_t tokens_per_s; /* sustained work, 0: no limit */
-    uint32_t burst_tokens;
-  } cv_account_limits_t;
-
-  typedef struct cv_limits_t cv_limits_t;
-
-  typedef struct
-  {
-    bool admitted;
-    uint32_t retry_after_ms; /* when refused; jittered */
-    const char *reason; /* when refused: "concurrency", "rate", "overload" */
-  } cv_admission_t;
-
-  cv_limits_t *cv_limits_new (uint64_t seed);
-  void cv_limits_free (cv_limits_t *l);
-  void cv_limits_set (cv_limits_t *l, uint64_t account,
-                      const cv_account_limits_t *limits);
-  /* Number of entries that share the limits, for each to enforce its part.  */
-  void cv_limits_set_share (cv_limits_t *l, uint32_t entries);
-  /* How full the pools are, 1: at what the targets can hold.  From 1 on an
-   account above its weighted share of recent work is refused; from 0.8 on,
-   one that takes a multiple of it.  */
-  void cv_limits_set_pressure (cv_limits_t *l, double pressure);
-  cv_admission_t cv_limits_admit (cv_limits_t *l, cv_time_t now,
-                                  uint64_t account, uint32_t expect);
-  /* Charge TOKENS as they are produced.  */
-  void cv_limits_charge (cv_limits_t *l, cv_time_t now, uint64_t account,
-                         uint32_t tokens);
-  void cv_limits_ended (cv_limits_t *l, cv_time_t now, uint64_t account);
-
-  /* ---- retry budget (entry), one per account and pool ---- */
-
-  typedef struct
-  {
-    double tokens;
-    double ratio; /* retries allowed per first attempt */
-    double cap;
-  } cv_retry_budget_t;
-
-  void cv_retry_budget_init (cv_retry_budget_t *b);
-  void cv_retry_budget_first (cv_retry_budget_t *b);
-  bool cv_retry_budget_take (cv_retry_budget_t *b);
-  /* BASE spread over [BASE, 2 BASE) so that returns do not coincide.  */
-  uint32_t cv_retry_after_ms (cv_rng_t *rng, uint32_t base_ms);
-
-  /* ---- gate (side): who holds the engine's memory ---- */
-
-  typedef struct cv_gate_t cv_gate_t;
-
-  typedef struct
-  {
-    uint32_t slot; /* the caller's number of the stream */
-    cv_length_key_t key;
-    uint32_t priority; /* of the class */
-    uint32_t weight;   /* of the account, >= 1 */
-    uint32_t prompt_tokens;
-    uint32_t max_tokens;
-    cv_time_t deadline; /* to the first token */
-    bool suspect;       /* its content was aboard when an engine died */
-  } cv_gate_work_t;
-
-  typedef enum
-  {
-    CV_GATE_START,  /* hand the stream to the engine */
-    CV_GATE_PAUSE,  /* free its memory, keep its tokens */
-    CV_GATE_RESUME, /* hand it back to the engine */
-    CV_GATE_REFUSE  /* not started in time: reject it as not run */
-  } cv_gate_verb_t;
-
-  typedef struct
-  {
-    cv_gate_verb_t verb;
-    uint32_t slot;
-    uint32_t retry_after_ms; /* REFUSE */
-  } cv_gate_action_t;
-
-  cv_gate_t *cv_gate_new (uint64_t kv_total, uint32_t max_batch);
-  void cv_gate_free (cv_gate_t *g);
-  /* Engine memory as last reported; 0 keeps the present figure.  */
-  void cv_gate_set_total (cv_gate_t *g, uint64_t kv_total);
-  /* Queue WORK; false when it cannot start before its deadline by the present
-     queue: reject it at once, with *RETRY_AFTER_MS.  */
-  bool cv_gate_offer (cv_gate_t *g, cv_time_t now, const cv_gate_work_t *work,
-                      uint32_t *retry_after_ms);
-  void cv_gate_progress (cv_gate_t *g, cv_time_t now, uint32_t slot,
+cv_router_t *cv_router_new (uint64_t seed);
+void cv_router_free (cv_router_t *r);
+/* Add or update the target in slot TARGET (small dense integers).  */
+void cv_router_report (cv_router_t *r, cv_time_t now, uint32_t target,
+                       uint64_t pool, cv_target_state_t state,
+                       const cv_load_t *load);
+void cv_router_remove (cv_router_t *r, uint32_t target);
+/* Choose a target, or CV_NO_TARGET when none may take new work.  */
+uint32_t cv_router_pick (cv_router_t *r, cv_time_t now,
+                         const cv_route_request_t *req);
+/* Mean load of the pool's targets as last reported, corrected by own work;
+ 1: they hold what they can.  Input to cv_limits_set_pressure.  */
+double cv_router_pressure (const cv_router_t *r, uint64_t pool);
+/* Own work in flight, which corrects the lagging reports.  */
+void cv_router_started (cv_router_t *r, cv_time_t now, uint32_t target,
+                        const cv_route_request_t *req);
+void cv_router_progress (cv_router_t *r, cv_time_t now, uint32_t target,
                          uint32_t tokens);
-  /* The engine itself preempted the stream.  */
-  void cv_gate_preempted (cv_gate_t *g, cv_time_t now, uint32_t slot);
-  /* The stream is gone; NATURAL when its length is a fair sample.  */
-  void cv_gate_ended (cv_gate_t *g, cv_time_t now, uint32_t slot, bool natural);
-  /* Decide; write up to MAX actions and return their number.  */
-  size_t cv_gate_tick (cv_gate_t *g, cv_time_t now, cv_gate_action_t *out,
-                       size_t max);
-  /* Fill running, waiting, kv_used, kv_total and kv_promised of LOAD.  */
-  void cv_gate_load (const cv_gate_t *g, cv_load_t *load);
+void cv_router_ended (cv_router_t *r, cv_time_t now, uint32_t target,
+                      const cv_route_request_t *req, bool ok);
+
+/* ---- account limits and refusal at the door (entry) ---- */
+
+typedef struct
+{
+  uint32_t weight;       /* share under contention, >= 1 */
+  uint32_t concurrency;  /* most requests in flight, 0: no limit */
+  uint32_t tokens_per_s; /* sustained work, 0: no limit */
+  uint32_t burst_tokens;
+} cv_account_limits_t;
+
+typedef struct cv_limits_t cv_limits_t;
+
+typedef struct
+{
+  bool admitted;
+  uint32_t retry_after_ms; /* when refused; jittered */
+  const char *reason;      /* when refused: "concurrency", "rate", "overload" */
+} cv_admission_t;
+
+cv_limits_t *cv_limits_new (uint64_t seed);
+void cv_limits_free (cv_limits_t *l);
+void cv_limits_set (cv_limits_t *l, uint64_t account,
+                    const cv_account_limits_t *limits);
+/* Number of entries that share the limits, for each to enforce its part.  */
+void cv_limits_set_share (cv_limits_t *l, uint32_t entries);
+/* How full the pools are, 1: at what the targets can hold.  From 1 on an
+ account above its weighted share of recent work is refused; from 0.8 on,
+ one that takes a multiple of it.  */
+void cv_limits_set_pressure (cv_limits_t *l, double pressure);
+cv_admission_t cv_limits_admit (cv_limits_t *l, cv_time_t now, uint64_t account,
+                                uint32_t expect);
+/* Charge TOKENS as they are produced.  */
+void cv_limits_charge (cv_limits_t *l, cv_time_t now, uint64_t account,
+                       uint32_t tokens);
+void cv_limits_ended (cv_limits_t *l, cv_time_t now, uint64_t account);
+
+/* ---- retry budget (entry), one per account and pool ---- */
+
+typedef struct
+{
+  double tokens;
+  double ratio; /* retries allowed per first attempt */
+  double cap;
+} cv_retry_budget_t;
+
+void cv_retry_budget_init (cv_retry_budget_t *b);
+void cv_retry_budget_first (cv_retry_budget_t *b);
+bool cv_retry_budget_take (cv_retry_budget_t *b);
+/* BASE spread over [BASE, 2 BASE) so that returns do not coincide.  */
+uint32_t cv_retry_after_ms (cv_rng_t *rng, uint32_t base_ms);
+
+/* ---- gate (side): who holds the engine's memory ---- */
+
+typedef struct cv_gate_t cv_gate_t;
+
+typedef struct
+{
+  uint32_t slot; /* the caller's number of the stream */
+  cv_length_key_t key;
+  uint32_t priority; /* of the class */
+  uint32_t weight;   /* of the account, >= 1 */
+  uint32_t prompt_tokens;
+  uint32_t max_tokens;
+  cv_time_t deadline; /* to the first token */
+  bool suspect;       /* its content was aboard when an engine died */
+} cv_gate_work_t;
+
+typedef enum
+{
+  CV_GATE_START,  /* hand the stream to the engine */
+  CV_GATE_PAUSE,  /* free its memory, keep its tokens */
+  CV_GATE_RESUME, /* hand it back to the engine */
+  CV_GATE_REFUSE  /* not started in time: reject it as not run */
+} cv_gate_verb_t;
+
+typedef struct
+{
+  cv_gate_verb_t verb;
+  uint32_t slot;
+  uint32_t retry_after_ms; /* REFUSE */
+} cv_gate_action_t;
+
+cv_gate_t *cv_gate_new (uint64_t kv_total, uint32_t max_batch);
+void cv_gate_free (cv_gate_t *g);
+/* Engine memory as last reported; 0 keeps the present figure.  */
+void cv_gate_set_total (cv_gate_t *g, uint64_t kv_total);
+/* Queue WORK; false when it cannot start before its deadline by the present
+   queue: reject it at once, with *RETRY_AFTER_MS.  */
+bool cv_gate_offer (cv_gate_t *g, cv_time_t now, const cv_gate_work_t *work,
+                    uint32_t *retry_after_ms);
+void cv_gate_progress (cv_gate_t *g, cv_time_t now, uint32_t slot,
+                       uint32_t tokens);
+/* The engine itself preempted the stream.  */
+void cv_gate_preempted (cv_gate_t *g, cv_time_t now, uint32_t slot);
+/* The stream is gone; NATURAL when its length is a fair sample.  */
+void cv_gate_ended (cv_gate_t *g, cv_time_t now, uint32_t slot, bool natural);
+/* Decide; write up to MAX actions and return their number.  */
+size_t cv_gate_tick (cv_gate_t *g, cv_time_t now, cv_gate_action_t *out,
+                     size_t max);
+/* Fill running, waiting, kv_used, kv_total and kv_promised of LOAD.  */
+void cv_gate_load (const cv_gate_t *g, cv_load_t *load);
 
 /* ---- suspects: content that was aboard when an engine died ---- */
 
@@ -184,34 +182,34 @@
    first on it runs beside no other suspect.  */
 #define CV_SUSPECT_STRIKES 2
 
-  typedef struct cv_suspects_t cv_suspects_t;
-
-  typedef enum
-  {
-    CV_CONTENT_CLEAR,
-    CV_CONTENT_SUSPECT,
-    CV_CONTENT_CONDEMNED
-  } cv_content_state_t;
-
-  cv_suspects_t *cv_suspects_new (void);
-  void cv_suspects_free (cv_suspects_t *s);
-  cv_content_state_t cv_suspects_state (const cv_suspects_t *s,
-                                        uint64_t content_hash, int64_t wall_s);
-  /* One engine death with these contents aboard.  CULPRITS are those that were
-     already suspect; when none was, all of them become suspect.  DEATH differs
-     from that of any other engine death of the fleet.  */
-  void cv_suspects_strike (cv_suspects_t *s, const uint64_t *hashes, size_t n,
-                           int64_t wall_s, uint64_t death);
-  /* The content ran to its end.  */
-  void cv_suspects_clear (cv_suspects_t *s, uint64_t content_hash);
-  /* JSON body of the document CV_DOC_SUSPECTS, ordered by hash so that equal
-     contents give equal bodies, and its union with ours.  */
-  void cv_suspects_dump (const cv_suspects_t *s, cv_buf_t *out);
-  bool cv_suspects_merge (cv_suspects_t *s, cv_slice_t json, cv_error_t *err);
-  /* Version of the document BODY, newer than NEWEST: a counter above 16 bits
-     of a hash of BODY, so that two documents made at once differ and the merge
-     of both is newer than either.  */
-  uint64_t cv_suspects_version (uint64_t newest, cv_slice_t body);
+typedef struct cv_suspects_t cv_suspects_t;
+
+typedef enum
+{
+  CV_CONTENT_CLEAR,
+  CV_CONTENT_SUSPECT,
+  CV_CONTENT_CONDEMNED
+} cv_content_state_t;
+
+cv_suspects_t *cv_suspects_new (void);
+void cv_suspects_free (cv_suspects_t *s);
+cv_content_state_t cv_suspects_state (const cv_suspects_t *s,
+                                      uint64_t content_hash, int64_t wall_s);
+/* One engine death with these contents aboard.  CULPRITS are those that were
+   already suspect; when none was, all of them become suspect.  DEATH differs
+   from that of any other engine death of the fleet.  */
+void cv_suspects_strike (cv_suspects_t *s, const uint64_t *hashes, size_t n,
+                         int64_t wall_s, uint64_t death);
+/* The content ran to its end.  */
+void cv_suspects_clear (cv_suspects_t *s, uint64_t content_hash);
+/* JSON body of the document CV_DOC_SUSPECTS, ordered by hash so that equal
+   contents give equal bodies, and its union with ours.  */
+void cv_suspects_dump (const cv_suspects_t *s, cv_buf_t *out);
+bool cv_suspects_merge (cv_suspects_t *s, cv_slice_t json, cv_error_t *err);
+/* Version of the document BODY, newer than NEWEST: a counter above 16 bits
+   of a hash of BODY, so that two documents made at once differ and the merge
+   of both is newer than either.  */
+uint64_t cv_suspects_version (uint64_t newest, cv_slice_t body);
 
 #ifdef __cplusplus
 }
--- a/settings/fields.h
+++ b/settings/fields.h
@@ -7,11 +7,10 @@
 #include "settings/settings.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
-  const cv_field_t *cv_settings_fields (cv_role_t role);
+const cv_field_t *cv_settings_fields (cv_role_t role);
 
 #ifdef __cplusplus
 }
--- a/side/metrics.h
+++ b/side/metrics.h
@@ -6,11 +6,10 @@
 #include "side/core.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
-  void cv_side_metrics (const cv_core_t *c, cv_time_t now, cv_buf_t *out);
+void cv_side_metrics (const cv_core_t *c, cv_time_t now, cv_buf_t *out);
 
 #ifdef __cplusplus
 }
--- a/side/token_event.h
+++ b/side/token_event.h
@@ -7,14 +7,13 @@
 #include "base/base.h"
 
 #ifdef __cplusplus
-extern "C"
-{
+extern "C" {
 #endif
 
-  /* Read {"i":INDEX,"t":"TEXT"} without spaces or escapes.  False for any
-     other text, which may still be valid JSON.  TEXT points into P.  */
-  bool cv_token_event (const char *p, size_t n, uint32_t *index,
-                       cv_slice_t *text);
+/* Read {"i":INDEX,"t":"TEXT"} without spaces or escapes.  False for any
+   other text, which may still be valid JSON.  TEXT points into P.  */
+bool cv_token_event (const char *p, size_t n, uint32_t *index,
+                     cv_slice_t *text);
 
 #ifdef __cplusplus
 }
