Entry's metrics give the preemptions of its targets

Cause: catkinctl load printed 'not reported by the entry' for preemptions, one of the users' three measures. Measured: catkinctl and entry tests pass.

--- a/entry/http.c
+++ b/entry/http.c
@@ -36,6 +36,7 @@
 static int metrics (const cv_request_in_t *req, cv_response_t *resp, void *arg);
 static int not_found (const cv_request_in_t *req, cv_response_t *resp,
                       void *arg);
+static void write_preemptions (const cv_target_row_t *row, void *arg);
 static void write_metrics (cv_entry_core_t *core, cv_time_t now, void *arg);
 
 cv_http_t *
@@ -452,13 +453,21 @@
   return cv_http_fail (resp, &e);
 }
 
+/* As the side reported them, since its engine's start.  */
+static void
+write_preemptions (const cv_target_row_t *row, void *arg)
+{
+  cv_buf_printf (arg,
+                 "catkinvale_entry_target_preemptions{target=\"%s\"} %llu\n",
+                 row->name, (unsigned long long)row->load.preemptions);
+}
+
 static void
 write_metrics (cv_entry_core_t *core, cv_time_t now, void *arg)
 {
   cv_buf_t *body = arg;
   const cv_config_t *config = cv_entry_config (core);
 
-  (void)now;
   cv_entry_metrics_write (cv_entry_metrics (core), body);
   cv_buf_printf (body,
                  "# TYPE catkinvale_entry_in_flight gauge\n"
@@ -467,4 +476,6 @@
                  "catkinvale_entry_config_version %llu\n",
                  cv_entry_in_flight (core),
                  config == NULL ? 0ULL : (unsigned long long)config->version);
+  cv_buf_printf (body, "# TYPE catkinvale_entry_target_preemptions gauge\n");
+  cv_entry_each_target (core, now, write_preemptions, body);
 }
