--- a/fuzz/fuzz_engine.c
+++ b/fuzz/fuzz_engine.c
@@ -43,14 +43,14 @@
 static end_t
 feed (const char *p, size_t n, size_t cut)
 {
-  static const cv_core_settings_t none;
+  static const cv_side_core_settings_t none;
   cv_run_t *slots[1] = { NULL };
   cv_engine_t engine;
-  cv_core_t core;
+  cv_side_core_t core;
   cv_run_t run = { .engine = &engine, .ref = { .id = { 1, 2 } } };
   end_t end;
 
-  cv_core_init (&core, 0, &none, emit, NULL);
+  cv_side_init (&core, 0, &none, emit, NULL);
   cv_engine_init (&engine, &core, NULL, "");
   engine.slots = slots;
   slots[0] = &run;
@@ -63,6 +63,6 @@
   end.broken = run.broken;
   cv_buf_finish (&run.line);
   json_tokener_free (engine.tokener);
-  cv_core_finish (&core);
+  cv_side_finish (&core);
   return end;
 }
--- a/side/call_records.c
+++ b/side/call_records.c
@@ -22,20 +22,20 @@
 }
 
 void
-cv_call_reject (cv_core_t *c, cv_call_t *call, cv_reject_t reason)
+cv_call_reject (cv_side_core_t *c, cv_call_t *call, cv_reject_t reason)
 {
   cv_waiter_t *w;
 
   while ((w = STAILQ_FIRST (&call->waiters)) != NULL)
     {
       STAILQ_REMOVE_HEAD (&call->waiters, link);
-      cv_core_reject (c, w->peer, w->request, reason, CV_RETRY_DEFAULT_MS);
+      cv_side_reject (c, w->peer, w->request, reason, CV_RETRY_DEFAULT_MS);
       free (w);
     }
 }
 
 void
-cv_call_answer_all (cv_core_t *c, cv_call_t *call)
+cv_call_answer_all (cv_side_core_t *c, cv_call_t *call)
 {
   bool replayed = false;
   cv_waiter_t *w;
@@ -50,7 +50,7 @@
 }
 
 void
-cv_call_answer (cv_core_t *c, uint32_t peer, cv_id_t request,
+cv_call_answer (cv_side_core_t *c, uint32_t peer, cv_id_t request,
                 const cv_call_t *call, bool replayed)
 {
   cv_msg_t msg = { .type = CV_MSG_CALL_RESULT };
@@ -73,11 +73,11 @@
       r->content_type = cv_slice ("application/json");
       r->body = cv_slice (dropped_body);
     }
-  cv_core_send (c, peer, &msg);
+  cv_side_send (c, peer, &msg);
 }
 
 void
-cv_call_answer_plain (cv_core_t *c, uint32_t peer, cv_id_t request,
+cv_call_answer_plain (cv_side_core_t *c, uint32_t peer, cv_id_t request,
                       cv_outcome_t outcome)
 {
   cv_msg_t msg = { .type = CV_MSG_CALL_RESULT };
@@ -86,13 +86,13 @@
   msg.u.call_result.outcome = outcome;
   msg.u.call_result.content_type = cv_slice ("");
   msg.u.call_result.body = cv_slice ("");
-  cv_core_send (c, peer, &msg);
+  cv_side_send (c, peer, &msg);
 }
 
 /* ---- records ---- */
 
 cv_call_t *
-cv_call_new (cv_core_t *c, cv_id_t id, bool ticketed, uint32_t generation,
+cv_call_new (cv_side_core_t *c, cv_id_t id, bool ticketed, uint32_t generation,
              const char *account)
 {
   cv_call_t *call = cv_calloc (1, sizeof *call);
@@ -106,7 +106,7 @@
 }
 
 void
-cv_call_free (cv_core_t *c, cv_call_t *call)
+cv_call_free (cv_side_core_t *c, cv_call_t *call)
 {
   cv_waiter_t *w;
 
@@ -134,7 +134,7 @@
 }
 
 void
-cv_call_store (cv_core_t *c, cv_call_t *call, const cv_call_end_t *end)
+cv_call_store (cv_side_core_t *c, cv_call_t *call, const cv_call_end_t *end)
 {
   call->state = CV_CALL_DONE;
   call->outcome = end->outcome;
@@ -147,7 +147,7 @@
 }
 
 void
-cv_call_body_free (cv_core_t *c, cv_call_t *call)
+cv_call_body_free (cv_side_core_t *c, cv_call_t *call)
 {
   if (call->body == NULL)
     return;
--- a/side/calls.c
+++ b/side/calls.c
@@ -8,22 +8,23 @@
 
 #include "side/calls.h"
 
-static bool epoch_known (const cv_core_t *c, const cv_ticket_t *t);
-static bool take_known (cv_core_t *c, uint32_t peer, cv_id_t request,
+static bool epoch_known (const cv_side_core_t *c, const cv_ticket_t *t);
+static bool take_known (cv_side_core_t *c, uint32_t peer, cv_id_t request,
                         const char *account, cv_call_t *call);
-static bool admit (cv_core_t *c, cv_time_t now, uint32_t peer,
+static bool admit (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                    const cv_msg_call_t *m);
-static void hand_over (cv_core_t *c, cv_time_t now, cv_call_t *call);
-static void give_up_running (cv_core_t *c, cv_time_t now, cv_idmap_t *m);
-static void drop_queued (cv_core_t *c, cv_call_t *call, cv_reject_t reason);
-static void queue_add (cv_core_t *c, cv_call_t *call);
-static void queue_remove (cv_core_t *c, cv_call_t *call);
-static void forget_old (cv_core_t *c);
-static void map_finish (cv_core_t *c, cv_idmap_t *m);
-static cv_call_t *find (const cv_core_t *c, cv_id_t id);
+static void hand_over (cv_side_core_t *c, cv_time_t now, cv_call_t *call);
+static void give_up_running (cv_side_core_t *c, cv_time_t now, cv_idmap_t *m);
+static void drop_queued (cv_side_core_t *c, cv_call_t *call,
+                         cv_reject_t reason);
+static void queue_add (cv_side_core_t *c, cv_call_t *call);
+static void queue_remove (cv_side_core_t *c, cv_call_t *call);
+static void forget_old (cv_side_core_t *c);
+static void map_finish (cv_side_core_t *c, cv_idmap_t *m);
+static cv_call_t *find (const cv_side_core_t *c, cv_id_t id);
 
 void
-cv_calls_init (cv_core_t *c, cv_time_t now)
+cv_calls_init (cv_side_core_t *c, cv_time_t now)
 {
   cv_idmap_init (&c->tickets);
   cv_idmap_init (&c->plain_calls);
@@ -34,7 +35,7 @@
 }
 
 void
-cv_calls_finish (cv_core_t *c)
+cv_calls_finish (cv_side_core_t *c)
 {
   map_finish (c, &c->tickets);
   map_finish (c, &c->plain_calls);
@@ -43,7 +44,7 @@
 /* ---- messages ---- */
 
 void
-cv_calls_call (cv_core_t *c, cv_time_t now, uint32_t peer,
+cv_calls_call (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                const cv_msg_call_t *m)
 {
   bool ticketed = !cv_id_is_zero (m->ticket.nonce);
@@ -76,7 +77,7 @@
 }
 
 void
-cv_calls_revoke (cv_core_t *c, cv_time_t now, uint32_t peer,
+cv_calls_revoke (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                  const cv_msg_revoke_t *m)
 {
   cv_call_t *call;
@@ -90,7 +91,7 @@
   call = find (c, m->ticket.nonce);
   if (call == NULL && c->tickets.count >= CV_TICKETS_MAX)
     {
-      cv_core_reject (c, peer, m->request, CV_REJECT_FULL, CV_RETRY_DEFAULT_MS);
+      cv_side_reject (c, peer, m->request, CV_REJECT_FULL, CV_RETRY_DEFAULT_MS);
       return;
     }
   if (call == NULL)
@@ -112,7 +113,7 @@
 /* ---- running ---- */
 
 void
-cv_calls_run (cv_core_t *c, cv_time_t now)
+cv_calls_run (cv_side_core_t *c, cv_time_t now)
 {
   cv_call_t *call;
 
@@ -127,7 +128,7 @@
 }
 
 void
-cv_calls_tick (cv_core_t *c, cv_time_t now)
+cv_calls_tick (cv_side_core_t *c, cv_time_t now)
 {
   cv_call_t *call = TAILQ_FIRST (&c->call_queue);
 
@@ -149,7 +150,7 @@
 }
 
 void
-cv_calls_reclaim (cv_core_t *c, cv_time_t now, bool last)
+cv_calls_reclaim (cv_side_core_t *c, cv_time_t now, bool last)
 {
   cv_call_t *call;
 
@@ -162,7 +163,7 @@
 }
 
 void
-cv_core_call_end (cv_core_t *c, cv_time_t now, const cv_call_end_t *end)
+cv_side_call_end (cv_side_core_t *c, cv_time_t now, const cv_call_end_t *end)
 {
   cv_call_t *call = find (c, end->call);
 
@@ -193,7 +194,7 @@
 
 /* Answer the running calls of M as unknown; their results come too late.  */
 static void
-give_up_running (cv_core_t *c, cv_time_t now, cv_idmap_t *m)
+give_up_running (cv_side_core_t *c, cv_time_t now, cv_idmap_t *m)
 {
   cv_call_end_t end = { .ran = true, .outcome = CV_OUTCOME_UNKNOWN };
   size_t i;
@@ -207,14 +208,14 @@
           cv_idnode_t *next = LIST_NEXT (node, link);
 
           end.call = node->id;
-          cv_core_call_end (c, now, &end);
+          cv_side_call_end (c, now, &end);
           node = next;
         }
     }
 }
 
 static void
-hand_over (cv_core_t *c, cv_time_t now, cv_call_t *call)
+hand_over (cv_side_core_t *c, cv_time_t now, cv_call_t *call)
 {
   cv_side_out_t out = { .type = CV_OUT_SERVICE_CALL };
   cv_service_call_t *order = &out.u.call;
@@ -236,7 +237,7 @@
 
 /* CALL has not run and will not by the messages that wait for it.  */
 static void
-drop_queued (cv_core_t *c, cv_call_t *call, cv_reject_t reason)
+drop_queued (cv_side_core_t *c, cv_call_t *call, cv_reject_t reason)
 {
   queue_remove (c, call);
   cv_call_reject (c, call, reason);
@@ -245,14 +246,14 @@
 }
 
 static void
-queue_add (cv_core_t *c, cv_call_t *call)
+queue_add (cv_side_core_t *c, cv_call_t *call)
 {
   TAILQ_INSERT_TAIL (&c->call_queue, call, link);
   c->calls_queued++;
 }
 
 static void
-queue_remove (cv_core_t *c, cv_call_t *call)
+queue_remove (cv_side_core_t *c, cv_call_t *call)
 {
   TAILQ_REMOVE (&c->call_queue, call, link);
   c->calls_queued--;
@@ -261,7 +262,7 @@
 /* ---- tickets ---- */
 
 static bool
-epoch_known (const cv_core_t *c, const cv_ticket_t *t)
+epoch_known (const cv_side_core_t *c, const cv_ticket_t *t)
 {
   return strcmp (t->target, c->set.target) == 0
          && t->incarnation == c->set.incarnation
@@ -272,12 +273,12 @@
 /* REQUEST names a call that is known already: answer it, or let it wait.
    False when it is another account's.  */
 static bool
-take_known (cv_core_t *c, uint32_t peer, cv_id_t request, const char *account,
-            cv_call_t *call)
+take_known (cv_side_core_t *c, uint32_t peer, cv_id_t request,
+            const char *account, cv_call_t *call)
 {
   if (strcmp (call->account, account) != 0)
     {
-      cv_core_reject (c, peer, request, CV_REJECT_NOT_FOUND, 0);
+      cv_side_reject (c, peer, request, CV_REJECT_NOT_FOUND, 0);
       return false;
     }
   switch (call->state)
@@ -296,14 +297,14 @@
 }
 
 static bool
-admit (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_call_t *m)
+admit (cv_side_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_call_t *m)
 {
   cv_reject_t reason;
   size_t known = c->tickets.count + c->plain_calls.count;
 
   if (!cv_peers_fresh (c, peer))
     {
-      cv_core_reject (c, peer, m->request, CV_REJECT_ENGINE, 0);
+      cv_side_reject (c, peer, m->request, CV_REJECT_ENGINE, 0);
       return false;
     }
   if (!cv_docs_admit (c, now, peer, m->config_version))
@@ -319,13 +320,13 @@
     reason = CV_REJECT_FULL;
   else
     return true;
-  cv_core_reject (c, peer, m->request, reason,
+  cv_side_reject (c, peer, m->request, reason,
                   reason == CV_REJECT_FULL ? CV_RETRY_DEFAULT_MS : 0);
   return false;
 }
 
 static void
-forget_old (cv_core_t *c)
+forget_old (cv_side_core_t *c)
 {
   size_t i;
 
@@ -347,7 +348,7 @@
 }
 
 static void
-map_finish (cv_core_t *c, cv_idmap_t *m)
+map_finish (cv_side_core_t *c, cv_idmap_t *m)
 {
   size_t i;
 
@@ -362,7 +363,7 @@
 }
 
 static cv_call_t *
-find (const cv_core_t *c, cv_id_t id)
+find (const cv_side_core_t *c, cv_id_t id)
 {
   cv_idnode_t *node = cv_idmap_find (&c->tickets, id);
 
--- a/side/core.c
+++ b/side/core.c
@@ -7,10 +7,11 @@
 #define LENGTH_KEYS 4096 /* account, class and model combinations */
 
 void
-cv_core_init (cv_core_t *c, cv_time_t now, const cv_core_settings_t *set,
-              cv_side_emit_t emit, void *arg)
+cv_side_init (cv_side_core_t *c, cv_time_t now,
+              const cv_side_core_settings_t *set, cv_side_emit_t emit,
+              void *arg)
 {
-  *c = (cv_core_t){ .set = *set, .emit = emit, .arg = arg };
+  *c = (cv_side_core_t){ .set = *set, .emit = emit, .arg = arg };
   c->ticked = now;
   c->config_age_ms = UINT32_MAX;
   c->gate = cv_gate_new (set->kv_tokens, set->max_batch);
@@ -22,7 +23,7 @@
 }
 
 void
-cv_core_finish (cv_core_t *c)
+cv_side_finish (cv_side_core_t *c)
 {
   cv_streams_finish (c);
   cv_calls_finish (c);
@@ -35,7 +36,7 @@
 }
 
 void
-cv_core_message (cv_core_t *c, cv_time_t now, uint32_t peer,
+cv_side_message (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                  const cv_msg_t *msg)
 {
   cv_peers_wake (c, now);
@@ -81,7 +82,7 @@
 }
 
 void
-cv_core_tick (cv_core_t *c, cv_time_t now, int64_t wall_s)
+cv_side_tick (cv_side_core_t *c, cv_time_t now, int64_t wall_s)
 {
   cv_peers_wake (c, now);
   c->ticked = now;
@@ -92,11 +93,11 @@
   cv_orders_tick (c, now);
   cv_drain_tick (c, now);
   c->gate_due = true; /* time and progress */
-  cv_core_flush (c, now);
+  cv_side_flush (c, now);
 }
 
 void
-cv_core_flush (cv_core_t *c, cv_time_t now)
+cv_side_flush (cv_side_core_t *c, cv_time_t now)
 {
   cv_running_gate (c, now);
   cv_calls_run (c, now);
@@ -104,7 +105,7 @@
 }
 
 void
-cv_core_send (cv_core_t *c, uint32_t peer, const cv_msg_t *msg)
+cv_side_send (cv_side_core_t *c, uint32_t peer, const cv_msg_t *msg)
 {
   cv_side_out_t out = { .type = CV_OUT_SEND };
 
@@ -116,8 +117,8 @@
 }
 
 void
-cv_core_reject (cv_core_t *c, uint32_t peer, cv_id_t id, cv_reject_t reason,
-                uint32_t retry_after_ms)
+cv_side_reject (cv_side_core_t *c, uint32_t peer, cv_id_t id,
+                cv_reject_t reason, uint32_t retry_after_ms)
 {
   cv_msg_t msg = { .type = CV_MSG_REJECTED };
 
@@ -125,11 +126,11 @@
   msg.u.rejected.reason = reason;
   msg.u.rejected.retry_after_ms = retry_after_ms;
   c->counts.rejects++;
-  cv_core_send (c, peer, &msg);
+  cv_side_send (c, peer, &msg);
 }
 
 cv_target_state_t
-cv_core_state (const cv_core_t *c)
+cv_side_state (const cv_side_core_t *c)
 {
   if (c->leaving)
     return CV_TARGET_LEAVING;
@@ -137,7 +138,7 @@
 }
 
 void
-cv_core_load (const cv_core_t *c, cv_time_t now, cv_load_t *load)
+cv_side_load (const cv_side_core_t *c, cv_time_t now, cv_load_t *load)
 {
   cv_time_t age;
 
--- a/side/core.h
+++ b/side/core.h
@@ -261,11 +261,11 @@
   cv_time_t drain;      /* longest wait for work in flight; 0: no bound */
   bool fetches;         /* a load needs leave of the weight store */
   uint64_t seed;        /* of jitter */
-} cv_core_settings_t;
+} cv_side_core_settings_t;
 
 typedef struct
 {
-  cv_core_settings_t set;
+  cv_side_core_settings_t set;
   cv_side_emit_t emit;
   void *arg;
   int64_t wall_s; /* wall clock, of the last tick */
@@ -315,41 +315,43 @@
   cv_time_t reclaim_at; /* 0: no reclaim */
 
   cv_side_counts_t counts;
-} cv_core_t;
+} cv_side_core_t;
 
 /* ---- inputs ---- */
 
-void cv_core_init (cv_core_t *c, cv_time_t now, const cv_core_settings_t *set,
-                   cv_side_emit_t emit, void *arg);
-void cv_core_finish (cv_core_t *c);
+void cv_side_init (cv_side_core_t *c, cv_time_t now,
+                   const cv_side_core_settings_t *set, cv_side_emit_t emit,
+                   void *arg);
+void cv_side_finish (cv_side_core_t *c);
 
 /* A message of the entry with number PEER (small, dense).  */
-void cv_core_message (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_side_message (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                       const cv_msg_t *msg);
 /* The entry's connection is gone.  */
-void cv_core_peer_lost (cv_core_t *c, cv_time_t now, uint32_t peer);
+void cv_side_peer_lost (cv_side_core_t *c, cv_time_t now, uint32_t peer);
 /* Every few 10 ms; WALL_S is the wall clock in seconds.  */
-void cv_core_tick (cv_core_t *c, cv_time_t now, int64_t wall_s);
+void cv_side_tick (cv_side_core_t *c, cv_time_t now, int64_t wall_s);
 /* After each batch of inputs: ask the gate and send what is there.  */
-void cv_core_flush (cv_core_t *c, cv_time_t now);
+void cv_side_flush (cv_side_core_t *c, cv_time_t now);
 
 /* Token INDEX of a stream; one that does not follow the last is dropped.  */
-void cv_core_token (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+void cv_side_token (cv_side_core_t *c, cv_time_t now, cv_stream_ref_t ref,
                     uint32_t index, cv_slice_t text);
 /* The engine itself took the stream's memory; it will go on by itself.  */
-void cv_core_preempted (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref);
+void cv_side_preempted (cv_side_core_t *c, cv_time_t now, cv_stream_ref_t ref);
 /* The engine refused to start the stream: nothing was run, and the entry is
    told so.  */
-void cv_core_engine_refused (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
-                             cv_reject_t reason);
+void cv_side_engine_refused (cv_side_core_t *c, cv_time_t now,
+                             cv_stream_ref_t ref, cv_reject_t reason);
 /* The stream ended after TOTAL tokens.  */
-void cv_core_stream_end (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+void cv_side_stream_end (cv_side_core_t *c, cv_time_t now, cv_stream_ref_t ref,
                          cv_end_t end, uint32_t total);
 /* The engine died with everything that it held.  */
-void cv_core_engine_lost (cv_core_t *c, cv_time_t now);
-void cv_core_engine_load (cv_core_t *c, cv_time_t now, const cv_load_t *load);
+void cv_side_engine_lost (cv_side_core_t *c, cv_time_t now);
+void cv_side_engine_load (cv_side_core_t *c, cv_time_t now,
+                          const cv_load_t *load);
 /* The engine or service answers, or not.  */
-void cv_core_backend_state (cv_core_t *c, cv_time_t now, bool up);
+void cv_side_backend_state (cv_side_core_t *c, cv_time_t now, bool up);
 
 /* A call ended.  RAN is false when nothing was sent to the service.  */
 typedef struct
@@ -362,7 +364,8 @@
   cv_slice_t body;
 } cv_call_end_t;
 
-void cv_core_call_end (cv_core_t *c, cv_time_t now, const cv_call_end_t *end);
+void cv_side_call_end (cv_side_core_t *c, cv_time_t now,
+                       const cv_call_end_t *end);
 
 /* The engine's answer to an order, or none.  FENCE is the one that a
    refusal (status 409) names.  */
@@ -373,102 +376,109 @@
   uint64_t fence;
 } cv_order_end_t;
 
-void cv_core_order_end (cv_core_t *c, cv_time_t now, const cv_order_end_t *end);
+void cv_side_order_end (cv_side_core_t *c, cv_time_t now,
+                        const cv_order_end_t *end);
 /* The weight store gave leave, or not; RETRY_AFTER_MS is 0 when it named no
    time.  */
-void cv_core_fetch_end (cv_core_t *c, cv_time_t now, bool granted,
+void cv_side_fetch_end (cv_side_core_t *c, cv_time_t now, bool granted,
                         uint32_t retry_after_ms);
 /* The engine was started anew and holds nothing that was ordered.  */
-void cv_core_engine_booted (cv_core_t *c);
+void cv_side_engine_booted (cv_side_core_t *c);
 
 /* Begin to drain; WITHIN > 0 is the time until the target is taken away.  */
-void cv_core_leave (cv_core_t *c, cv_time_t now, cv_time_t within);
+void cv_side_leave (cv_side_core_t *c, cv_time_t now, cv_time_t within);
 /* True when a leaving side holds nothing that must still be finished.  */
-bool cv_core_drained (const cv_core_t *c, cv_time_t now);
+bool cv_side_drained (const cv_side_core_t *c, cv_time_t now);
 
 /* ---- between the files of the core ---- */
 
-void cv_core_send (cv_core_t *c, uint32_t peer, const cv_msg_t *msg);
-void cv_core_reject (cv_core_t *c, uint32_t peer, cv_id_t id,
+void cv_side_send (cv_side_core_t *c, uint32_t peer, const cv_msg_t *msg);
+void cv_side_reject (cv_side_core_t *c, uint32_t peer, cv_id_t id,
                      cv_reject_t reason, uint32_t retry_after_ms);
-cv_target_state_t cv_core_state (const cv_core_t *c);
-void cv_core_load (const cv_core_t *c, cv_time_t now, cv_load_t *load);
+cv_target_state_t cv_side_state (const cv_side_core_t *c);
+void cv_side_load (const cv_side_core_t *c, cv_time_t now, cv_load_t *load);
 
-void cv_peers_hear (cv_core_t *c, cv_time_t now, uint32_t peer);
-void cv_peers_hello (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_peers_hear (cv_side_core_t *c, cv_time_t now, uint32_t peer);
+void cv_peers_hello (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                      const cv_msg_hello_t *hello);
-void cv_peers_tick (cv_core_t *c, cv_time_t now);
-void cv_peers_report (cv_core_t *c, cv_time_t now, uint32_t peer);
-void cv_peers_report_all (cv_core_t *c, cv_time_t now);
+void cv_peers_tick (cv_side_core_t *c, cv_time_t now);
+void cv_peers_report (cv_side_core_t *c, cv_time_t now, uint32_t peer);
+void cv_peers_report_all (cv_side_core_t *c, cv_time_t now);
 /* Note that the process was frozen, when it was.  */
-void cv_peers_wake (cv_core_t *c, cv_time_t now);
+void cv_peers_wake (cv_side_core_t *c, cv_time_t now);
 /* Whether work from PEER is new: it sent a HELLO since this process went on
    after its last freeze.  */
-bool cv_peers_fresh (const cv_core_t *c, uint32_t peer);
-bool cv_peers_live (const cv_core_t *c, uint32_t peer);
+bool cv_peers_fresh (const cv_side_core_t *c, uint32_t peer);
+bool cv_peers_live (const cv_side_core_t *c, uint32_t peer);
 
-void cv_streams_init (cv_core_t *c);
-void cv_streams_finish (cv_core_t *c);
-void cv_streams_submit (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_streams_init (cv_side_core_t *c);
+void cv_streams_finish (cv_side_core_t *c);
+void cv_streams_submit (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                         const cv_msg_submit_t *m);
-void cv_streams_attach (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_streams_attach (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                         const cv_msg_attach_t *m);
-void cv_streams_detach (cv_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id);
-void cv_streams_cancel (cv_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id);
-void cv_streams_peer_lost (cv_core_t *c, cv_time_t now, uint32_t peer);
-void cv_streams_tick (cv_core_t *c, cv_time_t now);
-void cv_streams_flush (cv_core_t *c);
-cv_stream_t *cv_streams_at (cv_core_t *c, cv_stream_ref_t ref);
+void cv_streams_detach (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+                        cv_id_t id);
+void cv_streams_cancel (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+                        cv_id_t id);
+void cv_streams_peer_lost (cv_side_core_t *c, cv_time_t now, uint32_t peer);
+void cv_streams_tick (cv_side_core_t *c, cv_time_t now);
+void cv_streams_flush (cv_side_core_t *c);
+cv_stream_t *cv_streams_at (cv_side_core_t *c, cv_stream_ref_t ref);
 /* The stream is over: tell its reader and keep it for replay.  */
-void cv_streams_end (cv_core_t *c, cv_time_t now, cv_stream_t *s, cv_end_t end);
+void cv_streams_end (cv_side_core_t *c, cv_time_t now, cv_stream_t *s,
+                     cv_end_t end);
 /* Nothing of the stream was run and nothing will be.  */
-void cv_streams_reject (cv_core_t *c, cv_time_t now, cv_stream_t *s,
+void cv_streams_reject (cv_side_core_t *c, cv_time_t now, cv_stream_t *s,
                         cv_reject_t reason, uint32_t retry_after_ms);
-void cv_streams_mark (cv_core_t *c, cv_stream_t *s);
+void cv_streams_mark (cv_side_core_t *c, cv_stream_t *s);
 
 /* Queue a new stream at the gate; false when it cannot start in time.  */
-bool cv_running_offer (cv_core_t *c, cv_time_t now, cv_stream_t *s,
+bool cv_running_offer (cv_side_core_t *c, cv_time_t now, cv_stream_t *s,
                        uint32_t *retry_after_ms);
 /* The stream left the gate; NATURAL as of cv_gate_ended.  */
-void cv_running_ended (cv_core_t *c, cv_time_t now, const cv_stream_t *s,
+void cv_running_ended (cv_side_core_t *c, cv_time_t now, const cv_stream_t *s,
                        bool natural);
 /* Ask the gate when anything changed since the last time, or at a tick.  */
-void cv_running_gate (cv_core_t *c, cv_time_t now);
+void cv_running_gate (cv_side_core_t *c, cv_time_t now);
 /* The suspects changed: judge the streams anew.  */
-void cv_running_review (cv_core_t *c, cv_time_t now);
-void cv_engine_order (cv_core_t *c, cv_out_type_t type, const cv_stream_t *s);
+void cv_running_review (cv_side_core_t *c, cv_time_t now);
+void cv_engine_order (cv_side_core_t *c, cv_out_type_t type,
+                      const cv_stream_t *s);
 
-void cv_calls_init (cv_core_t *c, cv_time_t now);
-void cv_calls_finish (cv_core_t *c);
-void cv_calls_call (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_calls_init (cv_side_core_t *c, cv_time_t now);
+void cv_calls_finish (cv_side_core_t *c);
+void cv_calls_call (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                     const cv_msg_call_t *m);
-void cv_calls_revoke (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_calls_revoke (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                       const cv_msg_revoke_t *m);
-void cv_calls_tick (cv_core_t *c, cv_time_t now);
-void cv_calls_run (cv_core_t *c, cv_time_t now);
+void cv_calls_tick (cv_side_core_t *c, cv_time_t now);
+void cv_calls_run (cv_side_core_t *c, cv_time_t now);
 /* The target is taken away: reject what is queued and, when LAST, answer
    what still runs as unknown.  */
-void cv_calls_reclaim (cv_core_t *c, cv_time_t now, bool last);
+void cv_calls_reclaim (cv_side_core_t *c, cv_time_t now, bool last);
 
-void cv_docs_finish (cv_core_t *c);
-void cv_docs_versions (const cv_core_t *c, cv_time_t now, cv_versions_t *out);
-void cv_docs_heard (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_docs_finish (cv_side_core_t *c);
+void cv_docs_versions (const cv_side_core_t *c, cv_time_t now,
+                       cv_versions_t *out);
+void cv_docs_heard (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                     const cv_versions_t *v);
 /* A message decided under VERSION came from PEER; false when it is older
    than what this side knows of.  */
-bool cv_docs_admit (cv_core_t *c, cv_time_t now, uint32_t peer,
+bool cv_docs_admit (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                     uint64_t version);
-void cv_docs_pull (cv_core_t *c, uint32_t peer, const cv_msg_doc_pull_t *m);
-void cv_docs_doc (cv_core_t *c, cv_time_t now, uint32_t peer,
+void cv_docs_pull (cv_side_core_t *c, uint32_t peer,
+                   const cv_msg_doc_pull_t *m);
+void cv_docs_doc (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                   const cv_msg_doc_t *m);
 /* The suspects changed here.  */
-void cv_docs_suspects_changed (cv_core_t *c, cv_time_t now);
+void cv_docs_suspects_changed (cv_side_core_t *c, cv_time_t now);
 
-void cv_orders_init (cv_core_t *c, cv_time_t now);
-void cv_orders_finish (cv_core_t *c);
-void cv_orders_tick (cv_core_t *c, cv_time_t now);
+void cv_orders_init (cv_side_core_t *c, cv_time_t now);
+void cv_orders_finish (cv_side_core_t *c);
+void cv_orders_tick (cv_side_core_t *c, cv_time_t now);
 
-void cv_drain_tick (cv_core_t *c, cv_time_t now);
+void cv_drain_tick (cv_side_core_t *c, cv_time_t now);
 
 #ifdef __cplusplus
 }
--- a/side/docs.c
+++ b/side/docs.c
@@ -5,16 +5,18 @@
 #include "side/core.h"
 
 static void doc_store (cv_doc_state_t *d, uint64_t version, cv_slice_t body);
-static void send_steps (cv_core_t *c, uint32_t peer, const cv_doc_state_t *d,
-                        uint64_t have);
-static void take_config (cv_core_t *c, cv_time_t now, uint32_t peer,
+static void send_steps (cv_side_core_t *c, uint32_t peer,
+                        const cv_doc_state_t *d, uint64_t have);
+static void take_config (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                          const cv_msg_doc_t *m);
-static void take_suspects (cv_core_t *c, cv_time_t now, const cv_msg_doc_t *m);
-static void suspects_store (cv_core_t *c);
-static void pull (cv_core_t *c, cv_time_t now, uint32_t peer, cv_doc_t doc);
+static void take_suspects (cv_side_core_t *c, cv_time_t now,
+                           const cv_msg_doc_t *m);
+static void suspects_store (cv_side_core_t *c);
+static void pull (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+                  cv_doc_t doc);
 
 void
-cv_docs_finish (cv_core_t *c)
+cv_docs_finish (cv_side_core_t *c)
 {
   int i;
 
@@ -27,7 +29,7 @@
 }
 
 void
-cv_docs_versions (const cv_core_t *c, cv_time_t now, cv_versions_t *out)
+cv_docs_versions (const cv_side_core_t *c, cv_time_t now, cv_versions_t *out)
 {
   int64_t age = c->config_age_ms;
   int i;
@@ -40,7 +42,7 @@
 }
 
 void
-cv_docs_heard (cv_core_t *c, cv_time_t now, uint32_t peer,
+cv_docs_heard (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                const cv_versions_t *v)
 {
   cv_versions_t own;
@@ -63,7 +65,8 @@
 }
 
 bool
-cv_docs_admit (cv_core_t *c, cv_time_t now, uint32_t peer, uint64_t version)
+cv_docs_admit (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+               uint64_t version)
 {
   cv_doc_state_t *d = &c->doc[CV_DOC_CONFIG];
 
@@ -75,7 +78,7 @@
 }
 
 void
-cv_docs_pull (cv_core_t *c, uint32_t peer, const cv_msg_doc_pull_t *m)
+cv_docs_pull (cv_side_core_t *c, uint32_t peer, const cv_msg_doc_pull_t *m)
 {
   cv_msg_t msg = { .type = CV_MSG_DOC };
   const cv_doc_state_t *d;
@@ -92,11 +95,12 @@
   msg.u.doc.version = d->version;
   msg.u.doc.body.p = d->body;
   msg.u.doc.body.n = d->size;
-  cv_core_send (c, peer, &msg);
+  cv_side_send (c, peer, &msg);
 }
 
 void
-cv_docs_doc (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_doc_t *m)
+cv_docs_doc (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+             const cv_msg_doc_t *m)
 {
   if (m->doc >= CV_DOC_COUNT || m->version <= c->doc[m->doc].version)
     return;
@@ -116,7 +120,7 @@
 }
 
 void
-cv_docs_suspects_changed (cv_core_t *c, cv_time_t now)
+cv_docs_suspects_changed (cv_side_core_t *c, cv_time_t now)
 {
   suspects_store (c);
   cv_running_review (c, now);
@@ -125,7 +129,7 @@
 
 /* Dump the suspects as a document newer than all that are known.  */
 static void
-suspects_store (cv_core_t *c)
+suspects_store (cv_side_core_t *c)
 {
   cv_doc_state_t *d = &c->doc[CV_DOC_SUSPECTS];
   uint64_t newest = d->seen > d->version ? d->seen : d->version;
@@ -152,7 +156,8 @@
 
 /* The kept steps that lead from version HAVE to the present one.  */
 static void
-send_steps (cv_core_t *c, uint32_t peer, const cv_doc_state_t *d, uint64_t have)
+send_steps (cv_side_core_t *c, uint32_t peer, const cv_doc_state_t *d,
+            uint64_t have)
 {
   cv_msg_t msg = { .type = CV_MSG_DOC };
 
@@ -165,13 +170,14 @@
       msg.u.doc.version = step->to;
       msg.u.doc.body.p = step->text;
       msg.u.doc.body.n = step->size;
-      cv_core_send (c, peer, &msg);
+      cv_side_send (c, peer, &msg);
       have = step->to;
     }
 }
 
 static void
-take_config (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_doc_t *m)
+take_config (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+             const cv_msg_doc_t *m)
 {
   cv_doc_state_t *d = &c->doc[CV_DOC_CONFIG];
   cv_slice_t own = { d->body, d->size };
@@ -213,7 +219,7 @@
 /* Take the union of both documents; when ours had more, the union is a new
    version that the peer has yet to pull.  */
 static void
-take_suspects (cv_core_t *c, cv_time_t now, const cv_msg_doc_t *m)
+take_suspects (cv_side_core_t *c, cv_time_t now, const cv_msg_doc_t *m)
 {
   cv_doc_state_t *d = &c->doc[CV_DOC_SUSPECTS];
   cv_error_t err;
@@ -237,7 +243,7 @@
 }
 
 static void
-pull (cv_core_t *c, cv_time_t now, uint32_t peer, cv_doc_t doc)
+pull (cv_side_core_t *c, cv_time_t now, uint32_t peer, cv_doc_t doc)
 {
   cv_doc_state_t *d = &c->doc[doc];
   cv_msg_t msg = { .type = CV_MSG_DOC_PULL };
@@ -247,5 +253,5 @@
   d->pulled = now;
   msg.u.doc_pull.doc = doc;
   msg.u.doc_pull.have = d->version;
-  cv_core_send (c, peer, &msg);
+  cv_side_send (c, peer, &msg);
 }
--- a/side/drain.c
+++ b/side/drain.c
@@ -5,11 +5,12 @@
 
 #define MEDIAN 0.5
 
-static void reclaim_streams (cv_core_t *c, cv_time_t now);
-static bool finishes (const cv_core_t *c, const cv_stream_t *s, cv_time_t left);
+static void reclaim_streams (cv_side_core_t *c, cv_time_t now);
+static bool finishes (const cv_side_core_t *c, const cv_stream_t *s,
+                      cv_time_t left);
 
 void
-cv_core_leave (cv_core_t *c, cv_time_t now, cv_time_t within)
+cv_side_leave (cv_side_core_t *c, cv_time_t now, cv_time_t within)
 {
   cv_time_t at = now + within;
 
@@ -25,7 +26,7 @@
 }
 
 bool
-cv_core_drained (const cv_core_t *c, cv_time_t now)
+cv_side_drained (const cv_side_core_t *c, cv_time_t now)
 {
   const cv_stream_t *s;
 
@@ -42,7 +43,7 @@
 }
 
 void
-cv_drain_tick (cv_core_t *c, cv_time_t now)
+cv_drain_tick (cv_side_core_t *c, cv_time_t now)
 {
   if (c->leaving && c->reclaim_at == 0 && c->set.drain > 0
       && now - c->leave_since >= c->set.drain - CV_RECLAIM_MARGIN)
@@ -54,7 +55,7 @@
 }
 
 static void
-reclaim_streams (cv_core_t *c, cv_time_t now)
+reclaim_streams (cv_side_core_t *c, cv_time_t now)
 {
   cv_time_t left = c->reclaim_at - CV_RECLAIM_MARGIN - now;
   cv_stream_t *s = TAILQ_FIRST (&c->streams);
@@ -76,7 +77,7 @@
 
 /* Whether S is expected to end within LEFT.  */
 static bool
-finishes (const cv_core_t *c, const cv_stream_t *s, cv_time_t left)
+finishes (const cv_side_core_t *c, const cv_stream_t *s, cv_time_t left)
 {
   uint32_t tokens = cv_length_remaining (c->lengths, &s->key, s->count,
                                          s->max_tokens, MEDIAN);
--- a/side/engine.c
+++ b/side/engine.c
@@ -28,7 +28,7 @@
 static cv_run_t *run_find (const cv_engine_t *e, cv_stream_ref_t ref);
 
 void
-cv_engine_init (cv_engine_t *e, cv_core_t *core, cv_http_t *http,
+cv_engine_init (cv_engine_t *e, cv_side_core_t *core, cv_http_t *http,
                 const char *url)
 {
   *e = (cv_engine_t){ .core = core, .http = http };
@@ -156,7 +156,7 @@
       if (may_return)
         cv_engine_cancel (e, run->ref.id);
     }
-  cv_core_engine_lost (e->core, cv_now ());
+  cv_side_engine_lost (e->core, cv_now ());
 }
 
 void
@@ -300,14 +300,14 @@
       = result->status == 503 ? CV_REJECT_FULL : CV_REJECT_ENGINE;
 
   cv_engine_over (run);
-  cv_core_engine_refused (run->engine->core, cv_now (), run->ref, reason);
+  cv_side_engine_refused (run->engine->core, cv_now (), run->ref, reason);
 }
 
 void
 cv_engine_lose (cv_run_t *run)
 {
   cv_engine_over (run);
-  cv_core_stream_end (run->engine->core, cv_now (), run->ref,
+  cv_side_stream_end (run->engine->core, cv_now (), run->ref,
                       CV_END_ENGINE_LOST, run->offset);
 }
 
--- a/side/engine.h
+++ b/side/engine.h
@@ -56,7 +56,7 @@
 
 typedef struct cv_engine_t
 {
-  cv_core_t *core;
+  cv_side_core_t *core;
   cv_http_t *http;
   char url[128];
   json_tokener *tokener;
@@ -76,7 +76,7 @@
   bool pending; /* a run has something to do at a tick */
 } cv_engine_t;
 
-void cv_engine_init (cv_engine_t *e, cv_core_t *core, cv_http_t *http,
+void cv_engine_init (cv_engine_t *e, cv_side_core_t *core, cv_http_t *http,
                      const char *url);
 void cv_engine_finish (cv_engine_t *e);
 /* An order of the core: CV_OUT_ENGINE_START, PAUSE, RUN or CANCEL.  */
--- a/side/engine_events.c
+++ b/side/engine_events.c
@@ -101,7 +101,7 @@
     {
       ok = o != NULL;
       if (json_object_object_get_ex (o, "preempted", NULL) && !run->want_paused)
-        cv_core_preempted (run->engine->core, cv_now (), run->ref);
+        cv_side_preempted (run->engine->core, cv_now (), run->ref);
     }
   if (!ok)
     set_broken (run);
@@ -132,7 +132,7 @@
     return true; /* sent before the body was cut */
   run->offset++;
   run->tries = 0;
-  cv_core_token (run->engine->core, cv_now (), run->ref, (uint32_t)index, text);
+  cv_side_token (run->engine->core, cv_now (), run->ref, (uint32_t)index, text);
   return true;
 }
 
@@ -152,7 +152,7 @@
   else
     end = CV_END_CANCELLED;
   cv_engine_over (run);
-  cv_core_stream_end (run->engine->core, cv_now (), run->ref, end,
+  cv_side_stream_end (run->engine->core, cv_now (), run->ref, end,
                       (uint32_t)total);
   return true;
 }
@@ -218,7 +218,7 @@
   if (e->boot != 0 && boot != e->boot && !TAILQ_EMPTY (&e->runs))
     cv_engine_dead (e, false);
   if (e->boot != 0 && boot != e->boot)
-    cv_core_engine_booted (e->core);
+    cv_side_engine_booted (e->core);
   e->boot = boot;
   e->answered = now;
   lose_missing (e);
@@ -229,7 +229,7 @@
   load.preemptions = (uint64_t)get_int (o, "preemptions");
   load.token_us = (uint32_t)get_int (o, "token_ms") * 1000;
   load.age_ms = (uint32_t)get_int (o, "age_ms");
-  cv_core_engine_load (e->core, now, &load);
+  cv_side_engine_load (e->core, now, &load);
   set_up (e, true);
 }
 
@@ -255,7 +255,7 @@
     return;
   e->up = up;
   cv_log (up ? CV_EV_SIDE_BACKEND_UP : CV_EV_SIDE_BACKEND_DOWN, "%s", e->url);
-  cv_core_backend_state (e->core, cv_now (), up);
+  cv_side_backend_state (e->core, cv_now (), up);
 }
 
 static int64_t
--- a/side/engine_orders.c
+++ b/side/engine_orders.c
@@ -22,8 +22,9 @@
 static uint64_t fence_of (cv_slice_t body);
 
 void
-cv_engine_orders_init (cv_engine_orders_t *o, cv_core_t *core, cv_http_t *http,
-                       const char *engine_url, const char *weights_url)
+cv_engine_orders_init (cv_engine_orders_t *o, cv_side_core_t *core,
+                       cv_http_t *http, const char *engine_url,
+                       const char *weights_url)
 {
   *o = (cv_engine_orders_t){ .core = core,
                              .http = http,
@@ -125,7 +126,7 @@
   o->request = NULL;
   if (end.answered && end.status != STATUS_OK)
     end.fence = fence_of (result->body);
-  cv_core_order_end (o->core, cv_now (), &end);
+  cv_side_order_end (o->core, cv_now (), &end);
 }
 
 static void
@@ -138,7 +139,7 @@
   o->request = NULL;
   if (result->end == CV_HTTP_WHOLE && !granted)
     retry_after_ms = result->retry_after_s * 1000;
-  cv_core_fetch_end (o->core, cv_now (), granted, retry_after_ms);
+  cv_side_fetch_end (o->core, cv_now (), granted, retry_after_ms);
 }
 
 /* The number that {"error":{"fence":N}} names; 0 when there is none.  */
--- a/side/engine_orders.h
+++ b/side/engine_orders.h
@@ -13,7 +13,7 @@
 
 typedef struct
 {
-  cv_core_t *core;
+  cv_side_core_t *core;
   cv_http_t *http;
   const char *engine_url;
   const char *weights_url;
@@ -21,7 +21,7 @@
 } cv_engine_orders_t;
 
 /* The strings are kept by reference.  */
-void cv_engine_orders_init (cv_engine_orders_t *o, cv_core_t *core,
+void cv_engine_orders_init (cv_engine_orders_t *o, cv_side_core_t *core,
                             cv_http_t *http, const char *engine_url,
                             const char *weights_url);
 void cv_engine_orders_finish (cv_engine_orders_t *o);
--- a/side/link.c
+++ b/side/link.c
@@ -16,8 +16,8 @@
 
 static bool set_int (void *socket, int option, int value);
 static bool open_socket (cv_link_t *l, const char *bind, cv_error_t *err);
-static bool receive (cv_link_t *l, cv_core_t *core);
-static void take_frame (cv_link_t *l, cv_core_t *core, zmq_msg_t *identity,
+static bool receive (cv_link_t *l, cv_side_core_t *core);
+static void take_frame (cv_link_t *l, cv_side_core_t *core, zmq_msg_t *identity,
                         zmq_msg_t *frame);
 static uint32_t peer_of (cv_link_t *l, const void *identity, size_t size);
 
@@ -47,7 +47,7 @@
 }
 
 bool
-cv_link_drain (cv_link_t *l, cv_core_t *core)
+cv_link_drain (cv_link_t *l, cv_side_core_t *core)
 {
   int i;
 
@@ -84,7 +84,7 @@
 }
 
 void
-cv_link_check (cv_link_t *l, cv_core_t *core)
+cv_link_check (cv_link_t *l, cv_side_core_t *core)
 {
   uint32_t i;
 
@@ -93,7 +93,7 @@
   l->any_failed = false;
   for (i = 0; i < l->peer_count; i++)
     if (l->peers[i].used && l->peers[i].failed)
-      cv_core_peer_lost (core, cv_now (), i);
+      cv_side_peer_lost (core, cv_now (), i);
 }
 
 static bool
@@ -130,7 +130,7 @@
 
 /* Receive one message; false when there is none.  */
 static bool
-receive (cv_link_t *l, cv_core_t *core)
+receive (cv_link_t *l, cv_side_core_t *core)
 {
   zmq_msg_t identity;
   zmq_msg_t frame;
@@ -161,7 +161,7 @@
 }
 
 static void
-take_frame (cv_link_t *l, cv_core_t *core, zmq_msg_t *identity,
+take_frame (cv_link_t *l, cv_side_core_t *core, zmq_msg_t *identity,
             zmq_msg_t *frame)
 {
   cv_msg_t msg;
@@ -174,7 +174,7 @@
       return;
     }
   peer = peer_of (l, zmq_msg_data (identity), zmq_msg_size (identity));
-  cv_core_message (core, cv_now (), peer, &msg);
+  cv_side_message (core, cv_now (), peer, &msg);
 }
 
 /* The number of the entry with this identity, a free one when it is new.  */
--- a/side/link.h
+++ b/side/link.h
@@ -37,11 +37,11 @@
 void cv_link_finish (cv_link_t *l);
 /* Hand received messages to CORE, a bounded number; true when more may be
    waiting.  */
-bool cv_link_drain (cv_link_t *l, cv_core_t *core);
+bool cv_link_drain (cv_link_t *l, cv_side_core_t *core);
 void cv_link_send (cv_link_t *l, uint32_t peer, const cv_msg_t *msg);
 void cv_link_forget (cv_link_t *l, uint32_t peer);
 /* Tell CORE of the entries that could not be sent to.  */
-void cv_link_check (cv_link_t *l, cv_core_t *core);
+void cv_link_check (cv_link_t *l, cv_side_core_t *core);
 
 #ifdef __cplusplus
 }
--- a/side/metrics.c
+++ b/side/metrics.c
@@ -8,12 +8,12 @@
 static void gauge (cv_buf_t *out, const char *name, uint64_t value);
 
 void
-cv_side_metrics (const cv_core_t *c, cv_time_t now, cv_buf_t *out)
+cv_side_metrics (const cv_side_core_t *c, cv_time_t now, cv_buf_t *out)
 {
   const cv_side_counts_t *n = &c->counts;
   cv_load_t load;
 
-  cv_core_load (c, now, &load);
+  cv_side_load (c, now, &load);
   counter (out, "submits", n->submits);
   counter (out, "rejects", n->rejects);
   counter (out, "tokens", n->tokens);
@@ -32,7 +32,7 @@
   gauge (out, "streams", c->stream_ids.count);
   gauge (out, "tickets", c->tickets.count);
   gauge (out, "answer_bytes", c->result_bytes);
-  gauge (out, "state", (uint64_t)cv_core_state (c));
+  gauge (out, "state", (uint64_t)cv_side_state (c));
   gauge (out, "config_version", c->doc[CV_DOC_CONFIG].version);
 }
 
--- a/side/metrics.h
+++ b/side/metrics.h
@@ -9,7 +9,7 @@
 extern "C" {
 #endif
 
-void cv_side_metrics (const cv_core_t *c, cv_time_t now, cv_buf_t *out);
+void cv_side_metrics (const cv_side_core_t *c, cv_time_t now, cv_buf_t *out);
 
 #ifdef __cplusplus
 }
--- a/side/orders.c
+++ b/side/orders.c
@@ -8,32 +8,32 @@
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
 
-static bool may_order (const cv_core_t *c, cv_time_t now);
-static bool next_order (const cv_core_t *c, cv_order_t *out);
-static bool differs (const cv_core_t *c, cv_order_t *out);
+static bool may_order (const cv_side_core_t *c, cv_time_t now);
+static bool next_order (const cv_side_core_t *c, cv_order_t *out);
+static bool differs (const cv_side_core_t *c, cv_order_t *out);
 static cv_order_t *find_loaded (const cv_orders_t *o, const char *model);
 static bool same (const cv_order_t *a, const cv_order_t *b);
 static void name_model (cv_order_t *o, const cv_model_t *m);
 static void taken (cv_orders_t *o);
 static void unload (cv_orders_t *o, const char *model);
 static void refused (cv_orders_t *o, uint64_t fence);
-static void wait_for (cv_core_t *c, cv_time_t now, uint32_t least_ms);
+static void wait_for (cv_side_core_t *c, cv_time_t now, uint32_t least_ms);
 
 void
-cv_orders_init (cv_core_t *c, cv_time_t now)
+cv_orders_init (cv_side_core_t *c, cv_time_t now)
 {
   c->orders.phase = CV_ORDERS_PROBE;
   c->orders.since = now;
 }
 
 void
-cv_orders_finish (cv_core_t *c)
+cv_orders_finish (cv_side_core_t *c)
 {
   free (c->orders.loaded);
 }
 
 void
-cv_orders_tick (cv_core_t *c, cv_time_t now)
+cv_orders_tick (cv_side_core_t *c, cv_time_t now)
 {
   cv_orders_t *o = &c->orders;
   cv_side_out_t out = { .type = CV_OUT_ORDER };
@@ -52,7 +52,7 @@
 }
 
 void
-cv_core_order_end (cv_core_t *c, cv_time_t now, const cv_order_end_t *end)
+cv_side_order_end (cv_side_core_t *c, cv_time_t now, const cv_order_end_t *end)
 {
   cv_orders_t *o = &c->orders;
   bool outdated = o->outdated;
@@ -79,7 +79,7 @@
 }
 
 void
-cv_core_fetch_end (cv_core_t *c, cv_time_t now, bool granted,
+cv_side_fetch_end (cv_side_core_t *c, cv_time_t now, bool granted,
                    uint32_t retry_after_ms)
 {
   cv_orders_t *o = &c->orders;
@@ -94,7 +94,7 @@
 }
 
 void
-cv_core_engine_booted (cv_core_t *c)
+cv_side_engine_booted (cv_side_core_t *c)
 {
   cv_orders_t *o = &c->orders;
 
@@ -107,7 +107,7 @@
 /* ---- local ---- */
 
 static bool
-may_order (const cv_core_t *c, cv_time_t now)
+may_order (const cv_side_core_t *c, cv_time_t now)
 {
   const cv_orders_t *o = &c->orders;
   const cv_pool_t *pool;
@@ -128,7 +128,7 @@
 
 /* The order that is due; false when there is none.  */
 static bool
-next_order (const cv_core_t *c, cv_order_t *out)
+next_order (const cv_side_core_t *c, cv_order_t *out)
 {
   const cv_orders_t *o = &c->orders;
 
@@ -148,7 +148,7 @@
 /* The first difference between the configuration and what was ordered; what
    goes is unloaded before anything is loaded.  */
 static bool
-differs (const cv_core_t *c, cv_order_t *out)
+differs (const cv_side_core_t *c, cv_order_t *out)
 {
   const cv_orders_t *o = &c->orders;
   const cv_order_t *l;
@@ -274,7 +274,7 @@
    LEAST_MS; up to as much again is drawn on top, so that the targets of a
    fleet do not come back together.  */
 static void
-wait_for (cv_core_t *c, cv_time_t now, uint32_t least_ms)
+wait_for (cv_side_core_t *c, cv_time_t now, uint32_t least_ms)
 {
   cv_orders_t *o = &c->orders;
   uint64_t ms = CV_ORDER_RETRY_MS;
--- a/side/peers.c
+++ b/side/peers.c
@@ -5,17 +5,17 @@
 #include "side/core.h"
 
 static cv_time_t report_interval (const cv_peer_t *p);
-static void supersede (cv_core_t *c, cv_time_t now, uint32_t peer,
+static void supersede (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                        const cv_msg_hello_t *hello);
 
 bool
-cv_peers_live (const cv_core_t *c, uint32_t peer)
+cv_peers_live (const cv_side_core_t *c, uint32_t peer)
 {
   return peer < c->peer_count && c->peers[peer].used;
 }
 
 void
-cv_peers_hear (cv_core_t *c, cv_time_t now, uint32_t peer)
+cv_peers_hear (cv_side_core_t *c, cv_time_t now, uint32_t peer)
 {
   cv_peer_t *p;
 
@@ -35,7 +35,7 @@
 }
 
 void
-cv_peers_wake (cv_core_t *c, cv_time_t now)
+cv_peers_wake (cv_side_core_t *c, cv_time_t now)
 {
   uint32_t i;
 
@@ -50,7 +50,7 @@
 }
 
 bool
-cv_peers_fresh (const cv_core_t *c, uint32_t peer)
+cv_peers_fresh (const cv_side_core_t *c, uint32_t peer)
 {
   return c->woke == 0
          || (cv_peers_live (c, peer)
@@ -58,7 +58,7 @@
 }
 
 void
-cv_peers_hello (cv_core_t *c, cv_time_t now, uint32_t peer,
+cv_peers_hello (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                 const cv_msg_hello_t *hello)
 {
   cv_peer_t *p = &c->peers[peer];
@@ -82,7 +82,7 @@
 }
 
 void
-cv_core_peer_lost (cv_core_t *c, cv_time_t now, uint32_t peer)
+cv_side_peer_lost (cv_side_core_t *c, cv_time_t now, uint32_t peer)
 {
   cv_side_out_t out = { .type = CV_OUT_FORGET_PEER };
 
@@ -95,7 +95,7 @@
 }
 
 void
-cv_peers_tick (cv_core_t *c, cv_time_t now)
+cv_peers_tick (cv_side_core_t *c, cv_time_t now)
 {
   uint32_t i;
 
@@ -106,14 +106,14 @@
       if (!p->used)
         continue;
       if (now - p->heard >= cv_peer_timeout (p->report_ms))
-        cv_core_peer_lost (c, now, i);
+        cv_side_peer_lost (c, now, i);
       else if (now - p->reported >= report_interval (p))
         cv_peers_report (c, now, i);
     }
 }
 
 void
-cv_peers_report (cv_core_t *c, cv_time_t now, uint32_t peer)
+cv_peers_report (cv_side_core_t *c, cv_time_t now, uint32_t peer)
 {
   cv_msg_t msg = { .type = CV_MSG_REPORT };
   cv_msg_report_t *r = &msg.u.report;
@@ -123,16 +123,16 @@
   memcpy (r->failure_domain, c->set.failure_domain, sizeof r->failure_domain);
   r->incarnation = c->set.incarnation;
   r->generation = c->generation;
-  r->state = cv_core_state (c);
-  cv_core_load (c, now, &r->load);
+  r->state = cv_side_state (c);
+  cv_side_load (c, now, &r->load);
   cv_docs_versions (c, now, &r->versions);
   if (cv_peers_live (c, peer))
     c->peers[peer].reported = now;
-  cv_core_send (c, peer, &msg);
+  cv_side_send (c, peer, &msg);
 }
 
 void
-cv_peers_report_all (cv_core_t *c, cv_time_t now)
+cv_peers_report_all (cv_side_core_t *c, cv_time_t now)
 {
   uint32_t i;
 
@@ -154,7 +154,7 @@
 /* An entry that connected anew leaves its old connection behind; what was
    sent there may be lost, so its streams wait for an ATTACH.  */
 static void
-supersede (cv_core_t *c, cv_time_t now, uint32_t peer,
+supersede (cv_side_core_t *c, cv_time_t now, uint32_t peer,
            const cv_msg_hello_t *hello)
 {
   uint32_t i;
@@ -162,5 +162,5 @@
   for (i = 0; i < c->peer_count; i++)
     if (i != peer && c->peers[i].used
         && strcmp (c->peers[i].instance, hello->instance) == 0)
-      cv_core_peer_lost (c, now, i);
+      cv_side_peer_lost (c, now, i);
 }
--- a/side/run.c
+++ b/side/run.c
@@ -38,7 +38,7 @@
   char bind[CV_ENDPOINT_TEXT + sizeof "tcp://"]; /* for the entries */
   int epoll;
   int signals;
-  cv_core_t core;
+  cv_side_core_t core;
   cv_link_t link;
   cv_http_t http;
   cv_control_t control;
@@ -85,7 +85,7 @@
   cv_engine_finish (&l.engine);
   cv_engine_orders_finish (&l.orders);
   cv_service_finish (&l.service);
-  cv_core_finish (&l.core);
+  cv_side_finish (&l.core);
   close_all (&l);
   curl_global_cleanup ();
   return true;
@@ -173,7 +173,7 @@
 core_init (loop_t *l)
 {
   const cv_side_settings_t *s = l->set;
-  cv_core_settings_t set
+  cv_side_core_settings_t set
       = { .kind
           = s->kind == CV_TARGET_ENGINE ? CV_POOL_ENGINE : CV_POOL_SERVICE,
           .incarnation = cv_u64_random (),
@@ -190,7 +190,7 @@
   memcpy (set.target, s->target, sizeof set.target);
   memcpy (set.pool, s->pool, sizeof set.pool);
   memcpy (set.failure_domain, s->failure_domain, sizeof set.failure_domain);
-  cv_core_init (&l->core, cv_now (), &set, emit, l);
+  cv_side_init (&l->core, cv_now (), &set, emit, l);
   cv_engine_init (&l->engine, &l->core, &l->http, s->target_url.url);
   l->engine.poll_interval = s->load_poll_ms * CV_MS;
   cv_engine_orders_init (&l->orders, &l->core, &l->http, s->target_url.url,
@@ -239,7 +239,7 @@
   int n;
   int i;
 
-  while (!cv_core_drained (&l->core, cv_now ()))
+  while (!cv_side_drained (&l->core, cv_now ()))
     {
       n = epoll_wait (l->epoll, event, EVENTS_MAX, wait_ms (l, more));
       for (i = 0; i < n; i++)
@@ -248,7 +248,7 @@
       cv_http_tick (&l->http, cv_now ());
       if (cv_now () >= l->tick_at)
         tick (l, cv_now ());
-      cv_core_flush (&l->core, cv_now ());
+      cv_side_flush (&l->core, cv_now ());
       cv_link_check (&l->link, &l->core);
       /* Sending may have taken in messages without a new wake-up.  */
       more = cv_link_drain (&l->link, &l->core) || more;
@@ -306,7 +306,7 @@
 {
   cv_log (CV_EV_SIDE_LEAVING, "target %s, within %u ms", l->set->target,
           within_ms);
-  cv_core_leave (&l->core, cv_now (), within_ms * CV_MS);
+  cv_side_leave (&l->core, cv_now (), within_ms * CV_MS);
 }
 
 static void
@@ -319,7 +319,7 @@
     cv_engine_tick (&l->engine, now);
   else
     cv_service_tick (&l->service, now);
-  cv_core_tick (&l->core, now, wall_s ());
+  cv_side_tick (&l->core, now, wall_s ());
   if (now < l->metrics_at)
     return;
   l->metrics_at = now + METRICS_INTERVAL;
--- a/side/running.c
+++ b/side/running.c
@@ -8,16 +8,16 @@
 #define BYTES_PER_TOKEN 4 /* of a prompt, estimated */
 #define TOKENS_FIRST 64   /* room for so many tokens at first */
 
-static void act (cv_core_t *c, cv_time_t now, const cv_gate_action_t *a);
-static void start (cv_core_t *c, cv_stream_t *s);
-static void append (cv_core_t *c, cv_stream_t *s, cv_slice_t text);
-static void review_waiting (cv_core_t *c, cv_time_t now, cv_stream_t *s);
-static bool strike (cv_core_t *c);
-static void note_natural_end (cv_core_t *c, cv_time_t now,
+static void act (cv_side_core_t *c, cv_time_t now, const cv_gate_action_t *a);
+static void start (cv_side_core_t *c, cv_stream_t *s);
+static void append (cv_side_core_t *c, cv_stream_t *s, cv_slice_t text);
+static void review_waiting (cv_side_core_t *c, cv_time_t now, cv_stream_t *s);
+static bool strike (cv_side_core_t *c);
+static void note_natural_end (cv_side_core_t *c, cv_time_t now,
                               const cv_stream_t *s);
 
 bool
-cv_running_offer (cv_core_t *c, cv_time_t now, cv_stream_t *s,
+cv_running_offer (cv_side_core_t *c, cv_time_t now, cv_stream_t *s,
                   uint32_t *retry_after_ms)
 {
   cv_gate_work_t work = { .slot = s->slot, .key = s->key, .weight = 1 };
@@ -39,7 +39,7 @@
 }
 
 void
-cv_running_ended (cv_core_t *c, cv_time_t now, const cv_stream_t *s,
+cv_running_ended (cv_side_core_t *c, cv_time_t now, const cv_stream_t *s,
                   bool natural)
 {
   cv_gate_ended (c->gate, now, s->slot, natural);
@@ -47,7 +47,7 @@
 }
 
 void
-cv_running_gate (cv_core_t *c, cv_time_t now)
+cv_running_gate (cv_side_core_t *c, cv_time_t now)
 {
   cv_gate_action_t action[GATE_BATCH];
   size_t n;
@@ -66,7 +66,7 @@
 }
 
 void
-cv_running_review (cv_core_t *c, cv_time_t now)
+cv_running_review (cv_side_core_t *c, cv_time_t now)
 {
   cv_stream_t *s = TAILQ_FIRST (&c->streams);
 
@@ -89,7 +89,7 @@
 }
 
 void
-cv_engine_order (cv_core_t *c, cv_out_type_t type, const cv_stream_t *s)
+cv_engine_order (cv_side_core_t *c, cv_out_type_t type, const cv_stream_t *s)
 {
   cv_side_out_t out = { .type = type };
 
@@ -99,8 +99,8 @@
 }
 
 void
-cv_core_token (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref, uint32_t index,
-               cv_slice_t text)
+cv_side_token (cv_side_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+               uint32_t index, cv_slice_t text)
 {
   cv_stream_t *s = cv_streams_at (c, ref);
 
@@ -113,7 +113,7 @@
 }
 
 void
-cv_core_preempted (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref)
+cv_side_preempted (cv_side_core_t *c, cv_time_t now, cv_stream_ref_t ref)
 {
   cv_stream_t *s = cv_streams_at (c, ref);
 
@@ -125,7 +125,7 @@
 }
 
 void
-cv_core_engine_refused (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+cv_side_engine_refused (cv_side_core_t *c, cv_time_t now, cv_stream_ref_t ref,
                         cv_reject_t reason)
 {
   cv_stream_t *s = cv_streams_at (c, ref);
@@ -139,7 +139,7 @@
 }
 
 void
-cv_core_stream_end (cv_core_t *c, cv_time_t now, cv_stream_ref_t ref,
+cv_side_stream_end (cv_side_core_t *c, cv_time_t now, cv_stream_ref_t ref,
                     cv_end_t end, uint32_t total)
 {
   cv_stream_t *s = cv_streams_at (c, ref);
@@ -154,7 +154,7 @@
 }
 
 void
-cv_core_engine_lost (cv_core_t *c, cv_time_t now)
+cv_side_engine_lost (cv_side_core_t *c, cv_time_t now)
 {
   cv_stream_t *s;
   bool struck;
@@ -169,7 +169,7 @@
 }
 
 void
-cv_core_engine_load (cv_core_t *c, cv_time_t now, const cv_load_t *load)
+cv_side_engine_load (cv_side_core_t *c, cv_time_t now, const cv_load_t *load)
 {
   c->engine = *load;
   c->engine_seen = now;
@@ -178,7 +178,7 @@
 }
 
 void
-cv_core_backend_state (cv_core_t *c, cv_time_t now, bool up)
+cv_side_backend_state (cv_side_core_t *c, cv_time_t now, bool up)
 {
   cv_stream_t *s = TAILQ_FIRST (&c->streams);
 
@@ -199,7 +199,7 @@
 
 /* Queue S anew when its content fell under suspicion, or was cleared.  */
 static void
-review_waiting (cv_core_t *c, cv_time_t now, cv_stream_t *s)
+review_waiting (cv_side_core_t *c, cv_time_t now, cv_stream_t *s)
 {
   cv_content_state_t state
       = cv_suspects_state (c->suspects, s->content_hash, c->wall_s);
@@ -219,7 +219,7 @@
 }
 
 static void
-act (cv_core_t *c, cv_time_t now, const cv_gate_action_t *a)
+act (cv_side_core_t *c, cv_time_t now, const cv_gate_action_t *a)
 {
   cv_stream_t *s;
 
@@ -252,7 +252,7 @@
 }
 
 static void
-start (cv_core_t *c, cv_stream_t *s)
+start (cv_side_core_t *c, cv_stream_t *s)
 {
   cv_side_out_t out = { .type = CV_OUT_ENGINE_START };
   cv_engine_start_t *order = &out.u.start;
@@ -273,7 +273,7 @@
 }
 
 static void
-append (cv_core_t *c, cv_stream_t *s, cv_slice_t text)
+append (cv_side_core_t *c, cv_stream_t *s, cv_slice_t text)
 {
   c->buffered += text.n + sizeof *s->token_end;
   if (s->count == s->cap)
@@ -288,7 +288,7 @@
 /* Everything that was decoding when the engine died is under suspicion.
    False when nothing was.  */
 static bool
-strike (cv_core_t *c)
+strike (cv_side_core_t *c)
 {
   uint64_t *hashes = cv_calloc (c->stream_ids.count + 1, sizeof *hashes);
   size_t n = 0;
@@ -306,7 +306,7 @@
 }
 
 static void
-note_natural_end (cv_core_t *c, cv_time_t now, const cv_stream_t *s)
+note_natural_end (cv_side_core_t *c, cv_time_t now, const cv_stream_t *s)
 {
   cv_length_observe (c->lengths, &s->key, s->count);
   if (cv_suspects_state (c->suspects, s->content_hash, c->wall_s)
--- a/side/service.c
+++ b/side/service.c
@@ -19,7 +19,7 @@
 static void set_up (cv_service_t *s, bool up);
 
 void
-cv_service_init (cv_service_t *s, cv_core_t *core, cv_http_t *http,
+cv_service_init (cv_service_t *s, cv_side_core_t *core, cv_http_t *http,
                  const char *url)
 {
   *s = (cv_service_t){ .core = core, .http = http };
@@ -144,7 +144,7 @@
     }
   else
     s->poll_at = 0;
-  cv_core_call_end (s->core, cv_now (), &end);
+  cv_side_call_end (s->core, cv_now (), &end);
   free (run);
 }
 
@@ -153,7 +153,7 @@
 {
   cv_call_end_t end = { .call = call, .ran = false };
 
-  cv_core_call_end (s->core, cv_now (), &end);
+  cv_side_call_end (s->core, cv_now (), &end);
 }
 
 static void
@@ -178,5 +178,5 @@
     return;
   s->up = up;
   cv_log (up ? CV_EV_SIDE_BACKEND_UP : CV_EV_SIDE_BACKEND_DOWN, "%s", s->url);
-  cv_core_backend_state (s->core, cv_now (), up);
+  cv_side_backend_state (s->core, cv_now (), up);
 }
--- a/side/service.h
+++ b/side/service.h
@@ -26,7 +26,7 @@
 
 typedef struct cv_service_t
 {
-  cv_core_t *core;
+  cv_side_core_t *core;
   cv_http_t *http;
   char url[128];
   struct cv_service_list_t runs;
@@ -37,7 +37,7 @@
   bool up;
 } cv_service_t;
 
-void cv_service_init (cv_service_t *s, cv_core_t *core, cv_http_t *http,
+void cv_service_init (cv_service_t *s, cv_side_core_t *core, cv_http_t *http,
                       const char *url);
 void cv_service_finish (cv_service_t *s);
 void cv_service_take (cv_service_t *s, const cv_service_call_t *call);
--- a/side/streams.c
+++ b/side/streams.c
@@ -8,24 +8,24 @@
 #define SLOTS_FIRST 64
 #define LIMIT_DEFAULT 8192 /* tokens, when no model declares one */
 
-static bool admit (cv_core_t *c, cv_time_t now, uint32_t peer,
+static bool admit (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                    const cv_msg_submit_t *m);
-static cv_stream_t *stream_new (cv_core_t *c, const cv_msg_submit_t *m);
-static void stream_free (cv_core_t *c, cv_time_t now, cv_stream_t *s);
-static uint32_t slot_take (cv_core_t *c, cv_stream_t *s);
-static void follow (cv_core_t *c, cv_stream_t *s, uint32_t peer,
+static cv_stream_t *stream_new (cv_side_core_t *c, const cv_msg_submit_t *m);
+static void stream_free (cv_side_core_t *c, cv_time_t now, cv_stream_t *s);
+static uint32_t slot_take (cv_side_core_t *c, cv_stream_t *s);
+static void follow (cv_side_core_t *c, cv_stream_t *s, uint32_t peer,
                     uint32_t offset);
-static void stop (cv_core_t *c, cv_time_t now, cv_stream_t *s);
-static void send_tokens (cv_core_t *c, cv_stream_t *s);
-static void send_end (cv_core_t *c, cv_stream_t *s);
-static bool make_room (cv_core_t *c, cv_time_t now);
-static void forget_unread (cv_core_t *c, cv_time_t now, bool ended);
-static void bury (cv_core_t *c, cv_time_t now, cv_id_t id);
-static void unbury (cv_core_t *c, cv_tombstone_t *t);
-static cv_stream_t *find (const cv_core_t *c, cv_id_t id);
+static void stop (cv_side_core_t *c, cv_time_t now, cv_stream_t *s);
+static void send_tokens (cv_side_core_t *c, cv_stream_t *s);
+static void send_end (cv_side_core_t *c, cv_stream_t *s);
+static bool make_room (cv_side_core_t *c, cv_time_t now);
+static void forget_unread (cv_side_core_t *c, cv_time_t now, bool ended);
+static void bury (cv_side_core_t *c, cv_time_t now, cv_id_t id);
+static void unbury (cv_side_core_t *c, cv_tombstone_t *t);
+static cv_stream_t *find (const cv_side_core_t *c, cv_id_t id);
 
 void
-cv_streams_init (cv_core_t *c)
+cv_streams_init (cv_side_core_t *c)
 {
   cv_idmap_init (&c->stream_ids);
   cv_idmap_init (&c->tombstone_ids);
@@ -35,7 +35,7 @@
 }
 
 void
-cv_streams_finish (cv_core_t *c)
+cv_streams_finish (cv_side_core_t *c)
 {
   cv_stream_t *s;
   cv_tombstone_t *t;
@@ -52,7 +52,7 @@
 /* ---- messages ---- */
 
 void
-cv_streams_submit (cv_core_t *c, cv_time_t now, uint32_t peer,
+cv_streams_submit (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                    const cv_msg_submit_t *m)
 {
   cv_stream_t *s = find (c, m->stream);
@@ -61,7 +61,7 @@
   c->counts.submits++;
   if (m->incarnation != c->set.incarnation)
     {
-      cv_core_reject (c, peer, m->stream, CV_REJECT_OLD_EPOCH, 0);
+      cv_side_reject (c, peer, m->stream, CV_REJECT_OLD_EPOCH, 0);
       return;
     }
   if (s != NULL && strcmp (s->account, m->account) == 0)
@@ -71,7 +71,7 @@
     }
   if (s != NULL || cv_idmap_find (&c->tombstone_ids, m->stream) != NULL)
     {
-      cv_core_reject (c, peer, m->stream, CV_REJECT_NOT_FOUND, 0);
+      cv_side_reject (c, peer, m->stream, CV_REJECT_NOT_FOUND, 0);
       return;
     }
   if (!admit (c, now, peer, m))
@@ -81,7 +81,7 @@
     }
   if (!make_room (c, now))
     {
-      cv_core_reject (c, peer, m->stream, CV_REJECT_FULL, CV_RETRY_DEFAULT_MS);
+      cv_side_reject (c, peer, m->stream, CV_REJECT_FULL, CV_RETRY_DEFAULT_MS);
       bury (c, now, m->stream);
       return;
     }
@@ -92,12 +92,12 @@
       follow (c, s, peer, 0);
       return;
     }
-  cv_core_reject (c, peer, m->stream, CV_REJECT_FULL, retry_after_ms);
+  cv_side_reject (c, peer, m->stream, CV_REJECT_FULL, retry_after_ms);
   stream_free (c, now, s);
 }
 
 void
-cv_streams_attach (cv_core_t *c, cv_time_t now, uint32_t peer,
+cv_streams_attach (cv_side_core_t *c, cv_time_t now, uint32_t peer,
                    const cv_msg_attach_t *m)
 {
   cv_stream_t *s = find (c, m->stream);
@@ -105,19 +105,19 @@
   (void)now;
   if (m->incarnation != c->set.incarnation)
     {
-      cv_core_reject (c, peer, m->stream, CV_REJECT_OLD_EPOCH, 0);
+      cv_side_reject (c, peer, m->stream, CV_REJECT_OLD_EPOCH, 0);
       return;
     }
   if (s == NULL || strcmp (s->account, m->account) != 0 || m->offset > s->count)
     {
-      cv_core_reject (c, peer, m->stream, CV_REJECT_NOT_FOUND, 0);
+      cv_side_reject (c, peer, m->stream, CV_REJECT_NOT_FOUND, 0);
       return;
     }
   follow (c, s, peer, m->offset);
 }
 
 void
-cv_streams_detach (cv_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id)
+cv_streams_detach (cv_side_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id)
 {
   cv_stream_t *s = find (c, id);
 
@@ -128,7 +128,7 @@
 }
 
 void
-cv_streams_cancel (cv_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id)
+cv_streams_cancel (cv_side_core_t *c, cv_time_t now, uint32_t peer, cv_id_t id)
 {
   cv_stream_t *s = find (c, id);
 
@@ -143,7 +143,7 @@
 }
 
 void
-cv_streams_peer_lost (cv_core_t *c, cv_time_t now, uint32_t peer)
+cv_streams_peer_lost (cv_side_core_t *c, cv_time_t now, uint32_t peer)
 {
   cv_stream_t *s;
 
@@ -158,7 +158,7 @@
 /* ---- life of a stream ---- */
 
 cv_stream_t *
-cv_streams_at (cv_core_t *c, cv_stream_ref_t ref)
+cv_streams_at (cv_side_core_t *c, cv_stream_ref_t ref)
 {
   cv_stream_t *s;
 
@@ -172,7 +172,7 @@
 }
 
 void
-cv_streams_end (cv_core_t *c, cv_time_t now, cv_stream_t *s, cv_end_t end)
+cv_streams_end (cv_side_core_t *c, cv_time_t now, cv_stream_t *s, cv_end_t end)
 {
   CV_INVARIANT (s->state != CV_STREAM_ENDED);
   cv_running_ended (c, now, s, end == CV_END_STOP);
@@ -185,17 +185,17 @@
 }
 
 void
-cv_streams_reject (cv_core_t *c, cv_time_t now, cv_stream_t *s,
+cv_streams_reject (cv_side_core_t *c, cv_time_t now, cv_stream_t *s,
                    cv_reject_t reason, uint32_t retry_after_ms)
 {
   CV_INVARIANT (s->state == CV_STREAM_WAITING && !s->at_engine);
-  cv_core_reject (c, s->peer, s->node.id, reason, retry_after_ms);
+  cv_side_reject (c, s->peer, s->node.id, reason, retry_after_ms);
   cv_running_ended (c, now, s, false);
   stream_free (c, now, s);
 }
 
 void
-cv_streams_mark (cv_core_t *c, cv_stream_t *s)
+cv_streams_mark (cv_side_core_t *c, cv_stream_t *s)
 {
   if (s->dirty)
     return;
@@ -204,7 +204,7 @@
 }
 
 void
-cv_streams_tick (cv_core_t *c, cv_time_t now)
+cv_streams_tick (cv_side_core_t *c, cv_time_t now)
 {
   cv_stream_t *s;
   cv_tombstone_t *t;
@@ -229,7 +229,7 @@
 }
 
 void
-cv_streams_flush (cv_core_t *c)
+cv_streams_flush (cv_side_core_t *c)
 {
   cv_stream_t *s;
 
@@ -250,13 +250,14 @@
 
 /* Whether a new stream may be taken; rejects it when not.  */
 static bool
-admit (cv_core_t *c, cv_time_t now, uint32_t peer, const cv_msg_submit_t *m)
+admit (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+       const cv_msg_submit_t *m)
 {
   cv_reject_t reason;
 
   if (!cv_peers_fresh (c, peer))
     {
-      cv_core_reject (c, peer, m->stream, CV_REJECT_ENGINE, 0);
+      cv_side_reject (c, peer, m->stream, CV_REJECT_ENGINE, 0);
       return false;
     }
   if (!cv_docs_admit (c, now, peer, m->config_version))
@@ -270,12 +271,12 @@
     reason = CV_REJECT_CONDEMNED;
   else
     return true;
-  cv_core_reject (c, peer, m->stream, reason, 0);
+  cv_side_reject (c, peer, m->stream, reason, 0);
   return false;
 }
 
 static cv_stream_t *
-stream_new (cv_core_t *c, const cv_msg_submit_t *m)
+stream_new (cv_side_core_t *c, const cv_msg_submit_t *m)
 {
   cv_stream_t *s = cv_calloc (1, sizeof *s);
   const cv_model_t *model = NULL;
@@ -303,7 +304,7 @@
 }
 
 static void
-stream_free (cv_core_t *c, cv_time_t now, cv_stream_t *s)
+stream_free (cv_side_core_t *c, cv_time_t now, cv_stream_t *s)
 {
   if (s->dirty)
     TAILQ_REMOVE (&c->dirty, s, dirty_link);
@@ -319,7 +320,7 @@
 }
 
 static uint32_t
-slot_take (cv_core_t *c, cv_stream_t *s)
+slot_take (cv_side_core_t *c, cv_stream_t *s)
 {
   uint32_t slot = 0;
 
@@ -339,7 +340,7 @@
 
 /* PEER reads S from OFFSET on.  */
 static void
-follow (cv_core_t *c, cv_stream_t *s, uint32_t peer, uint32_t offset)
+follow (cv_side_core_t *c, cv_stream_t *s, uint32_t peer, uint32_t offset)
 {
   cv_msg_t msg = { .type = CV_MSG_ACCEPTED };
 
@@ -347,13 +348,13 @@
   s->sent = offset;
   s->end_sent = false;
   msg.u.accepted.stream = s->node.id;
-  cv_core_send (c, peer, &msg);
+  cv_side_send (c, peer, &msg);
   cv_streams_mark (c, s);
 }
 
 /* Nobody reads S any more: stop it wherever it is and forget it.  */
 static void
-stop (cv_core_t *c, cv_time_t now, cv_stream_t *s)
+stop (cv_side_core_t *c, cv_time_t now, cv_stream_t *s)
 {
   if (s->state != CV_STREAM_ENDED)
     {
@@ -366,7 +367,7 @@
 }
 
 static void
-send_tokens (cv_core_t *c, cv_stream_t *s)
+send_tokens (cv_side_core_t *c, cv_stream_t *s)
 {
   cv_msg_t msg;
   cv_msg_tokens_t *t = &msg.u.tokens;
@@ -387,11 +388,11 @@
       start = end;
     }
   c->counts.token_messages++;
-  cv_core_send (c, s->peer, &msg);
+  cv_side_send (c, s->peer, &msg);
 }
 
 static void
-send_end (cv_core_t *c, cv_stream_t *s)
+send_end (cv_side_core_t *c, cv_stream_t *s)
 {
   cv_msg_t msg = { .type = CV_MSG_END };
 
@@ -399,14 +400,14 @@
   msg.u.end.end = s->end;
   msg.u.end.total = s->count;
   s->end_sent = true;
-  cv_core_send (c, s->peer, &msg);
+  cv_side_send (c, s->peer, &msg);
 }
 
 /* Keep the tokens of all streams within their bound by forgetting streams
    that nobody reads, ended ones first.  False when what is read takes up all
    of it: then no new stream is taken.  */
 static bool
-make_room (cv_core_t *c, cv_time_t now)
+make_room (cv_side_core_t *c, cv_time_t now)
 {
   if (c->set.buffer_bytes == 0 || c->buffered < c->set.buffer_bytes)
     return true;
@@ -417,7 +418,7 @@
 
 /* Forget streams without a reader, oldest first, until there is room.  */
 static void
-forget_unread (cv_core_t *c, cv_time_t now, bool ended)
+forget_unread (cv_side_core_t *c, cv_time_t now, bool ended)
 {
   cv_stream_t *s = TAILQ_FIRST (&c->streams);
 
@@ -434,7 +435,7 @@
 
 /* Remember that the stream ID must not start any more.  */
 static void
-bury (cv_core_t *c, cv_time_t now, cv_id_t id)
+bury (cv_side_core_t *c, cv_time_t now, cv_id_t id)
 {
   cv_tombstone_t *t;
 
@@ -449,7 +450,7 @@
 }
 
 static void
-unbury (cv_core_t *c, cv_tombstone_t *t)
+unbury (cv_side_core_t *c, cv_tombstone_t *t)
 {
   TAILQ_REMOVE (&c->tombstones, t, link);
   cv_idmap_remove (&c->tombstone_ids, &t->node);
@@ -457,7 +458,7 @@
 }
 
 static cv_stream_t *
-find (const cv_core_t *c, cv_id_t id)
+find (const cv_side_core_t *c, cv_id_t id)
 {
   return (cv_stream_t *)cv_idmap_find (&c->stream_ids, id);
 }
--- a/side/tests/core_test.cc
+++ b/side/tests/core_test.cc
@@ -49,7 +49,7 @@
 public:
   Runner (cv_pool_kind_t kind, bool fetches)
   {
-    cv_core_settings_t set = {};
+    cv_side_core_settings_t set = {};
 
     cv_copy (set.target, sizeof set.target, "t1");
     cv_copy (set.pool, sizeof set.pool, "pool");
@@ -64,10 +64,10 @@
     set.generation = 300 * CV_SECOND;
     set.drain = 90 * CV_SECOND;
     set.fetches = fetches;
-    cv_core_init (&core_, now_, &set, emit, this);
-    cv_core_tick (&core_, now_, now_ / CV_SECOND);
+    cv_side_init (&core_, now_, &set, emit, this);
+    cv_side_tick (&core_, now_, now_ / CV_SECOND);
   }
-  ~Runner () { cv_core_finish (&core_); }
+  ~Runner () { cv_side_finish (&core_); }
 
   std::string
   run (const std::string &line)
@@ -81,7 +81,7 @@
       a.push_back (word);
     if (!command (a) && !message (a) && !engine (a))
       out_ = "> unknown command\n";
-    cv_core_flush (&core_, now_);
+    cv_side_flush (&core_, now_);
     return out_;
   }
 
@@ -237,7 +237,7 @@
             now_ = now_ + kTick < until ? now_ + kTick : until;
             for (uint32_t peer : alive_)
               hello (peer, "e" + std::to_string (peer), 1, version_);
-            cv_core_tick (&core_, now_, now_ / CV_SECOND);
+            cv_side_tick (&core_, now_, now_ / CV_SECOND);
           }
       }
     else if (a[0] == "freeze")
@@ -251,11 +251,11 @@
     else if (a[0] == "silent")
       alive_.clear ();
     else if (a[0] == "up" || a[0] == "down")
-      cv_core_backend_state (&core_, now_, a[0] == "up");
+      cv_side_backend_state (&core_, now_, a[0] == "up");
     else if (a[0] == "leave")
-      cv_core_leave (&core_, now_, num (a, 1) * CV_MS);
+      cv_side_leave (&core_, now_, num (a, 1) * CV_MS);
     else if (a[0] == "drained")
-      say (cv_core_drained (&core_, now_) ? "yes" : "no");
+      say (cv_side_drained (&core_, now_) ? "yes" : "no");
     else
       return false;
     return true;
@@ -285,7 +285,7 @@
     m.u.doc.doc = CV_DOC_CONFIG;
     m.u.doc.version = version_;
     m.u.doc.body = cv_slice (body.c_str ());
-    cv_core_message (&core_, now_, num (a, 1), &m);
+    cv_side_message (&core_, now_, num (a, 1), &m);
   }
 
   void
@@ -299,7 +299,7 @@
     m.u.hello.incarnation = incarnation;
     m.u.hello.versions.version[CV_DOC_CONFIG] = config;
     m.u.hello.versions.age_ms = 0;
-    cv_core_message (&core_, now_, peer, &m);
+    cv_side_message (&core_, now_, peer, &m);
   }
 
   // Messages of entries: "KIND PEER ...".
@@ -357,7 +357,7 @@
       }
     else
       return false;
-    cv_core_message (&core_, now_, num (a, 1), &m);
+    cv_side_message (&core_, now_, num (a, 1), &m);
     return true;
   }
 
@@ -405,27 +405,27 @@
   engine (const args_t &a)
   {
     if (a[0] == "token")
-      cv_core_token (&core_, now_, ref (a, 1), num (a, 2),
+      cv_side_token (&core_, now_, ref (a, 1), num (a, 2),
                      cv_slice (a[3].c_str ()));
     else if (a[0] == "tokens")
       for (uint32_t i = num (a, 2); i < num (a, 3); i++)
-        cv_core_token (&core_, now_, ref (a, 1), i,
+        cv_side_token (&core_, now_, ref (a, 1), i,
                        cv_slice (std::to_string (i).c_str ()));
     else if (a[0] == "end")
-      cv_core_stream_end (&core_, now_, ref (a, 1), CV_END_STOP, num (a, 2));
+      cv_side_stream_end (&core_, now_, ref (a, 1), CV_END_STOP, num (a, 2));
     else if (a[0] == "refused")
-      cv_core_engine_refused (&core_, now_, ref (a, 1), CV_REJECT_FULL);
+      cv_side_engine_refused (&core_, now_, ref (a, 1), CV_REJECT_FULL);
     else if (a[0] == "preempted")
-      cv_core_preempted (&core_, now_, ref (a, 1));
+      cv_side_preempted (&core_, now_, ref (a, 1));
     else if (a[0] == "lost")
-      cv_core_engine_lost (&core_, now_);
+      cv_side_engine_lost (&core_, now_);
     else if (a[0] == "load")
       {
         cv_load_t load = {};
 
         load.kv_total = num (a, 1);
         load.token_us = num (a, 2);
-        cv_core_engine_load (&core_, now_, &load);
+        cv_side_engine_load (&core_, now_, &load);
       }
     else if (a[0] == "result")
       result (a);
@@ -433,12 +433,12 @@
       {
         cv_order_end_t e = { num (a, 1) != 0, num (a, 1), num (a, 2) };
 
-        cv_core_order_end (&core_, now_, &e);
+        cv_side_order_end (&core_, now_, &e);
       }
     else if (a[0] == "granted" || a[0] == "denied")
-      cv_core_fetch_end (&core_, now_, a[0] == "granted", num (a, 1));
+      cv_side_fetch_end (&core_, now_, a[0] == "granted", num (a, 1));
     else if (a[0] == "booted")
-      cv_core_engine_booted (&core_);
+      cv_side_engine_booted (&core_);
     else
       return false;
     return true;
@@ -459,10 +459,10 @@
     if (body[0] == '*')
       body = std::string (num ({ body.substr (1) }, 0), 'x');
     e.body = cv_slice_t{ body.data (), body.size () };
-    cv_core_call_end (&core_, now_, &e);
+    cv_side_call_end (&core_, now_, &e);
   }
 
-  cv_core_t core_;
+  cv_side_core_t core_;
   cv_time_t now_ = kStart;
   bool reports_ = false;
   uint64_t version_ = 0; // of the configuration of living entries
