Side: one check for new streams and new calls

Cause: streams.c and calls.c each had the chain of freshness, configuration, leaving, backend and condemned content. Ruled out: one shape for both admit functions; calls have a bound of their own. Change: cv_side_admits in core.c; each caller keeps what is its own. Behaviour is as it was.

--- a/side/calls.c
+++ b/side/calls.c
@@ -302,24 +302,13 @@
   cv_reject_t reason;
   size_t known = c->tickets.count + c->plain_calls.count;
 
-  if (!cv_peers_fresh (c, peer))
+  if (cv_side_admits (c, now, peer, CV_POOL_SERVICE, m->config_version,
+                      m->content_hash, &reason))
     {
-      cv_side_reject (c, peer, m->request, CV_REJECT_ENGINE, 0);
-      return false;
+      if (known < CV_TICKETS_MAX && c->calls_queued < CV_CALL_QUEUE_MAX)
+        return true;
+      reason = CV_REJECT_FULL;
     }
-  if (!cv_docs_admit (c, now, peer, m->config_version))
-    reason = CV_REJECT_OLD_CONFIG;
-  else if (c->leaving)
-    reason = CV_REJECT_LEAVING;
-  else if (!c->backend_up || c->set.kind != CV_POOL_SERVICE)
-    reason = CV_REJECT_ENGINE;
-  else if (cv_suspects_state (c->suspects, m->content_hash, c->wall_s)
-           == CV_CONTENT_CONDEMNED)
-    reason = CV_REJECT_CONDEMNED;
-  else if (known >= CV_TICKETS_MAX || c->calls_queued >= CV_CALL_QUEUE_MAX)
-    reason = CV_REJECT_FULL;
-  else
-    return true;
   cv_side_reject (c, peer, m->request, reason,
                   reason == CV_REJECT_FULL ? CV_RETRY_DEFAULT_MS : 0);
   return false;
--- a/side/core.c
+++ b/side/core.c
@@ -116,6 +116,30 @@
   c->emit (c->arg, &out);
 }
 
+bool
+cv_side_admits (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+                cv_pool_kind_t kind, uint64_t config_version,
+                uint64_t content_hash, cv_reject_t *reason)
+{
+  if (!cv_peers_fresh (c, peer))
+    {
+      *reason = CV_REJECT_ENGINE;
+      return false;
+    }
+  if (!cv_docs_admit (c, now, peer, config_version))
+    *reason = CV_REJECT_OLD_CONFIG;
+  else if (c->leaving)
+    *reason = CV_REJECT_LEAVING;
+  else if (!c->backend_up || c->set.kind != kind)
+    *reason = CV_REJECT_ENGINE;
+  else if (cv_suspects_state (c->suspects, content_hash, c->wall_s)
+           == CV_CONTENT_CONDEMNED)
+    *reason = CV_REJECT_CONDEMNED;
+  else
+    return true;
+  return false;
+}
+
 void
 cv_side_reject (cv_side_core_t *c, uint32_t peer, cv_id_t id,
                 cv_reject_t reason, uint32_t retry_after_ms)
--- a/side/core.h
+++ b/side/core.h
@@ -395,6 +395,11 @@
 void cv_side_send (cv_side_core_t *c, uint32_t peer, const cv_msg_t *msg);
 void cv_side_reject (cv_side_core_t *c, uint32_t peer, cv_id_t id,
                      cv_reject_t reason, uint32_t retry_after_ms);
+/* Whether new work of PEER for a target of KIND may be taken; false with why
+   not in REASON.  */
+bool cv_side_admits (cv_side_core_t *c, cv_time_t now, uint32_t peer,
+                     cv_pool_kind_t kind, uint64_t config_version,
+                     uint64_t content_hash, cv_reject_t *reason);
 cv_target_state_t cv_side_state (const cv_side_core_t *c);
 void cv_side_load (const cv_side_core_t *c, cv_time_t now, cv_load_t *load);
 
--- a/side/streams.c
+++ b/side/streams.c
@@ -255,21 +255,8 @@
 {
   cv_reject_t reason;
 
-  if (!cv_peers_fresh (c, peer))
-    {
-      cv_side_reject (c, peer, m->stream, CV_REJECT_ENGINE, 0);
-      return false;
-    }
-  if (!cv_docs_admit (c, now, peer, m->config_version))
-    reason = CV_REJECT_OLD_CONFIG;
-  else if (c->leaving)
-    reason = CV_REJECT_LEAVING;
-  else if (!c->backend_up || c->set.kind != CV_POOL_ENGINE)
-    reason = CV_REJECT_ENGINE;
-  else if (cv_suspects_state (c->suspects, m->content_hash, c->wall_s)
-           == CV_CONTENT_CONDEMNED)
-    reason = CV_REJECT_CONDEMNED;
-  else
+  if (cv_side_admits (c, now, peer, CV_POOL_ENGINE, m->config_version,
+                      m->content_hash, &reason))
     return true;
   cv_side_reject (c, peer, m->stream, reason, 0);
   return false;
