--- a/base/fields.c
+++ b/base/fields.c
@@ -103,6 +103,10 @@
       (void)snprintf (out, size, "a whole number from %" PRId64 " to %" PRId64,
                       f->min, f->max);
       return;
+    case CV_FIELD_REAL:
+      (void)snprintf (out, size, "a number from %" PRId64 " to %" PRId64,
+                      f->min, f->max);
+      return;
     case CV_FIELD_CHOICE:
       describe_choices (f, out, size);
       return;
@@ -176,6 +180,15 @@
   return true;
 }
 
+static bool
+set_real (const cv_field_t *f, double value, char *base)
+{
+  if (!(value >= (double)f->min && value <= (double)f->max))
+    return false;
+  memcpy (base + f->offset, &value, sizeof value);
+  return true;
+}
+
 static bool
 set_bool (const cv_field_t *f, bool value, char *base)
 {
@@ -200,6 +213,10 @@
       n = ok ? strtoll (text, &rest, 10) : 0;
       ok = ok && set_number (f, n, out);
       break;
+    case CV_FIELD_REAL:
+      ok = text[0] != '\0' && set_real (f, strtod (text, &rest), out)
+           && *rest == '\0';
+      break;
     case CV_FIELD_BOOL:
       ok = strcmp (text, "true") == 0 || strcmp (text, "false") == 0;
       ok = ok && set_bool (f, strcmp (text, "true") == 0, out);
@@ -227,6 +244,9 @@
       case CV_FIELD_U64:
         (void)set_number (f, f->preset, base);
         break;
+      case CV_FIELD_REAL:
+        (void)set_real (f, (double)f->preset, base);
+        break;
       case CV_FIELD_BOOL:
         set_bool (f, f->preset != 0, base);
         break;
@@ -254,6 +274,11 @@
       return json_object_is_type (value, json_type_int)
              && !cv_json_clamped (value)
              && set_number (f, json_object_get_int64 (value), base);
+    case CV_FIELD_REAL:
+      return (json_object_is_type (value, json_type_double)
+              || json_object_is_type (value, json_type_int))
+             && !cv_json_clamped (value)
+             && set_real (f, json_object_get_double (value), base);
     case CV_FIELD_BOOL:
       return json_object_is_type (value, json_type_boolean)
              && set_bool (f, json_object_get_boolean (value), base);
--- a/base/json.c
+++ b/base/json.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <json-c/json_visit.h>
+
 #include "base/json.h"
 
 /* Bits of a position that hold the column; longer lines saturate.  */
@@ -395,6 +397,22 @@
   return NULL;
 }
 
+/* json-c keeps the text of a number with a fraction where the positions of
+   values are kept here.  */
+static int
+forget_text (json_object *value, int flags, json_object *parent,
+             const char *key, size_t *index, void *arg)
+{
+  (void)flags;
+  (void)parent;
+  (void)key;
+  (void)index;
+  (void)arg;
+  if (json_object_is_type (value, json_type_double))
+    json_object_set_serializer (value, NULL, NULL, NULL);
+  return JSON_C_VISIT_RETURN_CONTINUE;
+}
+
 struct json_object *
 cv_json_parse (cv_slice_t text, cv_problems_t *p)
 {
@@ -404,6 +422,7 @@
   tree = parse_tree (text, p);
   if (tree == NULL)
     return NULL;
+  (void)json_c_visit (tree, 0, forget_text, NULL);
   s.p = text.p;
   s.end = text.p + text.n;
   s.line_start = text.p;
--- a/base/json.h
+++ b/base/json.h
@@ -50,6 +50,7 @@
   CV_FIELD_HASH,     /* char[65]; 64 lower-case hexadecimal digits */
   CV_FIELD_U32,      /* uint32_t from MIN to MAX */
   CV_FIELD_U64,      /* uint64_t from MIN to MAX */
+  CV_FIELD_REAL,     /* double from MIN to MAX; the preset is whole */
   CV_FIELD_BOOL,     /* bool */
   CV_FIELD_CHOICE,   /* int: 1-based index into CHOICES */
   CV_FIELD_OBJECT    /* a struct at OFFSET, read by FIELDS */
--- a/base/tests/field_rows.h
+++ b/base/tests/field_rows.h
@@ -26,6 +26,7 @@
       return "SHA-256";
     case CV_FIELD_U32:
     case CV_FIELD_U64:
+    case CV_FIELD_REAL:
       return std::to_string (f.min) + " to " + std::to_string (f.max);
     case CV_FIELD_BOOL:
       return "true or false";
@@ -44,7 +45,8 @@
 {
   if (f.required)
     return "required";
-  if (f.kind == CV_FIELD_U32 || f.kind == CV_FIELD_U64)
+  if (f.kind == CV_FIELD_U32 || f.kind == CV_FIELD_U64
+      || f.kind == CV_FIELD_REAL)
     return std::to_string (f.preset);
   return f.kind == CV_FIELD_BOOL ? "false" : "none";
 }
--- a/catkinvaled/main.c
+++ b/catkinvaled/main.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "entry/entry.h"
+#include "gateway/gateway.h"
 #include "side/side.h"
 
 const char *argp_program_version = "catkinvaled 0.1.0";
@@ -14,7 +15,8 @@
 } cv_arguments_t;
 
 static error_t parse_option (int key, char *arg, struct argp_state *state);
-static bool serve (const cv_settings_t *settings, cv_error_t *err);
+static bool serve (const cv_settings_t *settings, const char *path,
+                   cv_error_t *err);
 
 int
 main (int argc, char **argv)
@@ -36,7 +38,7 @@
     }
   cv_log (CV_EV_DAEMON_STARTED, "instance %s",
           cv_settings_instance (&settings));
-  if (!serve (&settings, &err))
+  if (!serve (&settings, arguments.path, &err))
     {
       cv_log (CV_EV_DAEMON_FAILED, "%s", err.text);
       return EXIT_FAILURE;
@@ -68,7 +70,7 @@
 }
 
 static bool
-serve (const cv_settings_t *settings, cv_error_t *err)
+serve (const cv_settings_t *settings, const char *path, cv_error_t *err)
 {
   switch (settings->role)
     {
@@ -76,6 +78,8 @@
       return cv_entry_run (&settings->u.entry, err);
     case CV_ROLE_SIDE:
       return cv_side_run (&settings->u.side, err);
+    case CV_ROLE_GATEWAY:
+      return cv_gateway_run (&settings->u.gateway, path, err);
     }
   return cv_fail (err, CV_ERR_INVALID, "this build has no role of that kind");
 }
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -11,6 +11,7 @@
 pkg_check_modules (MHD REQUIRED IMPORTED_TARGET libmicrohttpd)
 pkg_check_modules (XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules (SODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules (EVENT REQUIRED IMPORTED_TARGET libevent)
 pkg_check_modules (GSL REQUIRED IMPORTED_TARGET gsl)
 
 function (cv_library name)
--- /dev/null
+++ b/gateway/answer.c
@@ -0,0 +1,210 @@
+/* Answers to callers: the gateway's own, and the heads of targets'.  */
+
+#include <string.h>
+
+#include "gateway/state.h"
+
+/* Fields of a target's answer that concern its connection alone.  */
+static const char *const connection_fields[]
+    = { "Connection",       "Keep-Alive", "Transfer-Encoding", "TE", "Trailer",
+        "Proxy-Connection", "Upgrade",    "Content-Length",    NULL };
+
+static const char *
+reason_phrase (unsigned status)
+{
+  const char *text = http_status_str ((enum http_status)status);
+
+  return text != NULL ? text : "Unknown";
+}
+
+void
+cv_answer_own (cv_client_t *c, unsigned status, const char *reason,
+               uint32_t retry_after_ms)
+{
+  cv_buf_t head;
+  cv_buf_t body;
+
+  cv_buf_init (&head);
+  cv_buf_init (&body);
+  if (status != 200)
+    cv_buf_printf (&body, "{\"error\":\"%s\"}\n", reason);
+  cv_buf_printf (&head, "HTTP/1.1 %u %s\r\n", status, reason_phrase (status));
+  if (body.n > 0)
+    cv_buf_printf (&head, "Content-Type: application/json\r\n");
+  cv_buf_printf (&head, "Content-Length: %zu\r\n", body.n);
+  if (retry_after_ms > 0)
+    cv_buf_printf (&head, "Retry-After: %u.%03u\r\n", retry_after_ms / 1000,
+                   retry_after_ms % 1000);
+  if (cv_client_last (c))
+    cv_buf_printf (&head, "Connection: close\r\n");
+  cv_buf_add (&head, "\r\n", 2);
+  if (c->reader.head.method == HTTP_HEAD)
+    cv_buf_reset (&body);
+  cv_client_send (c, (cv_slice_t){ head.p, head.n },
+                  (cv_slice_t){ body.p, body.n });
+  cv_buf_finish (&head);
+  cv_buf_finish (&body);
+}
+
+static bool
+concerns_connection (cv_slice_t name)
+{
+  for (size_t i = 0; connection_fields[i] != NULL; i++)
+    if (cv_http_name_equal (name, connection_fields[i]))
+      return true;
+  return false;
+}
+
+void
+cv_answer_head (cv_buf_t *out, const cv_http_head_t *head, cv_framing_t framing,
+                size_t length, bool last)
+{
+  cv_buf_printf (out, "HTTP/1.1 %u %s\r\n", head->status,
+                 reason_phrase (head->status));
+  for (uint32_t i = 0; i < head->fields; i++)
+    {
+      cv_http_field_t f = cv_http_field_at (head, i);
+
+      if (concerns_connection (f.name)
+          && !(framing == CV_FRAMING_NONE
+               && cv_http_name_equal (f.name, "Content-Length")))
+        continue;
+      cv_buf_add (out, f.name.p, f.name.n);
+      cv_buf_add (out, ": ", 2);
+      cv_buf_add (out, f.value.p, f.value.n);
+      cv_buf_add (out, "\r\n", 2);
+    }
+  switch (framing)
+    {
+    case CV_FRAMING_LENGTH:
+      cv_buf_printf (out, "Content-Length: %zu\r\n", length);
+      break;
+    case CV_FRAMING_CHUNKED:
+      cv_buf_printf (out, "Transfer-Encoding: chunked\r\n");
+      break;
+    case CV_FRAMING_CLOSE:
+    case CV_FRAMING_NONE:
+      break;
+    }
+  if (last)
+    cv_buf_printf (out, "Connection: close\r\n");
+  cv_buf_add (out, "\r\n", 2);
+}
+
+void
+cv_answer_chunk (cv_client_t *c, cv_framing_t framing, cv_slice_t data)
+{
+  char size[32];
+  int n;
+
+  switch (framing)
+    {
+    case CV_FRAMING_CHUNKED:
+      n = snprintf (size, sizeof size, "%zx\r\n", data.n);
+      cv_client_send (c, (cv_slice_t){ size, (size_t)n }, data);
+      cv_client_send (c, cv_slice ("\r\n"), (cv_slice_t){ NULL, 0 });
+      return;
+    case CV_FRAMING_LENGTH:
+    case CV_FRAMING_CLOSE:
+      cv_client_send (c, data, (cv_slice_t){ NULL, 0 });
+      return;
+    case CV_FRAMING_NONE:
+      return;
+    }
+}
+
+/* Ready: a configuration and targets are known, and no stop has begun.  */
+void
+cv_answer_ready (cv_client_t *c)
+{
+  const cv_gateway_t *g = c->port->gateway;
+  bool ready = g->routing != NULL && g->instances_known && !g->stopping;
+
+  if (!cv_platform_is_ready_path (cv_http_target (&c->reader.head)))
+    cv_answer_own (c, 404, "no such page", 0);
+  else
+    cv_answer_own (c, ready ? 200 : 503, "not ready", 0);
+  cv_client_answered (c, true);
+}
+
+static void
+add_counter (cv_buf_t *out, const char *name, const char *help, uint64_t value)
+{
+  cv_buf_printf (out,
+                 "# HELP catkinvale_gateway_%s %s\n"
+                 "# TYPE catkinvale_gateway_%s counter\n"
+                 "catkinvale_gateway_%s %llu\n",
+                 name, help, name, name, (unsigned long long)value);
+}
+
+static void
+add_histogram (cv_buf_t *out, const char *name, const char *help,
+               const cv_hist_t *h)
+{
+  uint64_t sum = 0;
+
+  cv_buf_printf (out,
+                 "# HELP catkinvale_gateway_%s %s\n"
+                 "# TYPE catkinvale_gateway_%s histogram\n",
+                 name, help, name);
+  for (size_t i = 0; i < cv_hist_bins (h); i++)
+    {
+      sum += cv_hist_bin (h, i);
+      cv_buf_printf (out, "catkinvale_gateway_%s_bucket{le=\"%.0f\"} %llu\n",
+                     name, cv_hist_edge (h, i), (unsigned long long)sum);
+    }
+  cv_buf_printf (out,
+                 "catkinvale_gateway_%s_bucket{le=\"+Inf\"} %llu\n"
+                 "catkinvale_gateway_%s_sum %.0f\n"
+                 "catkinvale_gateway_%s_count %llu\n",
+                 name, (unsigned long long)h->count, name, h->sum, name,
+                 (unsigned long long)h->count);
+}
+
+void
+cv_answer_metrics (cv_client_t *c)
+{
+  const cv_gateway_t *g = c->port->gateway;
+  const cv_gateway_counts_t *n = &g->counts;
+  cv_buf_t head;
+  cv_buf_t body;
+
+  cv_buf_init (&head);
+  cv_buf_init (&body);
+  add_counter (&body, "requests_total", "Requests of callers.", n->requests);
+  add_counter (&body, "answered_total", "Answers of targets passed on.",
+               n->answered);
+  add_counter (&body, "refused_total", "Requests answered as not run.",
+               n->refused);
+  add_counter (&body, "failed_total", "Requests answered by another failure.",
+               n->failed);
+  add_counter (&body, "cut_total", "Answers broken off.", n->cut);
+  add_counter (&body, "left_total", "Callers gone before their answer.",
+               n->left);
+  add_counter (&body, "sends_total", "Attempts at targets.", n->sends);
+  add_counter (&body, "retries_total", "Attempts after the first.", n->retries);
+  add_counter (&body, "resumes_total", "Streams that went on elsewhere.",
+               n->resumes);
+  add_counter (&body, "connections_total", "Connections opened to targets.",
+               n->connections);
+  add_counter (&body, "store_calls_total", "Calls to the store.",
+               g->follow_routing.calls + g->follow_instances.calls);
+  add_counter (&body, "configuration_version", "Version in force.",
+               g->routing != NULL ? g->routing->version : 0);
+  add_counter (&body, "log_lines_dropped_total", "Log lines dropped.",
+               cv_line_dropped ());
+  add_histogram (&body, "latency_ms", "Milliseconds to the end of an answer.",
+                 &g->latency);
+  add_histogram (&body, "first_event_ms",
+                 "Milliseconds to the first event of a stream.",
+                 &g->first_event);
+  cv_buf_printf (&head,
+                 "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                 "Content-Length: %zu\r\n\r\n",
+                 body.n);
+  cv_client_send (c, (cv_slice_t){ head.p, head.n },
+                  (cv_slice_t){ body.p, body.n });
+  cv_buf_finish (&head);
+  cv_buf_finish (&body);
+  cv_client_answered (c, true);
+}
--- /dev/null
+++ b/gateway/attempt.c
@@ -0,0 +1,460 @@
+/* One attempt at one target: accounting, connection and the answer's way
+   back.  */
+
+#include <errno.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+
+#include "gateway/state.h"
+
+/* Answers up to this size are collected whole before they are passed on, so
+   that a failed one can be asked for again.  */
+#define COLLECT_MAX (256u * 1024)
+/* Priorities that engines know, 0 to 9.  */
+#define PRIORITY_MAX 9
+
+static void on_link_event (void *owner, const cv_http_link_event_t *event);
+static void on_head (cv_exchange_t *x);
+static void on_body (cv_exchange_t *x, cv_slice_t data);
+static void on_done (cv_exchange_t *x);
+static void on_failed (cv_exchange_t *x, cv_http_link_failure_t failure);
+
+static uint32_t
+remaining_ms (const cv_exchange_t *x, cv_time_t now)
+{
+  cv_time_t left = x->expires - now;
+
+  return left > 0 ? (uint32_t)(left / CV_MS) : 0;
+}
+
+static uint32_t
+priority_of (const cv_exchange_t *x)
+{
+  uint32_t p = x->account != NULL && x->account->has_priority
+                   ? x->account->priority
+                   : x->route->priority;
+
+  return p < PRIORITY_MAX ? p : PRIORITY_MAX;
+}
+
+static void
+encode (cv_exchange_t *x, cv_buf_t *out)
+{
+  const cv_http_head_t *head = &x->client->reader.head;
+  cv_forwarding_t f = { .instance = x->target->record.id,
+                        .account = x->account != NULL ? x->account->name : NULL,
+                        .remaining_ms = remaining_ms (x, cv_now ()),
+                        .body_bytes = x->client->body.n,
+                        .has_body = head->has_length || head->chunked,
+                        .has_priority = x->service->is_engine,
+                        .priority = priority_of (x),
+                        .has_last_event = x->request.has_last_event,
+                        .last_event = x->request.last_event };
+
+  if (x->events.has_last || x->from_copy)
+    {
+      f.has_last_event = true;
+      f.last_event = x->events.last;
+    }
+  if (x->backup != NULL)
+    f.backup_at = &x->backup->record.address;
+  if (x->from_copy)
+    {
+      f.from = &x->copy_at;
+      f.from_handle = x->request.attempt;
+    }
+  cv_platform_encode_request (out, head, &f);
+}
+
+/* Whether the request may be sent only once.  */
+static bool
+must_be_fresh (const cv_exchange_t *x)
+{
+  switch (x->route->kind)
+    {
+    case CV_ROUTE_IDEMPOTENT:
+      return false;
+    case CV_ROUTE_STREAMING:
+      return !x->route->resumable;
+    case CV_ROUTE_NON_IDEMPOTENT:
+      return true;
+    }
+  return true;
+}
+
+static void
+set_backup (cv_exchange_t *x, cv_target_t *t)
+{
+  if (x->route->kind != CV_ROUTE_STREAMING || x->route->resumable
+      || !x->service->engine.can_back_up || x->request.attempt.p == NULL)
+    return;
+  x->backup = cv_choose_backup (x, t);
+  if (x->backup == NULL)
+    return;
+  (void)cv_target_ref (x->backup);
+  x->backup->copy_tokens += x->need_tokens;
+}
+
+static void
+take_target (cv_exchange_t *x, cv_target_t *t)
+{
+  x->target = cv_target_ref (t);
+  t->in_flight++;
+  t->run_tokens += x->need_tokens;
+  t->unread_tokens += x->request.prompt_tokens;
+  x->counted_unread = true;
+  if (x->tried_count < CV_TRIED_MAX)
+    (void)cv_copy (x->tried[x->tried_count++], CV_NAME_MAX, t->record.id);
+}
+
+static void
+log_sent (cv_exchange_t *x)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_SENT);
+  cv_line_text (&l, "request", x->request.attempt);
+  cv_line_text (&l, "route", cv_slice (x->route->name));
+  cv_line_text (&l, "target", cv_slice (x->target->record.id));
+  cv_line_number (&l, "attempt", x->sends);
+  cv_line_number (&l, "waited_us", cv_now () - x->started);
+  cv_line_number (&l, "version", (int64_t)x->routing->version);
+  if (x->service->is_engine)
+    {
+      cv_line_number (&l, "need_tokens", (int64_t)x->need_tokens);
+      cv_line_number (&l, "run_tokens", (int64_t)x->target->run_tokens);
+      cv_line_number (&l, "unread_tokens", (int64_t)x->target->unread_tokens);
+    }
+  if (x->backup != NULL)
+    cv_line_text (&l, "copy_at", cv_slice (x->backup->record.id));
+  cv_line_end (&l);
+}
+
+void
+cv_attempt_start (cv_exchange_t *x, cv_target_t *t)
+{
+  cv_error_t err = { 0 };
+  cv_buf_t head;
+
+  take_target (x, t);
+  set_backup (x, t);
+  x->state = x->head_sent ? CV_EXCHANGE_STREAMING : CV_EXCHANGE_SENT;
+  x->sent_at = cv_now ();
+  x->heard_at = x->sent_at;
+  x->skip_answer = false;
+  x->rejected = false;
+  cv_buf_reset (&x->answer);
+  cv_events_restart (&x->events);
+  x->link = cv_target_take_link (t, must_be_fresh (x), &err);
+  if (x->link == NULL)
+    {
+      cv_exchange_failed (x, err.text, false);
+      return;
+    }
+  x->sends++;
+  x->gateway->counts.sends++;
+  log_sent (x);
+  cv_buf_init (&head);
+  encode (x, &head);
+  cv_http_link_send (x->link, (cv_slice_t){ head.p, head.n },
+                     (cv_slice_t){ x->client->body.p, x->client->body.n },
+                     on_link_event, x);
+  x->link->reader.no_body = x->client->reader.head.method == HTTP_HEAD;
+  cv_buf_finish (&head);
+}
+
+void
+cv_attempt_read (cv_exchange_t *x)
+{
+  if (!x->counted_unread)
+    return;
+  x->counted_unread = false;
+  x->target->unread_tokens -= x->request.prompt_tokens;
+}
+
+void
+cv_attempt_stop (cv_exchange_t *x)
+{
+  if (x->link != NULL)
+    {
+      cv_http_link_close (x->link);
+      x->link = NULL;
+    }
+  if (x->target != NULL)
+    {
+      cv_attempt_read (x);
+      x->target->in_flight--;
+      x->target->run_tokens -= x->need_tokens;
+      cv_target_unref (x->target);
+      x->target = NULL;
+    }
+  if (x->backup != NULL)
+    {
+      x->backup->copy_tokens -= x->need_tokens;
+      cv_target_unref (x->backup);
+      x->backup = NULL;
+    }
+}
+
+static void
+on_link_event (void *owner, const cv_http_link_event_t *event)
+{
+  cv_exchange_t *x = owner;
+
+  switch (event->kind)
+    {
+    case CV_LINK_HEAD:
+      on_head (x);
+      return;
+    case CV_LINK_BODY:
+      on_body (x, event->u.body);
+      return;
+    case CV_LINK_DONE:
+      on_done (x);
+      return;
+    case CV_LINK_FAILED:
+      on_failed (x, event->u.failure);
+      return;
+    }
+}
+
+static cv_framing_t
+caller_framing (const cv_exchange_t *x)
+{
+  return x->client->reader.head.http_1_0 ? CV_FRAMING_CLOSE
+                                         : CV_FRAMING_CHUNKED;
+}
+
+static void
+send_head (cv_exchange_t *x, cv_framing_t framing, size_t length)
+{
+  cv_buf_t head;
+
+  if (framing == CV_FRAMING_CLOSE)
+    x->client->close_after = true;
+  cv_buf_init (&head);
+  cv_answer_head (&head, &x->link->reader.head, framing, length,
+                  cv_client_last (x->client));
+  cv_client_send (x->client, (cv_slice_t){ head.p, head.n },
+                  (cv_slice_t){ NULL, 0 });
+  cv_buf_finish (&head);
+  x->head_sent = true;
+}
+
+/* A success that is not the target's own whole answer must not pass.  */
+static const char *
+fault_of_success (const cv_http_head_t *h, const cv_answer_marks_t *marks)
+{
+  if (h->status < 200 || h->status > 299)
+    return NULL;
+  if (!marks->is_signed)
+    return "success without the target's signature";
+  if (cv_http_field (h, "Content-Encoding").p != NULL)
+    return "encoded answer";
+  return NULL;
+}
+
+static void
+on_head (cv_exchange_t *x)
+{
+  const cv_http_head_t *h = &x->link->reader.head;
+  cv_answer_marks_t marks;
+  const char *fault;
+
+  cv_platform_decode_answer (h, &marks);
+  x->skip_answer = marks.attempt.p != NULL && x->request.attempt.p != NULL
+                   && !cv_slice_equal (marks.attempt, x->request.attempt);
+  if (x->skip_answer)
+    return;
+  x->rejected = marks.not_run;
+  if (x->rejected)
+    return;
+  fault = fault_of_success (h, &marks);
+  if (fault != NULL)
+    {
+      cv_exchange_failed (x, fault, true);
+      return;
+    }
+  if (x->head_sent)
+    {
+      if (h->status != 200 || !marks.is_event_stream)
+        cv_exchange_failed (x, "run does not go on", true);
+      return;
+    }
+  if (h->status == 200 && marks.is_event_stream)
+    {
+      send_head (x, caller_framing (x), 0);
+      x->state = CV_EXCHANGE_STREAMING;
+      return;
+    }
+  x->state = CV_EXCHANGE_COLLECTING;
+}
+
+/* An answer too large to collect is passed on as it comes.  */
+static void
+start_relaying (cv_exchange_t *x)
+{
+  send_head (x, caller_framing (x), 0);
+  cv_answer_chunk (x->client, caller_framing (x),
+                   (cv_slice_t){ x->answer.p, x->answer.n });
+  cv_buf_reset (&x->answer);
+  x->state = CV_EXCHANGE_RELAYING;
+}
+
+static void
+pass_events (cv_exchange_t *x, cv_slice_t data)
+{
+  cv_error_t err = { 0 };
+  cv_time_t now = cv_now ();
+  uint64_t before = x->events.count;
+  cv_buf_t out;
+  bool ok;
+
+  cv_buf_init (&out);
+  ok = cv_events_take (&x->events, data, &out, &err);
+  if (out.n > 0)
+    {
+      if (before == 0)
+        cv_hist_add (&x->gateway->first_event,
+                     (double)(now - x->started) / (double)CV_MS);
+      cv_attempt_read (x);
+      x->heard_at = now;
+      cv_answer_chunk (x->client, caller_framing (x),
+                       (cv_slice_t){ out.p, out.n });
+    }
+  cv_buf_finish (&out);
+  if (!ok)
+    cv_exchange_failed (x, err.text, true);
+}
+
+static void
+on_body (cv_exchange_t *x, cv_slice_t data)
+{
+  if (x->skip_answer || x->rejected)
+    return;
+  switch (x->state)
+    {
+    case CV_EXCHANGE_COLLECTING:
+      cv_buf_add (&x->answer, data.p, data.n);
+      if (x->answer.n > COLLECT_MAX)
+        start_relaying (x);
+      return;
+    case CV_EXCHANGE_RELAYING:
+      cv_answer_chunk (x->client, caller_framing (x), data);
+      return;
+    case CV_EXCHANGE_STREAMING:
+      pass_events (x, data);
+      return;
+    case CV_EXCHANGE_WAITING:
+    case CV_EXCHANGE_SENT:
+      return;
+    }
+}
+
+/* Let the connection serve others; the accounting ends here too.  */
+static void
+finish_attempt (cv_exchange_t *x)
+{
+  cv_http_link_t *l = x->link;
+
+  x->link = NULL;
+  cv_target_return_link (x->target, l);
+}
+
+static void
+answer_collected (cv_exchange_t *x)
+{
+  bool head_only = x->client->reader.head.method == HTTP_HEAD;
+
+  send_head (x, head_only ? CV_FRAMING_NONE : CV_FRAMING_LENGTH, x->answer.n);
+  if (x->answer.n > 0)
+    cv_client_send (x->client, (cv_slice_t){ x->answer.p, x->answer.n },
+                    (cv_slice_t){ NULL, 0 });
+}
+
+static bool
+is_worth_repeating (const cv_exchange_t *x)
+{
+  return x->link->reader.head.status >= 500
+         && x->route->kind == CV_ROUTE_IDEMPOTENT && cv_exchange_may_repeat (x);
+}
+
+static void
+on_done (cv_exchange_t *x)
+{
+  const cv_http_head_t *h = &x->link->reader.head;
+
+  if (x->skip_answer)
+    {
+      cv_http_link_await (x->link);
+      return;
+    }
+  if (x->rejected)
+    {
+      x->rejections++;
+      cv_exchange_rejected (x, h->status);
+      return;
+    }
+  if (h->status >= 500)
+    (void)cv_target_failed (x->target);
+  else
+    cv_health_success (&x->target->health);
+  if (x->state == CV_EXCHANGE_STREAMING)
+    {
+      if (!cv_events_at_boundary (&x->events))
+        {
+          cv_exchange_failed (x, "stream ends within an event", true);
+          return;
+        }
+      finish_attempt (x);
+      if (caller_framing (x) == CV_FRAMING_CHUNKED)
+        cv_client_send (x->client, cv_slice ("0\r\n\r\n"),
+                        (cv_slice_t){ NULL, 0 });
+      cv_exchange_end (x, true);
+      return;
+    }
+  if (x->state == CV_EXCHANGE_RELAYING)
+    {
+      if (caller_framing (x) == CV_FRAMING_CHUNKED)
+        cv_client_send (x->client, cv_slice ("0\r\n\r\n"),
+                        (cv_slice_t){ NULL, 0 });
+    }
+  else if (is_worth_repeating (x))
+    {
+      cv_exchange_failed (x, "target's own failure", true);
+      return;
+    }
+  else
+    answer_collected (x);
+  finish_attempt (x);
+  cv_exchange_end (x, true);
+}
+
+static const char *
+failure_text (cv_http_link_failure_t failure)
+{
+  switch (failure)
+    {
+    case CV_LINK_REFUSED:
+      return "no connection";
+    case CV_LINK_RESET:
+      return "connection ended early";
+    case CV_LINK_GARBLED:
+      return "malformed answer";
+    }
+  return "unknown failure";
+}
+
+static void
+on_failed (cv_exchange_t *x, cv_http_link_failure_t failure)
+{
+  if (failure == CV_LINK_REFUSED)
+    {
+      cv_health_unreachable (&x->target->health, cv_now ());
+      x->connects++;
+    }
+  else
+    (void)cv_target_failed (x->target);
+  cv_exchange_failed (x, failure_text (failure), failure != CV_LINK_REFUSED);
+}
--- /dev/null
+++ b/gateway/exchange.c
@@ -0,0 +1,493 @@
+/* The life of one request: who asks, where it may go, what follows when a
+   target fails it, and its one answer.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway/state.h"
+
+/* Requests without a deadline and a route without a timeout end after
+   this.  */
+#define TIME_LIMIT_PRESET (60 * CV_SECOND)
+/* Prompt tokens that an engine reads in a millisecond beside running
+   requests; half of what it does alone.  */
+#define READ_TOKENS_PER_MS 7
+/* Connections that may fail to come about before a request is refused.  */
+#define CONNECTS_MAX 4
+/* Runs that one stream may be made of.  */
+#define RESUMES_MAX 6
+/* A request that may be repeated is given up at a silent target after its
+   objective and so many times this.  */
+#define SILENCE_FACTOR 4
+#define SILENCE_MIN (300 * CV_MS)
+/* A stream that may go on elsewhere is given up at a silent target after so
+   many of its objectives for a gap.  */
+#define GAP_FACTOR 5
+#define GAP_MIN (700 * CV_MS)
+/* Part of the objective that a request may wait for a plain service.  */
+#define SERVICE_WAIT_PART 2
+/* A starting gateway has its configuration within about half a second.  */
+#define RETRY_ROUTING_MS 500
+/* A target that rejected a request gets no new one for so long.  */
+#define FULL_FOR (100 * CV_MS)
+
+static void
+log_refusal (const cv_exchange_t *x, unsigned status, uint32_t retry_after_ms,
+             const char *reason)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_REFUSED);
+  cv_line_text (&l, "request", x->request.attempt);
+  cv_line_number (&l, "status", status);
+  cv_line_text (&l, "reason", cv_slice (reason));
+  cv_line_text (&l, "route", cv_slice (x->route != NULL ? x->route->name : ""));
+  cv_line_number (&l, "version",
+                  x->routing != NULL ? (int64_t)x->routing->version : 0);
+  cv_line_number (&l, "age_us", cv_now () - x->started);
+  cv_line_number (&l, "sends", x->sends);
+  cv_line_number (&l, "rejections", x->rejections);
+  cv_line_number (&l, "retry_after_ms", retry_after_ms);
+  cv_line_end (&l);
+}
+
+void
+cv_exchange_end (cv_exchange_t *x, bool whole)
+{
+  cv_gateway_t *g = x->gateway;
+  cv_client_t *c = x->client;
+  cv_line_t l;
+
+  if (x->state == CV_EXCHANGE_WAITING && x->is_queued)
+    TAILQ_REMOVE (&g->waiting, x, waiting);
+  if (c != NULL && whole && x->head_sent)
+    {
+      g->counts.answered++;
+      cv_hist_add (&g->latency,
+                   (double)(cv_now () - x->started) / (double)CV_MS);
+      cv_line_begin (&l, CV_EV_GATEWAY_ANSWERED);
+      cv_line_text (&l, "request", x->request.attempt);
+      cv_line_number (&l, "age_us", cv_now () - x->started);
+      cv_line_number (&l, "sends", x->sends);
+      cv_line_number (&l, "events", (int64_t)x->events.count);
+      cv_line_end (&l);
+    }
+  cv_attempt_stop (x);
+  TAILQ_REMOVE (&g->exchanges, x, entry);
+  cv_routing_unref (x->routing);
+  cv_buf_finish (&x->answer);
+  cv_events_finish (&x->events);
+  free (x);
+  if (c != NULL)
+    cv_client_answered (c, whole);
+}
+
+void
+cv_exchange_left (cv_exchange_t *x)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_CALLER_LEFT);
+  cv_line_text (&l, "request", x->request.attempt);
+  cv_line_number (&l, "age_us", cv_now () - x->started);
+  cv_line_number (&l, "sends", x->sends);
+  cv_line_number (&l, "events", (int64_t)x->events.count);
+  cv_line_end (&l);
+  x->gateway->counts.left++;
+  x->client->exchange = NULL;
+  x->client = NULL;
+  cv_exchange_end (x, false);
+}
+
+void
+cv_exchange_refuse (cv_exchange_t *x, unsigned status, uint32_t retry_after_ms,
+                    const char *reason)
+{
+  log_refusal (x, status, retry_after_ms, reason);
+  if (status == 502 || status == 504)
+    x->gateway->counts.failed++;
+  else
+    x->gateway->counts.refused++;
+  cv_answer_own (x->client, status, reason, retry_after_ms);
+  cv_exchange_end (x, true);
+}
+
+/* The answer is under way and cannot be completed.  */
+static void
+cut (cv_exchange_t *x, const char *reason)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_CUT);
+  cv_line_text (&l, "request", x->request.attempt);
+  cv_line_text (&l, "reason", cv_slice (reason));
+  cv_line_number (&l, "age_us", cv_now () - x->started);
+  cv_line_number (&l, "events", (int64_t)x->events.count);
+  cv_line_number (&l, "resumes", x->resumes);
+  cv_line_end (&l);
+  x->gateway->counts.cut++;
+  cv_exchange_end (x, false);
+}
+
+/* Whether nothing of the request has run, as far as is known for certain.  */
+static bool
+has_not_run (const cv_exchange_t *x)
+{
+  return x->sends == x->rejections + x->connects;
+}
+
+/* End X with what is true of it: not run, or unknown.  */
+static void
+give_up (cv_exchange_t *x, const char *reason, bool timed_out)
+{
+  if (x->head_sent)
+    cut (x, reason);
+  else if (has_not_run (x))
+    cv_exchange_refuse (x, 503, cv_choose_retry_after (x), reason);
+  else
+    cv_exchange_refuse (x, timed_out ? 504 : 502, 0, reason);
+}
+
+/* ---- the start ---- */
+
+static void
+set_times (cv_exchange_t *x)
+{
+  const cv_route_t *r = x->route;
+  cv_time_t objective = r->objective_ms * CV_MS;
+  cv_time_t limit
+      = r->timeout_ms > 0 ? r->timeout_ms * CV_MS : TIME_LIMIT_PRESET;
+  cv_time_t wait;
+
+  if (x->request.has_deadline && x->request.deadline_ms * CV_MS < limit)
+    limit = x->request.deadline_ms * CV_MS;
+  x->expires = x->started + limit;
+  if (x->service->is_engine)
+    wait = objective - x->request.prompt_tokens / READ_TOKENS_PER_MS * CV_MS;
+  else
+    wait = objective / SERVICE_WAIT_PART;
+  if (wait > limit / 2)
+    wait = limit / 2;
+  x->wait_until = x->started + (wait > 0 ? wait : 0);
+}
+
+static void
+estimate_need (cv_exchange_t *x)
+{
+  const cv_caller_request_t *q = &x->request;
+  uint32_t output = q->output_limit;
+
+  if (!q->is_generation)
+    return;
+  if (q->output_hint > 0 && q->output_hint < output)
+    output = q->output_hint;
+  x->need_tokens = (uint64_t)q->prompt_tokens + output;
+}
+
+/* Find route and account; false when X was answered.  */
+static bool
+admit (cv_exchange_t *x)
+{
+  const cv_http_head_t *h = &x->client->reader.head;
+  cv_error_t err = { 0 };
+  uint32_t service;
+
+  if (!cv_platform_decode_request (h, &x->request, &err))
+    {
+      cv_exchange_refuse (x, 400, 0, err.text);
+      return false;
+    }
+  if (x->routing == NULL)
+    {
+      cv_exchange_refuse (x, 503, RETRY_ROUTING_MS, "no configuration yet");
+      return false;
+    }
+  x->route = cv_routing_route (x->routing, cv_http_field (h, "Host"),
+                               cv_http_target (h));
+  if (x->route == NULL)
+    {
+      cv_exchange_refuse (x, 404, 0, "no such route");
+      return false;
+    }
+  x->account = cv_routing_account (x->routing, x->request.key);
+  if (x->account == NULL && x->routing->keys_required && !x->route->keyless)
+    {
+      cv_exchange_refuse (x, 401, 0, "unknown key");
+      return false;
+    }
+  service = cv_route_pick_service (x->route, cv_rng_uniform (&x->gateway->rng));
+  if (service == CV_NO_SERVICE)
+    {
+      cv_exchange_refuse (x, 503, RETRY_ROUTING_MS, "route has no service");
+      return false;
+    }
+  x->service = &x->routing->services[service];
+  x->service_state = cv_service_state (x->gateway, x->service->name);
+  return true;
+}
+
+void
+cv_exchange_begin (cv_client_t *c)
+{
+  cv_gateway_t *g = c->port->gateway;
+  cv_exchange_t *x = cv_calloc (1, sizeof *x);
+
+  x->gateway = g;
+  x->client = c;
+  x->started = c->since;
+  x->state = CV_EXCHANGE_WAITING;
+  cv_buf_init (&x->answer);
+  cv_events_init (&x->events);
+  if (g->routing != NULL)
+    x->routing = cv_routing_ref (g->routing);
+  c->exchange = x;
+  TAILQ_INSERT_TAIL (&g->exchanges, x, entry);
+  g->counts.requests++;
+  if (!admit (x))
+    return;
+  set_times (x);
+  estimate_need (x);
+  cv_retry_budget_first (&x->service_state->retries);
+  cv_exchange_place (x);
+}
+
+/* ---- placing ---- */
+
+/* More urgent ones go first, and then in order of arrival.  */
+static void
+enqueue (cv_exchange_t *x)
+{
+  cv_exchange_t *other;
+
+  x->is_queued = true;
+  TAILQ_FOREACH_REVERSE (other, &x->gateway->waiting, cv_exchanges_t, waiting)
+  if (other->route->priority <= x->route->priority)
+    {
+      TAILQ_INSERT_AFTER (&x->gateway->waiting, other, x, waiting);
+      return;
+    }
+  TAILQ_INSERT_HEAD (&x->gateway->waiting, x, waiting);
+}
+
+void
+cv_exchange_place (cv_exchange_t *x)
+{
+  cv_target_t *t = cv_choose_target (x);
+
+  if (t != NULL)
+    {
+      cv_attempt_start (x, t);
+      return;
+    }
+  x->state = CV_EXCHANGE_WAITING;
+  if (cv_now () >= x->wait_until)
+    give_up (x, "no target has room in time", false);
+  else
+    enqueue (x);
+}
+
+void
+cv_exchange_place_waiting (cv_gateway_t *g)
+{
+  cv_exchange_t *x;
+  cv_exchange_t *next;
+
+  for (x = TAILQ_FIRST (&g->waiting); x != NULL; x = next)
+    {
+      cv_target_t *t = cv_choose_target (x);
+
+      next = TAILQ_NEXT (x, waiting);
+      if (t == NULL)
+        continue;
+      TAILQ_REMOVE (&g->waiting, x, waiting);
+      x->is_queued = false;
+      cv_attempt_start (x, t);
+    }
+}
+
+/* ---- failures ---- */
+
+static bool
+is_repeatable (const cv_exchange_t *x)
+{
+  switch (x->route->kind)
+    {
+    case CV_ROUTE_IDEMPOTENT:
+      return true;
+    case CV_ROUTE_STREAMING:
+      return x->route->resumable;
+    case CV_ROUTE_NON_IDEMPOTENT:
+      return false;
+    }
+  return false;
+}
+
+/* Another attempt fits into the route's bound and before the end.  */
+bool
+cv_exchange_may_repeat (const cv_exchange_t *x)
+{
+  return x->sends < x->route->max_targets + x->connects
+         && x->connects < CONNECTS_MAX
+         && cv_now () < x->expires - SILENCE_MIN / 3;
+}
+
+static void
+log_failure (const cv_exchange_t *x, const char *reason, const char *next)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_ATTEMPT_FAILED);
+  cv_line_text (&l, "request", x->request.attempt);
+  cv_line_text (&l, "target",
+                cv_slice (x->target != NULL ? x->target->record.id : ""));
+  cv_line_text (&l, "reason", cv_slice (reason));
+  cv_line_text (&l, "next", cv_slice (next));
+  cv_line_number (&l, "attempt", x->sends);
+  cv_line_number (&l, "events", (int64_t)x->events.count);
+  cv_line_number (&l, "after_us", cv_now () - x->sent_at);
+  cv_line_end (&l);
+}
+
+/* Go on from the copy of the run's memory, where there is one.  */
+static bool
+resume_from_copy (cv_exchange_t *x, const char *reason)
+{
+  cv_target_t *copy = x->backup;
+
+  if (copy == NULL || x->resumes >= RESUMES_MAX
+      || copy->presence == CV_TARGET_REMOVED)
+    return false;
+  log_failure (x, reason, "goes on from the copy");
+  (void)cv_target_ref (copy);
+  cv_attempt_stop (x);
+  x->resumes++;
+  x->gateway->counts.resumes++;
+  x->from_copy = true;
+  x->copy_at = copy->record.address;
+  cv_attempt_start (x, copy);
+  cv_target_unref (copy);
+  return true;
+}
+
+void
+cv_exchange_failed (cv_exchange_t *x, const char *reason, bool may_have_run)
+{
+  bool repeat = !may_have_run || is_repeatable (x);
+
+  if (may_have_run && !is_repeatable (x) && resume_from_copy (x, reason))
+    return;
+  if (repeat
+      && (x->head_sent ? x->resumes < RESUMES_MAX : cv_exchange_may_repeat (x))
+      && (!may_have_run || cv_retry_budget_take (&x->service_state->retries)))
+    {
+      log_failure (x, reason, "is sent again");
+      cv_attempt_stop (x);
+      x->from_copy = false;
+      if (x->head_sent)
+        x->resumes++;
+      x->gateway->counts.retries++;
+      cv_exchange_place (x);
+      return;
+    }
+  log_failure (x, reason, repeat ? "bounds are reached" : "may have run");
+  cv_attempt_stop (x);
+  give_up (x, reason, false);
+}
+
+void
+cv_exchange_rejected (cv_exchange_t *x, unsigned status)
+{
+  cv_target_t *t = x->target;
+  bool wrong_instance = status == 421;
+
+  if (wrong_instance)
+    cv_health_unreachable (&t->health, cv_now ());
+  else
+    t->full_until = cv_now () + FULL_FOR;
+  /* The copy is gone: the run cannot go on.  */
+  if (x->from_copy)
+    {
+      log_failure (x, "no copy of the run there", "ends");
+      cv_attempt_stop (x);
+      give_up (x, "no copy of the run", false);
+      return;
+    }
+  if ((x->head_sent ? x->resumes < RESUMES_MAX
+                    : x->sends < x->route->max_targets + x->connects
+                                     + (wrong_instance ? 1 : 0))
+      && cv_retry_budget_take (&x->service_state->retries))
+    {
+      log_failure (x, "rejected", "is sent elsewhere");
+      cv_attempt_stop (x);
+      if (x->head_sent)
+        x->resumes++;
+      x->gateway->counts.retries++;
+      cv_exchange_place (x);
+      return;
+    }
+  log_failure (x, "rejected", "bounds are reached");
+  cv_attempt_stop (x);
+  give_up (x, "target rejected it", false);
+}
+
+/* ---- times ---- */
+
+/* How long the present attempt may be silent; 0: for ever.  */
+static cv_time_t
+silence_limit (const cv_exchange_t *x)
+{
+  cv_time_t limit;
+
+  if (x->state == CV_EXCHANGE_STREAMING && x->events.count > 0)
+    {
+      if (!is_repeatable (x) && x->backup == NULL)
+        return 0;
+      limit = GAP_FACTOR * x->route->gap_objective_ms * CV_MS;
+      return limit > GAP_MIN ? limit : GAP_MIN;
+    }
+  if (!is_repeatable (x) || !cv_exchange_may_repeat (x))
+    return 0;
+  if (x->service->is_engine)
+    return x->route->objective_ms * CV_MS + SILENCE_MIN;
+  limit = SILENCE_FACTOR * x->route->objective_ms * CV_MS;
+  return limit > SILENCE_MIN ? limit : SILENCE_MIN;
+}
+
+static void
+check_times (cv_exchange_t *x, cv_time_t now)
+{
+  cv_time_t silence;
+
+  if (now >= x->expires)
+    {
+      cv_attempt_stop (x);
+      give_up (x, "time is over", true);
+      return;
+    }
+  if (x->state == CV_EXCHANGE_WAITING)
+    {
+      if (now >= x->wait_until)
+        give_up (x, "no target has room in time", false);
+      return;
+    }
+  silence = silence_limit (x);
+  if (silence > 0 && now - x->heard_at > silence)
+    {
+      (void)cv_target_failed (x->target);
+      cv_exchange_failed (x, "target is silent", true);
+    }
+}
+
+void
+cv_exchanges_tick (cv_gateway_t *g, cv_time_t now)
+{
+  cv_exchange_t *x;
+  cv_exchange_t *next;
+
+  cv_exchange_place_waiting (g);
+  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = next)
+    {
+      next = TAILQ_NEXT (x, entry);
+      check_times (x, now);
+    }
+}
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,246 @@
+/* Start, tick and stop of a gateway.  */
+
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "gateway/state.h"
+
+/* Time-outs and queues are looked at so often; answers of the gateway's own
+   are late by this at most.  */
+#define TICK_MS 25
+/* What is left of the time to stop when requests under way are cut.  */
+#define STOP_MARGIN (700 * CV_MS)
+/* The balancer needs two missed answers a second apart to send no more
+   connections.  */
+#define STOP_ACCEPT (3 * CV_SECOND)
+/* Descriptors that are not for callers: those of targets, the store and
+   files.  */
+#define DESCRIPTORS_RESERVED 200
+/* Memory that a caller's connection takes at most, by its buffers.  */
+#define CLIENT_MEMORY_KB 96
+/* Histograms in milliseconds.  */
+#define HIST_LOW 1.0
+#define HIST_HIGH 100000.0
+
+static void on_tick (evutil_socket_t fd, short what, void *arg);
+static void on_signal (evutil_socket_t number, short what, void *arg);
+static bool open_ports (cv_gateway_t *g, cv_error_t *err);
+static void add_signals (cv_gateway_t *g);
+
+static bool
+init (cv_gateway_t *g, const cv_gateway_settings_t *s, const char *path,
+      cv_error_t *err)
+{
+  int size = sizeof g->store;
+
+  memset (g, 0, sizeof *g);
+  g->settings = *s;
+  g->settings_path = path;
+  g->accepting = true;
+  TAILQ_INIT (&g->targets);
+  TAILQ_INIT (&g->services);
+  TAILQ_INIT (&g->clients);
+  TAILQ_INIT (&g->exchanges);
+  TAILQ_INIT (&g->waiting);
+  cv_rng_init (&g->rng, cv_u64_random ());
+  cv_hist_init (&g->latency, HIST_LOW, HIST_HIGH);
+  cv_hist_init (&g->first_event, HIST_LOW, HIST_HIGH);
+  if (evutil_parse_sockaddr_port (s->store_url + strlen ("http://"),
+                                  (struct sockaddr *)&g->store, &size)
+      != 0)
+    return cv_fail (err, CV_ERR_INVALID, "store_url: no address");
+  g->base = event_base_new ();
+  if (g->base == NULL)
+    return cv_fail (err, CV_ERR_SYSTEM, "event loop cannot be made");
+  cv_follow_init (&g->follow_routing, g, CV_STORE_ROUTING);
+  cv_follow_init (&g->follow_instances, g, CV_STORE_INSTANCES);
+  return open_ports (g, err);
+}
+
+static bool
+open_ports (cv_gateway_t *g, cv_error_t *err)
+{
+  const cv_gateway_settings_t *s = &g->settings;
+
+  return cv_port_open (g, CV_PORT_CALLERS, s->listen_url, err)
+         && cv_port_open (g, CV_PORT_READY, s->ready_url, err)
+         && (s->metrics_url[0] == '\0'
+             || cv_port_open (g, CV_PORT_METRICS, s->metrics_url, err));
+}
+
+static void
+finish (cv_gateway_t *g)
+{
+  cv_client_t *c;
+
+  while ((c = TAILQ_FIRST (&g->clients)) != NULL)
+    cv_client_close (c);
+  cv_follow_finish (&g->follow_routing);
+  cv_follow_finish (&g->follow_instances);
+  cv_targets_finish (g);
+  cv_routing_unref (g->routing);
+  for (uint32_t i = 0; i < g->port_count; i++)
+    cv_port_close (&g->ports[i]);
+  for (size_t i = 0; i < sizeof g->signals / sizeof g->signals[0]; i++)
+    if (g->signals[i] != NULL)
+      event_free (g->signals[i]);
+  if (g->tick != NULL)
+    event_free (g->tick);
+  if (g->base != NULL)
+    event_base_free (g->base);
+  cv_rng_finish (&g->rng);
+  cv_hist_finish (&g->latency);
+  cv_hist_finish (&g->first_event);
+}
+
+bool
+cv_gateway_run (const cv_gateway_settings_t *s, const char *path,
+                cv_error_t *err)
+{
+  static const struct timeval tick = { .tv_usec = TICK_MS * 1000 };
+  static cv_gateway_t gateway;
+  cv_gateway_t *g = &gateway;
+  cv_line_t l;
+  bool ok = init (g, s, path, err);
+
+  if (ok)
+    {
+      cv_line_open (STDOUT_FILENO);
+      cv_line_begin (&l, CV_EV_GATEWAY_LISTENING);
+      cv_line_text (&l, "instance", cv_slice (s->instance));
+      cv_line_text (&l, "failure_domain", cv_slice (s->failure_domain));
+      cv_line_text (&l, "address", cv_slice (s->listen_url));
+      cv_line_end (&l);
+      add_signals (g);
+      g->tick = event_new (g->base, -1, EV_PERSIST, on_tick, g);
+      ok = g->tick != NULL && event_add (g->tick, &tick) == 0
+           && event_base_dispatch (g->base) >= 0;
+      if (!ok)
+        (void)cv_fail (err, CV_ERR_SYSTEM, "event loop failed");
+    }
+  finish (g);
+  cv_line_flush ();
+  return ok;
+}
+
+static void
+add_signals (cv_gateway_t *g)
+{
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+
+  (void)signal (SIGPIPE, SIG_IGN);
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    {
+      g->signals[i] = evsignal_new (g->base, numbers[i], on_signal, g);
+      CV_INVARIANT (g->signals[i] != NULL
+                    && event_add (g->signals[i], NULL) == 0);
+    }
+}
+
+static void
+begin_stop (cv_gateway_t *g)
+{
+  cv_time_t now = cv_now ();
+  cv_line_t l;
+
+  if (g->stopping)
+    return;
+  g->stopping = true;
+  g->stop_at = now;
+  g->stop_by = now + (cv_time_t)(g->settings.grace_s * (double)CV_SECOND)
+               - STOP_MARGIN;
+  cv_line_begin (&l, CV_EV_DAEMON_STOPPING);
+  cv_line_text (&l, "instance", cv_slice (g->settings.instance));
+  cv_line_number (&l, "callers", g->client_count);
+  cv_line_end (&l);
+}
+
+/* Settings of addresses hold from the next start; the others at once.  */
+static void
+reload (cv_gateway_t *g)
+{
+  cv_settings_t s;
+  cv_line_t l;
+
+  if (!cv_settings_load (g->settings_path, &s, stderr)
+      || s.role != CV_ROLE_GATEWAY)
+    {
+      cv_line_begin (&l, CV_EV_DAEMON_RELOAD_REFUSED);
+      cv_line_text (&l, "file", cv_slice (g->settings_path));
+      cv_line_end (&l);
+      return;
+    }
+  g->settings = s.u.gateway;
+  cv_line_begin (&l, CV_EV_DAEMON_RELOADED);
+  cv_line_text (&l, "file", cv_slice (g->settings_path));
+  cv_line_end (&l);
+}
+
+static void
+on_signal (evutil_socket_t number, short what, void *arg)
+{
+  (void)what;
+  switch (number)
+    {
+    case SIGHUP:
+      reload (arg);
+      return;
+    default:
+      begin_stop (arg);
+      return;
+    }
+}
+
+static uint32_t
+client_limit (const cv_gateway_t *g)
+{
+  uint32_t by_memory = g->settings.memory_mb * 1024 / CLIENT_MEMORY_KB / 2;
+  uint32_t by_fds = g->settings.descriptors > 2 * DESCRIPTORS_RESERVED
+                        ? (g->settings.descriptors - DESCRIPTORS_RESERVED) / 2
+                        : g->settings.descriptors / 2;
+
+  return by_memory < by_fds ? by_memory : by_fds;
+}
+
+/* Beyond the limit new callers wait in the queue of the system.  */
+static void
+bound_clients (cv_gateway_t *g)
+{
+  bool room = g->client_count < client_limit (g);
+  cv_line_t l;
+
+  if (room == g->accepting)
+    return;
+  g->accepting = room;
+  if (room)
+    {
+      (void)evconnlistener_enable (g->ports[0].listener);
+      return;
+    }
+  (void)evconnlistener_disable (g->ports[0].listener);
+  cv_line_begin (&l, CV_EV_GATEWAY_CONNECTIONS_FULL);
+  cv_line_number (&l, "callers", g->client_count);
+  cv_line_end (&l);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  cv_gateway_t *g = arg;
+  cv_time_t now = cv_now ();
+
+  (void)fd;
+  (void)what;
+  cv_follow_tick (&g->follow_routing, now);
+  cv_follow_tick (&g->follow_instances, now);
+  cv_targets_tick (g, now);
+  cv_exchanges_tick (g, now);
+  cv_clients_tick (g, now);
+  bound_clients (g);
+  cv_line_flush ();
+  if (g->stopping
+      && (now >= g->stop_by
+          || (now - g->stop_at > STOP_ACCEPT && TAILQ_EMPTY (&g->clients))))
+    (void)event_base_loopbreak (g->base);
+}
--- /dev/null
+++ b/gateway/state.h
@@ -0,0 +1,346 @@
+/* State of a gateway, shared by its files.  One thread runs them all.  */
+
+#ifndef CV_GATEWAY_STATE_H
+#define CV_GATEWAY_STATE_H
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include "base/line.h"
+#include "gateway/events.h"
+#include "gateway/gateway.h"
+#include "http/link.h"
+#include "http/reader.h"
+#include "platform/platform.h"
+#include "policy/health.h"
+#include "policy/policy.h"
+#include "routing/routing.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct cv_gateway_t cv_gateway_t;
+typedef struct cv_client_t cv_client_t;
+typedef struct cv_exchange_t cv_exchange_t;
+typedef struct cv_target_t cv_target_t;
+
+TAILQ_HEAD (cv_http_links_t, cv_http_link_t);
+TAILQ_HEAD (cv_targets_t, cv_target_t);
+TAILQ_HEAD (cv_clients_t, cv_client_t);
+TAILQ_HEAD (cv_exchanges_t, cv_exchange_t);
+
+/* ---- targets ---- */
+
+typedef enum
+{
+  CV_TARGET_LISTED = 1, /* takes new requests */
+  CV_TARGET_MISSING,    /* fell off the list while the store was away */
+  CV_TARGET_DEPARTING,  /* leaving: no new requests */
+  CV_TARGET_REMOVED     /* off the list; kept for requests under way */
+} cv_target_presence_t;
+
+struct cv_target_t
+{
+  TAILQ_ENTRY (cv_target_t) entry;
+  cv_gateway_t *gateway;
+  uint32_t refs; /* the table, and each exchange that names it */
+  cv_instance_record_t record;
+  cv_target_presence_t presence;
+  cv_time_t missing_until; /* CV_TARGET_MISSING: then it is removed */
+  bool seen;               /* in the list being read */
+  cv_health_t health;
+  cv_time_t full_until; /* it rejected a request for want of room */
+  struct cv_http_links_t idle;
+  uint32_t idle_count;
+  uint32_t in_flight; /* own requests there */
+  /* Tokens of own requests: memory at their end, prompts not yet read, and
+     memory of copies kept there.  */
+  uint64_t run_tokens;
+  uint64_t unread_tokens;
+  uint64_t copy_tokens;
+};
+
+/* What a gateway keeps of a service beyond one configuration.  */
+typedef struct cv_service_state_t
+{
+  TAILQ_ENTRY (cv_service_state_t) entry;
+  char name[CV_NAME_MAX];
+  cv_retry_budget_t retries;
+} cv_service_state_t;
+
+TAILQ_HEAD (cv_service_states_t, cv_service_state_t);
+
+/* ---- callers ---- */
+
+/* What a listening address is for.  */
+typedef enum
+{
+  CV_PORT_CALLERS = 1,
+  CV_PORT_READY,
+  CV_PORT_METRICS
+} cv_port_kind_t;
+
+typedef struct
+{
+  cv_gateway_t *gateway;
+  cv_port_kind_t kind;
+  struct evconnlistener *listener;
+} cv_port_t;
+
+#define CV_PORTS_MAX 3
+
+typedef enum
+{
+  CV_CLIENT_READING,   /* a request, or idle before one */
+  CV_CLIENT_WAITING,   /* for the answer to its request */
+  CV_CLIENT_LINGERING, /* answered; input is dropped until it closes */
+} cv_client_state_t;
+
+struct cv_client_t
+{
+  TAILQ_ENTRY (cv_client_t) entry;
+  cv_port_t *port;
+  cv_client_state_t state;
+  struct bufferevent *bev;
+  cv_http_reader_t reader;
+  cv_buf_t body;
+  cv_exchange_t *exchange; /* of CV_CLIENT_WAITING */
+  cv_time_t since;         /* start of the request, or of being idle */
+  bool close_after;        /* the connection ends with this answer */
+  bool handling;           /* its input is being handled */
+  bool doomed;             /* closed once its input was handled */
+};
+
+/* ---- exchanges ---- */
+
+typedef enum
+{
+  CV_EXCHANGE_WAITING = 1, /* for a target with room */
+  CV_EXCHANGE_SENT,        /* no answer yet */
+  CV_EXCHANGE_COLLECTING,  /* the answer is collected whole */
+  CV_EXCHANGE_RELAYING,    /* a large answer is passed on as it comes */
+  CV_EXCHANGE_STREAMING    /* events are passed on */
+} cv_exchange_state_t;
+
+/* Most targets that one exchange remembers as tried.  */
+#define CV_TRIED_MAX 8
+
+/* One request of a caller and all that is done for it.  */
+struct cv_exchange_t
+{
+  TAILQ_ENTRY (cv_exchange_t) entry;   /* of all */
+  TAILQ_ENTRY (cv_exchange_t) waiting; /* for a target */
+  cv_gateway_t *gateway;
+  cv_client_t *client;
+  cv_exchange_state_t state;
+  cv_routing_t *routing;
+  const cv_route_t *route;
+  const cv_service_t *service;
+  cv_service_state_t *service_state;
+  const cv_client_account_t *account; /* NULL: none */
+  cv_caller_request_t request;
+  uint64_t need_tokens; /* memory of the run at its end, as estimated */
+  cv_time_t started;
+  cv_time_t expires;    /* the caller or the route gives up */
+  cv_time_t wait_until; /* no use in waiting for a target any longer */
+
+  cv_target_t *target; /* of the present attempt */
+  cv_http_link_t *link;
+  cv_time_t sent_at;
+  cv_time_t heard_at;  /* last event of a stream */
+  uint32_t sends;      /* attempts that reached a connection */
+  uint32_t rejections; /* of them, stated as not run */
+  uint32_t connects;   /* connections that did not come about */
+  uint32_t resumes;
+  char tried[CV_TRIED_MAX][CV_NAME_MAX];
+  uint32_t tried_count;
+  bool is_queued;      /* in the list of waiting ones */
+  bool counted_unread; /* its prompt counts as not yet read */
+  bool skip_answer;    /* the answer that comes belongs to another request */
+  bool rejected;       /* the answer that comes says: not run */
+
+  cv_target_t *backup; /* keeps a copy of the run's memory, or NULL */
+  bool from_copy;      /* the present attempt goes on from a copy */
+  struct sockaddr_in copy_at;
+
+  cv_buf_t answer;    /* collected body */
+  bool head_sent;     /* the caller has the answer's head */
+  cv_events_t events; /* of a stream */
+};
+
+/* ---- following the store ---- */
+
+typedef enum
+{
+  CV_FOLLOW_LIST = 1, /* read the whole list, page by page */
+  CV_FOLLOW_WATCH     /* wait for changes */
+} cv_follow_phase_t;
+
+typedef struct
+{
+  cv_gateway_t *gateway;
+  cv_store_kind_t kind;
+  cv_follow_phase_t phase;
+  cv_http_link_t *link;
+  cv_buf_t body;
+  uint64_t at;             /* revision up to which changes are known */
+  uint64_t list_at;        /* revision of the list being read */
+  char after[CV_NAME_MAX]; /* last name of the page before */
+  cv_time_t call_until;    /* the present call is given up then; 0: none */
+  cv_time_t next_call;
+  bool lost; /* the store did not answer the last call */
+  cv_time_t lost_at;
+  cv_time_t regained_at;
+  uint32_t failures; /* in a row */
+  uint64_t calls;
+} cv_follow_t;
+
+/* ---- counters ---- */
+
+typedef struct
+{
+  uint64_t requests;
+  uint64_t answered;
+  uint64_t refused;
+  uint64_t failed;
+  uint64_t cut;
+  uint64_t left; /* callers that went away */
+  uint64_t retries;
+  uint64_t resumes;
+  uint64_t sends;
+  uint64_t connections;
+  uint64_t routings;
+} cv_gateway_counts_t;
+
+struct cv_gateway_t
+{
+  cv_gateway_settings_t settings;
+  const char *settings_path;
+  struct sockaddr_in store;
+  struct event_base *base;
+  struct event *tick;
+  struct event *signals[4];
+  cv_port_t ports[CV_PORTS_MAX];
+  uint32_t port_count;
+  cv_routing_t *routing; /* NULL until one is known */
+  bool instances_known;
+  struct cv_targets_t targets;
+  struct cv_service_states_t services;
+  struct cv_clients_t clients;
+  uint32_t client_count;
+  bool accepting;
+  struct cv_exchanges_t exchanges;
+  struct cv_exchanges_t waiting; /* most urgent first, then in order */
+  cv_follow_t follow_routing;
+  cv_follow_t follow_instances;
+  cv_rng_t rng;
+  bool stopping;
+  cv_time_t stop_at;
+  cv_time_t stop_by; /* requests under way are cut then */
+  cv_gateway_counts_t counts;
+  cv_hist_t latency; /* milliseconds to the end of an answer */
+  cv_hist_t first_event;
+};
+
+/* client.c */
+bool cv_port_open (cv_gateway_t *g, cv_port_kind_t kind, const char *url,
+                   cv_error_t *err);
+void cv_port_close (cv_port_t *p);
+/* The answer is complete (WHOLE) or broken off.  */
+void cv_client_answered (cv_client_t *c, bool whole);
+/* Put the head of an answer together: status line, FIELDS of HEAD (may be
+   NULL) and framing.  */
+void cv_client_send (cv_client_t *c, cv_slice_t head, cv_slice_t body);
+void cv_client_close (cv_client_t *c);
+void cv_clients_tick (cv_gateway_t *g, cv_time_t now);
+/* Whether this answer is the last of its connection.  */
+bool cv_client_last (const cv_client_t *c);
+
+/* answer.c */
+/* A short answer of the gateway's own; RETRY_AFTER_MS 0: none.  */
+void cv_answer_own (cv_client_t *c, unsigned status, const char *reason,
+                    uint32_t retry_after_ms);
+/* The head of a target's answer for the caller.  */
+typedef enum
+{
+  CV_FRAMING_LENGTH = 1, /* the body's length is known */
+  CV_FRAMING_CHUNKED,
+  CV_FRAMING_CLOSE, /* the body ends with the connection */
+  CV_FRAMING_NONE   /* no body, fields as the target gave them */
+} cv_framing_t;
+void cv_answer_head (cv_buf_t *out, const cv_http_head_t *head,
+                     cv_framing_t framing, size_t length, bool last);
+/* Bytes of a body in FRAMING.  */
+void cv_answer_chunk (cv_client_t *c, cv_framing_t framing, cv_slice_t data);
+void cv_answer_ready (cv_client_t *c);
+void cv_answer_metrics (cv_client_t *c);
+
+/* exchange.c */
+void cv_exchange_begin (cv_client_t *c);
+/* The caller went away.  */
+void cv_exchange_left (cv_exchange_t *x);
+/* Place what waits, after room came free.  */
+void cv_exchange_place_waiting (cv_gateway_t *g);
+void cv_exchanges_tick (cv_gateway_t *g, cv_time_t now);
+/* Answer X with STATUS of the gateway's own, and end it.  */
+void cv_exchange_refuse (cv_exchange_t *x, unsigned status,
+                         uint32_t retry_after_ms, const char *reason);
+void cv_exchange_end (cv_exchange_t *x, bool whole);
+/* Another attempt fits into the route's bound and before the end.  */
+bool cv_exchange_may_repeat (const cv_exchange_t *x);
+/* The target states that it did not run X.  */
+void cv_exchange_rejected (cv_exchange_t *x, unsigned status);
+/* The present attempt ended without a proper answer.  */
+void cv_exchange_failed (cv_exchange_t *x, const char *reason,
+                         bool may_have_run);
+/* Find a target and send, or wait for one.  */
+void cv_exchange_place (cv_exchange_t *x);
+
+/* attempt.c */
+/* Send X to T; the link is opened where none is idle.  */
+void cv_attempt_start (cv_exchange_t *x, cv_target_t *t);
+/* Give up the connection and the target of the present attempt.  */
+void cv_attempt_stop (cv_exchange_t *x);
+/* The first event or the answer came: the prompt is read.  */
+void cv_attempt_read (cv_exchange_t *x);
+
+/* choose.c */
+/* The target for X now, or NULL.  */
+cv_target_t *cv_choose_target (cv_exchange_t *x);
+/* An engine to keep a copy of X's run at T, or NULL.  */
+cv_target_t *cv_choose_backup (cv_exchange_t *x, const cv_target_t *t);
+uint32_t cv_choose_retry_after (cv_exchange_t *x);
+
+/* targets.c */
+void cv_targets_note (cv_gateway_t *g, const cv_instance_record_t *r);
+void cv_targets_remove (cv_gateway_t *g, const char *id, bool in_doubt);
+/* Begin and end of reading a whole list.  */
+void cv_targets_list_begin (cv_gateway_t *g);
+void cv_targets_list_end (cv_gateway_t *g, bool in_doubt);
+void cv_targets_tick (cv_gateway_t *g, cv_time_t now);
+cv_target_t *cv_target_ref (cv_target_t *t);
+void cv_target_unref (cv_target_t *t);
+/* A request failed there; whether the target is avoided from now on.  */
+bool cv_target_failed (cv_target_t *t);
+bool cv_target_usable (const cv_target_t *t, cv_time_t now);
+/* An idle connection, or a new one; NULL with ERR.  FRESH: one that was used
+   a moment ago or is new.  */
+cv_http_link_t *cv_target_take_link (cv_target_t *t, bool fresh,
+                                     cv_error_t *err);
+/* The exchange on L is over.  */
+void cv_target_return_link (cv_target_t *t, cv_http_link_t *l);
+void cv_targets_finish (cv_gateway_t *g);
+cv_service_state_t *cv_service_state (cv_gateway_t *g, const char *name);
+
+/* follow.c */
+void cv_follow_init (cv_follow_t *f, cv_gateway_t *g, cv_store_kind_t kind);
+void cv_follow_finish (cv_follow_t *f);
+void cv_follow_tick (cv_follow_t *f, cv_time_t now);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/gateway/targets.c
@@ -0,0 +1,314 @@
+/* The targets that the platform lists, and idle connections to them.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway/state.h"
+
+/* Idle connections kept to one target; more are opened under load only.  */
+#define IDLE_MAX 8
+/* A connection is not used again this close to the end of its idle time,
+   which a request on its way could cross.  */
+#define IDLE_MARGIN (300 * CV_MS)
+/* A request that may not be repeated uses a connection only if it was used
+   this lately, since targets may drop an idle one unnoticed.  */
+#define FRESH_FOR (500 * CV_MS)
+/* Part of the retry ratio that is used: callers that leave make requests
+   count less than they seem to.  */
+#define RETRY_SHARE 0.9
+/* Gateways that share the slack of the retry budget.  */
+#define GATEWAYS_ASSUMED 8
+
+static void on_idle_event (void *owner, const cv_http_link_event_t *event);
+
+static cv_target_t *
+find (cv_gateway_t *g, const char *id)
+{
+  cv_target_t *t;
+
+  TAILQ_FOREACH (t, &g->targets, entry)
+  if (strcmp (t->record.id, id) == 0)
+    return t;
+  return NULL;
+}
+
+cv_target_t *
+cv_target_ref (cv_target_t *t)
+{
+  t->refs++;
+  return t;
+}
+
+void
+cv_target_unref (cv_target_t *t)
+{
+  if (--t->refs > 0)
+    return;
+  CV_INVARIANT (TAILQ_EMPTY (&t->idle));
+  free (t);
+}
+
+static void
+drop_idle (cv_target_t *t)
+{
+  cv_http_link_t *l;
+
+  while ((l = TAILQ_FIRST (&t->idle)) != NULL)
+    {
+      TAILQ_REMOVE (&t->idle, l, entry);
+      cv_http_link_close (l);
+    }
+  t->idle_count = 0;
+}
+
+static void
+log_target (cv_event_t event, const cv_target_t *t, const char *why)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, event);
+  cv_line_text (&l, "target", cv_slice (t->record.id));
+  cv_line_text (&l, "service", cv_slice (t->record.service));
+  cv_line_text (&l, "reason", cv_slice (why));
+  cv_line_number (&l, "in_flight", t->in_flight);
+  cv_line_end (&l);
+}
+
+static void
+forget (cv_target_t *t, const char *why)
+{
+  log_target (CV_EV_GATEWAY_TARGET_LEAVING, t, why);
+  t->presence = CV_TARGET_REMOVED;
+  drop_idle (t);
+  TAILQ_REMOVE (&t->gateway->targets, t, entry);
+  cv_target_unref (t);
+}
+
+static cv_target_t *
+add (cv_gateway_t *g, const cv_instance_record_t *r)
+{
+  cv_target_t *t = cv_calloc (1, sizeof *t);
+
+  t->gateway = g;
+  t->refs = 1;
+  t->record = *r;
+  t->presence = CV_TARGET_LISTED;
+  TAILQ_INIT (&t->idle);
+  cv_health_init (&t->health);
+  TAILQ_INSERT_TAIL (&g->targets, t, entry);
+  log_target (CV_EV_GATEWAY_TARGET_ADDED, t, "listed");
+  return t;
+}
+
+void
+cv_targets_note (cv_gateway_t *g, const cv_instance_record_t *r)
+{
+  cv_target_t *t = find (g, r->id);
+
+  /* Another start under the same id knows nothing of before.  */
+  if (t != NULL && t->record.started_ms != r->started_ms
+      && t->record.started_ms != 0)
+    {
+      forget (t, "started again");
+      t = NULL;
+    }
+  if (t == NULL)
+    t = add (g, r);
+  t->seen = true;
+  t->record = *r;
+  if (!r->leaving)
+    t->presence = CV_TARGET_LISTED;
+  else if (t->presence != CV_TARGET_DEPARTING)
+    {
+      t->presence = CV_TARGET_DEPARTING;
+      log_target (CV_EV_GATEWAY_TARGET_LEAVING, t, "leaving");
+    }
+}
+
+/* Entries lapse while the store is away; a live target is back on the list
+   soon after the store is.  */
+static void
+remove_target (cv_target_t *t, bool in_doubt)
+{
+  if (!in_doubt || t->presence == CV_TARGET_DEPARTING)
+    {
+      forget (t, "removed from the list");
+      return;
+    }
+  if (t->presence == CV_TARGET_MISSING)
+    return;
+  t->presence = CV_TARGET_MISSING;
+  t->missing_until
+      = cv_now ()
+        + (cv_time_t)(t->gateway->settings.lapse_s * (double)CV_SECOND);
+}
+
+void
+cv_targets_remove (cv_gateway_t *g, const char *id, bool in_doubt)
+{
+  cv_target_t *t = find (g, id);
+
+  if (t != NULL)
+    remove_target (t, in_doubt);
+}
+
+void
+cv_targets_list_begin (cv_gateway_t *g)
+{
+  cv_target_t *t;
+
+  TAILQ_FOREACH (t, &g->targets, entry)
+  t->seen = false;
+}
+
+void
+cv_targets_list_end (cv_gateway_t *g, bool in_doubt)
+{
+  cv_target_t *t;
+  cv_target_t *next;
+
+  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = next)
+    {
+      next = TAILQ_NEXT (t, entry);
+      if (!t->seen)
+        remove_target (t, in_doubt);
+    }
+  g->instances_known = true;
+}
+
+static void
+close_stale (cv_target_t *t, cv_time_t now)
+{
+  cv_http_link_t *l;
+  cv_http_link_t *next;
+
+  for (l = TAILQ_FIRST (&t->idle); l != NULL; l = next)
+    {
+      next = TAILQ_NEXT (l, entry);
+      if (now - l->idle_since < l->idle_limit - IDLE_MARGIN)
+        continue;
+      TAILQ_REMOVE (&t->idle, l, entry);
+      t->idle_count--;
+      cv_http_link_close (l);
+    }
+}
+
+void
+cv_targets_tick (cv_gateway_t *g, cv_time_t now)
+{
+  cv_target_t *t;
+  cv_target_t *next;
+
+  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = next)
+    {
+      next = TAILQ_NEXT (t, entry);
+      close_stale (t, now);
+      if (t->presence == CV_TARGET_MISSING && now >= t->missing_until)
+        forget (t, "still missing after the store's return");
+    }
+}
+
+bool
+cv_target_failed (cv_target_t *t)
+{
+  if (!cv_health_failure (&t->health, cv_now ()))
+    return false;
+  log_target (CV_EV_GATEWAY_TARGET_AVOIDED, t, "too many failures");
+  return true;
+}
+
+bool
+cv_target_usable (const cv_target_t *t, cv_time_t now)
+{
+  return (t->presence == CV_TARGET_LISTED || t->presence == CV_TARGET_MISSING)
+         && cv_health_usable (&t->health, now) && now >= t->full_until;
+}
+
+cv_http_link_t *
+cv_target_take_link (cv_target_t *t, bool fresh, cv_error_t *err)
+{
+  cv_http_link_t *l = TAILQ_FIRST (&t->idle);
+  cv_time_t now = cv_now ();
+
+  close_stale (t, now);
+  l = TAILQ_FIRST (&t->idle);
+  if (l != NULL && (!fresh || now - l->idle_since < FRESH_FOR))
+    {
+      TAILQ_REMOVE (&t->idle, l, entry);
+      t->idle_count--;
+      return l;
+    }
+  t->gateway->counts.connections++;
+  return cv_http_link_open (t->gateway->base, &t->record.address, err);
+}
+
+void
+cv_target_return_link (cv_target_t *t, cv_http_link_t *l)
+{
+  if (!cv_http_link_reusable (l) || t->idle_count >= IDLE_MAX
+      || t->presence == CV_TARGET_REMOVED)
+    {
+      cv_http_link_close (l);
+      return;
+    }
+  /* The one used last goes first, so that the others can age and close.  */
+  TAILQ_INSERT_HEAD (&t->idle, l, entry);
+  t->idle_count++;
+  cv_http_link_rest (l, on_idle_event, t);
+}
+
+/* An idle connection ended, or bytes came that belong to no request.  */
+static void
+on_idle_event (void *owner, const cv_http_link_event_t *event)
+{
+  cv_target_t *t = owner;
+  cv_http_link_t *l;
+  cv_http_link_t *next;
+
+  (void)event;
+  for (l = TAILQ_FIRST (&t->idle); l != NULL; l = next)
+    {
+      next = TAILQ_NEXT (l, entry);
+      if (!l->failed)
+        continue;
+      TAILQ_REMOVE (&t->idle, l, entry);
+      t->idle_count--;
+      cv_http_link_close (l);
+    }
+}
+
+void
+cv_targets_finish (cv_gateway_t *g)
+{
+  cv_target_t *t;
+  cv_service_state_t *s;
+
+  while ((t = TAILQ_FIRST (&g->targets)) != NULL)
+    {
+      TAILQ_REMOVE (&g->targets, t, entry);
+      drop_idle (t);
+      cv_target_unref (t);
+    }
+  while ((s = TAILQ_FIRST (&g->services)) != NULL)
+    {
+      TAILQ_REMOVE (&g->services, s, entry);
+      free (s);
+    }
+}
+
+cv_service_state_t *
+cv_service_state (cv_gateway_t *g, const char *name)
+{
+  cv_service_state_t *s;
+
+  TAILQ_FOREACH (s, &g->services, entry)
+  if (strcmp (s->name, name) == 0)
+    return s;
+  s = cv_calloc (1, sizeof *s);
+  (void)cv_copy (s->name, sizeof s->name, name);
+  cv_retry_budget_init (&s->retries);
+  cv_retry_budget_set (&s->retries, RETRY_SHARE * g->settings.retry_ratio,
+                       g->settings.retry_slack / GATEWAYS_ASSUMED);
+  TAILQ_INSERT_TAIL (&g->services, s, entry);
+  return s;
+}
--- /dev/null
+++ b/http/link.c
@@ -0,0 +1,282 @@
+/* An outgoing HTTP/1.1 connection on a libevent loop.  */
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+
+#include "http/link.h"
+
+/* The head of an answer; targets send a few hundred bytes.  */
+#define ANSWER_HEAD_MAX (64u * 1024)
+/* A peer that acknowledges nothing for so long is gone: half of the shortest
+   bound that a platform sets on noticing a cut.  */
+#define UNACKED_MAX_MS 1500
+/* Keep-alive probes notice a silent peer within about 2 s.  */
+#define PROBE_IDLE_S 1
+#define PROBE_GAP_S 1
+#define PROBE_COUNT 2
+/* Idle connections whose server states no limit; common servers keep them
+   for 5 s.  */
+#define IDLE_LIMIT_DEFAULT (4 * CV_SECOND)
+
+static void on_read (struct bufferevent *bev, void *arg);
+static void on_event (struct bufferevent *bev, short what, void *arg);
+
+static bool
+set_options (int fd)
+{
+  static const struct
+  {
+    int level;
+    int name;
+    int value;
+  } options[] = { { IPPROTO_TCP, TCP_NODELAY, 1 },
+                  { SOL_SOCKET, SO_KEEPALIVE, 1 },
+                  { IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S },
+                  { IPPROTO_TCP, TCP_KEEPINTVL, PROBE_GAP_S },
+                  { IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT },
+                  { IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MAX_MS } };
+
+  for (size_t i = 0; i < sizeof options / sizeof options[0]; i++)
+    if (setsockopt (fd, options[i].level, options[i].name, &options[i].value,
+                    sizeof options[i].value)
+        != 0)
+      return false;
+  return true;
+}
+
+cv_http_link_t *
+cv_http_link_open (struct event_base *base, const struct sockaddr_in *address,
+                   cv_error_t *err)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  cv_http_link_t *l;
+
+  if (fd < 0)
+    {
+      (void)cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
+      return NULL;
+    }
+  if (!set_options (fd))
+    {
+      (void)cv_fail (err, CV_ERR_SYSTEM, "setsockopt: %s", strerror (errno));
+      (void)evutil_closesocket (fd);
+      return NULL;
+    }
+  l = cv_calloc (1, sizeof *l);
+  l->refs = 1;
+  l->idle_limit = IDLE_LIMIT_DEFAULT;
+  cv_http_reader_init (&l->reader, HTTP_RESPONSE, ANSWER_HEAD_MAX);
+  l->bev = bufferevent_socket_new (
+      base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  CV_INVARIANT (l->bev != NULL);
+  bufferevent_setcb (l->bev, on_read, NULL, on_event, l);
+  (void)bufferevent_enable (l->bev, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect (l->bev, (const struct sockaddr *)address,
+                                  sizeof *address)
+      != 0)
+    {
+      (void)cv_fail (err, CV_ERR_UNAVAILABLE, "connect: %s", strerror (errno));
+      cv_http_link_close (l);
+      return NULL;
+    }
+  return l;
+}
+
+static void
+release (cv_http_link_t *l)
+{
+  if (--l->refs > 0)
+    return;
+  cv_http_reader_finish (&l->reader);
+  free (l);
+}
+
+void
+cv_http_link_close (cv_http_link_t *l)
+{
+  if (l->bev == NULL)
+    return;
+  bufferevent_free (l->bev);
+  l->bev = NULL;
+  l->handler = NULL;
+  release (l);
+}
+
+void
+cv_http_link_send (cv_http_link_t *l, cv_slice_t head, cv_slice_t body,
+                   cv_http_link_handler_t *handler, void *owner)
+{
+  struct evbuffer *out = bufferevent_get_output (l->bev);
+
+  l->handler = handler;
+  l->owner = owner;
+  l->busy = true;
+  l->answered = false;
+  cv_http_reader_reset (&l->reader);
+  CV_INVARIANT (evbuffer_add (out, head.p, head.n) == 0);
+  if (body.n > 0)
+    CV_INVARIANT (evbuffer_add (out, body.p, body.n) == 0);
+}
+
+void
+cv_http_link_rest (cv_http_link_t *l, cv_http_link_handler_t *handler,
+                   void *owner)
+{
+  l->handler = handler;
+  l->owner = owner;
+  l->busy = false;
+  l->idle_since = cv_now ();
+}
+
+void
+cv_http_link_await (cv_http_link_t *l)
+{
+  l->busy = true;
+  cv_http_reader_reset (&l->reader);
+}
+
+/* A body that is still leaving when the answer is complete would be followed
+   by the next request in the wrong place.  */
+bool
+cv_http_link_reusable (const cv_http_link_t *l)
+{
+  return l->bev != NULL && l->open && !l->failed && l->reader.head.keep_alive
+         && evbuffer_get_length (bufferevent_get_output (l->bev)) == 0
+         && evbuffer_get_length (bufferevent_get_input (l->bev)) == 0;
+}
+
+static void
+tell (cv_http_link_t *l, const cv_http_link_event_t *event)
+{
+  if (l->handler != NULL)
+    l->handler (l->owner, event);
+}
+
+static void
+fail (cv_http_link_t *l, cv_http_link_failure_t failure)
+{
+  cv_http_link_event_t event = { .kind = CV_LINK_FAILED, .u.failure = failure };
+
+  l->busy = false;
+  l->failed = true;
+  tell (l, &event);
+}
+
+/* The server states how long it keeps an idle connection, in seconds.  */
+static void
+note_idle_limit (cv_http_link_t *l)
+{
+  cv_slice_t value = cv_http_field (&l->reader.head, "Keep-Alive");
+  const char *at;
+  char text[64];
+
+  if (value.p == NULL || !cv_copy_slice (text, sizeof text, value))
+    return;
+  at = strstr (text, "timeout=");
+  if (at != NULL)
+    l->idle_limit = strtol (at + strlen ("timeout="), NULL, 10) * CV_SECOND;
+}
+
+static void
+handle_part (cv_http_link_t *l, cv_http_part_t part)
+{
+  cv_http_link_event_t event = { .kind = CV_LINK_HEAD };
+
+  switch (part)
+    {
+    case CV_HTTP_HEAD:
+      /* 100 (Continue) and its kin precede the answer.  */
+      if (l->reader.head.status < 200)
+        return;
+      note_idle_limit (l);
+      tell (l, &event);
+      return;
+    case CV_HTTP_BODY:
+      event.kind = CV_LINK_BODY;
+      event.u.body = l->reader.body;
+      tell (l, &event);
+      return;
+    case CV_HTTP_DONE:
+      if (l->reader.head.status < 200)
+        {
+          cv_http_reader_reset (&l->reader);
+          return;
+        }
+      l->busy = false;
+      l->exchanges++;
+      event.kind = CV_LINK_DONE;
+      tell (l, &event);
+      return;
+    case CV_HTTP_LIMIT:
+    case CV_HTTP_BROKEN:
+      fail (l, CV_LINK_GARBLED);
+      return;
+    case CV_HTTP_MORE:
+      return;
+    }
+}
+
+static void
+on_read (struct bufferevent *bev, void *arg)
+{
+  cv_http_link_t *l = arg;
+  struct evbuffer *in = bufferevent_get_input (bev);
+  cv_http_part_t part = CV_HTTP_MORE;
+
+  l->refs++;
+  while (l->bev != NULL && evbuffer_get_length (in) > 0)
+    {
+      size_t n = evbuffer_get_contiguous_space (in);
+      const char *data = (const char *)evbuffer_pullup (in, (ev_ssize_t)n);
+      size_t used = 0;
+
+      /* Bytes on an idle connection belong to no request.  */
+      if (!l->busy)
+        {
+          fail (l, CV_LINK_GARBLED);
+          break;
+        }
+      l->answered = true;
+      part = cv_http_reader_next (&l->reader, data, n, &used);
+      /* Only bytes after the whole answer show that it is followed by more,
+         so the buffer is drained before the owner looks.  */
+      if (part == CV_HTTP_BODY)
+        handle_part (l, part);
+      if (l->bev == NULL)
+        break;
+      (void)evbuffer_drain (in, used);
+      if (part != CV_HTTP_BODY)
+        handle_part (l, part);
+      if (part == CV_HTTP_LIMIT || part == CV_HTTP_BROKEN)
+        break;
+    }
+  release (l);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  cv_http_link_t *l = arg;
+
+  if (what & BEV_EVENT_CONNECTED)
+    {
+      l->open = true;
+      return;
+    }
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+    return;
+  l->refs++;
+  if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
+    on_read (bev, l);
+  if (l->bev != NULL && l->open && l->busy && (what & BEV_EVENT_EOF)
+      && cv_http_reader_end (&l->reader))
+    handle_part (l, CV_HTTP_DONE);
+  else if (l->bev != NULL)
+    fail (l, l->open ? CV_LINK_RESET : CV_LINK_REFUSED);
+  release (l);
+}
--- /dev/null
+++ b/http/reader.c
@@ -0,0 +1,242 @@
+/* Pull reading of HTTP/1.1 messages over http-parser.  */
+
+#include <string.h>
+#include <strings.h>
+
+#include "http/reader.h"
+
+static int on_url (http_parser *p, const char *at, size_t n);
+static int on_field (http_parser *p, const char *at, size_t n);
+static int on_value (http_parser *p, const char *at, size_t n);
+static int on_head (http_parser *p);
+static int on_body (http_parser *p, const char *at, size_t n);
+static int on_done (http_parser *p);
+
+static const http_parser_settings callbacks
+    = { .on_url = on_url,
+        .on_header_field = on_field,
+        .on_header_value = on_value,
+        .on_headers_complete = on_head,
+        .on_body = on_body,
+        .on_message_complete = on_done };
+
+void
+cv_http_reader_init (cv_http_reader_t *r, enum http_parser_type type,
+                     uint32_t head_max)
+{
+  memset (r, 0, sizeof *r);
+  http_parser_init (&r->parser, type);
+  r->parser.data = r;
+  r->head_max = head_max;
+  cv_buf_init (&r->head.text);
+}
+
+void
+cv_http_reader_finish (cv_http_reader_t *r)
+{
+  cv_buf_finish (&r->head.text);
+}
+
+void
+cv_http_reader_reset (cv_http_reader_t *r)
+{
+  enum http_parser_type type = (enum http_parser_type)r->parser.type;
+
+  http_parser_init (&r->parser, type);
+  r->parser.data = r;
+  cv_buf_reset (&r->head.text);
+  r->head.fields = 0;
+  r->head.target_n = 0;
+  r->head_bytes = 0;
+  r->in_value = false;
+  r->started = false;
+  r->head_done = false;
+  r->no_body = false;
+}
+
+/* Stop the parser with PART as the result of the present call.  */
+static int
+stop (cv_http_reader_t *r, cv_http_part_t part)
+{
+  r->part = part;
+  http_parser_pause (&r->parser, 1);
+  return 0;
+}
+
+static bool
+count_head (cv_http_reader_t *r, size_t n)
+{
+  r->head_bytes += (uint32_t)n;
+  return r->head_bytes <= r->head_max;
+}
+
+static int
+on_url (http_parser *p, const char *at, size_t n)
+{
+  cv_http_reader_t *r = p->data;
+
+  if (!count_head (r, n))
+    {
+      r->part = CV_HTTP_LIMIT;
+      return -1;
+    }
+  cv_buf_add (&r->head.text, at, n);
+  r->head.target_n += (uint32_t)n;
+  return 0;
+}
+
+/* The parser hands names and values over in pieces: a name after a value
+   starts a new field.  */
+static int
+on_field (http_parser *p, const char *at, size_t n)
+{
+  cv_http_reader_t *r = p->data;
+  cv_http_head_t *h = &r->head;
+
+  /* Trailer fields of a chunked body are dropped.  */
+  if (r->head_done)
+    return 0;
+  if (h->fields == 0 || r->in_value)
+    {
+      if (h->fields == CV_HTTP_FIELDS_MAX)
+        {
+          r->part = CV_HTTP_LIMIT;
+          return -1;
+        }
+      h->fields++;
+      r->in_value = false;
+    }
+  if (!count_head (r, n + 4))
+    {
+      r->part = CV_HTTP_LIMIT;
+      return -1;
+    }
+  cv_buf_add (&h->text, at, n);
+  h->marks[2 * h->fields - 1] = (uint32_t)h->text.n;
+  h->marks[2 * h->fields] = (uint32_t)h->text.n;
+  return 0;
+}
+
+static int
+on_value (http_parser *p, const char *at, size_t n)
+{
+  cv_http_reader_t *r = p->data;
+  cv_http_head_t *h = &r->head;
+
+  if (r->head_done)
+    return 0;
+  r->in_value = true;
+  if (!count_head (r, n))
+    {
+      r->part = CV_HTTP_LIMIT;
+      return -1;
+    }
+  cv_buf_add (&h->text, at, n);
+  h->marks[2 * h->fields] = (uint32_t)h->text.n;
+  return 0;
+}
+
+static int
+on_head (http_parser *p)
+{
+  cv_http_reader_t *r = p->data;
+  cv_http_head_t *h = &r->head;
+
+  /* Upgrades are not passed on, so the parser must not leave HTTP.  */
+  p->upgrade = 0;
+  h->method = p->method;
+  h->status = p->status_code;
+  h->keep_alive = http_should_keep_alive (p) != 0;
+  h->chunked = (p->flags & F_CHUNKED) != 0;
+  h->has_length = (p->flags & F_CONTENTLENGTH) != 0;
+  h->length = h->has_length ? p->content_length : 0;
+  h->http_1_0 = p->http_major == 1 && p->http_minor == 0;
+  r->head_done = true;
+  (void)stop (r, CV_HTTP_HEAD);
+  return r->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *p, const char *at, size_t n)
+{
+  cv_http_reader_t *r = p->data;
+
+  r->body = (cv_slice_t){ at, n };
+  return stop (r, CV_HTTP_BODY);
+}
+
+static int
+on_done (http_parser *p)
+{
+  return stop (p->data, CV_HTTP_DONE);
+}
+
+cv_http_part_t
+cv_http_reader_next (cv_http_reader_t *r, const char *data, size_t n,
+                     size_t *used)
+{
+  enum http_errno e;
+
+  r->part = CV_HTTP_MORE;
+  *used = 0;
+  if (n == 0)
+    return CV_HTTP_MORE;
+  r->started = true;
+  http_parser_pause (&r->parser, 0);
+  *used = http_parser_execute (&r->parser, &callbacks, data, n);
+  e = HTTP_PARSER_ERRNO (&r->parser);
+  if (e == HPE_OK || e == HPE_PAUSED)
+    return r->part;
+  if (e == HPE_HEADER_OVERFLOW || r->part == CV_HTTP_LIMIT)
+    return CV_HTTP_LIMIT;
+  return CV_HTTP_BROKEN;
+}
+
+bool
+cv_http_reader_end (cv_http_reader_t *r)
+{
+  r->part = CV_HTTP_MORE;
+  if (!r->started)
+    return false;
+  http_parser_pause (&r->parser, 0);
+  (void)http_parser_execute (&r->parser, &callbacks, NULL, 0);
+  return r->part == CV_HTTP_DONE;
+}
+
+cv_slice_t
+cv_http_target (const cv_http_head_t *h)
+{
+  return (cv_slice_t){ h->text.p, h->target_n };
+}
+
+cv_http_field_t
+cv_http_field_at (const cv_http_head_t *h, uint32_t i)
+{
+  uint32_t start = i == 0 ? h->target_n : h->marks[2 * i];
+  uint32_t middle = h->marks[2 * i + 1];
+  uint32_t end = h->marks[2 * i + 2];
+
+  return (cv_http_field_t){ { h->text.p + start, middle - start },
+                            { h->text.p + middle, end - middle } };
+}
+
+bool
+cv_http_name_equal (cv_slice_t name, const char *text)
+{
+  size_t n = strlen (text);
+
+  return name.n == n && strncasecmp (name.p, text, n) == 0;
+}
+
+cv_slice_t
+cv_http_field (const cv_http_head_t *h, const char *name)
+{
+  for (uint32_t i = 0; i < h->fields; i++)
+    {
+      cv_http_field_t f = cv_http_field_at (h, i);
+
+      if (cv_http_name_equal (f.name, name))
+        return f.value;
+    }
+  return (cv_slice_t){ NULL, 0 };
+}
--- /dev/null
+++ b/policy/placement.h
@@ -0,0 +1,47 @@
+/* Choice of the target for a request, and of the engine that keeps a copy of
+   a run's memory.  Load pattern: engines close to full, whose memory a run
+   fills further while it goes on, beside prompts that queue to be read.  */
+
+#ifndef CV_POLICY_PLACEMENT_H
+#define CV_POLICY_PLACEMENT_H
+
+#include "base/base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define CV_PLACEMENT_NONE UINT32_MAX
+
+/* A target as the chooser sees it.  Memory is in tokens.  */
+typedef struct
+{
+  bool usable;
+  bool same_domain;        /* in the failure domain of the chooser */
+  uint64_t memory_total;   /* 0: a plain service */
+  uint64_t memory_used;    /* at the end of all runs it has, and copies */
+  uint64_t prompt_backlog; /* tokens of prompts that it has still to read */
+  uint32_t in_flight;      /* requests of the chooser */
+  uint32_t slots;
+} cv_candidate_t;
+
+typedef struct
+{
+  uint64_t memory; /* tokens at the end of the run; 0: no generation */
+  uint32_t prompt_tokens;
+} cv_placement_work_t;
+
+/* The index of the best target, or CV_PLACEMENT_NONE when none has room.
+   DRAW in [0, 1) breaks ties.  */
+uint32_t cv_placement_pick (const cv_candidate_t *candidates, uint32_t n,
+                            const cv_placement_work_t *work, double draw);
+/* An engine to keep a copy of a run of MEMORY tokens that goes to RUNNER;
+   CV_PLACEMENT_NONE when no other has memory to spare.  */
+uint32_t cv_placement_backup (const cv_candidate_t *candidates, uint32_t n,
+                              uint32_t runner, uint64_t memory);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -120,6 +120,9 @@
 } cv_retry_budget_t;
 
 void cv_retry_budget_init (cv_retry_budget_t *b);
+/* RATIO retries for each first attempt and CAP beside; in any span of time
+   at most CAP + RATIO x first attempts are then granted.  */
+void cv_retry_budget_set (cv_retry_budget_t *b, double ratio, double cap);
 void cv_retry_budget_first (cv_retry_budget_t *b);
 bool cv_retry_budget_take (cv_retry_budget_t *b);
 /* BASE spread over [BASE, 2 BASE) so that returns do not coincide.  */
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -18,6 +18,15 @@
   b->cap = RETRY_CAP;
 }
 
+void
+cv_retry_budget_set (cv_retry_budget_t *b, double ratio, double cap)
+{
+  b->ratio = ratio;
+  b->cap = cap;
+  if (b->tokens > cap)
+    b->tokens = cap;
+}
+
 void
 cv_retry_budget_first (cv_retry_budget_t *b)
 {
--- /dev/null
+++ b/routing/routing.c
@@ -0,0 +1,190 @@
+/* One version of the routing: ownership, indexes and look-ups.  */
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "routing/routing.h"
+
+/* Longest host of a request that is looked up.  */
+#define HOST_MAX 256
+
+cv_routing_t *
+cv_routing_new (void)
+{
+  cv_routing_t *r = cv_calloc (1, sizeof *r);
+
+  r->refs = 1;
+  cv_map_init (&r->by_place);
+  cv_map_init (&r->by_key);
+  cv_map_init (&r->hosts);
+  return r;
+}
+
+cv_routing_t *
+cv_routing_ref (cv_routing_t *r)
+{
+  r->refs++;
+  return r;
+}
+
+void
+cv_routing_unref (cv_routing_t *r)
+{
+  if (r == NULL || --r->refs > 0)
+    return;
+  for (uint32_t i = 0; i < r->route_count; i++)
+    {
+      free (r->routes[i].host);
+      free (r->routes[i].prefix);
+    }
+  for (uint32_t i = 0; i < r->service_count; i++)
+    free (r->services[i].health_path);
+  for (uint32_t i = 0; i < r->key_count; i++)
+    free (r->keys[i].text);
+  free (r->routes);
+  free (r->services);
+  free (r->accounts);
+  free (r->keys);
+  cv_map_finish (&r->by_place);
+  cv_map_finish (&r->by_key);
+  cv_map_finish (&r->hosts);
+  free (r);
+}
+
+static uint64_t
+place_hash (uint64_t host, cv_slice_t prefix)
+{
+  return cv_hash (prefix.p, prefix.n, host);
+}
+
+static uint64_t
+host_hash (cv_slice_t host)
+{
+  return cv_hash (host.p, host.n, 0);
+}
+
+static bool
+index_route (cv_routing_t *r, uint32_t i, cv_error_t *err)
+{
+  const cv_route_t *route = &r->routes[i];
+  uint64_t host = host_hash (cv_slice (route->host));
+  uint64_t place = place_hash (host, cv_slice (route->prefix));
+  uint32_t length = (uint32_t)strlen (route->prefix);
+  uint32_t longest = cv_map_get (&r->hosts, host);
+
+  if (cv_map_get (&r->by_place, place) != CV_MAP_NONE)
+    return cv_fail (err, CV_ERR_INVALID, "route %s: prefix %s stands twice",
+                    route->name, route->prefix);
+  cv_map_put (&r->by_place, place, i);
+  if (longest == CV_MAP_NONE || longest < length)
+    cv_map_put (&r->hosts, host, length);
+  return true;
+}
+
+bool
+cv_routing_index (cv_routing_t *r, cv_error_t *err)
+{
+  for (uint32_t i = 0; i < r->route_count; i++)
+    if (!index_route (r, i, err))
+      return false;
+  for (uint32_t i = 0; i < r->key_count; i++)
+    {
+      cv_slice_t key = cv_slice (r->keys[i].text);
+      uint64_t hash = cv_hash (key.p, key.n, 0);
+
+      if (cv_map_get (&r->by_key, hash) != CV_MAP_NONE)
+        return cv_fail (err, CV_ERR_INVALID, "account %s: key stands twice",
+                        r->accounts[r->keys[i].account].name);
+      cv_map_put (&r->by_key, hash, i);
+    }
+  return true;
+}
+
+static cv_slice_t
+plain_host (cv_slice_t host, char out[HOST_MAX])
+{
+  size_t n = 0;
+
+  while (n < host.n && n < HOST_MAX && host.p[n] != ':')
+    {
+      char c = host.p[n];
+
+      out[n++] = c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+    }
+  return (cv_slice_t){ out, n };
+}
+
+const cv_route_t *
+cv_routing_route (const cv_routing_t *r, cv_slice_t host, cv_slice_t path)
+{
+  char lower[HOST_MAX];
+  cv_slice_t name = plain_host (host, lower);
+  uint64_t hash = host_hash (name);
+  uint32_t longest = cv_map_get (&r->hosts, hash);
+  size_t n = 0;
+
+  if (longest == CV_MAP_NONE)
+    return NULL;
+  while (n < path.n && path.p[n] != '?')
+    n++;
+  if (n > longest)
+    n = longest;
+  for (; n > 0; n--)
+    {
+      uint32_t i;
+
+      if (path.p[n - 1] != '/')
+        continue;
+      i = cv_map_get (&r->by_place,
+                      place_hash (hash, (cv_slice_t){ path.p, n }));
+      if (i != CV_MAP_NONE
+          && cv_slice_equal (cv_slice (r->routes[i].prefix),
+                             (cv_slice_t){ path.p, n })
+          && cv_slice_equal (cv_slice (r->routes[i].host), name))
+        return &r->routes[i];
+    }
+  return NULL;
+}
+
+const cv_client_account_t *
+cv_routing_account (const cv_routing_t *r, cv_slice_t key)
+{
+  uint32_t i;
+
+  if (key.p == NULL)
+    return NULL;
+  i = cv_map_get (&r->by_key, cv_hash (key.p, key.n, 0));
+  if (i == CV_MAP_NONE || !cv_slice_equal (cv_slice (r->keys[i].text), key))
+    return NULL;
+  return &r->accounts[r->keys[i].account];
+}
+
+uint32_t
+cv_routing_service (const cv_routing_t *r, const char *name)
+{
+  for (uint32_t i = 0; i < r->service_count; i++)
+    if (strcmp (r->services[i].name, name) == 0)
+      return i;
+  return CV_NO_SERVICE;
+}
+
+uint32_t
+cv_route_pick_service (const cv_route_t *route, double point)
+{
+  uint64_t total = 0;
+  double at;
+
+  for (uint32_t i = 0; i < route->share_count; i++)
+    total += route->shares[i].weight;
+  if (total == 0)
+    return route->share_count > 0 ? route->shares[0].service : CV_NO_SERVICE;
+  at = point * (double)total;
+  for (uint32_t i = 0; i < route->share_count; i++)
+    {
+      if (at < route->shares[i].weight)
+        return route->shares[i].service;
+      at -= route->shares[i].weight;
+    }
+  return route->shares[route->share_count - 1].service;
+}
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -10,7 +10,7 @@
 #define PORT_MAX 65535
 #define DAY_MS (24 * 60 * 60 * 1000)
 
-static const char *const role_names[] = { "entry", "side", NULL };
+static const char *const role_names[] = { "entry", "side", "gateway", NULL };
 static const char *const kind_names[] = { "engine", "service", NULL };
 
 /* Shorthands of the tables below; OFFSET is in the enclosing struct.  */
@@ -36,6 +36,17 @@
   }
 #define ENTRY(member) offsetof (cv_settings_t, u.entry.member)
 #define SIDE(member) offsetof (cv_settings_t, u.side.member)
+#define GATEWAY(member) offsetof (cv_settings_t, u.gateway.member)
+#define URL(k, req, off)                                                       \
+  {                                                                            \
+    .key = (k), .kind = CV_FIELD_URL, .required = (req), .offset = (off),      \
+    .size = CV_URL_MAX                                                         \
+  }
+#define REAL(k, off, low, high, value)                                         \
+  {                                                                            \
+    .key = (k), .kind = CV_FIELD_REAL, .offset = (off), .min = (low),          \
+    .max = (high), .preset = (value)                                           \
+  }
 
 static const cv_field_t endpoint_fields[]
     = { { .key = "address",
@@ -112,6 +123,24 @@
         NUMBER ("drain_s", SIDE (drain_s), 1, 86400, 600),
         { .key = NULL } };
 
+static const cv_field_t gateway_fields[]
+    = { CHOICE ("role", offsetof (cv_settings_t, role), role_names),
+        NAME ("instance", true, GATEWAY (instance)),
+        NAME ("failure_domain", true, GATEWAY (failure_domain)),
+        URL ("listen_url", true, GATEWAY (listen_url)),
+        URL ("ready_url", true, GATEWAY (ready_url)),
+        URL ("metrics_url", false, GATEWAY (metrics_url)),
+        URL ("store_url", true, GATEWAY (store_url)),
+        NUMBER ("memory_mb", GATEWAY (memory_mb), 16, 1000000, 256),
+        NUMBER ("descriptors", GATEWAY (descriptors), 64, 1000000, 1024),
+        REAL ("drain_s", GATEWAY (drain_s), 0, 86400, 2),
+        REAL ("grace_s", GATEWAY (grace_s), 1, 86400, 10),
+        REAL ("retry_ratio", GATEWAY (retry_ratio), 0, 1, 0),
+        REAL ("retry_slack", GATEWAY (retry_slack), 0, 1000000, 10),
+        REAL ("retry_window_s", GATEWAY (retry_window_s), 1, 3600, 10),
+        REAL ("lapse_s", GATEWAY (lapse_s), 0, 3600, 2),
+        { .key = NULL } };
+
 static size_t
 endpoint_text (const cv_endpoint_t *e, char out[CV_ENDPOINT_TEXT])
 {
@@ -144,14 +173,12 @@
 }
 
 static void
-add_url (used_address_t used[], size_t *n, const char *key,
-         const cv_service_url_t *u)
+add_url (used_address_t used[], size_t *n, const char *key, const char *url)
 {
-  if (u->url[0] == '\0')
+  if (url[0] == '\0')
     return;
   used[*n].key = key;
-  (void)cv_copy (used[*n].text, sizeof used[*n].text,
-                 u->url + strlen ("http://"));
+  (void)cv_copy (used[*n].text, sizeof used[*n].text, url + strlen ("http://"));
   (*n)++;
 }
 
@@ -164,13 +191,19 @@
     {
     case CV_ROLE_ENTRY:
       add_endpoint (used, &n, "http", &s->u.entry.http);
-      add_url (used, &n, "store", &s->u.entry.store);
-      add_url (used, &n, "instance_list", &s->u.entry.instance_list);
+      add_url (used, &n, "store", s->u.entry.store.url);
+      add_url (used, &n, "instance_list", s->u.entry.instance_list.url);
       break;
     case CV_ROLE_SIDE:
       add_endpoint (used, &n, "wire", &s->u.side.wire);
       add_endpoint (used, &n, "control", &s->u.side.control);
-      add_url (used, &n, "target_url", &s->u.side.target_url);
+      add_url (used, &n, "target_url", s->u.side.target_url.url);
+      break;
+    case CV_ROLE_GATEWAY:
+      add_url (used, &n, "listen_url", s->u.gateway.listen_url);
+      add_url (used, &n, "ready_url", s->u.gateway.ready_url);
+      add_url (used, &n, "metrics_url", s->u.gateway.metrics_url);
+      add_url (used, &n, "store_url", s->u.gateway.store_url);
       break;
     }
   return n;
@@ -219,9 +252,12 @@
         return entry_fields;
       if (strcmp (text, role_names[CV_ROLE_SIDE - 1]) == 0)
         return side_fields;
+      if (strcmp (text, role_names[CV_ROLE_GATEWAY - 1]) == 0)
+        return gateway_fields;
     }
   cv_problem (p, cv_json_line (role), cv_json_column (role),
-              "role: expected \"entry\" or \"side\", found %.40s", text);
+              "role: expected \"entry\", \"side\" or \"gateway\", found %.40s",
+              text);
   return NULL;
 }
 
@@ -294,6 +330,12 @@
       (void)endpoint_text (&s->u.side.wire, out[0]);
       (void)endpoint_text (&s->u.side.control, out[1]);
       return 2;
+    case CV_ROLE_GATEWAY:
+      (void)cv_copy (out[0], CV_ENDPOINT_TEXT,
+                     s->u.gateway.listen_url + strlen ("http://"));
+      (void)cv_copy (out[1], CV_ENDPOINT_TEXT,
+                     s->u.gateway.ready_url + strlen ("http://"));
+      return 2;
     }
   return 0;
 }
@@ -301,11 +343,29 @@
 const cv_field_t *
 cv_settings_fields (cv_role_t role)
 {
-  return role == CV_ROLE_ENTRY ? entry_fields : side_fields;
+  switch (role)
+    {
+    case CV_ROLE_ENTRY:
+      return entry_fields;
+    case CV_ROLE_SIDE:
+      return side_fields;
+    case CV_ROLE_GATEWAY:
+      return gateway_fields;
+    }
+  return NULL;
 }
 
 const char *
 cv_settings_instance (const cv_settings_t *s)
 {
-  return s->role == CV_ROLE_ENTRY ? s->u.entry.instance : s->u.side.instance;
+  switch (s->role)
+    {
+    case CV_ROLE_ENTRY:
+      return s->u.entry.instance;
+    case CV_ROLE_SIDE:
+      return s->u.side.instance;
+    case CV_ROLE_GATEWAY:
+      return s->u.gateway.instance;
+    }
+  return "";
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -21,7 +21,8 @@
 typedef enum
 {
   CV_ROLE_ENTRY = 1,
-  CV_ROLE_SIDE
+  CV_ROLE_SIDE,
+  CV_ROLE_GATEWAY
 } cv_role_t;
 
 typedef enum
@@ -81,6 +82,24 @@
   uint32_t drain_s;             /* longest wait for work in flight at a stop */
 } cv_side_settings_t;
 
+typedef struct
+{
+  char instance[CV_NAME_MAX];
+  char failure_domain[CV_NAME_MAX];
+  char listen_url[CV_URL_MAX];  /* where callers come in */
+  char ready_url[CV_URL_MAX];   /* where the balancer asks for readiness */
+  char metrics_url[CV_URL_MAX]; /* counters and histograms; "": none */
+  char store_url[CV_URL_MAX];   /* configuration and list of instances */
+  uint32_t memory_mb;           /* of the process */
+  uint32_t descriptors;         /* of the process */
+  double drain_s;     /* a leaving target gets no request after so long */
+  double grace_s;     /* from the request to stop to the kill */
+  double retry_ratio; /* repeated arrivals for each request */
+  double retry_slack; /* and so many beside, over retry_window_s */
+  double retry_window_s;
+  double lapse_s; /* a store that was away lists live targets again within */
+} cv_gateway_settings_t;
+
 typedef struct
 {
   cv_role_t role;
@@ -88,6 +107,7 @@
   {
     cv_entry_settings_t entry;
     cv_side_settings_t side;
+    cv_gateway_settings_t gateway;
   } u;
 } cv_settings_t;
 
