Gateway: ready once the store's state is known

Ruled out: the form of the answer, its body, one-way shutdown of the connection. Ready now means that both lists were read whole since the start.

Connections that end with their answer are closed rather than shut down one way, where the request was read whole.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -113,12 +113,14 @@
     }
 }
 
-/* Ready: a configuration and targets are known, and no stop has begun.  */
+/* Ready: the store's state is known, be it that nothing is declared yet, and
+   no stop has begun.  */
 void
 cv_answer_ready (cv_client_t *c)
 {
   const cv_gateway_t *g = c->port->gateway;
-  bool ready = g->routing != NULL && g->instances_known && !g->stopping;
+  bool ready = g->follow_routing.is_synced && g->follow_instances.is_synced
+               && !g->stopping;
 
   if (!cv_platform_is_ready_path (cv_http_target (&c->reader.head)))
     cv_answer_own (c, 404, "no such page", 0);
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -152,6 +152,17 @@
          || !c->reader.head.keep_alive;
 }
 
+/* All output has left.  A caller that is still sending reads the answer only
+   if its bytes are taken; otherwise the connection can close.  */
+static void
+output_left (cv_client_t *c)
+{
+  if (c->unread)
+    (void)shutdown (bufferevent_getfd (c->bev), SHUT_WR);
+  else
+    cv_client_close (c);
+}
+
 /* Close once the output has left; input is read and dropped until then.  */
 static void
 linger (cv_client_t *c)
@@ -162,7 +173,7 @@
   c->since = cv_now ();
   (void)evbuffer_drain (in, evbuffer_get_length (in));
   if (evbuffer_get_length (bufferevent_get_output (c->bev)) == 0)
-    (void)shutdown (bufferevent_getfd (c->bev), SHUT_WR);
+    output_left (c);
 }
 
 void
@@ -199,6 +210,7 @@
   cv_line_text (&l, "reason", cv_slice (reason));
   cv_line_end (&l);
   c->close_after = true;
+  c->unread = true;
   cv_answer_own (c, status, reason, 0);
   cv_client_answered (c, true);
 }
@@ -328,8 +340,9 @@
 {
   cv_client_t *c = arg;
 
+  (void)bev;
   if (c->state == CV_CLIENT_LINGERING)
-    (void)shutdown (bufferevent_getfd (bev), SHUT_WR);
+    output_left (c);
 }
 
 static void
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -219,6 +219,7 @@
     return;
   if (f->kind == CV_STORE_INSTANCES)
     cv_targets_list_end (f->gateway, in_doubt (f));
+  f->is_synced = true;
   f->at = f->list_at;
   f->after[0] = '\0';
   f->phase = CV_FOLLOW_WATCH;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -109,6 +109,7 @@
   cv_exchange_t *exchange; /* of CV_CLIENT_WAITING */
   cv_time_t since;         /* start of the request, or of being idle */
   bool close_after;        /* the connection ends with this answer */
+  bool unread;             /* answered before its request was read whole */
   bool handling;           /* its input is being handled */
   bool doomed;             /* closed once its input was handled */
 };
@@ -190,6 +191,7 @@
   char after[CV_NAME_MAX]; /* last name of the page before */
   cv_time_t call_until;    /* the present call is given up then; 0: none */
   cv_time_t next_call;
+  bool is_synced; /* a whole list was read since the start */
   bool lost; /* the store did not answer the last call */
   cv_time_t lost_at;
   cv_time_t regained_at;
@@ -225,7 +227,6 @@
   cv_port_t ports[CV_PORTS_MAX];
   uint32_t port_count;
   cv_routing_t *routing; /* NULL until one is known */
-  bool instances_known;
   struct cv_targets_t targets;
   struct cv_service_states_t services;
   struct cv_clients_t clients;
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -173,7 +173,6 @@
       if (!t->seen)
         remove_target (t, in_doubt);
     }
-  g->instances_known = true;
 }
 
 static void
