Gateway: whoever asked closes first after a last answer

Cause: the balancer's question carries Connection: close, and a connection that the gateway ended right behind its answer counted as no answer. Now the asker closes first and the gateway after a second; only an answer that ends with its connection, or one to a caller that still sends, is ended at once.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -232,7 +232,7 @@
   cv_buf_t head;
 
   if (framing == CV_FRAMING_CLOSE)
-    x->client->close_after = true;
+    x->client->close_after = x->client->ends_body = true;
   cv_buf_init (&head);
   cv_answer_head (&head, &x->link->reader.head, framing, length,
                   cv_client_last (x->client));
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -14,8 +14,8 @@
 #define BACKLOG 1024
 /* Input that is kept while a request is under way.  */
 #define INPUT_MAX (64u * 1024)
-/* How long input is dropped after a last answer, so that a reset does not
-   overtake it.  */
+/* How long the caller has to close after a last answer; input is dropped
+   meanwhile, so that a reset does not overtake the answer.  */
 #define LINGER (1 * CV_SECOND)
 /* A caller that takes nothing of its answer for so long is cut.  */
 #define WRITE_TIMEOUT_S 10
@@ -152,15 +152,14 @@
          || !c->reader.head.keep_alive;
 }
 
-/* All output has left.  A caller that is still sending reads the answer only
-   if its bytes are taken; otherwise the connection can close.  */
+/* All output has left.  Whoever asked closes first, since some take an end
+   right behind an answer for a failure.  Only an answer that ends with its
+   connection, or a caller that is still sending, needs the end now.  */
 static void
 output_left (cv_client_t *c)
 {
-  if (c->unread)
+  if (c->unread || c->ends_body)
     (void)shutdown (bufferevent_getfd (c->bev), SHUT_WR);
-  else
-    cv_client_close (c);
 }
 
 /* Close once the output has left; input is read and dropped until then.  */
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -109,6 +109,7 @@
   cv_exchange_t *exchange; /* of CV_CLIENT_WAITING */
   cv_time_t since;         /* start of the request, or of being idle */
   bool close_after;        /* the connection ends with this answer */
+  bool ends_body;          /* the end of the answer is that of the connection */
   bool unread;             /* answered before its request was read whole */
   bool handling;           /* its input is being handled */
   bool doomed;             /* closed once its input was handled */
@@ -192,7 +193,7 @@
   cv_time_t call_until;    /* the present call is given up then; 0: none */
   cv_time_t next_call;
   bool is_synced; /* a whole list was read since the start */
-  bool lost; /* the store did not answer the last call */
+  bool lost;      /* the store did not answer the last call */
   cv_time_t lost_at;
   cv_time_t regained_at;
   uint32_t failures; /* in a row */
