--- a/catkinvaled/main.c
+++ b/catkinvaled/main.c
@@ -5,6 +5,7 @@
 
 #include "entry/entry.h"
 #include "gateway/gateway.h"
+#include "observer/observer.h"
 #include "side/side.h"
 
 const char *argp_program_version = "catkinvaled 0.1.0";
@@ -80,6 +81,8 @@
       return cv_side_run (&settings->u.side, err);
     case CV_ROLE_GATEWAY:
       return cv_gateway_run (&settings->u.gateway, path, err);
+    case CV_ROLE_OBSERVER:
+      return cv_observer_run (&settings->u.observer, err);
     }
   return cv_fail (err, CV_ERR_INVALID, "this build has no role of that kind");
 }
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -190,7 +190,8 @@
   add_counter (&body, "connections_total", "Connections opened to targets.",
                n->connections);
   add_counter (&body, "store_calls_total", "Calls to the store.",
-               g->follow_routing.calls + g->follow_instances.calls);
+               g->follow_routing.call.calls + g->follow_instances.call.calls
+                   + g->registration.call.calls);
   add_counter (&body, "configuration_version", "Version in force.",
                g->routing != NULL ? g->routing->version : 0);
   add_counter (&body, "log_lines_dropped_total", "Log lines dropped.",
@@ -200,6 +201,9 @@
   add_histogram (&body, "first_event_ms",
                  "Milliseconds to the first event of a stream.",
                  &g->first_event);
+  add_histogram (&body, "gap_ms",
+                 "Longest milliseconds between two events, by stream.",
+                 &g->gaps);
   cv_buf_printf (&head,
                  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
                  "Content-Length: %zu\r\n\r\n",
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -62,7 +62,7 @@
   if (x->from_copy)
     {
       f.from = &x->copy_at;
-      f.from_handle = x->request.attempt;
+      f.from_handle = cv_slice (x->copy_handle);
     }
   cv_platform_encode_request (out, head, &f);
 }
@@ -140,10 +140,12 @@
   take_target (x, t);
   set_backup (x, t);
   x->state = x->head_sent ? CV_EXCHANGE_STREAMING : CV_EXCHANGE_SENT;
+  x->resume_pending = x->head_sent;
   x->sent_at = cv_now ();
   x->heard_at = x->sent_at;
   x->skip_answer = false;
   x->rejected = false;
+  x->is_parted = false;
   cv_buf_reset (&x->answer);
   cv_events_restart (&x->events);
   x->link = cv_target_take_link (t, must_be_fresh (x), &err);
@@ -176,6 +178,8 @@
 void
 cv_attempt_stop (cv_exchange_t *x)
 {
+  if (x->move != NULL)
+    cv_move_forget (x->move);
   if (x->link != NULL)
     {
       cv_http_link_close (x->link);
@@ -302,12 +306,38 @@
   x->state = CV_EXCHANGE_RELAYING;
 }
 
+/* Note the time of an event, for the log and the histograms.  */
+static void
+note_event (cv_exchange_t *x, cv_time_t now)
+{
+  cv_line_t l;
+
+  if (x->passed_at == 0)
+    {
+      x->first_event = now - x->started;
+      cv_hist_add (&x->gateway->first_event,
+                   (double)x->first_event / (double)CV_MS);
+    }
+  else if (now - x->passed_at > x->gap_max)
+    x->gap_max = now - x->passed_at;
+  if (x->resume_pending)
+    {
+      x->resume_pending = false;
+      cv_line_begin (&l, CV_EV_GATEWAY_RESUMED);
+      cv_line_text (&l, "request", x->request.attempt);
+      cv_line_text (&l, "target", cv_slice (x->target->record.id));
+      cv_line_number (&l, "pause_us", now - x->passed_at);
+      cv_line_number (&l, "events", (int64_t)x->events.count);
+      cv_line_end (&l);
+    }
+  x->passed_at = now;
+  x->heard_at = now;
+}
+
 static void
 pass_events (cv_exchange_t *x, cv_slice_t data)
 {
   cv_error_t err = { 0 };
-  cv_time_t now = cv_now ();
-  uint64_t before = x->events.count;
   cv_buf_t out;
   bool ok;
 
@@ -315,11 +345,8 @@
   ok = cv_events_take (&x->events, data, &out, &err);
   if (out.n > 0)
     {
-      if (before == 0)
-        cv_hist_add (&x->gateway->first_event,
-                     (double)(now - x->started) / (double)CV_MS);
       cv_attempt_read (x);
-      x->heard_at = now;
+      note_event (x, cv_now ());
       cv_answer_chunk (x->client, caller_framing (x),
                        (cv_slice_t){ out.p, out.n });
     }
@@ -449,6 +476,14 @@
 static void
 on_failed (cv_exchange_t *x, cv_http_link_failure_t failure)
 {
+  /* The move tells how the stream goes on.  */
+  if (x->move != NULL && cv_move_is_stopping (x->move))
+    {
+      cv_http_link_close (x->link);
+      x->link = NULL;
+      x->is_parted = true;
+      return;
+    }
   if (failure == CV_LINK_REFUSED)
     {
       cv_health_unreachable (&x->target->health, cv_now ());
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -12,6 +12,14 @@
 #define RETRY_ENGINE_MS 700
 #define RETRY_SERVICE_MS 150
 
+/* An observer tells its load at least every 0.4 s.  */
+#define LOAD_FRESH (1200 * CV_MS)
+/* Between the sending of a request and its being seen by an observer whose
+   word has come back.  */
+#define LOAD_DELAY (5 * CV_MS)
+/* A copy shows once the run it belongs to has read its prompt.  */
+#define COPY_DELAY (700 * CV_MS)
+
 typedef struct
 {
   cv_candidate_t seen[CANDIDATES_MAX];
@@ -28,6 +36,51 @@
   return false;
 }
 
+/* Memory that the engine's requests come to, and prompts it has to read, by
+   its observer's word and own requests since.  Outputs are on average half
+   done.  */
+static void
+fill_from_load (cv_candidate_t *out, const cv_service_state_t *s,
+                const cv_target_t *t)
+{
+  const cv_msg_engine_load_t *l = &t->load;
+  double growth = (l->running + l->waiting) * s->growth_tokens / 2;
+  double unread = l->reading * s->prompt_tokens / 2
+                  + (double)l->waiting * s->prompt_tokens;
+
+  out->memory_used = l->kv_used + (uint64_t)growth
+                     + (uint64_t)(l->waiting * s->prompt_tokens)
+                     + t->unseen_tokens;
+  out->prompt_backlog = (uint64_t)unread + t->unseen_prompt;
+  out->in_flight = l->running + l->waiting + t->unseen;
+}
+
+/* Own requests that went out after the last word of an observer.  */
+static void
+count_unseen (cv_gateway_t *g)
+{
+  cv_target_t *t;
+  cv_exchange_t *x;
+
+  TAILQ_FOREACH (t, &g->targets, entry)
+  {
+    t->unseen_tokens = 0;
+    t->unseen_prompt = 0;
+    t->unseen = 0;
+  }
+  TAILQ_FOREACH (x, &g->exchanges, entry)
+  {
+    if (x->target != NULL && x->sent_at > x->target->load_at - LOAD_DELAY)
+      {
+        x->target->unseen_tokens += x->need_tokens;
+        x->target->unseen_prompt += x->request.prompt_tokens;
+        x->target->unseen++;
+      }
+    if (x->backup != NULL && x->sent_at > x->backup->load_at - COPY_DELAY)
+      x->backup->unseen_tokens += x->need_tokens;
+  }
+}
+
 static void
 add (candidates_t *c, const cv_exchange_t *x, cv_target_t *t, cv_time_t now)
 {
@@ -39,10 +92,15 @@
       = strcmp (t->record.failure_domain, x->gateway->settings.failure_domain)
         == 0;
   out->memory_total = s->is_engine ? s->engine.memory_tokens : 0;
-  out->memory_used = t->run_tokens + t->copy_tokens;
-  out->prompt_backlog = t->unread_tokens;
-  out->in_flight = t->in_flight;
   out->slots = s->is_engine ? s->engine.slots : t->record.slots;
+  if (s->is_engine && now - t->load_at < LOAD_FRESH)
+    fill_from_load (out, x->service_state, t);
+  else
+    {
+      out->memory_used = t->run_tokens + t->copy_tokens;
+      out->prompt_backlog = t->unread_tokens;
+      out->in_flight = t->in_flight;
+    }
   c->target[c->n++] = t;
 }
 
@@ -53,6 +111,8 @@
   cv_target_t *t;
 
   c->n = 0;
+  if (x->service->is_engine)
+    count_unseen (x->gateway);
   TAILQ_FOREACH (t, &x->gateway->targets, entry)
   if (c->n < CANDIDATES_MAX
       && strcmp (t->record.service, x->service->name) == 0)
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -38,18 +38,6 @@
 static void on_event (struct bufferevent *bev, short what, void *arg);
 static void handle_input (cv_client_t *c);
 
-static bool
-parse_url (const char *url, struct sockaddr_in *out)
-{
-  int size = sizeof *out;
-
-  memset (out, 0, sizeof *out);
-  return evutil_parse_sockaddr_port (url + strlen ("http://"),
-                                     (struct sockaddr *)out, &size)
-             == 0
-         && out->sin_family == AF_INET;
-}
-
 bool
 cv_port_open (cv_gateway_t *g, cv_port_kind_t kind, const char *url,
               cv_error_t *err)
@@ -57,7 +45,7 @@
   cv_port_t *p = &g->ports[g->port_count];
   struct sockaddr_in address;
 
-  if (!parse_url (url, &address))
+  if (!cv_http_address (url, &address))
     return cv_fail (err, CV_ERR_INVALID, "%s: no IPv4 address", url);
   p->gateway = g;
   p->kind = kind;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -24,10 +24,15 @@
    many of its objectives for a gap.  */
 #define GAP_FACTOR 5
 #define GAP_MIN (700 * CV_MS)
+/* A stream with a copy elsewhere leaves its engine this long before the
+   engine ends; a tick and the way there fit in.  */
+#define SWITCH_BEFORE (100 * CV_MS)
 /* Part of the objective that a request may wait for a plain service.  */
 #define SERVICE_WAIT_PART 2
 /* A starting gateway has its configuration within about half a second.  */
 #define RETRY_ROUTING_MS 500
+/* Weight of a new value in the smoothed means.  */
+#define SMOOTHING 0.05
 /* A target that rejected a request gets no new one for so long.  */
 #define FULL_FOR (100 * CV_MS)
 
@@ -69,6 +74,13 @@
       cv_line_text (&l, "request", x->request.attempt);
       cv_line_number (&l, "age_us", cv_now () - x->started);
       cv_line_number (&l, "sends", x->sends);
+      if (x->first_event > 0)
+        {
+          cv_hist_add (&g->gaps, (double)x->gap_max / (double)CV_MS);
+          cv_line_number (&l, "first_event_us", x->first_event);
+          cv_line_number (&l, "gap_max_us", x->gap_max);
+          cv_line_number (&l, "resumes", x->resumes);
+        }
       cv_line_number (&l, "events", (int64_t)x->events.count);
       cv_line_end (&l);
     }
@@ -129,20 +141,13 @@
   cv_exchange_end (x, false);
 }
 
-/* Whether nothing of the request has run, as far as is known for certain.  */
-static bool
-has_not_run (const cv_exchange_t *x)
-{
-  return x->sends == x->rejections + x->connects;
-}
-
 /* End X with what is true of it: not run, or unknown.  */
 static void
 give_up (cv_exchange_t *x, const char *reason, bool timed_out)
 {
   if (x->head_sent)
     cut (x, reason);
-  else if (has_not_run (x))
+  else if (!x->may_have_run)
     cv_exchange_refuse (x, 503, cv_choose_retry_after (x), reason);
   else
     cv_exchange_refuse (x, timed_out ? 504 : 502, 0, reason);
@@ -171,6 +176,13 @@
   x->wait_until = x->started + (wait > 0 ? wait : 0);
 }
 
+/* A mean over about the last twenty.  */
+static void
+smooth (double *mean, double value)
+{
+  *mean = *mean > 0 ? *mean + SMOOTHING * (value - *mean) : value;
+}
+
 static void
 estimate_need (cv_exchange_t *x)
 {
@@ -182,6 +194,8 @@
   if (q->output_hint > 0 && q->output_hint < output)
     output = q->output_hint;
   x->need_tokens = (uint64_t)q->prompt_tokens + output;
+  smooth (&x->service_state->growth_tokens, output);
+  smooth (&x->service_state->prompt_tokens, q->prompt_tokens);
 }
 
 /* Find route and account; false when X was answered.  */
@@ -348,23 +362,40 @@
   cv_line_end (&l);
 }
 
-/* Go on from the copy of the run's memory, where there is one.  */
+bool
+cv_exchange_has_copy (const cv_exchange_t *x)
+{
+  return x->backup != NULL && !cv_target_is_departing (x->backup);
+}
+
+void
+cv_exchange_resume (cv_exchange_t *x, cv_target_t *t,
+                    const struct sockaddr_in *source, const char *handle,
+                    const char *reason)
+{
+  log_failure (x, reason, "goes on from the copy");
+  cv_attempt_stop (x);
+  x->resumes++;
+  x->gateway->counts.resumes++;
+  x->from_copy = true;
+  x->copy_at = *source;
+  (void)cv_copy (x->copy_handle, sizeof x->copy_handle, handle);
+  cv_attempt_start (x, t);
+}
+
+/* Go on from the copy that an engine kept, where there is one.  */
 static bool
 resume_from_copy (cv_exchange_t *x, const char *reason)
 {
   cv_target_t *copy = x->backup;
+  char run[CV_HANDLE_MAX];
 
   if (copy == NULL || x->resumes >= RESUMES_MAX
-      || copy->presence == CV_TARGET_REMOVED)
+      || copy->presence == CV_TARGET_REMOVED
+      || !cv_copy_slice (run, sizeof run, x->request.attempt))
     return false;
-  log_failure (x, reason, "goes on from the copy");
   (void)cv_target_ref (copy);
-  cv_attempt_stop (x);
-  x->resumes++;
-  x->gateway->counts.resumes++;
-  x->from_copy = true;
-  x->copy_at = copy->record.address;
-  cv_attempt_start (x, copy);
+  cv_exchange_resume (x, copy, &copy->record.address, run, reason);
   cv_target_unref (copy);
   return true;
 }
@@ -372,9 +403,11 @@
 void
 cv_exchange_failed (cv_exchange_t *x, const char *reason, bool may_have_run)
 {
-  bool repeat = !may_have_run || is_repeatable (x);
+  bool repeat;
 
-  if (may_have_run && !is_repeatable (x) && resume_from_copy (x, reason))
+  x->may_have_run |= may_have_run;
+  repeat = !x->may_have_run || is_repeatable (x);
+  if (!repeat && resume_from_copy (x, reason))
     return;
   if (repeat
       && (x->head_sent ? x->resumes < RESUMES_MAX : cv_exchange_may_repeat (x))
@@ -453,6 +486,17 @@
   return limit > SILENCE_MIN ? limit : SILENCE_MIN;
 }
 
+/* The engine ends within moments, and a copy is kept elsewhere.  */
+static bool
+engine_ends (const cv_exchange_t *x, cv_time_t now)
+{
+  cv_time_t left = cv_target_time_left (x->target, now);
+
+  return left > 0 && left < SWITCH_BEFORE && x->move == NULL
+         && x->events.count > 0 && !x->route->resumable
+         && cv_exchange_has_copy (x);
+}
+
 static void
 check_times (cv_exchange_t *x, cv_time_t now)
 {
@@ -460,6 +504,7 @@
 
   if (now >= x->expires)
     {
+      x->may_have_run |= x->state != CV_EXCHANGE_WAITING;
       cv_attempt_stop (x);
       give_up (x, "time is over", true);
       return;
@@ -470,6 +515,9 @@
         give_up (x, "no target has room in time", false);
       return;
     }
+  if (x->state == CV_EXCHANGE_STREAMING && engine_ends (x, now)
+      && resume_from_copy (x, "its engine ends now"))
+    return;
   silence = silence_limit (x);
   if (silence > 0 && now - x->heard_at > silence)
     {
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -16,7 +16,7 @@
 /* Removals seen this soon after the store's return may be lapsed entries.  */
 #define DOUBT_FOR (2500 * CV_MS)
 
-static void on_link_event (void *owner, const cv_http_link_event_t *event);
+static void on_result (void *owner, const cv_http_result_t *r);
 
 void
 cv_follow_init (cv_follow_t *f, cv_gateway_t *g, cv_store_kind_t kind)
@@ -25,16 +25,13 @@
   f->gateway = g;
   f->kind = kind;
   f->phase = CV_FOLLOW_LIST;
-  cv_buf_init (&f->body);
+  cv_http_call_init (&f->call, g->base, &g->store, on_result, f);
 }
 
 void
 cv_follow_finish (cv_follow_t *f)
 {
-  if (f->link != NULL)
-    cv_http_link_close (f->link);
-  f->link = NULL;
-  cv_buf_finish (&f->body);
+  cv_http_call_finish (&f->call);
 }
 
 static const char *
@@ -58,37 +55,20 @@
 }
 
 static void
-call (cv_follow_t *f, cv_time_t now)
+call (cv_follow_t *f)
 {
-  cv_error_t err = { 0 };
-  cv_buf_t path;
-  cv_buf_t head;
   bool watch = f->phase == CV_FOLLOW_WATCH;
+  cv_buf_t path;
 
-  if (f->link == NULL)
-    f->link = cv_http_link_open (f->gateway->base, &f->gateway->store, &err);
-  if (f->link == NULL)
-    {
-      log_store (f, CV_EV_GATEWAY_STORE_LOST, err.text, 0);
-      f->next_call = now + PAUSE_MAX;
-      return;
-    }
   cv_buf_init (&path);
-  cv_buf_init (&head);
   if (watch)
     cv_platform_watch_path (&path, f->kind, f->at, WAIT_MS);
   else
     cv_platform_list_path (&path, f->kind, f->after);
-  cv_buf_printf (&head, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
-                 cv_buf_text (&path),
-                 f->gateway->settings.store_url + strlen ("http://"));
-  cv_buf_reset (&f->body);
-  f->calls++;
-  f->call_until = now + CALL_TIMEOUT + (watch ? WAIT_MS * CV_MS : 0);
-  cv_http_link_send (f->link, (cv_slice_t){ head.p, head.n },
-                     (cv_slice_t){ NULL, 0 }, on_link_event, f);
+  cv_http_call_start (&f->call, "GET", cv_buf_text (&path),
+                      (cv_slice_t){ NULL, 0 },
+                      CALL_TIMEOUT + (watch ? WAIT_MS * CV_MS : 0));
   cv_buf_finish (&path);
-  cv_buf_finish (&head);
 }
 
 /* The call failed: what is known stays, and the call is made again.  */
@@ -98,10 +78,6 @@
   cv_time_t now = cv_now ();
   cv_time_t pause = PAUSE_FIRST << (f->failures < 3 ? f->failures : 3);
 
-  if (f->link != NULL)
-    cv_http_link_close (f->link);
-  f->link = NULL;
-  f->call_until = 0;
   f->failures++;
   /* A waiting call may be cut off; only a second failure tells of loss.  */
   if (!f->lost && f->failures > 1)
@@ -203,6 +179,8 @@
     case CV_STORE_INSTANCES:
       note_instance (f, o);
       return;
+    case CV_STORE_GATEWAYS:
+      return; /* read by observers */
     }
 }
 
@@ -226,12 +204,11 @@
 }
 
 static bool
-take_page (cv_follow_t *f, cv_error_t *err)
+take_page (cv_follow_t *f, cv_slice_t body, cv_error_t *err)
 {
   cv_store_page_t page;
 
-  if (!cv_platform_decode_page ((cv_slice_t){ f->body.p, f->body.n },
-                                f->phase == CV_FOLLOW_WATCH, &page, err))
+  if (!cv_platform_decode_page (body, f->phase == CV_FOLLOW_WATCH, &page, err))
     return false;
   if (f->phase == CV_FOLLOW_LIST && f->after[0] == '\0')
     {
@@ -257,67 +234,41 @@
 }
 
 static void
-on_done (cv_follow_t *f)
+on_result (void *owner, const cv_http_result_t *r)
 {
-  unsigned status = f->link->reader.head.status;
+  cv_follow_t *f = owner;
   cv_error_t err = { 0 };
 
-  f->call_until = 0;
-  if (status == 410)
+  switch (r->status)
     {
+    case 0:
+      fail (f, r->failure);
+      return;
+    case 200:
+      if (!take_page (f, r->body, &err))
+        {
+          fail (f, err.text);
+          return;
+        }
+      break;
+    case 410:
+      /* The changes since are no longer kept.  */
       f->phase = CV_FOLLOW_LIST;
       f->after[0] = '\0';
-    }
-  else if (status != 200)
-    {
-      fail (f, status == 429 ? "over its rate" : "refuses");
-      return;
-    }
-  else if (!take_page (f, &err))
-    {
-      fail (f, err.text);
+      break;
+    default:
+      fail (f, r->status == 429 ? "over its rate" : "refuses");
       return;
     }
   regained (f);
-  if (!cv_http_link_reusable (f->link))
-    {
-      cv_http_link_close (f->link);
-      f->link = NULL;
-    }
   cv_exchange_place_waiting (f->gateway);
-  call (f, cv_now ());
-}
-
-static void
-on_link_event (void *owner, const cv_http_link_event_t *event)
-{
-  cv_follow_t *f = owner;
-
-  switch (event->kind)
-    {
-    case CV_LINK_HEAD:
-      return;
-    case CV_LINK_BODY:
-      cv_buf_add (&f->body, event->u.body.p, event->u.body.n);
-      return;
-    case CV_LINK_DONE:
-      on_done (f);
-      return;
-    case CV_LINK_FAILED:
-      fail (f, "connection ended");
-      return;
-    }
+  call (f);
 }
 
 void
 cv_follow_tick (cv_follow_t *f, cv_time_t now)
 {
-  if (f->call_until > 0)
-    {
-      if (now > f->call_until)
-        fail (f, "no answer");
-      return;
-    }
-  if (now >= f->next_call)
-    call (f, now);
+  cv_http_call_tick (&f->call, now);
+  if (!f->call.busy && now >= f->next_call)
+    call (f);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -32,8 +32,6 @@
 init (cv_gateway_t *g, const cv_gateway_settings_t *s, const char *path,
       cv_error_t *err)
 {
-  int size = sizeof g->store;
-
   memset (g, 0, sizeof *g);
   g->settings = *s;
   g->settings_path = path;
@@ -46,16 +44,16 @@
   cv_rng_init (&g->rng, cv_u64_random ());
   cv_hist_init (&g->latency, HIST_LOW, HIST_HIGH);
   cv_hist_init (&g->first_event, HIST_LOW, HIST_HIGH);
-  if (evutil_parse_sockaddr_port (s->store_url + strlen ("http://"),
-                                  (struct sockaddr *)&g->store, &size)
-      != 0)
+  cv_hist_init (&g->gaps, HIST_LOW, HIST_HIGH);
+  if (!cv_http_address (s->store_url, &g->store))
     return cv_fail (err, CV_ERR_INVALID, "store_url: no address");
   g->base = event_base_new ();
   if (g->base == NULL)
     return cv_fail (err, CV_ERR_SYSTEM, "event loop cannot be made");
   cv_follow_init (&g->follow_routing, g, CV_STORE_ROUTING);
   cv_follow_init (&g->follow_instances, g, CV_STORE_INSTANCES);
-  return open_ports (g, err);
+  cv_register_init (&g->registration, g);
+  return open_ports (g, err) && cv_loads_open (g, err);
 }
 
 static bool
@@ -76,6 +74,9 @@
 
   while ((c = TAILQ_FIRST (&g->clients)) != NULL)
     cv_client_close (c);
+  cv_moves_finish (g);
+  cv_loads_close (g);
+  cv_register_finish (&g->registration);
   cv_follow_finish (&g->follow_routing);
   cv_follow_finish (&g->follow_instances);
   cv_targets_finish (g);
@@ -92,6 +93,7 @@
   cv_rng_finish (&g->rng);
   cv_hist_finish (&g->latency);
   cv_hist_finish (&g->first_event);
+  cv_hist_finish (&g->gaps);
 }
 
 bool
@@ -234,7 +236,9 @@
   (void)what;
   cv_follow_tick (&g->follow_routing, now);
   cv_follow_tick (&g->follow_instances, now);
+  cv_register_tick (&g->registration, now);
   cv_targets_tick (g, now);
+  cv_moves_tick (g, now);
   cv_exchanges_tick (g, now);
   cv_clients_tick (g, now);
   bound_clients (g);
--- /dev/null
+++ b/gateway/loads.c
@@ -0,0 +1,129 @@
+/* Takes the observers' messages on the load of engines.  */
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "gateway/state.h"
+
+/* Messages are about 120 bytes.  */
+#define FRAME_MAX 1024
+/* Messages taken before other events get their turn.  */
+#define BURST_MAX 64
+/* Part of the retry ratio that is used: callers that leave make requests
+   count less than they seem to.  */
+#define RETRY_SHARE 0.9
+/* Gateways that share the slack of the retry budget until an observer tells
+   their number.  */
+#define GATEWAYS_ASSUMED 8
+
+static void on_readable (evutil_socket_t fd, short what, void *arg);
+
+bool
+cv_loads_open (cv_gateway_t *g, cv_error_t *err)
+{
+  const cv_endpoint_t *e = &g->settings.loads;
+  char text[CV_ENDPOINT_TEXT];
+  int fd;
+
+  g->gateway_count = GATEWAYS_ASSUMED;
+  (void)snprintf (text, sizeof text, "%s:%u", e->address, e->port);
+  if (!cv_http_address (text, &g->loads_address))
+    return cv_fail (err, CV_ERR_INVALID, "loads: no IPv4 address");
+  fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
+  if (bind (fd, (const struct sockaddr *)&g->loads_address,
+            sizeof g->loads_address)
+      != 0)
+    {
+      (void)close (fd);
+      return cv_fail (err, CV_ERR_SYSTEM, "loads: cannot bind %s: %s", text,
+                      strerror (errno));
+    }
+  g->loads_fd = fd;
+  g->loads_event
+      = event_new (g->base, fd, EV_READ | EV_PERSIST, on_readable, g);
+  CV_INVARIANT (g->loads_event != NULL
+                && event_add (g->loads_event, NULL) == 0);
+  return true;
+}
+
+void
+cv_loads_close (cv_gateway_t *g)
+{
+  if (g->loads_event != NULL)
+    {
+      event_free (g->loads_event);
+      (void)close (g->loads_fd);
+    }
+  g->loads_event = NULL;
+}
+
+void
+cv_loads_set_budget (const cv_gateway_t *g, cv_retry_budget_t *b)
+{
+  cv_retry_budget_set (b, RETRY_SHARE * g->settings.retry_ratio,
+                       g->settings.retry_slack / g->gateway_count);
+}
+
+/* Each gateway takes its part of the slack.  */
+static void
+note_gateways (cv_gateway_t *g, uint32_t count)
+{
+  cv_service_state_t *s;
+
+  if (count == 0 || count == g->gateway_count)
+    return;
+  g->gateway_count = count;
+  TAILQ_FOREACH (s, &g->services, entry)
+  cv_loads_set_budget (g, &s->retries);
+}
+
+static void
+take_load (cv_gateway_t *g, const cv_msg_engine_load_t *load)
+{
+  cv_target_t *t = cv_target_find (g, load->target);
+  cv_time_t now = cv_now ();
+
+  note_gateways (g, load->gateways);
+  if (t == NULL
+      || (t->record.started_ms != 0
+          && t->record.started_ms != load->started_ms))
+    return;
+  /* Datagrams may overtake each other.  */
+  if (load->sequence < t->load.sequence && now - t->load_at < CV_SECOND)
+    return;
+  t->load = *load;
+  t->load_at = now;
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *arg)
+{
+  cv_gateway_t *g = arg;
+  char frame[FRAME_MAX];
+
+  (void)what;
+  for (int i = 0; i < BURST_MAX; i++)
+    {
+      ssize_t n = recv (fd, frame, sizeof frame, 0);
+      cv_error_t err = { 0 };
+      cv_msg_t msg;
+      cv_line_t l;
+
+      if (n < 0)
+        break;
+      if (cv_msg_decode (&msg, frame, (size_t)n, &err)
+          && msg.type == CV_MSG_ENGINE_LOAD)
+        {
+          take_load (g, &msg.u.engine_load);
+          continue;
+        }
+      cv_line_begin (&l, CV_EV_GATEWAY_LOAD_INVALID);
+      cv_line_text (&l, "reason", cv_slice (err.text));
+      cv_line_end (&l);
+    }
+  cv_exchange_place_waiting (g);
+}
--- /dev/null
+++ b/gateway/register.c
@@ -0,0 +1,91 @@
+/* Tells observers, by an object in the store, where this gateway takes their
+   messages.  */
+
+#include <string.h>
+
+#include "gateway/state.h"
+#include "routing/card.h"
+
+#define CALL_TIMEOUT (1 * CV_SECOND)
+/* Pause after a call that failed; without observers' messages a gateway
+   still serves, by what it knows itself.  */
+#define PAUSE (1 * CV_SECOND)
+
+static void on_result (void *owner, const cv_http_result_t *r);
+
+void
+cv_register_init (cv_register_t *r, cv_gateway_t *g)
+{
+  memset (r, 0, sizeof *r);
+  r->gateway = g;
+  r->phase = CV_REGISTER_CREATE;
+  cv_http_call_init (&r->call, g->base, &g->store, on_result, r);
+}
+
+void
+cv_register_finish (cv_register_t *r)
+{
+  cv_http_call_finish (&r->call);
+}
+
+static void
+write_object (cv_register_t *r)
+{
+  const char *name = r->gateway->settings.instance;
+  bool create = r->phase == CV_REGISTER_CREATE;
+  cv_buf_t path;
+  cv_buf_t spec;
+  cv_buf_t body;
+
+  cv_buf_init (&path);
+  cv_buf_init (&spec);
+  cv_buf_init (&body);
+  if (create)
+    cv_platform_kind_path (&path, CV_STORE_GATEWAYS);
+  else
+    cv_platform_object_path (&path, CV_STORE_GATEWAYS, name);
+  cv_card_encode (&spec, &r->gateway->loads_address);
+  cv_platform_encode_object (&body, name, cv_buf_text (&spec));
+  cv_http_call_start (&r->call, create ? "POST" : "PUT", cv_buf_text (&path),
+                      (cv_slice_t){ body.p, body.n }, CALL_TIMEOUT);
+  cv_buf_finish (&path);
+  cv_buf_finish (&spec);
+  cv_buf_finish (&body);
+}
+
+/* A lost answer needs no care: the same object is written again.  */
+static void
+on_result (void *owner, const cv_http_result_t *result)
+{
+  cv_register_t *r = owner;
+  cv_line_t l;
+
+  switch (result->status)
+    {
+    case 200:
+    case 201:
+      r->phase = CV_REGISTER_DONE;
+      cv_line_begin (&l, CV_EV_GATEWAY_REGISTERED);
+      cv_line_text (&l, "instance", cv_slice (r->gateway->settings.instance));
+      cv_line_end (&l);
+      return;
+    case 409:
+      /* An earlier process of this instance created it.  */
+      r->phase = CV_REGISTER_REPLACE;
+      return;
+    case 404:
+      r->phase = CV_REGISTER_CREATE;
+      return;
+    default:
+      r->next_call = cv_now () + PAUSE;
+      return;
+    }
+}
+
+void
+cv_register_tick (cv_register_t *r, cv_time_t now)
+{
+  cv_http_call_tick (&r->call, now);
+  if (r->phase != CV_REGISTER_DONE && !r->call.busy && now >= r->next_call)
+    write_object (r);
+}
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -10,6 +10,7 @@
 #include "base/line.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
+#include "http/call.h"
 #include "http/link.h"
 #include "http/reader.h"
 #include "platform/platform.h"
@@ -25,6 +26,7 @@
 typedef struct cv_client_t cv_client_t;
 typedef struct cv_exchange_t cv_exchange_t;
 typedef struct cv_target_t cv_target_t;
+typedef struct cv_move_t cv_move_t;
 
 TAILQ_HEAD (cv_http_links_t, cv_http_link_t);
 TAILQ_HEAD (cv_targets_t, cv_target_t);
@@ -38,7 +40,7 @@
   CV_TARGET_LISTED = 1, /* takes new requests */
   CV_TARGET_MISSING,    /* fell off the list while the store was away */
   CV_TARGET_DEPARTING,  /* leaving: no new requests */
-  CV_TARGET_REMOVED     /* off the list; kept for requests under way */
+  CV_TARGET_REMOVED     /* off the list; kept while requests are there */
 } cv_target_presence_t;
 
 struct cv_target_t
@@ -60,6 +62,15 @@
   uint64_t run_tokens;
   uint64_t unread_tokens;
   uint64_t copy_tokens;
+  /* What its observer last told, and when that came.  */
+  cv_msg_engine_load_t load;
+  cv_time_t load_at; /* 0: never */
+  /* Of own requests that the observer cannot have seen yet; kept only while
+     a target is chosen.  */
+  uint64_t unseen_tokens;
+  uint64_t unseen_prompt;
+  uint32_t unseen;
+  cv_move_t *move; /* of a run off this target, or NULL */
 };
 
 /* What a gateway keeps of a service beyond one configuration.  */
@@ -68,6 +79,8 @@
   TAILQ_ENTRY (cv_service_state_t) entry;
   char name[CV_NAME_MAX];
   cv_retry_budget_t retries;
+  double growth_tokens; /* mean output of a run, smoothed */
+  double prompt_tokens; /* mean prompt, smoothed */
 } cv_service_state_t;
 
 TAILQ_HEAD (cv_service_states_t, cv_service_state_t);
@@ -126,6 +139,8 @@
   CV_EXCHANGE_STREAMING    /* events are passed on */
 } cv_exchange_state_t;
 
+/* Longest name of a copy of a run's memory, with its null byte.  */
+#define CV_HANDLE_MAX 128
 /* Most targets that one exchange remembers as tried.  */
 #define CV_TRIED_MAX 8
 
@@ -151,21 +166,30 @@
   cv_target_t *target; /* of the present attempt */
   cv_http_link_t *link;
   cv_time_t sent_at;
-  cv_time_t heard_at;  /* last event of a stream */
-  uint32_t sends;      /* attempts that reached a connection */
-  uint32_t rejections; /* of them, stated as not run */
-  uint32_t connects;   /* connections that did not come about */
+  cv_time_t heard_at;    /* last event of a stream */
+  cv_time_t first_event; /* from the start to the first event; 0: none */
+  cv_time_t gap_max;     /* longest time between events */
+  cv_time_t passed_at;   /* last event passed on */
+  uint32_t sends;        /* attempts that reached a connection */
+  uint32_t rejections;   /* of them, stated as not run */
+  uint32_t connects;     /* connections that did not come about */
   uint32_t resumes;
   char tried[CV_TRIED_MAX][CV_NAME_MAX];
   uint32_t tried_count;
+  bool may_have_run;   /* some attempt, as far as is known */
   bool is_queued;      /* in the list of waiting ones */
   bool counted_unread; /* its prompt counts as not yet read */
   bool skip_answer;    /* the answer that comes belongs to another request */
   bool rejected;       /* the answer that comes says: not run */
 
   cv_target_t *backup; /* keeps a copy of the run's memory, or NULL */
+  bool resume_pending; /* no event yet since the stream was resumed */
   bool from_copy;      /* the present attempt goes on from a copy */
   struct sockaddr_in copy_at;
+  char copy_handle[CV_HANDLE_MAX];
+  cv_move_t *move; /* of its run, or NULL */
+  uint32_t moves;  /* that were tried */
+  bool is_parted;  /* its run was stopped for a move */
 
   cv_buf_t answer;    /* collected body */
   bool head_sent;     /* the caller has the answer's head */
@@ -185,21 +209,34 @@
   cv_gateway_t *gateway;
   cv_store_kind_t kind;
   cv_follow_phase_t phase;
-  cv_http_link_t *link;
-  cv_buf_t body;
+  cv_http_call_t call;
   uint64_t at;             /* revision up to which changes are known */
   uint64_t list_at;        /* revision of the list being read */
   char after[CV_NAME_MAX]; /* last name of the page before */
-  cv_time_t call_until;    /* the present call is given up then; 0: none */
   cv_time_t next_call;
   bool is_synced; /* a whole list was read since the start */
   bool lost;      /* the store did not answer the last call */
   cv_time_t lost_at;
   cv_time_t regained_at;
   uint32_t failures; /* in a row */
-  uint64_t calls;
 } cv_follow_t;
 
+typedef enum
+{
+  CV_REGISTER_CREATE = 1,
+  CV_REGISTER_REPLACE,
+  CV_REGISTER_DONE
+} cv_register_phase_t;
+
+/* The object by which observers find this gateway.  */
+typedef struct
+{
+  cv_gateway_t *gateway;
+  cv_register_phase_t phase;
+  cv_http_call_t call;
+  cv_time_t next_call;
+} cv_register_t;
+
 /* ---- counters ---- */
 
 typedef struct
@@ -237,6 +274,11 @@
   struct cv_exchanges_t waiting; /* most urgent first, then in order */
   cv_follow_t follow_routing;
   cv_follow_t follow_instances;
+  cv_register_t registration;
+  struct sockaddr_in loads_address;
+  int loads_fd;
+  struct event *loads_event;
+  uint32_t gateway_count; /* that share the retry budget, as observers tell */
   cv_rng_t rng;
   bool stopping;
   cv_time_t stop_at;
@@ -244,6 +286,7 @@
   cv_gateway_counts_t counts;
   cv_hist_t latency; /* milliseconds to the end of an answer */
   cv_hist_t first_event;
+  cv_hist_t gaps; /* longest gap of each stream */
 };
 
 /* client.c */
@@ -297,6 +340,12 @@
 /* The present attempt ended without a proper answer.  */
 void cv_exchange_failed (cv_exchange_t *x, const char *reason,
                          bool may_have_run);
+/* Go on at T from the copy HANDLE of the run's memory that SOURCE made.  */
+void cv_exchange_resume (cv_exchange_t *x, cv_target_t *t,
+                         const struct sockaddr_in *source, const char *handle,
+                         const char *reason);
+/* Whether a copy of X's memory is kept at an engine that stays.  */
+bool cv_exchange_has_copy (const cv_exchange_t *x);
 /* Find a target and send, or wait for one.  */
 void cv_exchange_place (cv_exchange_t *x);
 
@@ -336,6 +385,32 @@
 void cv_targets_finish (cv_gateway_t *g);
 cv_service_state_t *cv_service_state (cv_gateway_t *g, const char *name);
 
+cv_target_t *cv_target_find (cv_gateway_t *g, const char *id);
+/* Whether T ends soon: listed as leaving, off the list, or by its own
+   word.  */
+bool cv_target_is_departing (const cv_target_t *t);
+/* Time until T ends, 0 when not known.  */
+cv_time_t cv_target_time_left (const cv_target_t *t, cv_time_t now);
+
+/* loads.c */
+bool cv_loads_open (cv_gateway_t *g, cv_error_t *err);
+void cv_loads_close (cv_gateway_t *g);
+/* This gateway's share of the retry budget.  */
+void cv_loads_set_budget (const cv_gateway_t *g, cv_retry_budget_t *b);
+
+/* register.c */
+void cv_register_init (cv_register_t *r, cv_gateway_t *g);
+void cv_register_finish (cv_register_t *r);
+void cv_register_tick (cv_register_t *r, cv_time_t now);
+
+/* move.c */
+void cv_moves_tick (cv_gateway_t *g, cv_time_t now);
+void cv_moves_finish (cv_gateway_t *g);
+/* The run stops now: the end of its stream is no failure.  */
+bool cv_move_is_stopping (const cv_move_t *m);
+/* The exchange of M ends.  */
+void cv_move_forget (cv_move_t *m);
+
 /* follow.c */
 void cv_follow_init (cv_follow_t *f, cv_gateway_t *g, cv_store_kind_t kind);
 void cv_follow_finish (cv_follow_t *f);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -13,16 +13,11 @@
 /* A request that may not be repeated uses a connection only if it was used
    this lately, since targets may drop an idle one unnoticed.  */
 #define FRESH_FOR (500 * CV_MS)
-/* Part of the retry ratio that is used: callers that leave make requests
-   count less than they seem to.  */
-#define RETRY_SHARE 0.9
-/* Gateways that share the slack of the retry budget.  */
-#define GATEWAYS_ASSUMED 8
 
 static void on_idle_event (void *owner, const cv_http_link_event_t *event);
 
-static cv_target_t *
-find (cv_gateway_t *g, const char *id)
+cv_target_t *
+cv_target_find (cv_gateway_t *g, const char *id)
 {
   cv_target_t *t;
 
@@ -80,6 +75,12 @@
   log_target (CV_EV_GATEWAY_TARGET_LEAVING, t, why);
   t->presence = CV_TARGET_REMOVED;
   drop_idle (t);
+}
+
+static void
+drop (cv_target_t *t)
+{
+  drop_idle (t);
   TAILQ_REMOVE (&t->gateway->targets, t, entry);
   cv_target_unref (t);
 }
@@ -103,13 +104,14 @@
 void
 cv_targets_note (cv_gateway_t *g, const cv_instance_record_t *r)
 {
-  cv_target_t *t = find (g, r->id);
+  cv_target_t *t = cv_target_find (g, r->id);
 
   /* Another start under the same id knows nothing of before.  */
   if (t != NULL && t->record.started_ms != r->started_ms
       && t->record.started_ms != 0)
     {
       forget (t, "started again");
+      drop (t);
       t = NULL;
     }
   if (t == NULL)
@@ -130,6 +132,8 @@
 static void
 remove_target (cv_target_t *t, bool in_doubt)
 {
+  if (t->presence == CV_TARGET_REMOVED)
+    return;
   if (!in_doubt || t->presence == CV_TARGET_DEPARTING)
     {
       forget (t, "removed from the list");
@@ -146,7 +150,7 @@
 void
 cv_targets_remove (cv_gateway_t *g, const char *id, bool in_doubt)
 {
-  cv_target_t *t = find (g, id);
+  cv_target_t *t = cv_target_find (g, id);
 
   if (t != NULL)
     remove_target (t, in_doubt);
@@ -204,6 +208,8 @@
       close_stale (t, now);
       if (t->presence == CV_TARGET_MISSING && now >= t->missing_until)
         forget (t, "still missing after the store's return");
+      if (t->presence == CV_TARGET_REMOVED && t->refs == 1 && t->move == NULL)
+        drop (t);
     }
 }
 
@@ -220,7 +226,25 @@
 cv_target_usable (const cv_target_t *t, cv_time_t now)
 {
   return (t->presence == CV_TARGET_LISTED || t->presence == CV_TARGET_MISSING)
-         && cv_health_usable (&t->health, now) && now >= t->full_until;
+         && !t->load.leaving && cv_health_usable (&t->health, now)
+         && now >= t->full_until;
+}
+
+bool
+cv_target_is_departing (const cv_target_t *t)
+{
+  return t->presence == CV_TARGET_DEPARTING || t->presence == CV_TARGET_REMOVED
+         || t->load.leaving;
+}
+
+cv_time_t
+cv_target_time_left (const cv_target_t *t, cv_time_t now)
+{
+  cv_time_t end = t->load_at + t->load.leaves_ms * CV_MS;
+
+  if (t->load_at == 0 || t->load.leaves_ms == 0)
+    return 0;
+  return end > now ? end - now : 1;
 }
 
 cv_http_link_t *
@@ -306,8 +330,7 @@
   s = cv_calloc (1, sizeof *s);
   (void)cv_copy (s->name, sizeof s->name, name);
   cv_retry_budget_init (&s->retries);
-  cv_retry_budget_set (&s->retries, RETRY_SHARE * g->settings.retry_ratio,
-                       g->settings.retry_slack / GATEWAYS_ASSUMED);
+  cv_loads_set_budget (g, &s->retries);
   TAILQ_INSERT_TAIL (&g->services, s, entry);
   return s;
 }
--- /dev/null
+++ b/http/call.c
@@ -0,0 +1,157 @@
+/* One whole call at a time to one address.  */
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "http/call.h"
+
+#define SCHEME "http://"
+
+static void on_link_event (void *owner, const cv_http_link_event_t *event);
+static void on_idle_event (void *owner, const cv_http_link_event_t *event);
+
+bool
+cv_http_address (const char *url, struct sockaddr_in *out)
+{
+  int size = sizeof *out;
+
+  memset (out, 0, sizeof *out);
+  if (strncmp (url, SCHEME, strlen (SCHEME)) == 0)
+    url += strlen (SCHEME);
+  return evutil_parse_sockaddr_port (url, (struct sockaddr *)out, &size) == 0
+         && out->sin_family == AF_INET && out->sin_port != 0;
+}
+
+void
+cv_http_call_init (cv_http_call_t *c, struct event_base *base,
+                   const struct sockaddr_in *address,
+                   cv_http_call_handler_t *handler, void *owner)
+{
+  memset (c, 0, sizeof *c);
+  c->base = base;
+  c->address = *address;
+  c->handler = handler;
+  c->owner = owner;
+  cv_buf_init (&c->body);
+}
+
+static void
+drop_link (cv_http_call_t *c)
+{
+  if (c->link != NULL)
+    cv_http_link_close (c->link);
+  c->link = NULL;
+}
+
+void
+cv_http_call_finish (cv_http_call_t *c)
+{
+  drop_link (c);
+  cv_buf_finish (&c->body);
+  c->busy = false;
+}
+
+static void
+fail (cv_http_call_t *c, const char *failure, bool may_have_run)
+{
+  cv_http_result_t r = { .failure = failure, .may_have_run = may_have_run };
+
+  drop_link (c);
+  c->busy = false;
+  c->handler (c->owner, &r);
+}
+
+void
+cv_http_call_start (cv_http_call_t *c, const char *method, const char *path,
+                    cv_slice_t body, cv_time_t timeout)
+{
+  cv_error_t err = { 0 };
+  char ip[INET_ADDRSTRLEN];
+  cv_buf_t head;
+
+  CV_INVARIANT (!c->busy);
+  c->busy = true;
+  c->calls++;
+  c->until = cv_now () + timeout;
+  cv_buf_reset (&c->body);
+  if (c->link == NULL)
+    c->link = cv_http_link_open (c->base, &c->address, &err);
+  /* The tick reports it, so that no handler runs within its own call.  */
+  if (c->link == NULL)
+    {
+      c->until = 0;
+      return;
+    }
+  CV_INVARIANT (inet_ntop (AF_INET, &c->address.sin_addr, ip, sizeof ip)
+                != NULL);
+  cv_buf_init (&head);
+  cv_buf_printf (&head, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n", method, path, ip,
+                 ntohs (c->address.sin_port));
+  if (body.n > 0)
+    cv_buf_printf (&head,
+                   "Content-Type: application/json\r\n"
+                   "Content-Length: %zu\r\n",
+                   body.n);
+  cv_buf_add (&head, "\r\n", 2);
+  cv_http_link_send (c->link, (cv_slice_t){ head.p, head.n }, body,
+                     on_link_event, c);
+  cv_buf_finish (&head);
+}
+
+static void
+on_done (cv_http_call_t *c)
+{
+  cv_http_link_t *l = c->link;
+  cv_http_result_t r = { .status = l->reader.head.status,
+                         .body = { c->body.p, c->body.n },
+                         .head = &l->reader.head };
+
+  c->busy = false;
+  /* The head lives as long as the connection is held.  */
+  l->refs++;
+  if (cv_http_link_reusable (l))
+    cv_http_link_rest (l, on_idle_event, c);
+  else
+    drop_link (c);
+  c->handler (c->owner, &r);
+  cv_http_link_release (l);
+}
+
+static void
+on_link_event (void *owner, const cv_http_link_event_t *event)
+{
+  cv_http_call_t *c = owner;
+
+  switch (event->kind)
+    {
+    case CV_LINK_HEAD:
+      return;
+    case CV_LINK_BODY:
+      cv_buf_add (&c->body, event->u.body.p, event->u.body.n);
+      return;
+    case CV_LINK_DONE:
+      on_done (c);
+      return;
+    case CV_LINK_FAILED:
+      fail (c, "connection ended", event->u.failure != CV_LINK_REFUSED);
+      return;
+    }
+}
+
+static void
+on_idle_event (void *owner, const cv_http_link_event_t *event)
+{
+  (void)event;
+  drop_link (owner);
+}
+
+void
+cv_http_call_tick (cv_http_call_t *c, cv_time_t now)
+{
+  if (!c->busy || now < c->until)
+    return;
+  if (c->link == NULL)
+    fail (c, "no connection", false);
+  else
+    fail (c, "no answer", true);
+}
--- a/http/link.c
+++ b/http/link.c
@@ -87,8 +87,8 @@
   return l;
 }
 
-static void
-release (cv_http_link_t *l)
+void
+cv_http_link_release (cv_http_link_t *l)
 {
   if (--l->refs > 0)
     return;
@@ -104,7 +104,7 @@
   bufferevent_free (l->bev);
   l->bev = NULL;
   l->handler = NULL;
-  release (l);
+  cv_http_link_release (l);
 }
 
 void
@@ -255,7 +255,7 @@
       if (part == CV_HTTP_LIMIT || part == CV_HTTP_BROKEN)
         break;
     }
-  release (l);
+  cv_http_link_release (l);
 }
 
 static void
@@ -278,5 +278,5 @@
     handle_part (l, CV_HTTP_DONE);
   else if (l->bev != NULL)
     fail (l, l->open ? CV_LINK_RESET : CV_LINK_REFUSED);
-  release (l);
+  cv_http_link_release (l);
 }
--- a/http/link.h
+++ b/http/link.h
@@ -78,6 +78,8 @@
 bool cv_http_link_reusable (const cv_http_link_t *l);
 /* Take no events any more, and close.  */
 void cv_http_link_close (cv_http_link_t *l);
+/* Give back a reference that was taken by REFS.  */
+void cv_http_link_release (cv_http_link_t *l);
 /* Idle: watch for its end only; HANDLER is told by CV_LINK_FAILED.  */
 void cv_http_link_rest (cv_http_link_t *l, cv_http_link_handler_t *handler,
                         void *owner);
--- /dev/null
+++ b/observer/observer.c
@@ -0,0 +1,360 @@
+/* Asks one engine for its load and tells all gateways.
+
+   Messages are datagrams: each holds the whole load, so that a lost one is
+   made good by the next.  */
+
+#include <errno.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
+#include "base/line.h"
+#include "http/call.h"
+#include "observer/observer.h"
+#include "platform/platform.h"
+#include "routing/card.h"
+#include "wire/wire.h"
+
+/* Gateways that are told; more are left out with a log line.  */
+#define GATEWAYS_MAX 512
+/* Gateways come and go rarely, and are listed for a tenth of a call.  */
+#define LIST_EVERY (2 * CV_SECOND)
+#define CALL_TIMEOUT (500 * CV_MS)
+/* An unchanged load is told again after this, as a sign of life.  */
+#define REPEAT_AFTER (400 * CV_MS)
+
+typedef struct
+{
+  cv_observer_settings_t settings;
+  struct event_base *base;
+  struct event *tick;
+  struct event *signals[2];
+  int socket;
+  cv_http_call_t engine;
+  cv_http_call_t store;
+  bool asking_name; /* the call to the engine is for its name */
+  bool reachable;   /* the engine answered the last call */
+  char name[CV_NAME_MAX];
+  uint64_t named_for; /* start of the engine that has this name */
+  cv_msg_engine_load_t load;
+  cv_time_t told_at;
+  cv_time_t ask_at;
+  cv_time_t list_at;
+  char list_after[CV_NAME_MAX];
+  struct sockaddr_in gateways[GATEWAYS_MAX];
+  uint32_t gateway_count;
+  struct sockaddr_in listed[GATEWAYS_MAX]; /* of the list being read */
+  uint32_t listed_count;
+  uint64_t sequence;
+} observer_t;
+
+static void on_engine (void *owner, const cv_http_result_t *r);
+static void on_store (void *owner, const cv_http_result_t *r);
+static void on_tick (evutil_socket_t fd, short what, void *arg);
+static void on_signal (evutil_socket_t number, short what, void *arg);
+
+static bool
+init (observer_t *o, const cv_observer_settings_t *s, cv_error_t *err)
+{
+  struct sockaddr_in engine;
+  struct sockaddr_in store;
+
+  memset (o, 0, sizeof *o);
+  o->settings = *s;
+  o->socket = -1;
+  if (!cv_http_address (s->engine_url, &engine)
+      || !cv_http_address (s->store_url, &store))
+    return cv_fail (err, CV_ERR_INVALID, "observer: no IPv4 address");
+  o->base = event_base_new ();
+  if (o->base == NULL)
+    return cv_fail (err, CV_ERR_SYSTEM, "event loop cannot be made");
+  cv_http_call_init (&o->engine, o->base, &engine, on_engine, o);
+  cv_http_call_init (&o->store, o->base, &store, on_store, o);
+  o->socket = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (o->socket < 0)
+    return cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
+  return true;
+}
+
+static void
+finish (observer_t *o)
+{
+  if (o->base != NULL)
+    {
+      cv_http_call_finish (&o->engine);
+      cv_http_call_finish (&o->store);
+    }
+  for (size_t i = 0; i < sizeof o->signals / sizeof o->signals[0]; i++)
+    if (o->signals[i] != NULL)
+      event_free (o->signals[i]);
+  if (o->tick != NULL)
+    event_free (o->tick);
+  if (o->base != NULL)
+    event_base_free (o->base);
+  if (o->socket >= 0)
+    (void)close (o->socket);
+}
+
+static bool
+add_events (observer_t *o)
+{
+  static const int numbers[] = { SIGTERM, SIGINT };
+  struct timeval tick
+      = { .tv_sec = o->settings.report_ms / 1000,
+          .tv_usec = (suseconds_t)(o->settings.report_ms % 1000) * 1000 };
+
+  (void)signal (SIGPIPE, SIG_IGN);
+  /* Settings hold until the next start.  */
+  (void)signal (SIGHUP, SIG_IGN);
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    {
+      o->signals[i] = evsignal_new (o->base, numbers[i], on_signal, o);
+      if (o->signals[i] == NULL || event_add (o->signals[i], NULL) != 0)
+        return false;
+    }
+  o->tick = event_new (o->base, -1, EV_PERSIST, on_tick, o);
+  return o->tick != NULL && event_add (o->tick, &tick) == 0;
+}
+
+bool
+cv_observer_run (const cv_observer_settings_t *s, cv_error_t *err)
+{
+  static observer_t observer;
+  observer_t *o = &observer;
+  cv_line_t l;
+  bool ok = init (o, s, err);
+
+  if (ok)
+    {
+      cv_line_open (STDOUT_FILENO);
+      cv_line_begin (&l, CV_EV_OBSERVER_STARTED);
+      cv_line_text (&l, "instance", cv_slice (s->instance));
+      cv_line_text (&l, "engine", cv_slice (s->engine_url));
+      cv_line_end (&l);
+      ok = add_events (o) && event_base_dispatch (o->base) >= 0;
+      if (!ok)
+        (void)cv_fail (err, CV_ERR_SYSTEM, "event loop failed");
+    }
+  finish (o);
+  cv_line_flush ();
+  return ok;
+}
+
+static void
+on_signal (evutil_socket_t number, short what, void *arg)
+{
+  observer_t *o = arg;
+  cv_line_t l;
+
+  (void)number;
+  (void)what;
+  cv_line_begin (&l, CV_EV_DAEMON_STOPPING);
+  cv_line_text (&l, "instance", cv_slice (o->settings.instance));
+  cv_line_end (&l);
+  (void)event_base_loopbreak (o->base);
+}
+
+/* ---- telling ---- */
+
+static bool
+has_changed (const cv_msg_engine_load_t *a, const cv_msg_engine_load_t *b)
+{
+  return a->started_ms != b->started_ms || a->leaving != b->leaving
+         || a->leaves_ms != b->leaves_ms || a->running != b->running
+         || a->reading != b->reading || a->waiting != b->waiting
+         || a->waiting_tokens != b->waiting_tokens || a->kv_used != b->kv_used
+         || a->kv_copies != b->kv_copies;
+}
+
+static void
+tell (observer_t *o)
+{
+  cv_msg_t msg = { .type = CV_MSG_ENGINE_LOAD };
+  cv_buf_t frame;
+
+  msg.u.engine_load = o->load;
+  msg.u.engine_load.sequence = ++o->sequence;
+  msg.u.engine_load.gateways = o->gateway_count;
+  (void)cv_copy (msg.u.engine_load.target, CV_NAME_MAX, o->name);
+  cv_buf_init (&frame);
+  cv_msg_encode (&msg, &frame);
+  /* A datagram that finds no room is made good by the next one.  */
+  for (uint32_t i = 0; i < o->gateway_count; i++)
+    (void)sendto (o->socket, frame.p, frame.n, MSG_NOSIGNAL,
+                  (const struct sockaddr *)&o->gateways[i],
+                  sizeof o->gateways[i]);
+  cv_buf_finish (&frame);
+  o->told_at = cv_now ();
+}
+
+/* ---- the engine ---- */
+
+static void
+note_reachable (observer_t *o, bool reachable, const char *reason)
+{
+  cv_line_t l;
+
+  if (o->reachable == reachable)
+    return;
+  o->reachable = reachable;
+  cv_line_begin (&l, reachable ? CV_EV_OBSERVER_ENGINE_UP
+                               : CV_EV_OBSERVER_ENGINE_DOWN);
+  cv_line_text (&l, "target", cv_slice (o->name));
+  cv_line_text (&l, "reason", cv_slice (reason));
+  cv_line_end (&l);
+}
+
+static void
+take_load (observer_t *o, const cv_http_result_t *r)
+{
+  cv_msg_engine_load_t load = { 0 };
+  cv_error_t err = { 0 };
+
+  if (!cv_platform_decode_load (r->body, &load, &err))
+    {
+      note_reachable (o, false, err.text);
+      return;
+    }
+  note_reachable (o, true, "reports its load");
+  if (load.started_ms != o->named_for || o->name[0] == '\0')
+    {
+      o->load = load;
+      o->asking_name = true;
+      return;
+    }
+  if (!has_changed (&load, &o->load) && cv_now () - o->told_at < REPEAT_AFTER)
+    return;
+  o->load = load;
+  tell (o);
+}
+
+static void
+on_engine (void *owner, const cv_http_result_t *r)
+{
+  observer_t *o = owner;
+
+  if (r->status == 0)
+    {
+      note_reachable (o, false, r->failure);
+      o->asking_name = false;
+      return;
+    }
+  if (!o->asking_name)
+    {
+      if (r->status == 200)
+        take_load (o, r);
+      return;
+    }
+  o->asking_name = false;
+  if (cv_platform_decode_name (r->head, o->name))
+    o->named_for = o->load.started_ms;
+}
+
+static void
+ask_engine (observer_t *o, cv_time_t now)
+{
+  if (o->engine.busy || now < o->ask_at)
+    return;
+  o->ask_at = now + o->settings.report_ms * CV_MS;
+  cv_http_call_start (&o->engine, "GET",
+                      o->asking_name ? cv_platform_name_path ()
+                                     : cv_platform_load_path (),
+                      (cv_slice_t){ NULL, 0 }, CALL_TIMEOUT);
+}
+
+/* ---- the list of gateways ---- */
+
+static void
+take_gateway (observer_t *o, const cv_store_object_t *object)
+{
+  cv_error_t err = { 0 };
+  struct sockaddr_in address;
+  cv_line_t l;
+
+  if (!cv_card_decode (object->spec, &address, &err)
+      || o->listed_count == GATEWAYS_MAX)
+    {
+      cv_line_begin (&l, CV_EV_OBSERVER_GATEWAY_SKIPPED);
+      cv_line_text (&l, "gateway", cv_slice (object->name));
+      cv_line_text (&l, "reason",
+                    cv_slice (err.text[0] != '\0' ? err.text : "too many"));
+      cv_line_end (&l);
+      return;
+    }
+  o->listed[o->listed_count++] = address;
+}
+
+static void
+take_page (observer_t *o, const cv_store_page_t *page)
+{
+  for (size_t i = 0; i < cv_platform_page_count (page); i++)
+    {
+      cv_store_object_t object;
+
+      if (!cv_platform_page_object (page, i, &object))
+        continue;
+      take_gateway (o, &object);
+      (void)cv_copy (o->list_after, sizeof o->list_after, object.name);
+    }
+  if (page->more)
+    {
+      o->list_at = 0;
+      return;
+    }
+  memcpy (o->gateways, o->listed, sizeof o->gateways);
+  o->gateway_count = o->listed_count;
+  o->list_after[0] = '\0';
+}
+
+/* A call that fails is made again at the next turn; the list stays.  */
+static void
+on_store (void *owner, const cv_http_result_t *r)
+{
+  observer_t *o = owner;
+  cv_store_page_t page;
+  cv_error_t err = { 0 };
+
+  if (r->status != 200
+      || !cv_platform_decode_page (r->body, false, &page, &err))
+    {
+      o->list_after[0] = '\0';
+      return;
+    }
+  take_page (o, &page);
+  cv_platform_page_finish (&page);
+}
+
+static void
+list_gateways (observer_t *o, cv_time_t now)
+{
+  cv_buf_t path;
+
+  if (o->store.busy || now < o->list_at)
+    return;
+  o->list_at = now + LIST_EVERY;
+  if (o->list_after[0] == '\0')
+    o->listed_count = 0;
+  cv_buf_init (&path);
+  cv_platform_stale_list_path (&path, CV_STORE_GATEWAYS, o->list_after);
+  cv_http_call_start (&o->store, "GET", cv_buf_text (&path),
+                      (cv_slice_t){ NULL, 0 }, CALL_TIMEOUT);
+  cv_buf_finish (&path);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  observer_t *o = arg;
+  cv_time_t now = cv_now ();
+
+  (void)fd;
+  (void)what;
+  cv_http_call_tick (&o->engine, now);
+  cv_http_call_tick (&o->store, now);
+  ask_engine (o, now);
+  list_gateways (o, now);
+  cv_line_flush ();
+}
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -10,7 +10,8 @@
 #define PORT_MAX 65535
 #define DAY_MS (24 * 60 * 60 * 1000)
 
-static const char *const role_names[] = { "entry", "side", "gateway", NULL };
+static const char *const role_names[]
+    = { "entry", "side", "gateway", "observer", NULL };
 static const char *const kind_names[] = { "engine", "service", NULL };
 
 /* Shorthands of the tables below; OFFSET is in the enclosing struct.  */
@@ -36,6 +37,7 @@
   }
 #define ENTRY(member) offsetof (cv_settings_t, u.entry.member)
 #define SIDE(member) offsetof (cv_settings_t, u.side.member)
+#define OBSERVER(member) offsetof (cv_settings_t, u.observer.member)
 #define GATEWAY(member) offsetof (cv_settings_t, u.gateway.member)
 #define URL(k, req, off)                                                       \
   {                                                                            \
@@ -131,6 +133,7 @@
         URL ("ready_url", true, GATEWAY (ready_url)),
         URL ("metrics_url", false, GATEWAY (metrics_url)),
         URL ("store_url", true, GATEWAY (store_url)),
+        OBJECT ("loads", GATEWAY (loads), endpoint_fields),
         NUMBER ("memory_mb", GATEWAY (memory_mb), 16, 1000000, 256),
         NUMBER ("descriptors", GATEWAY (descriptors), 64, 1000000, 1024),
         REAL ("drain_s", GATEWAY (drain_s), 0, 86400, 2),
@@ -141,6 +144,14 @@
         REAL ("lapse_s", GATEWAY (lapse_s), 0, 3600, 2),
         { .key = NULL } };
 
+static const cv_field_t observer_fields[]
+    = { CHOICE ("role", offsetof (cv_settings_t, role), role_names),
+        NAME ("instance", true, OBSERVER (instance)),
+        URL ("engine_url", true, OBSERVER (engine_url)),
+        URL ("store_url", true, OBSERVER (store_url)),
+        NUMBER ("report_ms", OBSERVER (report_ms), 10, 10000, 50),
+        { .key = NULL } };
+
 static size_t
 endpoint_text (const cv_endpoint_t *e, char out[CV_ENDPOINT_TEXT])
 {
@@ -205,6 +216,10 @@
       add_url (used, &n, "metrics_url", s->u.gateway.metrics_url);
       add_url (used, &n, "store_url", s->u.gateway.store_url);
       break;
+    case CV_ROLE_OBSERVER:
+      add_url (used, &n, "engine_url", s->u.observer.engine_url);
+      add_url (used, &n, "store_url", s->u.observer.store_url);
+      break;
     }
   return n;
 }
@@ -254,9 +269,12 @@
         return side_fields;
       if (strcmp (text, role_names[CV_ROLE_GATEWAY - 1]) == 0)
         return gateway_fields;
+      if (strcmp (text, role_names[CV_ROLE_OBSERVER - 1]) == 0)
+        return observer_fields;
     }
   cv_problem (p, cv_json_line (role), cv_json_column (role),
-              "role: expected \"entry\", \"side\" or \"gateway\", found %.40s",
+              "role: expected \"entry\", \"side\", \"gateway\" or "
+              "\"observer\", found %.40s",
               text);
   return NULL;
 }
@@ -336,6 +354,8 @@
       (void)cv_copy (out[1], CV_ENDPOINT_TEXT,
                      s->u.gateway.ready_url + strlen ("http://"));
       return 2;
+    case CV_ROLE_OBSERVER:
+      return 0;
     }
   return 0;
 }
@@ -351,6 +371,8 @@
       return side_fields;
     case CV_ROLE_GATEWAY:
       return gateway_fields;
+    case CV_ROLE_OBSERVER:
+      return observer_fields;
     }
   return NULL;
 }
@@ -366,6 +388,8 @@
       return s->u.side.instance;
     case CV_ROLE_GATEWAY:
       return s->u.gateway.instance;
+    case CV_ROLE_OBSERVER:
+      return s->u.observer.instance;
     }
   return "";
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -22,7 +22,8 @@
 {
   CV_ROLE_ENTRY = 1,
   CV_ROLE_SIDE,
-  CV_ROLE_GATEWAY
+  CV_ROLE_GATEWAY,
+  CV_ROLE_OBSERVER
 } cv_role_t;
 
 typedef enum
@@ -97,9 +98,18 @@
   double retry_ratio; /* repeated arrivals for each request */
   double retry_slack; /* and so many beside, over retry_window_s */
   double retry_window_s;
+  cv_endpoint_t loads; /* UDP, for the observers' messages */
   double lapse_s; /* a store that was away lists live targets again within */
 } cv_gateway_settings_t;
 
+typedef struct
+{
+  char instance[CV_NAME_MAX];
+  char engine_url[CV_URL_MAX]; /* the engine on this instance */
+  char store_url[CV_URL_MAX];  /* where gateways are listed */
+  uint32_t report_ms;          /* between looks at the engine's load */
+} cv_observer_settings_t;
+
 typedef struct
 {
   cv_role_t role;
@@ -108,6 +118,7 @@
     cv_entry_settings_t entry;
     cv_side_settings_t side;
     cv_gateway_settings_t gateway;
+    cv_observer_settings_t observer;
   } u;
 } cv_settings_t;
 
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -224,6 +224,24 @@
     c->ok = false;
 }
 
+static void
+get_engine_load (cursor_t *c, cv_msg_engine_load_t *m)
+{
+  get_text (c, m->target, sizeof m->target);
+  m->started_ms = get_u64 (c, UINT64_MAX);
+  m->sequence = get_u64 (c, UINT64_MAX);
+  m->gateways = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->leaving = get_u64 (c, 1) != 0;
+  m->leaves_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->running = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->reading = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->waiting = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->waiting_tokens = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->kv_used = get_u64 (c, UINT64_MAX);
+  m->kv_total = get_u64 (c, UINT64_MAX);
+  m->kv_copies = get_u64 (c, UINT64_MAX);
+}
+
 static void
 get_submit (cursor_t *c, cv_msg_submit_t *m)
 {
@@ -357,6 +375,9 @@
     case CV_MSG_CALL_RESULT:
       get_answer (c, &msg->u.call_result);
       break;
+    case CV_MSG_ENGINE_LOAD:
+      get_engine_load (c, &msg->u.engine_load);
+      break;
     case CV_MSG_LAST:
       c->ok = false;
       break;
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -98,6 +98,24 @@
   put_versions (pk, &m->versions);
 }
 
+static void
+put_engine_load (msgpack_packer *pk, const cv_msg_engine_load_t *m)
+{
+  put_text (pk, m->target);
+  put_u64 (pk, m->started_ms);
+  put_u64 (pk, m->sequence);
+  put_u64 (pk, m->gateways);
+  put_u64 (pk, m->leaving);
+  put_u64 (pk, m->leaves_ms);
+  put_u64 (pk, m->running);
+  put_u64 (pk, m->reading);
+  put_u64 (pk, m->waiting);
+  put_u64 (pk, m->waiting_tokens);
+  put_u64 (pk, m->kv_used);
+  put_u64 (pk, m->kv_total);
+  put_u64 (pk, m->kv_copies);
+}
+
 static void
 put_submit (msgpack_packer *pk, const cv_msg_submit_t *m)
 {
@@ -216,6 +234,9 @@
     case CV_MSG_CALL_RESULT:
       put_answer (pk, &msg->u.call_result);
       break;
+    case CV_MSG_ENGINE_LOAD:
+      put_engine_load (pk, &msg->u.engine_load);
+      break;
     case CV_MSG_LAST:
       break;
     }
@@ -223,11 +244,12 @@
 
 /* Number of fields of each message, without version and type.  */
 static const uint8_t field_count[CV_MSG_LAST] = {
-  [CV_MSG_HELLO] = 6,  [CV_MSG_REPORT] = 17,  [CV_MSG_DOC_PULL] = 2,
-  [CV_MSG_DOC] = 4,    [CV_MSG_SUBMIT] = 12,  [CV_MSG_ATTACH] = 4,
-  [CV_MSG_DETACH] = 1, [CV_MSG_CANCEL] = 1,   [CV_MSG_CALL] = 13,
-  [CV_MSG_REVOKE] = 6, [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
-  [CV_MSG_TOKENS] = 3, [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
+  [CV_MSG_HELLO] = 6,        [CV_MSG_REPORT] = 17,  [CV_MSG_DOC_PULL] = 2,
+  [CV_MSG_DOC] = 4,          [CV_MSG_SUBMIT] = 12,  [CV_MSG_ATTACH] = 4,
+  [CV_MSG_DETACH] = 1,       [CV_MSG_CANCEL] = 1,   [CV_MSG_CALL] = 13,
+  [CV_MSG_REVOKE] = 6,       [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
+  [CV_MSG_TOKENS] = 3,       [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
+  [CV_MSG_ENGINE_LOAD] = 13,
 };
 
 void
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -138,6 +138,8 @@
   CV_MSG_TOKENS,
   CV_MSG_END,
   CV_MSG_CALL_RESULT,
+  /* observer to gateway */
+  CV_MSG_ENGINE_LOAD,
   CV_MSG_LAST
 } cv_msg_type_t;
 
@@ -169,6 +171,25 @@
   cv_versions_t versions;
 } cv_msg_report_t;
 
+/* Load of one engine, as its observer sees it beside it.  Memory is in
+   tokens.  */
+typedef struct
+{
+  char target[CV_NAME_MAX];
+  uint64_t started_ms; /* Unix time of the engine's start */
+  uint64_t sequence;   /* grows with each message of one observer */
+  uint32_t gateways;   /* that get these messages */
+  bool leaving;
+  uint32_t leaves_ms;      /* time until it ends, 0: not known */
+  uint32_t running;        /* requests in its batch */
+  uint32_t reading;        /* of them without an event yet */
+  uint32_t waiting;        /* requests in its queue */
+  uint32_t waiting_tokens; /* of the first one's prompt */
+  uint64_t kv_used;        /* memory that cannot yield, with copies */
+  uint64_t kv_total;
+  uint64_t kv_copies; /* of runs of other engines */
+} cv_msg_engine_load_t;
+
 typedef struct
 {
   cv_doc_t doc;
@@ -302,6 +323,7 @@
     cv_msg_tokens_t tokens;
     cv_msg_end_t end;
     cv_msg_call_result_t call_result;
+    cv_msg_engine_load_t engine_load;
   } u;
 } cv_msg_t;
 
