Gateway: a silent store is noticed within two seconds; idle connections close at once

Idle connections are now closed at once, and while a stop is under way after 0.5 s of idleness. Watches now wait 1 s for the configuration and 2 s for instances.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -27,9 +27,9 @@
 /* Requests may have gone out when a connection is closed for being idle; so
    it is kept for longer than callers use it.  */
 #define IDLE_SLACK (250 * CV_MS)
-/* During a stop, an idle connection is closed after so long: callers that
-   still use it send within about a second.  */
-#define STOP_IDLE (2 * CV_SECOND)
+/* During a stop, a connection that is idle for so long is closed, at once: a
+   request that crosses the end was then not read, and is sent again.  */
+#define STOP_IDLE (500 * CV_MS)
 
 static void on_accept (struct evconnlistener *listener, evutil_socket_t fd,
                        struct sockaddr *address, int size, void *arg);
@@ -364,7 +364,7 @@
       if (!c->reader.started)
         {
           if (now - c->since > (g->stopping ? STOP_IDLE : idle + IDLE_SLACK))
-            linger (c);
+            cv_client_close (c);
         }
       else if (!c->reader.head_done ? now - c->since > head
                                     : now - c->since > idle)
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -5,11 +5,15 @@
 
 #include "gateway/state.h"
 
-/* A call that waits for changes returns after this at the latest.  Shorter
-   ones notice a silent connection sooner and cost more calls.  */
-#define WAIT_MS 5000
-/* Beyond its wait, a call without an answer is given up after this.  */
-#define CALL_TIMEOUT (1 * CV_SECOND)
+/* A call that waits for changes returns after this at the latest.  A store
+   that fell silent is noticed by the end of the wait, and after its return a
+   configuration has to be in force within about two seconds; shorter waits
+   cost more calls.  */
+#define WAIT_ROUTING_MS 1000
+#define WAIT_INSTANCES_MS 2000
+/* Beyond its wait, a call without an answer is given up after this; a slow
+   store takes some 300 ms.  */
+#define CALL_TIMEOUT (600 * CV_MS)
 /* Pause after a call that failed, doubled up to the longest.  */
 #define PAUSE_FIRST (100 * CV_MS)
 #define PAUSE_MAX (800 * CV_MS)
@@ -58,16 +62,18 @@
 call (cv_follow_t *f)
 {
   bool watch = f->phase == CV_FOLLOW_WATCH;
+  uint32_t wait_ms
+      = f->kind == CV_STORE_ROUTING ? WAIT_ROUTING_MS : WAIT_INSTANCES_MS;
   cv_buf_t path;
 
   cv_buf_init (&path);
   if (watch)
-    cv_platform_watch_path (&path, f->kind, f->at, WAIT_MS);
+    cv_platform_watch_path (&path, f->kind, f->at, wait_ms);
   else
     cv_platform_list_path (&path, f->kind, f->after);
   cv_http_call_start (&f->call, "GET", cv_buf_text (&path),
                       (cv_slice_t){ NULL, 0 },
-                      CALL_TIMEOUT + (watch ? WAIT_MS * CV_MS : 0));
+                      CALL_TIMEOUT + (watch ? wait_ms * CV_MS : 0));
   cv_buf_finish (&path);
 }
 
