Observers give turns to move runs off an engine that ends

Cause: four gateways moved runs off one engine at once, so that the copies queued on its link: a move took 0.65 to 1.4 s instead of 0.2, pauses were up to 1.2 s, and the engine ended before the last. Change: gateways ask the engine's observer for a turn for each run; it grants one at a time, the smallest first. What is left of a run goes by its limit, no longer by the caller's estimate, which was passed by a third of the runs that were cut.

--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -82,7 +82,8 @@
 }
 
 static void
-take_load (cv_gateway_t *g, const cv_msg_engine_load_t *load)
+take_load (cv_gateway_t *g, const cv_msg_engine_load_t *load,
+           const struct sockaddr_in *from)
 {
   cv_target_t *t = cv_target_find (g, load->target);
   cv_time_t now = cv_now ();
@@ -97,6 +98,52 @@
     return;
   t->load = *load;
   t->load_at = now;
+  t->observer = *from;
+}
+
+static void
+take_move (cv_gateway_t *g, const cv_msg_move_t *m)
+{
+  cv_target_t *t = cv_target_find (g, m->target);
+
+  if (t != NULL && m->turn == CV_TURN_GRANTED)
+    cv_move_granted (g, t, m->run);
+}
+
+/* A datagram that finds no room is made good by a later one.  */
+void
+cv_loads_send (const cv_target_t *t, const cv_msg_t *msg)
+{
+  cv_buf_t frame;
+
+  cv_buf_init (&frame);
+  cv_msg_encode (msg, &frame);
+  (void)sendto (t->gateway->loads_fd, frame.p, frame.n, MSG_NOSIGNAL,
+                (const struct sockaddr *)&t->observer, sizeof t->observer);
+  cv_buf_finish (&frame);
+}
+
+/* False with ERR when the frame is no message for a gateway.  */
+static bool
+take_frame (cv_gateway_t *g, const char *frame, size_t n,
+            const struct sockaddr_in *from, cv_error_t *err)
+{
+  cv_msg_t msg;
+
+  if (!cv_msg_decode (&msg, frame, n, err))
+    return false;
+  switch (msg.type)
+    {
+    case CV_MSG_ENGINE_LOAD:
+      take_load (g, &msg.u.engine_load, from);
+      return true;
+    case CV_MSG_MOVE:
+      take_move (g, &msg.u.move);
+      return true;
+    default:
+      return cv_fail (err, CV_ERR_INVALID, "message %s",
+                      cv_msg_name (msg.type));
+    }
 }
 
 static void
@@ -108,19 +155,17 @@
   (void)what;
   for (int i = 0; i < BURST_MAX; i++)
     {
-      ssize_t n = recv (fd, frame, sizeof frame, 0);
+      struct sockaddr_in from;
+      socklen_t size = sizeof from;
+      ssize_t n = recvfrom (fd, frame, sizeof frame, 0,
+                            (struct sockaddr *)&from, &size);
       cv_error_t err = { 0 };
-      cv_msg_t msg;
       cv_line_t l;
 
       if (n < 0)
         break;
-      if (cv_msg_decode (&msg, frame, (size_t)n, &err)
-          && msg.type == CV_MSG_ENGINE_LOAD)
-        {
-          take_load (g, &msg.u.engine_load);
-          continue;
-        }
+      if (take_frame (g, frame, (size_t)n, &from, &err))
+        continue;
       cv_line_begin (&l, CV_EV_GATEWAY_LOAD_INVALID);
       cv_line_text (&l, "reason", cv_slice (err.text));
       cv_line_end (&l);
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -17,8 +17,8 @@
 #define TRIES_MAX 3
 /* Time per token of a run where it is not yet known.  */
 #define TOKEN_US_PRESET 10000
-/* Attempt ids are 16 characters today.  */
-#define RUN_ID_MAX 128
+/* An observer that said nothing for so long gives no turns.  */
+#define OBSERVER_SILENT (1 * CV_SECOND)
 
 typedef enum
 {
@@ -37,7 +37,7 @@
   cv_http_call_t call;
   cv_move_phase_t phase;
   cv_time_t started;
-  char run[RUN_ID_MAX];
+  char run[CV_RUN_MAX];
   char handle[CV_NAME_MAX];
 };
 
@@ -58,9 +58,25 @@
   cv_line_end (&l);
 }
 
+/* Tell the observer of T about the turn of a run.  */
+static void
+send_turn (const cv_target_t *t, cv_slice_t run, cv_turn_t turn,
+           uint64_t tokens)
+{
+  cv_msg_t msg = { .type = CV_MSG_MOVE };
+
+  msg.u.move.turn = turn;
+  msg.u.move.tokens = tokens;
+  (void)cv_copy (msg.u.move.target, CV_NAME_MAX, t->record.id);
+  (void)cv_copy_slice (msg.u.move.run, CV_RUN_MAX, run);
+  cv_loads_send (t, &msg);
+}
+
 static void
 finish (cv_move_t *m, const char *outcome)
 {
+  if (m->from->load_at > 0)
+    send_turn (m->from, cv_slice (m->run), CV_TURN_OVER, 0);
   log_move (m, CV_EV_GATEWAY_MOVE_ENDED, outcome);
   if (m->exchange != NULL)
     m->exchange->move = NULL;
@@ -185,7 +201,7 @@
   return x->target == t && x->move == NULL && x->moves < TRIES_MAX
          && x->state == CV_EXCHANGE_STREAMING && x->events.count > 0
          && !x->route->resumable && x->service->engine.can_move
-         && x->request.attempt.p != NULL && x->request.attempt.n < RUN_ID_MAX
+         && x->request.attempt.p != NULL && x->request.attempt.n < CV_RUN_MAX
          && !cv_exchange_has_copy (x);
 }
 
@@ -197,7 +213,10 @@
 
   x->moves++;
   if (to == NULL)
-    return;
+    {
+      send_turn (t, x->request.attempt, CV_TURN_OVER, 0);
+      return;
+    }
   m = cv_calloc (1, sizeof *m);
   m->gateway = x->gateway;
   m->exchange = x;
@@ -220,18 +239,21 @@
 {
   uint32_t per_event = x->service->engine.event_tokens;
   uint64_t made = x->events.count * per_event;
-  uint64_t output = x->need_tokens - x->request.prompt_tokens;
+  uint32_t limit = x->request.output_limit;
 
+  /* The caller's estimate is too often too low to rest a run's life on it;
+     only its limit is certain.  */
   out->memory_tokens = x->request.prompt_tokens + made;
-  out->remaining_tokens = output > made ? (uint32_t)(output - made) : per_event;
+  out->remaining_tokens = limit > made ? (uint32_t)(limit - made) : 0;
   out->token_us
       = made > per_event
             ? (uint32_t)((now - x->started - x->first_event) / (cv_time_t)made)
             : TOKEN_US_PRESET;
 }
 
+/* Without an observer that gives turns, the gateway orders its own runs.  */
 static void
-evacuate (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
+start_next (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
 {
   cv_exchange_t *candidates[RUNS_MAX];
   cv_evacuee_t runs[RUNS_MAX];
@@ -250,6 +272,49 @@
     start (candidates[i], t);
 }
 
+static void
+ask_turns (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
+{
+  cv_exchange_t *x;
+
+  TAILQ_FOREACH (x, &g->exchanges, entry)
+  {
+    cv_evacuee_t run;
+
+    if (!needs_move (x, t))
+      continue;
+    describe (x, now, &run);
+    if (cv_evacuation_pick (&run, 1, cv_target_time_left (t, now))
+        != CV_EVACUATION_NONE)
+      send_turn (t, x->request.attempt, CV_TURN_WANTED, run.memory_tokens);
+  }
+}
+
+void
+cv_move_granted (cv_gateway_t *g, cv_target_t *t, const char *run)
+{
+  cv_exchange_t *x;
+
+  if (t->move != NULL)
+    return;
+  TAILQ_FOREACH (x, &g->exchanges, entry)
+  if (needs_move (x, t) && cv_slice_equal (x->request.attempt, cv_slice (run)))
+    {
+      start (x, t);
+      return;
+    }
+  send_turn (t, cv_slice (run), CV_TURN_OVER, 0);
+}
+
+static void
+evacuate (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
+{
+  if (now - t->load_at < OBSERVER_SILENT)
+    ask_turns (g, t, now);
+  else
+    start_next (g, t, now);
+}
+
 void
 cv_moves_tick (cv_gateway_t *g, cv_time_t now)
 {
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -64,7 +64,8 @@
   uint64_t copy_tokens;
   /* What its observer last told, and when that came.  */
   cv_msg_engine_load_t load;
-  cv_time_t load_at; /* 0: never */
+  cv_time_t load_at;           /* 0: never */
+  struct sockaddr_in observer; /* who told it */
   /* Of own requests that the observer cannot have seen yet; kept only while
      a target is chosen.  */
   uint64_t unseen_tokens;
@@ -395,6 +396,8 @@
 /* loads.c */
 bool cv_loads_open (cv_gateway_t *g, cv_error_t *err);
 void cv_loads_close (cv_gateway_t *g);
+/* Send a message to the observer of T.  */
+void cv_loads_send (const cv_target_t *t, const cv_msg_t *msg);
 /* This gateway's share of the retry budget.  */
 void cv_loads_set_budget (const cv_gateway_t *g, cv_retry_budget_t *b);
 
@@ -408,6 +411,8 @@
 void cv_moves_finish (cv_gateway_t *g);
 /* The run stops now: the end of its stream is no failure.  */
 bool cv_move_is_stopping (const cv_move_t *m);
+/* The observer of T has given RUN its turn.  */
+void cv_move_granted (cv_gateway_t *g, cv_target_t *t, const char *run);
 /* The exchange of M ends.  */
 void cv_move_forget (cv_move_t *m);
 
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -9,55 +9,36 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <event2/event.h>
-
-#include "base/line.h"
-#include "http/call.h"
-#include "observer/observer.h"
-#include "platform/platform.h"
+#include "observer/state.h"
 #include "routing/card.h"
-#include "wire/wire.h"
 
-/* Gateways that are told; more are left out with a log line.  */
-#define GATEWAYS_MAX 512
 /* Gateways come and go rarely, and are listed for a tenth of a call.  */
 #define LIST_EVERY (2 * CV_SECOND)
 #define CALL_TIMEOUT (500 * CV_MS)
 /* An unchanged load is told again after this, as a sign of life.  */
 #define REPEAT_AFTER (400 * CV_MS)
 
-typedef struct
-{
-  cv_observer_settings_t settings;
-  struct event_base *base;
-  struct event *tick;
-  struct event *signals[2];
-  int socket;
-  cv_http_call_t engine;
-  cv_http_call_t store;
-  bool asking_name; /* the call to the engine is for its name */
-  bool reachable;   /* the engine answered the last call */
-  char name[CV_NAME_MAX];
-  uint64_t named_for; /* start of the engine that has this name */
-  cv_msg_engine_load_t load;
-  cv_time_t told_at;
-  cv_time_t ask_at;
-  cv_time_t list_at;
-  char list_after[CV_NAME_MAX];
-  struct sockaddr_in gateways[GATEWAYS_MAX];
-  uint32_t gateway_count;
-  struct sockaddr_in listed[GATEWAYS_MAX]; /* of the list being read */
-  uint32_t listed_count;
-  uint64_t sequence;
-} observer_t;
-
 static void on_engine (void *owner, const cv_http_result_t *r);
 static void on_store (void *owner, const cv_http_result_t *r);
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_signal (evutil_socket_t number, short what, void *arg);
 
+/* Bound to any port, so that gateways can answer.  */
+static bool
+open_socket (cv_observer_t *o, cv_error_t *err)
+{
+  struct sockaddr_in any = { .sin_family = AF_INET };
+
+  o->socket = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (o->socket < 0)
+    return cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
+  if (bind (o->socket, (const struct sockaddr *)&any, sizeof any) != 0)
+    return cv_fail (err, CV_ERR_SYSTEM, "bind: %s", strerror (errno));
+  return true;
+}
+
 static bool
-init (observer_t *o, const cv_observer_settings_t *s, cv_error_t *err)
+init (cv_observer_t *o, const cv_observer_settings_t *s, cv_error_t *err)
 {
   struct sockaddr_in engine;
   struct sockaddr_in store;
@@ -65,6 +46,8 @@
   memset (o, 0, sizeof *o);
   o->settings = *s;
   o->socket = -1;
+  cv_turns_init (&o->turns);
+  o->granted = CV_TURN_NONE;
   if (!cv_http_address (s->engine_url, &engine)
       || !cv_http_address (s->store_url, &store))
     return cv_fail (err, CV_ERR_INVALID, "observer: no IPv4 address");
@@ -73,14 +56,11 @@
     return cv_fail (err, CV_ERR_SYSTEM, "event loop cannot be made");
   cv_http_call_init (&o->engine, o->base, &engine, on_engine, o);
   cv_http_call_init (&o->store, o->base, &store, on_store, o);
-  o->socket = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (o->socket < 0)
-    return cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
-  return true;
+  return open_socket (o, err);
 }
 
 static void
-finish (observer_t *o)
+finish (cv_observer_t *o)
 {
   if (o->base != NULL)
     {
@@ -90,6 +70,8 @@
   for (size_t i = 0; i < sizeof o->signals / sizeof o->signals[0]; i++)
     if (o->signals[i] != NULL)
       event_free (o->signals[i]);
+  if (o->datagrams != NULL)
+    event_free (o->datagrams);
   if (o->tick != NULL)
     event_free (o->tick);
   if (o->base != NULL)
@@ -99,7 +81,7 @@
 }
 
 static bool
-add_events (observer_t *o)
+add_events (cv_observer_t *o)
 {
   static const int numbers[] = { SIGTERM, SIGINT };
   struct timeval tick
@@ -115,6 +97,10 @@
       if (o->signals[i] == NULL || event_add (o->signals[i], NULL) != 0)
         return false;
     }
+  o->datagrams = event_new (o->base, o->socket, EV_READ | EV_PERSIST,
+                            cv_observer_on_datagram, o);
+  if (o->datagrams == NULL || event_add (o->datagrams, NULL) != 0)
+    return false;
   o->tick = event_new (o->base, -1, EV_PERSIST, on_tick, o);
   return o->tick != NULL && event_add (o->tick, &tick) == 0;
 }
@@ -122,8 +108,8 @@
 bool
 cv_observer_run (const cv_observer_settings_t *s, cv_error_t *err)
 {
-  static observer_t observer;
-  observer_t *o = &observer;
+  static cv_observer_t observer;
+  cv_observer_t *o = &observer;
   cv_line_t l;
   bool ok = init (o, s, err);
 
@@ -146,7 +132,7 @@
 static void
 on_signal (evutil_socket_t number, short what, void *arg)
 {
-  observer_t *o = arg;
+  cv_observer_t *o = arg;
   cv_line_t l;
 
   (void)number;
@@ -170,7 +156,7 @@
 }
 
 static void
-tell (observer_t *o)
+tell (cv_observer_t *o)
 {
   cv_msg_t msg = { .type = CV_MSG_ENGINE_LOAD };
   cv_buf_t frame;
@@ -193,7 +179,7 @@
 /* ---- the engine ---- */
 
 static void
-note_reachable (observer_t *o, bool reachable, const char *reason)
+note_reachable (cv_observer_t *o, bool reachable, const char *reason)
 {
   cv_line_t l;
 
@@ -208,7 +194,7 @@
 }
 
 static void
-take_load (observer_t *o, const cv_http_result_t *r)
+take_load (cv_observer_t *o, const cv_http_result_t *r)
 {
   cv_msg_engine_load_t load = { 0 };
   cv_error_t err = { 0 };
@@ -234,7 +220,7 @@
 static void
 on_engine (void *owner, const cv_http_result_t *r)
 {
-  observer_t *o = owner;
+  cv_observer_t *o = owner;
 
   if (r->status == 0)
     {
@@ -254,7 +240,7 @@
 }
 
 static void
-ask_engine (observer_t *o, cv_time_t now)
+ask_engine (cv_observer_t *o, cv_time_t now)
 {
   if (o->engine.busy || now < o->ask_at)
     return;
@@ -268,14 +254,14 @@
 /* ---- the list of gateways ---- */
 
 static void
-take_gateway (observer_t *o, const cv_store_object_t *object)
+take_gateway (cv_observer_t *o, const cv_store_object_t *object)
 {
   cv_error_t err = { 0 };
   struct sockaddr_in address;
   cv_line_t l;
 
   if (!cv_card_decode (object->spec, &address, &err)
-      || o->listed_count == GATEWAYS_MAX)
+      || o->listed_count == CV_OBSERVER_GATEWAYS_MAX)
     {
       cv_line_begin (&l, CV_EV_OBSERVER_GATEWAY_SKIPPED);
       cv_line_text (&l, "gateway", cv_slice (object->name));
@@ -288,7 +274,7 @@
 }
 
 static void
-take_page (observer_t *o, const cv_store_page_t *page)
+take_page (cv_observer_t *o, const cv_store_page_t *page)
 {
   for (size_t i = 0; i < cv_platform_page_count (page); i++)
     {
@@ -313,7 +299,7 @@
 static void
 on_store (void *owner, const cv_http_result_t *r)
 {
-  observer_t *o = owner;
+  cv_observer_t *o = owner;
   cv_store_page_t page;
   cv_error_t err = { 0 };
 
@@ -328,7 +314,7 @@
 }
 
 static void
-list_gateways (observer_t *o, cv_time_t now)
+list_gateways (cv_observer_t *o, cv_time_t now)
 {
   cv_buf_t path;
 
@@ -347,7 +333,7 @@
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
-  observer_t *o = arg;
+  cv_observer_t *o = arg;
   cv_time_t now = cv_now ();
 
   (void)fd;
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -7,7 +7,7 @@
 #define MEMORY_FILL 0.92
 /* Copies may not fill an engine further than this, since they keep out runs
    that would otherwise be admitted.  */
-#define BACKUP_FILL 0.75
+#define BACKUP_FILL 0.5
 /* A full memory counts like a backlog of this many prompt tokens, about a
    second of reading.  */
 #define MEMORY_COST 8000.0
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -378,6 +378,13 @@
     case CV_MSG_ENGINE_LOAD:
       get_engine_load (c, &msg->u.engine_load);
       break;
+    case CV_MSG_MOVE:
+      get_text (c, msg->u.move.target, sizeof msg->u.move.target);
+      get_text (c, msg->u.move.run, sizeof msg->u.move.run);
+      msg->u.move.turn = (cv_turn_t)get_u64 (c, CV_TURN_OVER);
+      msg->u.move.tokens = get_u64 (c, UINT64_MAX);
+      c->ok = c->ok && msg->u.move.turn >= CV_TURN_WANTED;
+      break;
     case CV_MSG_LAST:
       c->ok = false;
       break;
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -237,6 +237,12 @@
     case CV_MSG_ENGINE_LOAD:
       put_engine_load (pk, &msg->u.engine_load);
       break;
+    case CV_MSG_MOVE:
+      put_text (pk, msg->u.move.target);
+      put_text (pk, msg->u.move.run);
+      put_u64 (pk, msg->u.move.turn);
+      put_u64 (pk, msg->u.move.tokens);
+      break;
     case CV_MSG_LAST:
       break;
     }
@@ -249,7 +255,7 @@
   [CV_MSG_DETACH] = 1,       [CV_MSG_CANCEL] = 1,   [CV_MSG_CALL] = 13,
   [CV_MSG_REVOKE] = 6,       [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
   [CV_MSG_TOKENS] = 3,       [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
-  [CV_MSG_ENGINE_LOAD] = 13,
+  [CV_MSG_ENGINE_LOAD] = 13, [CV_MSG_MOVE] = 4,
 };
 
 void
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -49,6 +49,8 @@
     msg.u.report.state = CV_TARGET_LIVE;
   if (type == CV_MSG_REJECTED)
     msg.u.rejected.reason = CV_REJECT_FULL;
+  if (type == CV_MSG_MOVE)
+    msg.u.move.turn = CV_TURN_WANTED;
   if (type == CV_MSG_END)
     msg.u.end.end = CV_END_STOP;
   return msg;
--- a/wire/text.c
+++ b/wire/text.c
@@ -141,10 +141,10 @@
 cv_msg_name (cv_msg_type_t type)
 {
   static const char *const names[CV_MSG_LAST]
-      = { "?",           "HELLO",      "REPORT",   "DOC_PULL", "DOC",
-          "SUBMIT",      "ATTACH",     "DETACH",   "CANCEL",   "CALL",
-          "REVOKE",      "ACCEPTED",   "REJECTED", "TOKENS",   "END",
-          "CALL_RESULT", "ENGINE_LOAD" };
+      = { "?",           "HELLO",       "REPORT",   "DOC_PULL", "DOC",
+          "SUBMIT",      "ATTACH",      "DETACH",   "CANCEL",   "CALL",
+          "REVOKE",      "ACCEPTED",    "REJECTED", "TOKENS",   "END",
+          "CALL_RESULT", "ENGINE_LOAD", "MOVE" };
 
   return type > 0 && type < CV_MSG_LAST ? names[type] : names[0];
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -140,6 +140,8 @@
   CV_MSG_CALL_RESULT,
   /* observer to gateway */
   CV_MSG_ENGINE_LOAD,
+  /* both directions */
+  CV_MSG_MOVE,
   CV_MSG_LAST
 } cv_msg_type_t;
 
@@ -190,6 +192,26 @@
   uint64_t kv_copies; /* of runs of other engines */
 } cv_msg_engine_load_t;
 
+/* Longest name of a run, with its null byte.  */
+#define CV_RUN_MAX 128
+
+typedef enum
+{
+  CV_TURN_WANTED = 1, /* gateway to observer, again until it is granted */
+  CV_TURN_GRANTED,    /* observer to gateway */
+  CV_TURN_OVER        /* gateway to observer: moved, or not to be moved */
+} cv_turn_t;
+
+/* Turns to move runs off one engine, whose link carries one after the
+   other.  */
+typedef struct
+{
+  char target[CV_NAME_MAX];
+  char run[CV_RUN_MAX];
+  cv_turn_t turn;
+  uint64_t tokens; /* memory of the run */
+} cv_msg_move_t;
+
 typedef struct
 {
   cv_doc_t doc;
@@ -324,6 +346,7 @@
     cv_msg_end_t end;
     cv_msg_call_result_t call_result;
     cv_msg_engine_load_t engine_load;
+    cv_msg_move_t move;
   } u;
 } cv_msg_t;
 
