Moves stay in the engine's own failure domain where they can

Cause: a move between failure domains takes twice as long (0.4 to 0.8 s), and near was judged by the gateway's domain, not the engine's. Change: nearness is to where the data comes from, and counts for a move like most of an engine's memory.

--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -82,15 +82,14 @@
 }
 
 static void
-add (candidates_t *c, const cv_exchange_t *x, cv_target_t *t, cv_time_t now)
+add (candidates_t *c, const cv_exchange_t *x, cv_target_t *t,
+     const char *domain, cv_time_t now)
 {
   const cv_service_t *s = x->service;
   cv_candidate_t *out = &c->seen[c->n];
 
   out->usable = cv_target_usable (t, now) && !was_tried (x, t);
-  out->same_domain
-      = strcmp (t->record.failure_domain, x->gateway->settings.failure_domain)
-        == 0;
+  out->same_domain = strcmp (t->record.failure_domain, domain) == 0;
   out->memory_total = s->is_engine ? s->engine.memory_tokens : 0;
   out->slots = s->is_engine ? s->engine.slots : t->record.slots;
   if (s->is_engine && now - t->load_at < LOAD_FRESH)
@@ -105,7 +104,7 @@
 }
 
 static void
-collect (candidates_t *c, cv_exchange_t *x)
+collect (candidates_t *c, cv_exchange_t *x, const char *domain)
 {
   cv_time_t now = cv_now ();
   cv_target_t *t;
@@ -116,22 +115,35 @@
   TAILQ_FOREACH (t, &x->gateway->targets, entry)
   if (c->n < CANDIDATES_MAX
       && strcmp (t->record.service, x->service->name) == 0)
-    add (c, x, t, now);
+    add (c, x, t, domain, now);
 }
 
-cv_target_t *
-cv_choose_target (cv_exchange_t *x)
+static cv_target_t *
+choose (cv_exchange_t *x, const char *domain, bool is_move)
 {
-  cv_placement_work_t work
-      = { .memory = x->need_tokens, .prompt_tokens = x->request.prompt_tokens };
+  cv_placement_work_t work = { .memory = x->need_tokens,
+                               .prompt_tokens = x->request.prompt_tokens,
+                               .is_move = is_move };
   candidates_t c;
   uint32_t i;
 
-  collect (&c, x);
+  collect (&c, x, domain);
   i = cv_placement_pick (c.seen, c.n, &work, cv_rng_uniform (&x->gateway->rng));
   return i == CV_PLACEMENT_NONE ? NULL : c.target[i];
 }
 
+cv_target_t *
+cv_choose_target (cv_exchange_t *x)
+{
+  return choose (x, x->gateway->settings.failure_domain, false);
+}
+
+cv_target_t *
+cv_choose_destination (cv_exchange_t *x, const cv_target_t *t)
+{
+  return choose (x, t->record.failure_domain, true);
+}
+
 cv_target_t *
 cv_choose_backup (cv_exchange_t *x, const cv_target_t *t)
 {
@@ -139,7 +151,7 @@
   uint32_t runner = CV_PLACEMENT_NONE;
   uint32_t i;
 
-  collect (&c, x);
+  collect (&c, x, t->record.failure_domain);
   for (i = 0; i < c.n; i++)
     if (c.target[i] == t)
       runner = i;
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -208,7 +208,7 @@
 static void
 start (cv_exchange_t *x, cv_target_t *t)
 {
-  cv_target_t *to = cv_choose_target (x);
+  cv_target_t *to = cv_choose_destination (x, t);
   cv_move_t *m;
 
   x->moves++;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -361,6 +361,8 @@
 /* choose.c */
 /* The target for X now, or NULL.  */
 cv_target_t *cv_choose_target (cv_exchange_t *x);
+/* Where to move X's run off T, or NULL.  */
+cv_target_t *cv_choose_destination (cv_exchange_t *x, const cv_target_t *t);
 /* An engine to keep a copy of X's run at T, or NULL.  */
 cv_target_t *cv_choose_backup (cv_exchange_t *x, const cv_target_t *t);
 uint32_t cv_choose_retry_after (cv_exchange_t *x);
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -7,7 +7,7 @@
 #define MEMORY_FILL 0.92
 /* Copies may not fill an engine further than this, since they keep out runs
    that would otherwise be admitted.  */
-#define BACKUP_FILL 0.5
+#define BACKUP_FILL 0.65
 /* A full memory counts like a backlog of this many prompt tokens, about a
    second of reading.  */
 #define MEMORY_COST 8000.0
@@ -15,6 +15,9 @@
 #define IN_FLIGHT_COST 100.0
 /* Traffic between failure domains is billed; worth a small detour.  */
 #define FAR_COST 300.0
+/* A copy between failure domains takes twice as long, which decides how many
+   runs get off an engine before it ends.  */
+#define FAR_MOVE_COST 6000.0
 /* Spread among equal candidates, so that many choosers do not agree.  */
 #define NOISE_COST 200.0
 
@@ -34,13 +37,13 @@
 }
 
 static double
-engine_cost (const cv_candidate_t *c)
+engine_cost (const cv_candidate_t *c, double far_cost)
 {
   double cost = (double)c->prompt_backlog;
 
   cost += MEMORY_COST * (double)c->memory_used / (double)c->memory_total;
   cost += IN_FLIGHT_COST * c->in_flight;
-  return c->same_domain ? cost : cost + FAR_COST;
+  return c->same_domain ? cost : cost + far_cost;
 }
 
 static double
@@ -69,7 +72,8 @@
         {
           if (!has_room (c, work->memory, MEMORY_FILL))
             continue;
-          cost = engine_cost (c) + NOISE_COST * spread (draw, i);
+          cost = engine_cost (c, work->is_move ? FAR_MOVE_COST : FAR_COST)
+                 + NOISE_COST * spread (draw, i);
         }
       else
         {
@@ -101,7 +105,7 @@
       if (i == runner || !c->usable || c->memory_total == 0
           || !has_room (c, memory, BACKUP_FILL))
         continue;
-      cost = engine_cost (c);
+      cost = engine_cost (c, FAR_COST);
       if (best == CV_PLACEMENT_NONE || cost < best_cost)
         {
           best = i;
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -17,7 +17,7 @@
 typedef struct
 {
   bool usable;
-  bool same_domain;        /* in the failure domain of the chooser */
+  bool same_domain;        /* in the domain that its data comes from */
   uint64_t memory_total;   /* 0: a plain service */
   uint64_t memory_used;    /* at the end of all runs it has, and copies */
   uint64_t prompt_backlog; /* tokens of prompts that it has still to read */
@@ -29,6 +29,7 @@
 {
   uint64_t memory; /* tokens at the end of the run; 0: no generation */
   uint32_t prompt_tokens;
+  bool is_move; /* the run's memory is copied there while time is short */
 } cv_placement_work_t;
 
 /* The index of the best target, or CV_PLACEMENT_NONE when none has room.
