--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -57,8 +57,6 @@
       f.has_last_event = true;
       f.last_event = x->events.last;
     }
-  if (x->backup != NULL)
-    f.backup_at = &x->backup->record.address;
   if (x->from_copy)
     {
       f.from = &x->copy_at;
@@ -83,19 +81,6 @@
   return true;
 }
 
-static void
-set_backup (cv_exchange_t *x, cv_target_t *t)
-{
-  if (x->route->kind != CV_ROUTE_STREAMING || x->route->resumable
-      || !x->service->engine.can_back_up || x->request.attempt.p == NULL)
-    return;
-  x->backup = cv_choose_backup (x, t);
-  if (x->backup == NULL)
-    return;
-  (void)cv_target_ref (x->backup);
-  x->backup->copy_tokens += x->need_tokens;
-}
-
 static void
 take_target (cv_exchange_t *x, cv_target_t *t)
 {
@@ -126,8 +111,6 @@
       cv_line_number (&l, "run_tokens", (int64_t)x->target->run_tokens);
       cv_line_number (&l, "unread_tokens", (int64_t)x->target->unread_tokens);
     }
-  if (x->backup != NULL)
-    cv_line_text (&l, "copy_at", cv_slice (x->backup->record.id));
   cv_line_end (&l);
 }
 
@@ -138,7 +121,6 @@
   cv_buf_t head;
 
   take_target (x, t);
-  set_backup (x, t);
   x->state = x->head_sent ? CV_EXCHANGE_STREAMING : CV_EXCHANGE_SENT;
   x->resume_pending = x->head_sent;
   x->sent_at = cv_now ();
@@ -193,12 +175,6 @@
       cv_target_unref (x->target);
       x->target = NULL;
     }
-  if (x->backup != NULL)
-    {
-      x->backup->copy_tokens -= x->need_tokens;
-      cv_target_unref (x->backup);
-      x->backup = NULL;
-    }
 }
 
 static void
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -17,9 +17,6 @@
 /* Between the sending of a request and its being seen by an observer whose
    word has come back.  */
 #define LOAD_DELAY (5 * CV_MS)
-/* A copy shows once the run it belongs to has read its prompt.  */
-#define COPY_DELAY (700 * CV_MS)
-
 typedef struct
 {
   cv_candidate_t seen[CANDIDATES_MAX];
@@ -76,8 +73,6 @@
         x->target->unseen_prompt += x->request.prompt_tokens;
         x->target->unseen++;
       }
-    if (x->backup != NULL && x->sent_at > x->backup->load_at - COPY_DELAY)
-      x->backup->unseen_tokens += x->need_tokens;
   }
 }
 
@@ -144,21 +139,6 @@
   return choose (x, t->record.failure_domain, true);
 }
 
-cv_target_t *
-cv_choose_backup (cv_exchange_t *x, const cv_target_t *t)
-{
-  candidates_t c;
-  uint32_t runner = CV_PLACEMENT_NONE;
-  uint32_t i;
-
-  collect (&c, x, t->record.failure_domain);
-  for (i = 0; i < c.n; i++)
-    if (c.target[i] == t)
-      runner = i;
-  i = cv_placement_backup (c.seen, c.n, runner, x->need_tokens);
-  return i == CV_PLACEMENT_NONE ? NULL : c.target[i];
-}
-
 uint32_t
 cv_choose_retry_after (cv_exchange_t *x)
 {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -24,9 +24,6 @@
    many of its objectives for a gap.  */
 #define GAP_FACTOR 5
 #define GAP_MIN (700 * CV_MS)
-/* A stream with a copy elsewhere leaves its engine this long before the
-   engine ends; a tick and the way there fit in.  */
-#define SWITCH_BEFORE (100 * CV_MS)
 /* Part of the objective that a request may wait for a plain service.  */
 #define SERVICE_WAIT_PART 2
 /* A starting gateway has its configuration within about half a second.  */
@@ -362,12 +359,6 @@
   cv_line_end (&l);
 }
 
-bool
-cv_exchange_has_copy (const cv_exchange_t *x)
-{
-  return x->backup != NULL && !cv_target_is_departing (x->backup);
-}
-
 void
 cv_exchange_resume (cv_exchange_t *x, cv_target_t *t,
                     const struct sockaddr_in *source, const char *handle,
@@ -383,23 +374,6 @@
   cv_attempt_start (x, t);
 }
 
-/* Go on from the copy that an engine kept, where there is one.  */
-static bool
-resume_from_copy (cv_exchange_t *x, const char *reason)
-{
-  cv_target_t *copy = x->backup;
-  char run[CV_HANDLE_MAX];
-
-  if (copy == NULL || x->resumes >= RESUMES_MAX
-      || copy->presence == CV_TARGET_REMOVED
-      || !cv_copy_slice (run, sizeof run, x->request.attempt))
-    return false;
-  (void)cv_target_ref (copy);
-  cv_exchange_resume (x, copy, &copy->record.address, run, reason);
-  cv_target_unref (copy);
-  return true;
-}
-
 void
 cv_exchange_failed (cv_exchange_t *x, const char *reason, bool may_have_run)
 {
@@ -407,8 +381,6 @@
 
   x->may_have_run |= may_have_run;
   repeat = !x->may_have_run || is_repeatable (x);
-  if (!repeat && resume_from_copy (x, reason))
-    return;
   if (repeat
       && (x->head_sent ? x->resumes < RESUMES_MAX : cv_exchange_may_repeat (x))
       && (!may_have_run || cv_retry_budget_take (&x->service_state->retries)))
@@ -473,7 +445,7 @@
 
   if (x->state == CV_EXCHANGE_STREAMING && x->events.count > 0)
     {
-      if (!is_repeatable (x) && x->backup == NULL)
+      if (!is_repeatable (x))
         return 0;
       limit = GAP_FACTOR * x->route->gap_objective_ms * CV_MS;
       return limit > GAP_MIN ? limit : GAP_MIN;
@@ -486,17 +458,6 @@
   return limit > SILENCE_MIN ? limit : SILENCE_MIN;
 }
 
-/* The engine ends within moments, and a copy is kept elsewhere.  */
-static bool
-engine_ends (const cv_exchange_t *x, cv_time_t now)
-{
-  cv_time_t left = cv_target_time_left (x->target, now);
-
-  return left > 0 && left < SWITCH_BEFORE && x->move == NULL
-         && x->events.count > 0 && !x->route->resumable
-         && cv_exchange_has_copy (x);
-}
-
 static void
 check_times (cv_exchange_t *x, cv_time_t now)
 {
@@ -515,9 +476,6 @@
         give_up (x, "no target has room in time", false);
       return;
     }
-  if (x->state == CV_EXCHANGE_STREAMING && engine_ends (x, now)
-      && resume_from_copy (x, "its engine ends now"))
-    return;
   silence = silence_limit (x);
   if (silence > 0 && now - x->heard_at > silence)
     {
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -201,8 +201,7 @@
   return x->target == t && x->move == NULL && x->moves < TRIES_MAX
          && x->state == CV_EXCHANGE_STREAMING && x->events.count > 0
          && !x->route->resumable && x->service->engine.can_move
-         && x->request.attempt.p != NULL && x->request.attempt.n < CV_RUN_MAX
-         && !cv_exchange_has_copy (x);
+         && x->request.attempt.p != NULL && x->request.attempt.n < CV_RUN_MAX;
 }
 
 static void
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -183,7 +183,6 @@
   bool skip_answer;    /* the answer that comes belongs to another request */
   bool rejected;       /* the answer that comes says: not run */
 
-  cv_target_t *backup; /* keeps a copy of the run's memory, or NULL */
   bool resume_pending; /* no event yet since the stream was resumed */
   bool from_copy;      /* the present attempt goes on from a copy */
   struct sockaddr_in copy_at;
@@ -345,8 +344,6 @@
 void cv_exchange_resume (cv_exchange_t *x, cv_target_t *t,
                          const struct sockaddr_in *source, const char *handle,
                          const char *reason);
-/* Whether a copy of X's memory is kept at an engine that stays.  */
-bool cv_exchange_has_copy (const cv_exchange_t *x);
 /* Find a target and send, or wait for one.  */
 void cv_exchange_place (cv_exchange_t *x);
 
@@ -363,8 +360,6 @@
 cv_target_t *cv_choose_target (cv_exchange_t *x);
 /* Where to move X's run off T, or NULL.  */
 cv_target_t *cv_choose_destination (cv_exchange_t *x, const cv_target_t *t);
-/* An engine to keep a copy of X's run at T, or NULL.  */
-cv_target_t *cv_choose_backup (cv_exchange_t *x, const cv_target_t *t);
 uint32_t cv_choose_retry_after (cv_exchange_t *x);
 
 /* targets.c */
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -5,9 +5,6 @@
 /* Part of an engine's memory that admission fills: the rest takes outputs
    that grow beyond their estimate.  */
 #define MEMORY_FILL 0.92
-/* Copies may not fill an engine further than this, since they keep out runs
-   that would otherwise be admitted.  */
-#define BACKUP_FILL 0.65
 /* A full memory counts like a backlog of this many prompt tokens, about a
    second of reading.  */
 #define MEMORY_COST 8000.0
@@ -89,28 +86,3 @@
     }
   return best;
 }
-
-uint32_t
-cv_placement_backup (const cv_candidate_t *candidates, uint32_t n,
-                     uint32_t runner, uint64_t memory)
-{
-  uint32_t best = CV_PLACEMENT_NONE;
-  double best_cost = 0;
-
-  for (uint32_t i = 0; i < n; i++)
-    {
-      const cv_candidate_t *c = &candidates[i];
-      double cost;
-
-      if (i == runner || !c->usable || c->memory_total == 0
-          || !has_room (c, memory, BACKUP_FILL))
-        continue;
-      cost = engine_cost (c, FAR_COST);
-      if (best == CV_PLACEMENT_NONE || cost < best_cost)
-        {
-          best = i;
-          best_cost = cost;
-        }
-    }
-  return best;
-}
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -1,6 +1,6 @@
-/* Choice of the target for a request, and of the engine that keeps a copy of
-   a run's memory.  Load pattern: engines close to full, whose memory a run
-   fills further while it goes on, beside prompts that queue to be read.  */
+/* Choice of the target for a request or for a run that moves.  Load pattern:
+   engines close to full, whose memory a run fills further while it goes on,
+   beside prompts that queue to be read.  */
 
 #ifndef CV_POLICY_PLACEMENT_H
 #define CV_POLICY_PLACEMENT_H
@@ -36,11 +36,6 @@
    DRAW in [0, 1) breaks ties.  */
 uint32_t cv_placement_pick (const cv_candidate_t *candidates, uint32_t n,
                             const cv_placement_work_t *work, double draw);
-/* An engine to keep a copy of a run of MEMORY tokens that goes to RUNNER;
-   CV_PLACEMENT_NONE when no other has memory to spare.  */
-uint32_t cv_placement_backup (const cv_candidate_t *candidates, uint32_t n,
-                              uint32_t runner, uint64_t memory);
-
 #ifdef __cplusplus
 }
 #endif
