Gateway: an answer's head decides whether its connection ends

What a head announced now holds. Cause 2: a busy process closed an idle connection whose next request it had not read yet; it looks for unread bytes first. Cause 3: runs were taken that could not end before the gateway was gone; they are refused as not run, early in a stop by the estimate of their output, later by its limit. New: tests/gateway, a gateway process against stand-ins of the store and of targets, as scripted runs with expected output.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -35,7 +35,7 @@
   if (retry_after_ms > 0)
     cv_buf_printf (&head, "Retry-After: %u.%03u\r\n", retry_after_ms / 1000,
                    retry_after_ms % 1000);
-  if (cv_client_last (c))
+  if (cv_client_announce_end (c))
     cv_buf_printf (&head, "Connection: close\r\n");
   cv_buf_add (&head, "\r\n", 2);
   if (c->reader.head.method == HTTP_HEAD)
@@ -206,8 +206,9 @@
                  &g->gaps);
   cv_buf_printf (&head,
                  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
-                 "Content-Length: %zu\r\n\r\n",
-                 body.n);
+                 "Content-Length: %zu\r\n%s\r\n",
+                 body.n,
+                 cv_client_announce_end (c) ? "Connection: close\r\n" : "");
   cv_client_send (c, (cv_slice_t){ head.p, head.n },
                   (cv_slice_t){ body.p, body.n });
   cv_buf_finish (&head);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -215,7 +215,7 @@
     x->client->close_after = x->client->ends_body = true;
   cv_buf_init (&head);
   cv_answer_head (&head, &x->link->reader.head, framing, length,
-                  cv_client_last (x->client));
+                  cv_client_announce_end (x->client));
   cv_client_send (x->client, (cv_slice_t){ head.p, head.n },
                   (cv_slice_t){ NULL, 0 });
   cv_buf_finish (&head);
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <event2/buffer.h>
 
@@ -133,11 +134,14 @@
     CV_INVARIANT (evbuffer_add (out, body.p, body.n) == 0);
 }
 
+/* What a head has announced holds: a stop that begins later does not end the
+   connection, on which the caller may send again.  */
 bool
-cv_client_last (const cv_client_t *c)
+cv_client_announce_end (cv_client_t *c)
 {
-  return c->close_after || c->port->gateway->stopping
-         || !c->reader.head.keep_alive;
+  c->close_after = c->close_after || c->port->gateway->stopping
+                   || !c->reader.head.keep_alive;
+  return c->close_after;
 }
 
 /* All output has left.  Whoever asked closes first, since some take an end
@@ -173,7 +177,7 @@
       cv_client_close (c);
       return;
     }
-  if (cv_client_last (c))
+  if (c->close_after)
     {
       linger (c);
       return;
@@ -321,14 +325,14 @@
     }
 }
 
-/* All output has left.  */
+/* The library also calls this when output was added meanwhile.  */
 static void
 on_write (struct bufferevent *bev, void *arg)
 {
   cv_client_t *c = arg;
 
-  (void)bev;
-  if (c->state == CV_CLIENT_LINGERING)
+  if (c->state == CV_CLIENT_LINGERING
+      && evbuffer_get_length (bufferevent_get_output (bev)) == 0)
     output_left (c);
 }
 
@@ -340,6 +344,17 @@
     cv_client_close (arg);
 }
 
+/* Bytes have come that no callback has seen yet; a busy process reads them
+   late.  */
+static bool
+has_input (const cv_client_t *c)
+{
+  char byte;
+
+  return recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+         > 0;
+}
+
 /* Close C when it is idle or slow beyond the limits.  */
 static void
 check_times (cv_client_t *c, cv_time_t now)
@@ -363,7 +378,8 @@
     case CV_CLIENT_READING:
       if (!c->reader.started)
         {
-          if (now - c->since > (g->stopping ? STOP_IDLE : idle + IDLE_SLACK))
+          if (now - c->since > (g->stopping ? STOP_IDLE : idle + IDLE_SLACK)
+              && !has_input (c))
             cv_client_close (c);
         }
       else if (!c->reader.head_done ? now - c->since > head
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -28,6 +28,12 @@
 #define SERVICE_WAIT_PART 2
 /* A starting gateway has its configuration within about half a second.  */
 #define RETRY_ROUTING_MS 500
+/* Another gateway takes the request at once.  */
+#define RETRY_STOPPING_MS 20
+/* Time per token of a run beside others.  */
+#define TOKEN_TIME (10 * CV_MS)
+/* While the balancer still sends new connections.  */
+#define STOP_EARLY (2 * CV_SECOND)
 /* Weight of a new value in the smoothed means.  */
 #define SMOOTHING 0.05
 /* A target that rejected a request gets no new one for so long.  */
@@ -237,6 +243,23 @@
   return true;
 }
 
+/* Whether X can be expected to end before a gateway that stops is gone.
+   Early in a stop that rests on the caller's estimate, later on its limit.  */
+static bool
+ends_before_stop (const cv_exchange_t *x)
+{
+  const cv_caller_request_t *q = &x->request;
+  bool late = x->started - x->gateway->stop_at > STOP_EARLY;
+  cv_time_t takes = 2 * x->route->objective_ms * CV_MS;
+
+  if (q->is_generation)
+    takes = q->prompt_tokens / READ_TOKENS_PER_MS * CV_MS
+            + (cv_time_t)(late ? q->output_limit
+                               : x->need_tokens - q->prompt_tokens)
+                  * TOKEN_TIME;
+  return x->started + takes < x->gateway->stop_by;
+}
+
 void
 cv_exchange_begin (cv_client_t *c)
 {
@@ -258,6 +281,13 @@
     return;
   set_times (x);
   estimate_need (x);
+  if (g->stopping && !ends_before_stop (x))
+    {
+      cv_exchange_refuse (x, 503,
+                          cv_retry_after_ms (&g->rng, RETRY_STOPPING_MS),
+                          "gateway stops too soon");
+      return;
+    }
   cv_retry_budget_first (&x->service_state->retries);
   cv_exchange_place (x);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -300,8 +300,9 @@
 void cv_client_send (cv_client_t *c, cv_slice_t head, cv_slice_t body);
 void cv_client_close (cv_client_t *c);
 void cv_clients_tick (cv_gateway_t *g, cv_time_t now);
-/* Whether this answer is the last of its connection.  */
-bool cv_client_last (const cv_client_t *c);
+/* Called for each head: whether this answer is the last of its connection,
+   which the head then has to say.  */
+bool cv_client_announce_end (cv_client_t *c);
 
 /* answer.c */
 /* A short answer of the gateway's own; RETRY_AFTER_MS 0: none.  */
--- /dev/null
+++ b/tests/gateway/bench.py
@@ -0,0 +1,161 @@
+"""What a scenario works with: a gateway process, stand-ins and callers."""
+
+import asyncio
+import copy
+import json
+import os
+import signal
+import socket
+import tempfile
+import time
+
+from standins import CONFIG, Store, Target
+
+READY_TIMEOUT_S = 10
+
+
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+class Bench:
+    def __init__(self, program):
+        self.program = program
+        self.store = Store()
+        self.config = copy.deepcopy(CONFIG)
+        self.targets = {}
+        self.process = None
+        self.ports = {}
+        self.lines = []
+        self.logs = []
+        self.attempts = 0
+        self.directory = tempfile.TemporaryDirectory()
+
+    def say(self, text):
+        """A line of the transcript that is compared."""
+        self.lines.append(text)
+
+    async def add_target(self, name, service, script):
+        target = await Target(name, service, script).start()
+        self.targets[name] = target
+        await self.store.put("servers", name, target.record())
+        return target
+
+    async def start(self, **settings):
+        await self.store.start()
+        await self.store.put("config", "main", self.config)
+        await self.start_gateway(**settings)
+
+    async def start_gateway(self, **settings):
+        self.ports = {k: free_port() for k in ("listen", "ready", "metrics",
+                                               "loads")}
+        path = os.path.join(self.directory.name, "settings.json")
+        with open(path, "w") as out:
+            json.dump({
+                "role": "gateway", "instance": "gateway-1",
+                "failure_domain": "zone-a",
+                "listen_url": f"http://127.0.0.1:{self.ports['listen']}",
+                "ready_url": f"http://127.0.0.1:{self.ports['ready']}",
+                "metrics_url": f"http://127.0.0.1:{self.ports['metrics']}",
+                "loads": {"address": "127.0.0.1",
+                          "port": self.ports["loads"]},
+                "store_url": f"http://127.0.0.1:{self.store.port}",
+                "retry_ratio": 0.2, "retry_slack": 80, **settings}, out)
+        self.process = await asyncio.create_subprocess_exec(
+            self.program, path, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL, limit=1 << 20)
+        asyncio.ensure_future(self.read_logs(self.process.stdout))
+        await self.until(self.is_ready)
+
+    async def read_logs(self, stream):
+        while line := await stream.readline():
+            self.logs.append(json.loads(line))
+
+    def logged(self, name, **fields):
+        return [l for l in self.logs if l["name"] == name
+                and all(l.get(k) == v for k, v in fields.items())]
+
+    async def until(self, condition, timeout=READY_TIMEOUT_S):
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            if await condition():
+                return True
+            await asyncio.sleep(0.02)
+        raise TimeoutError(getattr(condition, "__name__", "condition"))
+
+    async def is_ready(self):
+        try:
+            status, _, _ = await self.raw(
+                b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n", "ready")
+        except OSError:
+            return False
+        return status == 200
+
+    async def until_logged(self, name, **fields):
+        async def seen():
+            return bool(self.logged(name, **fields))
+        await self.until(seen)
+
+    async def stop(self):
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    # ---- callers ----
+
+    async def connect(self, port="listen"):
+        return await asyncio.open_connection("127.0.0.1", self.ports[port])
+
+    def head(self, method, path, body=b"", **headers):
+        self.attempts += 1
+        fields = {"Host": "a.example", "Attempt-Id": f"a{self.attempts}",
+                  "X-Api-Key": "key-1", "Deadline-Ms": "5000", **headers}
+        if body:
+            fields["Content-Length"] = str(len(body))
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{k}: {v}" for k, v in fields.items() if v is not None]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    async def raw(self, data, port="listen", timeout=8):
+        reader, writer = await self.connect(port)
+        try:
+            return await self.exchange(reader, writer, data, timeout)
+        finally:
+            writer.close()
+
+    async def exchange(self, reader, writer, data, timeout=8):
+        """Send DATA and read one answer: status, headers, body; status 0 when
+        the connection ends before one is whole."""
+        writer.write(data)
+        try:
+            return await asyncio.wait_for(read_answer(reader), timeout)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return 0, {}, b""
+
+    async def ask(self, method, path, body=b"", **headers):
+        return await self.raw(self.head(method, path, body, **headers))
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    status = int(head[0].split()[1])
+    headers = {}
+    for line in head[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    if headers.get("transfer-encoding") == "chunked":
+        body = b""
+        while size := int(await reader.readline(), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readline()
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    else:
+        body = await reader.read()
+    return status, headers, body
--- /dev/null
+++ b/tests/gateway/standins.py
@@ -0,0 +1,230 @@
+"""Stand-ins of the platform's store and of targets, on one event loop.
+
+They speak just what a gateway needs, as platform/ translates it."""
+
+import asyncio
+import json
+
+
+class Request:
+    def __init__(self, method, path, headers, body):
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+
+
+async def read_request(reader):
+    """One request, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode().split("\r\n")
+    method, path, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Request(method, path, headers, body)
+
+
+def answer(status, body=b"", headers=()):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Server:
+    """Serves each connection with handle(request, writer); a connection ends
+    when handle returns False."""
+
+    def __init__(self, address="127.0.0.1"):
+        self.address = address
+        self.port = 0
+        self.server = None
+        self.writers = set()
+        self.seen = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.address, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None:
+                    break
+                self.seen.append(request)
+                if await self.handle(request, writer) is False:
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def handle(self, request, writer):
+        raise NotImplementedError
+
+    def drop_connections(self):
+        """Reset all open connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store(Server):
+    """The object store: lists and watches of kinds."""
+
+    def __init__(self):
+        super().__init__()
+        self.revision = 1
+        self.objects = {}
+        self.events = []
+        self.changed = asyncio.Condition()
+        self.silent = False
+        self.status = None  # answered to every call while set
+
+    async def put(self, kind, name, spec):
+        self.revision += 1
+        item = {"Metadata": {"Name": name, "Revision": self.revision},
+                "Spec": spec}
+        self.objects[(kind, name)] = item
+        self.events.append((self.revision, kind,
+                            {"Deleted": False, "Object": item}))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def remove(self, kind, name):
+        self.revision += 1
+        item = self.objects.pop((kind, name))
+        self.events.append((self.revision, kind,
+                            {"Deleted": True, "Object": item}))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def handle(self, request, writer):
+        if self.silent:
+            await asyncio.sleep(3600)
+        if self.status is not None:
+            writer.write(answer(self.status))
+            return True
+        path, _, query = request.path.partition("?")
+        words = dict(w.split("=") for w in query.split("&") if w)
+        kind = path.split("/")[2]
+        if request.method in ("POST", "PUT"):
+            value = json.loads(request.body)
+            await self.put(kind, value["Metadata"]["Name"], value["Spec"])
+            writer.write(answer(200, b"{}"))
+            return True
+        if "Watch" in words:
+            await self.watch(kind, int(words["Watch"]),
+                             int(words["WaitMs"]), writer)
+            return True
+        entries = [v for (k, _), v in sorted(self.objects.items())
+                   if k == kind]
+        body = {"Entries": entries, "HasMore": False, "At": self.revision}
+        writer.write(answer(200, json.dumps(body).encode()))
+        return True
+
+    async def watch(self, kind, since, wait_ms, writer):
+        def news():
+            return [e for r, k, e in self.events if k == kind and r > since]
+
+        try:
+            async with self.changed:
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: bool(news())),
+                    wait_ms / 1000)
+        except asyncio.TimeoutError:
+            pass
+        body = {"events": news(), "At": self.revision}
+        writer.write(answer(200, json.dumps(body).encode()))
+
+
+class Target(Server):
+    """A server of a service: what it does with a request is its script, a
+    coroutine function (request, writer) that may return False."""
+
+    def __init__(self, name, service, script):
+        super().__init__()
+        self.name = name
+        self.service = service
+        self.script = script
+
+    async def handle(self, request, writer):
+        if request.headers.get("target-instance") != self.name:
+            writer.write(answer(421, b"", [("Instance-Id", self.name)]))
+            return True
+        return await self.script(self, request, writer)
+
+    def record(self, phase="ready"):
+        return {"Backend": self.service, "Zone": "zone-a", "Capacity": 6,
+                "Address": f"{self.address}:{self.port}", "Version": "v1",
+                "Phase": phase, "WarmupLeftMs": 0, "born": 1}
+
+
+def signed(request, body, headers=()):
+    """A whole success for REQUEST."""
+    return answer(200, body, [("Attempt-Id", request.headers["attempt-id"]),
+                              ("Server-Signature", "s"), *headers])
+
+
+async def echo(target, request, writer):
+    writer.write(signed(request, f"{target.name} {request.path}".encode()))
+    return True
+
+
+def event(number):
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+async def start_stream(request, writer):
+    writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                  f"Attempt-Id: {request.headers['attempt-id']}\r\n"
+                  "Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  ).encode())
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+CONFIG = {
+    "Version": 1,
+    "Routes": [
+        {"Name": "r-read", "Hostname": "a.example", "PathPrefix": "/read/",
+         "RouteType": "idempotent", "TimeoutMs": 1000, "TargetLatencyMs": 100,
+         "Priority": 2, "Backend": "plain", "MaxAttempts": 2},
+        {"Name": "r-book", "Hostname": "a.example", "PathPrefix": "/book/",
+         "RouteType": "non_idempotent", "TimeoutMs": 1000,
+         "TargetLatencyMs": 100, "Priority": 2, "Backend": "plain",
+         "MaxAttempts": 1},
+        {"Name": "r-long", "Hostname": "a.example", "PathPrefix": "/long/",
+         "RouteType": "streaming", "TimeoutMs": 8000, "TargetLatencyMs": 1800,
+         "ItlTargetMs": 180, "Priority": 1, "Backend": "model",
+         "MaxAttempts": 1, "StreamResume": False},
+        {"Name": "r-tag", "Hostname": "a.example", "PathPrefix": "/tag/",
+         "RouteType": "streaming", "TimeoutMs": 8000, "TargetLatencyMs": 1500,
+         "ItlTargetMs": 180, "Priority": 0, "Backend": "model",
+         "MaxAttempts": 2, "StreamResume": True},
+    ],
+    "Backends": [
+        {"Name": "plain", "HealthPath": "/healthz", "MaxConnections": 100},
+        {"Name": "model", "HealthPath": "/healthz", "MaxConnections": 100,
+         "Engine": {"Capacity": 24, "KvCapacity": 34286,
+                    "KvTokenBytes": 35136, "Migrations": True,
+                    "Backups": True, "Stride": 4}},
+    ],
+    "Limits": {"MaxHeaderBytes": 4096, "MaxBodyBytes": 65536,
+               "HeaderTimeoutMs": 600, "IdleTimeoutMs": 2000},
+    "Tenants": [{"Name": "acme", "ApiKeys": ["key-1"]}],
+}
