--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -59,21 +59,21 @@
   cv_target_t *t;
   cv_exchange_t *x;
 
-  TAILQ_FOREACH (t, &g->targets, entry)
-  {
-    t->unseen_tokens = 0;
-    t->unseen_prompt = 0;
-    t->unseen = 0;
-  }
-  TAILQ_FOREACH (x, &g->exchanges, entry)
-  {
-    if (x->target != NULL && x->sent_at > x->target->load_at - LOAD_DELAY)
-      {
-        x->target->unseen_tokens += x->need_tokens;
-        x->target->unseen_prompt += x->request.prompt_tokens;
-        x->target->unseen++;
-      }
-  }
+  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = TAILQ_NEXT (t, entry))
+    {
+      t->unseen_tokens = 0;
+      t->unseen_prompt = 0;
+      t->unseen = 0;
+    }
+  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
+    {
+      if (x->target != NULL && x->sent_at > x->target->load_at - LOAD_DELAY)
+        {
+          x->target->unseen_tokens += x->need_tokens;
+          x->target->unseen_prompt += x->request.prompt_tokens;
+          x->target->unseen++;
+        }
+    }
 }
 
 static void
@@ -107,10 +107,11 @@
   c->n = 0;
   if (x->service->is_engine)
     count_unseen (x->gateway);
-  TAILQ_FOREACH (t, &x->gateway->targets, entry)
-  if (c->n < CANDIDATES_MAX
-      && strcmp (t->record.service, x->service->name) == 0)
-    add (c, x, t, domain, now);
+  for (t = TAILQ_FIRST (&x->gateway->targets); t != NULL;
+       t = TAILQ_NEXT (t, entry))
+    if (c->n < CANDIDATES_MAX
+        && strcmp (t->record.service, x->service->name) == 0)
+      add (c, x, t, domain, now);
 }
 
 static cv_target_t *
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -260,12 +260,12 @@
   uint32_t n = 0;
   uint32_t i;
 
-  TAILQ_FOREACH (x, &g->exchanges, entry)
-  if (n < RUNS_MAX && needs_move (x, t))
-    {
-      describe (x, now, &runs[n]);
-      candidates[n++] = x;
-    }
+  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
+    if (n < RUNS_MAX && needs_move (x, t))
+      {
+        describe (x, now, &runs[n]);
+        candidates[n++] = x;
+      }
   i = cv_evacuation_pick (runs, n, cv_target_time_left (t, now));
   if (i != CV_EVACUATION_NONE)
     start (candidates[i], t);
@@ -276,17 +276,17 @@
 {
   cv_exchange_t *x;
 
-  TAILQ_FOREACH (x, &g->exchanges, entry)
-  {
-    cv_evacuee_t run;
-
-    if (!needs_move (x, t))
-      continue;
-    describe (x, now, &run);
-    if (cv_evacuation_pick (&run, 1, cv_target_time_left (t, now))
-        != CV_EVACUATION_NONE)
-      send_turn (t, x->request.attempt, CV_TURN_WANTED, run.memory_tokens);
-  }
+  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
+    {
+      cv_evacuee_t run;
+
+      if (!needs_move (x, t))
+        continue;
+      describe (x, now, &run);
+      if (cv_evacuation_pick (&run, 1, cv_target_time_left (t, now))
+          != CV_EVACUATION_NONE)
+        send_turn (t, x->request.attempt, CV_TURN_WANTED, run.memory_tokens);
+    }
 }
 
 void
@@ -296,12 +296,13 @@
 
   if (t->move != NULL)
     return;
-  TAILQ_FOREACH (x, &g->exchanges, entry)
-  if (needs_move (x, t) && cv_slice_equal (x->request.attempt, cv_slice (run)))
-    {
-      start (x, t);
-      return;
-    }
+  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
+    if (needs_move (x, t)
+        && cv_slice_equal (x->request.attempt, cv_slice (run)))
+      {
+        start (x, t);
+        return;
+      }
   send_turn (t, cv_slice (run), CV_TURN_OVER, 0);
 }
 
@@ -335,7 +336,7 @@
 {
   cv_target_t *t;
 
-  TAILQ_FOREACH (t, &g->targets, entry)
-  if (t->move != NULL)
-    finish (t->move, "stopped");
+  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = TAILQ_NEXT (t, entry))
+    if (t->move != NULL)
+      finish (t->move, "stopped");
 }
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -250,7 +250,7 @@
 cv_http_link_t *
 cv_target_take_link (cv_target_t *t, bool fresh, cv_error_t *err)
 {
-  cv_http_link_t *l = TAILQ_FIRST (&t->idle);
+  cv_http_link_t *l;
   cv_time_t now = cv_now ();
 
   close_stale (t, now);
--- a/http/link.c
+++ b/http/link.c
@@ -221,14 +221,13 @@
     }
 }
 
+/* The caller holds a reference, since the owner may close the link.  */
 static void
-on_read (struct bufferevent *bev, void *arg)
+take_input (cv_http_link_t *l)
 {
-  cv_http_link_t *l = arg;
-  struct evbuffer *in = bufferevent_get_input (bev);
-  cv_http_part_t part = CV_HTTP_MORE;
+  struct evbuffer *in = bufferevent_get_input (l->bev);
+  cv_http_part_t part;
 
-  l->refs++;
   while (l->bev != NULL && evbuffer_get_length (in) > 0)
     {
       size_t n = evbuffer_get_contiguous_space (in);
@@ -255,6 +254,16 @@
       if (part == CV_HTTP_LIMIT || part == CV_HTTP_BROKEN)
         break;
     }
+}
+
+static void
+on_read (struct bufferevent *bev, void *arg)
+{
+  cv_http_link_t *l = arg;
+
+  (void)bev;
+  l->refs++;
+  take_input (l);
   cv_http_link_release (l);
 }
 
@@ -272,7 +281,7 @@
     return;
   l->refs++;
   if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
-    on_read (bev, l);
+    take_input (l);
   if (l->bev != NULL && l->open && l->busy && (what & BEV_EVENT_EOF)
       && cv_http_reader_end (&l->reader))
     handle_part (l, CV_HTTP_DONE);
--- a/observer/turns.c
+++ b/observer/turns.c
@@ -31,7 +31,7 @@
   cv_line_text (&l, "target", cv_slice (o->name));
   cv_line_text (&l, "request", cv_slice (msg.u.move.run));
   cv_line_number (&l, "tokens", (int64_t)msg.u.move.tokens);
-  cv_line_number (&l, "leaves_ms", o->load.leaves_ms);
+  cv_line_number (&l, "ends_in_ms", o->load.leaves_ms);
   cv_line_end (&l);
 }
 
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -52,13 +52,10 @@
 /* What the engines of a service have; all 0 for a plain service.  */
 typedef struct
 {
-  uint32_t slots;          /* requests at once */
-  uint64_t memory_tokens;  /* of running requests and cached prompts */
-  uint64_t token_bytes;    /* memory of one token */
-  bool can_move;           /* a run's memory can go to another engine */
-  bool can_back_up;        /* an engine can copy a run's memory as it grows */
-  uint32_t event_tokens;   /* tokens in an event of a stream */
-  uint32_t handle_life_ms; /* how long a copy without a run is kept */
+  uint32_t slots;         /* requests at once */
+  uint64_t memory_tokens; /* of running requests and cached prompts */
+  bool can_move;          /* a run's memory can go to another engine */
+  uint32_t event_tokens;  /* tokens in an event of a stream */
 } cv_engine_traits_t;
 
 typedef struct
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -136,11 +136,9 @@
         OBJECT ("loads", GATEWAY (loads), endpoint_fields),
         NUMBER ("memory_mb", GATEWAY (memory_mb), 16, 1000000, 256),
         NUMBER ("descriptors", GATEWAY (descriptors), 64, 1000000, 1024),
-        REAL ("drain_s", GATEWAY (drain_s), 0, 86400, 2),
         REAL ("grace_s", GATEWAY (grace_s), 1, 86400, 10),
         REAL ("retry_ratio", GATEWAY (retry_ratio), 0, 1, 0),
         REAL ("retry_slack", GATEWAY (retry_slack), 0, 1000000, 10),
-        REAL ("retry_window_s", GATEWAY (retry_window_s), 1, 3600, 10),
         REAL ("lapse_s", GATEWAY (lapse_s), 0, 3600, 2),
         { .key = NULL } };
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -93,12 +93,10 @@
   char store_url[CV_URL_MAX];   /* configuration and list of instances */
   uint32_t memory_mb;           /* of the process */
   uint32_t descriptors;         /* of the process */
-  double drain_s;     /* a leaving target gets no request after so long */
-  double grace_s;     /* from the request to stop to the kill */
-  double retry_ratio; /* repeated arrivals for each request */
-  double retry_slack; /* and so many beside, over retry_window_s */
-  double retry_window_s;
-  cv_endpoint_t loads; /* UDP, for the observers' messages */
+  double grace_s;               /* from the request to stop to the kill */
+  double retry_ratio;           /* repeated arrivals for each request */
+  double retry_slack;           /* and so many beside */
+  cv_endpoint_t loads;          /* UDP, for the observers' messages */
   double lapse_s; /* a store that was away lists live targets again within */
 } cv_gateway_settings_t;
 
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -1,6 +1,8 @@
 """Scenarios: each is a load or a failure that a gateway must bear."""
 
 import asyncio
+import json
+import time
 
 from standins import answer, chunk, echo, event, signed, start_stream
 
@@ -94,3 +96,309 @@
     status, headers, _ = await bench.exchange(
         reader, writer, bench.head("GET", "/read/1"))
     bench.say(f"next: {status}, connection {headers.get('connection')}")
+
+
+async def reset(target, request, writer):
+    """Ran, and the answer is lost."""
+    writer.transport.abort()
+    return False
+
+
+async def retries(bench):
+    """What may be repeated goes to another target when one resets."""
+    await bench.add_target("t1", "plain", reset)
+    await bench.start()
+    await bench.add_target("t2", "plain", echo)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="t2")
+    for _ in range(4):
+        status, _, body = await bench.ask("GET", "/read/x")
+        bench.say(f"{status} {body.decode()}")
+
+
+async def once(bench):
+    """What may not be repeated is sent once, and its failure is no promise."""
+    await bench.add_target("t1", "plain", reset)
+    await bench.start()
+    await bench.add_target("t2", "plain", reset)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="t2")
+    status, headers, _ = await bench.ask("POST", "/book/1", b"slot")
+    bench.say(f"{status}, retry-after {headers.get('retry-after')}")
+    seen = sum(len(t.seen) for t in bench.targets.values())
+    bench.say(f"arrivals: {seen}")
+    status, headers, _ = await bench.ask("POST", "/long/1", b"x", **PROMPT)
+    bench.say(f"no engine: {status}, retry-after "
+              f"{'retry-after' in headers}")
+
+
+async def rejected(bench):
+    """A target that says it did not run a request: another gets it."""
+    async def full(target, request, writer):
+        writer.write(answer(503, b"", [("Not-Executed", "1")]))
+        return True
+
+    await bench.add_target("t1", "plain", full)
+    await bench.start()
+    status, headers, _ = await bench.ask("POST", "/book/1", b"slot")
+    bench.say(f"alone: {status}, retry-after {'retry-after' in headers}")
+    await bench.add_target("t2", "plain", echo)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="t2")
+    status, _, body = await bench.ask("GET", "/read/x")
+    bench.say(f"with another: {status} {body.decode()}")
+
+
+async def late_answer(bench):
+    """An answer to an earlier request comes first on a kept connection."""
+    async def doubled(target, request, writer):
+        if len(target.seen) == 2:
+            writer.write(signed(target.seen[0], b"of the first"))
+        writer.write(signed(request, request.path.encode()))
+        return True
+
+    await bench.add_target("t1", "plain", doubled)
+    await bench.start()
+    for i in range(3):
+        status, headers, body = await bench.ask("GET", f"/read/{i}")
+        bench.say(f"{status} {headers['attempt-id']} {body.decode()}")
+
+
+async def garbled(bench):
+    """Answers that are no whole answers never pass for one."""
+    faults = iter((b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+                   b"no protocol at all\r\n\r\n",
+                   b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                   b"HTTP/1.1 200 OK\r\nServer-Signature: s\r\n"
+                   b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"))
+
+    async def fault(target, request, writer):
+        writer.write(next(faults))
+        await writer.drain()
+        return False
+
+    await bench.add_target("t1", "plain", fault)
+    await bench.start()
+    for name in ("cut short", "no answer", "unsigned", "encoded"):
+        status, headers, _ = await bench.ask("POST", "/book/1", b"slot")
+        bench.say(f"{name}: {status}, signed "
+                  f"{'server-signature' in headers}")
+        await asyncio.sleep(0.6)
+
+
+async def time_out(bench):
+    """A route's time is over: the answer comes then, not later."""
+    async def hang(target, request, writer):
+        await asyncio.sleep(30)
+
+    await bench.add_target("t1", "plain", hang)
+    await bench.start()
+    for path, limit in (("/book/1", None), ("/book/2", "400")):
+        start = time.monotonic()
+        status, _, _ = await bench.ask("POST", path, b"x",
+                                       **{"Deadline-Ms": limit})
+        late = time.monotonic() - start - (float(limit or 1000) / 1000)
+        bench.say(f"{status}, in time {0 <= late < 0.25}")
+    given = [int(r.headers["deadline-ms"]) for r in bench.targets["t1"].seen]
+    bench.say(f"time handed on is below the bounds: "
+              f"{given[0] <= 1000 and given[1] <= 400}")
+
+
+async def caller_leaves(bench):
+    """A caller goes away: its work at the target ends."""
+    ended = asyncio.Event()
+
+    async def wait(target, request, writer):
+        if await request.reader.read(1) == b"":
+            ended.set()
+        return False
+
+    await bench.add_target("t1", "plain", wait)
+    await bench.start()
+    reader, writer = await bench.connect()
+    writer.write(bench.head("GET", "/read/x"))
+    await bench.until_logged("GATEWAY_SENT")
+    start = time.monotonic()
+    writer.close()
+    await asyncio.wait_for(ended.wait(), 5)
+    bench.say(f"within half a second: {time.monotonic() - start < 0.5}")
+
+
+async def stream(bench):
+    """Events pass as they come; one that ends early does not look whole."""
+    async def script(target, request, writer):
+        await start_stream(request, writer)
+        for i in range(3):
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.1)
+        if request.path.endswith("whole"):
+            writer.write(b"0\r\n\r\n")
+            return True
+        writer.write(chunk(b"id: 3\ndata: half"))
+        await writer.drain()
+        return False
+
+    await bench.add_target("m1", "model", script)
+    await bench.start()
+    status, _, body = await bench.ask("POST", "/long/whole", b"x", **PROMPT)
+    bench.say(f"whole: {status} {body.decode().count('data:')} events")
+    reader, writer = await bench.connect()
+    writer.write(bench.head("POST", "/long/cut", b"x", **PROMPT))
+    got = await reader.read()
+    bench.say(f"cut: {got.count(b'data: piece')} events, half of one "
+              f"{b'half' in got}, end {got.endswith(b'0' + bytes((13, 10)) * 2)}")
+    gaps = bench.logged("GATEWAY_ANSWERED")[0]["gap_max_us"]
+    bench.say(f"passed as they came: {80000 < gaps < 180000}")
+
+
+async def resume(bench):
+    """A stream that may be resumed goes on at another engine, in order."""
+    async def script(target, request, writer):
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        await start_stream(request, writer)
+        for i in range(first, 6):
+            if i == 3 and first == 0:
+                writer.transport.abort()
+                return False
+            writer.write(chunk(event(i)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    await bench.add_target("m1", "model", script)
+    await bench.add_target("m2", "model", script)
+    await bench.start()
+    status, _, body = await bench.ask("POST", "/tag/1", b"x", **PROMPT)
+    numbers = [l for l in body.decode().split("\n") if l.startswith("id:")]
+    bench.say(f"{status} {' '.join(numbers)}")
+    bench.say(f"runs: {sum(len(t.seen) for t in bench.targets.values())}")
+
+
+async def move(bench):
+    """An engine leaves: its run is copied, stopped and goes on elsewhere."""
+    stopped = asyncio.Event()
+
+    async def script(target, request, writer):
+        if request.path == "/kv-move":
+            order = json.loads(request.body)
+            bench.say(f"move of {order['InstanceId']}, final "
+                      f"{order['Final']}")
+            if order["Final"]:
+                stopped.set()
+            writer.write(answer(200, b'{"Session":"h1","Created":4}'))
+            return True
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        if first > 0:
+            source = request.headers["kv-from"].split("/")
+            bench.say(f"goes on from handle {source[1]}, the source's address "
+                      f"{source[0] == old_address}")
+        await start_stream(request, writer)
+        for i in range(first, 30 if first == 0 else first + 3):
+            if stopped.is_set() and first == 0:
+                return False
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    await bench.start()
+    old = await bench.add_target("m1", "model", script)
+    old_address = f"{old.address}:{old.port}"
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    caller = asyncio.ensure_future(
+        bench.ask("POST", "/long/1", b"x", **PROMPT))
+    await bench.until_logged("GATEWAY_SENT")
+    await asyncio.sleep(0.2)
+    await bench.add_target("m2", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m2")
+    await bench.store.put("servers", "m1", old.record("draining"))
+    status, _, body = await caller
+    numbers = [int(l[4:]) for l in body.decode().split("\n")
+               if l.startswith("id:")]
+    bench.say(f"{status}, in order and once "
+              f"{numbers == list(range(len(numbers)))}")
+
+
+async def silent_store(bench):
+    """The store falls silent and comes back: what changed meanwhile is in
+    force soon after, and requests are served all the while."""
+    await bench.add_target("t1", "plain", echo)
+    await bench.start()
+    bench.store.silent = True
+    bench.store.drop_connections()
+    await asyncio.sleep(3)
+    status, _, _ = await bench.ask("GET", "/read/x")
+    bench.say(f"meanwhile: {status}")
+    bench.config["Version"] = 2
+    bench.config["Tenants"][0]["ApiKeys"] = ["key-2"]
+    await bench.store.put("config", "main", bench.config)
+    bench.store.silent = False
+    start = time.monotonic()
+    await bench.until_logged("GATEWAY_ROUTING_ADOPTED", version=2)
+    bench.say(f"in force within 3 s: {time.monotonic() - start < 3}")
+    for key in ("key-1", "key-2"):
+        status, _, _ = await bench.ask("GET", "/read/x", **{"X-Api-Key": key})
+        bench.say(f"{key}: {status}")
+
+
+async def configuration(bench):
+    """Versions take effect, a malformed one does not, none goes back."""
+    await bench.add_target("t1", "plain", echo)
+    await bench.start()
+    bench.config["Version"] = 5
+    bench.config["Routes"][0]["PathPrefix"] = "/look/"
+    await bench.store.put("config", "main", bench.config)
+    await bench.until_logged("GATEWAY_ROUTING_ADOPTED", version=5)
+    for path in ("/read/x", "/look/x"):
+        status, _, _ = await bench.ask("GET", path)
+        bench.say(f"{path}: {status}")
+    await bench.store.put("config", "main", {"Version": 6, "Routes": "none"})
+    await bench.until_logged("GATEWAY_ROUTING_INVALID")
+    status, _, _ = await bench.ask("GET", "/look/x")
+    bench.say(f"after a malformed one: {status}")
+    await bench.store.put("servers", "odd", {"Backend": 7})
+    await bench.until_logged("GATEWAY_TARGET_INVALID")
+    status, _, _ = await bench.ask("GET", "/look/x")
+    bench.say(f"after a malformed instance: {status}")
+
+
+async def gone_engine(bench):
+    """A run that began is not begun anew when its engine is gone."""
+    async def script(target, request, writer):
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+        return False
+
+    await bench.add_target("m1", "model", script)
+    await bench.add_target("m2", "model", script)
+    await bench.start()
+    reader, writer = await bench.connect()
+    writer.write(bench.head("POST", "/long/1", b"x", **PROMPT))
+    got = await reader.read()
+    bench.say(f"{got.count(b'data:')} event, then the end")
+    await asyncio.sleep(0.3)
+    bench.say(f"runs: {sum(len(t.seen) for t in bench.targets.values())}")
+
+
+async def overload(bench):
+    """An engine's memory is full: who cannot be served in time is refused as
+    not run, and told when to come back."""
+    async def slow(target, request, writer):
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)))
+        await asyncio.sleep(6)
+        return False
+
+    await bench.add_target("m1", "model", slow)
+    await bench.start()
+    large = {**PROMPT, "Token-Usage": "10000,900"}
+    callers = [asyncio.ensure_future(
+        bench.ask("POST", f"/long/{i}", b"x", **large)) for i in range(4)]
+    done, waiting = await asyncio.wait(callers, timeout=3)
+    answers = sorted(t.result()[0] for t in done)
+    bench.say(f"refused {answers}, running {len(waiting)}")
+    after = [t.result()[1].get("retry-after") for t in done]
+    bench.say(f"with a time to come back: {all(after)}")
+    bench.say(f"arrivals at the engine: {len(bench.targets['m1'].seen)}")
+    for task in waiting:
+        task.cancel()
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -242,6 +242,34 @@
   m->kv_copies = get_u64 (c, UINT64_MAX);
 }
 
+static void
+get_move (cursor_t *c, cv_msg_move_t *m)
+{
+  get_text (c, m->target, sizeof m->target);
+  get_text (c, m->run, sizeof m->run);
+  m->turn = (cv_turn_t)get_u64 (c, CV_TURN_OVER);
+  m->tokens = get_u64 (c, UINT64_MAX);
+  c->ok = c->ok && m->turn >= CV_TURN_WANTED;
+}
+
+static void
+get_rejected (cursor_t *c, cv_msg_rejected_t *m)
+{
+  m->id = get_id (c);
+  m->reason = (cv_reject_t)get_u64 (c, CV_REJECT_ENGINE);
+  m->retry_after_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+  c->ok = c->ok && m->reason >= CV_REJECT_LEAVING;
+}
+
+static void
+get_hello (cursor_t *c, cv_msg_hello_t *m)
+{
+  get_text (c, m->instance, sizeof m->instance);
+  m->incarnation = get_u64 (c, UINT64_MAX);
+  m->report_ms = (uint32_t)get_u64 (c, UINT32_MAX);
+  get_versions (c, &m->versions);
+}
+
 static void
 get_submit (cursor_t *c, cv_msg_submit_t *m)
 {
@@ -315,10 +343,7 @@
   switch (msg->type)
     {
     case CV_MSG_HELLO:
-      get_text (c, msg->u.hello.instance, sizeof msg->u.hello.instance);
-      msg->u.hello.incarnation = get_u64 (c, UINT64_MAX);
-      msg->u.hello.report_ms = (uint32_t)get_u64 (c, UINT32_MAX);
-      get_versions (c, &msg->u.hello.versions);
+      get_hello (c, &msg->u.hello);
       break;
     case CV_MSG_REPORT:
       get_report (c, &msg->u.report);
@@ -358,10 +383,7 @@
       msg->u.accepted.stream = get_id (c);
       break;
     case CV_MSG_REJECTED:
-      msg->u.rejected.id = get_id (c);
-      msg->u.rejected.reason = (cv_reject_t)get_u64 (c, CV_REJECT_ENGINE);
-      msg->u.rejected.retry_after_ms = (uint32_t)get_u64 (c, UINT32_MAX);
-      c->ok = c->ok && msg->u.rejected.reason >= CV_REJECT_LEAVING;
+      get_rejected (c, &msg->u.rejected);
       break;
     case CV_MSG_TOKENS:
       get_tokens (c, &msg->u.tokens);
@@ -379,11 +401,7 @@
       get_engine_load (c, &msg->u.engine_load);
       break;
     case CV_MSG_MOVE:
-      get_text (c, msg->u.move.target, sizeof msg->u.move.target);
-      get_text (c, msg->u.move.run, sizeof msg->u.move.run);
-      msg->u.move.turn = (cv_turn_t)get_u64 (c, CV_TURN_OVER);
-      msg->u.move.tokens = get_u64 (c, UINT64_MAX);
-      c->ok = c->ok && msg->u.move.turn >= CV_TURN_WANTED;
+      get_move (c, &msg->u.move);
       break;
     case CV_MSG_LAST:
       c->ok = false;
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -116,6 +116,24 @@
   put_u64 (pk, m->kv_copies);
 }
 
+static void
+put_move (msgpack_packer *pk, const cv_msg_move_t *m)
+{
+  put_text (pk, m->target);
+  put_text (pk, m->run);
+  put_u64 (pk, m->turn);
+  put_u64 (pk, m->tokens);
+}
+
+static void
+put_hello (msgpack_packer *pk, const cv_msg_hello_t *m)
+{
+  put_text (pk, m->instance);
+  put_u64 (pk, m->incarnation);
+  put_u64 (pk, m->report_ms);
+  put_versions (pk, &m->versions);
+}
+
 static void
 put_submit (msgpack_packer *pk, const cv_msg_submit_t *m)
 {
@@ -176,10 +194,7 @@
   switch (msg->type)
     {
     case CV_MSG_HELLO:
-      put_text (pk, msg->u.hello.instance);
-      put_u64 (pk, msg->u.hello.incarnation);
-      put_u64 (pk, msg->u.hello.report_ms);
-      put_versions (pk, &msg->u.hello.versions);
+      put_hello (pk, &msg->u.hello);
       break;
     case CV_MSG_REPORT:
       put_report (pk, &msg->u.report);
@@ -238,10 +253,7 @@
       put_engine_load (pk, &msg->u.engine_load);
       break;
     case CV_MSG_MOVE:
-      put_text (pk, msg->u.move.target);
-      put_text (pk, msg->u.move.run);
-      put_u64 (pk, msg->u.move.turn);
-      put_u64 (pk, msg->u.move.tokens);
+      put_move (pk, &msg->u.move);
       break;
     case CV_MSG_LAST:
       break;
