Observers grant room in their engine's memory before a request is sent

Cause: on the grown sites 22 gateways saw the same free memory at the same moment: seven requests came to one engine within 50 ms, and first events took up to 7 s; new engines, which all gateways see empty, the same. Ruled out: waiting at the gateways (99 in 100 under 0.2 s), preemption. Change: a gateway asks the engine's observer, which counts what each run will have at its end by its grants and the engine's own list of runs, bounds the prompts that wait to be read, and lets short outputs use the memory kept for growth. New engines wait for their observer's first word.

--- /dev/null
+++ b/gateway/ask.c
@@ -0,0 +1,108 @@
+/* Asks observers for room in their engines' memory before a request is sent,
+   so that gateways do not fill the same free memory all at once.  */
+
+#include <string.h>
+
+#include "gateway/state.h"
+
+/* An observer that said nothing for so long is not asked.  */
+#define OBSERVER_SILENT (1 * CV_SECOND)
+/* An answer takes about 2 ms; a lost one is not waited for longer.  */
+#define ANSWER_TIMEOUT (40 * CV_MS)
+/* After a refusal the engine is left alone until its next word.  */
+#define NO_ROOM_FOR (60 * CV_MS)
+/* Engines that are asked in a row before a request waits.  */
+#define ASKS_MAX 4
+
+void
+cv_ask_tell (const cv_exchange_t *x, const cv_target_t *t, cv_room_step_t step)
+{
+  cv_msg_t msg = { .type = CV_MSG_ROOM };
+
+  if (t->load_at == 0)
+    return;
+  msg.u.room.step = step;
+  msg.u.room.tokens = x->need_tokens;
+  msg.u.room.prompt_tokens = x->request.prompt_tokens;
+  (void)cv_copy (msg.u.room.target, CV_NAME_MAX, t->record.id);
+  (void)cv_copy_slice (msg.u.room.run, CV_RUN_MAX, x->request.attempt);
+  cv_loads_send (t, &msg);
+}
+
+bool
+cv_ask_room (cv_exchange_t *x, cv_target_t *t)
+{
+  cv_time_t now = cv_now ();
+
+  if (!x->request.is_generation || x->request.attempt.p == NULL
+      || x->request.attempt.n >= CV_RUN_MAX || t->load_at == 0
+      || now - t->load_at > OBSERVER_SILENT)
+    return false;
+  x->state = CV_EXCHANGE_ASKING;
+  x->asked = cv_target_ref (t);
+  x->asked_at = now;
+  x->asks++;
+  cv_ask_tell (x, t, CV_ROOM_ASKED);
+  return true;
+}
+
+void
+cv_ask_stop (cv_exchange_t *x)
+{
+  if (x->asked == NULL)
+    return;
+  cv_target_unref (x->asked);
+  x->asked = NULL;
+}
+
+static void
+send_now (cv_exchange_t *x)
+{
+  cv_target_t *t = cv_target_ref (x->asked);
+
+  cv_ask_stop (x);
+  x->asks = 0;
+  x->has_grant = true;
+  cv_attempt_start (x, t);
+  cv_target_unref (t);
+}
+
+void
+cv_ask_answered (cv_gateway_t *g, cv_target_t *t, const cv_msg_room_t *m)
+{
+  cv_exchange_t *x;
+
+  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
+    if (x->asked == t && cv_slice_equal (x->request.attempt, cv_slice (m->run)))
+      break;
+  if (x == NULL)
+    return;
+  if (m->step == CV_ROOM_GRANTED)
+    {
+      send_now (x);
+      return;
+    }
+  t->no_room_until = cv_now () + NO_ROOM_FOR;
+  cv_ask_stop (x);
+  if (x->asks < ASKS_MAX)
+    {
+      cv_exchange_place (x);
+      return;
+    }
+  x->asks = 0;
+  cv_exchange_wait (x);
+}
+
+void
+cv_ask_tick (cv_exchange_t *x, cv_time_t now)
+{
+  if (now - x->asked_at < ANSWER_TIMEOUT)
+    return;
+  if (cv_target_usable (x->asked, now))
+    send_now (x);
+  else
+    {
+      cv_ask_stop (x);
+      cv_exchange_place (x);
+    }
+}
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -13,6 +13,8 @@
 #define COLLECT_MAX (256u * 1024)
 /* Priorities that engines know, 0 to 9.  */
 #define PRIORITY_MAX 9
+/* Priorities of routes to tell apart within one of an account.  */
+#define ROUTE_PRIORITIES 2
 
 static void on_link_event (void *owner, const cv_http_link_event_t *event);
 static void on_head (cv_exchange_t *x);
@@ -28,12 +30,15 @@
   return left > 0 ? (uint32_t)(left / CV_MS) : 0;
 }
 
+/* Accounts go by their priority, and among the requests of accounts with the
+   same one the route's decides.  */
 static uint32_t
 priority_of (const cv_exchange_t *x)
 {
-  uint32_t p = x->account != NULL && x->account->has_priority
-                   ? x->account->priority
-                   : x->route->priority;
+  uint32_t account = x->account != NULL && x->account->has_priority
+                         ? x->account->priority
+                         : 0;
+  uint32_t p = ROUTE_PRIORITIES * account + x->route->priority;
 
   return p < PRIORITY_MAX ? p : PRIORITY_MAX;
 }
@@ -108,8 +113,13 @@
   if (x->service->is_engine)
     {
       cv_line_number (&l, "need_tokens", (int64_t)x->need_tokens);
-      cv_line_number (&l, "run_tokens", (int64_t)x->target->run_tokens);
-      cv_line_number (&l, "unread_tokens", (int64_t)x->target->unread_tokens);
+      cv_line_number (&l, "memory_used",
+                      (int64_t)x->target->seen_as.memory_used);
+      cv_line_number (&l, "prompt_backlog",
+                      (int64_t)x->target->seen_as.prompt_backlog);
+      cv_line_number (&l, "load_age_us",
+                      x->target->load_at > 0 ? x->sent_at - x->target->load_at
+                                             : -1);
     }
   cv_line_end (&l);
 }
@@ -170,6 +180,9 @@
   if (x->target != NULL)
     {
       cv_attempt_read (x);
+      if (x->has_grant)
+        cv_ask_tell (x, x->target, CV_ROOM_RELEASED);
+      x->has_grant = false;
       x->target->in_flight--;
       x->target->run_tokens -= x->need_tokens;
       cv_target_unref (x->target);
@@ -350,6 +363,7 @@
       pass_events (x, data);
       return;
     case CV_EXCHANGE_WAITING:
+    case CV_EXCHANGE_ASKING:
     case CV_EXCHANGE_SENT:
       return;
     }
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -14,6 +14,8 @@
 
 /* An observer tells its load at least every 0.4 s.  */
 #define LOAD_FRESH (1200 * CV_MS)
+/* An observer has found its engine and the gateways after this.  */
+#define FIRST_WORD (1500 * CV_MS)
 /* Between the sending of a request and its being seen by an observer whose
    word has come back.  */
 #define LOAD_DELAY (5 * CV_MS)
@@ -33,25 +35,34 @@
   return false;
 }
 
-/* Memory that the engine's requests come to, and prompts it has to read, by
-   its observer's word and own requests since.  Outputs are on average half
-   done.  */
+/* What the engine has and is promised, by its observer's word, and own
+   requests since.  */
 static void
-fill_from_load (cv_candidate_t *out, const cv_service_state_t *s,
-                const cv_target_t *t)
+fill_from_load (cv_candidate_t *out, const cv_target_t *t)
 {
   const cv_msg_engine_load_t *l = &t->load;
-  double growth = (l->running + l->waiting) * s->growth_tokens / 2;
-  double unread = l->reading * s->prompt_tokens / 2
-                  + (double)l->waiting * s->prompt_tokens;
-
-  out->memory_used = l->kv_used + (uint64_t)growth
-                     + (uint64_t)(l->waiting * s->prompt_tokens)
-                     + t->unseen_tokens;
-  out->prompt_backlog = (uint64_t)unread + t->unseen_prompt;
+
+  out->memory_used = l->kv_promised + t->unseen_tokens;
+  out->prompt_backlog = l->unread + t->unseen_prompt;
   out->in_flight = l->running + l->waiting + t->unseen;
 }
 
+/* Nobody has told of the engine.  All gateways see a new one empty at the same
+   moment, so it is left alone until its observer has had time to speak; later
+   each gateway takes it that the others do as it does.  */
+static void
+fill_unobserved (cv_candidate_t *out, const cv_target_t *t, cv_time_t now)
+{
+  uint64_t gateways = t->gateway->gateway_count;
+
+  out->memory_used = (t->run_tokens + t->copy_tokens) * gateways;
+  out->prompt_backlog = t->unread_tokens * gateways;
+  out->in_flight = t->in_flight;
+  if (now - t->gateway->observed_at < LOAD_FRESH
+      && now - t->listed_at < FIRST_WORD)
+    out->usable = false;
+}
+
 /* Own requests that went out after the last word of an observer.  */
 static void
 count_unseen (cv_gateway_t *g)
@@ -88,13 +99,12 @@
   out->memory_total = s->is_engine ? s->engine.memory_tokens : 0;
   out->slots = s->is_engine ? s->engine.slots : t->record.slots;
   if (s->is_engine && now - t->load_at < LOAD_FRESH)
-    fill_from_load (out, x->service_state, t);
+    fill_from_load (out, t);
+  else if (s->is_engine)
+    fill_unobserved (out, t, now);
   else
-    {
-      out->memory_used = t->run_tokens + t->copy_tokens;
-      out->prompt_backlog = t->unread_tokens;
-      out->in_flight = t->in_flight;
-    }
+    out->in_flight = t->in_flight;
+  t->seen_as = *out;
   c->target[c->n++] = t;
 }
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -34,8 +34,6 @@
 #define TOKEN_TIME (10 * CV_MS)
 /* While the balancer still sends new connections.  */
 #define STOP_EARLY (2 * CV_SECOND)
-/* Weight of a new value in the smoothed means.  */
-#define SMOOTHING 0.05
 /* A target that rejected a request gets no new one for so long.  */
 #define FULL_FOR (100 * CV_MS)
 
@@ -87,6 +85,7 @@
       cv_line_number (&l, "events", (int64_t)x->events.count);
       cv_line_end (&l);
     }
+  cv_ask_stop (x);
   cv_attempt_stop (x);
   TAILQ_REMOVE (&g->exchanges, x, entry);
   cv_routing_unref (x->routing);
@@ -179,13 +178,6 @@
   x->wait_until = x->started + (wait > 0 ? wait : 0);
 }
 
-/* A mean over about the last twenty.  */
-static void
-smooth (double *mean, double value)
-{
-  *mean = *mean > 0 ? *mean + SMOOTHING * (value - *mean) : value;
-}
-
 static void
 estimate_need (cv_exchange_t *x)
 {
@@ -197,8 +189,6 @@
   if (q->output_hint > 0 && q->output_hint < output)
     output = q->output_hint;
   x->need_tokens = (uint64_t)q->prompt_tokens + output;
-  smooth (&x->service_state->growth_tokens, output);
-  smooth (&x->service_state->prompt_tokens, q->prompt_tokens);
 }
 
 /* Find route and account; false when X was answered.  */
@@ -310,21 +300,28 @@
   TAILQ_INSERT_HEAD (&x->gateway->waiting, x, waiting);
 }
 
+void
+cv_exchange_wait (cv_exchange_t *x)
+{
+  x->state = CV_EXCHANGE_WAITING;
+  if (cv_now () >= x->wait_until)
+    give_up (x, "no target has room in time", false);
+  else
+    enqueue (x);
+}
+
 void
 cv_exchange_place (cv_exchange_t *x)
 {
   cv_target_t *t = cv_choose_target (x);
 
-  if (t != NULL)
+  if (t == NULL)
     {
-      cv_attempt_start (x, t);
+      cv_exchange_wait (x);
       return;
     }
-  x->state = CV_EXCHANGE_WAITING;
-  if (cv_now () >= x->wait_until)
-    give_up (x, "no target has room in time", false);
-  else
-    enqueue (x);
+  if (!cv_ask_room (x, t))
+    cv_attempt_start (x, t);
 }
 
 void
@@ -342,7 +339,8 @@
         continue;
       TAILQ_REMOVE (&g->waiting, x, waiting);
       x->is_queued = false;
-      cv_attempt_start (x, t);
+      if (!cv_ask_room (x, t))
+        cv_attempt_start (x, t);
     }
 }
 
@@ -399,6 +397,7 @@
   x->resumes++;
   x->gateway->counts.resumes++;
   x->from_copy = true;
+  x->has_grant = true;
   x->copy_at = *source;
   (void)cv_copy (x->copy_handle, sizeof x->copy_handle, handle);
   cv_attempt_start (x, t);
@@ -495,11 +494,16 @@
 
   if (now >= x->expires)
     {
-      x->may_have_run |= x->state != CV_EXCHANGE_WAITING;
+      x->may_have_run |= x->target != NULL;
       cv_attempt_stop (x);
       give_up (x, "time is over", true);
       return;
     }
+  if (x->state == CV_EXCHANGE_ASKING)
+    {
+      cv_ask_tick (x, now);
+      return;
+    }
   if (x->state == CV_EXCHANGE_WAITING)
     {
       if (now >= x->wait_until)
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -89,6 +89,7 @@
   cv_time_t now = cv_now ();
 
   note_gateways (g, load->gateways);
+  g->observed_at = now;
   if (t == NULL
       || (t->record.started_ms != 0
           && t->record.started_ms != load->started_ms))
@@ -110,6 +111,15 @@
     cv_move_granted (g, t, m->run);
 }
 
+static void
+take_room (cv_gateway_t *g, const cv_msg_room_t *m)
+{
+  cv_target_t *t = cv_target_find (g, m->target);
+
+  if (t != NULL && (m->step == CV_ROOM_GRANTED || m->step == CV_ROOM_REFUSED))
+    cv_ask_answered (g, t, m);
+}
+
 /* A datagram that finds no room is made good by a later one.  */
 void
 cv_loads_send (const cv_target_t *t, const cv_msg_t *msg)
@@ -140,6 +150,9 @@
     case CV_MSG_MOVE:
       take_move (g, &msg.u.move);
       return true;
+    case CV_MSG_ROOM:
+      take_room (g, &msg.u.room);
+      return true;
     default:
       return cv_fail (err, CV_ERR_INVALID, "message %s",
                       cv_msg_name (msg.type));
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -229,6 +229,7 @@
   x->move = m;
   cv_http_call_init (&m->call, x->gateway->base, &t->record.address, on_result,
                      m);
+  cv_ask_tell (x, to, CV_ROOM_TAKEN);
   log_move (m, CV_EV_GATEWAY_MOVE_STARTED, "copying");
   order (m, false);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -15,6 +15,7 @@
 #include "http/reader.h"
 #include "platform/platform.h"
 #include "policy/health.h"
+#include "policy/placement.h"
 #include "policy/policy.h"
 #include "routing/routing.h"
 
@@ -50,10 +51,12 @@
   uint32_t refs; /* the table, and each exchange that names it */
   cv_instance_record_t record;
   cv_target_presence_t presence;
+  cv_time_t listed_at;
   cv_time_t missing_until; /* CV_TARGET_MISSING: then it is removed */
   bool seen;               /* in the list being read */
   cv_health_t health;
-  cv_time_t full_until; /* it rejected a request for want of room */
+  cv_time_t no_room_until; /* its observer refused a request */
+  cv_time_t full_until;    /* it rejected a request for want of room */
   struct cv_http_links_t idle;
   uint32_t idle_count;
   uint32_t in_flight; /* own requests there */
@@ -71,7 +74,8 @@
   uint64_t unseen_tokens;
   uint64_t unseen_prompt;
   uint32_t unseen;
-  cv_move_t *move; /* of a run off this target, or NULL */
+  cv_candidate_t seen_as; /* inputs of the last choice among targets */
+  cv_move_t *move;        /* of a run off this target, or NULL */
 };
 
 /* What a gateway keeps of a service beyond one configuration.  */
@@ -80,8 +84,6 @@
   TAILQ_ENTRY (cv_service_state_t) entry;
   char name[CV_NAME_MAX];
   cv_retry_budget_t retries;
-  double growth_tokens; /* mean output of a run, smoothed */
-  double prompt_tokens; /* mean prompt, smoothed */
 } cv_service_state_t;
 
 TAILQ_HEAD (cv_service_states_t, cv_service_state_t);
@@ -134,6 +136,7 @@
 typedef enum
 {
   CV_EXCHANGE_WAITING = 1, /* for a target with room */
+  CV_EXCHANGE_ASKING,      /* an observer whether its engine has room */
   CV_EXCHANGE_SENT,        /* no answer yet */
   CV_EXCHANGE_COLLECTING,  /* the answer is collected whole */
   CV_EXCHANGE_RELAYING,    /* a large answer is passed on as it comes */
@@ -164,6 +167,10 @@
   cv_time_t expires;    /* the caller or the route gives up */
   cv_time_t wait_until; /* no use in waiting for a target any longer */
 
+  cv_target_t *asked; /* of CV_EXCHANGE_ASKING */
+  cv_time_t asked_at;
+  uint32_t asks;       /* in a row */
+  bool has_grant;      /* of room at its target */
   cv_target_t *target; /* of the present attempt */
   cv_http_link_t *link;
   cv_time_t sent_at;
@@ -279,6 +286,7 @@
   int loads_fd;
   struct event *loads_event;
   uint32_t gateway_count; /* that share the retry budget, as observers tell */
+  cv_time_t observed_at;  /* last word of any observer */
   cv_rng_t rng;
   bool stopping;
   cv_time_t stop_at;
@@ -345,6 +353,8 @@
 void cv_exchange_resume (cv_exchange_t *x, cv_target_t *t,
                          const struct sockaddr_in *source, const char *handle,
                          const char *reason);
+/* Wait for a target with room, or end X when there is no time left.  */
+void cv_exchange_wait (cv_exchange_t *x);
 /* Find a target and send, or wait for one.  */
 void cv_exchange_place (cv_exchange_t *x);
 
@@ -391,6 +401,18 @@
 /* Time until T ends, 0 when not known.  */
 cv_time_t cv_target_time_left (const cv_target_t *t, cv_time_t now);
 
+/* ask.c */
+/* Ask the observer of T for room; false when there is none to ask.  */
+bool cv_ask_room (cv_exchange_t *x, cv_target_t *t);
+/* The observer of T answers.  */
+void cv_ask_answered (cv_gateway_t *g, cv_target_t *t, const cv_msg_room_t *m);
+/* No answer came in time: the request is sent.  */
+void cv_ask_tick (cv_exchange_t *x, cv_time_t now);
+/* Tell the observer of T what becomes of the room for X.  */
+void cv_ask_tell (const cv_exchange_t *x, const cv_target_t *t,
+                  cv_room_step_t step);
+void cv_ask_stop (cv_exchange_t *x);
+
 /* loads.c */
 bool cv_loads_open (cv_gateway_t *g, cv_error_t *err);
 void cv_loads_close (cv_gateway_t *g);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -94,6 +94,7 @@
   t->refs = 1;
   t->record = *r;
   t->presence = CV_TARGET_LISTED;
+  t->listed_at = cv_now ();
   TAILQ_INIT (&t->idle);
   cv_health_init (&t->health);
   TAILQ_INSERT_TAIL (&g->targets, t, entry);
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -47,6 +47,7 @@
   o->settings = *s;
   o->socket = -1;
   cv_turns_init (&o->turns);
+  cv_room_init (&o->room);
   o->granted = CV_TURN_NONE;
   if (!cv_http_address (s->engine_url, &engine)
       || !cv_http_address (s->store_url, &store))
@@ -155,8 +156,8 @@
          || a->kv_copies != b->kv_copies;
 }
 
-static void
-tell (cv_observer_t *o)
+void
+cv_observer_tell (cv_observer_t *o)
 {
   cv_msg_t msg = { .type = CV_MSG_ENGINE_LOAD };
   cv_buf_t frame;
@@ -164,6 +165,8 @@
   msg.u.engine_load = o->load;
   msg.u.engine_load.sequence = ++o->sequence;
   msg.u.engine_load.gateways = o->gateway_count;
+  msg.u.engine_load.kv_promised = o->room.promised;
+  msg.u.engine_load.unread = o->room.unread;
   (void)cv_copy (msg.u.engine_load.target, CV_NAME_MAX, o->name);
   cv_buf_init (&frame);
   cv_msg_encode (&msg, &frame);
@@ -197,14 +200,22 @@
 take_load (cv_observer_t *o, const cv_http_result_t *r)
 {
   cv_msg_engine_load_t load = { 0 };
+  cv_room_run_t runs[CV_ROOM_MAX];
+  cv_room_report_t report;
   cv_error_t err = { 0 };
+  uint32_t n = 0;
 
-  if (!cv_platform_decode_load (r->body, &load, &err))
+  if (!cv_platform_decode_load (r->body, &load, runs, &n, &err))
     {
       note_reachable (o, false, err.text);
       return;
     }
   note_reachable (o, true, "reports its load");
+  if (load.started_ms != o->load.started_ms)
+    cv_room_init (&o->room);
+  report = (cv_room_report_t){ runs, n, load.kv_used, load.kv_copies,
+                               load.kv_total };
+  cv_room_report (&o->room, cv_now (), &report);
   if (load.started_ms != o->named_for || o->name[0] == '\0')
     {
       o->load = load;
@@ -214,7 +225,7 @@
   if (!has_changed (&load, &o->load) && cv_now () - o->told_at < REPEAT_AFTER)
     return;
   o->load = load;
-  tell (o);
+  cv_observer_tell (o);
 }
 
 static void
--- a/observer/turns.c
+++ b/observer/requests.c
@@ -1,4 +1,5 @@
-/* Answers gateways that want to move runs off the engine: one at a time.  */
+/* Answers gateways: room in the engine's memory for a request, and turns to
+   move runs off it, one at a time.  */
 
 #include <string.h>
 #include <sys/socket.h>
@@ -36,10 +37,10 @@
 }
 
 static void
-take (cv_observer_t *o, const cv_msg_move_t *m,
-      const struct sockaddr_in *gateway, cv_time_t now)
+take_move (cv_observer_t *o, const cv_msg_move_t *m,
+           const struct sockaddr_in *gateway, cv_time_t now)
 {
-  uint64_t run = cv_hash (m->run, strlen (m->run), 1);
+  uint64_t run = cv_platform_run_hash (cv_slice (m->run));
   uint32_t place;
   uint32_t holder;
 
@@ -66,6 +67,73 @@
     }
 }
 
+static void
+answer_room (cv_observer_t *o, const cv_msg_room_t *asked, bool granted,
+             const struct sockaddr_in *gateway)
+{
+  cv_msg_t msg = { .type = CV_MSG_ROOM };
+  cv_buf_t frame;
+
+  msg.u.room = *asked;
+  msg.u.room.step = granted ? CV_ROOM_GRANTED : CV_ROOM_REFUSED;
+  cv_buf_init (&frame);
+  cv_msg_encode (&msg, &frame);
+  /* A lost answer counts at the gateway as a grant.  */
+  (void)sendto (o->socket, frame.p, frame.n, MSG_NOSIGNAL,
+                (const struct sockaddr *)gateway, sizeof *gateway);
+  cv_buf_finish (&frame);
+}
+
+static void
+take_room (cv_observer_t *o, const cv_msg_room_t *m,
+           const struct sockaddr_in *gateway, cv_time_t now)
+{
+  uint64_t run = cv_platform_run_hash (cv_slice (m->run));
+
+  switch (m->step)
+    {
+    case CV_ROOM_ASKED:
+      answer_room (
+          o, m,
+          !o->load.leaving
+              && cv_room_ask (&o->room, now, run, m->tokens, m->prompt_tokens),
+          gateway);
+      return;
+    case CV_ROOM_TAKEN:
+      (void)cv_room_ask (&o->room, now, run, m->tokens, m->prompt_tokens);
+      return;
+    case CV_ROOM_RELEASED:
+      cv_room_release (&o->room, run);
+      return;
+    case CV_ROOM_GRANTED:
+    case CV_ROOM_REFUSED:
+      return; /* meant for gateways */
+    }
+}
+
+/* False with ERR when the frame is no message for an observer.  */
+static bool
+take_frame (cv_observer_t *o, const char *frame, size_t n,
+            const struct sockaddr_in *from, cv_error_t *err)
+{
+  cv_msg_t msg;
+
+  if (!cv_msg_decode (&msg, frame, n, err))
+    return false;
+  switch (msg.type)
+    {
+    case CV_MSG_MOVE:
+      take_move (o, &msg.u.move, from, cv_now ());
+      return true;
+    case CV_MSG_ROOM:
+      take_room (o, &msg.u.room, from, cv_now ());
+      return true;
+    default:
+      return cv_fail (err, CV_ERR_INVALID, "message %s",
+                      cv_msg_name (msg.type));
+    }
+}
+
 void
 cv_observer_on_datagram (evutil_socket_t fd, short what, void *arg)
 {
@@ -80,17 +148,12 @@
       ssize_t n = recvfrom (fd, frame, sizeof frame, 0,
                             (struct sockaddr *)&from, &size);
       cv_error_t err = { 0 };
-      cv_msg_t msg;
       cv_line_t l;
 
       if (n < 0)
         return;
-      if (cv_msg_decode (&msg, frame, (size_t)n, &err)
-          && msg.type == CV_MSG_MOVE)
-        {
-          take (o, &msg.u.move, &from, cv_now ());
-          continue;
-        }
+      if (take_frame (o, frame, (size_t)n, &from, &err))
+        continue;
       cv_line_begin (&l, CV_EV_OBSERVER_BAD_DATAGRAM);
       cv_line_text (&l, "reason", cv_slice (err.text));
       cv_line_end (&l);
--- a/observer/state.h
+++ b/observer/state.h
@@ -9,6 +9,7 @@
 #include "http/call.h"
 #include "observer/observer.h"
 #include "platform/platform.h"
+#include "policy/room.h"
 #include "policy/turns.h"
 #include "wire/wire.h"
 
@@ -47,13 +48,18 @@
   struct sockaddr_in listed[CV_OBSERVER_GATEWAYS_MAX];
   uint32_t listed_count;
   uint64_t sequence;
+  cv_room_t room;
   cv_turns_t turns;
   cv_asked_turn_t asked[CV_TURNS_MAX];
   uint32_t granted; /* place of the last grant that was logged */
   cv_time_t granted_at;
 } cv_observer_t;
 
-/* turns.c */
+/* observer.c */
+/* Tell the gateways the present load.  */
+void cv_observer_tell (cv_observer_t *o);
+
+/* requests.c */
 void cv_observer_on_datagram (evutil_socket_t fd, short what, void *arg);
 
 #endif
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -2,9 +2,9 @@
 
 #include "policy/placement.h"
 
-/* Part of an engine's memory that admission fills: the rest takes outputs
-   that grow beyond their estimate.  */
-#define MEMORY_FILL 0.92
+/* Part of an engine's memory up to which a gateway sends; the engine's
+   observer judges more closely.  */
+#define MEMORY_FILL 1.0
 /* A full memory counts like a backlog of this many prompt tokens, about a
    second of reading.  */
 #define MEMORY_COST 8000.0
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -240,6 +240,8 @@
   m->kv_used = get_u64 (c, UINT64_MAX);
   m->kv_total = get_u64 (c, UINT64_MAX);
   m->kv_copies = get_u64 (c, UINT64_MAX);
+  m->kv_promised = get_u64 (c, UINT64_MAX);
+  m->unread = get_u64 (c, UINT64_MAX);
 }
 
 static void
@@ -252,6 +254,17 @@
   c->ok = c->ok && m->turn >= CV_TURN_WANTED;
 }
 
+static void
+get_room (cursor_t *c, cv_msg_room_t *m)
+{
+  get_text (c, m->target, sizeof m->target);
+  get_text (c, m->run, sizeof m->run);
+  m->step = (cv_room_step_t)get_u64 (c, CV_ROOM_RELEASED);
+  m->tokens = get_u64 (c, UINT64_MAX);
+  m->prompt_tokens = get_u64 (c, UINT64_MAX);
+  c->ok = c->ok && m->step >= CV_ROOM_ASKED;
+}
+
 static void
 get_rejected (cursor_t *c, cv_msg_rejected_t *m)
 {
@@ -403,6 +416,9 @@
     case CV_MSG_MOVE:
       get_move (c, &msg->u.move);
       break;
+    case CV_MSG_ROOM:
+      get_room (c, &msg->u.room);
+      break;
     case CV_MSG_LAST:
       c->ok = false;
       break;
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -114,6 +114,8 @@
   put_u64 (pk, m->kv_used);
   put_u64 (pk, m->kv_total);
   put_u64 (pk, m->kv_copies);
+  put_u64 (pk, m->kv_promised);
+  put_u64 (pk, m->unread);
 }
 
 static void
@@ -125,6 +127,16 @@
   put_u64 (pk, m->tokens);
 }
 
+static void
+put_room (msgpack_packer *pk, const cv_msg_room_t *m)
+{
+  put_text (pk, m->target);
+  put_text (pk, m->run);
+  put_u64 (pk, m->step);
+  put_u64 (pk, m->tokens);
+  put_u64 (pk, m->prompt_tokens);
+}
+
 static void
 put_hello (msgpack_packer *pk, const cv_msg_hello_t *m)
 {
@@ -255,6 +267,9 @@
     case CV_MSG_MOVE:
       put_move (pk, &msg->u.move);
       break;
+    case CV_MSG_ROOM:
+      put_room (pk, &msg->u.room);
+      break;
     case CV_MSG_LAST:
       break;
     }
@@ -267,7 +282,7 @@
   [CV_MSG_DETACH] = 1,       [CV_MSG_CANCEL] = 1,   [CV_MSG_CALL] = 13,
   [CV_MSG_REVOKE] = 6,       [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
   [CV_MSG_TOKENS] = 3,       [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
-  [CV_MSG_ENGINE_LOAD] = 13, [CV_MSG_MOVE] = 4,
+  [CV_MSG_ENGINE_LOAD] = 15, [CV_MSG_MOVE] = 4,     [CV_MSG_ROOM] = 5,
 };
 
 void
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -51,6 +51,8 @@
     msg.u.rejected.reason = CV_REJECT_FULL;
   if (type == CV_MSG_MOVE)
     msg.u.move.turn = CV_TURN_WANTED;
+  if (type == CV_MSG_ROOM)
+    msg.u.room.step = CV_ROOM_ASKED;
   if (type == CV_MSG_END)
     msg.u.end.end = CV_END_STOP;
   return msg;
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -142,6 +142,7 @@
   CV_MSG_ENGINE_LOAD,
   /* both directions */
   CV_MSG_MOVE,
+  CV_MSG_ROOM,
   CV_MSG_LAST
 } cv_msg_type_t;
 
@@ -189,7 +190,9 @@
   uint32_t waiting_tokens; /* of the first one's prompt */
   uint64_t kv_used;        /* memory that cannot yield, with copies */
   uint64_t kv_total;
-  uint64_t kv_copies; /* of runs of other engines */
+  uint64_t kv_copies;   /* of runs of other engines */
+  uint64_t kv_promised; /* memory at the end of all it has, 0: not known */
+  uint64_t unread;      /* tokens of prompts still to be read */
 } cv_msg_engine_load_t;
 
 /* Longest name of a run, with its null byte.  */
@@ -202,6 +205,25 @@
   CV_TURN_OVER        /* gateway to observer: moved, or not to be moved */
 } cv_turn_t;
 
+typedef enum
+{
+  CV_ROOM_ASKED = 1, /* gateway to observer */
+  CV_ROOM_GRANTED,   /* observer to gateway: the request may be sent */
+  CV_ROOM_REFUSED,   /* observer to gateway: another engine, or later */
+  CV_ROOM_TAKEN,     /* gateway to observer: a run is moved here */
+  CV_ROOM_RELEASED   /* gateway to observer: will not come, or has ended */
+} cv_room_step_t;
+
+/* Room in an engine's memory for one request.  */
+typedef struct
+{
+  char target[CV_NAME_MAX];
+  char run[CV_RUN_MAX];
+  cv_room_step_t step;
+  uint64_t tokens;        /* memory at its end, as estimated */
+  uint64_t prompt_tokens; /* to be read */
+} cv_msg_room_t;
+
 /* Turns to move runs off one engine, whose link carries one after the
    other.  */
 typedef struct
@@ -347,6 +369,7 @@
     cv_msg_call_result_t call_result;
     cv_msg_engine_load_t engine_load;
     cv_msg_move_t move;
+    cv_msg_room_t room;
   } u;
 } cv_msg_t;
 
