Moves go by an engine's present memory; changes of instances are gathered

Cause 1: on the grown sites a run was lost in one move of three for want of room by final sizes, which a run needs only later; after a refusal the same engine was tried again. Change: destinations by present memory, six tries, an engine without room is left alone for 150 ms; changes are gathered for 0.7 s.

--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -125,29 +125,35 @@
 }
 
 static cv_target_t *
-choose (cv_exchange_t *x, const char *domain, bool is_move)
+choose (cv_exchange_t *x, const cv_placement_work_t *work, const char *domain)
 {
-  cv_placement_work_t work = { .memory = x->need_tokens,
-                               .prompt_tokens = x->request.prompt_tokens,
-                               .is_move = is_move };
   candidates_t c;
   uint32_t i;
 
   collect (&c, x, domain);
-  i = cv_placement_pick (c.seen, c.n, &work, cv_rng_uniform (&x->gateway->rng));
+  /* A run that moves needs what it has now; its growth comes later.  */
+  for (i = 0; work->is_move && i < c.n; i++)
+    c.seen[i].memory_used = c.target[i]->load.kv_used + c.target[i]->copy_tokens
+                            + c.target[i]->unseen_tokens;
+  i = cv_placement_pick (c.seen, c.n, work, cv_rng_uniform (&x->gateway->rng));
   return i == CV_PLACEMENT_NONE ? NULL : c.target[i];
 }
 
 cv_target_t *
 cv_choose_target (cv_exchange_t *x)
 {
-  return choose (x, x->gateway->settings.failure_domain, false);
+  cv_placement_work_t work
+      = { .memory = x->need_tokens, .prompt_tokens = x->request.prompt_tokens };
+
+  return choose (x, &work, x->gateway->settings.failure_domain);
 }
 
 cv_target_t *
-cv_choose_destination (cv_exchange_t *x, const cv_target_t *t)
+cv_choose_destination (cv_exchange_t *x, const cv_target_t *t, uint64_t tokens)
 {
-  return choose (x, t->record.failure_domain, true);
+  cv_placement_work_t work = { .memory = tokens, .is_move = true };
+
+  return choose (x, &work, t->record.failure_domain);
 }
 
 uint32_t
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -11,6 +11,10 @@
    cost more calls.  */
 #define WAIT_ROUTING_MS 1000
 #define WAIT_INSTANCES_MS 2000
+/* Changes of instances are gathered for so long: a large fleet has some ten a
+   second, and each would be a call of each gateway.  Of engines that leave,
+   their observers tell sooner.  */
+#define GATHER_INSTANCES (700 * CV_MS)
 /* Beyond its wait, a call without an answer is given up after this; a slow
    store takes some 300 ms.  */
 #define CALL_TIMEOUT (600 * CV_MS)
@@ -268,7 +272,10 @@
     }
   regained (f);
   cv_exchange_place_waiting (f->gateway);
-  call (f);
+  if (f->kind == CV_STORE_INSTANCES && f->phase == CV_FOLLOW_WATCH)
+    f->next_call = cv_now () + GATHER_INSTANCES;
+  else
+    call (f);
 }
 
 void
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -14,7 +14,11 @@
 /* Runs of one engine that are looked at for a move.  */
 #define RUNS_MAX 128
 /* Destinations that are tried for one run.  */
-#define TRIES_MAX 3
+#define TRIES_MAX 6
+/* What a run grows by while it is copied.  */
+#define MARGIN_TOKENS 64
+/* An engine that had no room for a copy is left alone for so long.  */
+#define NO_ROOM_FOR (150 * CV_MS)
 /* Time per token of a run where it is not yet known.  */
 #define TOKEN_US_PRESET 10000
 /* An observer that said nothing for so long gives no turns.  */
@@ -170,6 +174,8 @@
             free_copy (m);
           return;
         }
+      if (r->status == 503)
+        m->to->no_room_until = cv_now () + NO_ROOM_FOR;
       give_up (m, r->status == 404 ? "no such run" : "no copy was made");
       return;
     case CV_MOVE_STOP:
@@ -204,12 +210,33 @@
          && x->request.attempt.p != NULL && x->request.attempt.n < CV_RUN_MAX;
 }
 
+static void
+describe (const cv_exchange_t *x, cv_time_t now, cv_evacuee_t *out)
+{
+  uint32_t per_event = x->service->engine.event_tokens;
+  uint64_t made = x->events.count * per_event;
+  uint32_t limit = x->request.output_limit;
+
+  /* The caller's estimate is too often too low to rest a run's life on it;
+     only its limit is certain.  */
+  out->memory_tokens = x->request.prompt_tokens + made;
+  out->remaining_tokens = limit > made ? (uint32_t)(limit - made) : 0;
+  out->token_us
+      = made > per_event
+            ? (uint32_t)((now - x->started - x->first_event) / (cv_time_t)made)
+            : TOKEN_US_PRESET;
+}
+
 static void
 start (cv_exchange_t *x, cv_target_t *t)
 {
-  cv_target_t *to = cv_choose_destination (x, t);
+  cv_evacuee_t run;
+  cv_target_t *to;
   cv_move_t *m;
 
+  describe (x, cv_now (), &run);
+  to = cv_choose_destination (x, t, run.memory_tokens + MARGIN_TOKENS);
+
   x->moves++;
   if (to == NULL)
     {
@@ -234,23 +261,6 @@
   order (m, false);
 }
 
-static void
-describe (const cv_exchange_t *x, cv_time_t now, cv_evacuee_t *out)
-{
-  uint32_t per_event = x->service->engine.event_tokens;
-  uint64_t made = x->events.count * per_event;
-  uint32_t limit = x->request.output_limit;
-
-  /* The caller's estimate is too often too low to rest a run's life on it;
-     only its limit is certain.  */
-  out->memory_tokens = x->request.prompt_tokens + made;
-  out->remaining_tokens = limit > made ? (uint32_t)(limit - made) : 0;
-  out->token_us
-      = made > per_event
-            ? (uint32_t)((now - x->started - x->first_event) / (cv_time_t)made)
-            : TOKEN_US_PRESET;
-}
-
 /* Without an observer that gives turns, the gateway orders its own runs.  */
 static void
 start_next (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -369,8 +369,9 @@
 /* choose.c */
 /* The target for X now, or NULL.  */
 cv_target_t *cv_choose_target (cv_exchange_t *x);
-/* Where to move X's run off T, or NULL.  */
-cv_target_t *cv_choose_destination (cv_exchange_t *x, const cv_target_t *t);
+/* Where to move X's run of TOKENS off T, or NULL.  */
+cv_target_t *cv_choose_destination (cv_exchange_t *x, const cv_target_t *t,
+                                    uint64_t tokens);
 uint32_t cv_choose_retry_after (cv_exchange_t *x);
 
 /* targets.c */
