Unit tests of the gateway's decisions, reading and translation

Found by them: the HTTP library lets spaces in names of header fields pass, out of which the next hop could read another framing; such heads, control characters in values and requests with an unknown transfer coding are now refused. Without any observer a gateway takes its own runs for all.

--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -53,7 +53,8 @@
 static void
 fill_unobserved (cv_candidate_t *out, const cv_target_t *t, cv_time_t now)
 {
-  uint64_t gateways = t->gateway->gateway_count;
+  bool known = t->gateway->observed_at > 0;
+  uint64_t gateways = known ? t->gateway->gateway_count : 1;
 
   out->memory_used = (t->run_tokens + t->copy_tokens) * gateways;
   out->prompt_backlog = t->unread_tokens * gateways;
--- /dev/null
+++ b/gateway/tests/events_test.cc
@@ -0,0 +1,76 @@
+/* Events of a stream across pieces, runs and faults.  */
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "gateway/events.h"
+
+namespace
+{
+
+std::string
+event (int id)
+{
+  return "id: " + std::to_string (id) + "\ndata: x\n\n";
+}
+
+class Events : public testing::Test
+{
+protected:
+  Events () { cv_events_init (&e); }
+  ~Events () override { cv_events_finish (&e); }
+
+  std::string
+  take (const std::string &data)
+  {
+    cv_buf_t out;
+    cv_error_t err = {};
+
+    cv_buf_init (&out);
+    ok = cv_events_take (&e, { data.data (), data.size () }, &out, &err);
+    std::string text (out.n > 0 ? out.p : "", out.n);
+    cv_buf_finish (&out);
+    return text;
+  }
+
+  cv_events_t e;
+  bool ok = true;
+};
+
+TEST_F (Events, OnlyWholeEventsPass)
+{
+  std::string all = event (1) + event (2);
+  std::string got;
+
+  for (char c : all)
+    got += take (std::string (1, c));
+  EXPECT_EQ (all, got);
+  EXPECT_EQ ("", take ("id: 3\ndata: ha"));
+  EXPECT_FALSE (cv_events_at_boundary (&e));
+}
+
+TEST_F (Events, ANewRunGoesOnWhereTheLastOneBroke)
+{
+  EXPECT_EQ (event (1), take (event (1) + "id: 2\nda"));
+  cv_events_restart (&e);
+  EXPECT_EQ (event (2) + event (3), take (event (1) + event (2) + event (3)));
+  EXPECT_EQ (3u, e.last);
+}
+
+TEST_F (Events, AMissingEventIsAFault)
+{
+  EXPECT_EQ (event (1), take (event (1)));
+  EXPECT_EQ ("", take (event (3)));
+  EXPECT_FALSE (ok);
+}
+
+TEST_F (Events, LinesBeforeTheIdBelongToTheEvent)
+{
+  std::string versioned = "weight-versions: 4\nid: 7\r\ndata: x\r\n\r\n";
+
+  EXPECT_EQ (versioned, take (versioned));
+  EXPECT_EQ (7u, e.last);
+}
+
+} // namespace
--- a/http/reader.c
+++ b/http/reader.c
@@ -1,10 +1,14 @@
 /* Pull reading of HTTP/1.1 messages over http-parser.  */
 
+#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
 #include "http/reader.h"
 
+/* What a name may hold beside letters and digits.  */
+#define NAME_SPECIALS "!#$%&'*+-.^_`|~"
+
 static int on_url (http_parser *p, const char *at, size_t n);
 static int on_field (http_parser *p, const char *at, size_t n);
 static int on_value (http_parser *p, const char *at, size_t n);
@@ -136,12 +140,42 @@
   return 0;
 }
 
+/* The parser lets spaces in names and control characters in values pass; the
+   next hop could read another message out of them.  */
+static bool
+is_clean (const cv_http_head_t *h)
+{
+  for (uint32_t i = 0; i < h->fields; i++)
+    {
+      cv_http_field_t f = cv_http_field_at (h, i);
+
+      for (size_t k = 0; k < f.name.n; k++)
+        if (strchr (NAME_SPECIALS, f.name.p[k]) == NULL
+            && !isalnum ((unsigned char)f.name.p[k]))
+          return false;
+      for (size_t k = 0; k < f.value.n; k++)
+        if (iscntrl ((unsigned char)f.value.p[k]) && f.value.p[k] != '\t')
+          return false;
+      if (f.name.n == 0)
+        return false;
+    }
+  return true;
+}
+
 static int
 on_head (http_parser *p)
 {
   cv_http_reader_t *r = p->data;
   cv_http_head_t *h = &r->head;
 
+  if (!is_clean (h)
+      || (p->type == HTTP_REQUEST && p->uses_transfer_encoding
+          && !(p->flags & F_CHUNKED)))
+    {
+      r->part = CV_HTTP_BROKEN;
+      return -1;
+    }
+
   /* Upgrades are not passed on, so the parser must not leave HTTP.  */
   p->upgrade = 0;
   h->method = p->method;
--- /dev/null
+++ b/http/tests/reader_test.cc
@@ -0,0 +1,115 @@
+/* Messages in pieces of every size, and messages with unclear framing.  */
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "http/reader.h"
+
+namespace
+{
+
+/* What reading TEXT in pieces of STEP bytes comes to.  */
+std::string
+read (const std::string &text, enum http_parser_type type, size_t step,
+      bool ends = false)
+{
+  cv_http_reader_t r;
+  std::string out;
+
+  cv_http_reader_init (&r, type, 256);
+  for (size_t at = 0; at < text.size ();)
+    {
+      size_t n = std::min (step, text.size () - at);
+      size_t used = 0;
+      cv_http_part_t part
+          = cv_http_reader_next (&r, text.data () + at, n, &used);
+      at += used;
+      if (part == CV_HTTP_HEAD)
+        {
+          cv_slice_t target = cv_http_target (&r.head);
+          out += type == HTTP_REQUEST ? std::string (target.p, target.n)
+                                      : std::to_string (r.head.status);
+          for (uint32_t i = 0; i < r.head.fields; i++)
+            {
+              cv_http_field_t f = cv_http_field_at (&r.head, i);
+              out += " " + std::string (f.name.p, f.name.n) + "="
+                     + std::string (f.value.p, f.value.n);
+            }
+          out += "|";
+        }
+      else if (part == CV_HTTP_BODY)
+        out += std::string (r.body.p, r.body.n);
+      else if (part == CV_HTTP_DONE)
+        {
+          out += "|done;";
+          cv_http_reader_reset (&r);
+        }
+      else if (part == CV_HTTP_LIMIT || part == CV_HTTP_BROKEN)
+        {
+          out += part == CV_HTTP_LIMIT ? "limit" : "broken";
+          break;
+        }
+    }
+  if (ends)
+    out += cv_http_reader_end (&r) ? "|whole" : "|cut";
+  cv_http_reader_finish (&r);
+  return out;
+}
+
+TEST (Reader, PiecesDoNotMatter)
+{
+  std::string text = "POST /a?b=1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+                     "\r\nhelloGET /c HTTP/1.1\r\nHost: y\r\n\r\n";
+  std::string whole = "/a?b=1 Host=x Content-Length=5|hello|done;"
+                      "/c Host=y||done;";
+
+  for (size_t step = 1; step <= text.size (); step++)
+    EXPECT_EQ (whole, read (text, HTTP_REQUEST, step)) << step;
+}
+
+TEST (Reader, ChunksAndTrailers)
+{
+  std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "3\r\nabc\r\n2\r\nde\r\n0\r\nX-After: 1\r\n\r\n";
+
+  for (size_t step = 1; step <= text.size (); step++)
+    EXPECT_EQ ("200 Transfer-Encoding=chunked|abcde|done;",
+               read (text, HTTP_RESPONSE, step))
+        << step;
+}
+
+TEST (Reader, AnAnswerWithoutALengthEndsWithItsConnection)
+{
+  EXPECT_EQ ("200|ab|whole",
+             read ("HTTP/1.1 200 OK\r\n\r\nab", HTTP_RESPONSE, 100, true));
+  EXPECT_EQ ("200 Content-Length=9|ab|cut",
+             read ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+                   HTTP_RESPONSE, 100, true));
+}
+
+TEST (Reader, UnclearFramingIsRefused)
+{
+  const char *const heads[] = {
+    "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n",
+    "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+    "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+    "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+    "GET / HTTP/1.1\r\nBad Name: 1\r\n\r\n",
+    "no protocol\r\n\r\n",
+  };
+
+  for (const char *head : heads)
+    EXPECT_EQ ("broken", read (head, HTTP_REQUEST, 1000)) << head;
+}
+
+TEST (Reader, ALargeHeadIsRefused)
+{
+  std::string text
+      = "GET / HTTP/1.1\r\nX: " + std::string (300, 'a') + "\r\n\r\n";
+
+  EXPECT_EQ ("limit", read (text, HTTP_REQUEST, 10));
+}
+
+} // namespace
--- /dev/null
+++ b/routing/tests/routing_test.cc
@@ -0,0 +1,76 @@
+/* Look-ups of routes and accounts.  */
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "routing/routing.h"
+
+namespace
+{
+
+cv_routing_t *
+routing (std::initializer_list<const char *> prefixes)
+{
+  cv_routing_t *r = cv_routing_new ();
+
+  r->routes = static_cast<cv_route_t *> (
+      cv_calloc (prefixes.size (), sizeof (cv_route_t)));
+  for (const char *prefix : prefixes)
+    {
+      cv_route_t *route = &r->routes[r->route_count++];
+
+      (void)cv_copy (route->name, sizeof route->name, prefix);
+      route->host = cv_strdup_n ("a.example", 9);
+      route->prefix = cv_strdup_n (prefix, strlen (prefix));
+    }
+  return r;
+}
+
+std::string
+find (const cv_routing_t *r, const char *host, const char *path)
+{
+  const cv_route_t *route
+      = cv_routing_route (r, cv_slice (host), cv_slice (path));
+
+  return route != nullptr ? route->prefix : "none";
+}
+
+TEST (Routing, TheLongestPrefixServes)
+{
+  cv_routing_t *r = routing ({ "/a/", "/a/b/", "/c/" });
+
+  ASSERT_TRUE (cv_routing_index (r, nullptr));
+  EXPECT_EQ ("/a/", find (r, "a.example", "/a/x"));
+  EXPECT_EQ ("/a/b/", find (r, "A.Example:80", "/a/b/x?y=/c/"));
+  EXPECT_EQ ("/a/", find (r, "a.example", "/a/bx"));
+  EXPECT_EQ ("none", find (r, "a.example", "/a"));
+  EXPECT_EQ ("none", find (r, "a.example", "/?/a/"));
+  EXPECT_EQ ("none", find (r, "b.example", "/a/x"));
+  cv_routing_unref (r);
+}
+
+TEST (Routing, APrefixThatStandsTwiceIsRefused)
+{
+  cv_routing_t *r = routing ({ "/a/", "/a/" });
+  cv_error_t err = {};
+
+  EXPECT_FALSE (cv_routing_index (r, &err));
+  EXPECT_STREQ ("route /a/: prefix /a/ stands twice", err.text);
+  cv_routing_unref (r);
+}
+
+TEST (Routing, SharesFollowTheirWeights)
+{
+  cv_route_t route = {};
+
+  route.share_count = 2;
+  route.shares[0] = { 7, 900 };
+  route.shares[1] = { 8, 100 };
+  EXPECT_EQ (7u, cv_route_pick_service (&route, 0.0));
+  EXPECT_EQ (7u, cv_route_pick_service (&route, 0.89));
+  EXPECT_EQ (8u, cv_route_pick_service (&route, 0.91));
+}
+
+} // namespace
