--- a/catkinctl/ctl.h
+++ b/catkinctl/ctl.h
@@ -85,6 +85,7 @@
 
 /* The verbs; each returns an exit code.  */
 int cv_ctl_check (const cv_ctl_t *ctl);
+int cv_ctl_explain (const cv_ctl_t *ctl);
 int cv_ctl_show (const cv_ctl_t *ctl);
 int cv_ctl_query (const cv_ctl_t *ctl);
 int cv_ctl_change (const cv_ctl_t *ctl);
--- a/catkinctl/main.c
+++ b/catkinctl/main.c
@@ -40,6 +40,7 @@
 } option_key_t;
 
 static const verb_t verbs[] = { { "check", cv_ctl_check },
+                                { "explain", cv_ctl_explain },
                                 { "show", cv_ctl_show },
                                 { "query", cv_ctl_query },
                                 { "change", cv_ctl_change },
@@ -55,6 +56,8 @@
     = "Ask and change what catkinvale serves.\v"
       "Verbs:\n"
       "  check FILE...        check settings and configuration documents\n"
+      "  explain ID FILE...   history of one request, from log files of "
+      "gateways\n"
       "  show THING [where COLUMN OP VALUE [and ...]]\n"
       "                       list targets, entries, accounts, classes, "
       "models, pools\n"
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -50,6 +50,8 @@
   cv_line_text (&l, "route", cv_slice (x->route != NULL ? x->route->name : ""));
   cv_line_number (&l, "version",
                   x->routing != NULL ? (int64_t)x->routing->version : 0);
+  cv_line_number (&l, "version_age_us",
+                  cv_now () - x->gateway->follow_routing.confirmed_at);
   cv_line_number (&l, "age_us", cv_now () - x->started);
   cv_line_number (&l, "sends", x->sends);
   cv_line_number (&l, "rejections", x->rejections);
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -109,6 +109,7 @@
   cv_time_t now = cv_now ();
 
   f->failures = 0;
+  f->confirmed_at = now;
   if (!f->lost)
     return;
   f->lost = false;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -225,7 +225,8 @@
   bool lost;      /* the store did not answer the last call */
   cv_time_t lost_at;
   cv_time_t regained_at;
-  uint32_t failures; /* in a row */
+  cv_time_t confirmed_at; /* last answer as it should be */
+  uint32_t failures;      /* in a row */
 } cv_follow_t;
 
 typedef enum
