--- a/tests/gateway/bench.py
+++ b/tests/gateway/bench.py
@@ -51,23 +51,32 @@
     async def start_gateway(self, **settings):
         self.ports = {k: free_port() for k in ("listen", "ready", "metrics",
                                                "loads")}
-        path = os.path.join(self.directory.name, "settings.json")
+        self.settings = {
+            "role": "gateway", "instance": "gateway-1",
+            "failure_domain": "zone-a",
+            "listen_url": f"http://127.0.0.1:{self.ports['listen']}",
+            "ready_url": f"http://127.0.0.1:{self.ports['ready']}",
+            "metrics_url": f"http://127.0.0.1:{self.ports['metrics']}",
+            "loads": {"address": "127.0.0.1", "port": self.ports["loads"]},
+            "store_url": f"http://127.0.0.1:{self.store.port}",
+            "retry_ratio": 0.2, "retry_slack": 80, **settings}
+        await self.start_process()
+        await self.until(self.is_ready)
+
+    async def start_process(self):
+        self.process = await self.spawn(self.settings)
+
+    async def spawn(self, settings):
+        """A process of the program with these settings."""
+        path = os.path.join(self.directory.name,
+                            f"{settings['instance']}.json")
         with open(path, "w") as out:
-            json.dump({
-                "role": "gateway", "instance": "gateway-1",
-                "failure_domain": "zone-a",
-                "listen_url": f"http://127.0.0.1:{self.ports['listen']}",
-                "ready_url": f"http://127.0.0.1:{self.ports['ready']}",
-                "metrics_url": f"http://127.0.0.1:{self.ports['metrics']}",
-                "loads": {"address": "127.0.0.1",
-                          "port": self.ports["loads"]},
-                "store_url": f"http://127.0.0.1:{self.store.port}",
-                "retry_ratio": 0.2, "retry_slack": 80, **settings}, out)
-        self.process = await asyncio.create_subprocess_exec(
+            json.dump(settings, out)
+        process = await asyncio.create_subprocess_exec(
             self.program, path, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.DEVNULL, limit=1 << 20)
-        asyncio.ensure_future(self.read_logs(self.process.stdout))
-        await self.until(self.is_ready)
+        asyncio.ensure_future(self.read_logs(process.stdout))
+        return process
 
     async def read_logs(self, stream):
         while line := await stream.readline():
