--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -12,6 +12,8 @@
 /* Prompt tokens that an engine reads in a millisecond beside running
    requests; half of what it does alone.  */
 #define READ_TOKENS_PER_MS 7
+/* Prompts that an engine reads before one that has just got room.  */
+#define READ_QUEUE (250 * CV_MS)
 /* Connections that may fail to come about before a request is refused.  */
 #define CONNECTS_MAX 4
 /* Runs that one stream may be made of.  */
@@ -175,7 +177,8 @@
     limit = x->request.deadline_ms * CV_MS;
   x->expires = x->started + limit;
   if (x->service->is_engine)
-    wait = objective - x->request.prompt_tokens / READ_TOKENS_PER_MS * CV_MS;
+    wait = objective - READ_QUEUE
+           - x->request.prompt_tokens / READ_TOKENS_PER_MS * CV_MS;
   else
     wait = objective / SERVICE_WAIT_PART;
   if (wait > limit / 2)
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -254,6 +254,24 @@
   c->ok = c->ok && m->turn >= CV_TURN_WANTED;
 }
 
+static void
+get_doc (cursor_t *c, cv_msg_doc_t *m)
+{
+  m->doc = (cv_doc_t)get_u64 (c, CV_DOC_COUNT - 1);
+  m->version = get_u64 (c, UINT64_MAX);
+  m->base = get_u64 (c, UINT64_MAX);
+  m->body = get_slice (c, CV_BODY_MAX);
+}
+
+static void
+get_attach (cursor_t *c, cv_msg_attach_t *m)
+{
+  m->stream = get_id (c);
+  m->incarnation = get_u64 (c, UINT64_MAX);
+  m->offset = (uint32_t)get_u64 (c, UINT32_MAX);
+  get_text (c, m->account, sizeof m->account);
+}
+
 static void
 get_room (cursor_t *c, cv_msg_room_t *m)
 {
@@ -366,19 +384,13 @@
       msg->u.doc_pull.have = get_u64 (c, UINT64_MAX);
       break;
     case CV_MSG_DOC:
-      msg->u.doc.doc = (cv_doc_t)get_u64 (c, CV_DOC_COUNT - 1);
-      msg->u.doc.version = get_u64 (c, UINT64_MAX);
-      msg->u.doc.base = get_u64 (c, UINT64_MAX);
-      msg->u.doc.body = get_slice (c, CV_BODY_MAX);
+      get_doc (c, &msg->u.doc);
       break;
     case CV_MSG_SUBMIT:
       get_submit (c, &msg->u.submit);
       break;
     case CV_MSG_ATTACH:
-      msg->u.attach.stream = get_id (c);
-      msg->u.attach.incarnation = get_u64 (c, UINT64_MAX);
-      msg->u.attach.offset = (uint32_t)get_u64 (c, UINT32_MAX);
-      get_text (c, msg->u.attach.account, sizeof msg->u.attach.account);
+      get_attach (c, &msg->u.attach);
       break;
     case CV_MSG_DETACH:
     case CV_MSG_CANCEL:
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -127,6 +127,15 @@
   put_u64 (pk, m->tokens);
 }
 
+static void
+put_doc (msgpack_packer *pk, const cv_msg_doc_t *m)
+{
+  put_u64 (pk, m->doc);
+  put_u64 (pk, m->version);
+  put_u64 (pk, m->base);
+  put_slice (pk, m->body);
+}
+
 static void
 put_room (msgpack_packer *pk, const cv_msg_room_t *m)
 {
@@ -216,10 +225,7 @@
       put_u64 (pk, msg->u.doc_pull.have);
       break;
     case CV_MSG_DOC:
-      put_u64 (pk, msg->u.doc.doc);
-      put_u64 (pk, msg->u.doc.version);
-      put_u64 (pk, msg->u.doc.base);
-      put_slice (pk, msg->u.doc.body);
+      put_doc (pk, &msg->u.doc);
       break;
     case CV_MSG_SUBMIT:
       put_submit (pk, &msg->u.submit);
