One catalogue of events and one place for datagrams

The table of events stood in log.c and line.c, the sending and taking of datagrams at the gateway and the observer; found by reading the whole change.

--- a/base/line.c
+++ b/base/line.c
@@ -6,6 +6,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "base/events.h"
 #include "base/line.h"
 
 /* Lines of about a fifth of a second at the rate below.  */
@@ -31,34 +32,12 @@
   unsigned urgent; /* warnings and worse in this second */
 } out = { .fd = -1 };
 
-static const struct
-{
-  int number;
-  int priority;
-  const char *name;
-} events[] = {
-#define CV_EVENT(number, priority, name, text) { number, priority, #name },
-#include "base/events.def"
-#undef CV_EVENT
-};
-
-static const size_t event_count = sizeof events / sizeof events[0];
-
 void
 cv_line_open (int fd)
 {
   out.fd = fd;
 }
 
-static size_t
-find_event (cv_event_t event)
-{
-  for (size_t i = 0; i < event_count; i++)
-    if (events[i].number == (int)event)
-      return i;
-  return 0;
-}
-
 static void
 add (cv_line_t *l, const char *text, size_t n)
 {
@@ -91,7 +70,6 @@
 cv_line_begin (cv_line_t *l, cv_event_t event)
 {
   struct timespec day = { 0 };
-  size_t i = find_event (event);
 
   (void)clock_gettime (CLOCK_REALTIME, &day);
   l->event = event;
@@ -100,7 +78,7 @@
               "{\"steady_us\":%lld,\"time\":%lld.%06ld,\"event\":%d,"
               "\"name\":\"%s\"",
               (long long)cv_now (), (long long)day.tv_sec, day.tv_nsec / 1000,
-              (int)event, events[i].name);
+              (int)event, cv_event_info (event)->name);
 }
 
 void
@@ -157,7 +135,7 @@
 void
 cv_line_end (cv_line_t *l)
 {
-  bool urgent = events[find_event (l->event)].priority <= WARNING_PRIORITY;
+  bool urgent = cv_event_info (l->event)->priority <= WARNING_PRIORITY;
 
   if (out.fd < 0)
     return;
--- a/base/log.c
+++ b/base/log.c
@@ -4,22 +4,11 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "base/base.h"
+#include "base/events.h"
 
 #define LOG_LINE_MAX 1024
 #define FACILITY_DAEMON (3 << 3)
 
-static const struct
-{
-  int number;
-  int priority;
-  const char *name;
-} events[] = {
-#define CV_EVENT(number, priority, name, text) { number, priority, #name },
-#include "base/events.def"
-#undef CV_EVENT
-};
-
 static char log_ident[CV_NAME_MAX] = "catkinvale";
 
 void
@@ -33,17 +22,10 @@
 {
   char line[LOG_LINE_MAX];
   char text[LOG_LINE_MAX / 2];
-  const char *name = "UNKNOWN";
-  int priority = 3;
+  const cv_event_info_t *info = cv_event_info (event);
   int n;
   va_list args;
 
-  for (size_t i = 0; i < sizeof events / sizeof events[0]; i++)
-    if (events[i].number == (int)event)
-      {
-        name = events[i].name;
-        priority = events[i].priority;
-      }
   va_start (args, format);
   (void)vsnprintf (text, sizeof text, format, args);
   va_end (args);
@@ -51,8 +33,8 @@
     if ((unsigned char)*p < ' ')
       *p = ' ';
   n = snprintf (line, sizeof line, "<%d>%s[%ld]: %d %s: %s\n",
-                FACILITY_DAEMON | priority, log_ident, (long)getpid (),
-                (int)event, name, text);
+                FACILITY_DAEMON | info->priority, log_ident, (long)getpid (),
+                (int)event, info->name, text);
   if (n <= 0 || (size_t)n >= sizeof line)
     return;
   /* Nothing is left to do when standard error is gone.  */
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -1,14 +1,11 @@
 /* Takes the observers' messages on the load of engines.  */
 
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "gateway/state.h"
+#include "wire/datagram.h"
 
-/* Messages are about 120 bytes.  */
-#define FRAME_MAX 1024
 /* Messages taken before other events get their turn.  */
 #define BURST_MAX 64
 /* Part of the retry ratio that is used: callers that leave make requests
@@ -31,17 +28,9 @@
   (void)snprintf (text, sizeof text, "%s:%u", e->address, e->port);
   if (!cv_http_address (text, &g->loads_address))
     return cv_fail (err, CV_ERR_INVALID, "loads: no IPv4 address");
-  fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  fd = cv_datagram_open (&g->loads_address, err);
   if (fd < 0)
-    return cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
-  if (bind (fd, (const struct sockaddr *)&g->loads_address,
-            sizeof g->loads_address)
-      != 0)
-    {
-      (void)close (fd);
-      return cv_fail (err, CV_ERR_SYSTEM, "loads: cannot bind %s: %s", text,
-                      strerror (errno));
-    }
+    return false;
   g->loads_fd = fd;
   g->loads_event
       = event_new (g->base, fd, EV_READ | EV_PERSIST, on_readable, g);
@@ -120,42 +109,31 @@
     cv_ask_answered (g, t, m);
 }
 
-/* A datagram that finds no room is made good by a later one.  */
 void
 cv_loads_send (const cv_target_t *t, const cv_msg_t *msg)
 {
-  cv_buf_t frame;
-
-  cv_buf_init (&frame);
-  cv_msg_encode (msg, &frame);
-  (void)sendto (t->gateway->loads_fd, frame.p, frame.n, MSG_NOSIGNAL,
-                (const struct sockaddr *)&t->observer, sizeof t->observer);
-  cv_buf_finish (&frame);
+  cv_datagram_send (t->gateway->loads_fd, &t->observer, msg);
 }
 
-/* False with ERR when the frame is no message for a gateway.  */
+/* False with ERR when it is no message for a gateway.  */
 static bool
-take_frame (cv_gateway_t *g, const char *frame, size_t n,
-            const struct sockaddr_in *from, cv_error_t *err)
+take_message (cv_gateway_t *g, const cv_msg_t *msg,
+              const struct sockaddr_in *from, cv_error_t *err)
 {
-  cv_msg_t msg;
-
-  if (!cv_msg_decode (&msg, frame, n, err))
-    return false;
-  switch (msg.type)
+  switch (msg->type)
     {
     case CV_MSG_ENGINE_LOAD:
-      take_load (g, &msg.u.engine_load, from);
+      take_load (g, &msg->u.engine_load, from);
       return true;
     case CV_MSG_MOVE:
-      take_move (g, &msg.u.move);
+      take_move (g, &msg->u.move);
       return true;
     case CV_MSG_ROOM:
-      take_room (g, &msg.u.room);
+      take_room (g, &msg->u.room);
       return true;
     default:
       return cv_fail (err, CV_ERR_INVALID, "message %s",
-                      cv_msg_name (msg.type));
+                      cv_msg_name (msg->type));
     }
 }
 
@@ -163,21 +141,19 @@
 on_readable (evutil_socket_t fd, short what, void *arg)
 {
   cv_gateway_t *g = arg;
-  char frame[FRAME_MAX];
 
   (void)what;
   for (int i = 0; i < BURST_MAX; i++)
     {
       struct sockaddr_in from;
-      socklen_t size = sizeof from;
-      ssize_t n = recvfrom (fd, frame, sizeof frame, 0,
-                            (struct sockaddr *)&from, &size);
       cv_error_t err = { 0 };
+      cv_msg_t msg;
+      cv_datagram_t got = cv_datagram_take (fd, &msg, &from, &err);
       cv_line_t l;
 
-      if (n < 0)
+      if (got == CV_DATAGRAM_NONE)
         break;
-      if (take_frame (g, frame, (size_t)n, &from, &err))
+      if (got == CV_DATAGRAM_MESSAGE && take_message (g, &msg, &from, &err))
         continue;
       cv_line_begin (&l, CV_EV_GATEWAY_LOAD_INVALID);
       cv_line_text (&l, "reason", cv_slice (err.text));
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -11,6 +11,7 @@
 
 #include "observer/state.h"
 #include "routing/card.h"
+#include "wire/datagram.h"
 
 /* Gateways come and go rarely, and are listed for a tenth of a call.  */
 #define LIST_EVERY (2 * CV_SECOND)
@@ -23,20 +24,6 @@
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_signal (evutil_socket_t number, short what, void *arg);
 
-/* Bound to any port, so that gateways can answer.  */
-static bool
-open_socket (cv_observer_t *o, cv_error_t *err)
-{
-  struct sockaddr_in any = { .sin_family = AF_INET };
-
-  o->socket = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (o->socket < 0)
-    return cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
-  if (bind (o->socket, (const struct sockaddr *)&any, sizeof any) != 0)
-    return cv_fail (err, CV_ERR_SYSTEM, "bind: %s", strerror (errno));
-  return true;
-}
-
 static bool
 init (cv_observer_t *o, const cv_observer_settings_t *s, cv_error_t *err)
 {
@@ -57,7 +44,9 @@
     return cv_fail (err, CV_ERR_SYSTEM, "event loop cannot be made");
   cv_http_call_init (&o->engine, o->base, &engine, on_engine, o);
   cv_http_call_init (&o->store, o->base, &store, on_store, o);
-  return open_socket (o, err);
+  /* Any port: gateways answer to where a message came from.  */
+  o->socket = cv_datagram_open (NULL, err);
+  return o->socket >= 0;
 }
 
 static void
@@ -160,7 +149,6 @@
 cv_observer_tell (cv_observer_t *o)
 {
   cv_msg_t msg = { .type = CV_MSG_ENGINE_LOAD };
-  cv_buf_t frame;
 
   msg.u.engine_load = o->load;
   msg.u.engine_load.sequence = ++o->sequence;
@@ -168,14 +156,8 @@
   msg.u.engine_load.kv_promised = o->room.promised;
   msg.u.engine_load.unread = o->room.unread;
   (void)cv_copy (msg.u.engine_load.target, CV_NAME_MAX, o->name);
-  cv_buf_init (&frame);
-  cv_msg_encode (&msg, &frame);
-  /* A datagram that finds no room is made good by the next one.  */
   for (uint32_t i = 0; i < o->gateway_count; i++)
-    (void)sendto (o->socket, frame.p, frame.n, MSG_NOSIGNAL,
-                  (const struct sockaddr *)&o->gateways[i],
-                  sizeof o->gateways[i]);
-  cv_buf_finish (&frame);
+    cv_datagram_send (o->socket, &o->gateways[i], &msg);
   o->told_at = cv_now ();
 }
 
--- a/observer/requests.c
+++ b/observer/requests.c
@@ -1,29 +1,19 @@
 /* Answers gateways: room in the engine's memory for a request, and turns to
    move runs off it, one at a time.  */
 
-#include <string.h>
-#include <sys/socket.h>
-
 #include "observer/state.h"
-
-#define FRAME_MAX 1024
+#include "wire/datagram.h"
 
 static void
 grant (cv_observer_t *o, uint32_t place)
 {
   cv_msg_t msg = { .type = CV_MSG_MOVE };
-  cv_buf_t frame;
   cv_line_t l;
 
   msg.u.move = o->asked[place].move;
   msg.u.move.turn = CV_TURN_GRANTED;
-  cv_buf_init (&frame);
-  cv_msg_encode (&msg, &frame);
   /* A lost grant is sent again when the gateway asks again.  */
-  (void)sendto (o->socket, frame.p, frame.n, MSG_NOSIGNAL,
-                (const struct sockaddr *)&o->asked[place].gateway,
-                sizeof o->asked[place].gateway);
-  cv_buf_finish (&frame);
+  cv_datagram_send (o->socket, &o->asked[place].gateway, &msg);
   if (o->granted == place && o->granted_at == o->turns.since)
     return;
   o->granted = place;
@@ -72,16 +62,11 @@
              const struct sockaddr_in *gateway)
 {
   cv_msg_t msg = { .type = CV_MSG_ROOM };
-  cv_buf_t frame;
 
   msg.u.room = *asked;
   msg.u.room.step = granted ? CV_ROOM_GRANTED : CV_ROOM_REFUSED;
-  cv_buf_init (&frame);
-  cv_msg_encode (&msg, &frame);
   /* A lost answer counts at the gateway as a grant.  */
-  (void)sendto (o->socket, frame.p, frame.n, MSG_NOSIGNAL,
-                (const struct sockaddr *)gateway, sizeof *gateway);
-  cv_buf_finish (&frame);
+  cv_datagram_send (o->socket, gateway, &msg);
 }
 
 static void
@@ -111,26 +96,22 @@
     }
 }
 
-/* False with ERR when the frame is no message for an observer.  */
+/* False with ERR when it is no message for an observer.  */
 static bool
-take_frame (cv_observer_t *o, const char *frame, size_t n,
-            const struct sockaddr_in *from, cv_error_t *err)
+take_message (cv_observer_t *o, const cv_msg_t *msg,
+              const struct sockaddr_in *from, cv_error_t *err)
 {
-  cv_msg_t msg;
-
-  if (!cv_msg_decode (&msg, frame, n, err))
-    return false;
-  switch (msg.type)
+  switch (msg->type)
     {
     case CV_MSG_MOVE:
-      take_move (o, &msg.u.move, from, cv_now ());
+      take_move (o, &msg->u.move, from, cv_now ());
       return true;
     case CV_MSG_ROOM:
-      take_room (o, &msg.u.room, from, cv_now ());
+      take_room (o, &msg->u.room, from, cv_now ());
       return true;
     default:
       return cv_fail (err, CV_ERR_INVALID, "message %s",
-                      cv_msg_name (msg.type));
+                      cv_msg_name (msg->type));
     }
 }
 
@@ -138,21 +119,19 @@
 cv_observer_on_datagram (evutil_socket_t fd, short what, void *arg)
 {
   cv_observer_t *o = arg;
-  char frame[FRAME_MAX];
 
   (void)what;
   for (;;)
     {
       struct sockaddr_in from;
-      socklen_t size = sizeof from;
-      ssize_t n = recvfrom (fd, frame, sizeof frame, 0,
-                            (struct sockaddr *)&from, &size);
       cv_error_t err = { 0 };
+      cv_msg_t msg;
+      cv_datagram_t got = cv_datagram_take (fd, &msg, &from, &err);
       cv_line_t l;
 
-      if (n < 0)
+      if (got == CV_DATAGRAM_NONE)
         return;
-      if (take_frame (o, frame, (size_t)n, &from, &err))
+      if (got == CV_DATAGRAM_MESSAGE && take_message (o, &msg, &from, &err))
         continue;
       cv_line_begin (&l, CV_EV_OBSERVER_BAD_DATAGRAM);
       cv_line_text (&l, "reason", cv_slice (err.text));
