One piece for each job in gateway, links and datagrams

Change: - `no_room_until` was set by a refused question and by a copy without room, but no decision ever read it. The field and its two times are gone. Whether the effect would help is not measured. - Whether a route's request may be repeated stood twice, once negated: now cv_route_is_repeatable. - The silence of an observer, judged in two files, is cv_target_is_observed; the check that an observer is known at all is in cv_loads_send, so that a turn is no longer sent to an empty address. - The receive loops of gateway and observer are cv_datagram_drain, now both with the bound of 64 messages a turn; the rest is taken in the next turn. - The end of a body, the removal of idle connections, the dropping of a target and the limit on a head are written once each. - Removed, as nothing reads them: two fields of a link, `may_have_run` of a call's result, a move's gateway, a counter, a service's health path, the prompt length of placement work. Tests and mutants name the new places; no assertion changed.

Ruled out: cv_targets_finish by "while there is a first", as the analyzer cannot follow the list's head through the freeing.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -113,6 +113,13 @@
     }
 }
 
+void
+cv_answer_body_end (cv_client_t *c, cv_framing_t framing)
+{
+  if (framing == CV_FRAMING_CHUNKED)
+    cv_client_send (c, cv_slice ("0\r\n\r\n"), (cv_slice_t){ NULL, 0 });
+}
+
 /* Ready: the store's state is known, be it that nothing is declared yet, and
    no stop has begun.  */
 void
--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -5,12 +5,8 @@
 
 #include "gateway/state.h"
 
-/* An observer that said nothing for so long is not asked.  */
-#define OBSERVER_SILENT (1 * CV_SECOND)
 /* An answer takes about 2 ms; a lost one is not waited for longer.  */
 #define ANSWER_TIMEOUT (40 * CV_MS)
-/* After a refusal the engine is left alone until its next word.  */
-#define NO_ROOM_FOR (60 * CV_MS)
 /* Engines that are asked in a row before a request waits.  */
 #define ASKS_MAX 4
 
@@ -19,8 +15,6 @@
 {
   cv_msg_t msg = { .type = CV_MSG_ROOM };
 
-  if (t->load_at == 0)
-    return;
   msg.u.room.step = step;
   msg.u.room.tokens = x->need_tokens;
   msg.u.room.prompt_tokens = x->request.prompt_tokens;
@@ -35,8 +29,7 @@
   cv_time_t now = cv_now ();
 
   if (!x->request.is_generation || x->request.attempt.p == NULL
-      || x->request.attempt.n >= CV_RUN_MAX || t->load_at == 0
-      || now - t->load_at > OBSERVER_SILENT)
+      || x->request.attempt.n >= CV_RUN_MAX || !cv_target_is_observed (t, now))
     return false;
   x->state = CV_EXCHANGE_ASKING;
   x->asked = cv_target_ref (t);
@@ -82,7 +75,6 @@
       send_now (x);
       return;
     }
-  t->no_room_until = cv_now () + NO_ROOM_FOR;
   cv_ask_stop (x);
   if (x->asks < ASKS_MAX)
     {
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -1,11 +1,8 @@
 /* One attempt at one target: accounting, connection and the answer's way
    back.  */
 
-#include <errno.h>
 #include <string.h>
 
-#include <event2/buffer.h>
-
 #include "gateway/state.h"
 
 /* Answers up to this size are collected whole before they are passed on, so
@@ -70,22 +67,6 @@
   cv_platform_encode_request (out, head, &f);
 }
 
-/* Whether the request may be sent only once.  */
-static bool
-must_be_fresh (const cv_exchange_t *x)
-{
-  switch (x->route->kind)
-    {
-    case CV_ROUTE_IDEMPOTENT:
-      return false;
-    case CV_ROUTE_STREAMING:
-      return !x->route->resumable;
-    case CV_ROUTE_NON_IDEMPOTENT:
-      return true;
-    }
-  return true;
-}
-
 static void
 take_target (cv_exchange_t *x, cv_target_t *t)
 {
@@ -140,7 +121,7 @@
   x->is_parted = false;
   cv_buf_reset (&x->answer);
   cv_events_restart (&x->events);
-  x->link = cv_target_take_link (t, must_be_fresh (x), &err);
+  x->link = cv_target_take_link (t, !cv_route_is_repeatable (x->route), &err);
   if (x->link == NULL)
     {
       cv_exchange_failed (x, err.text, false);
@@ -425,19 +406,13 @@
           cv_exchange_failed (x, "stream ends within an event", true);
           return;
         }
+      cv_answer_body_end (x->client, caller_framing (x));
       finish_attempt (x);
-      if (caller_framing (x) == CV_FRAMING_CHUNKED)
-        cv_client_send (x->client, cv_slice ("0\r\n\r\n"),
-                        (cv_slice_t){ NULL, 0 });
       cv_exchange_end (x, true);
       return;
     }
   if (x->state == CV_EXCHANGE_RELAYING)
-    {
-      if (caller_framing (x) == CV_FRAMING_CHUNKED)
-        cv_client_send (x->client, cv_slice ("0\r\n\r\n"),
-                        (cv_slice_t){ NULL, 0 });
-    }
+    cv_answer_body_end (x->client, caller_framing (x));
   else if (is_worth_repeating (x))
     {
       cv_exchange_failed (x, "target's own failure", true);
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -143,8 +143,7 @@
 cv_target_t *
 cv_choose_target (cv_exchange_t *x)
 {
-  cv_placement_work_t work
-      = { .memory = x->need_tokens, .prompt_tokens = x->request.prompt_tokens };
+  cv_placement_work_t work = { .memory = x->need_tokens };
 
   return choose (x, &work, x->gateway->settings.failure_domain);
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -68,7 +68,7 @@
   cv_client_t *c = x->client;
   cv_line_t l;
 
-  if (x->state == CV_EXCHANGE_WAITING && x->is_queued)
+  if (x->is_queued)
     TAILQ_REMOVE (&g->waiting, x, waiting);
   if (c != NULL && whole && x->head_sent)
     {
@@ -354,21 +354,6 @@
 
 /* ---- failures ---- */
 
-static bool
-is_repeatable (const cv_exchange_t *x)
-{
-  switch (x->route->kind)
-    {
-    case CV_ROUTE_IDEMPOTENT:
-      return true;
-    case CV_ROUTE_STREAMING:
-      return x->route->resumable;
-    case CV_ROUTE_NON_IDEMPOTENT:
-      return false;
-    }
-  return false;
-}
-
 /* Another attempt fits into the route's bound and before the end.  */
 bool
 cv_exchange_may_repeat (const cv_exchange_t *x)
@@ -417,7 +402,7 @@
   bool repeat;
 
   x->may_have_run |= may_have_run;
-  repeat = !x->may_have_run || is_repeatable (x);
+  repeat = !x->may_have_run || cv_route_is_repeatable (x->route);
   if (repeat
       && (x->head_sent ? x->resumes < RESUMES_MAX : cv_exchange_may_repeat (x))
       && (!may_have_run || cv_retry_budget_take (&x->service_state->retries)))
@@ -482,12 +467,12 @@
 
   if (x->state == CV_EXCHANGE_STREAMING && x->events.count > 0)
     {
-      if (!is_repeatable (x))
+      if (!cv_route_is_repeatable (x->route))
         return 0;
       limit = GAP_FACTOR * x->route->gap_objective_ms * CV_MS;
       return limit > GAP_MIN ? limit : GAP_MIN;
     }
-  if (!is_repeatable (x) || !cv_exchange_may_repeat (x))
+  if (!cv_route_is_repeatable (x->route) || !cv_exchange_may_repeat (x))
     return 0;
   if (x->service->is_engine)
     return x->route->objective_ms * CV_MS + SILENCE_MIN;
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -148,7 +148,6 @@
     }
   cv_routing_unref (g->routing);
   g->routing = r;
-  g->counts.routings++;
   cv_line_begin (&l, CV_EV_GATEWAY_ROUTING_ADOPTED);
   cv_line_number (&l, "version", (int64_t)r->version);
   cv_line_number (&l, "revision", (int64_t)r->revision);
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -6,8 +6,6 @@
 #include "gateway/state.h"
 #include "wire/datagram.h"
 
-/* Messages taken before other events get their turn.  */
-#define BURST_MAX 64
 /* Part of the retry ratio that is used: callers that leave make requests
    count less than they seem to.  */
 #define RETRY_SHARE 0.9
@@ -112,14 +110,18 @@
 void
 cv_loads_send (const cv_target_t *t, const cv_msg_t *msg)
 {
+  if (t->load_at == 0)
+    return;
   cv_datagram_send (t->gateway->loads_fd, &t->observer, msg);
 }
 
 /* False with ERR when it is no message for a gateway.  */
 static bool
-take_message (cv_gateway_t *g, const cv_msg_t *msg,
-              const struct sockaddr_in *from, cv_error_t *err)
+take_message (void *owner, const cv_msg_t *msg, const struct sockaddr_in *from,
+              cv_error_t *err)
 {
+  cv_gateway_t *g = owner;
+
   switch (msg->type)
     {
     case CV_MSG_ENGINE_LOAD:
@@ -143,21 +145,6 @@
   cv_gateway_t *g = arg;
 
   (void)what;
-  for (int i = 0; i < BURST_MAX; i++)
-    {
-      struct sockaddr_in from;
-      cv_error_t err = { 0 };
-      cv_msg_t msg;
-      cv_datagram_t got = cv_datagram_take (fd, &msg, &from, &err);
-      cv_line_t l;
-
-      if (got == CV_DATAGRAM_NONE)
-        break;
-      if (got == CV_DATAGRAM_MESSAGE && take_message (g, &msg, &from, &err))
-        continue;
-      cv_line_begin (&l, CV_EV_GATEWAY_LOAD_INVALID);
-      cv_line_text (&l, "reason", cv_slice (err.text));
-      cv_line_end (&l);
-    }
+  cv_datagram_drain (fd, CV_EV_GATEWAY_LOAD_INVALID, take_message, g);
   cv_exchange_place_waiting (g);
 }
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -17,12 +17,8 @@
 #define TRIES_MAX 6
 /* What a run grows by while it is copied.  */
 #define MARGIN_TOKENS 64
-/* An engine that had no room for a copy is left alone for so long.  */
-#define NO_ROOM_FOR (150 * CV_MS)
 /* Time per token of a run where it is not yet known.  */
 #define TOKEN_US_PRESET 10000
-/* An observer that said nothing for so long gives no turns.  */
-#define OBSERVER_SILENT (1 * CV_SECOND)
 
 typedef enum
 {
@@ -33,7 +29,6 @@
 
 struct cv_move_t
 {
-  cv_gateway_t *gateway;
   cv_exchange_t *exchange; /* NULL once it ended */
   cv_target_t *from;
   cv_target_t *to;
@@ -79,8 +74,7 @@
 static void
 finish (cv_move_t *m, const char *outcome)
 {
-  if (m->from->load_at > 0)
-    send_turn (m->from, cv_slice (m->run), CV_TURN_OVER, 0);
+  send_turn (m->from, cv_slice (m->run), CV_TURN_OVER, 0);
   log_move (m, CV_EV_GATEWAY_MOVE_ENDED, outcome);
   if (m->exchange != NULL)
     m->exchange->move = NULL;
@@ -174,8 +168,6 @@
             free_copy (m);
           return;
         }
-      if (r->status == 503)
-        m->to->no_room_until = cv_now () + NO_ROOM_FOR;
       give_up (m, r->status == 404 ? "no such run" : "no copy was made");
       return;
     case CV_MOVE_STOP:
@@ -244,7 +236,6 @@
       return;
     }
   m = cv_calloc (1, sizeof *m);
-  m->gateway = x->gateway;
   m->exchange = x;
   m->from = cv_target_ref (t);
   m->to = cv_target_ref (to);
@@ -320,7 +311,7 @@
 static void
 evacuate (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
 {
-  if (now - t->load_at < OBSERVER_SILENT)
+  if (cv_target_is_observed (t, now))
     ask_turns (g, t, now);
   else
     start_next (g, t, now);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -56,8 +56,7 @@
   cv_time_t missing_until; /* CV_TARGET_MISSING: then it is removed */
   bool seen;               /* in the list being read */
   cv_health_t health;
-  cv_time_t no_room_until; /* its observer refused a request */
-  cv_time_t full_until;    /* it rejected a request for want of room */
+  cv_time_t full_until; /* it rejected a request for want of room */
   struct cv_http_links_t idle;
   uint32_t idle_count;
   uint32_t in_flight; /* own requests there */
@@ -261,7 +260,6 @@
   uint64_t resumes;
   uint64_t sends;
   uint64_t connections;
-  uint64_t routings;
 } cv_gateway_counts_t;
 
 struct cv_gateway_t
@@ -331,6 +329,8 @@
                      cv_framing_t framing, size_t length, bool last);
 /* Bytes of a body in FRAMING.  */
 void cv_answer_chunk (cv_client_t *c, cv_framing_t framing, cv_slice_t data);
+/* The end of a body in FRAMING.  */
+void cv_answer_body_end (cv_client_t *c, cv_framing_t framing);
 void cv_answer_ready (cv_client_t *c);
 void cv_answer_metrics (cv_client_t *c);
 
@@ -389,6 +389,8 @@
 /* A request failed there; whether the target is avoided from now on.  */
 bool cv_target_failed (cv_target_t *t);
 bool cv_target_usable (const cv_target_t *t, cv_time_t now);
+/* Whether T's observer has spoken lately, so that it can be asked.  */
+bool cv_target_is_observed (const cv_target_t *t, cv_time_t now);
 /* An idle connection, or a new one; NULL with ERR.  FRESH: one that was used
    a moment ago or is new.  */
 cv_http_link_t *cv_target_take_link (cv_target_t *t, bool fresh,
@@ -420,7 +422,7 @@
 /* loads.c */
 bool cv_loads_open (cv_gateway_t *g, cv_error_t *err);
 void cv_loads_close (cv_gateway_t *g);
-/* Send a message to the observer of T.  */
+/* Send a message to the observer of T, if one is known.  */
 void cv_loads_send (const cv_target_t *t, const cv_msg_t *msg);
 /* This gateway's share of the retry budget.  */
 void cv_loads_set_budget (const cv_gateway_t *g, cv_retry_budget_t *b);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -13,6 +13,9 @@
 /* A request that may not be repeated uses a connection only if it was used
    this lately, since targets may drop an idle one unnoticed.  */
 #define FRESH_FOR (500 * CV_MS)
+/* An observer that said nothing for so long may be gone: it speaks at least
+   every 0.4 s.  */
+#define OBSERVER_SILENT (1 * CV_SECOND)
 
 static void on_idle_event (void *owner, const cv_http_link_event_t *event);
 
@@ -43,17 +46,27 @@
   free (t);
 }
 
+static void
+take_idle (cv_target_t *t, cv_http_link_t *l)
+{
+  TAILQ_REMOVE (&t->idle, l, entry);
+  t->idle_count--;
+}
+
+static void
+close_idle (cv_target_t *t, cv_http_link_t *l)
+{
+  take_idle (t, l);
+  cv_http_link_close (l);
+}
+
 static void
 drop_idle (cv_target_t *t)
 {
   cv_http_link_t *l;
 
   while ((l = TAILQ_FIRST (&t->idle)) != NULL)
-    {
-      TAILQ_REMOVE (&t->idle, l, entry);
-      cv_http_link_close (l);
-    }
-  t->idle_count = 0;
+    close_idle (t, l);
 }
 
 static void
@@ -189,11 +202,8 @@
   for (l = TAILQ_FIRST (&t->idle); l != NULL; l = next)
     {
       next = TAILQ_NEXT (l, entry);
-      if (now - l->idle_since < l->idle_limit - IDLE_MARGIN)
-        continue;
-      TAILQ_REMOVE (&t->idle, l, entry);
-      t->idle_count--;
-      cv_http_link_close (l);
+      if (now - l->idle_since >= l->idle_limit - IDLE_MARGIN)
+        close_idle (t, l);
     }
 }
 
@@ -231,6 +241,12 @@
          && now >= t->full_until;
 }
 
+bool
+cv_target_is_observed (const cv_target_t *t, cv_time_t now)
+{
+  return t->load_at > 0 && now - t->load_at <= OBSERVER_SILENT;
+}
+
 bool
 cv_target_is_departing (const cv_target_t *t)
 {
@@ -258,8 +274,7 @@
   l = TAILQ_FIRST (&t->idle);
   if (l != NULL && (!fresh || now - l->idle_since < FRESH_FOR))
     {
-      TAILQ_REMOVE (&t->idle, l, entry);
-      t->idle_count--;
+      take_idle (t, l);
       return l;
     }
   t->gateway->counts.connections++;
@@ -293,11 +308,8 @@
   for (l = TAILQ_FIRST (&t->idle); l != NULL; l = next)
     {
       next = TAILQ_NEXT (l, entry);
-      if (!l->failed)
-        continue;
-      TAILQ_REMOVE (&t->idle, l, entry);
-      t->idle_count--;
-      cv_http_link_close (l);
+      if (l->failed)
+        close_idle (t, l);
     }
 }
 
@@ -305,13 +317,13 @@
 cv_targets_finish (cv_gateway_t *g)
 {
   cv_target_t *t;
+  cv_target_t *next;
   cv_service_state_t *s;
 
-  while ((t = TAILQ_FIRST (&g->targets)) != NULL)
+  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = next)
     {
-      TAILQ_REMOVE (&g->targets, t, entry);
-      drop_idle (t);
-      cv_target_unref (t);
+      next = TAILQ_NEXT (t, entry);
+      drop (t);
     }
   while ((s = TAILQ_FIRST (&g->services)) != NULL)
     {
--- a/http/call.c
+++ b/http/call.c
@@ -52,9 +52,9 @@
 }
 
 static void
-fail (cv_http_call_t *c, const char *failure, bool may_have_run)
+fail (cv_http_call_t *c, const char *failure)
 {
-  cv_http_result_t r = { .failure = failure, .may_have_run = may_have_run };
+  cv_http_result_t r = { .failure = failure };
 
   drop_link (c);
   c->busy = false;
@@ -133,7 +133,7 @@
       on_done (c);
       return;
     case CV_LINK_FAILED:
-      fail (c, "connection ended", event->u.failure != CV_LINK_REFUSED);
+      fail (c, "connection ended");
       return;
     }
 }
@@ -151,7 +151,7 @@
   if (!c->busy || now < c->until)
     return;
   if (c->link == NULL)
-    fail (c, "no connection", false);
+    fail (c, "no connection");
   else
-    fail (c, "no answer", true);
+    fail (c, "no answer");
 }
--- a/http/call.h
+++ b/http/call.h
@@ -14,7 +14,6 @@
 {
   unsigned status;     /* 0: no whole answer came */
   const char *failure; /* of status 0 */
-  bool may_have_run;   /* of status 0: the call can have left */
   cv_slice_t body;
   const cv_http_head_t *head; /* NULL with status 0 */
 } cv_http_result_t;
--- a/http/link.c
+++ b/http/link.c
@@ -116,7 +116,6 @@
   l->handler = handler;
   l->owner = owner;
   l->busy = true;
-  l->answered = false;
   cv_http_reader_reset (&l->reader);
   CV_INVARIANT (evbuffer_add (out, head.p, head.n) == 0);
   if (body.n > 0)
@@ -208,7 +207,6 @@
           return;
         }
       l->busy = false;
-      l->exchanges++;
       event.kind = CV_LINK_DONE;
       tell (l, &event);
       return;
@@ -240,7 +238,6 @@
           fail (l, CV_LINK_GARBLED);
           break;
         }
-      l->answered = true;
       part = cv_http_reader_next (&l->reader, data, n, &used);
       /* Only bytes after the whole answer show that it is followed by more,
          so the buffer is drained before the owner looks.  */
--- a/http/link.h
+++ b/http/link.h
@@ -58,8 +58,6 @@
   bool open;            /* the connection is established */
   bool busy;            /* an exchange is under way */
   bool failed;          /* it ended or cannot be used any more */
-  bool answered;        /* some byte of the answer came */
-  uint64_t exchanges;   /* completed on this connection */
   cv_time_t idle_since; /* end of the last exchange */
   cv_time_t idle_limit; /* how long the server keeps an idle connection */
 };
--- a/http/reader.c
+++ b/http/reader.c
@@ -8,6 +8,8 @@
 
 /* What a name may hold beside letters and digits.  */
 #define NAME_SPECIALS "!#$%&'*+-.^_`|~"
+/* A colon, a space and the end of the line go with each field.  */
+#define FIELD_FRAMING 4
 
 static int on_url (http_parser *p, const char *at, size_t n);
 static int on_field (http_parser *p, const char *at, size_t n);
@@ -67,11 +69,23 @@
   return 0;
 }
 
-static bool
-count_head (cv_http_reader_t *r, size_t n)
+/* The parser gives up with PART as the result.  */
+static int
+reject (cv_http_reader_t *r, cv_http_part_t part)
 {
-  r->head_bytes += (uint32_t)n;
-  return r->head_bytes <= r->head_max;
+  r->part = part;
+  return -1;
+}
+
+/* Add N bytes of the head, while they are within the limit.  */
+static int
+add_to_head (cv_http_reader_t *r, const char *at, size_t n, size_t framing)
+{
+  r->head_bytes += (uint32_t)(n + framing);
+  if (r->head_bytes > r->head_max)
+    return reject (r, CV_HTTP_LIMIT);
+  cv_buf_add (&r->head.text, at, n);
+  return 0;
 }
 
 static int
@@ -79,12 +93,8 @@
 {
   cv_http_reader_t *r = p->data;
 
-  if (!count_head (r, n))
-    {
-      r->part = CV_HTTP_LIMIT;
-      return -1;
-    }
-  cv_buf_add (&r->head.text, at, n);
+  if (add_to_head (r, at, n, 0) != 0)
+    return -1;
   r->head.target_n += (uint32_t)n;
   return 0;
 }
@@ -103,19 +113,12 @@
   if (h->fields == 0 || r->in_value)
     {
       if (h->fields == CV_HTTP_FIELDS_MAX)
-        {
-          r->part = CV_HTTP_LIMIT;
-          return -1;
-        }
+        return reject (r, CV_HTTP_LIMIT);
       h->fields++;
       r->in_value = false;
     }
-  if (!count_head (r, n + 4))
-    {
-      r->part = CV_HTTP_LIMIT;
-      return -1;
-    }
-  cv_buf_add (&h->text, at, n);
+  if (add_to_head (r, at, n, FIELD_FRAMING) != 0)
+    return -1;
   h->marks[2 * h->fields - 1] = (uint32_t)h->text.n;
   h->marks[2 * h->fields] = (uint32_t)h->text.n;
   return 0;
@@ -130,12 +133,8 @@
   if (r->head_done)
     return 0;
   r->in_value = true;
-  if (!count_head (r, n))
-    {
-      r->part = CV_HTTP_LIMIT;
-      return -1;
-    }
-  cv_buf_add (&h->text, at, n);
+  if (add_to_head (r, at, n, 0) != 0)
+    return -1;
   h->marks[2 * h->fields] = (uint32_t)h->text.n;
   return 0;
 }
@@ -171,10 +170,7 @@
   if (!is_clean (h)
       || (p->type == HTTP_REQUEST && p->uses_transfer_encoding
           && !(p->flags & F_CHUNKED)))
-    {
-      r->part = CV_HTTP_BROKEN;
-      return -1;
-    }
+    return reject (r, CV_HTTP_BROKEN);
 
   /* Upgrades are not passed on, so the parser must not leave HTTP.  */
   p->upgrade = 0;
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -3,10 +3,8 @@
    Messages are datagrams: each holds the whole load, so that a lost one is
    made good by the next.  */
 
-#include <errno.h>
 #include <signal.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "observer/state.h"
--- a/observer/requests.c
+++ b/observer/requests.c
@@ -98,9 +98,11 @@
 
 /* False with ERR when it is no message for an observer.  */
 static bool
-take_message (cv_observer_t *o, const cv_msg_t *msg,
-              const struct sockaddr_in *from, cv_error_t *err)
+take_message (void *owner, const cv_msg_t *msg, const struct sockaddr_in *from,
+              cv_error_t *err)
 {
+  cv_observer_t *o = owner;
+
   switch (msg->type)
     {
     case CV_MSG_MOVE:
@@ -118,23 +120,6 @@
 void
 cv_observer_on_datagram (evutil_socket_t fd, short what, void *arg)
 {
-  cv_observer_t *o = arg;
-
   (void)what;
-  for (;;)
-    {
-      struct sockaddr_in from;
-      cv_error_t err = { 0 };
-      cv_msg_t msg;
-      cv_datagram_t got = cv_datagram_take (fd, &msg, &from, &err);
-      cv_line_t l;
-
-      if (got == CV_DATAGRAM_NONE)
-        return;
-      if (got == CV_DATAGRAM_MESSAGE && take_message (o, &msg, &from, &err))
-        continue;
-      cv_line_begin (&l, CV_EV_OBSERVER_BAD_DATAGRAM);
-      cv_line_text (&l, "reason", cv_slice (err.text));
-      cv_line_end (&l);
-    }
+  cv_datagram_drain (fd, CV_EV_OBSERVER_BAD_DATAGRAM, take_message, arg);
 }
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -28,8 +28,7 @@
 typedef struct
 {
   uint64_t memory; /* tokens at the end of the run; 0: no generation */
-  uint32_t prompt_tokens;
-  bool is_move; /* the run's memory is copied there while time is short */
+  bool is_move;    /* the run's memory is copied there while time is short */
 } cv_placement_work_t;
 
 /* The index of the best target, or CV_PLACEMENT_NONE when none has room.
--- a/policy/tests/engines_test.cc
+++ b/policy/tests/engines_test.cc
@@ -31,7 +31,7 @@
 TEST (Placement, FullEnginesGetNothing)
 {
   std::vector<cv_candidate_t> c = { engine (18000), engine (17500) };
-  cv_placement_work_t work = { 3000, 2500, false };
+  cv_placement_work_t work = { 3000, false };
 
   EXPECT_EQ (CV_PLACEMENT_NONE, cv_placement_pick (c.data (), 2, &work, 0.5));
   c[1].memory_used = 10000;
@@ -43,7 +43,7 @@
 TEST (Placement, PromptsThatWaitCountMoreThanMemory)
 {
   std::vector<cv_candidate_t> c = { engine (4000, 9000), engine (9000) };
-  cv_placement_work_t work = { 3000, 2500, false };
+  cv_placement_work_t work = { 3000, false };
 
   EXPECT_EQ (1u, cv_placement_pick (c.data (), 2, &work, 0.1));
 }
@@ -52,7 +52,7 @@
 {
   std::vector<cv_candidate_t> c
       = { engine (5000, 0, false), engine (14000, 0, true) };
-  cv_placement_work_t work = { 3000, 0, true };
+  cv_placement_work_t work = { 3000, true };
 
   EXPECT_EQ (1u, cv_placement_pick (c.data (), 2, &work, 0.5));
   work.is_move = false;
@@ -62,7 +62,7 @@
 TEST (Placement, EqualEnginesAreNotAllChosenAlike)
 {
   std::vector<cv_candidate_t> c (8, engine (5000));
-  cv_placement_work_t work = { 3000, 2500, false };
+  cv_placement_work_t work = { 3000, false };
   std::vector<int> chosen (8);
 
   for (int i = 0; i < 100; i++)
--- a/routing/routing.c
+++ b/routing/routing.c
@@ -38,8 +38,6 @@
       free (r->routes[i].host);
       free (r->routes[i].prefix);
     }
-  for (uint32_t i = 0; i < r->service_count; i++)
-    free (r->services[i].health_path);
   for (uint32_t i = 0; i < r->key_count; i++)
     free (r->keys[i].text);
   free (r->routes);
@@ -169,6 +167,21 @@
   return CV_NO_SERVICE;
 }
 
+bool
+cv_route_is_repeatable (const cv_route_t *route)
+{
+  switch (route->kind)
+    {
+    case CV_ROUTE_IDEMPOTENT:
+      return true;
+    case CV_ROUTE_STREAMING:
+      return route->resumable;
+    case CV_ROUTE_NON_IDEMPOTENT:
+      return false;
+    }
+  return false;
+}
+
 uint32_t
 cv_route_pick_service (const cv_route_t *route, double point)
 {
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -61,7 +61,6 @@
 typedef struct
 {
   char name[CV_NAME_MAX];
-  char *health_path;
   uint32_t max_connections; /* of one target, from all callers together */
   bool is_engine;
   cv_engine_traits_t engine;
@@ -125,6 +124,8 @@
 const cv_client_account_t *cv_routing_account (const cv_routing_t *r,
                                                cv_slice_t key);
 uint32_t cv_routing_service (const cv_routing_t *r, const char *name);
+/* Whether a request of ROUTE may be sent again when its run is in doubt.  */
+bool cv_route_is_repeatable (const cv_route_t *route);
 /* The service of one request: POINT in [0, 1) falls on the weights.  */
 uint32_t cv_route_pick_service (const cv_route_t *route, double point);
 
--- a/wire/datagram.c
+++ b/wire/datagram.c
@@ -5,10 +5,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/line.h"
 #include "wire/datagram.h"
 
 /* Messages are about 120 bytes.  */
 #define FRAME_MAX 1024
+/* Messages taken before other events get their turn.  */
+#define BURST_MAX 64
 
 int
 cv_datagram_open (const struct sockaddr_in *address, cv_error_t *err)
@@ -43,9 +46,16 @@
   cv_buf_finish (&frame);
 }
 
-cv_datagram_t
-cv_datagram_take (int fd, cv_msg_t *msg, struct sockaddr_in *from,
-                  cv_error_t *err)
+/* What a socket had to give.  */
+typedef enum
+{
+  TAKEN_NONE = 1, /* nothing waits */
+  TAKEN_MESSAGE,
+  TAKEN_INVALID /* it was dropped; ERR says why */
+} taken_t;
+
+static taken_t
+take (int fd, cv_msg_t *msg, struct sockaddr_in *from, cv_error_t *err)
 {
   char frame[FRAME_MAX];
   socklen_t size = sizeof *from;
@@ -53,7 +63,29 @@
       = recvfrom (fd, frame, sizeof frame, 0, (struct sockaddr *)from, &size);
 
   if (n < 0)
-    return CV_DATAGRAM_NONE;
-  return cv_msg_decode (msg, frame, (size_t)n, err) ? CV_DATAGRAM_MESSAGE
-                                                    : CV_DATAGRAM_INVALID;
+    return TAKEN_NONE;
+  return cv_msg_decode (msg, frame, (size_t)n, err) ? TAKEN_MESSAGE
+                                                    : TAKEN_INVALID;
+}
+
+void
+cv_datagram_drain (int fd, cv_event_t invalid, cv_datagram_handler_t *handler,
+                   void *owner)
+{
+  for (int i = 0; i < BURST_MAX; i++)
+    {
+      struct sockaddr_in from;
+      cv_error_t err = { 0 };
+      cv_msg_t msg;
+      taken_t taken = take (fd, &msg, &from, &err);
+      cv_line_t l;
+
+      if (taken == TAKEN_NONE)
+        return;
+      if (taken == TAKEN_MESSAGE && handler (owner, &msg, &from, &err))
+        continue;
+      cv_line_begin (&l, invalid);
+      cv_line_text (&l, "reason", cv_slice (err.text));
+      cv_line_end (&l);
+    }
 }
--- a/wire/datagram.h
+++ b/wire/datagram.h
@@ -11,20 +11,20 @@
 extern "C" {
 #endif
 
-typedef enum
-{
-  CV_DATAGRAM_NONE = 1, /* nothing waits at the socket */
-  CV_DATAGRAM_MESSAGE,
-  CV_DATAGRAM_INVALID /* it was dropped; ERR says why */
-} cv_datagram_t;
+/* Takes one message; false with ERR when it is none for OWNER.  */
+typedef bool cv_datagram_handler_t (void *owner, const cv_msg_t *msg,
+                                    const struct sockaddr_in *from,
+                                    cv_error_t *err);
 
 /* A non-blocking socket bound to ADDRESS (NULL: any); -1 with ERR.  */
 int cv_datagram_open (const struct sockaddr_in *address, cv_error_t *err);
 /* One that finds no room is lost; what matters is said again.  */
 void cv_datagram_send (int fd, const struct sockaddr_in *to,
                        const cv_msg_t *msg);
-cv_datagram_t cv_datagram_take (int fd, cv_msg_t *msg, struct sockaddr_in *from,
-                                cv_error_t *err);
+/* Hand what waits at FD to HANDLER, up to a bound, so that other events get
+   their turn.  What is dropped is logged as INVALID.  */
+void cv_datagram_drain (int fd, cv_event_t invalid,
+                        cv_datagram_handler_t *handler, void *owner);
 
 #ifdef __cplusplus
 }
