--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -4,11 +4,6 @@
 
 #include "gateway/state.h"
 
-/* Fields of a target's answer that concern its connection alone.  */
-static const char *const connection_fields[]
-    = { "Connection",       "Keep-Alive", "Transfer-Encoding", "TE", "Trailer",
-        "Proxy-Connection", "Upgrade",    "Content-Length",    NULL };
-
 static const char *
 reason_phrase (unsigned status)
 {
@@ -46,15 +41,6 @@
   cv_buf_finish (&body);
 }
 
-static bool
-concerns_connection (cv_slice_t name)
-{
-  for (size_t i = 0; connection_fields[i] != NULL; i++)
-    if (cv_http_name_equal (name, connection_fields[i]))
-      return true;
-  return false;
-}
-
 void
 cv_answer_head (cv_buf_t *out, const cv_http_head_t *head, cv_framing_t framing,
                 size_t length, bool last)
@@ -65,14 +51,11 @@
     {
       cv_http_field_t f = cv_http_field_at (head, i);
 
-      if (concerns_connection (f.name)
+      if (cv_http_is_connection_field (f.name)
           && !(framing == CV_FRAMING_NONE
                && cv_http_name_equal (f.name, "Content-Length")))
         continue;
-      cv_buf_add (out, f.name.p, f.name.n);
-      cv_buf_add (out, ": ", 2);
-      cv_buf_add (out, f.value.p, f.value.n);
-      cv_buf_add (out, "\r\n", 2);
+      cv_http_add_field (out, f);
     }
   switch (framing)
     {
--- a/http/reader.c
+++ b/http/reader.c
@@ -11,6 +11,11 @@
 /* A colon, a space and the end of the line go with each field.  */
 #define FIELD_FRAMING 4
 
+/* Fields that concern one connection alone (RFC 9110, 7.6.1).  */
+static const char *const connection_fields[]
+    = { "Connection",       "Keep-Alive", "Transfer-Encoding", "TE", "Trailer",
+        "Proxy-Connection", "Upgrade",    "Content-Length",    NULL };
+
 static int on_url (http_parser *p, const char *at, size_t n);
 static int on_field (http_parser *p, const char *at, size_t n);
 static int on_value (http_parser *p, const char *at, size_t n);
@@ -270,3 +275,21 @@
     }
   return (cv_slice_t){ NULL, 0 };
 }
+
+bool
+cv_http_is_connection_field (cv_slice_t name)
+{
+  for (size_t i = 0; connection_fields[i] != NULL; i++)
+    if (cv_http_name_equal (name, connection_fields[i]))
+      return true;
+  return false;
+}
+
+void
+cv_http_add_field (cv_buf_t *out, cv_http_field_t field)
+{
+  cv_buf_add (out, field.name.p, field.name.n);
+  cv_buf_add (out, ": ", 2);
+  cv_buf_add (out, field.value.p, field.value.n);
+  cv_buf_add (out, "\r\n", 2);
+}
--- a/http/reader.h
+++ b/http/reader.h
@@ -81,6 +81,11 @@
 /* The value of the first field NAME (any case); p is NULL when absent.  */
 cv_slice_t cv_http_field (const cv_http_head_t *h, const char *name);
 bool cv_http_name_equal (cv_slice_t name, const char *text);
+/* Whether the field NAME concerns one connection alone and is not passed
+   on.  */
+bool cv_http_is_connection_field (cv_slice_t name);
+/* Add FIELD as a line of a head.  */
+void cv_http_add_field (cv_buf_t *out, cv_http_field_t field);
 
 #ifdef __cplusplus
 }
--- a/http/tests/reader_test.cc
+++ b/http/tests/reader_test.cc
@@ -112,4 +112,14 @@
   EXPECT_EQ ("limit", read (text, HTTP_REQUEST, 10));
 }
 
+TEST (Reader, FieldsOfOneConnectionAreKnownInAnyCase)
+{
+  for (const char *name :
+       { "Connection", "keep-alive", "TRANSFER-ENCODING", "te", "Trailer",
+         "Proxy-Connection", "upgrade", "content-length" })
+    EXPECT_TRUE (cv_http_is_connection_field (cv_slice (name))) << name;
+  for (const char *name : { "Content-Type", "Expect", "T", "" })
+    EXPECT_FALSE (cv_http_is_connection_field (cv_slice (name))) << name;
+}
+
 } // namespace
