--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -11,18 +11,34 @@
 #define ASKS_MAX 4
 
 void
-cv_ask_tell (const cv_exchange_t *x, const cv_target_t *t, cv_room_step_t step)
+cv_ask_tell (const cv_exchange_t *x, const cv_target_t *t,
+             cv_room_purpose_t purpose)
 {
   cv_msg_t msg = { .type = CV_MSG_ROOM };
 
-  msg.u.room.step = step;
-  msg.u.room.tokens = x->need_tokens;
+  msg.u.room.step = CV_ROOM_ASKED;
+  msg.u.room.purpose = purpose;
   msg.u.room.prompt_tokens = x->request.prompt_tokens;
+  msg.u.room.produced = (uint32_t)cv_exchange_produced (x);
+  msg.u.room.expected = x->output.median;
+  msg.u.room.limit = x->output.limit;
   (void)cv_copy (msg.u.room.target, CV_NAME_MAX, t->record.id);
   (void)cv_copy_slice (msg.u.room.run, CV_RUN_MAX, x->request.attempt);
   cv_loads_send (t, &msg);
 }
 
+void
+cv_ask_release (const cv_target_t *t, cv_slice_t run)
+{
+  cv_msg_t msg = { .type = CV_MSG_ROOM };
+
+  msg.u.room.step = CV_ROOM_RELEASED;
+  msg.u.room.purpose = CV_ROOM_NEW;
+  (void)cv_copy (msg.u.room.target, CV_NAME_MAX, t->record.id);
+  (void)cv_copy_slice (msg.u.room.run, CV_RUN_MAX, run);
+  cv_loads_send (t, &msg);
+}
+
 bool
 cv_ask_room (cv_exchange_t *x, cv_target_t *t)
 {
@@ -35,17 +51,25 @@
   x->asked = cv_target_ref (t);
   x->asked_at = now;
   x->asks++;
-  cv_ask_tell (x, t, CV_ROOM_ASKED);
+  cv_ask_tell (x, t, CV_ROOM_NEW);
   return true;
 }
 
+static void
+forget (cv_exchange_t *x)
+{
+  cv_target_unref (x->asked);
+  x->asked = NULL;
+}
+
+/* The answer may be a grant.  */
 void
 cv_ask_stop (cv_exchange_t *x)
 {
   if (x->asked == NULL)
     return;
-  cv_target_unref (x->asked);
-  x->asked = NULL;
+  cv_ask_release (x->asked, x->request.attempt);
+  forget (x);
 }
 
 static void
@@ -53,29 +77,48 @@
 {
   cv_target_t *t = cv_target_ref (x->asked);
 
-  cv_ask_stop (x);
+  forget (x);
   x->asks = 0;
   x->has_grant = true;
   cv_attempt_start (x, t);
   cv_target_unref (t);
 }
 
+/* The exchange that asked T for room, or that is under way there.  */
+static cv_exchange_t *
+find (cv_gateway_t *g, const cv_target_t *t, cv_slice_t run)
+{
+  cv_exchange_t *x;
+
+  TAILQ_FOREACH (x, &g->exchanges, entry)
+  if ((x->asked == t || x->target == t)
+      && cv_slice_equal (x->request.attempt, run))
+    return x;
+  return NULL;
+}
+
 void
 cv_ask_answered (cv_gateway_t *g, cv_target_t *t, const cv_msg_room_t *m)
 {
-  cv_exchange_t *x;
+  cv_exchange_t *x = find (g, t, cv_slice (m->run));
 
-  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
-    if (x->asked == t && cv_slice_equal (x->request.attempt, cv_slice (m->run)))
-      break;
   if (x == NULL)
+    {
+      /* The grant came too late to be waited for.  */
+      if (m->step == CV_ROOM_GRANTED)
+        cv_ask_release (t, cv_slice (m->run));
+      return;
+    }
+  if (x->asked != t)
     return;
   if (m->step == CV_ROOM_GRANTED)
     {
       send_now (x);
       return;
     }
-  cv_ask_stop (x);
+  if (t->refused_tokens == 0 || x->need_tokens < t->refused_tokens)
+    t->refused_tokens = x->need_tokens;
+  forget (x);
   if (x->asks < ASKS_MAX)
     {
       cv_exchange_place (x);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -163,7 +163,7 @@
     {
       cv_attempt_read (x);
       if (x->has_grant)
-        cv_ask_tell (x, x->target, CV_ROOM_RELEASED);
+        cv_ask_release (x->target, x->request.attempt);
       x->has_grant = false;
       x->target->in_flight--;
       x->target->run_tokens -= x->need_tokens;
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -4,6 +4,7 @@
 
 #include "gateway/state.h"
 #include "policy/placement.h"
+#include "policy/room.h"
 
 /* Targets of one service that are looked at.  */
 #define CANDIDATES_MAX 256
@@ -42,7 +43,7 @@
 {
   const cv_msg_engine_load_t *l = &t->load;
 
-  out->memory_used = l->kv_promised + t->unseen_tokens;
+  out->memory_used = l->kv_peak + t->unseen_tokens;
   out->prompt_backlog = l->unread + t->unseen_prompt;
   out->in_flight = l->running + l->waiting + t->unseen;
 }
@@ -125,15 +126,34 @@
       add (c, x, t, domain, now);
 }
 
+/* Whether the observer of T would refuse X: it has done so and has told of no
+   change since, or too many prompts wait there.  */
+static bool
+would_refuse (const cv_target_t *t, const cv_exchange_t *x, bool is_move)
+{
+  cv_time_t now = cv_now ();
+
+  if (is_move)
+    return now < t->no_room_until;
+  if (t->refused_tokens > 0 && x->need_tokens >= t->refused_tokens)
+    return true;
+  return now - t->load_at < LOAD_FRESH && x->service->is_engine
+         && t->load.unread + t->unseen_prompt > CV_ROOM_UNREAD_MAX;
+}
+
 static cv_target_t *
-choose (cv_exchange_t *x, const cv_placement_work_t *work, const char *domain)
+choose (cv_exchange_t *x, const cv_placement_work_t *work, const char *domain,
+        bool rescue)
 {
   candidates_t c;
   uint32_t i;
 
   collect (&c, x, domain);
-  /* A run that moves needs what it has now; its growth comes later.  */
-  for (i = 0; work->is_move && i < c.n; i++)
+  for (i = 0; i < c.n; i++)
+    c.seen[i].usable &= !would_refuse (c.target[i], x, work->is_move);
+  /* Off an engine that ends, a run goes wherever its present memory fits; its
+     growth comes later.  */
+  for (i = 0; rescue && i < c.n; i++)
     c.seen[i].memory_used = c.target[i]->load.kv_used + c.target[i]->copy_tokens
                             + c.target[i]->unseen_tokens;
   i = cv_placement_pick (c.seen, c.n, work, cv_rng_uniform (&x->gateway->rng));
@@ -143,17 +163,24 @@
 cv_target_t *
 cv_choose_target (cv_exchange_t *x)
 {
-  cv_placement_work_t work = { .memory = x->need_tokens };
+  cv_placement_work_t work = { .memory = x->request.prompt_tokens, .fill = 1 };
 
-  return choose (x, &work, x->gateway->settings.failure_domain);
+  return choose (x, &work, x->gateway->settings.failure_domain, false);
 }
 
 cv_target_t *
-cv_choose_destination (cv_exchange_t *x, const cv_target_t *t, uint64_t tokens)
+cv_choose_destination (cv_exchange_t *x, const cv_target_t *t, uint64_t tokens,
+                       cv_room_purpose_t purpose)
 {
-  cv_placement_work_t work = { .memory = tokens, .is_move = true };
-
-  return choose (x, &work, t->record.failure_domain);
+  cv_placement_work_t work = { .memory = tokens, .is_move = true, .fill = 1 };
+  cv_target_t *to;
+
+  if (purpose == CV_ROOM_BALANCE)
+    work.fill = CV_ROOM_BALANCE_FILL;
+  to = choose (x, &work, t->record.failure_domain, false);
+  if (to == NULL && purpose == CV_ROOM_RESCUE)
+    to = choose (x, &work, t->record.failure_domain, true);
+  return to;
 }
 
 uint32_t
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -162,6 +162,12 @@
     cv_exchange_refuse (x, timed_out ? 504 : 502, 0, reason);
 }
 
+uint64_t
+cv_exchange_produced (const cv_exchange_t *x)
+{
+  return x->events.count * x->service->engine.event_tokens;
+}
+
 /* ---- the start ---- */
 
 static void
@@ -190,13 +196,13 @@
 estimate_need (cv_exchange_t *x)
 {
   const cv_caller_request_t *q = &x->request;
-  uint32_t output = q->output_limit;
 
   if (!q->is_generation)
     return;
-  if (q->output_hint > 0 && q->output_hint < output)
-    output = q->output_hint;
-  x->need_tokens = (uint64_t)q->prompt_tokens + output;
+  x->output = cv_output_expect (q->output_hint, q->output_limit);
+  /* Without a hint nothing speaks against the limit.  */
+  x->need_tokens = (uint64_t)q->prompt_tokens
+                   + (q->output_hint > 0 ? x->output.median : x->output.limit);
 }
 
 /* Find route and account; false when X was answered.  */
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -85,6 +85,7 @@
   if (load->sequence < t->load.sequence && now - t->load_at < CV_SECOND)
     return;
   t->load = *load;
+  t->refused_tokens = 0;
   t->load_at = now;
   t->observer = *from;
 }
@@ -104,7 +105,10 @@
   cv_target_t *t = cv_target_find (g, m->target);
 
   if (t != NULL && (m->step == CV_ROOM_GRANTED || m->step == CV_ROOM_REFUSED))
-    cv_ask_answered (g, t, m);
+    {
+      if (!cv_move_answered (g, t, m))
+        cv_ask_answered (g, t, m);
+    }
 }
 
 void
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -20,11 +20,26 @@
 /* Time per token of a run where it is not yet known.  */
 #define TOKEN_US_PRESET 10000
 
+/* An answer on room takes about 2 ms.  */
+#define ANSWER_TIMEOUT (40 * CV_MS)
+/* Destinations that are asked in a row.  */
+#define ASKS_MAX 8
+/* A destination without room is left alone for so long, a report's time.  */
+#define NO_ROOM_FOR (60 * CV_MS)
+/* When room for a run is looked for again: a notice of leaving is 1.4 s at
+   least, and full engines stay so for seconds.  */
+#define RESCUE_AGAIN (50 * CV_MS)
+#define BALANCE_AGAIN (300 * CV_MS)
+/* Requests that have waited for so long are taken for want of room.  */
+#define SHORT_AFTER (100 * CV_MS)
+
 typedef enum
 {
-  CV_MOVE_COPY = 1, /* the run goes on meanwhile */
-  CV_MOVE_STOP,     /* the run stops, the rest is copied */
-  CV_MOVE_FREE      /* nobody needs the copy any more */
+  CV_MOVE_ASK = 1,   /* the destination's observer for room */
+  CV_MOVE_COPY,      /* the run goes on meanwhile */
+  CV_MOVE_STOP,      /* the run stops, the rest is copied */
+  CV_MOVE_FREE,      /* nobody needs the copy any more: tell the source */
+  CV_MOVE_FREE_THERE /* the source is gone: tell the destination */
 } cv_move_phase_t;
 
 struct cv_move_t
@@ -35,12 +50,33 @@
   uint64_t tokens; /* reserved at TO */
   cv_http_call_t call;
   cv_move_phase_t phase;
+  cv_room_purpose_t purpose;
+  cv_time_t asked_at;
+  uint32_t asks;
   cv_time_t started;
+  bool is_done; /* the run goes on at TO, which keeps its room */
+  const char *outcome;
   char run[CV_RUN_MAX];
-  char handle[CV_NAME_MAX];
+  char handle[CV_NAME_MAX]; /* of the copy, empty where there is none */
 };
 
 static void on_result (void *owner, const cv_http_result_t *r);
+static void leave_destination (cv_move_t *m);
+
+static const char *
+purpose_text (cv_room_purpose_t purpose)
+{
+  switch (purpose)
+    {
+    case CV_ROOM_NEW:
+      return "new run";
+    case CV_ROOM_BALANCE:
+      return "makes room on a full engine";
+    case CV_ROOM_RESCUE:
+      return "engine ends or runs out of memory";
+    }
+  return "";
+}
 
 static void
 log_move (const cv_move_t *m, cv_event_t event, const char *outcome)
@@ -50,7 +86,7 @@
   cv_line_begin (&l, event);
   cv_line_text (&l, "request", cv_slice (m->run));
   cv_line_text (&l, "from", cv_slice (m->from->record.id));
-  cv_line_text (&l, "to", cv_slice (m->to->record.id));
+  cv_line_text (&l, "to", cv_slice (m->to != NULL ? m->to->record.id : ""));
   cv_line_text (&l, "outcome", cv_slice (outcome));
   cv_line_number (&l, "phase", m->phase);
   cv_line_number (&l, "after_us", cv_now () - m->started);
@@ -72,17 +108,19 @@
 }
 
 static void
-finish (cv_move_t *m, const char *outcome)
+finish (cv_move_t *m)
 {
+  if (!m->is_done && m->to != NULL)
+    cv_ask_release (m->to, cv_slice (m->run));
   send_turn (m->from, cv_slice (m->run), CV_TURN_OVER, 0);
-  log_move (m, CV_EV_GATEWAY_MOVE_ENDED, outcome);
+  log_move (m, CV_EV_GATEWAY_MOVE_ENDED, m->outcome);
   if (m->exchange != NULL)
     m->exchange->move = NULL;
   m->from->move = NULL;
-  m->to->copy_tokens -= m->tokens;
+  if (m->to != NULL)
+    leave_destination (m);
   cv_http_call_finish (&m->call);
   cv_target_unref (m->from);
-  cv_target_unref (m->to);
   free (m);
 }
 
@@ -100,12 +138,20 @@
   cv_buf_finish (&body);
 }
 
+/* Nobody needs the copy.  The source frees both ends; where it is gone, the
+   destination is told.  */
 static void
-free_copy (cv_move_t *m)
+free_copy (cv_move_t *m, bool at_source)
 {
   cv_buf_t path;
 
-  m->phase = CV_MOVE_FREE;
+  m->phase = at_source ? CV_MOVE_FREE : CV_MOVE_FREE_THERE;
+  if (!at_source)
+    {
+      cv_http_call_finish (&m->call);
+      cv_http_call_init (&m->call, m->to->gateway->base, &m->to->record.address,
+                         on_result, m);
+    }
   cv_buf_init (&path);
   cv_platform_copy_path (&path, m->handle);
   cv_http_call_start (&m->call, "DELETE", cv_buf_text (&path),
@@ -113,45 +159,63 @@
   cv_buf_finish (&path);
 }
 
-/* The move did not come about.  */
+/* The move did not come about; a copy that is there is freed.  */
 static void
 give_up (cv_move_t *m, const char *outcome)
 {
   cv_exchange_t *x = m->exchange;
   bool parted = x != NULL && x->is_parted;
 
-  finish (m, outcome);
+  m->outcome = outcome;
+  if (x != NULL)
+    cv_move_forget (m);
+  if (m->handle[0] == '\0')
+    finish (m);
+  else
+    free_copy (m, true);
   if (parted)
     cv_exchange_failed (x, "move failed and the run ended", true);
 }
 
+/* The stream of X goes on from the memory that SOURCE moved or kept.  */
 static void
-on_stopped (cv_move_t *m, const cv_http_result_t *r)
+go_on (cv_move_t *m, cv_target_t *t, const char *outcome)
 {
   cv_exchange_t *x = m->exchange;
-  bool has_handle = cv_platform_decode_move (r->body, m->handle);
-  cv_target_t *next;
-  char handle[CV_NAME_MAX];
+  cv_target_t *next = cv_target_ref (t);
   struct sockaddr_in source = m->from->record.address;
+  char handle[CV_NAME_MAX];
 
-  if (!has_handle || (r->status != 200 && r->status != 503))
-    {
-      give_up (m, "run was not stopped");
-      return;
-    }
-  if (x == NULL)
-    {
-      free_copy (m);
-      return;
-    }
-  /* Where the rest could not be copied, the source still keeps it all.  */
-  next = cv_target_ref (r->status == 200 ? m->to : m->from);
   (void)cv_copy (handle, sizeof handle, m->handle);
-  finish (m, r->status == 200 ? "moved" : "goes on at the source");
+  m->outcome = outcome;
+  m->is_done = t == m->to;
+  cv_move_forget (m);
+  if (m->is_done)
+    finish (m);
+  else
+    free_copy (m, false);
   cv_exchange_resume (x, next, &source, handle, "moved off its engine");
   cv_target_unref (next);
 }
 
+static void
+on_stopped (cv_move_t *m, const cv_http_result_t *r)
+{
+  cv_exchange_t *x = m->exchange;
+  bool has_handle = cv_platform_decode_move (r->body, m->handle);
+
+  if (x == NULL)
+    give_up (m, "run has ended");
+  else if (has_handle && r->status == 200)
+    go_on (m, m->to, "moved");
+  else if (has_handle && r->status == 503)
+    go_on (m, m->from, "goes on at the source");
+  else if (r->status == 0 && x->is_parted)
+    go_on (m, m->to, "source ended; goes on from what was copied");
+  else
+    give_up (m, "run was not stopped");
+}
+
 static void
 on_result (void *owner, const cv_http_result_t *r)
 {
@@ -159,22 +223,27 @@
 
   switch (m->phase)
     {
+    case CV_MOVE_ASK:
+      return; /* nothing was called */
     case CV_MOVE_COPY:
-      if (r->status == 200 && cv_platform_decode_move (r->body, m->handle))
-        {
-          if (m->exchange != NULL)
-            order (m, true);
-          else
-            free_copy (m);
-          return;
-        }
-      give_up (m, r->status == 404 ? "no such run" : "no copy was made");
+      if (r->status != 200 || !cv_platform_decode_move (r->body, m->handle))
+        give_up (m, r->status == 404 ? "no such run" : "no copy was made");
+      else if (m->exchange != NULL)
+        order (m, true);
+      else
+        give_up (m, "run has ended");
       return;
     case CV_MOVE_STOP:
       on_stopped (m, r);
       return;
     case CV_MOVE_FREE:
-      finish (m, "copy freed");
+      if (r->status == 0)
+        free_copy (m, false);
+      else
+        finish (m);
+      return;
+    case CV_MOVE_FREE_THERE:
+      finish (m);
       return;
     }
 }
@@ -194,19 +263,20 @@
 
 /* Whether the stream of X ends with its engine unless it is moved.  */
 static bool
-needs_move (const cv_exchange_t *x, const cv_target_t *t)
+needs_move (const cv_exchange_t *x, const cv_target_t *t, cv_time_t now)
 {
   return x->target == t && x->move == NULL && x->moves < TRIES_MAX
-         && x->state == CV_EXCHANGE_STREAMING && x->events.count > 0
-         && !x->route->resumable && x->service->engine.can_move
-         && x->request.attempt.p != NULL && x->request.attempt.n < CV_RUN_MAX;
+         && now >= x->no_move_until && x->state == CV_EXCHANGE_STREAMING
+         && x->events.count > 0 && !x->route->resumable
+         && x->service->engine.can_move && x->request.attempt.p != NULL
+         && x->request.attempt.n < CV_RUN_MAX;
 }
 
 static void
 describe (const cv_exchange_t *x, cv_time_t now, cv_evacuee_t *out)
 {
   uint32_t per_event = x->service->engine.event_tokens;
-  uint64_t made = x->events.count * per_event;
+  uint64_t made = cv_exchange_produced (x);
   uint32_t limit = x->request.output_limit;
 
   /* The caller's estimate is too often too low to rest a run's life on it;
@@ -220,36 +290,126 @@
 }
 
 static void
-start (cv_exchange_t *x, cv_target_t *t)
+leave_destination (cv_move_t *m)
 {
-  cv_evacuee_t run;
+  m->to->copy_tokens -= m->tokens;
+  cv_target_unref (m->to);
+  m->to = NULL;
+}
+
+static void
+copy (cv_move_t *m)
+{
+  m->exchange->moves++;
+  log_move (m, CV_EV_GATEWAY_MOVE_STARTED, purpose_text (m->purpose));
+  order (m, false);
+}
+
+/* Find a destination and ask it; false when there is none.  */
+static bool
+ask (cv_move_t *m)
+{
+  cv_exchange_t *x = m->exchange;
   cv_target_t *to;
-  cv_move_t *m;
+  cv_evacuee_t run;
 
   describe (x, cv_now (), &run);
-  to = cv_choose_destination (x, t, run.memory_tokens + MARGIN_TOKENS);
-
-  x->moves++;
+  to = cv_choose_destination (x, m->from, run.memory_tokens + MARGIN_TOKENS,
+                              m->purpose);
   if (to == NULL)
+    return false;
+  m->to = cv_target_ref (to);
+  to->copy_tokens += m->tokens;
+  if (!cv_target_is_observed (to, cv_now ()))
     {
-      send_turn (t, x->request.attempt, CV_TURN_OVER, 0);
-      return;
+      copy (m);
+      return true;
     }
-  m = cv_calloc (1, sizeof *m);
+  m->phase = CV_MOVE_ASK;
+  m->asked_at = cv_now ();
+  m->asks++;
+  cv_ask_tell (x, to, m->purpose);
+  return true;
+}
+
+/* No engine has room for the run at present.  */
+static void
+give_up_asking (cv_move_t *m)
+{
+  m->exchange->no_move_until
+      = cv_now ()
+        + (m->purpose == CV_ROOM_RESCUE ? RESCUE_AGAIN : BALANCE_AGAIN);
+  give_up (m, "no engine has room");
+}
+
+static void
+start (cv_exchange_t *x, cv_target_t *t)
+{
+  cv_move_t *m = cv_calloc (1, sizeof *m);
+
   m->exchange = x;
   m->from = cv_target_ref (t);
-  m->to = cv_target_ref (to);
   m->tokens = x->need_tokens;
   m->started = cv_now ();
+  m->purpose = cv_target_is_departing (t) || t->load.strain == CV_STRAIN_CROWDED
+                   ? CV_ROOM_RESCUE
+                   : CV_ROOM_BALANCE;
   (void)cv_copy_slice (m->run, sizeof m->run, x->request.attempt);
-  to->copy_tokens += m->tokens;
   t->move = m;
   x->move = m;
   cv_http_call_init (&m->call, x->gateway->base, &t->record.address, on_result,
                      m);
-  cv_ask_tell (x, to, CV_ROOM_TAKEN);
-  log_move (m, CV_EV_GATEWAY_MOVE_STARTED, "copying");
-  order (m, false);
+  if (!ask (m))
+    give_up_asking (m);
+}
+
+/* The destination has no room: ask another one.  */
+static void
+ask_next (cv_move_t *m)
+{
+  m->to->no_room_until = cv_now () + NO_ROOM_FOR;
+  leave_destination (m);
+  if (m->asks >= ASKS_MAX || !ask (m))
+    give_up_asking (m);
+}
+
+bool
+cv_move_answered (cv_gateway_t *g, const cv_target_t *to,
+                  const cv_msg_room_t *answer)
+{
+  cv_target_t *t;
+
+  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = TAILQ_NEXT (t, entry))
+    {
+      cv_move_t *m = t->move;
+
+      if (m == NULL || m->phase != CV_MOVE_ASK || m->to != to
+          || strcmp (m->run, answer->run) != 0)
+        continue;
+      if (m->exchange == NULL)
+        give_up (m, "run has ended");
+      else if (answer->step == CV_ROOM_GRANTED)
+        copy (m);
+      else
+        ask_next (m);
+      return true;
+    }
+  return false;
+}
+
+/* No answer: the observer may be gone.  A run that is lost otherwise is copied
+   all the same.  */
+static void
+ask_timeout (cv_move_t *m, cv_time_t now)
+{
+  if (now - m->asked_at < ANSWER_TIMEOUT)
+    return;
+  if (m->exchange == NULL)
+    give_up (m, "run has ended");
+  else if (m->purpose == CV_ROOM_RESCUE)
+    copy (m);
+  else
+    ask_next (m);
 }
 
 /* Without an observer that gives turns, the gateway orders its own runs.  */
@@ -263,7 +423,7 @@
   uint32_t i;
 
   for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
-    if (n < RUNS_MAX && needs_move (x, t))
+    if (n < RUNS_MAX && needs_move (x, t, now))
       {
         describe (x, now, &runs[n]);
         candidates[n++] = x;
@@ -282,7 +442,7 @@
     {
       cv_evacuee_t run;
 
-      if (!needs_move (x, t))
+      if (!needs_move (x, t, now))
         continue;
       describe (x, now, &run);
       if (cv_evacuation_pick (&run, 1, cv_target_time_left (t, now))
@@ -294,12 +454,13 @@
 void
 cv_move_granted (cv_gateway_t *g, cv_target_t *t, const char *run)
 {
+  cv_time_t now = cv_now ();
   cv_exchange_t *x;
 
   if (t->move != NULL)
     return;
   for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
-    if (needs_move (x, t)
+    if (needs_move (x, t, now)
         && cv_slice_equal (x->request.attempt, cv_slice (run)))
       {
         start (x, t);
@@ -317,18 +478,44 @@
     start_next (g, t, now);
 }
 
+/* Whether requests have been waiting for room for a while.  */
+static bool
+is_short_of_room (const cv_gateway_t *g, cv_time_t now)
+{
+  const cv_exchange_t *x;
+
+  TAILQ_FOREACH (x, &g->waiting, waiting)
+  if (x->request.is_generation && now - x->started > SHORT_AFTER)
+    return true;
+  return false;
+}
+
+/* Whether runs should leave T.  */
+static bool
+wants_moves (const cv_target_t *t, cv_time_t now, bool is_short)
+{
+  if (cv_target_is_departing (t))
+    return true;
+  return cv_target_is_observed (t, now)
+         && (t->load.strain == CV_STRAIN_CROWDED
+             || (is_short && t->load.strain == CV_STRAIN_FULL));
+}
+
 void
 cv_moves_tick (cv_gateway_t *g, cv_time_t now)
 {
+  bool is_short = is_short_of_room (g, now);
   cv_target_t *t;
   cv_target_t *next;
 
   for (t = TAILQ_FIRST (&g->targets); t != NULL; t = next)
     {
       next = TAILQ_NEXT (t, entry);
-      if (t->move != NULL)
+      if (t->move != NULL && t->move->phase == CV_MOVE_ASK)
+        ask_timeout (t->move, now);
+      else if (t->move != NULL)
         cv_http_call_tick (&t->move->call, now);
-      else if (t->in_flight > 0 && cv_target_is_departing (t))
+      else if (t->in_flight > 0 && wants_moves (t, now, is_short))
         evacuate (g, t, now);
     }
 }
@@ -340,5 +527,8 @@
 
   for (t = TAILQ_FIRST (&g->targets); t != NULL; t = TAILQ_NEXT (t, entry))
     if (t->move != NULL)
-      finish (t->move, "stopped");
+      {
+        t->move->outcome = "stopped";
+        finish (t->move);
+      }
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -15,6 +15,7 @@
 #include "http/reader.h"
 #include "platform/platform.h"
 #include "policy/health.h"
+#include "policy/output.h"
 #include "policy/placement.h"
 #include "policy/policy.h"
 #include "policy/refusal.h"
@@ -56,7 +57,11 @@
   cv_time_t missing_until; /* CV_TARGET_MISSING: then it is removed */
   bool seen;               /* in the list being read */
   cv_health_t health;
-  cv_time_t full_until; /* it rejected a request for want of room */
+  cv_time_t full_until;    /* it rejected a request for want of room */
+  cv_time_t no_room_until; /* its observer refused a run that moves */
+  /* The least that its observer refused since it last told its load, 0:
+     nothing.  */
+  uint64_t refused_tokens;
   struct cv_http_links_t idle;
   uint32_t idle_count;
   uint32_t in_flight; /* own requests there */
@@ -163,7 +168,8 @@
   cv_service_state_t *service_state;
   const cv_client_account_t *account; /* NULL: none */
   cv_caller_request_t request;
-  uint64_t need_tokens; /* memory of the run at its end, as estimated */
+  cv_output_t output;   /* of a generation, as expected */
+  uint64_t need_tokens; /* memory of the run at its end, as expected */
   cv_time_t started;
   cv_time_t expires;    /* the caller or the route gives up */
   cv_time_t wait_until; /* no use in waiting for a target any longer */
@@ -195,9 +201,10 @@
   bool from_copy;      /* the present attempt goes on from a copy */
   struct sockaddr_in copy_at;
   char copy_handle[CV_HANDLE_MAX];
-  cv_move_t *move; /* of its run, or NULL */
-  uint32_t moves;  /* that were tried */
-  bool is_parted;  /* its run was stopped for a move */
+  cv_move_t *move;         /* of its run, or NULL */
+  uint32_t moves;          /* that were tried */
+  cv_time_t no_move_until; /* no engine had room for its run */
+  bool is_parted;          /* its run was stopped for a move */
 
   cv_buf_t answer;    /* collected body */
   bool head_sent;     /* the caller has the answer's head */
@@ -356,6 +363,8 @@
 void cv_exchange_resume (cv_exchange_t *x, cv_target_t *t,
                          const struct sockaddr_in *source, const char *handle,
                          const char *reason);
+/* Tokens of its output that X's caller has.  */
+uint64_t cv_exchange_produced (const cv_exchange_t *x);
 /* Wait for a target with room, or end X when there is no time left.  */
 void cv_exchange_wait (cv_exchange_t *x);
 /* Find a target and send, or wait for one.  */
@@ -374,7 +383,7 @@
 cv_target_t *cv_choose_target (cv_exchange_t *x);
 /* Where to move X's run of TOKENS off T, or NULL.  */
 cv_target_t *cv_choose_destination (cv_exchange_t *x, const cv_target_t *t,
-                                    uint64_t tokens);
+                                    uint64_t tokens, cv_room_purpose_t purpose);
 uint32_t cv_choose_retry_after (cv_exchange_t *x);
 
 /* targets.c */
@@ -414,10 +423,13 @@
 void cv_ask_answered (cv_gateway_t *g, cv_target_t *t, const cv_msg_room_t *m);
 /* No answer came in time: the request is sent.  */
 void cv_ask_tick (cv_exchange_t *x, cv_time_t now);
-/* Tell the observer of T what becomes of the room for X.  */
+/* Ask the observer of T for room for X, without waiting.  */
 void cv_ask_tell (const cv_exchange_t *x, const cv_target_t *t,
-                  cv_room_step_t step);
+                  cv_room_purpose_t purpose);
+/* X waits for no answer any more.  */
 void cv_ask_stop (cv_exchange_t *x);
+/* RUN will not come to T, or has ended.  */
+void cv_ask_release (const cv_target_t *t, cv_slice_t run);
 
 /* loads.c */
 bool cv_loads_open (cv_gateway_t *g, cv_error_t *err);
@@ -439,6 +451,10 @@
 bool cv_move_is_stopping (const cv_move_t *m);
 /* The observer of T has given RUN its turn.  */
 void cv_move_granted (cv_gateway_t *g, cv_target_t *t, const char *run);
+/* The observer of TO answers for a run that is to move there; false when none
+   is.  */
+bool cv_move_answered (cv_gateway_t *g, const cv_target_t *to,
+                       const cv_msg_room_t *answer);
 /* The exchange of M ends.  */
 void cv_move_forget (cv_move_t *m);
 
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -151,8 +151,9 @@
   msg.u.engine_load = o->load;
   msg.u.engine_load.sequence = ++o->sequence;
   msg.u.engine_load.gateways = o->gateway_count;
-  msg.u.engine_load.kv_promised = o->room.promised;
-  msg.u.engine_load.unread = o->room.unread;
+  msg.u.engine_load.kv_peak = o->room.peak;
+  msg.u.engine_load.unread = o->room.sum.unread;
+  msg.u.engine_load.strain = o->room.strain;
   (void)cv_copy (msg.u.engine_load.target, CV_NAME_MAX, o->name);
   for (uint32_t i = 0; i < o->gateway_count; i++)
     cv_datagram_send (o->socket, &o->gateways[i], &msg);
@@ -193,8 +194,12 @@
   note_reachable (o, true, "reports its load");
   if (load.started_ms != o->load.started_ms)
     cv_room_init (&o->room);
-  report = (cv_room_report_t){ runs, n, load.kv_used, load.kv_copies,
-                               load.kv_total };
+  report = (cv_room_report_t){ .runs = runs,
+                               .run_count = n,
+                               .pending = load.reading + load.waiting,
+                               .used = load.kv_used,
+                               .copies = load.kv_copies,
+                               .total = load.kv_total };
   cv_room_report (&o->room, cv_now (), &report);
   if (load.started_ms != o->named_for || o->name[0] == '\0')
     {
--- a/observer/requests.c
+++ b/observer/requests.c
@@ -37,6 +37,8 @@
   switch (m->turn)
     {
     case CV_TURN_WANTED:
+      if (!o->load.leaving && o->room.strain == CV_STRAIN_NONE)
+        return;
       place = cv_turns_ask (&o->turns, now, run, m->tokens);
       if (place == CV_TURN_NONE)
         return;
@@ -57,6 +59,23 @@
     }
 }
 
+static void
+log_room (const cv_observer_t *o, cv_event_t event, const cv_msg_room_t *m)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, event);
+  cv_line_text (&l, "target", cv_slice (o->name));
+  cv_line_text (&l, "request", cv_slice (m->run));
+  cv_line_number (&l, "purpose", m->purpose);
+  cv_line_number (&l, "memory_held", (int64_t)o->room.sum.held);
+  cv_line_number (&l, "memory_peak", (int64_t)o->room.peak);
+  cv_line_number (&l, "unread", (int64_t)o->room.sum.unread);
+  cv_line_number (&l, "memory_total", (int64_t)o->room.total);
+  cv_line_end (&l);
+}
+
+/* Refusals are logged by the gateways, once for all engines that they ask.  */
 static void
 answer_room (cv_observer_t *o, const cv_msg_room_t *asked, bool granted,
              const struct sockaddr_in *gateway)
@@ -65,6 +84,8 @@
 
   msg.u.room = *asked;
   msg.u.room.step = granted ? CV_ROOM_GRANTED : CV_ROOM_REFUSED;
+  if (granted)
+    log_room (o, CV_EV_OBSERVER_ROOM_GRANTED, asked);
   /* A lost answer counts at the gateway as a grant.  */
   cv_datagram_send (o->socket, gateway, &msg);
 }
@@ -73,22 +94,21 @@
 take_room (cv_observer_t *o, const cv_msg_room_t *m,
            const struct sockaddr_in *gateway, cv_time_t now)
 {
-  uint64_t run = cv_platform_run_hash (cv_slice (m->run));
+  cv_room_need_t need = { .run = cv_platform_run_hash (cv_slice (m->run)),
+                          .purpose = m->purpose,
+                          .prompt_tokens = m->prompt_tokens,
+                          .produced = m->produced,
+                          .output = { m->expected, m->limit } };
 
   switch (m->step)
     {
     case CV_ROOM_ASKED:
-      answer_room (
-          o, m,
-          !o->load.leaving
-              && cv_room_ask (&o->room, now, run, m->tokens, m->prompt_tokens),
-          gateway);
-      return;
-    case CV_ROOM_TAKEN:
-      (void)cv_room_ask (&o->room, now, run, m->tokens, m->prompt_tokens);
+      answer_room (o, m, !o->load.leaving && cv_room_ask (&o->room, now, &need),
+                   gateway);
       return;
     case CV_ROOM_RELEASED:
-      cv_room_release (&o->room, run);
+      if (cv_room_release (&o->room, need.run))
+        log_room (o, CV_EV_OBSERVER_ROOM_GIVEN_BACK, m);
       return;
     case CV_ROOM_GRANTED:
     case CV_ROOM_REFUSED:
--- /dev/null
+++ b/policy/forecast.c
@@ -0,0 +1,44 @@
+/* Memory that the runs of one engine will need.  */
+
+#include <math.h>
+#include <string.h>
+
+#include "policy/forecast.h"
+
+const uint32_t cv_forecast_ahead[CV_FORECAST_POINTS]
+    = { 16, 48, 96, 192, 384, 768, 1536, 3072 };
+
+void
+cv_forecast_init (cv_forecast_t *f)
+{
+  memset (f, 0, sizeof *f);
+}
+
+void
+cv_forecast_add (cv_forecast_t *f, double tokens,
+                 const double alive[CV_FORECAST_POINTS])
+{
+  for (int k = 0; k < CV_FORECAST_POINTS; k++)
+    {
+      double size = tokens + cv_forecast_ahead[k];
+      double p = alive[k];
+
+      f->mean[k] += p * size;
+      f->variance[k] += p * (1 - p) * size * size;
+    }
+}
+
+double
+cv_forecast_peak (const cv_forecast_t *f, double sigmas)
+{
+  double peak = 0;
+
+  for (int k = 0; k < CV_FORECAST_POINTS; k++)
+    {
+      double need = f->mean[k] + sigmas * sqrt (f->variance[k]);
+
+      if (need > peak)
+        peak = need;
+    }
+  return peak;
+}
--- a/policy/gate.h
+++ b/policy/gate.h
@@ -4,11 +4,10 @@
 #ifndef CV_POLICY_GATE_H
 #define CV_POLICY_GATE_H
 
+#include "policy/forecast.h"
 #include "policy/length.h"
 #include "policy/map.h"
 
-/* Points ahead at which memory is forecast.  */
-#define GATE_POINTS 8
 #define GATE_LENGTH_KEYS 1024
 /* Standard deviations kept free above the expected need.  */
 #define GATE_SIGMAS 1.0
@@ -51,13 +50,6 @@
   double received;
 } cv_gate_share_t;
 
-/* Memory needed at each point ahead: expectation and variance.  */
-typedef struct
-{
-  double mean[GATE_POINTS];
-  double variance[GATE_POINTS];
-} cv_gate_need_t;
-
 struct cv_gate_t
 {
   uint64_t kv_total;
--- a/policy/gate_plan.c
+++ b/policy/gate_plan.c
@@ -19,14 +19,11 @@
   size_t max;
 } plan_t;
 
-static const uint32_t ahead[GATE_POINTS]
-    = { 16, 48, 96, 192, 384, 768, 1536, 3072 };
-
 static void act (plan_t *p, cv_gate_verb_t verb, const cv_gate_stream_t *s);
-static void need_add (const cv_gate_t *g, cv_gate_need_t *need,
+static void need_add (const cv_gate_t *g, cv_forecast_t *need,
                       const cv_gate_stream_t *s);
-static void need_all (const cv_gate_t *g, cv_gate_need_t *need);
-static bool fits (const cv_gate_t *g, cv_gate_need_t *need,
+static void need_all (const cv_gate_t *g, cv_forecast_t *need);
+static bool fits (const cv_gate_t *g, cv_forecast_t *need,
                   const cv_gate_stream_t *s);
 static void refuse_late (cv_gate_t *g, cv_time_t now, plan_t *p);
 static void pause_some (cv_gate_t *g, cv_time_t now, plan_t *p);
@@ -45,37 +42,33 @@
 }
 
 static void
-need_add (const cv_gate_t *g, cv_gate_need_t *need, const cv_gate_stream_t *s)
+need_add (const cv_gate_t *g, cv_forecast_t *need, const cv_gate_stream_t *s)
 {
-  double alive[GATE_POINTS];
-
-  cv_length_survivals (g->lengths, &s->work.key, s->produced, ahead,
-                       GATE_POINTS, alive);
-  for (int k = 0; k < GATE_POINTS; k++)
-    {
-      double size = (double)s->work.prompt_tokens + s->produced + ahead[k];
-      double p = s->produced + ahead[k] < s->work.max_tokens ? alive[k] : 0;
-
-      need->mean[k] += p * size;
-      need->variance[k] += p * (1 - p) * size * size;
-    }
+  double alive[CV_FORECAST_POINTS];
+
+  cv_length_survivals (g->lengths, &s->work.key, s->produced, cv_forecast_ahead,
+                       CV_FORECAST_POINTS, alive);
+  for (int k = 0; k < CV_FORECAST_POINTS; k++)
+    if (s->produced + cv_forecast_ahead[k] >= s->work.max_tokens)
+      alive[k] = 0;
+  cv_forecast_add (need, (double)s->work.prompt_tokens + s->produced, alive);
 }
 
 static void
-need_all (const cv_gate_t *g, cv_gate_need_t *need)
+need_all (const cv_gate_t *g, cv_forecast_t *need)
 {
   const cv_gate_stream_t *s;
 
-  *need = (cv_gate_need_t){ 0 };
+  cv_forecast_init (need);
   TAILQ_FOREACH (s, &g->running, link)
   need_add (g, need, s);
 }
 
 /* Whether S fits beside the streams of NEED, which then counts it too.  */
 static bool
-fits (const cv_gate_t *g, cv_gate_need_t *need, const cv_gate_stream_t *s)
+fits (const cv_gate_t *g, cv_forecast_t *need, const cv_gate_stream_t *s)
 {
-  cv_gate_need_t with = *need;
+  cv_forecast_t with = *need;
   double room = GATE_FILL * (double)g->kv_total;
   double now = (double)g->used + s->work.prompt_tokens + s->produced;
 
@@ -87,9 +80,8 @@
   if (now + (double)GATE_NEAR_TOKENS * (g->running_count + 1) > room)
     return false;
   need_add (g, &with, s);
-  for (int k = 0; k < GATE_POINTS; k++)
-    if (with.mean[k] + GATE_SIGMAS * sqrt (with.variance[k]) > room)
-      return false;
+  if (cv_forecast_peak (&with, GATE_SIGMAS) > room)
+    return false;
   *need = with;
   return true;
 }
@@ -200,7 +192,7 @@
 static void
 start_some (cv_gate_t *g, cv_time_t now, plan_t *p)
 {
-  cv_gate_need_t need;
+  cv_forecast_t need;
   cv_gate_stream_t *s;
 
   need_all (g, &need);
@@ -239,13 +231,11 @@
 void
 cv_gate_load (const cv_gate_t *g, cv_load_t *load)
 {
-  cv_gate_need_t need;
-  double peak = (double)g->used;
+  cv_forecast_t need;
+  double peak;
 
   need_all (g, &need);
-  for (int k = 0; k < GATE_POINTS; k++)
-    if (need.mean[k] > peak)
-      peak = need.mean[k];
+  peak = fmax ((double)g->used, cv_forecast_peak (&need, 0));
   load->running = g->running_count;
   load->waiting = g->waiting_count + g->paused_count;
   load->kv_used = g->used;
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -2,9 +2,6 @@
 
 #include "policy/placement.h"
 
-/* Part of an engine's memory up to which a gateway sends; the engine's
-   observer judges more closely.  */
-#define MEMORY_FILL 1.0
 /* A full memory counts like a backlog of this many prompt tokens, about a
    second of reading.  */
 #define MEMORY_COST 8000.0
@@ -18,10 +15,12 @@
 /* Spread among equal candidates, so that many choosers do not agree.  */
 #define NOISE_COST 200.0
 
+/* The engine's observer judges more closely.  */
 static bool
-has_room (const cv_candidate_t *c, uint64_t memory, double fill)
+has_room (const cv_candidate_t *c, const cv_placement_work_t *work)
 {
-  return (double)(c->memory_used + memory) <= fill * (double)c->memory_total;
+  return (double)(c->memory_used + work->memory)
+         <= work->fill * (double)c->memory_total;
 }
 
 /* A different number in [0, 1) for each candidate of one choice.  */
@@ -67,7 +66,7 @@
         continue;
       if (c->memory_total > 0)
         {
-          if (!has_room (c, work->memory, MEMORY_FILL))
+          if (!has_room (c, work))
             continue;
           cost = engine_cost (c, work->is_move ? FAR_MOVE_COST : FAR_COST)
                  + NOISE_COST * spread (draw, i);
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -27,8 +27,9 @@
 
 typedef struct
 {
-  uint64_t memory; /* tokens at the end of the run; 0: no generation */
-  bool is_move;    /* the run's memory is copied there while time is short */
+  uint64_t memory; /* tokens that it needs there; 0: no generation */
+  bool is_move;    /* memory is copied there and no prompt is read */
+  double fill;     /* part of the memory that may be used */
 } cv_placement_work_t;
 
 /* The index of the best target, or CV_PLACEMENT_NONE when none has room.
--- a/policy/room.c
+++ b/policy/room.c
@@ -4,133 +4,284 @@
 
 #include "policy/room.h"
 
-/* Part of the memory that is granted.  Estimates err both ways, and over the
-   runs of one engine the errors partly cancel; what is left takes the rest.  */
-#define MEMORY_FILL 0.98
-/* A run whose output is this short ends long before the others have grown; it
-   may use the memory that is kept for their growth.  */
-#define SHORT_OUTPUT 64
-#define SHORT_FILL 0.97
-/* Prompts that may wait to be read when another one comes, whatever its size.
-   An engine reads some 7 tokens in a millisecond beside its runs, so this is
-   0.6 s, well below the usual objectives for a first event.  */
-#define UNREAD_MAX 4000
-/* Growth of a run beyond its estimate, or of one without a grant.  */
-#define GROWTH_TOKENS 250
-/* Between a grant and the engine's own count of its request.  */
-#define ARRIVAL (30 * CV_MS)
-/* A grant whose request the engine has not shown for so long is void: the
-   longest wait for a first event.  */
-#define UNSEEN_MAX (8 * CV_SECOND)
+/* Part of the memory that is granted.  */
+#define MEMORY_FILL 0.97
+/* Standard deviations of the forecast that are kept free.  A forecast that
+   proves too low costs a move to another engine.  */
+#define SIGMAS 0.3
+/* Memory is short when what is expected within the next 48 tokens of each run,
+   about half a second, exceeds this part of it.  A move takes up to that.  */
+#define CROWDED_FILL 0.985
+#define CROWDED_POINT 1
+/* An engine with less than this to read could take another prompt.  */
+#define UNREAD_IDLE 500
+/* Runs that may be on their way to an engine at once: copies queue on its link,
+   and a run that has stopped waits for those before it.  */
+#define INCOMING_MAX 1
+/* A run that was refused a rescue asks again within this.  */
+#define RESCUE_HOLD (150 * CV_MS)
+/* A granted request is at its engine after this, in the queue at least.  */
+#define ARRIVAL (200 * CV_MS)
+/* A run that moves takes at most so long to go on.  */
+#define MOVE_MAX (4 * CV_SECOND)
+/* What is assumed of a run whose request is not known here.  */
+#define UNKNOWN_OUTPUT ((cv_output_t){ 512, 2048 })
 
 void
 cv_room_init (cv_room_t *r)
 {
   memset (r, 0, sizeof *r);
+  r->strain = CV_STRAIN_NONE;
 }
 
 static cv_room_grant_t *
 find (cv_room_t *r, uint64_t run)
 {
   for (uint32_t i = 0; i < CV_ROOM_MAX; i++)
-    if (r->grants[i].run == run)
+    if (r->grants[i].need.run == run)
       return &r->grants[i];
   return NULL;
 }
 
 static const cv_room_run_t *
-find_run (const cv_room_run_t *runs, uint32_t n, uint64_t run)
+find_run (const cv_room_report_t *report, uint64_t run)
 {
-  for (uint32_t i = 0; i < n; i++)
-    if (runs[i].run == run)
-      return &runs[i];
+  for (uint32_t i = 0; i < report->run_count; i++)
+    if (report->runs[i].run == run)
+      return &report->runs[i];
   return NULL;
 }
 
-/* Memory of a grant at the end of its run, whose size is now TOKENS.  */
-static uint64_t
-final_size (const cv_room_grant_t *g, uint64_t tokens)
+/* Forget grants whose run has ended.  */
+static void
+drop_ended (cv_room_t *r, const cv_room_report_t *report)
+{
+  for (uint32_t i = 0; i < CV_ROOM_MAX; i++)
+    {
+      cv_room_grant_t *g = &r->grants[i];
+      bool was_seen = g->seen;
+
+      if (g->need.run == 0)
+        continue;
+      g->seen = find_run (report, g->need.run) != NULL;
+      if (was_seen && !g->seen)
+        g->need.run = 0;
+    }
+}
+
+/* Forget grants whose request will not come, the oldest first: word of it may
+   have been lost, and the engine has fewer requests without an event.  */
+static void
+drop_lost (cv_room_t *r, cv_time_t now, uint32_t pending)
+{
+  cv_room_grant_t *oldest;
+  uint32_t arrived;
+
+  do
+    {
+      oldest = NULL;
+      arrived = 0;
+      for (uint32_t i = 0; i < CV_ROOM_MAX; i++)
+        {
+          cv_room_grant_t *g = &r->grants[i];
+          bool moves = g->need.purpose != CV_ROOM_NEW;
+
+          if (g->need.run == 0 || g->seen
+              || now - g->since <= (moves ? MOVE_MAX : ARRIVAL))
+            continue;
+          if (moves)
+            {
+              g->need.run = 0;
+              continue;
+            }
+          arrived++;
+          if (oldest == NULL || g->since < oldest->since)
+            oldest = g;
+        }
+      if (arrived > pending)
+        oldest->need.run = 0;
+    }
+  while (arrived > pending);
+}
+
+static void
+forecast (cv_forecast_t *f, uint64_t tokens, const cv_output_t *output,
+          uint32_t produced)
 {
-  return tokens + GROWTH_TOKENS / 2 > g->tokens ? tokens + GROWTH_TOKENS
-                                                : g->tokens;
+  double alive[CV_FORECAST_POINTS];
+
+  cv_output_survivals (output, produced, cv_forecast_ahead, CV_FORECAST_POINTS,
+                       alive);
+  cv_forecast_add (f, (double)tokens, alive);
+}
+
+/* Count NEED, which is still to come.  */
+static void
+count_coming (cv_room_sum_t *s, const cv_room_need_t *need)
+{
+  uint64_t tokens = (uint64_t)need->prompt_tokens + need->produced;
+
+  s->held += tokens;
+  s->runs++;
+  if (need->purpose == CV_ROOM_NEW)
+    s->unread += need->prompt_tokens;
+  forecast (&s->forecast, tokens, &need->output, need->produced);
+}
+
+static void
+count_run (cv_room_sum_t *s, const cv_room_run_t *run,
+           const cv_room_need_t *need)
+{
+  uint32_t produced = 0;
+
+  if (need != NULL && run->tokens > need->prompt_tokens)
+    produced = (uint32_t)(run->tokens - need->prompt_tokens);
+  s->held += run->tokens;
+  s->runs++;
+  forecast (&s->forecast, run->tokens,
+            need != NULL ? &need->output : &UNKNOWN_OUTPUT, produced);
+}
+
+/* An engine without a run has no strain, whatever else holds its memory.  */
+static cv_strain_t
+strain_of (const cv_room_t *r)
+{
+  const cv_room_sum_t *s = &r->sum;
+  double total = (double)r->total;
+  double mean;
+
+  if (s->runs == 0)
+    return CV_STRAIN_NONE;
+  if (s->forecast.mean[CROWDED_POINT] > CROWDED_FILL * total)
+    return CV_STRAIN_CROWDED;
+  mean = (double)s->held / s->runs;
+  if (s->unread <= UNREAD_IDLE && (double)r->peak + mean > MEMORY_FILL * total)
+    return CV_STRAIN_FULL;
+  return CV_STRAIN_NONE;
+}
+
+static void
+sum_up (cv_room_t *r)
+{
+  double peak = cv_forecast_peak (&r->sum.forecast, SIGMAS);
+
+  r->peak = peak > (double)r->sum.held ? (uint64_t)peak : r->sum.held;
+  r->strain = strain_of (r);
 }
 
 void
 cv_room_report (cv_room_t *r, cv_time_t now, const cv_room_report_t *report)
 {
+  uint64_t moving = 0;
+
   r->total = report->total;
-  r->copies = report->copies;
-  r->used = report->used;
-  r->promised = report->copies;
-  r->unread = 0;
+  memset (&r->sum, 0, sizeof r->sum);
+  drop_ended (r, report);
+  drop_lost (r, now, report->pending);
   for (uint32_t i = 0; i < CV_ROOM_MAX; i++)
     {
-      cv_room_grant_t *g = &r->grants[i];
-      const cv_room_run_t *run;
+      const cv_room_need_t *need = &r->grants[i].need;
+      const cv_room_run_t *run = find_run (report, need->run);
 
-      if (g->run == 0)
+      if (need->run == 0)
         continue;
-      run = find_run (report->runs, report->run_count, g->run);
-      if (run == NULL && (g->seen || now - g->since > UNSEEN_MAX))
-        {
-          g->run = 0;
-          continue;
-        }
-      g->seen = run != NULL;
-      r->promised += run != NULL ? final_size (g, run->tokens) : g->tokens;
-      r->unread += run == NULL ? g->prompt_tokens : 0;
-      /* A prompt that is being read counts in the engine's own figure soon
-         after it was sent.  */
-      if (run == NULL && now - g->since < ARRIVAL)
-        r->used += g->prompt_tokens;
+      if (run != NULL)
+        count_run (&r->sum, run, need);
+      else
+        count_coming (&r->sum, need);
+      if (run == NULL && need->purpose != CV_ROOM_NEW)
+        moving += need->prompt_tokens + need->produced;
     }
   for (uint32_t i = 0; i < report->run_count; i++)
     if (find (r, report->runs[i].run) == NULL)
-      r->promised += report->runs[i].tokens + GROWTH_TOKENS;
+      count_run (&r->sum, &report->runs[i], NULL);
+  /* The copies of runs that are known to come are counted with these.  */
+  if (report->copies > moving)
+    r->sum.held += report->copies - moving;
+  if (report->used > r->sum.held)
+    r->sum.held = report->used;
+  sum_up (r);
+}
+
+/* Runs whose memory is on its way here.  */
+static uint32_t
+count_incoming (const cv_room_t *r)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < CV_ROOM_MAX; i++)
+    {
+      const cv_room_grant_t *g = &r->grants[i];
+
+      n += g->need.run != 0 && !g->seen && g->need.purpose != CV_ROOM_NEW;
+    }
+  return n;
 }
 
 static bool
-has_room (const cv_room_t *r, uint64_t tokens, uint64_t prompt_tokens)
+has_room (const cv_room_t *r, const cv_room_need_t *need)
 {
   double total = (double)r->total;
+  cv_room_sum_t with = r->sum;
 
-  if (r->unread > UNREAD_MAX)
-    return false;
-  if ((double)(r->promised + tokens) <= MEMORY_FILL * total)
-    return true;
-  return tokens - prompt_tokens <= SHORT_OUTPUT
-         && (double)(r->used + tokens) <= SHORT_FILL * total;
+  count_coming (&with, need);
+  switch (need->purpose)
+    {
+    case CV_ROOM_NEW:
+      return r->sum.unread <= CV_ROOM_UNREAD_MAX
+             && (double)with.held <= MEMORY_FILL * total
+             && cv_forecast_peak (&with.forecast, SIGMAS)
+                    <= MEMORY_FILL * total;
+    case CV_ROOM_BALANCE:
+      return count_incoming (r) < INCOMING_MAX
+             && (double)with.held <= CV_ROOM_BALANCE_FILL * total
+             && cv_forecast_peak (&with.forecast, SIGMAS)
+                    <= CV_ROOM_BALANCE_FILL * total;
+    case CV_ROOM_RESCUE:
+      /* Its growth comes later.  */
+      return count_incoming (r) < INCOMING_MAX
+             && (double)with.held <= MEMORY_FILL * total;
+    }
+  return false;
 }
 
-bool
-cv_room_ask (cv_room_t *r, cv_time_t now, uint64_t run, uint64_t tokens,
-             uint64_t prompt_tokens)
+static bool
+add (cv_room_t *r, cv_time_t now, const cv_room_need_t *need)
 {
-  cv_room_grant_t *g = find (r, run);
+  cv_room_grant_t *g = find (r, 0);
 
-  if (g != NULL)
-    return true;
-  if (!has_room (r, tokens, prompt_tokens))
-    return false;
-  g = find (r, 0);
   if (g == NULL)
     return false;
-  *g = (cv_room_grant_t){ run, tokens, prompt_tokens, now, false };
-  r->promised += tokens;
-  r->used += prompt_tokens;
-  r->unread += prompt_tokens;
+  *g = (cv_room_grant_t){ *need, now, false };
+  count_coming (&r->sum, need);
+  sum_up (r);
   return true;
 }
 
-void
+bool
+cv_room_ask (cv_room_t *r, cv_time_t now, const cv_room_need_t *need)
+{
+  if (find (r, need->run) != NULL)
+    return true;
+  if (need->purpose != CV_ROOM_RESCUE && now < r->rescue_until)
+    return false;
+  if (has_room (r, need))
+    return add (r, now, need);
+  if (need->purpose == CV_ROOM_RESCUE)
+    r->rescue_until = now + RESCUE_HOLD;
+  return false;
+}
+
+/* What the run held is counted until the next report.  */
+bool
 cv_room_release (cv_room_t *r, uint64_t run)
 {
   cv_room_grant_t *g = find (r, run);
 
   if (g == NULL)
-    return;
-  r->promised -= g->tokens < r->promised ? g->tokens : r->promised;
-  if (!g->seen)
-    r->unread -= g->prompt_tokens < r->unread ? g->prompt_tokens : r->unread;
-  g->run = 0;
+    return false;
+  if (!g->seen && g->need.purpose == CV_ROOM_NEW)
+    r->sum.unread -= g->need.prompt_tokens;
+  g->need.run = 0;
+  return !g->seen;
 }
--- a/tests/gateway/bench.py
+++ b/tests/gateway/bench.py
@@ -27,6 +27,7 @@
         self.config = copy.deepcopy(CONFIG)
         self.targets = {}
         self.process = None
+        self.observers = []
         self.ports = {}
         self.lines = []
         self.logs = []
@@ -78,6 +79,21 @@
         asyncio.ensure_future(self.read_logs(process.stdout))
         return process
 
+    async def spawn_observer(self, engine):
+        """The observer of ENGINE."""
+        return await self.spawn({
+            "role": "observer", "instance": f"observer-{engine.name}",
+            "engine_url": f"http://127.0.0.1:{engine.port}",
+            "store_url": f"http://127.0.0.1:{self.store.port}"})
+
+    async def observe(self, engine):
+        """Start ENGINE and its observer, and wait until that has spoken."""
+        await engine.start()
+        self.observers.append(await self.spawn_observer(engine))
+        await self.until_logged("OBSERVER_ENGINE_UP")
+        # The gateway is found by a list every 2 s.
+        await asyncio.sleep(2.5)
+
     async def read_logs(self, stream):
         while line := await stream.readline():
             self.logs.append(json.loads(line))
@@ -108,9 +124,10 @@
         await self.until(seen)
 
     async def stop(self):
-        if self.process and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+        for process in (self.process, *self.observers):
+            if process and process.returncode is None:
+                process.kill()
+                await process.wait()
 
     def terminate(self):
         self.process.send_signal(signal.SIGTERM)
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -4,7 +4,8 @@
 import json
 import time
 
-from standins import answer, chunk, echo, event, signed, start_stream
+from standins import (Engine, answer, chunk, echo, event, signed,
+                      start_stream)
 
 PROMPT = {"Model": "m", "Token-Usage": "400,80", "Prefix-Hash": "1:400"}
 
@@ -316,6 +317,121 @@
               f"{numbers == list(range(len(numbers)))}")
 
 
+async def leave_with_a_run(bench, script):
+    """A run of 20,000 tokens on an engine m1 that leaves; m2 is observed.  The
+    caller's task is returned."""
+    await bench.start()
+    old = await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    caller = asyncio.ensure_future(bench.ask(
+        "POST", "/long/1", b"x", **{**PROMPT, "Token-Usage": "20000,900"}))
+    await bench.until_logged("GATEWAY_SENT")
+    await bench.add_target("m2", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m2")
+    await bench.observe(Engine("m2"))
+    await bench.store.put("servers", "m1", old.record("draining"))
+    return caller
+
+
+async def move_refused(bench):
+    """A copy is not made: the room that was kept for the run at the other
+    engine is given back, and a new request has it."""
+    async def script(target, request, writer):
+        if request.path == "/kv-move":
+            writer.write(answer(503))
+            return True
+        await start_stream(request, writer)
+        for i in range(100 if target.name == "m1" else 2):
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    caller = await leave_with_a_run(bench, script)
+    await bench.until_logged("GATEWAY_MOVE_ENDED", outcome="no copy was made")
+    await bench.until_logged("OBSERVER_ROOM_GIVEN_BACK", target="m2")
+    await asyncio.sleep(1)
+    status, _, _ = await bench.ask(
+        "POST", "/long/2", b"x", **{**PROMPT, "Token-Usage": "20000,900"})
+    bench.say(f"another of the same size: {status}")
+    caller.cancel()
+
+
+async def copy_freed(bench):
+    """A run ends by itself while it is copied: the copy is freed."""
+    freed = asyncio.Event()
+
+    async def script(target, request, writer):
+        if request.path == "/kv-move":
+            final = json.loads(request.body)["Final"]
+            writer.write(answer(404 if final else 200,
+                                b'{"Session":"h7","Created":4}'))
+            return True
+        if request.method == "DELETE":
+            bench.say(f"{request.method} {request.path} at {target.name}")
+            freed.set()
+            writer.write(answer(200))
+            return True
+        await start_stream(request, writer)
+        for i in range(100):
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.05)
+        return False
+
+    caller = await leave_with_a_run(bench, script)
+    await asyncio.wait_for(freed.wait(), 5)
+    await bench.until_logged("OBSERVER_ROOM_GIVEN_BACK", target="m2")
+    bench.say("room is given back")
+    caller.cancel()
+
+
+async def full_engine(bench):
+    """A request finds one engine full and the other, new one too small for it:
+    a run of the full one moves there and the request takes its place."""
+    async def script(target, request, writer):
+        if request.path == "/kv-move":
+            writer.write(answer(200, b'{"Session":"h1","Created":4}'))
+            if json.loads(request.body)["Final"]:
+                stopped.set()
+                engines["m1"].runs.pop("a1", None)
+            return True
+        attempt = request.headers["attempt-id"]
+        bench.say(f"{attempt} at {target.name}")
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        engines[target.name].runs[attempt] = int(
+            request.headers["token-usage"].split(",")[0])
+        await start_stream(request, writer)
+        for i in range(first, first + 160):
+            if stopped.is_set() and first == 0 and attempt == "a1":
+                return False
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    stopped = asyncio.Event()
+    engines = {"m1": Engine("m1"), "m2": Engine("m2", 8000)}
+    await bench.start()
+    await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    await bench.observe(engines["m1"])
+    callers = []
+    for size in ("4000,900", "23000,900"):
+        callers.append(asyncio.ensure_future(bench.ask(
+            "POST", "/long/1", b"x",
+            **{**PROMPT, "Token-Usage": size, "Deadline-Ms": "8000"})))
+        await asyncio.sleep(0.3)
+    await bench.add_target("m2", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m2")
+    await bench.observe(engines["m2"])
+    callers.append(asyncio.ensure_future(bench.ask(
+        "POST", "/long/3", b"x", **{**PROMPT, "Token-Usage": "9000,900"})))
+    await bench.until_logged("GATEWAY_MOVE_ENDED", outcome="moved")
+    await bench.until_logged("GATEWAY_SENT", request="a3", target="m1")
+    for task in callers:
+        task.cancel()
+
+
 async def silent_store(bench):
     """The store falls silent and comes back: what changed meanwhile is in
     force soon after, and requests are served all the while."""
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -8,7 +8,6 @@
 import argparse
 import asyncio
 import collections
-import json
 import os
 import random
 import signal
@@ -19,7 +18,7 @@
 sys.path.insert(0, HERE)
 
 from bench import Bench, read_answer  # noqa: E402
-from standins import (Server, Target, answer, chunk, event,  # noqa: E402
+from standins import (Engine, Target, answer, chunk, event,  # noqa: E402
                       signed, start_stream)
 
 # Seeds that failed once stay as regression cases, with a line on the cause.
@@ -74,24 +73,6 @@
             writer.transport.abort()
 
 
-class Engine(Server):
-    """An engine's own address, which its observer asks."""
-
-    def __init__(self, name):
-        super().__init__()
-        self.name = name
-
-    async def handle(self, request, writer):
-        if request.path == "/healthz":
-            writer.write(answer(200, b"", [("Instance-Id", self.name)]))
-        else:
-            writer.write(answer(200, json.dumps({
-                "Active": 0, "Queued": 0, "Next": 0, "KvUsed": 0,
-                "KvTotal": 34286, "held": 0, "born": 1, "Runs": [],
-                "Phase": "ready"}).encode()))
-        return True
-
-
 class Soak:
     def __init__(self, program, seed, seconds):
         self.random = random.Random(seed)
@@ -255,10 +236,7 @@
 
     async def start_observer(self, i):
         engine = await Engine(f"engine-{i}").start()
-        return await self.gateways[0].spawn({
-            "role": "observer", "instance": f"observer-{i}",
-            "engine_url": f"http://127.0.0.1:{engine.port}",
-            "store_url": f"http://127.0.0.1:{self.store.port}"})
+        return await self.gateways[0].spawn_observer(engine)
 
     async def play(self):
         await self.start()
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -174,6 +174,29 @@
                 "Phase": phase, "WarmupLeftMs": 0, "born": 1}
 
 
+class Engine(Server):
+    """An engine's own address, which its observer asks for its load."""
+
+    def __init__(self, name, total=34286):
+        super().__init__()
+        self.name = name
+        self.total = total
+        self.runs = {}  # attempt to tokens in memory
+        self.pending = 0  # requests without an event
+
+    async def handle(self, request, writer):
+        if request.path == "/healthz":
+            writer.write(answer(200, b"", [("Instance-Id", self.name)]))
+            return True
+        runs = [[a, n, 1, 5] for a, n in self.runs.items()]
+        writer.write(answer(200, json.dumps({
+            "Active": len(runs), "Queued": self.pending, "Next": 0,
+            "KvUsed": sum(self.runs.values()), "KvTotal": self.total,
+            "held": 0, "born": 1, "Runs": runs,
+            "Phase": "ready"}).encode()))
+        return True
+
+
 def signed(request, body, headers=()):
     """A whole success for REQUEST."""
     return answer(200, body, [("Attempt-Id", request.headers["attempt-id"]),
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -240,8 +240,10 @@
   m->kv_used = get_u64 (c, UINT64_MAX);
   m->kv_total = get_u64 (c, UINT64_MAX);
   m->kv_copies = get_u64 (c, UINT64_MAX);
-  m->kv_promised = get_u64 (c, UINT64_MAX);
+  m->kv_peak = get_u64 (c, UINT64_MAX);
   m->unread = get_u64 (c, UINT64_MAX);
+  m->strain = (cv_strain_t)get_u64 (c, CV_STRAIN_CROWDED);
+  c->ok = c->ok && m->strain >= CV_STRAIN_NONE;
 }
 
 static void
@@ -278,9 +280,12 @@
   get_text (c, m->target, sizeof m->target);
   get_text (c, m->run, sizeof m->run);
   m->step = (cv_room_step_t)get_u64 (c, CV_ROOM_RELEASED);
-  m->tokens = get_u64 (c, UINT64_MAX);
-  m->prompt_tokens = get_u64 (c, UINT64_MAX);
-  c->ok = c->ok && m->step >= CV_ROOM_ASKED;
+  m->purpose = (cv_room_purpose_t)get_u64 (c, CV_ROOM_RESCUE);
+  m->prompt_tokens = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->produced = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->expected = (uint32_t)get_u64 (c, UINT32_MAX);
+  m->limit = (uint32_t)get_u64 (c, UINT32_MAX);
+  c->ok = c->ok && m->step >= CV_ROOM_ASKED && m->purpose >= CV_ROOM_NEW;
 }
 
 static void
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -114,8 +114,9 @@
   put_u64 (pk, m->kv_used);
   put_u64 (pk, m->kv_total);
   put_u64 (pk, m->kv_copies);
-  put_u64 (pk, m->kv_promised);
+  put_u64 (pk, m->kv_peak);
   put_u64 (pk, m->unread);
+  put_u64 (pk, m->strain);
 }
 
 static void
@@ -142,8 +143,11 @@
   put_text (pk, m->target);
   put_text (pk, m->run);
   put_u64 (pk, m->step);
-  put_u64 (pk, m->tokens);
+  put_u64 (pk, m->purpose);
   put_u64 (pk, m->prompt_tokens);
+  put_u64 (pk, m->produced);
+  put_u64 (pk, m->expected);
+  put_u64 (pk, m->limit);
 }
 
 static void
@@ -288,7 +292,7 @@
   [CV_MSG_DETACH] = 1,       [CV_MSG_CANCEL] = 1,   [CV_MSG_CALL] = 13,
   [CV_MSG_REVOKE] = 6,       [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
   [CV_MSG_TOKENS] = 3,       [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
-  [CV_MSG_ENGINE_LOAD] = 15, [CV_MSG_MOVE] = 4,     [CV_MSG_ROOM] = 5,
+  [CV_MSG_ENGINE_LOAD] = 16, [CV_MSG_MOVE] = 4,     [CV_MSG_ROOM] = 8,
 };
 
 void
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -51,8 +51,13 @@
     msg.u.rejected.reason = CV_REJECT_FULL;
   if (type == CV_MSG_MOVE)
     msg.u.move.turn = CV_TURN_WANTED;
+  if (type == CV_MSG_ENGINE_LOAD)
+    msg.u.engine_load.strain = CV_STRAIN_NONE;
   if (type == CV_MSG_ROOM)
-    msg.u.room.step = CV_ROOM_ASKED;
+    {
+      msg.u.room.step = CV_ROOM_ASKED;
+      msg.u.room.purpose = CV_ROOM_NEW;
+    }
   if (type == CV_MSG_END)
     msg.u.end.end = CV_END_STOP;
   return msg;
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -174,6 +174,14 @@
   cv_versions_t versions;
 } cv_msg_report_t;
 
+/* How short an engine's memory is.  */
+typedef enum
+{
+  CV_STRAIN_NONE = 1,
+  CV_STRAIN_FULL,   /* it could read one more prompt, which does not fit */
+  CV_STRAIN_CROWDED /* memory runs out soon unless a run leaves */
+} cv_strain_t;
+
 /* Load of one engine, as its observer sees it beside it.  Memory is in
    tokens.  */
 typedef struct
@@ -190,9 +198,10 @@
   uint32_t waiting_tokens; /* of the first one's prompt */
   uint64_t kv_used;        /* memory that cannot yield, with copies */
   uint64_t kv_total;
-  uint64_t kv_copies;   /* of runs of other engines */
-  uint64_t kv_promised; /* memory at the end of all it has, 0: not known */
-  uint64_t unread;      /* tokens of prompts still to be read */
+  uint64_t kv_copies; /* of runs of other engines */
+  uint64_t kv_peak;   /* most memory that its runs are expected to need */
+  uint64_t unread;    /* tokens of prompts still to be read */
+  cv_strain_t strain;
 } cv_msg_engine_load_t;
 
 /* Longest name of a run, with its null byte.  */
@@ -210,18 +219,28 @@
   CV_ROOM_ASKED = 1, /* gateway to observer */
   CV_ROOM_GRANTED,   /* observer to gateway: the request may be sent */
   CV_ROOM_REFUSED,   /* observer to gateway: another engine, or later */
-  CV_ROOM_TAKEN,     /* gateway to observer: a run is moved here */
   CV_ROOM_RELEASED   /* gateway to observer: will not come, or has ended */
 } cv_room_step_t;
 
+/* What room in an engine's memory is for.  */
+typedef enum
+{
+  CV_ROOM_NEW = 1, /* a new run */
+  CV_ROOM_BALANCE, /* a run that leaves a full engine, so that others fit */
+  CV_ROOM_RESCUE   /* a run whose engine ends or runs out of memory */
+} cv_room_purpose_t;
+
 /* Room in an engine's memory for one request.  */
 typedef struct
 {
   char target[CV_NAME_MAX];
   char run[CV_RUN_MAX];
   cv_room_step_t step;
-  uint64_t tokens;        /* memory at its end, as estimated */
-  uint64_t prompt_tokens; /* to be read */
+  cv_room_purpose_t purpose;
+  uint32_t prompt_tokens;
+  uint32_t produced; /* output so far, of a run that moves */
+  uint32_t expected; /* median of its output in all */
+  uint32_t limit;    /* of its output in all */
 } cv_msg_room_t;
 
 /* Turns to move runs off one engine, whose link carries one after the
