Observers hear of failures from all gateways

Each of 27 gateways sends an engine a request or two a second and has to lose its own few before it avoids it; a stream that may not be repeated counted as no failure at all, since its caller leaves first. Ruled out: shorter time-outs (a full engine needs up to 2 s for a first event).

Change: gateways tell the engine's observer how each run ended, and also that its first event is long overdue; two failures in a row, of whichever gateways, take the engine out for a second and more. A run at a time then tries it. Failures of what was sent before an avoidance no longer prolong it: it grew to 8 s at once.

Tests: gateway-failing-engine, Health.FailuresDuringAnAvoidanceDoNotProlongIt.

--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -28,11 +28,11 @@
 }
 
 void
-cv_ask_release (const cv_target_t *t, cv_slice_t run)
+cv_ask_end (const cv_target_t *t, cv_slice_t run, cv_room_step_t how)
 {
   cv_msg_t msg = { .type = CV_MSG_ROOM };
 
-  msg.u.room.step = CV_ROOM_RELEASED;
+  msg.u.room.step = how;
   msg.u.room.purpose = CV_ROOM_NEW;
   (void)cv_copy (msg.u.room.target, CV_NAME_MAX, t->record.id);
   (void)cv_copy_slice (msg.u.room.run, CV_RUN_MAX, run);
@@ -68,7 +68,7 @@
 {
   if (x->asked == NULL)
     return;
-  cv_ask_release (x->asked, x->request.attempt);
+  cv_ask_end (x->asked, x->request.attempt, CV_ROOM_RELEASED);
   forget (x);
 }
 
@@ -106,7 +106,7 @@
     {
       /* The grant came too late to be waited for.  */
       if (m->step == CV_ROOM_GRANTED)
-        cv_ask_release (t, cv_slice (m->run));
+        cv_ask_end (t, cv_slice (m->run), CV_ROOM_RELEASED);
       return;
     }
   if (x->asked != t)
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -119,6 +119,7 @@
   x->skip_answer = false;
   x->rejected = false;
   x->is_parted = false;
+  x->is_judged = false;
   cv_buf_reset (&x->answer);
   cv_events_restart (&x->events);
   x->link = cv_target_take_link (t, !cv_route_is_repeatable (x->route), &err);
@@ -149,6 +150,21 @@
   x->target->unread_tokens -= x->request.prompt_tokens;
 }
 
+void
+cv_attempt_judge (cv_exchange_t *x, bool served)
+{
+  if (x->is_judged)
+    return;
+  x->is_judged = true;
+  if (served)
+    cv_health_success (&x->target->health);
+  else
+    (void)cv_target_failed (x->target);
+  if (x->request.is_generation)
+    cv_ask_end (x->target, x->request.attempt,
+                served ? CV_ROOM_SERVED : CV_ROOM_FAILED);
+}
+
 void
 cv_attempt_stop (cv_exchange_t *x)
 {
@@ -163,7 +179,7 @@
     {
       cv_attempt_read (x);
       if (x->has_grant)
-        cv_ask_release (x->target, x->request.attempt);
+        cv_ask_end (x->target, x->request.attempt, CV_ROOM_RELEASED);
       x->has_grant = false;
       x->target->in_flight--;
       x->target->run_tokens -= x->need_tokens;
@@ -395,10 +411,7 @@
       cv_exchange_rejected (x, h->status);
       return;
     }
-  if (h->status >= 500)
-    (void)cv_target_failed (x->target);
-  else
-    cv_health_success (&x->target->health);
+  cv_attempt_judge (x, h->status < 500);
   if (x->state == CV_EXCHANGE_STREAMING)
     {
       if (!cv_events_at_boundary (&x->events))
@@ -456,6 +469,6 @@
       x->connects++;
     }
   else
-    (void)cv_target_failed (x->target);
+    cv_attempt_judge (x, false);
   cv_exchange_failed (x, failure_text (failure), failure != CV_LINK_REFUSED);
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -486,6 +486,21 @@
   return limit > SILENCE_MIN ? limit : SILENCE_MIN;
 }
 
+/* The first event should have come long ago, although the engine had room.  A
+   process that stood still has missed it itself.  */
+static bool
+is_overdue (const cv_exchange_t *x, cv_time_t now)
+{
+  cv_time_t since = x->heard_at;
+
+  if (!x->request.is_generation || x->is_judged
+      || !(x->state == CV_EXCHANGE_SENT || x->resume_pending))
+    return false;
+  if (since < x->gateway->woke_at)
+    since = x->gateway->woke_at;
+  return now - since > x->route->objective_ms * CV_MS + SILENCE_MIN;
+}
+
 static void
 check_times (cv_exchange_t *x, cv_time_t now)
 {
@@ -509,10 +524,12 @@
         give_up (x, "no target has room in time", false);
       return;
     }
+  if (is_overdue (x, now))
+    cv_attempt_judge (x, false);
   silence = silence_limit (x);
   if (silence > 0 && now - x->heard_at > silence)
     {
-      (void)cv_target_failed (x->target);
+      cv_attempt_judge (x, false);
       cv_exchange_failed (x, "target is silent", true);
     }
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -9,6 +9,8 @@
 /* Time-outs and queues are looked at so often; answers of the gateway's own
    are late by this at most.  */
 #define TICK_MS 25
+/* Without a tick for so long, the process or its machine stood still.  */
+#define STOOD_STILL (500 * CV_MS)
 /* What is left of the time to stop when requests under way are cut.  */
 #define STOP_MARGIN (700 * CV_MS)
 /* The balancer needs two missed answers a second apart to send no more
@@ -234,6 +236,9 @@
 
   (void)fd;
   (void)what;
+  if (now - g->ticked_at > STOOD_STILL)
+    g->woke_at = now;
+  g->ticked_at = now;
   cv_follow_tick (&g->follow_routing, now);
   cv_follow_tick (&g->follow_instances, now);
   cv_register_tick (&g->registration, now);
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -111,7 +111,7 @@
 finish (cv_move_t *m)
 {
   if (!m->is_done && m->to != NULL)
-    cv_ask_release (m->to, cv_slice (m->run));
+    cv_ask_end (m->to, cv_slice (m->run), CV_ROOM_RELEASED);
   send_turn (m->from, cv_slice (m->run), CV_TURN_OVER, 0);
   log_move (m, CV_EV_GATEWAY_MOVE_ENDED, m->outcome);
   if (m->exchange != NULL)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -178,6 +178,7 @@
   cv_time_t asked_at;
   uint32_t asks;       /* in a row */
   bool has_grant;      /* of room at its target */
+  bool is_judged;      /* the present attempt, by cv_attempt_judge */
   cv_target_t *target; /* of the present attempt */
   cv_http_link_t *link;
   cv_time_t sent_at;
@@ -295,6 +296,8 @@
   struct event *loads_event;
   uint32_t gateway_count; /* that share the retry budget, as observers tell */
   cv_time_t observed_at;  /* last word of any observer */
+  cv_time_t ticked_at;
+  cv_time_t woke_at; /* last end of a stretch without a tick */
   cv_rng_t rng;
   bool stopping;
   cv_time_t stop_at;
@@ -375,6 +378,9 @@
 void cv_attempt_start (cv_exchange_t *x, cv_target_t *t);
 /* Give up the connection and the target of the present attempt.  */
 void cv_attempt_stop (cv_exchange_t *x);
+/* The target of the present attempt has done as it should, or not: note it,
+   and tell its observer, who hears of all gateways.  */
+void cv_attempt_judge (cv_exchange_t *x, bool served);
 /* The first event or the answer came: the prompt is read.  */
 void cv_attempt_read (cv_exchange_t *x);
 
@@ -428,8 +434,8 @@
                   cv_room_purpose_t purpose);
 /* X waits for no answer any more.  */
 void cv_ask_stop (cv_exchange_t *x);
-/* RUN will not come to T, or has ended.  */
-void cv_ask_release (const cv_target_t *t, cv_slice_t run);
+/* Tell the observer of T that RUN has ended there, or will not come.  */
+void cv_ask_end (const cv_target_t *t, cv_slice_t run, cv_room_step_t how);
 
 /* loads.c */
 bool cv_loads_open (cv_gateway_t *g, cv_error_t *err);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -109,7 +109,7 @@
   t->presence = CV_TARGET_LISTED;
   t->listed_at = cv_now ();
   TAILQ_INIT (&t->idle);
-  cv_health_init (&t->health);
+  cv_health_init (&t->health, CV_HEALTH_KEEP_OWN);
   TAILQ_INSERT_TAIL (&g->targets, t, entry);
   log_target (CV_EV_GATEWAY_TARGET_ADDED, t, "listed");
   return t;
@@ -237,8 +237,8 @@
 cv_target_usable (const cv_target_t *t, cv_time_t now)
 {
   return (t->presence == CV_TARGET_LISTED || t->presence == CV_TARGET_MISSING)
-         && !t->load.leaving && cv_health_usable (&t->health, now)
-         && now >= t->full_until;
+         && !t->load.leaving && !t->load.failing
+         && cv_health_usable (&t->health, now) && now >= t->full_until;
 }
 
 bool
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -33,6 +33,7 @@
   o->socket = -1;
   cv_turns_init (&o->turns);
   cv_room_init (&o->room);
+  cv_health_init (&o->health, CV_HEALTH_KEEP_ALL);
   o->granted = CV_TURN_NONE;
   if (!cv_http_address (s->engine_url, &engine)
       || !cv_http_address (s->store_url, &store))
@@ -154,6 +155,8 @@
   msg.u.engine_load.kv_peak = o->room.peak;
   msg.u.engine_load.unread = o->room.sum.unread;
   msg.u.engine_load.strain = o->room.strain;
+  msg.u.engine_load.failing = !cv_health_usable (&o->health, cv_now ());
+  o->told_failing = msg.u.engine_load.failing;
   (void)cv_copy (msg.u.engine_load.target, CV_NAME_MAX, o->name);
   for (uint32_t i = 0; i < o->gateway_count; i++)
     cv_datagram_send (o->socket, &o->gateways[i], &msg);
@@ -193,7 +196,10 @@
     }
   note_reachable (o, true, "reports its load");
   if (load.started_ms != o->load.started_ms)
-    cv_room_init (&o->room);
+    {
+      cv_room_init (&o->room);
+      cv_health_init (&o->health, CV_HEALTH_KEEP_ALL);
+    }
   report = (cv_room_report_t){ .runs = runs,
                                .run_count = n,
                                .pending = load.reading + load.waiting,
@@ -201,13 +207,17 @@
                                .copies = load.kv_copies,
                                .total = load.kv_total };
   cv_room_report (&o->room, cv_now (), &report);
+  if (o->room.has_started)
+    cv_health_success (&o->health);
   if (load.started_ms != o->named_for || o->name[0] == '\0')
     {
       o->load = load;
       o->asking_name = true;
       return;
     }
-  if (!has_changed (&load, &o->load) && cv_now () - o->told_at < REPEAT_AFTER)
+  if (!has_changed (&load, &o->load)
+      && o->told_failing == !cv_health_usable (&o->health, cv_now ())
+      && cv_now () - o->told_at < REPEAT_AFTER)
     return;
   o->load = load;
   cv_observer_tell (o);
--- a/observer/requests.c
+++ b/observer/requests.c
@@ -4,6 +4,10 @@
 #include "observer/state.h"
 #include "wire/datagram.h"
 
+/* A run that tries a failing engine has made its first event by then, or is
+   said to have failed.  */
+#define TRIAL_MAX (2500 * CV_MS)
+
 static void
 grant (cv_observer_t *o, uint32_t place)
 {
@@ -75,6 +79,22 @@
   cv_line_end (&l);
 }
 
+/* Gateways see a few of an engine's runs each; its observer hears of all.  */
+static void
+note_failure (cv_observer_t *o, const cv_msg_room_t *m, cv_time_t now)
+{
+  cv_line_t l;
+
+  if (!cv_health_failure (&o->health, now))
+    return;
+  cv_line_begin (&l, CV_EV_OBSERVER_ENGINE_FAILING);
+  cv_line_text (&l, "target", cv_slice (o->name));
+  cv_line_text (&l, "request", cv_slice (m->run));
+  cv_line_number (&l, "avoided_ms", (o->health.avoid_until - now) / CV_MS);
+  cv_line_end (&l);
+  cv_observer_tell (o);
+}
+
 /* Refusals are logged by the gateways, once for all engines that they ask.  */
 static void
 answer_room (cv_observer_t *o, const cv_msg_room_t *asked, bool granted,
@@ -90,6 +110,23 @@
   cv_datagram_send (o->socket, gateway, &msg);
 }
 
+/* An engine on trial gets one new run at a time.  */
+static bool
+may_come (cv_observer_t *o, const cv_room_need_t *need, cv_time_t now)
+{
+  bool on_trial = cv_health_on_trial (&o->health, now);
+
+  if (o->load.leaving || !cv_health_usable (&o->health, now))
+    return false;
+  if (on_trial && (need->purpose != CV_ROOM_NEW || now < o->trial_until))
+    return false;
+  if (!cv_room_ask (&o->room, now, need))
+    return false;
+  if (on_trial)
+    o->trial_until = now + TRIAL_MAX;
+  return true;
+}
+
 static void
 take_room (cv_observer_t *o, const cv_msg_room_t *m,
            const struct sockaddr_in *gateway, cv_time_t now)
@@ -103,8 +140,15 @@
   switch (m->step)
     {
     case CV_ROOM_ASKED:
-      answer_room (o, m, !o->load.leaving && cv_room_ask (&o->room, now, &need),
-                   gateway);
+      answer_room (o, m, may_come (o, &need, now), gateway);
+      return;
+    case CV_ROOM_SERVED:
+      cv_health_success (&o->health);
+      (void)cv_room_release (&o->room, need.run);
+      return;
+    case CV_ROOM_FAILED:
+      note_failure (o, m, now);
+      (void)cv_room_release (&o->room, need.run);
       return;
     case CV_ROOM_RELEASED:
       if (cv_room_release (&o->room, need.run))
--- a/observer/state.h
+++ b/observer/state.h
@@ -9,6 +9,7 @@
 #include "http/call.h"
 #include "observer/observer.h"
 #include "platform/platform.h"
+#include "policy/health.h"
 #include "policy/room.h"
 #include "policy/turns.h"
 #include "wire/wire.h"
@@ -49,6 +50,9 @@
   uint32_t listed_count;
   uint64_t sequence;
   cv_room_t room;
+  cv_health_t health; /* of the engine, by what gateways say */
+  bool told_failing;
+  cv_time_t trial_until; /* the one request of a trial is under way */
   cv_turns_t turns;
   cv_asked_turn_t asked[CV_TURNS_MAX];
   uint32_t granted; /* place of the last grant that was logged */
--- a/policy/health.c
+++ b/policy/health.c
@@ -2,8 +2,6 @@
 
 #include "policy/health.h"
 
-/* Part of the old in the smoothed share: about the last eight requests.  */
-#define FAILURE_KEEP 0.85
 /* Share of failures above which a target is avoided; ordinary services fail
    up to a seventh of some kinds of request.  */
 #define FAILURE_MAX 0.5
@@ -13,15 +11,15 @@
 #define AVOID_UNREACHABLE (500 * CV_MS)
 
 void
-cv_health_init (cv_health_t *h)
+cv_health_init (cv_health_t *h, double keep)
 {
-  *h = (cv_health_t){ 0 };
+  *h = (cv_health_t){ .keep = keep };
 }
 
 void
 cv_health_success (cv_health_t *h)
 {
-  h->failures *= FAILURE_KEEP;
+  h->failures *= h->keep;
   if (h->failures < FAILURE_MAX / 4)
     h->back_off = 0;
 }
@@ -29,7 +27,10 @@
 bool
 cv_health_failure (cv_health_t *h, cv_time_t now)
 {
-  h->failures = FAILURE_KEEP * h->failures + (1 - FAILURE_KEEP);
+  /* Sent before the avoidance began.  */
+  if (now < h->avoid_until)
+    return false;
+  h->failures = h->keep * h->failures + (1 - h->keep);
   if (h->failures < FAILURE_MAX)
     return false;
   h->back_off = h->back_off == 0 ? AVOID_FIRST : 2 * h->back_off;
@@ -54,3 +55,9 @@
 {
   return now >= h->avoid_until;
 }
+
+bool
+cv_health_on_trial (const cv_health_t *h, cv_time_t now)
+{
+  return cv_health_usable (h, now) && h->failures >= FAILURE_MAX;
+}
--- a/policy/room.c
+++ b/policy/room.c
@@ -64,6 +64,7 @@
       if (g->need.run == 0)
         continue;
       g->seen = find_run (report, g->need.run) != NULL;
+      r->has_started = r->has_started || (g->seen && !was_seen);
       if (was_seen && !g->seen)
         g->need.run = 0;
     }
@@ -176,6 +177,7 @@
 
   r->total = report->total;
   memset (&r->sum, 0, sizeof r->sum);
+  r->has_started = false;
   drop_ended (r, report);
   drop_lost (r, now, report->pending);
   for (uint32_t i = 0; i < CV_ROOM_MAX; i++)
--- a/policy/room.h
+++ b/policy/room.h
@@ -66,6 +66,7 @@
   uint64_t peak;          /* most memory that is to be expected */
   cv_time_t rescue_until; /* memory that comes free is kept for a rescue */
   cv_strain_t strain;
+  bool has_started; /* a granted run has made its first event */
 } cv_room_t;
 
 void cv_room_init (cv_room_t *r);
--- a/policy/tests/engines_test.cc
+++ b/policy/tests/engines_test.cc
@@ -394,7 +394,7 @@
   cv_health_t h;
   int avoided = 0;
 
-  cv_health_init (&h);
+  cv_health_init (&h, CV_HEALTH_KEEP_OWN);
   for (int i = 0; i < 70; i++)
     if (i % 7 == 0)
       avoided += cv_health_failure (&h, 0);
@@ -410,6 +410,23 @@
   EXPECT_FALSE (cv_health_usable (&h, 2 * CV_SECOND));
 }
 
+/* Ten gateways have runs on an engine that hangs them; half a second later
+   each says so.  */
+TEST (Health, FailuresDuringAnAvoidanceDoNotProlongIt)
+{
+  cv_health_t h;
+
+  cv_health_init (&h, CV_HEALTH_KEEP_ALL);
+  EXPECT_FALSE (cv_health_failure (&h, 0));
+  EXPECT_TRUE (cv_health_failure (&h, 0)) << "two in a row";
+  for (int i = 0; i < 8; i++)
+    EXPECT_FALSE (cv_health_failure (&h, 500 * CV_MS));
+  EXPECT_FALSE (cv_health_usable (&h, 900 * CV_MS));
+  EXPECT_TRUE (cv_health_on_trial (&h, 1100 * CV_MS));
+  cv_health_success (&h);
+  EXPECT_FALSE (cv_health_on_trial (&h, 1100 * CV_MS));
+}
+
 TEST (Retries, AreBoundedInAnySpanOfTime)
 {
   cv_retry_budget_t b;
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -432,6 +432,45 @@
         task.cancel()
 
 
+async def failing_engine(bench):
+    """An engine that says it is well hangs what it gets: its observer hears of
+    it, nobody sends there for a while, and then one run tries it."""
+    hangs = True
+
+    async def script(target, request, writer):
+        if target.name == "m1" and hangs:
+            await request.reader.read(1)
+            return False
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)) + b"0\r\n\r\n")
+        return True
+
+    def arrivals():
+        return len(bench.targets["m1"].seen)
+
+    async def ask_both():
+        return await asyncio.gather(*(
+            bench.ask("POST", "/tag/1", b"x", **PROMPT) for _ in range(6)))
+
+    await bench.start()
+    for name in ("m1", "m2"):
+        await bench.add_target(name, "model", script)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+        await bench.observe(Engine(name))
+    while not bench.logged("OBSERVER_ENGINE_FAILING", target="m1"):
+        answers = await ask_both()
+    bench.say(f"all answered: {all(a[0] == 200 for a in answers)}")
+    before = arrivals()
+    await ask_both()
+    bench.say(f"arrivals while it is avoided: {arrivals() - before}")
+    hangs = False
+    # The avoidance ends after 1 s; with the hung one it lasted longer.
+    while arrivals() == before:
+        await ask_both()
+        await asyncio.sleep(0.1)
+    bench.say(f"tried by one at first: {arrivals() - before == 1}")
+
+
 async def silent_store(bench):
     """The store falls silent and comes back: what changed meanwhile is in
     force soon after, and requests are served all the while."""
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -243,6 +243,7 @@
   m->kv_peak = get_u64 (c, UINT64_MAX);
   m->unread = get_u64 (c, UINT64_MAX);
   m->strain = (cv_strain_t)get_u64 (c, CV_STRAIN_CROWDED);
+  m->failing = get_u64 (c, 1) != 0;
   c->ok = c->ok && m->strain >= CV_STRAIN_NONE;
 }
 
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -117,6 +117,7 @@
   put_u64 (pk, m->kv_peak);
   put_u64 (pk, m->unread);
   put_u64 (pk, m->strain);
+  put_u64 (pk, m->failing);
 }
 
 static void
@@ -292,7 +293,7 @@
   [CV_MSG_DETACH] = 1,       [CV_MSG_CANCEL] = 1,   [CV_MSG_CALL] = 13,
   [CV_MSG_REVOKE] = 6,       [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
   [CV_MSG_TOKENS] = 3,       [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
-  [CV_MSG_ENGINE_LOAD] = 16, [CV_MSG_MOVE] = 4,     [CV_MSG_ROOM] = 8,
+  [CV_MSG_ENGINE_LOAD] = 17, [CV_MSG_MOVE] = 4,     [CV_MSG_ROOM] = 8,
 };
 
 void
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -202,6 +202,7 @@
   uint64_t kv_peak;   /* most memory that its runs are expected to need */
   uint64_t unread;    /* tokens of prompts still to be read */
   cv_strain_t strain;
+  bool failing; /* too many runs failed there of late */
 } cv_msg_engine_load_t;
 
 /* Longest name of a run, with its null byte.  */
@@ -219,6 +220,8 @@
   CV_ROOM_ASKED = 1, /* gateway to observer */
   CV_ROOM_GRANTED,   /* observer to gateway: the request may be sent */
   CV_ROOM_REFUSED,   /* observer to gateway: another engine, or later */
+  CV_ROOM_SERVED,    /* gateway to observer: the run has ended well */
+  CV_ROOM_FAILED,    /* gateway to observer: the engine failed the run */
   CV_ROOM_RELEASED   /* gateway to observer: will not come, or has ended */
 } cv_room_step_t;
 
