Fewer calls to the store; new engines are found by their observers

And an engine that comes stands idle until the gateways look at the list again, up to 0.7 s, of the 20 s that it lives. Ruled out: a longer wait for the configuration alone. A store that falls silent again right after its return would be noticed too late.

Change: watches of the configuration wait 1.8 s, but 0.3 s while the last call failed; changes of instances are gathered for 1.2 s, and an observer's word of an engine that is not known makes the gateway look at once.

Test: gateway-new-engine fails without the change.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -9,12 +9,17 @@
    that fell silent is noticed by the end of the wait, and after its return a
    configuration has to be in force within about two seconds; shorter waits
    cost more calls.  */
-#define WAIT_ROUTING_MS 1000
+#define WAIT_ROUTING_MS 1800
 #define WAIT_INSTANCES_MS 2000
+/* After a failure; the store may fall silent again.  */
+#define WAIT_FAILED_MS 300
 /* Changes of instances are gathered for so long: a large fleet has some ten a
-   second, and each would be a call of each gateway.  Of engines that leave,
-   their observers tell sooner.  */
-#define GATHER_INSTANCES (700 * CV_MS)
+   second, and each would be a call of each gateway.  Of engines that leave or
+   are new, their observers tell sooner; of plain services that leave, nobody,
+   and these serve on for 2 s at least.  */
+#define GATHER_INSTANCES (1200 * CV_MS)
+/* Engines come in groups; one call finds them all.  */
+#define HURRY_AGAIN (300 * CV_MS)
 /* Beyond its wait, a call without an answer is given up after this; a slow
    store takes some 300 ms.  */
 #define CALL_TIMEOUT (600 * CV_MS)
@@ -70,6 +75,8 @@
       = f->kind == CV_STORE_ROUTING ? WAIT_ROUTING_MS : WAIT_INSTANCES_MS;
   cv_buf_t path;
 
+  if (f->failures > 0)
+    wait_ms = WAIT_FAILED_MS;
   cv_buf_init (&path);
   if (watch)
     cv_platform_watch_path (&path, f->kind, f->at, wait_ms);
@@ -285,3 +292,14 @@
   if (!f->call.busy && now >= f->next_call)
     call (f);
 }
+
+void
+cv_follow_hurry (cv_follow_t *f, cv_time_t now)
+{
+  bool gathers = f->is_synced && f->failures == 0 && !f->call.busy;
+
+  if (!gathers || now - f->hurried_at < HURRY_AGAIN)
+    return;
+  f->hurried_at = now;
+  call (f);
+}
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -230,6 +230,7 @@
   uint64_t list_at;        /* revision of the list being read */
   char after[CV_NAME_MAX]; /* last name of the page before */
   cv_time_t next_call;
+  cv_time_t hurried_at;
   bool is_synced; /* a whole list was read since the start */
   bool lost;      /* the store did not answer the last call */
   cv_time_t lost_at;
@@ -467,6 +468,8 @@
 /* follow.c */
 void cv_follow_init (cv_follow_t *f, cv_gateway_t *g, cv_store_kind_t kind);
 void cv_follow_finish (cv_follow_t *f);
+/* There is news that are not known yet: do not gather any longer.  */
+void cv_follow_hurry (cv_follow_t *f, cv_time_t now);
 void cv_follow_tick (cv_follow_t *f, cv_time_t now);
 
 #ifdef __cplusplus
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -471,6 +471,19 @@
     bench.say(f"tried by one at first: {arrivals() - before == 1}")
 
 
+async def new_engine(bench):
+    """An engine is listed while the gateway gathers changes: its observer's
+    word makes the gateway look at once."""
+    await bench.start()
+    await bench.observe(Engine("m1"))
+    await bench.add_target("t1", "plain", echo)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="t1")
+    start = time.monotonic()
+    await bench.add_target("m1", "model", echo)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    bench.say(f"within 0.8 s: {time.monotonic() - start < 0.8}")
+
+
 async def silent_store(bench):
     """The store falls silent and comes back: what changed meanwhile is in
     force soon after, and requests are served all the while."""
