Gateway: one file for a move, one for who leaves, one for states

move.c had grown to two jobs: the steps of one move, and which runs leave which engines and when. The latter is evacuate.c now; what a gateway keeps of services and routes beyond a configuration left targets.c for states.c. No change of behaviour.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -83,6 +83,7 @@
   cv_follow_finish (&g->follow_routing);
   cv_follow_finish (&g->follow_instances);
   cv_targets_finish (g);
+  cv_states_finish (g);
   cv_routing_unref (g->routing);
   for (uint32_t i = 0; i < g->port_count; i++)
     cv_port_close (&g->ports[i]);
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -1,6 +1,6 @@
-/* Moves the memory of runs off engines that end soon, one run of an engine
-   at a time: first a copy while the run goes on, then the run stops, the rest
-   is copied, and the stream goes on at the other engine.  */
+/* The move of one run's memory to another engine: room is asked for there, then
+   comes a copy while the run goes on, then the run stops, the rest is copied,
+   and the stream goes on at the other engine.  */
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,14 +11,8 @@
 /* A copy of the largest run between failure domains takes about 0.5 s, and
    it may queue behind others.  */
 #define CALL_TIMEOUT (2500 * CV_MS)
-/* Runs of one engine that are looked at for a move.  */
-#define RUNS_MAX 128
-/* Destinations that are tried for one run.  */
-#define TRIES_MAX 6
 /* What a run grows by while it is copied.  */
 #define MARGIN_TOKENS 64
-/* Time per token of a run where it is not yet known.  */
-#define TOKEN_US_PRESET 10000
 
 /* An answer on room takes about 2 ms.  */
 #define ANSWER_TIMEOUT (40 * CV_MS)
@@ -30,8 +24,6 @@
    least, and full engines stay so for seconds.  */
 #define RESCUE_AGAIN (50 * CV_MS)
 #define BALANCE_AGAIN (300 * CV_MS)
-/* Requests that have waited for so long are taken for want of room.  */
-#define SHORT_AFTER (100 * CV_MS)
 
 typedef enum
 {
@@ -94,26 +86,12 @@
   cv_line_end (&l);
 }
 
-/* Tell the observer of T about the turn of a run.  */
-static void
-send_turn (const cv_target_t *t, cv_slice_t run, cv_turn_t turn,
-           uint64_t tokens)
-{
-  cv_msg_t msg = { .type = CV_MSG_MOVE };
-
-  msg.u.move.turn = turn;
-  msg.u.move.tokens = tokens;
-  (void)cv_copy (msg.u.move.target, CV_NAME_MAX, t->record.id);
-  (void)cv_copy_slice (msg.u.move.run, CV_RUN_MAX, run);
-  cv_loads_send (t, &msg);
-}
-
 static void
 finish (cv_move_t *m)
 {
   if (!m->is_done && m->to != NULL)
     cv_ask_end (m->to, cv_slice (m->run), CV_ROOM_RELEASED);
-  send_turn (m->from, cv_slice (m->run), CV_TURN_OVER, 0);
+  cv_evacuee_turn (m->from, cv_slice (m->run), CV_TURN_OVER, 0);
   log_move (m, CV_EV_GATEWAY_MOVE_ENDED, m->outcome);
   if (m->exchange != NULL)
     m->exchange->move = NULL;
@@ -262,34 +240,6 @@
   m->exchange = NULL;
 }
 
-/* Whether the stream of X ends with its engine unless it is moved.  */
-static bool
-needs_move (const cv_exchange_t *x, const cv_target_t *t, cv_time_t now)
-{
-  return x->target == t && x->move == NULL && x->moves < TRIES_MAX
-         && now >= x->no_move_until && x->state == CV_EXCHANGE_STREAMING
-         && x->events.count > 0 && !x->route->resumable
-         && x->service->engine.can_move && x->request.attempt.p != NULL
-         && x->request.attempt.n < CV_RUN_MAX;
-}
-
-static void
-describe (const cv_exchange_t *x, cv_time_t now, cv_evacuee_t *out)
-{
-  uint32_t per_event = x->service->engine.event_tokens;
-  uint64_t made = cv_exchange_produced (x);
-  uint32_t limit = x->request.output_limit;
-
-  /* The caller's estimate is too often too low to rest a run's life on it;
-     only its limit is certain.  */
-  out->memory_tokens = x->request.prompt_tokens + made;
-  out->remaining_tokens = limit > made ? (uint32_t)(limit - made) : 0;
-  out->token_us
-      = made > per_event
-            ? (uint32_t)((now - x->started - x->first_event) / (cv_time_t)made)
-            : TOKEN_US_PRESET;
-}
-
 static void
 leave_destination (cv_move_t *m)
 {
@@ -314,7 +264,7 @@
   cv_target_t *to;
   cv_evacuee_t run;
 
-  describe (x, cv_now (), &run);
+  cv_evacuee_describe (x, cv_now (), &run);
   to = cv_choose_destination (x, m->from, run.memory_tokens + MARGIN_TOKENS,
                               m->purpose);
   if (to == NULL)
@@ -343,8 +293,8 @@
   give_up (m, "no engine has room");
 }
 
-static void
-start (cv_exchange_t *x, cv_target_t *t)
+void
+cv_move_start (cv_exchange_t *x, cv_target_t *t)
 {
   cv_move_t *m = cv_calloc (1, sizeof *m);
 
@@ -413,123 +363,19 @@
     ask_next (m);
 }
 
-/* Without an observer that gives turns, the gateway orders its own runs.  */
-static void
-start_next (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
-{
-  cv_exchange_t *candidates[RUNS_MAX];
-  cv_evacuee_t runs[RUNS_MAX];
-  cv_exchange_t *x;
-  uint32_t n = 0;
-  uint32_t i;
-
-  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
-    if (n < RUNS_MAX && needs_move (x, t, now))
-      {
-        describe (x, now, &runs[n]);
-        candidates[n++] = x;
-      }
-  i = cv_evacuation_pick (runs, n, cv_target_time_left (t, now));
-  if (i != CV_EVACUATION_NONE)
-    start (candidates[i], t);
-}
-
-static void
-ask_turns (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
-{
-  cv_exchange_t *x;
-
-  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
-    {
-      cv_evacuee_t run;
-
-      if (!needs_move (x, t, now))
-        continue;
-      describe (x, now, &run);
-      if (cv_evacuation_pick (&run, 1, cv_target_time_left (t, now))
-          != CV_EVACUATION_NONE)
-        send_turn (t, x->request.attempt, CV_TURN_WANTED, run.memory_tokens);
-    }
-}
-
+/* No answer on room, or to a call.  */
 void
-cv_move_granted (cv_gateway_t *g, cv_target_t *t, const char *run)
+cv_move_tick (cv_move_t *m, cv_time_t now)
 {
-  cv_time_t now = cv_now ();
-  cv_exchange_t *x;
-
-  if (t->move != NULL)
-    return;
-  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
-    if (needs_move (x, t, now)
-        && cv_slice_equal (x->request.attempt, cv_slice (run)))
-      {
-        start (x, t);
-        return;
-      }
-  send_turn (t, cv_slice (run), CV_TURN_OVER, 0);
-}
-
-static void
-evacuate (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
-{
-  if (cv_target_is_observed (t, now))
-    ask_turns (g, t, now);
+  if (m->phase == CV_MOVE_ASK)
+    ask_timeout (m, now);
   else
-    start_next (g, t, now);
-}
-
-/* Whether requests have been waiting for room for a while.  */
-static bool
-is_short_of_room (const cv_gateway_t *g, cv_time_t now)
-{
-  const cv_exchange_t *x;
-
-  TAILQ_FOREACH (x, &g->waiting, waiting)
-  if (x->request.is_generation && now - x->started > SHORT_AFTER)
-    return true;
-  return false;
-}
-
-/* Whether runs should leave T.  */
-static bool
-wants_moves (const cv_target_t *t, cv_time_t now, bool is_short)
-{
-  if (cv_target_is_departing (t))
-    return true;
-  return cv_target_is_observed (t, now)
-         && (t->load.strain == CV_STRAIN_CROWDED
-             || (is_short && t->load.strain == CV_STRAIN_FULL));
+    cv_http_call_tick (&m->call, now);
 }
 
 void
-cv_moves_tick (cv_gateway_t *g, cv_time_t now)
+cv_move_abandon (cv_move_t *m)
 {
-  bool is_short = is_short_of_room (g, now);
-  cv_target_t *t;
-  cv_target_t *next;
-
-  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = next)
-    {
-      next = TAILQ_NEXT (t, entry);
-      if (t->move != NULL && t->move->phase == CV_MOVE_ASK)
-        ask_timeout (t->move, now);
-      else if (t->move != NULL)
-        cv_http_call_tick (&t->move->call, now);
-      else if (t->in_flight > 0 && wants_moves (t, now, is_short))
-        evacuate (g, t, now);
-    }
-}
-
-void
-cv_moves_finish (cv_gateway_t *g)
-{
-  cv_target_t *t;
-
-  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = TAILQ_NEXT (t, entry))
-    if (t->move != NULL)
-      {
-        t->move->outcome = "stopped";
-        finish (t->move);
-      }
+  m->outcome = "stopped";
+  finish (m);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -14,6 +14,7 @@
 #include "http/link.h"
 #include "http/reader.h"
 #include "platform/platform.h"
+#include "policy/evacuation.h"
 #include "policy/health.h"
 #include "policy/output.h"
 #include "policy/placement.h"
@@ -402,6 +403,13 @@
 /* The first event or the answer came: the prompt is read.  */
 void cv_attempt_read (cv_exchange_t *x);
 
+/* states.c */
+/* The state of a service or a route by its NAME, made anew where there is
+   none.  */
+cv_service_state_t *cv_service_state (cv_gateway_t *g, const char *name);
+cv_route_state_t *cv_route_state (cv_gateway_t *g, const char *name);
+void cv_states_finish (cv_gateway_t *g);
+
 /* choose.c */
 /* The target for X now, or NULL.  */
 cv_target_t *cv_choose_target (cv_exchange_t *x);
@@ -431,8 +439,6 @@
 /* The exchange on L is over.  */
 void cv_target_return_link (cv_target_t *t, cv_http_link_t *l);
 void cv_targets_finish (cv_gateway_t *g);
-cv_service_state_t *cv_service_state (cv_gateway_t *g, const char *name);
-cv_route_state_t *cv_route_state (cv_gateway_t *g, const char *name);
 
 cv_target_t *cv_target_find (cv_gateway_t *g, const char *id);
 /* Whether T ends soon: listed as leaving, off the list, or by its own
@@ -469,13 +475,26 @@
 void cv_register_finish (cv_register_t *r);
 void cv_register_tick (cv_register_t *r, cv_time_t now);
 
-/* move.c */
+/* evacuate.c */
 void cv_moves_tick (cv_gateway_t *g, cv_time_t now);
 void cv_moves_finish (cv_gateway_t *g);
-/* The run stops now: the end of its stream is no failure.  */
-bool cv_move_is_stopping (const cv_move_t *m);
 /* The observer of T has given RUN its turn.  */
 void cv_move_granted (cv_gateway_t *g, cv_target_t *t, const char *run);
+/* What a move of X's run costs and saves.  */
+void cv_evacuee_describe (const cv_exchange_t *x, cv_time_t now,
+                          cv_evacuee_t *out);
+/* Tell the observer of T about the turn of RUN, which has TOKENS.  */
+void cv_evacuee_turn (const cv_target_t *t, cv_slice_t run, cv_turn_t turn,
+                      uint64_t tokens);
+
+/* move.c */
+/* Move the run of X off T.  */
+void cv_move_start (cv_exchange_t *x, cv_target_t *t);
+void cv_move_tick (cv_move_t *m, cv_time_t now);
+/* The process ends: forget M.  */
+void cv_move_abandon (cv_move_t *m);
+/* The run stops now: the end of its stream is no failure.  */
+bool cv_move_is_stopping (const cv_move_t *m);
 /* The observer of TO answers for a run that is to move there; false when none
    is.  */
 bool cv_move_answered (cv_gateway_t *g, const cv_target_t *to,
