From a failed request's id to its cause, tested; a reader that stops

gateway-explain takes the ids of six failed requests (a gateway without the store, a key that is gone, a retry that the budget denies, a garbled answer, a stream lost with its engine, no room under overload) and finds the cause with catkinctl explain, from the logs alone. gateway-stuck-reader: nobody reads the logs, 900 requests are served, dropped lines are counted and told later.

--- a/tests/gateway/bench.py
+++ b/tests/gateway/bench.py
@@ -4,6 +4,7 @@
 import copy
 import json
 import os
+import re
 import signal
 import socket
 import tempfile
@@ -28,6 +29,7 @@
         self.targets = {}
         self.process = None
         self.observers = []
+        self.stdout = asyncio.subprocess.PIPE  # of processes
         self.ports = {}
         self.lines = []
         self.logs = []
@@ -49,7 +51,7 @@
         await self.store.put("config", "main", self.config)
         await self.start_gateway(**settings)
 
-    async def start_gateway(self, **settings):
+    async def start_gateway(self, wait=True, **settings):
         self.ports = {k: free_port() for k in ("listen", "ready", "metrics",
                                                "loads")}
         self.settings = {
@@ -62,7 +64,8 @@
             "store_url": f"http://127.0.0.1:{self.store.port}",
             "retry_ratio": 0.2, "retry_slack": 80, **settings}
         await self.start_process()
-        await self.until(self.is_ready)
+        if wait:
+            await self.until(self.is_ready)
 
     async def start_process(self):
         self.process = await self.spawn(self.settings)
@@ -74,9 +77,10 @@
         with open(path, "w") as out:
             json.dump(settings, out)
         process = await asyncio.create_subprocess_exec(
-            self.program, path, stdout=asyncio.subprocess.PIPE,
+            self.program, path, stdout=self.stdout,
             stderr=asyncio.subprocess.DEVNULL, limit=1 << 20)
-        asyncio.ensure_future(self.read_logs(process.stdout))
+        if process.stdout:
+            asyncio.ensure_future(self.read_logs(process.stdout))
         return process
 
     async def spawn_observer(self, engine):
@@ -98,6 +102,26 @@
         while line := await stream.readline():
             self.logs.append(json.loads(line))
 
+    async def explain(self, attempt):
+        """What `catkinctl explain` says of ATTEMPT: each line's event, reason
+        and what followed."""
+        path = os.path.join(self.directory.name, "logs")
+        with open(path, "w") as out:
+            out.writelines(json.dumps(line) + "\n" for line in self.logs)
+        control = os.path.join(os.path.dirname(self.program), "..",
+                               "catkinctl", "catkinctl")
+        process = await asyncio.create_subprocess_exec(
+            control, "explain", attempt, path,
+            stdout=asyncio.subprocess.PIPE)
+        text = (await process.communicate())[0].decode()
+        said = []
+        for line in text.splitlines():
+            words = re.findall(r'(?:reason|next)="[^"]*"', line)
+            event = re.search(r"\b(?:GATEWAY|OBSERVER)_\w+", line)
+            if event and words:
+                said.append(" ".join([event.group(), *words]))
+        return said
+
     def logged(self, name, **fields):
         return [l for l in self.logs if l["name"] == name
                 and all(l.get(k) == v for k, v in fields.items())]
@@ -123,6 +147,13 @@
             return bool(self.logged(name, **fields))
         await self.until(seen)
 
+    async def until_said(self, attempt):
+        """Wait for the line that ends ATTEMPT."""
+        async def seen():
+            return any(self.logged(name, request=attempt) for name in (
+                "GATEWAY_REFUSED", "GATEWAY_CUT", "GATEWAY_ANSWERED"))
+        await self.until(seen)
+
     async def stop(self):
         for process in (self.process, *self.observers):
             if process and process.returncode is None:
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import time
 
 from standins import (Engine, answer, chunk, echo, event, signed,
@@ -485,6 +486,89 @@
     bench.say(f"within 0.8 s: {time.monotonic() - start < 0.8}")
 
 
+async def say_cause(bench, title, status):
+    """The cause of the last request's failure, from the logs alone."""
+    attempt = f"a{bench.attempts}"
+    await bench.until_said(attempt)
+    bench.say(f"{title}: {status}")
+    for line in await bench.explain(attempt):
+        bench.say(f"  {line}")
+
+
+async def explain(bench):
+    """From a failed request's id to its cause, for six kinds of failure."""
+    async def plain_fault(target, request, writer):
+        if request.path.endswith("garbled"):
+            writer.write(b"no protocol at all\r\n\r\n")
+            await writer.drain()
+        writer.transport.abort()
+        return False
+
+    async def model_fault(target, request, writer):
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+        return False
+
+    bench.store.status = 503
+    await bench.store.start()
+    await bench.store.put("config", "main", bench.config)
+    await bench.start_gateway(wait=False, retry_ratio=0, retry_slack=0)
+    await bench.until_logged("GATEWAY_STORE_LOST")
+    status, _, _ = await bench.ask("GET", "/read/x")
+    await say_cause(bench, "gateway without the store", status)
+    bench.store.status = None
+    await bench.until(bench.is_ready)
+    await bench.add_target("t1", "plain", plain_fault)
+    await bench.add_target("m1", "model", model_fault)
+    for name in ("t1", "m1"):
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    status, _, _ = await bench.ask("GET", "/read/x", **{"X-Api-Key": "old"})
+    await say_cause(bench, "key that is gone", status)
+    status, _, _ = await bench.ask("GET", "/read/x")
+    await say_cause(bench, "retry that the budget denies", status)
+    status, _, _ = await bench.ask("POST", "/book/garbled", b"slot")
+    await say_cause(bench, "garbled answer", status)
+    reader, writer = await bench.connect()
+    writer.write(bench.head("POST", "/long/1", b"x", **PROMPT))
+    await reader.read()
+    await say_cause(bench, "stream lost with its engine", "cut")
+    status, _, _ = await bench.ask(
+        "POST", "/long/2", b"x", **{**PROMPT, "Token-Usage": "40000,900"})
+    await say_cause(bench, "no room under overload", status)
+
+
+async def stuck_reader(bench):
+    """Nobody reads the logs: requests go on, and what was dropped is counted
+    and told once there is room again."""
+    logs, bench.stdout = os.pipe()
+    os.set_blocking(logs, False)
+    await bench.add_target("t1", "plain", echo)
+    await bench.start()
+    reader, writer = await bench.connect()
+    served = 0
+    for i in range(900):
+        status, _, _ = await bench.exchange(
+            reader, writer, bench.head("GET", f"/read/{i}"))
+        served += status == 200
+    bench.say(f"served {served}")
+    _, _, body = await bench.raw(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
+                                 "metrics")
+    dropped = [l.split()[1] for l in body.decode().splitlines()
+               if l.startswith("catkinvale_gateway_log_lines_dropped_total")]
+    bench.say(f"lines are dropped and counted: {int(dropped[0]) > 0}")
+    text = b""
+    for _ in range(50):
+        try:
+            text += os.read(logs, 1 << 20)
+        except BlockingIOError:
+            await asyncio.sleep(0.05)
+    bench.say(f"told: {b'LINES_DROPPED' in text}")
+    os.close(logs)
+
+
 async def silent_store(bench):
     """The store falls silent and comes back: what changed meanwhile is in
     force soon after, and requests are served all the while."""
