Entries whose address another instance has get no requests

Cause: after all machines lose power, the entries of before stay on the list for three heartbeats beside those of the restarted engines. Nobody's observer speaks for them, so that they look empty; each request sent there is rejected by whoever has the address now, and one more try was all it had. Ruled out: an avoidance of half a second after such an answer, as it was: the entries outlive it.

Change: of two entries with one address the older gets nothing, nor does one whose address has answered for another, for 5 s. Such an answer counts like a connection that did not come about.

Test: gateway-displaced fails on the code before.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -444,8 +444,12 @@
   cv_target_t *t = x->target;
   bool wrong_instance = status == 421;
 
+  /* As if no connection had come about.  */
   if (wrong_instance)
-    cv_health_unreachable (&t->health, cv_now ());
+    {
+      cv_target_displaced (t);
+      x->connects++;
+    }
   else
     t->full_until = cv_now () + FULL_FOR;
   /* The copy is gone: the run cannot go on.  */
@@ -458,7 +462,7 @@
     }
   if ((x->head_sent ? x->resumes < RESUMES_MAX
                     : x->sends < x->route->max_targets + x->connects
-                                     + (wrong_instance ? 1 : 0))
+                          && x->connects <= CONNECTS_MAX)
       && cv_retry_budget_take (&x->service_state->retries))
     {
       log_failure (x, "rejected", "is sent elsewhere");
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -56,8 +56,9 @@
   cv_instance_record_t record;
   cv_target_presence_t presence;
   cv_time_t listed_at;
-  cv_time_t missing_until; /* CV_TARGET_MISSING: then it is removed */
-  bool seen;               /* in the list being read */
+  cv_time_t missing_until;   /* CV_TARGET_MISSING: then it is removed */
+  bool seen;                 /* in the list being read */
+  cv_time_t displaced_until; /* another instance has its address now */
   cv_health_t health;
   cv_time_t full_until;    /* it rejected a request for want of room */
   cv_time_t no_room_until; /* its observer refused a run that moves */
@@ -427,6 +428,8 @@
 void cv_targets_tick (cv_gateway_t *g, cv_time_t now);
 cv_target_t *cv_target_ref (cv_target_t *t);
 void cv_target_unref (cv_target_t *t);
+/* Its address is another instance's; it gets no more requests.  */
+void cv_target_displaced (cv_target_t *t);
 /* A request failed there; whether the target is avoided from now on.  */
 bool cv_target_failed (cv_target_t *t);
 bool cv_target_usable (const cv_target_t *t, cv_time_t now);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -13,6 +13,8 @@
 /* A request that may not be repeated uses a connection only if it was used
    this lately, since targets may drop an idle one unnoticed.  */
 #define FRESH_FOR (500 * CV_MS)
+/* The entry of an instance that is gone lapses before.  */
+#define DISPLACED_FOR (5 * CV_SECOND)
 /* An observer that said nothing for so long may be gone: it speaks at least
    every 0.4 s.  */
 #define OBSERVER_SILENT (1 * CV_SECOND)
@@ -98,6 +100,43 @@
   cv_target_unref (t);
 }
 
+void
+cv_target_displaced (cv_target_t *t)
+{
+  cv_time_t now = cv_now ();
+
+  if (now < t->displaced_until)
+    return;
+  t->displaced_until = now + DISPLACED_FOR;
+  log_target (CV_EV_GATEWAY_TARGET_AVOIDED, t, "another has its address");
+}
+
+static bool
+has_address (const cv_target_t *a, const cv_target_t *b)
+{
+  return a->record.address.sin_addr.s_addr == b->record.address.sin_addr.s_addr
+         && a->record.address.sin_port == b->record.address.sin_port;
+}
+
+/* After a loss of power, entries of before stay on the list for seconds beside
+   those of the same machines' new instances.  */
+static void
+displace_older (cv_target_t *t)
+{
+  cv_target_t *other;
+
+  for (other = TAILQ_FIRST (&t->gateway->targets); other != NULL;
+       other = TAILQ_NEXT (other, entry))
+    {
+      if (other == t || !has_address (t, other))
+        continue;
+      if (other->record.started_ms < t->record.started_ms)
+        cv_target_displaced (other);
+      else if (other->record.started_ms > t->record.started_ms)
+        cv_target_displaced (t);
+    }
+}
+
 static cv_target_t *
 add (cv_gateway_t *g, const cv_instance_record_t *r)
 {
@@ -112,6 +151,7 @@
   cv_health_init (&t->health, CV_HEALTH_KEEP_OWN);
   TAILQ_INSERT_TAIL (&g->targets, t, entry);
   log_target (CV_EV_GATEWAY_TARGET_ADDED, t, "listed");
+  displace_older (t);
   return t;
 }
 
@@ -237,7 +277,7 @@
 cv_target_usable (const cv_target_t *t, cv_time_t now)
 {
   return (t->presence == CV_TARGET_LISTED || t->presence == CV_TARGET_MISSING)
-         && !t->load.leaving && !t->load.failing
+         && now >= t->displaced_until && !t->load.leaving && !t->load.failing
          && cv_health_usable (&t->health, now) && now >= t->full_until;
 }
 
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -569,6 +569,23 @@
     os.close(logs)
 
 
+async def displaced(bench):
+    """After a loss of power, entries of before stay on the list: one whose
+    address a newer instance has gets nothing, one that answers for another
+    gets one request, which is sent elsewhere."""
+    await bench.start()
+    t1 = await bench.add_target("t1", "plain", echo)
+    t2 = await bench.add_target("t2", "plain", echo)
+    await bench.store.put("servers", "t0", {**t2.record(), "born": 0})
+    for name in ("t0", "t1", "t2"):
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    # Each asks for its own name; t1 has become another.
+    t1.name = "t9"
+    answers = [await bench.ask("POST", "/book/1", b"slot") for _ in range(12)]
+    bench.say(f"all answered: {all(a[0] == 200 for a in answers)}")
+    bench.say(f"arrivals at t1 {len(t1.seen)}, at t2 {len(t2.seen)}")
+
+
 async def silent_store(bench):
     """The store falls silent and comes back: what changed meanwhile is in
     force soon after, and requests are served all the while."""
