--- a/tests/gateway/bench.py
+++ b/tests/gateway/bench.py
@@ -30,6 +30,7 @@
         self.process = None
         self.observers = []
         self.stdout = asyncio.subprocess.PIPE  # of processes
+        self.stderr = None  # the test's own: why a process did not start
         self.ports = {}
         self.lines = []
         self.logs = []
@@ -78,7 +79,7 @@
             json.dump(settings, out)
         process = await asyncio.create_subprocess_exec(
             self.program, path, stdout=self.stdout,
-            stderr=asyncio.subprocess.DEVNULL, limit=1 << 20)
+            stderr=self.stderr, limit=1 << 20)
         if process.stdout:
             asyncio.ensure_future(self.read_logs(process.stdout))
         return process
@@ -135,6 +136,9 @@
         raise TimeoutError(getattr(condition, "__name__", "condition"))
 
     async def is_ready(self):
+        if self.process.returncode is not None:
+            raise RuntimeError(f"gateway ended with {self.process.returncode}"
+                               f" before it was ready: {self.logs[-1:]}")
         try:
             status, _, _ = await self.raw(
                 b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n", "ready")
