Gateway and platform: one piece where two did the same

Read as a whole, the change had: two functions that addressed a message on room to an observer (ask.c; one `tell` now); a path of a kind beside the path of its list, which is the same text; a result of cv_target_failed that its only caller threw away; a test for an unknown target made twice in a row; an include twice; and two comments that were no longer true (an observer decides on room and turns; memory is as forecast). No change of behaviour.

Run: lint; the tests of gateway (without the soak), policy, platform, http and wire.

--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -10,33 +10,38 @@
 /* Engines that are asked in a row before a request waits.  */
 #define ASKS_MAX 4
 
-void
-cv_ask_tell (const cv_exchange_t *x, const cv_target_t *t,
-             cv_room_purpose_t purpose)
+/* Send M on RUN to the observer of T.  */
+static void
+tell (const cv_target_t *t, cv_slice_t run, const cv_msg_room_t *m)
 {
   cv_msg_t msg = { .type = CV_MSG_ROOM };
 
-  msg.u.room.step = CV_ROOM_ASKED;
-  msg.u.room.purpose = purpose;
-  msg.u.room.prompt_tokens = x->request.prompt_tokens;
-  msg.u.room.produced = (uint32_t)cv_exchange_produced (x);
-  msg.u.room.expected = x->output.median;
-  msg.u.room.limit = x->output.limit;
+  msg.u.room = *m;
   (void)cv_copy (msg.u.room.target, CV_NAME_MAX, t->record.id);
-  (void)cv_copy_slice (msg.u.room.run, CV_RUN_MAX, x->request.attempt);
+  (void)cv_copy_slice (msg.u.room.run, CV_RUN_MAX, run);
   cv_loads_send (t, &msg);
 }
 
+void
+cv_ask_tell (const cv_exchange_t *x, const cv_target_t *t,
+             cv_room_purpose_t purpose)
+{
+  cv_msg_room_t m = { .step = CV_ROOM_ASKED,
+                      .purpose = purpose,
+                      .prompt_tokens = x->request.prompt_tokens,
+                      .produced = (uint32_t)cv_exchange_produced (x),
+                      .expected = x->output.median,
+                      .limit = x->output.limit };
+
+  tell (t, x->request.attempt, &m);
+}
+
 void
 cv_ask_end (const cv_target_t *t, cv_slice_t run, cv_room_step_t how)
 {
-  cv_msg_t msg = { .type = CV_MSG_ROOM };
+  cv_msg_room_t m = { .step = how, .purpose = CV_ROOM_NEW };
 
-  msg.u.room.step = how;
-  msg.u.room.purpose = CV_ROOM_NEW;
-  (void)cv_copy (msg.u.room.target, CV_NAME_MAX, t->record.id);
-  (void)cv_copy_slice (msg.u.room.run, CV_RUN_MAX, run);
-  cv_loads_send (t, &msg);
+  tell (t, run, &m);
 }
 
 bool
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -160,7 +160,7 @@
   if (served)
     cv_health_success (&x->target->health);
   else
-    (void)cv_target_failed (x->target);
+    cv_target_failed (x->target);
   if (x->request.is_generation)
     cv_ask_end (x->target, x->request.attempt,
                 served ? CV_ROOM_SERVED : CV_ROOM_FAILED);
--- a/gateway/evacuate.c
+++ b/gateway/evacuate.c
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include "gateway/state.h"
-#include "policy/evacuation.h"
 
 /* Runs of one engine that are looked at for a move.  */
 #define RUNS_MAX 128
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -78,10 +78,11 @@
   note_gateways (g, load->gateways);
   g->observed_at = now;
   if (t == NULL)
-    cv_follow_hurry (&g->follow_instances, now);
-  if (t == NULL
-      || (t->record.started_ms != 0
-          && t->record.started_ms != load->started_ms))
+    {
+      cv_follow_hurry (&g->follow_instances, now);
+      return;
+    }
+  if (t->record.started_ms != 0 && t->record.started_ms != load->started_ms)
     return;
   /* Datagrams may overtake each other.  */
   if (load->sequence < t->load.sequence && now - t->load_at < CV_SECOND)
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #include "gateway/state.h"
-#include "policy/evacuation.h"
 
 /* A copy of the largest run between failure domains takes about 0.5 s, and
    it may queue behind others.  */
--- a/gateway/register.c
+++ b/gateway/register.c
@@ -41,7 +41,7 @@
   cv_buf_init (&spec);
   cv_buf_init (&body);
   if (create)
-    cv_platform_kind_path (&path, CV_STORE_GATEWAYS);
+    cv_platform_list_path (&path, CV_STORE_GATEWAYS, "");
   else
     cv_platform_object_path (&path, CV_STORE_GATEWAYS, name);
   cv_card_encode (&spec, &r->gateway->loads_address);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -431,8 +431,8 @@
 void cv_target_unref (cv_target_t *t);
 /* Its address is another instance's; it gets no more requests.  */
 void cv_target_displaced (cv_target_t *t);
-/* A request failed there; whether the target is avoided from now on.  */
-bool cv_target_failed (cv_target_t *t);
+/* A request failed there.  */
+void cv_target_failed (cv_target_t *t);
 bool cv_target_usable (const cv_target_t *t, cv_time_t now);
 /* Whether T's observer has spoken lately, so that it can be asked.  */
 bool cv_target_is_observed (const cv_target_t *t, cv_time_t now);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -264,13 +264,11 @@
     }
 }
 
-bool
+void
 cv_target_failed (cv_target_t *t)
 {
-  if (!cv_health_failure (&t->health, cv_now ()))
-    return false;
-  log_target (CV_EV_GATEWAY_TARGET_AVOIDED, t, "too many failures");
-  return true;
+  if (cv_health_failure (&t->health, cv_now ()))
+    log_target (CV_EV_GATEWAY_TARGET_AVOIDED, t, "too many failures");
 }
 
 bool
--- a/observer/observer.h
+++ b/observer/observer.h
@@ -1,5 +1,6 @@
 /* The observer: runs beside one engine, asks it for its load and tells all
-   gateways.  It decides nothing; gateways do without it when it is lost.  */
+   gateways.  It grants room in the engine's memory and turns to move runs off
+   it; gateways do without it when it is lost.  */
 
 #ifndef CV_OBSERVER_H
 #define CV_OBSERVER_H
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -19,7 +19,7 @@
   bool usable;
   bool same_domain;        /* in the domain that its data comes from */
   uint64_t memory_total;   /* 0: a plain service */
-  uint64_t memory_used;    /* at the end of all runs it has, and copies */
+  uint64_t memory_used;    /* as its runs are expected to need it, and copies */
   uint64_t prompt_backlog; /* tokens of prompts that it has still to read */
   uint32_t in_flight;      /* requests of the chooser */
   uint32_t slots;
