Gateway: log why a connection with a request in progress was closed

What operators saw: GATEWAY_CALLER_LEFT, "a caller closed its connection", also when the process ended or a limit on connections closed it.

Change: each close of a connection has a reason. One of the caller stays GATEWAY_CALLER_LEFT, one of the gateway is GATEWAY_UNANSWERED, an error, with the state of the request, and is counted in unanswered_total. GATEWAY_STOPPED gives the duration of a stop and what was still open at its end; GATEWAY_SENT during a stop gives the time left in it.

No decision changes.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -174,6 +174,8 @@
   add_counter (&body, "cut_total", "Answers broken off.", n->cut);
   add_counter (&body, "left_total", "Callers gone before their answer.",
                n->left);
+  add_counter (&body, "unanswered_total",
+               "Connections closed with a request in progress.", n->unanswered);
   add_counter (&body, "sends_total", "Attempts at targets.", n->sends);
   /* state.h states what the two counters include.  */
   add_counter (&body, "retries_total", "Attempts after the first.", n->retries);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -93,6 +93,8 @@
   cv_line_number (&l, "waited_us", cv_now () - x->started_at);
   cv_line_number (&l, "late", x->urgency.is_late);
   cv_line_number (&l, "version", (int64_t)x->routing->version);
+  if (x->gateway->stopping)
+    cv_line_number (&l, "stop_left_us", x->gateway->stop_deadline - x->sent_at);
   if (x->service->is_engine)
     {
       cv_line_number (&l, "need_tokens", (int64_t)x->need_tokens);
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -107,17 +107,18 @@
 }
 
 void
-cv_client_close (cv_client_t *c)
+cv_client_close (cv_client_t *c, cv_close_reason_t reason)
 {
   cv_gateway_t *g = c->port->gateway;
 
   if (c->is_handling_input)
     {
       c->close_pending = true;
+      c->close_reason = reason;
       return;
     }
   if (c->exchange != NULL)
-    cv_exchange_caller_left (c->exchange);
+    cv_exchange_abandon (c->exchange, reason);
   TAILQ_REMOVE (&g->clients, c, entry);
   g->client_count--;
   bufferevent_free (c->bev);
@@ -177,7 +178,7 @@
   if (!complete)
     {
       /* Without its end, the response cannot be taken for a complete one.  */
-      cv_client_close (c);
+      cv_client_close (c, CV_CLOSE_INCOMPLETE);
       return;
     }
   if (c->close_after)
@@ -308,7 +309,7 @@
     }
   c->is_handling_input = false;
   if (c->close_pending)
-    cv_client_close (c);
+    cv_client_close (c, c->close_reason);
 }
 
 static void
@@ -346,8 +347,10 @@
 on_event (struct bufferevent *bev, short what, void *arg)
 {
   (void)bev;
-  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
-    cv_client_close (arg);
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    cv_client_close (arg, CV_CLOSE_BY_CALLER);
+  else if (what & BEV_EVENT_TIMEOUT)
+    cv_client_close (arg, CV_CLOSE_NOT_READ);
 }
 
 /* Whether bytes have arrived that no callback has read, as in a busy
@@ -380,7 +383,7 @@
       return;
     case CV_CLIENT_LINGERING:
       if (now - c->since > LINGER_TIMEOUT)
-        cv_client_close (c);
+        cv_client_close (c, CV_CLOSE_IDLE);
       return;
     case CV_CLIENT_READING:
       if (!c->reader.started)
@@ -388,7 +391,7 @@
           if (now - c->since
                   > (g->stopping ? STOP_IDLE_TIMEOUT : idle + IDLE_SLACK)
               && !has_unread_input (c))
-            cv_client_close (c);
+            cv_client_close (c, CV_CLOSE_IDLE);
         }
       else if (!c->reader.head_done ? now - c->since > head
                                     : now - c->since > idle)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -111,18 +111,45 @@
     cv_client_response_done (c, complete);
 }
 
+static const char *
+close_reason_text (cv_close_reason_t reason)
+{
+  switch (reason)
+    {
+    case CV_CLOSE_BY_CALLER:
+      return "the caller closed the connection";
+    case CV_CLOSE_NOT_READ:
+      return "the caller reads nothing of its response";
+    case CV_CLOSE_IDLE:
+      return "the connection was taken to be idle";
+    case CV_CLOSE_INCOMPLETE:
+      return "the response cannot be completed";
+    case CV_CLOSE_STOP:
+      return "the process ends";
+    }
+  return "";
+}
+
 void
-cv_exchange_caller_left (cv_exchange_t *x)
+cv_exchange_abandon (cv_exchange_t *x, cv_close_reason_t reason)
 {
+  bool by_caller = reason == CV_CLOSE_BY_CALLER || reason == CV_CLOSE_NOT_READ;
   cv_line_t l;
 
-  cv_line_begin (&l, CV_EV_GATEWAY_CALLER_LEFT);
+  cv_line_begin (&l, by_caller ? CV_EV_GATEWAY_CALLER_LEFT
+                               : CV_EV_GATEWAY_UNANSWERED);
   cv_line_text (&l, "request", x->request.attempt);
+  cv_line_text (&l, "reason", cv_slice (close_reason_text (reason)));
+  cv_line_number (&l, "state", x->state);
+  cv_line_number (&l, "head_sent", x->head_sent);
   cv_line_number (&l, "age_us", cv_now () - x->started_at);
   cv_line_number (&l, "sends", x->sends);
   cv_line_number (&l, "events", (int64_t)x->events.count);
   cv_line_end (&l);
-  x->gateway->counts.left++;
+  if (by_caller)
+    x->gateway->counts.left++;
+  else
+    x->gateway->counts.unanswered++;
   x->client->exchange = NULL;
   x->client = NULL;
   cv_exchange_end (x, false);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -79,7 +79,7 @@
   cv_client_t *c;
 
   while ((c = TAILQ_FIRST (&g->clients)) != NULL)
-    cv_client_close (c);
+    cv_client_close (c, CV_CLOSE_STOP);
   cv_migrations_finish (g);
   cv_loads_close (g);
   cv_register_finish (&g->registration);
@@ -147,6 +147,17 @@
     }
 }
 
+static uint32_t
+count_exchanges (const cv_gateway_t *g)
+{
+  const cv_exchange_t *x;
+  uint32_t n = 0;
+
+  TAILQ_FOREACH (x, &g->exchanges, entry)
+  n++;
+  return n;
+}
+
 static void
 begin_stop (cv_gateway_t *g)
 {
@@ -162,6 +173,20 @@
   cv_line_begin (&l, CV_EV_DAEMON_STOPPING);
   cv_line_text (&l, "instance", cv_slice (g->settings.instance));
   cv_line_number (&l, "callers", g->client_count);
+  cv_line_number (&l, "requests", count_exchanges (g));
+  cv_line_end (&l);
+}
+
+static void
+log_stopped (const cv_gateway_t *g)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_STOPPED);
+  cv_line_text (&l, "instance", cv_slice (g->settings.instance));
+  cv_line_number (&l, "after_us", cv_now () - g->stop_started_at);
+  cv_line_number (&l, "callers", g->client_count);
+  cv_line_number (&l, "requests", count_exchanges (g));
   cv_line_end (&l);
 }
 
@@ -261,5 +286,8 @@
       && (now >= g->stop_deadline
           || (now - g->stop_started_at > STOP_ACCEPT_PERIOD
               && TAILQ_EMPTY (&g->clients))))
-    (void)event_base_loopbreak (g->base);
+    {
+      log_stopped (g);
+      (void)event_base_loopbreak (g->base);
+    }
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -156,6 +156,16 @@
   CV_CLIENT_LINGERING, /* response sent; input is dropped until it closes */
 } cv_client_state_t;
 
+/* Why a connection ends.  */
+typedef enum
+{
+  CV_CLOSE_BY_CALLER = 1, /* closed or reset by its caller */
+  CV_CLOSE_NOT_READ,      /* the caller reads nothing of its response */
+  CV_CLOSE_IDLE,          /* no request is in progress */
+  CV_CLOSE_INCOMPLETE,    /* its response cannot be completed */
+  CV_CLOSE_STOP           /* the process ends */
+} cv_close_reason_t;
+
 /* A connection accepted on one of the ports: from a caller, a health check or
    a metrics collector.  */
 struct cv_client_t
@@ -172,7 +182,8 @@
   bool body_ends_at_close; /* the response body ends with the connection */
   bool request_incomplete; /* response sent before the request was read */
   bool is_handling_input;
-  bool close_pending; /* closed once its input has been handled */
+  bool close_pending;             /* closed once its input has been handled */
+  cv_close_reason_t close_reason; /* of close_pending */
 };
 
 /* ---- exchanges ---- */
@@ -308,11 +319,13 @@
   uint64_t refused;  /* requests refused with a status other than 502 or 504 */
   uint64_t failed;   /* requests refused with 502 or 504 */
   uint64_t cut;      /* responses that the gateway could not complete */
-  uint64_t left;     /* caller's connection closed before the response's end,
-                        by the caller, a write timeout or the end of a stop */
-  uint64_t retries;  /* attempts after the first, except those from a copy; also
-                        a stream's resumes in a new run */
-  uint64_t resumes;  /* attempts from a copy, also at the migration's source */
+  uint64_t left;     /* caller left or stopped reading before the response's
+                        end */
+  uint64_t unanswered; /* connection closed by the gateway with a request in
+                          progress and no response to it begun or ended */
+  uint64_t retries; /* attempts after the first, except those from a copy; also
+                       a stream's resumes in a new run */
+  uint64_t resumes; /* attempts from a copy, also at the migration's source */
   uint64_t sends;
   uint64_t connections;
 } cv_gateway_counts_t;
@@ -369,7 +382,7 @@
 /* Appends HEAD and BODY to the output of C.  */
 void cv_client_send (cv_client_t *c, cv_slice_t head, cv_slice_t body);
 /* Closes C, or marks it to be closed if its input is being handled.  */
-void cv_client_close (cv_client_t *c);
+void cv_client_close (cv_client_t *c, cv_close_reason_t reason);
 void cv_clients_tick (cv_gateway_t *g, cv_time_t now);
 /* Decides whether C is closed after this response, and returns the decision for
    the response head.  */
@@ -399,8 +412,8 @@
 
 /* exchange.c */
 void cv_exchange_begin (cv_client_t *c);
-/* The caller disconnected: ends X.  */
-void cv_exchange_caller_left (cv_exchange_t *x);
+/* The connection of X is closed for REASON: ends X without a response.  */
+void cv_exchange_abandon (cv_exchange_t *x, cv_close_reason_t reason);
 /* Places queued exchanges for which a target has room.  */
 void cv_exchange_place_waiting (cv_gateway_t *g);
 void cv_exchanges_tick (cv_gateway_t *g, cv_time_t now);
