Tests: requests that a stopping gateway leaves unanswered

What callers saw: a request taken late in a planned stop was sent to an engine, and its connection was closed without an answer when the process ended.

--- /dev/null
+++ b/tests/gateway/stop_scenarios.py
@@ -0,0 +1,98 @@
+"""Scenarios of a gateway that is stopped while callers keep using it."""
+
+import asyncio
+
+from scenarios import GEN_HEADERS
+from standins import chunk, event, start_stream
+
+# Requests are sent at this interval while the gateway stops.
+INTERVAL_S = 0.05
+
+
+class Caller:
+    """Sends requests one at a time, each on a connection of its own, and sorts
+    them by what became of them."""
+
+    def __init__(self, bench):
+        self.bench = bench
+        self.outcomes = {}  # by attempt id
+
+    async def send(self, method, path, body=b"", **headers):
+        head = self.bench.head(method, path, body, **headers)
+        attempt = f"a{self.bench.request_count}"
+        try:
+            status, _, _ = await self.bench.raw(head)
+        except OSError:
+            status = None  # not connected, so certainly not read
+        self.outcomes[attempt] = status
+
+    def unanswered(self):
+        """Attempts that reached a target and whose connection ended without a
+        complete response."""
+        arrived = {r.headers.get("attempt-id")
+                   for t in self.bench.targets.values() for r in t.requests}
+        return [a for a, status in self.outcomes.items()
+                if status == 0 and a in arrived]
+
+
+async def send_until_stopped(bench, *request, **headers):
+    """Stop the gateway, and send REQUEST every INTERVAL_S until the process has
+    ended.  Returns the caller."""
+    caller = Caller(bench)
+    tasks = []
+    bench.terminate()
+    await bench.until_logged("DAEMON_STOPPING")
+    while bench.process.returncode is None:
+        tasks.append(asyncio.ensure_future(caller.send(*request, **headers)))
+        await asyncio.sleep(INTERVAL_S)
+    await asyncio.gather(*tasks)
+    return caller
+
+
+async def stop_late_request(bench):
+    """New connections reach a stopping gateway until its end, as when under
+    half of the gateways are ready.  A short generation that takes an engine
+    longer than its size suggests must not be cut off by the end of the
+    process."""
+    async def slow_start(target, request, writer):
+        await asyncio.sleep(0.9)
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)) + b"0\r\n\r\n")
+        return True
+
+    await bench.add_target("m1", "model", slow_start)
+    await bench.start(grace_s=4)
+    caller = await send_until_stopped(
+        bench, "POST", "/tag/1", b"x",
+        **{**GEN_HEADERS, "Token-Usage": "400,12"})
+    served = sum(s == 200 for s in caller.outcomes.values())
+    bench.say(f"some are served: {served > 0}")
+    bench.say(f"unanswered at the engine: {len(caller.unanswered())}")
+    bench.say(f"logged as unanswered: {len(bench.logged('GATEWAY_UNANSWERED'))}")
+
+
+async def stop_unanswered(bench):
+    """Requests have no response when the grace period ends.  One that was sent
+    to an engine gets 502, since it may have run; one that waits for an engine
+    gets 503 with Retry-After, since it did not."""
+    async def hang(target, request, writer):
+        await request.reader.read(1)
+        return False
+
+    await bench.add_target("m1", "model", hang)
+    await bench.start(grace_s=2)
+    sent = asyncio.ensure_future(bench.send(
+        "POST", "/long/1", b"x",
+        **{**GEN_HEADERS, "Token-Usage": "30000,900"}))
+    await bench.until_logged("GATEWAY_SENT")
+    waiting = asyncio.ensure_future(bench.send(
+        "POST", "/long/2", b"x",
+        **{**GEN_HEADERS, "Token-Usage": "4000,900"}))
+    await asyncio.sleep(0.2)
+    bench.terminate()
+    for name, task in (("sent", sent), ("waiting", waiting)):
+        status, headers, _ = await task
+        bench.say(f"{name}: {status}, retry-after "
+                  f"{'retry-after' in headers}, connection "
+                  f"{headers.get('connection')}")
+    bench.say(f"exit code {await bench.process.wait()}")
