Gateway: answer every request that was read before a stop ends

What callers saw: a request taken late in a planned stop was sent to an engine, and half a second later its connection was closed without an answer (LOST).

Cause: a stopping gateway admitted a request when its duration at an idle engine fitted into the rest of the stop. At the end of the stop the loop was left at once, and every connection closed with what it still owed: requests at engines, requests in the queue, and refusals written in the same tick.

Evidence: GATEWAY_UNANSWERED, "the process ends", for 13 and 14 requests in stop-late-request; the times of the record, which are those of the planned end.

Change, all in terms of the time left (policy/stop.c): - a request taken late in the stop is admitted only if the most that a sound target takes fits, with a silence of a second; one taken while the gateway still counts as ready is tried by its expected length, as before. The same holds for requests in the queue and for retries, so that callers learn early that another gateway has to serve them; - the head of a late stream is sent only if the rest of it fits, as it cannot become a refusal afterwards; - before the stop ends, each request without a response gets 503 if it certainly did not run, else 502; then responses in progress are cut and logged so; - the process leaves the loop when the last responses have been written. Requests read in part get 503; an idle connection is not closed over unread input that libevent has already buffered.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -94,7 +94,7 @@
   cv_line_number (&l, "late", x->urgency.is_late);
   cv_line_number (&l, "version", (int64_t)x->routing->version);
   if (x->gateway->stopping)
-    cv_line_number (&l, "stop_left_us", x->gateway->stop_deadline - x->sent_at);
+    cv_line_number (&l, "stop_left_us", x->gateway->stop.ends_at - x->sent_at);
   if (x->service->is_engine)
     {
       cv_line_number (&l, "need_tokens", (int64_t)x->need_tokens);
@@ -286,6 +286,12 @@
     }
   if (h->status == 200 && fields.is_event_stream)
     {
+      if (!cv_exchange_can_begin_response (x))
+        {
+          cv_exchange_handle_failure (x, "stream cannot end before the stop",
+                                      true);
+          return;
+        }
       send_head (x, caller_framing (x), 0);
       x->state = CV_EXCHANGE_STREAMING;
       return;
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -353,15 +353,16 @@
     cv_client_close (arg, CV_CLOSE_NOT_READ);
 }
 
-/* Whether bytes have arrived that no callback has read, as in a busy
+/* Whether bytes have arrived that no callback has handled, as in a busy
    process.  */
 static bool
 has_unread_input (const cv_client_t *c)
 {
   char byte;
 
-  return recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
-         > 0;
+  return evbuffer_get_length (bufferevent_get_input (c->bev)) > 0
+         || recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+                > 0;
 }
 
 /* Closes C when it is idle or slow beyond the limits.  The idle timeout also
@@ -412,3 +413,41 @@
       check_timeouts (c, now);
     }
 }
+
+static void
+end_reading (cv_client_t *c)
+{
+  if (evbuffer_get_length (bufferevent_get_input (c->bev)) > 0)
+    handle_input (c);
+  if (c->state != CV_CLIENT_READING)
+    return;
+  if (c->reader.started)
+    refuse_incomplete (c, 503, "gateway stops");
+  else
+    (void)bufferevent_disable (c->bev, EV_READ);
+}
+
+void
+cv_clients_end (cv_gateway_t *g)
+{
+  cv_client_t *c;
+  cv_client_t *next;
+
+  for (c = TAILQ_FIRST (&g->clients); c != NULL; c = next)
+    {
+      next = TAILQ_NEXT (c, entry);
+      if (c->state == CV_CLIENT_READING)
+        end_reading (c);
+    }
+}
+
+bool
+cv_clients_have_output (const cv_gateway_t *g)
+{
+  const cv_client_t *c;
+
+  TAILQ_FOREACH (c, &g->clients, entry)
+  if (evbuffer_get_length (bufferevent_get_output (c->bev)) > 0)
+    return true;
+  return false;
+}
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -41,11 +41,6 @@
 #define RETRY_ROUTING_MS 500
 /* Retry-After while stopping: another gateway takes the request at once.  */
 #define RETRY_STOPPING_MS 20
-/* Time per output token of a run beside others.  */
-#define TOKEN_TIME (10 * CV_MS)
-/* First part of a stop, in which the load balancer still sends most new
-   connections; the last ones arrive within STOP_ACCEPT_PERIOD (gateway.c).  */
-#define STOP_EARLY_PERIOD (2 * CV_SECOND)
 /* A target that rejected a request gets no new one for this time.  */
 #define REJECTION_BACKOFF (100 * CV_MS)
 
@@ -296,23 +291,67 @@
   return true;
 }
 
-/* Whether X is expected to end before the stopping gateway exits.  Early in a
-   stop the estimate uses the caller's length hint, later its output limit.  */
 static bool
-ends_before_stop (const cv_exchange_t *x)
+is_late_in_stop (const cv_exchange_t *x)
+{
+  return cv_stop_is_late (&x->gateway->stop, x->started_at);
+}
+
+static void
+estimate_stop_work (const cv_exchange_t *x, cv_stop_work_t *out)
 {
   const cv_caller_request_t *q = &x->request;
-  bool is_late_in_stop
-      = x->started_at - x->gateway->stop_started_at > STOP_EARLY_PERIOD;
-  cv_time_t duration = 2 * x->route->objective_ms * CV_MS;
+  cv_stop_request_t r
+      = { .objective = x->route->objective_ms * CV_MS,
+          .gap_objective = x->route->gap_objective_ms * CV_MS,
+          .event_tokens = x->service->engine.event_tokens,
+          .prefill = q->prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS,
+          .expected_tokens = (uint32_t)(x->need_tokens - q->prompt_tokens),
+          .output_limit = q->output_limit,
+          .is_generation = q->is_generation };
+
+  cv_stop_estimate (&r, is_late_in_stop (x), out);
+}
+
+/* Whether a new attempt of X can end before the stop.  */
+static bool
+ends_before_stop (const cv_exchange_t *x, cv_time_t now)
+{
+  cv_stop_work_t work;
+
+  estimate_stop_work (x, &work);
+  return cv_stop_fits (&x->gateway->stop, now, &work);
+}
+
+bool
+cv_exchange_can_begin_response (const cv_exchange_t *x)
+{
+  cv_stop_work_t work;
+
+  if (!x->gateway->stopping || !is_late_in_stop (x))
+    return true;
+  estimate_stop_work (x, &work);
+  work.until_head = 0;
+  return cv_stop_fits (&x->gateway->stop, cv_now (), &work);
+}
 
-  if (q->is_generation)
-    duration
-        = q->prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS
-          + (cv_time_t)(is_late_in_stop ? q->output_limit
-                                        : x->need_tokens - q->prompt_tokens)
-                * TOKEN_TIME;
-  return x->started_at + duration < x->gateway->stop_deadline;
+/* Refuses X, which was not run, because the gateway stops.  */
+static void
+refuse_stopping (cv_exchange_t *x, const char *reason)
+{
+  cv_exchange_refuse (
+      x, 503, cv_retry_after_ms (&x->gateway->rng, RETRY_STOPPING_MS), reason);
+}
+
+/* Refuses X if no target has begun it and it cannot end before the stop.  */
+static bool
+refuse_if_stop_is_near (cv_exchange_t *x)
+{
+  if (!x->gateway->stopping || x->head_sent || x->may_have_run
+      || ends_before_stop (x, cv_now ()))
+    return false;
+  refuse_stopping (x, "gateway stops too soon");
+  return true;
 }
 
 void
@@ -336,13 +375,8 @@
     return;
   set_deadlines (x);
   estimate_memory (x);
-  if (g->stopping && !ends_before_stop (x))
-    {
-      cv_exchange_refuse (x, 503,
-                          cv_retry_after_ms (&g->rng, RETRY_STOPPING_MS),
-                          "gateway stops too soon");
-      return;
-    }
+  if (refuse_if_stop_is_near (x))
+    return;
   cv_retry_budget_first (&x->service_state->retries);
   cv_exchange_place (x);
 }
@@ -378,8 +412,11 @@
 void
 cv_exchange_place (cv_exchange_t *x)
 {
-  cv_target_t *t = cv_choose_target (x);
+  cv_target_t *t;
 
+  if (refuse_if_stop_is_near (x))
+    return;
+  t = cv_choose_target (x);
   if (t == NULL)
     {
       cv_exchange_wait (x);
@@ -397,9 +434,12 @@
 
   for (x = TAILQ_FIRST (&g->waiting); x != NULL; x = next)
     {
-      cv_target_t *t = cv_choose_target (x);
+      cv_target_t *t;
 
       next = TAILQ_NEXT (x, waiting);
+      if (refuse_if_stop_is_near (x))
+        continue;
+      t = cv_choose_target (x);
       if (t == NULL)
         continue;
       TAILQ_REMOVE (&g->waiting, x, waiting);
@@ -412,14 +452,15 @@
 /* ---- failures ---- */
 
 /* A failed attempt whose response head was not sent is not retried in the last
-   100 ms (SILENCE_MIN / 3) before the deadline.  Other attempts may start until
-   the deadline.  */
+   100 ms (SILENCE_MIN / 3) before the deadline, nor when it could not end
+   before a stop.  Other attempts may start until the deadline.  */
 bool
 cv_exchange_can_retry (const cv_exchange_t *x)
 {
   return x->sends < x->route->max_targets + x->connect_failures
          && x->connect_failures < CONNECT_FAILURES_MAX
-         && cv_now () < x->deadline - SILENCE_MIN / 3;
+         && cv_now () < x->deadline - SILENCE_MIN / 3
+         && (!x->gateway->stopping || ends_before_stop (x, cv_now ()));
 }
 
 /* Logs the end of the current attempt, also when a migration ended it as
@@ -615,3 +656,23 @@
       check_timeouts (x, now);
     }
 }
+
+void
+cv_exchanges_end (cv_gateway_t *g, bool cut_responses)
+{
+  cv_exchange_t *x;
+  cv_exchange_t *next;
+
+  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = next)
+    {
+      next = TAILQ_NEXT (x, entry);
+      if (x->head_sent && !cut_responses)
+        continue;
+      x->may_have_run |= x->target != NULL;
+      cv_attempt_stop (x);
+      if (x->may_have_run)
+        give_up (x, "gateway stops", false);
+      else
+        refuse_stopping (x, "gateway stops");
+    }
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -12,13 +12,12 @@
 /* After a longer time without a tick, the process or its machine was stalled.
  */
 #define STALL_THRESHOLD (500 * CV_MS)
-/* Connections still open are closed this long before the end of the grace
-   period.  */
-#define STOP_MARGIN (700 * CV_MS)
 /* Shortest time from the start of a stop to the exit.  Connections are accepted
    until the exit, as the load balancer sends connections until two health
    checks, a second apart, have failed.  */
 #define STOP_ACCEPT_PERIOD (3 * CV_SECOND)
+/* Time for callers to read their last responses after the stop is over.  */
+#define STOP_WRITE_PERIOD (200 * CV_MS)
 /* Descriptors kept for targets, the store and files.  */
 #define DESCRIPTORS_RESERVED 200
 /* Memory assumed for each accepted connection when their number is limited.  A
@@ -167,9 +166,8 @@
   if (g->stopping)
     return;
   g->stopping = true;
-  g->stop_started_at = now;
-  g->stop_deadline = now + (cv_time_t)(g->settings.grace_s * (double)CV_SECOND)
-                     - STOP_MARGIN;
+  cv_stop_begin (&g->stop, now,
+                 (cv_time_t)(g->settings.grace_s * (double)CV_SECOND));
   cv_line_begin (&l, CV_EV_DAEMON_STOPPING);
   cv_line_text (&l, "instance", cv_slice (g->settings.instance));
   cv_line_number (&l, "callers", g->client_count);
@@ -184,7 +182,7 @@
 
   cv_line_begin (&l, CV_EV_GATEWAY_STOPPED);
   cv_line_text (&l, "instance", cv_slice (g->settings.instance));
-  cv_line_number (&l, "after_us", cv_now () - g->stop_started_at);
+  cv_line_number (&l, "after_us", cv_now () - g->stop.started_at);
   cv_line_number (&l, "callers", g->client_count);
   cv_line_number (&l, "requests", count_exchanges (g));
   cv_line_end (&l);
@@ -245,7 +243,7 @@
 static void
 limit_clients (cv_gateway_t *g)
 {
-  bool has_room = g->client_count < client_limit (g);
+  bool has_room = g->client_count < client_limit (g) && !g->is_ending;
   cv_line_t l;
 
   if (has_room == g->accepting)
@@ -262,6 +260,31 @@
   cv_line_end (&l);
 }
 
+/* Ends what is still in progress when its time is over.  The process exits
+   later than this, when the last responses have been written.  */
+static void
+advance_stop (cv_gateway_t *g, cv_time_t now)
+{
+  bool is_idle = now - g->stop.started_at > STOP_ACCEPT_PERIOD
+                 && TAILQ_EMPTY (&g->clients);
+  bool is_over = now >= g->stop.ends_at + STOP_WRITE_PERIOD;
+
+  if (now >= g->stop.answer_by)
+    cv_exchanges_end (g, now >= g->stop.ends_at);
+  if (is_idle || is_over || (g->is_ending && !cv_clients_have_output (g)))
+    {
+      log_stopped (g);
+      (void)event_base_loopbreak (g->base);
+      return;
+    }
+  if (now >= g->stop.ends_at && !g->is_ending)
+    {
+      g->is_ending = true;
+      (void)evconnlistener_disable (g->ports[0].listener);
+      cv_clients_end (g);
+    }
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -282,12 +305,6 @@
   cv_clients_tick (g, now);
   limit_clients (g);
   cv_line_flush ();
-  if (g->stopping
-      && (now >= g->stop_deadline
-          || (now - g->stop_started_at > STOP_ACCEPT_PERIOD
-              && TAILQ_EMPTY (&g->clients))))
-    {
-      log_stopped (g);
-      (void)event_base_loopbreak (g->base);
-    }
+  if (g->stopping)
+    advance_stop (g, now);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -34,6 +34,7 @@
 #include "policy/placement.h"
 #include "policy/policy.h"
 #include "policy/refusal.h"
+#include "policy/stop.h"
 #include "policy/urgency.h"
 #include "routing/routing.h"
 
@@ -364,8 +365,8 @@
   cv_time_t stall_ended_at; /* end of the last period without ticks */
   cv_rng_t rng;
   bool stopping;
-  cv_time_t stop_started_at;
-  cv_time_t stop_deadline; /* open connections are closed then */
+  bool is_ending; /* the stop is over; the last responses are written */
+  cv_stop_t stop; /* valid while STOPPING */
   cv_gateway_counts_t counts;
   cv_hist_t latency;     /* milliseconds to the end of a response */
   cv_hist_t first_event; /* milliseconds to the first event of a stream */
@@ -384,6 +385,11 @@
 /* Closes C, or marks it to be closed if its input is being handled.  */
 void cv_client_close (cv_client_t *c, cv_close_reason_t reason);
 void cv_clients_tick (cv_gateway_t *g, cv_time_t now);
+/* At the end of a stop: refuses requests that were read in part, and stops
+   reading new ones.  */
+void cv_clients_end (cv_gateway_t *g);
+/* Whether a response has not been handed to the kernel completely.  */
+bool cv_clients_have_output (const cv_gateway_t *g);
 /* Decides whether C is closed after this response, and returns the decision for
    the response head.  */
 bool cv_client_decide_close (cv_client_t *c);
@@ -417,6 +423,12 @@
 /* Places queued exchanges for which a target has room.  */
 void cv_exchange_place_waiting (cv_gateway_t *g);
 void cv_exchanges_tick (cv_gateway_t *g, cv_time_t now);
+/* Ends all exchanges whose response has not begun, and with CUT_RESPONSES the
+   others too, because the process stops.  */
+void cv_exchanges_end (cv_gateway_t *g, bool cut_responses);
+/* Whether the response of X, which begins now, ends before the process stops;
+   always true for a request that is rather tried than refused.  */
+bool cv_exchange_can_begin_response (const cv_exchange_t *x);
 /* Sends STATUS and REASON as the gateway's own response, and ends X.  Logged as
    a refusal; 502 and 504 are counted as failures.  */
 void cv_exchange_refuse (cv_exchange_t *x, unsigned status,
--- a/tests/gateway/stop_scenarios.py
+++ b/tests/gateway/stop_scenarios.py
@@ -7,6 +7,8 @@
 
 # Requests are sent at this interval while the gateway stops.
 INTERVAL_S = 0.05
+# Requests sent this long after the start of a stop are late in it.
+LATE_IN_STOP_S = 2.2
 
 
 class Caller:
@@ -36,12 +38,10 @@
 
 
 async def send_until_stopped(bench, *request, **headers):
-    """Stop the gateway, and send REQUEST every INTERVAL_S until the process has
+    """Send REQUEST every INTERVAL_S until the process, which is stopping, has
     ended.  Returns the caller."""
     caller = Caller(bench)
     tasks = []
-    bench.terminate()
-    await bench.until_logged("DAEMON_STOPPING")
     while bench.process.returncode is None:
         tasks.append(asyncio.ensure_future(caller.send(*request, **headers)))
         await asyncio.sleep(INTERVAL_S)
@@ -62,6 +62,8 @@
 
     await bench.add_target("m1", "model", slow_start)
     await bench.start(grace_s=4)
+    bench.terminate()
+    await bench.until_logged("DAEMON_STOPPING")
     caller = await send_until_stopped(
         bench, "POST", "/tag/1", b"x",
         **{**GEN_HEADERS, "Token-Usage": "400,12"})
@@ -71,6 +73,31 @@
     bench.say(f"logged as unanswered: {len(bench.logged('GATEWAY_UNANSWERED'))}")
 
 
+async def stop_late_stream(bench):
+    """An engine begins to respond shortly before the stopping gateway ends.  A
+    response that was begun cannot become a refusal, so one that may not end in
+    time must not begin."""
+    async def slow_start(target, request, writer):
+        await asyncio.sleep(3)
+        await start_stream(request, writer)
+        for i in range(3):
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.4)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    await bench.add_target("m1", "model", slow_start)
+    await bench.start(grace_s=7)
+    bench.terminate()
+    await bench.until_logged("DAEMON_STOPPING")
+    await asyncio.sleep(LATE_IN_STOP_S)
+    caller = await send_until_stopped(
+        bench, "POST", "/tag/1", b"x",
+        **{**GEN_HEADERS, "Token-Usage": "400,12"})
+    bench.say(f"reached the engine: {len(bench.targets['m1'].requests) > 0}")
+    bench.say(f"unanswered at the engine: {len(caller.unanswered())}")
+
+
 async def stop_unanswered(bench):
     """Requests have no response when the grace period ends.  One that was sent
     to an engine gets 502, since it may have run; one that waits for an engine
