Gateway: a connection closed while its input is handled is not used again

Cause: handling the input at the end of a stop may close the connection; the state of the freed connection was read afterwards.

Change: handle_input says whether the connection still exists.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -38,7 +38,7 @@
 static void on_read (struct bufferevent *bev, void *arg);
 static void on_write (struct bufferevent *bev, void *arg);
 static void on_event (struct bufferevent *bev, short what, void *arg);
-static void handle_input (cv_client_t *c);
+static bool handle_input (cv_client_t *c);
 
 bool
 cv_port_open (cv_gateway_t *g, cv_port_kind_t kind, const char *url,
@@ -192,7 +192,7 @@
   cv_buf_reset (&c->body);
   if (!c->is_handling_input
       && evbuffer_get_length (bufferevent_get_input (c->bev)) > 0)
-    handle_input (c);
+    (void)handle_input (c);
 }
 
 /* Responds to a request that was not read completely, and ends the
@@ -284,7 +284,8 @@
   return false;
 }
 
-static void
+/* False when C was closed.  */
+static bool
 handle_input (cv_client_t *c)
 {
   struct evbuffer *in = bufferevent_get_input (c->bev);
@@ -308,8 +309,10 @@
         break;
     }
   c->is_handling_input = false;
-  if (c->close_pending)
-    cv_client_close (c, c->close_reason);
+  if (!c->close_pending)
+    return true;
+  cv_client_close (c, c->close_reason);
+  return false;
 }
 
 static void
@@ -321,7 +324,7 @@
   switch (c->state)
     {
     case CV_CLIENT_READING:
-      handle_input (c);
+      (void)handle_input (c);
       return;
     case CV_CLIENT_WAITING:
       /* The next request stays in the buffer.  */
@@ -417,8 +420,9 @@
 static void
 end_reading (cv_client_t *c)
 {
-  if (evbuffer_get_length (bufferevent_get_input (c->bev)) > 0)
-    handle_input (c);
+  if (evbuffer_get_length (bufferevent_get_input (c->bev)) > 0
+      && !handle_input (c))
+    return;
   if (c->state != CV_CLIENT_READING)
     return;
   if (c->reader.started)
