--- a/gateway/client.c
+++ b/gateway/client.c
@@ -38,7 +38,7 @@
 static void on_read (struct bufferevent *bev, void *arg);
 static void on_write (struct bufferevent *bev, void *arg);
 static void on_event (struct bufferevent *bev, short what, void *arg);
-static void handle_input (cv_client_t *c);
+static bool handle_input (cv_client_t *c);
 
 bool
 cv_port_open (cv_gateway_t *g, cv_port_kind_t kind, const char *url,
@@ -192,7 +192,7 @@
   cv_buf_reset (&c->body);
   if (!c->is_handling_input
       && evbuffer_get_length (bufferevent_get_input (c->bev)) > 0)
-    handle_input (c);
+    (void)handle_input (c);
 }
 
 /* Responds to a request that was not read completely, and ends the
@@ -284,7 +284,8 @@
   return false;
 }
 
-static void
+/* False when C was closed.  */
+static bool
 handle_input (cv_client_t *c)
 {
   struct evbuffer *in = bufferevent_get_input (c->bev);
@@ -308,8 +309,10 @@
         break;
     }
   c->is_handling_input = false;
-  if (c->close_pending)
-    cv_client_close (c, c->close_reason);
+  if (!c->close_pending)
+    return true;
+  cv_client_close (c, c->close_reason);
+  return false;
 }
 
 static void
@@ -321,7 +324,7 @@
   switch (c->state)
     {
     case CV_CLIENT_READING:
-      handle_input (c);
+      (void)handle_input (c);
       return;
     case CV_CLIENT_WAITING:
       /* The next request stays in the buffer.  */
@@ -353,15 +356,16 @@
     cv_client_close (arg, CV_CLOSE_NOT_READ);
 }
 
-/* Whether bytes have arrived that no callback has read, as in a busy
+/* Whether bytes have arrived that no callback has handled, as in a busy
    process.  */
 static bool
 has_unread_input (const cv_client_t *c)
 {
   char byte;
 
-  return recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
-         > 0;
+  return evbuffer_get_length (bufferevent_get_input (c->bev)) > 0
+         || recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+                > 0;
 }
 
 /* Closes C when it is idle or slow beyond the limits.  The idle timeout also
@@ -412,3 +416,42 @@
       check_timeouts (c, now);
     }
 }
+
+static void
+end_reading (cv_client_t *c)
+{
+  if (evbuffer_get_length (bufferevent_get_input (c->bev)) > 0
+      && !handle_input (c))
+    return;
+  if (c->state != CV_CLIENT_READING)
+    return;
+  if (c->reader.started)
+    refuse_incomplete (c, 503, "gateway stops");
+  else
+    (void)bufferevent_disable (c->bev, EV_READ);
+}
+
+void
+cv_clients_end (cv_gateway_t *g)
+{
+  cv_client_t *c;
+  cv_client_t *next;
+
+  for (c = TAILQ_FIRST (&g->clients); c != NULL; c = next)
+    {
+      next = TAILQ_NEXT (c, entry);
+      if (c->state == CV_CLIENT_READING)
+        end_reading (c);
+    }
+}
+
+bool
+cv_clients_have_output (const cv_gateway_t *g)
+{
+  const cv_client_t *c;
+
+  TAILQ_FOREACH (c, &g->clients, entry)
+  if (evbuffer_get_length (bufferevent_get_output (c->bev)) > 0)
+    return true;
+  return false;
+}
