--- /dev/null
+++ b/tests/gateway/limit_scenarios.py
@@ -0,0 +1,401 @@
+"""Scenarios of time limits, lost targets and changed configurations: none may
+end an answer that could still be completed."""
+
+import asyncio
+import json
+import socket
+
+from scenarios import GEN_HEADERS
+from standins import (EngineStatus, Target, answer, chunk, echo, event,
+                      signed, start_stream)
+
+
+def ids(body):
+    """Ids of the events of a stream."""
+    return [int(l[4:]) for l in body.decode().split("\n")
+            if l.startswith("id:")]
+
+
+def pausing(bench, before_first=0.0, before_last=0.0):
+    """A script of an engine that is silent for BEFORE_FIRST seconds before the
+    first of four events, and for BEFORE_LAST before the last."""
+    async def script(target, request, writer):
+        await asyncio.sleep(before_first)
+        await start_stream(request, writer)
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        for i in range(first, 4):
+            if i == 3:
+                await asyncio.sleep(before_last)
+            writer.write(chunk(event(i)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+    return script
+
+
+def shorten_objective(bench, ms=300):
+    """Set the latency objective of the resumable streams to MS, so that their
+    targets count as silent and the time to place them ends sooner."""
+    bench.config["Routes"][3]["TargetLatencyMs"] = ms
+
+
+async def send(bench, *request, **headers):
+    """Send a request: status, headers and body, or None instead of the status
+    if the response ends early."""
+    try:
+        return await bench.send(*request, **headers)
+    except ValueError:  # no size of the next chunk
+        return None, {}, b""
+
+
+async def generate(bench, path="/tag/1", **headers):
+    """Send a request for a generation: status, and the ids of its events."""
+    status, _, body = await send(bench, "POST", path, b"x",
+                                 **{**GEN_HEADERS, **headers})
+    return f"{status}, events {ids(body)}" if status else "cut"
+
+
+def runs(bench):
+    """Requests for generations that arrived at the engines."""
+    return sum(r.method == "POST" and r.path != "/kv-move"
+               for t in bench.targets.values() for r in t.requests)
+
+
+async def silence_without_target(bench):
+    """An engine is silent for longer than the limit and goes on, and no other
+    engine exists: the silence does not end the answer."""
+    shorten_objective(bench)
+    await bench.start()
+    await bench.add_target("m1", "model", pausing(bench, before_first=1.0))
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    bench.say(f"before the first event: {await generate(bench)}")
+    bench.targets["m1"].script = pausing(bench, before_last=1.4)
+    bench.say(f"between two events: {await generate(bench)}")
+    bench.say(f"runs: {runs(bench)}")
+
+
+async def silence_without_budget(bench):
+    """As before, with a second engine but an empty retry budget."""
+    shorten_objective(bench)
+    await bench.start(retry_ratio=0, retry_slack=0)
+    for name in ("m1", "m2"):
+        await bench.add_target(name, "model", pausing(bench, before_first=1.0))
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    bench.say(f"before the first event: {await generate(bench)}")
+    for target in bench.targets.values():
+        target.script = pausing(bench, before_last=1.4)
+    bench.say(f"between two events: {await generate(bench)}")
+    bench.say(f"runs: {runs(bench)}")
+
+
+async def silence_without_reservation(bench):
+    """As before; the observer of the second engine refuses a reservation, since
+    the run would grow beyond its memory."""
+    shorten_objective(bench)
+    await bench.start()
+    for name in ("m1", "m2"):
+        await bench.add_target(name, "model", pausing(bench, before_first=1.0))
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    status = EngineStatus("m2")
+    status.runs["other"] = 33700
+    await bench.observe(status)
+    size = {"Token-Usage": "400,9000"}
+    bench.say(f"before the first event: {await generate(bench, **size)}")
+    for target in bench.targets.values():
+        target.script = pausing(bench, before_last=1.4)
+    bench.say(f"between two events: {await generate(bench, **size)}")
+    bench.say(f"runs: {runs(bench)}")
+
+
+async def silence_with_target(bench):
+    """An engine hangs and another has room: the answer comes from the other,
+    from the start of the stream and within it."""
+    hangs_at = 0
+
+    async def script(target, request, writer):
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        if target.name == "m1" and first == hangs_at == 0:
+            await request.reader.read(1)
+            return False
+        await start_stream(request, writer)
+        for i in range(first, 4):
+            if target.name == "m1" and i == hangs_at:
+                await request.reader.read(1)
+                return False
+            writer.write(chunk(event(i)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    shorten_objective(bench)
+    await bench.start()
+    await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    for hangs_at, attempt in ((0, "a1"), (2, "a2")):
+        caller = asyncio.ensure_future(generate(bench))
+        await bench.until_logged("GATEWAY_SENT", request=attempt)
+        await bench.add_target("m2", "model", script)
+        bench.say(f"hangs at {hangs_at}: {await caller}")
+        await bench.store.remove("servers", "m2")
+        await bench.until_logged("GATEWAY_TARGET_LEAVING", target="m2")
+        await asyncio.sleep(1.2)  # m1 may be avoided for a second
+    bench.say(f"runs at m1: {len(bench.targets['m1'].requests)}")
+
+
+async def lost_engine_without_wait(bench):
+    """The only engine resets a stream, and a request without a response, after
+    the time to place the request is over.  Another engine is listed a second
+    later: it takes both over."""
+    async def script(target, request, writer):
+        if target.name == "m2":
+            return await pausing(bench)(target, request, writer)
+        if request.path.endswith("stream"):
+            await start_stream(request, writer)
+            writer.write(chunk(event(0)))
+            await writer.drain()
+        await asyncio.sleep(0.4)
+        writer.transport.abort()
+        return False
+
+    shorten_objective(bench)
+    await bench.start()
+    await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    callers = [asyncio.ensure_future(generate(bench, path))
+               for path in ("/tag/stream", "/tag/silent")]
+    await bench.until_logged("GATEWAY_ATTEMPT_FAILED", request="a1")
+    await bench.until_logged("GATEWAY_ATTEMPT_FAILED", request="a2")
+    await asyncio.sleep(0.3)
+    await bench.add_target("m2", "model", script)
+    for name, caller in zip(("stream", "no response"), callers):
+        bench.say(f"{name}: {await caller}")
+
+
+async def set_limits(bench, **limits):
+    """Put a configuration with LIMITS into effect."""
+    bench.config["Version"] += 1
+    bench.config["Limits"].update(limits)
+    await bench.store.put("config", "main", bench.config)
+    await bench.until_logged("GATEWAY_ROUTING_ADOPTED",
+                             version=bench.config["Version"])
+
+
+async def shorter_limits(bench):
+    """A configuration with lower limits comes into effect.  Callers use their
+    connections by the limits that they know: the lower ones apply to a
+    connection from its next idle period on."""
+    bench.config["Limits"]["HeaderTimeoutMs"] = 3000
+    await bench.add_target("t1", "plain", echo)
+    await bench.start()
+    idle, partial, large = [await bench.connect() for _ in range(3)]
+    for reader, writer in (idle, partial, large):
+        await bench.exchange(reader, writer, bench.head("GET", "/read/x"))
+    request = bench.head("GET", "/read/head")
+    partial[1].write(request[:20])
+    await asyncio.sleep(0.8)
+    await set_limits(bench, IdleTimeoutMs=100, HeaderTimeoutMs=100,
+                     MaxHeaderBytes=600, MaxBodyBytes=100)
+    await asyncio.sleep(0.3)
+    cases = (("idle connection", idle, bench.head("GET", "/read/idle")),
+             ("incomplete head", partial, request[20:]),
+             ("large head and body", large,
+              bench.head("POST", "/book/1", b"x" * 2000,
+                         **{"X-Long": "y" * 2000})))
+    for name, (reader, writer), data in cases:
+        status, _, _ = await bench.exchange(reader, writer, data)
+        bench.say(f"{name}: {status}")
+    ended = await asyncio.wait_for(idle[0].read(), 2)
+    bench.say(f"idle connection ends by the new limit with {ended}")
+    status, _, _ = await bench.send("POST", "/book/2", b"x" * 101)
+    bench.say(f"body over the new limit on a new connection: {status}")
+
+
+async def removed_route(bench):
+    """A configuration without routes, services and accounts comes into effect
+    while requests of each kind are in progress: all are answered."""
+    async def slow(target, request, writer):
+        await asyncio.sleep(0.8)
+        writer.write(signed(request, b"done"))
+        return True
+
+    shorten_objective(bench, 1500)
+    await bench.start()
+    await bench.add_target("t1", "plain", slow)
+    await bench.add_target("m1", "model", pausing(bench, 0.3, 0.6))
+    for name in ("t1", "m1"):
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    callers = {
+        "sent": bench.send("POST", "/book/1", b"x"),
+        "streaming": bench.send("POST", "/tag/1", b"x", **GEN_HEADERS),
+        "filling": bench.send("POST", "/long/1", b"x", **{
+            **GEN_HEADERS, "Token-Usage": "33000,900"}),
+        "waiting": bench.send("POST", "/long/2", b"x", **{
+            **GEN_HEADERS, "Token-Usage": "2000,900"})}
+    tasks = {k: asyncio.ensure_future(v) for k, v in callers.items()}
+    await asyncio.sleep(0.5)
+    bench.config.update(Version=2, Routes=[], Backends=[], Tenants=[])
+    await bench.store.put("config", "main", bench.config)
+    await bench.until_logged("GATEWAY_ROUTING_ADOPTED", version=2)
+    for name, task in tasks.items():
+        bench.say(f"{name}: {(await task)[0]}")
+    status, _, _ = await bench.send("GET", "/read/x")
+    bench.say(f"new request: {status}")
+
+
+async def connect_slowly(bench):
+    """Connect with a small receive buffer."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    s.connect(("127.0.0.1", bench.ports["listen"]))
+    s.setblocking(False)
+    return await asyncio.open_connection(sock=s, limit=8192)
+
+
+async def slow_reader(bench):
+    """Callers read a large answer slowly, on a connection that is to be closed
+    and on one that is kept: the unread rest is not dropped when the answer's
+    source has ended."""
+    size = 12 << 20
+
+    async def send_large(target, request, writer):
+        writer.write(signed(request, b"x" * size))
+        await writer.drain()
+        return True
+
+    bench.config["Limits"]["IdleTimeoutMs"] = 500
+    await bench.add_target("t1", "plain", send_large)
+    await bench.start()
+
+    async def read_late(connection):
+        reader, writer = await connect_slowly(bench)
+        writer.write(bench.head("GET", "/read/x", Connection=connection))
+        await asyncio.sleep(1.8)
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            total = 0
+            while total < size and (data := await asyncio.wait_for(
+                    reader.read(1 << 20), 5)):
+                total += len(data)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            return type(error).__name__
+        finally:
+            writer.close()
+        return f"complete {total >= size}"
+
+    for connection in ("close", "keep-alive"):
+        bench.say(f"{connection}: {await read_late(connection)}")
+
+
+async def large_answer(bench):
+    """A large answer of an idempotent route takes longer than the limit of
+    silence.  Its first part was forwarded, so no other target can complete
+    it."""
+    async def send_in_two_parts(target, request, writer):
+        data = signed(request, b"x" * 600000)
+        writer.write(data[:400000])
+        await asyncio.sleep(0.7)
+        writer.write(data[400000:])
+        return True
+
+    await bench.start()
+    for name in ("t1", "t2"):
+        await bench.add_target(name, "plain", send_in_two_parts)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    status, _, body = await send(bench, "GET", "/read/x")
+    bench.say(f"{status}, {len(body)} bytes")
+    bench.say(f"sent {sum(len(t.requests) for t in bench.targets.values())}")
+
+
+def migrating(bench, on_final):
+    """A script of engines whose runs can be migrated: ON_FINAL handles the
+    order to stop the run."""
+    async def script(target, request, writer):
+        if request.path == "/kv-move":
+            if json.loads(request.body)["Final"]:
+                return await on_final(target, request, writer)
+            writer.write(answer(200, b'{"Session":"h1","Created":4}'))
+            return True
+        if request.method == "DELETE":
+            writer.write(answer(200))
+            return True
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        await start_stream(request, writer)
+        for i in range(first, first + 3 if first > 0 else 80):
+            if target.ends_run.is_set():
+                writer.transport.abort()
+                return False
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+        return True
+    return script
+
+
+async def start_migration(bench, script):
+    """Start a run at m1 and drain m1.  Returns the task of the caller."""
+    await bench.start()
+    old = await bench.add_target("m1", "model", script)
+    old.ends_run = asyncio.Event()
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    caller = asyncio.ensure_future(read_stream(
+        bench, bench.head("POST", "/long/1", b"x", **GEN_HEADERS)))
+    await bench.until_logged("GATEWAY_SENT")
+    await asyncio.sleep(0.2)
+    new = await bench.add_target("m2", "model", script)
+    new.ends_run = asyncio.Event()
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m2")
+    return caller, old, new
+
+
+async def read_stream(bench, request):
+    """Send REQUEST and read a stream to its end: its event ids, and whether it
+    is complete."""
+    reader, writer = await bench.connect()
+    writer.write(request)
+    got = b""
+    while not got.endswith(b"\r\n0\r\n\r\n") and (data := await reader.read(
+            1 << 16)):
+        got += data
+    writer.close()
+    return ids(got), got.endswith(b"\r\n0\r\n\r\n")
+
+
+async def second_run_after_migration(bench):
+    """The destination of a migration refuses the connection by which the run
+    is to go on.  The run cannot be repeated, so it is not started anew at a
+    third engine."""
+    async def stop_run(target, request, writer):
+        target.ends_run.set()
+        writer.write(answer(200, b'{"Session":"h1","Created":4}'))
+        return True
+
+    caller, old, new = await start_migration(bench, migrating(bench, stop_run))
+    new.server.close()
+    third = await Target("m3", "model", new.script).start()
+    third.ends_run = asyncio.Event()
+    bench.targets["m3"] = third
+    await bench.store.put("servers", "m3",
+                          {**third.record(), "Zone": "zone-b"})
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m3")
+    await bench.store.put("servers", "m1", old.record("draining"))
+    numbers, complete = await caller
+    bench.say(f"complete {complete}")
+    bench.say(f"events in order {numbers == list(range(len(numbers)))}")
+    bench.say(f"runs: {runs(bench)}")
+
+
+async def lost_migration_source(bench):
+    """The source of a migration is lost while it stops the run: its answer to
+    the order is lost first, and then the stream ends.  The run goes on from
+    the copy that was made while it ran."""
+    async def lose(target, request, writer):
+        asyncio.get_running_loop().call_later(0.2, target.ends_run.set)
+        writer.transport.abort()
+        return False
+
+    caller, old, _ = await start_migration(bench, migrating(bench, lose))
+    await bench.store.put("servers", "m1", old.record("draining"))
+    numbers, complete = await caller
+    bench.say(f"complete {complete}, events in order "
+              f"{numbers == list(range(len(numbers)))}")
+    bench.say(f"runs: {runs(bench)}")
