Gateway: leave a silent target only for another one

Callers of a retryable route got 502, or a cut stream, as soon as their target had been silent for the limit, although it would have gone on and they still waited. The gateway ended the attempt first and then looked for a target; with none that had room, a refused reservation or an empty retry budget, the time to place the request had long passed.

The attempt now goes on while the gateway looks for a target, and while it waits for a reservation there. It ends when it can be replaced. The failure is still recorded at the limit, so that a hanging engine is avoided as before.

--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -57,7 +57,8 @@
   if (!x->request.is_generation || x->request.attempt.p == NULL
       || x->request.attempt.n >= CV_RUN_MAX || !cv_target_is_observed (t, now))
     return false;
-  x->state = CV_EXCHANGE_RESERVING;
+  if (x->target == NULL)
+    x->state = CV_EXCHANGE_RESERVING;
   x->reservation_target = cv_target_ref (t);
   x->reservation_sent_at = now;
   x->reservation_requests++;
@@ -91,8 +92,13 @@
 
   clear_reservation_target (x);
   x->reservation_requests = 0;
-  x->has_reservation = true;
-  cv_attempt_start (x, t);
+  if (x->target == NULL || cv_exchange_leave_silent_target (x))
+    {
+      x->has_reservation = true;
+      cv_attempt_start (x, t);
+    }
+  else
+    cv_reserve_send_end (t, x->request.attempt, CV_RESERVATION_RELEASED);
   cv_target_unref (t);
 }
 
@@ -142,6 +148,11 @@
     }
   record_reservation_refusal (t, x);
   clear_reservation_target (x);
+  if (x->target != NULL)
+    {
+      x->reservation_requests = 0;
+      return;
+    }
   if (x->reservation_requests < RESERVATION_REQUESTS_MAX)
     {
       cv_exchange_place (x);
@@ -161,6 +172,7 @@
   else
     {
       cv_exchange_cancel_reservation (x);
-      cv_exchange_place (x);
+      if (x->target == NULL)
+        cv_exchange_place (x);
     }
 }
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -175,6 +175,7 @@
 void
 cv_attempt_stop (cv_exchange_t *x)
 {
+  cv_exchange_cancel_reservation (x);
   if (x->migration != NULL)
     cv_migration_detach (x->migration);
   if (x->link != NULL)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -457,6 +457,26 @@
   cv_attempt_start (x, t);
 }
 
+/* Whether the bounds allow another attempt: those of attempts, failed
+   connections and time, or of resumes once the head was sent.  */
+static bool
+is_attempt_left (const cv_exchange_t *x)
+{
+  return x->head_sent ? x->resumes < RESUMES_MAX : cv_exchange_can_retry (x);
+}
+
+/* Ends the current attempt of X, which another one follows.  */
+static void
+end_for_retry (cv_exchange_t *x, const char *reason, const char *next)
+{
+  log_failure (x, reason, next);
+  cv_attempt_stop (x);
+  x->from_copy = false;
+  if (x->head_sent)
+    x->resumes++;
+  x->gateway->counts.retries++;
+}
+
 void
 cv_exchange_handle_failure (cv_exchange_t *x, const char *reason,
                             bool may_have_run)
@@ -465,16 +485,10 @@
 
   x->may_have_run |= may_have_run;
   is_retryable = !x->may_have_run || cv_route_is_repeatable (x->route);
-  if (is_retryable
-      && (x->head_sent ? x->resumes < RESUMES_MAX : cv_exchange_can_retry (x))
+  if (is_retryable && is_attempt_left (x)
       && (!may_have_run || cv_retry_budget_take (&x->service_state->retries)))
     {
-      log_failure (x, reason, "is sent again");
-      cv_attempt_stop (x);
-      x->from_copy = false;
-      if (x->head_sent)
-        x->resumes++;
-      x->gateway->counts.retries++;
+      end_for_retry (x, reason, "is sent again");
       cv_exchange_place (x);
       return;
     }
@@ -513,11 +527,7 @@
                           && x->connect_failures <= CONNECT_FAILURES_MAX)
       && cv_retry_budget_take (&x->service_state->retries))
     {
-      log_failure (x, "rejected", "is sent elsewhere");
-      cv_attempt_stop (x);
-      if (x->head_sent)
-        x->resumes++;
-      x->gateway->counts.retries++;
+      end_for_retry (x, "rejected", "is sent elsewhere");
       cv_exchange_place (x);
       return;
     }
@@ -569,11 +579,46 @@
   return now - since > x->route->objective_ms * CV_MS + SILENCE_MIN;
 }
 
+/* Whether the target of X has been silent for longer than its limit.  */
+static bool
+is_silent (const cv_exchange_t *x, cv_time_t now)
+{
+  cv_time_t limit = silence_limit (x);
+
+  return limit > 0 && now - x->last_activity_at > limit;
+}
+
+bool
+cv_exchange_leave_silent_target (cv_exchange_t *x)
+{
+  if (!is_silent (x, cv_now ()) || !is_attempt_left (x)
+      || !cv_retry_budget_take (&x->service_state->retries))
+    return false;
+  x->may_have_run = true;
+  end_for_retry (x, "target is silent", "is sent again");
+  return true;
+}
+
+/* The target of X is silent.  It may still go on, so the attempt ends only
+   when another target has room, and a reservation if it needs one.  */
 static void
-check_timeouts (cv_exchange_t *x, cv_time_t now)
+replace_silent_target (cv_exchange_t *x)
 {
-  cv_time_t silence;
+  cv_target_t *t;
 
+  if (!is_attempt_left (x)
+      || !cv_retry_budget_has (&x->service_state->retries))
+    return;
+  t = cv_choose_target (x);
+  if (t == NULL || t == x->target || cv_exchange_reserve (x, t))
+    return;
+  if (cv_exchange_leave_silent_target (x))
+    cv_attempt_start (x, t);
+}
+
+static void
+check_timeouts (cv_exchange_t *x, cv_time_t now)
+{
   if (now >= x->deadline)
     {
       x->may_have_run |= x->target != NULL;
@@ -581,7 +626,7 @@
       give_up (x, "time is over", true);
       return;
     }
-  if (x->state == CV_EXCHANGE_RESERVING)
+  if (x->reservation_target != NULL)
     {
       cv_exchange_reserve_tick (x, now);
       return;
@@ -594,11 +639,10 @@
     }
   if (is_overdue (x, now))
     cv_attempt_record_outcome (x, false);
-  silence = silence_limit (x);
-  if (silence > 0 && now - x->last_activity_at > silence)
+  if (is_silent (x, now))
     {
       cv_attempt_record_outcome (x, false);
-      cv_exchange_handle_failure (x, "target is silent", true);
+      replace_silent_target (x);
     }
 }
 
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -225,7 +225,9 @@
   cv_time_t deadline;           /* of the caller or the route */
   cv_time_t placement_deadline; /* end of waiting for a target */
 
-  cv_target_t *reservation_target; /* of CV_EXCHANGE_RESERVING */
+  /* Of CV_EXCHANGE_RESERVING, or to replace the silent target of the current
+     attempt; else NULL.  */
+  cv_target_t *reservation_target;
   cv_time_t reservation_sent_at;
   uint32_t reservation_requests; /* in a row */
   bool has_reservation; /* at the target; also set without a reply, since the
@@ -429,6 +431,9 @@
 /* The current attempt ended without a valid response: retries or gives up.  */
 void cv_exchange_handle_failure (cv_exchange_t *x, const char *reason,
                                  bool may_have_run);
+/* Ends the attempt of X at a silent target, for another attempt; false when the
+   target is no longer silent or no other attempt is allowed.  */
+bool cv_exchange_leave_silent_target (cv_exchange_t *x);
 /* Resumes the stream of X at T from the copy HANDLE of its KV cache, made by
    SOURCE.  */
 void cv_exchange_resume_from_copy (cv_exchange_t *x, cv_target_t *t,
@@ -445,7 +450,8 @@
 /* Sends X to T over an idle or a new connection.  */
 void cv_attempt_start (cv_exchange_t *x, cv_target_t *t);
 /* Ends the current attempt of X: detaches its migration, closes its connection,
-   and releases its reservation and target.  */
+   releases its reservation and target, and withdraws a pending request for a
+   reservation.  */
 void cv_attempt_stop (cv_exchange_t *x);
 /* Records once per attempt whether the target SERVED it, and reports this to
    the observer, which combines the outcomes of all gateways.  */
@@ -507,13 +513,13 @@
 
 /* ask.c */
 /* Requests a reservation for X from the observer of T.  False when X has to be
-   sent without one.  */
+   sent without one.  A current attempt of X goes on until it is granted.  */
 bool cv_exchange_reserve (cv_exchange_t *x, cv_target_t *t);
 /* Handles the reply M of the observer of T to the request of an exchange.  */
 void cv_reserve_handle_reply (cv_gateway_t *g, cv_target_t *t,
                               const cv_msg_reservation_t *m);
-/* On a reply timeout, sends X without a reservation, or places X again if the
-   target is no longer usable.  */
+/* On a reply timeout, sends X without a reservation.  If the target is no longer
+   usable, X is placed again or its current attempt goes on.  */
 void cv_exchange_reserve_tick (cv_exchange_t *x, cv_time_t now);
 /* Sends the observer of T a reservation request for X.  */
 void cv_reserve_send_request (const cv_exchange_t *x, const cv_target_t *t,
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -141,6 +141,8 @@
 void cv_retry_budget_set (cv_retry_budget_t *b, double ratio, double cap);
 /* Records a first attempt.  */
 void cv_retry_budget_first (cv_retry_budget_t *b);
+/* Whether a retry may be taken now.  */
+bool cv_retry_budget_has (const cv_retry_budget_t *b);
 /* Takes one retry from the budget; returns false when there is none.  */
 bool cv_retry_budget_take (cv_retry_budget_t *b);
 /* Returns a random backoff in [BASE_MS, 2 BASE_MS), so that retries do not
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -35,10 +35,16 @@
     b->credits = b->cap;
 }
 
+bool
+cv_retry_budget_has (const cv_retry_budget_t *b)
+{
+  return b->credits >= 1 - RETRY_ROUNDING;
+}
+
 bool
 cv_retry_budget_take (cv_retry_budget_t *b)
 {
-  if (b->credits < 1 - RETRY_ROUNDING)
+  if (!cv_retry_budget_has (b))
     return false;
   b->credits -= 1;
   return true;
--- a/policy/tests/engines_test.cc
+++ b/policy/tests/engines_test.cc
@@ -513,4 +513,21 @@
   EXPECT_GE (taken, 20);
 }
 
+/* A silent target is left only while a retry can be paid for; asking does not
+   use it up.  */
+TEST (Retries, AskingForARetryDoesNotTakeIt)
+{
+  cv_retry_budget_t b;
+
+  cv_retry_budget_init (&b);
+  cv_retry_budget_set (&b, 0.2, 1);
+  EXPECT_TRUE (cv_retry_budget_has (&b));
+  EXPECT_TRUE (cv_retry_budget_has (&b));
+  EXPECT_TRUE (cv_retry_budget_take (&b));
+  EXPECT_FALSE (cv_retry_budget_has (&b));
+  for (int i = 0; i < 5; i++)
+    cv_retry_budget_first (&b);
+  EXPECT_TRUE (cv_retry_budget_has (&b));
+}
+
 } // namespace
