Gateway: after a lost attempt, wait for a target as long as the caller

When an engine was lost after the time to place its request, the caller got 502 or a cut stream at once, although another engine could take over seconds before the caller's deadline. The wait was bounded by the placement deadline, which counts from the start of the request and serves to refuse early what certainly did not run.

A request that may have run cannot be refused as not run, so it now waits for half of the time that is left, and a response that has begun until its deadline.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -474,6 +474,9 @@
   x->from_copy = false;
   if (x->head_sent)
     x->resumes++;
+  if (x->head_sent || x->may_have_run)
+    x->placement_deadline = cv_retry_wait_end (
+        cv_now (), x->placement_deadline, x->deadline, x->head_sent);
   x->gateway->counts.retries++;
 }
 
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -223,7 +223,8 @@
   uint64_t need_tokens; /* memory expected at the end of the run */
   cv_time_t started_at;
   cv_time_t deadline;           /* of the caller or the route */
-  cv_time_t placement_deadline; /* end of waiting for a target */
+  cv_time_t placement_deadline; /* end of waiting for a target; later after an
+                                   attempt that may have run */
 
   /* Of CV_EXCHANGE_RESERVING, or to replace the silent target of the current
      attempt; else NULL.  */
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -50,6 +50,15 @@
   return true;
 }
 
+cv_time_t
+cv_retry_wait_end (cv_time_t now, cv_time_t first_end, cv_time_t deadline,
+                   bool has_begun)
+{
+  cv_time_t end = has_begun ? deadline : now + (deadline - now) / 2;
+
+  return end > first_end ? end : first_end;
+}
+
 uint32_t
 cv_retry_after_ms (cv_rng_t *rng, uint32_t base_ms)
 {
--- a/policy/tests/engines_test.cc
+++ b/policy/tests/engines_test.cc
@@ -530,4 +530,18 @@
   EXPECT_TRUE (cv_retry_budget_has (&b));
 }
 
+/* An engine is lost 1.8 s after a request whose first wait ended at 1.2 s, with
+   a deadline at 5 s.  */
+TEST (Retries, WaitForATargetBeyondTheFirstWait)
+{
+  cv_time_t now = 1800 * CV_MS;
+  cv_time_t first = 1200 * CV_MS;
+  cv_time_t deadline = 5000 * CV_MS;
+
+  EXPECT_EQ (3400 * CV_MS, cv_retry_wait_end (now, first, deadline, false));
+  EXPECT_EQ (deadline, cv_retry_wait_end (now, first, deadline, true));
+  EXPECT_EQ (4000 * CV_MS,
+             cv_retry_wait_end (now, 4000 * CV_MS, deadline, false));
+}
+
 } // namespace
