Gateway: a forwarded response that pauses is not requested again

A large response of an idempotent route was cut when it took longer than the limit of silence. Its first part had been forwarded, so it could no longer be retried, but it was handled as a stream: sent again up to six times, each time failing as "target did not resume the stream", and then cut.

A response that is forwarded as it arrives now has no limit but the deadline of its request, and a failure ends it without another attempt.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -458,10 +458,13 @@
 }
 
 /* Whether the bounds allow another attempt: those of attempts, failed
-   connections and time, or of resumes once the head was sent.  */
+   connections and time, or of resumes once the head was sent.  A response that
+   is no stream cannot be continued by another attempt.  */
 static bool
 is_attempt_left (const cv_exchange_t *x)
 {
+  if (x->state == CV_EXCHANGE_RELAYING)
+    return false;
   return x->head_sent ? x->resumes < RESUMES_MAX : cv_exchange_can_retry (x);
 }
 
@@ -544,7 +547,7 @@
 
 /* Longest time since the request was sent or the last event of the stream was
    received; 0: no limit.  It also limits the time until the end of a response
-   that is not a stream, since its head and body do not count as activity.  */
+   that is buffered, since its head and body do not count as activity.  */
 static cv_time_t
 silence_limit (const cv_exchange_t *x)
 {
@@ -557,7 +560,8 @@
       limit = GAP_FACTOR * x->route->gap_objective_ms * CV_MS;
       return limit > GAP_MIN ? limit : GAP_MIN;
     }
-  if (!cv_route_is_repeatable (x->route) || !cv_exchange_can_retry (x))
+  if (x->state == CV_EXCHANGE_RELAYING || !cv_route_is_repeatable (x->route)
+      || !cv_exchange_can_retry (x))
     return 0;
   if (x->service->is_engine)
     return x->route->objective_ms * CV_MS + SILENCE_MIN;
