Gateway: apply lower limits from the next idle period of a connection

When a configuration with a shorter idle timeout came into effect, connections that had been idle for longer were closed at once. Their callers reuse them by the limits that they know, so a request sent in that moment got neither an answer nor a refusal. A shorter head timeout refused a head being read (408), and lower sizes a request on a connection opened under the higher ones.

Each connection keeps the limits that were in force when it last became idle; until its next response ends, the higher of these and the present ones apply. The limit on the head also follows a higher one on a connection that is open.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -24,8 +24,8 @@
 /* Limits until a configuration was read.  */
 #define HEAD_BYTES_DEFAULT (16u * 1024)
 #define BODY_BYTES_DEFAULT (4u * 1024 * 1024)
-#define HEAD_TIMEOUT_DEFAULT (3 * CV_SECOND)
-#define IDLE_TIMEOUT_DEFAULT (15 * CV_SECOND)
+#define HEAD_TIMEOUT_DEFAULT_MS 3000
+#define IDLE_TIMEOUT_DEFAULT_MS 15000
 /* Idle connections are kept this much longer than the configured idle timeout,
    since a caller may send a request while the gateway closes.  */
 #define IDLE_SLACK (250 * CV_MS)
@@ -70,11 +70,35 @@
   p->listener = NULL;
 }
 
-static uint32_t
-head_limit_bytes (const cv_gateway_t *g)
+/* The limits in force.  */
+static cv_caller_limits_t
+limits_now (const cv_gateway_t *g)
 {
-  return g->routing != NULL ? g->routing->limits.head_bytes
-                            : HEAD_BYTES_DEFAULT;
+  static const cv_caller_limits_t defaults
+      = { .head_bytes = HEAD_BYTES_DEFAULT,
+          .body_bytes = BODY_BYTES_DEFAULT,
+          .head_timeout_ms = HEAD_TIMEOUT_DEFAULT_MS,
+          .idle_timeout_ms = IDLE_TIMEOUT_DEFAULT_MS };
+
+  return g->routing != NULL ? g->routing->limits : defaults;
+}
+
+/* The limits for C: those that its caller may know, or new ones if higher.  */
+static cv_caller_limits_t
+limits_of (const cv_client_t *c)
+{
+  cv_caller_limits_t now = limits_now (c->port->gateway);
+
+  return cv_caller_limits_higher (&c->limits, &now);
+}
+
+/* C is idle from now on, until its next request.  */
+static void
+begin_idle (cv_client_t *c)
+{
+  c->state = CV_CLIENT_READING;
+  c->since = cv_now ();
+  c->limits = limits_now (c->port->gateway);
 }
 
 static void
@@ -91,9 +115,8 @@
   (void)size;
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &(int){ 1 }, sizeof (int));
   c->port = p;
-  c->state = CV_CLIENT_READING;
-  c->since = cv_now ();
-  cv_http_reader_init (&c->reader, HTTP_REQUEST, head_limit_bytes (g));
+  begin_idle (c);
+  cv_http_reader_init (&c->reader, HTTP_REQUEST, c->limits.head_bytes);
   cv_buf_init (&c->body);
   c->bev = bufferevent_socket_new (
       g->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -186,8 +209,7 @@
       linger (c);
       return;
     }
-  c->state = CV_CLIENT_READING;
-  c->since = cv_now ();
+  begin_idle (c);
   cv_http_reader_reset (&c->reader);
   cv_buf_reset (&c->body);
   if (!c->is_handling_input
@@ -230,20 +252,13 @@
     }
 }
 
-static uint64_t
-body_limit_bytes (const cv_gateway_t *g)
-{
-  return g->routing != NULL ? g->routing->limits.body_bytes
-                            : BODY_BYTES_DEFAULT;
-}
-
 static void
 handle_head (cv_client_t *c)
 {
   static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
   const cv_http_head_t *h = &c->reader.head;
 
-  if (h->has_length && h->length > body_limit_bytes (c->port->gateway))
+  if (h->has_length && h->length > limits_of (c).body_bytes)
     {
       refuse_incomplete (c, 413, "body too large");
       return;
@@ -262,7 +277,7 @@
       handle_head (c);
       return c->state == CV_CLIENT_READING;
     case CV_HTTP_BODY:
-      if (c->body.n + c->reader.body.n > body_limit_bytes (c->port->gateway))
+      if (c->body.n + c->reader.body.n > limits_of (c).body_bytes)
         {
           refuse_incomplete (c, 413, "body too large");
           return false;
@@ -299,7 +314,10 @@
       cv_http_part_t part;
 
       if (!c->reader.started)
-        c->since = cv_now ();
+        {
+          c->since = cv_now ();
+          c->reader.head_max = limits_of (c).head_bytes;
+        }
       part = cv_http_reader_next (&c->reader, data, n, &used);
       if (part == CV_HTTP_BODY && !handle_part (c, part))
         break;
@@ -370,12 +388,9 @@
 check_timeouts (cv_client_t *c, cv_time_t now)
 {
   const cv_gateway_t *g = c->port->gateway;
-  cv_time_t head = g->routing != NULL
-                       ? g->routing->limits.head_timeout_ms * CV_MS
-                       : HEAD_TIMEOUT_DEFAULT;
-  cv_time_t idle = g->routing != NULL
-                       ? g->routing->limits.idle_timeout_ms * CV_MS
-                       : IDLE_TIMEOUT_DEFAULT;
+  cv_caller_limits_t limits = limits_of (c);
+  cv_time_t head = limits.head_timeout_ms * CV_MS;
+  cv_time_t idle = limits.idle_timeout_ms * CV_MS;
 
   switch (c->state)
     {
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -178,6 +178,7 @@
   cv_buf_t body;
   cv_exchange_t *exchange; /* of CV_CLIENT_WAITING */
   cv_time_t since;         /* start of the request, of idling or of lingering */
+  cv_caller_limits_t limits; /* in force when C was last idle */
   bool close_after;        /* the connection ends with this response */
   bool body_ends_at_close; /* the response body ends with the connection */
   bool request_incomplete; /* response sent before the request was read */
--- a/routing/routing.c
+++ b/routing/routing.c
@@ -188,6 +188,23 @@
   return false;
 }
 
+cv_caller_limits_t
+cv_caller_limits_higher (const cv_caller_limits_t *a,
+                         const cv_caller_limits_t *b)
+{
+  cv_caller_limits_t r = *a;
+
+  if (b->head_bytes > r.head_bytes)
+    r.head_bytes = b->head_bytes;
+  if (b->body_bytes > r.body_bytes)
+    r.body_bytes = b->body_bytes;
+  if (b->head_timeout_ms > r.head_timeout_ms)
+    r.head_timeout_ms = b->head_timeout_ms;
+  if (b->idle_timeout_ms > r.idle_timeout_ms)
+    r.idle_timeout_ms = b->idle_timeout_ms;
+  return r;
+}
+
 uint32_t
 cv_route_pick_service (const cv_route_t *route, double draw)
 {
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -76,6 +76,10 @@
   uint32_t idle_timeout_ms;
 } cv_caller_limits_t;
 
+/* The higher of each limit of A and B.  */
+cv_caller_limits_t cv_caller_limits_higher (const cv_caller_limits_t *a,
+                                            const cv_caller_limits_t *b);
+
 typedef struct
 {
   char name[CV_NAME_MAX];
--- a/routing/tests/routing_test.cc
+++ b/routing/tests/routing_test.cc
@@ -75,4 +75,23 @@
   EXPECT_EQ (8u, cv_route_pick_service (&route, 0.91));
 }
 
+/* A configuration lowers some limits and raises others while a connection is
+   open.  */
+TEST (Limits, TheHigherOfEachApplies)
+{
+  cv_caller_limits_t before = { 4096, 65536, 600, 2000 };
+  cv_caller_limits_t after = { 600, 100000, 100, 3000 };
+
+  for (int i = 0; i < 2; i++)
+    {
+      cv_caller_limits_t r = cv_caller_limits_higher (
+          i == 0 ? &before : &after, i == 0 ? &after : &before);
+
+      EXPECT_EQ (4096u, r.head_bytes);
+      EXPECT_EQ (100000u, r.body_bytes);
+      EXPECT_EQ (600u, r.head_timeout_ms);
+      EXPECT_EQ (3000u, r.idle_timeout_ms);
+    }
+}
+
 } // namespace
