Gateway: time limits of a connection count from its last byte written

A caller that read a large answer slowly got only its first part: one second after the answer's source had ended, a connection with "Connection: close" was closed, and any other after the idle timeout, with the rest still in the gateway's buffer. Both times counted from the end of the response at its source.

They now count from the time when the whole response was written; until then only the write timeout applies.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -171,16 +171,26 @@
   return c->close_after;
 }
 
-/* All output was written.  The caller closes first, since some callers treat a
-   close right after the response as a failure.  Only a body that ends with the
-   connection, or a caller that is still sending, requires a shutdown now.  */
+/* The whole response was written; the time limits count from here.  The caller
+   closes first, since some callers treat a close right after the response as a
+   failure.  Only a body that ends with the connection, or a caller that is still
+   sending, requires a shutdown now.  */
 static void
-on_output_written (cv_client_t *c)
+on_response_written (cv_client_t *c)
 {
+  c->since = cv_now ();
+  if (c->state != CV_CLIENT_LINGERING)
+    return;
   if (c->request_incomplete || c->body_ends_at_close)
     (void)shutdown (bufferevent_getfd (c->bev), SHUT_WR);
 }
 
+static bool
+has_unwritten_output (const cv_client_t *c)
+{
+  return evbuffer_get_length (bufferevent_get_output (c->bev)) > 0;
+}
+
 /* Waits for the caller to close; input is read and dropped until then.  */
 static void
 linger (cv_client_t *c)
@@ -190,8 +200,8 @@
   c->state = CV_CLIENT_LINGERING;
   c->since = cv_now ();
   (void)evbuffer_drain (in, evbuffer_get_length (in));
-  if (evbuffer_get_length (bufferevent_get_output (c->bev)) == 0)
-    on_output_written (c);
+  if (!has_unwritten_output (c))
+    on_response_written (c);
 }
 
 void
@@ -355,10 +365,11 @@
 on_write (struct bufferevent *bev, void *arg)
 {
   cv_client_t *c = arg;
+  bool is_idle = c->state == CV_CLIENT_READING && !c->reader.started;
 
-  if (c->state == CV_CLIENT_LINGERING
-      && evbuffer_get_length (bufferevent_get_output (bev)) == 0)
-    on_output_written (c);
+  (void)bev;
+  if ((is_idle || c->state == CV_CLIENT_LINGERING) && !has_unwritten_output (c))
+    on_response_written (c);
 }
 
 static void
@@ -383,7 +394,8 @@
 }
 
 /* Closes C when it is idle or slow beyond the limits.  The idle timeout also
-   limits the time from the start of a request to the end of its body.  */
+   limits the time from the start of a request to the end of its body.  While a
+   response is being written, only the write timeout applies.  */
 static void
 check_timeouts (cv_client_t *c, cv_time_t now)
 {
@@ -397,7 +409,7 @@
     case CV_CLIENT_WAITING:
       return;
     case CV_CLIENT_LINGERING:
-      if (now - c->since > LINGER_TIMEOUT)
+      if (now - c->since > LINGER_TIMEOUT && !has_unwritten_output (c))
         cv_client_close (c, CV_CLOSE_IDLE);
       return;
     case CV_CLIENT_READING:
@@ -405,7 +417,7 @@
         {
           if (now - c->since
                   > (g->stopping ? STOP_IDLE_TIMEOUT : idle + IDLE_SLACK)
-              && !has_unread_input (c))
+              && !has_unwritten_output (c) && !has_unread_input (c))
             cv_client_close (c, CV_CLOSE_IDLE);
         }
       else if (!c->reader.head_done ? now - c->since > head
