Gateway: a migrated run that is lost is not started again

When the destination of a migration refused the connection, a generation that must not be repeated was started a second time, at a third engine. A failed connection does not mean that the request ran, and the flag that an earlier attempt may have run was set by failures only: the run at the source was ended by its migration.

Resuming from a copy sets the flag. The stream then ends early, as after any other loss of such a run.

second-run-after-migration failed before (2 runs) and passes.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -448,6 +448,7 @@
 {
   log_failure (x, reason, "is resumed from the copy");
   cv_attempt_stop (x);
+  x->may_have_run = true;
   x->resumes++;
   x->gateway->counts.resumes++;
   x->from_copy = true;
