Gateway: a run whose source is lost in a migration goes on from its copy

When the source of a migration was lost while it stopped the run, the order of two events decided: if its stream ended first, the run went on from what had been copied; if the response to the order was lost first, the migration ended as "run was not stopped", and the end of the stream then cut the response.

After a lost response the migration now waits for the end of the stream, at most as long as connections to a lost machine last. It ends sooner when an event shows that the run goes on.

lost-migration-source failed before (stream incomplete) and passes; move, copy-freed, move-refused, full-engine and gone-engine pass unchanged.

--- a/gateway/move.c
+++ b/gateway/move.c
@@ -10,6 +10,11 @@
 /* Copying the largest run to another failure domain takes about 0.5 s, and the
    copy may queue behind others.  */
 #define MIGRATION_CALL_TIMEOUT (2500 * CV_MS)
+/* Time from the loss of the source's response until its stream ends, if the
+   source itself is lost.  Its connections end after up to 2 s (link.c).  An
+   event that arrives this much later shows that the run goes on.  */
+#define SOURCE_END_WAIT (2500 * CV_MS)
+#define LAST_EVENTS_WAIT (250 * CV_MS)
 /* Growth of a run while it is copied.  */
 #define GROWTH_MARGIN_TOKENS 64
 
@@ -32,8 +37,9 @@
   CV_MIGRATION_RESERVE = 1, /* requested memory at the destination */
   CV_MIGRATION_COPY,        /* the source copies, the run continues */
   CV_MIGRATION_STOP,        /* the source stops the run and copies the rest */
-  CV_MIGRATION_FREE_AT_SOURCE,     /* the source frees an unused copy */
-  CV_MIGRATION_FREE_AT_DESTINATION /* the destination frees its side */
+  CV_MIGRATION_FREE_AT_SOURCE,      /* the source frees an unused copy */
+  CV_MIGRATION_FREE_AT_DESTINATION, /* the destination frees its side */
+  CV_MIGRATION_AWAIT_END /* the response to STOP was lost; the run may end */
 } cv_migration_phase_t;
 
 struct cv_migration_t
@@ -48,6 +54,7 @@
   cv_time_t reservation_sent_at;
   uint32_t reservation_requests;
   cv_time_t started_at;
+  cv_time_t response_lost_at; /* of CV_MIGRATION_AWAIT_END */
   bool is_resumed; /* at the destination: the reservation stays in use */
   const char *outcome;
   char run[CV_RUN_MAX];
@@ -188,6 +195,23 @@
   cv_target_unref (next);
 }
 
+/* The source did not respond.  If its stream ends too, the run goes on from
+   what was copied while it ran; if the stream goes on, the run was not stopped.
+ */
+static void
+check_source_end (cv_migration_t *m, cv_time_t now)
+{
+  if (m->exchange == NULL)
+    fail (m, "run has ended");
+  else if (m->exchange->is_stopped_for_migration)
+    resume (m, m->destination,
+            "no response of the source; resumed from the partial copy");
+  else if (now - m->response_lost_at > SOURCE_END_WAIT
+           || m->exchange->last_event_at
+                  > m->response_lost_at + LAST_EVENTS_WAIT)
+    fail (m, "run was not stopped");
+}
+
 static void
 on_run_stopped (cv_migration_t *m, const cv_http_result_t *r)
 {
@@ -203,9 +227,12 @@
     resume (m, m->destination, "moved");
   else if (has_handle && r->status == 503)
     resume (m, m->source, "resumed at the source");
-  else if (r->status == 0 && x->is_stopped_for_migration)
-    resume (m, m->destination,
-            "no response of the source; resumed from the partial copy");
+  else if (r->status == 0)
+    {
+      m->phase = CV_MIGRATION_AWAIT_END;
+      m->response_lost_at = cv_now ();
+      check_source_end (m, cv_now ());
+    }
   else
     fail (m, "run was not stopped");
 }
@@ -218,7 +245,8 @@
   switch (m->phase)
     {
     case CV_MIGRATION_RESERVE:
-      return; /* no call is made in this phase */
+    case CV_MIGRATION_AWAIT_END:
+      return; /* no call is made in these phases */
     case CV_MIGRATION_COPY:
       if (r->status != 200
           || !cv_platform_decode_migration (r->body, m->handle))
@@ -246,7 +274,7 @@
 bool
 cv_migration_is_stopping_run (const cv_migration_t *m)
 {
-  return m->phase == CV_MIGRATION_STOP;
+  return m->phase == CV_MIGRATION_STOP || m->phase == CV_MIGRATION_AWAIT_END;
 }
 
 void
@@ -385,10 +413,21 @@
 void
 cv_migration_tick (cv_migration_t *m, cv_time_t now)
 {
-  if (m->phase == CV_MIGRATION_RESERVE)
-    check_reply_timeout (m, now);
-  else
-    cv_http_call_tick (&m->call, now);
+  switch (m->phase)
+    {
+    case CV_MIGRATION_RESERVE:
+      check_reply_timeout (m, now);
+      return;
+    case CV_MIGRATION_AWAIT_END:
+      check_source_end (m, now);
+      return;
+    case CV_MIGRATION_COPY:
+    case CV_MIGRATION_STOP:
+    case CV_MIGRATION_FREE_AT_SOURCE:
+    case CV_MIGRATION_FREE_AT_DESTINATION:
+      cv_http_call_tick (&m->call, now);
+      return;
+    }
 }
 
 void
