--- a/gateway/client.c
+++ b/gateway/client.c
@@ -173,8 +173,8 @@
 
 /* The whole response was written; the time limits count from here.  The caller
    closes first, since some callers treat a close right after the response as a
-   failure.  Only a body that ends with the connection, or a caller that is still
-   sending, requires a shutdown now.  */
+   failure.  Only a body that ends with the connection, or a caller that is
+   still sending, requires a shutdown now.  */
 static void
 on_response_written (cv_client_t *c)
 {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -479,8 +479,8 @@
   if (x->head_sent)
     x->resumes++;
   if (x->head_sent || x->may_have_run)
-    x->placement_deadline = cv_retry_wait_end (
-        cv_now (), x->placement_deadline, x->deadline, x->head_sent);
+    x->placement_deadline = cv_retry_wait_end (cv_now (), x->placement_deadline,
+                                               x->deadline, x->head_sent);
   x->gateway->counts.retries++;
 }
 
@@ -614,8 +614,7 @@
 {
   cv_target_t *t;
 
-  if (!is_attempt_left (x)
-      || !cv_retry_budget_has (&x->service_state->retries))
+  if (!is_attempt_left (x) || !cv_retry_budget_has (&x->service_state->retries))
     return;
   t = cv_choose_target (x);
   if (t == NULL || t == x->target || cv_exchange_reserve (x, t))
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -179,9 +179,9 @@
   cv_exchange_t *exchange; /* of CV_CLIENT_WAITING */
   cv_time_t since;         /* start of the request, of idling or of lingering */
   cv_caller_limits_t limits; /* in force when C was last idle */
-  bool close_after;        /* the connection ends with this response */
-  bool body_ends_at_close; /* the response body ends with the connection */
-  bool request_incomplete; /* response sent before the request was read */
+  bool close_after;          /* the connection ends with this response */
+  bool body_ends_at_close;   /* the response body ends with the connection */
+  bool request_incomplete;   /* response sent before the request was read */
   bool is_handling_input;
   bool close_pending;             /* closed once its input has been handled */
   cv_close_reason_t close_reason; /* of close_pending */
@@ -520,8 +520,8 @@
 /* Handles the reply M of the observer of T to the request of an exchange.  */
 void cv_reserve_handle_reply (cv_gateway_t *g, cv_target_t *t,
                               const cv_msg_reservation_t *m);
-/* On a reply timeout, sends X without a reservation.  If the target is no longer
-   usable, X is placed again or its current attempt goes on.  */
+/* On a reply timeout, sends X without a reservation.  If the target is no
+   longer usable, X is placed again or its current attempt goes on.  */
 void cv_exchange_reserve_tick (cv_exchange_t *x, cv_time_t now);
 /* Sends the observer of T a reservation request for X.  */
 void cv_reserve_send_request (const cv_exchange_t *x, const cv_target_t *t,
