Tests: a caller that reads slowly is taken to read nothing

A caller reads 16 MB of an answer fast and then 16 kB a second; its answer is cut after the write timeout of 10 s.

--- a/tests/gateway/limit_scenarios.py
+++ b/tests/gateway/limit_scenarios.py
@@ -286,6 +286,40 @@
         bench.say(f"{connection}: {await read_late(connection)}")
 
 
+async def slow_reader_timed_out(bench):
+    """A caller reads the first part of an answer fast, then so slowly that the
+    connection accepts no more output for longer than the write timeout.  One
+    that reads nothing is disconnected."""
+    size = 40 << 20
+
+    async def send_large(target, request, writer):
+        writer.write(signed(request, b"x" * size))
+        await writer.drain()
+        return True
+
+    async def read(reader, most):
+        total = 0
+        while total < most and (data := await asyncio.wait_for(
+                reader.read(min(1 << 16, most - total)), 5)):
+            total += len(data)
+        return total
+
+    await bench.add_target("t1", "plain", send_large)
+    await bench.start()
+    stuck = await bench.connect()
+    stuck[1].write(bench.head("GET", "/read/stuck"))
+    reader, writer = await bench.connect()
+    writer.write(bench.head("GET", "/read/slow"))
+    total = await read(reader, 16 << 20)
+    for _ in range(13):
+        total += await read(reader, 1 << 14)
+        await asyncio.sleep(1)
+    total += await read(reader, size - total)
+    bench.say(f"complete {total >= size}")
+    total = await read(stuck[0], size)
+    bench.say(f"reader of nothing: complete {total >= size}")
+
+
 async def large_answer(bench):
     """A large answer of an idempotent route takes longer than the limit of
     silence.  Its first part was forwarded, so no other target can complete
