Gateway: the write timeout counts what the caller's host received

A caller that read the rest of a large answer slowly was disconnected after 10 s. The kernel reports a connection as writable only when a large part of its buffer is free, so a slow reader looked like one that reads nothing.

A connection that accepts no output is now checked every second, and closed when the caller's host has acknowledged nothing for 10 s.

slow-reader-timed-out failed before (16 kB a second, incomplete) and passes; the caller in it that reads nothing is still disconnected.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -6,9 +6,11 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
+#include <linux/sockios.h>
 
 #include "gateway/state.h"
 
@@ -20,7 +22,9 @@
 #define LINGER_TIMEOUT (1 * CV_SECOND)
 /* A caller that reads nothing of its response for this time is
    disconnected.  */
-#define WRITE_TIMEOUT_S 10
+#define WRITE_TIMEOUT (10 * CV_SECOND)
+/* A connection that accepts no output is checked at this interval.  */
+#define WRITE_CHECK_S 1
 /* Limits until a configuration was read.  */
 #define HEAD_BYTES_DEFAULT (16u * 1024)
 #define BODY_BYTES_DEFAULT (4u * 1024 * 1024)
@@ -108,7 +112,7 @@
   cv_port_t *p = arg;
   cv_gateway_t *g = p->gateway;
   cv_client_t *c = cv_calloc (1, sizeof *c);
-  struct timeval write_timeout = { .tv_sec = WRITE_TIMEOUT_S };
+  struct timeval write_check = { .tv_sec = WRITE_CHECK_S };
 
   (void)listener;
   (void)address;
@@ -123,7 +127,7 @@
   CV_INVARIANT (c->bev != NULL);
   bufferevent_setcb (c->bev, on_read, on_write, on_event, c);
   bufferevent_setwatermark (c->bev, EV_READ, 0, INPUT_MAX_BYTES);
-  (void)bufferevent_set_timeouts (c->bev, NULL, &write_timeout);
+  (void)bufferevent_set_timeouts (c->bev, NULL, &write_check);
   (void)bufferevent_enable (c->bev, EV_READ | EV_WRITE);
   TAILQ_INSERT_TAIL (&g->clients, c, entry);
   g->client_count++;
@@ -155,6 +159,7 @@
 {
   struct evbuffer *out = bufferevent_get_output (c->bev);
 
+  c->output_bytes += head.n + body.n;
   CV_INVARIANT (evbuffer_add (out, head.p, head.n) == 0);
   if (body.n > 0)
     CV_INVARIANT (evbuffer_add (out, body.p, body.n) == 0);
@@ -372,6 +377,38 @@
     on_response_written (c);
 }
 
+/* Bytes of output that the caller's host has acknowledged.  */
+static uint64_t
+acknowledged_bytes (const cv_client_t *c)
+{
+  uint64_t unwritten = evbuffer_get_length (bufferevent_get_output (c->bev));
+  int unacknowledged = 0;
+
+  if (ioctl (bufferevent_getfd (c->bev), SIOCOUTQ, &unacknowledged) != 0)
+    return c->acknowledged_bytes;
+  return c->output_bytes - unwritten - (uint64_t)unacknowledged;
+}
+
+/* The connection accepted no output for WRITE_CHECK_S.  The kernel accepts more
+   only when a large part of its buffer is free, which a slow reader may take
+   longer for than the write timeout.  */
+static void
+check_reading (cv_client_t *c)
+{
+  uint64_t acknowledged = acknowledged_bytes (c);
+  cv_time_t now = cv_now ();
+
+  if (acknowledged > c->acknowledged_bytes)
+    {
+      c->acknowledged_bytes = acknowledged;
+      c->acknowledged_at = now;
+    }
+  if (now - c->acknowledged_at > WRITE_TIMEOUT)
+    cv_client_close (c, CV_CLOSE_NOT_READ);
+  else
+    (void)bufferevent_enable (c->bev, EV_WRITE);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
@@ -379,7 +416,7 @@
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
     cv_client_close (arg, CV_CLOSE_BY_CALLER);
   else if (what & BEV_EVENT_TIMEOUT)
-    cv_client_close (arg, CV_CLOSE_NOT_READ);
+    check_reading (arg);
 }
 
 /* Whether bytes have arrived that no callback has read, as in a busy
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -179,9 +179,14 @@
   cv_exchange_t *exchange; /* of CV_CLIENT_WAITING */
   cv_time_t since;         /* start of the request, of idling or of lingering */
   cv_caller_limits_t limits; /* in force when C was last idle */
-  bool close_after;          /* the connection ends with this response */
-  bool body_ends_at_close;   /* the response body ends with the connection */
-  bool request_incomplete;   /* response sent before the request was read */
+  uint64_t output_bytes;     /* of all responses, written or not */
+  /* Of these, received by the caller's host when the output was last found
+     blocked, and when that number had last grown.  */
+  uint64_t acknowledged_bytes;
+  cv_time_t acknowledged_at;
+  bool close_after;        /* the connection ends with this response */
+  bool body_ends_at_close; /* the response body ends with the connection */
+  bool request_incomplete; /* response sent before the request was read */
   bool is_handling_input;
   bool close_pending;             /* closed once its input has been handled */
   cv_close_reason_t close_reason; /* of close_pending */
