Gateway: a restarted instance may get a request again

A resumable stream whose only engine restarted was cut at its deadline: the engine was listed again under the same name, and counted as already tried. The list of tried instances now includes their start time.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -77,7 +77,12 @@
   t->prefill_tokens += x->request.prompt_tokens;
   x->is_prefill_counted = true;
   if (x->tried_count < CV_TRIED_MAX)
-    (void)cv_copy (x->tried[x->tried_count++], CV_NAME_MAX, t->record.id);
+    {
+      cv_tried_t *tried = &x->tried[x->tried_count++];
+
+      (void)cv_copy (tried->id, sizeof tried->id, t->record.id);
+      tried->started_ms = t->record.started_ms;
+    }
 }
 
 static void
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -34,7 +34,8 @@
 was_tried (const cv_exchange_t *x, const cv_target_t *t)
 {
   for (uint32_t i = 0; i < x->tried_count; i++)
-    if (strcmp (x->tried[i], t->record.id) == 0)
+    if (x->tried[i].started_ms == t->record.started_ms
+        && strcmp (x->tried[i].id, t->record.id) == 0)
       return true;
   return false;
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -210,6 +210,13 @@
 /* Most targets that one exchange remembers as tried.  */
 #define CV_TRIED_MAX 8
 
+/* An instance that got the request.  After a restart it is another one.  */
+typedef struct
+{
+  char id[CV_NAME_MAX];
+  uint64_t started_ms;
+} cv_tried_t;
+
 /* One request of a caller and all attempts to serve it.  */
 struct cv_exchange_t
 {
@@ -253,7 +260,7 @@
   uint32_t rejections; /* attempts that the target did not run */
   uint32_t connect_failures;
   uint32_t resumes; /* of its stream, from a copy or in a new run */
-  char tried[CV_TRIED_MAX][CV_NAME_MAX];
+  cv_tried_t tried[CV_TRIED_MAX];
   uint32_t tried_count;
   bool may_have_run;       /* an attempt may have been executed */
   bool is_queued;          /* in the queue for a target */
