--- a/gateway/client.c
+++ b/gateway/client.c
@@ -6,9 +6,11 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
+#include <linux/sockios.h>
 
 #include "gateway/state.h"
 
@@ -20,12 +22,14 @@
 #define LINGER_TIMEOUT (1 * CV_SECOND)
 /* A caller that reads nothing of its response for this time is
    disconnected.  */
-#define WRITE_TIMEOUT_S 10
+#define WRITE_TIMEOUT (10 * CV_SECOND)
+/* A connection that accepts no output is checked at this interval.  */
+#define WRITE_CHECK_S 1
 /* Limits until a configuration was read.  */
 #define HEAD_BYTES_DEFAULT (16u * 1024)
 #define BODY_BYTES_DEFAULT (4u * 1024 * 1024)
-#define HEAD_TIMEOUT_DEFAULT (3 * CV_SECOND)
-#define IDLE_TIMEOUT_DEFAULT (15 * CV_SECOND)
+#define HEAD_TIMEOUT_DEFAULT_MS 3000
+#define IDLE_TIMEOUT_DEFAULT_MS 15000
 /* Idle connections are kept this much longer than the configured idle timeout,
    since a caller may send a request while the gateway closes.  */
 #define IDLE_SLACK (250 * CV_MS)
@@ -70,11 +74,35 @@
   p->listener = NULL;
 }
 
-static uint32_t
-head_limit_bytes (const cv_gateway_t *g)
+/* The limits in force.  */
+static cv_caller_limits_t
+limits_now (const cv_gateway_t *g)
 {
-  return g->routing != NULL ? g->routing->limits.head_bytes
-                            : HEAD_BYTES_DEFAULT;
+  static const cv_caller_limits_t defaults
+      = { .head_bytes = HEAD_BYTES_DEFAULT,
+          .body_bytes = BODY_BYTES_DEFAULT,
+          .head_timeout_ms = HEAD_TIMEOUT_DEFAULT_MS,
+          .idle_timeout_ms = IDLE_TIMEOUT_DEFAULT_MS };
+
+  return g->routing != NULL ? g->routing->limits : defaults;
+}
+
+/* The limits for C: those that its caller may know, or new ones if higher.  */
+static cv_caller_limits_t
+limits_of (const cv_client_t *c)
+{
+  cv_caller_limits_t now = limits_now (c->port->gateway);
+
+  return cv_caller_limits_higher (&c->limits, &now);
+}
+
+/* C is idle from now on, until its next request.  */
+static void
+begin_idle (cv_client_t *c)
+{
+  c->state = CV_CLIENT_READING;
+  c->since = cv_now ();
+  c->limits = limits_now (c->port->gateway);
 }
 
 static void
@@ -84,23 +112,22 @@
   cv_port_t *p = arg;
   cv_gateway_t *g = p->gateway;
   cv_client_t *c = cv_calloc (1, sizeof *c);
-  struct timeval write_timeout = { .tv_sec = WRITE_TIMEOUT_S };
+  struct timeval write_check = { .tv_sec = WRITE_CHECK_S };
 
   (void)listener;
   (void)address;
   (void)size;
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &(int){ 1 }, sizeof (int));
   c->port = p;
-  c->state = CV_CLIENT_READING;
-  c->since = cv_now ();
-  cv_http_reader_init (&c->reader, HTTP_REQUEST, head_limit_bytes (g));
+  begin_idle (c);
+  cv_http_reader_init (&c->reader, HTTP_REQUEST, c->limits.head_bytes);
   cv_buf_init (&c->body);
   c->bev = bufferevent_socket_new (
       g->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   CV_INVARIANT (c->bev != NULL);
   bufferevent_setcb (c->bev, on_read, on_write, on_event, c);
   bufferevent_setwatermark (c->bev, EV_READ, 0, INPUT_MAX_BYTES);
-  (void)bufferevent_set_timeouts (c->bev, NULL, &write_timeout);
+  (void)bufferevent_set_timeouts (c->bev, NULL, &write_check);
   (void)bufferevent_enable (c->bev, EV_READ | EV_WRITE);
   TAILQ_INSERT_TAIL (&g->clients, c, entry);
   g->client_count++;
@@ -132,6 +159,7 @@
 {
   struct evbuffer *out = bufferevent_get_output (c->bev);
 
+  c->output_bytes += head.n + body.n;
   CV_INVARIANT (evbuffer_add (out, head.p, head.n) == 0);
   if (body.n > 0)
     CV_INVARIANT (evbuffer_add (out, body.p, body.n) == 0);
@@ -148,16 +176,26 @@
   return c->close_after;
 }
 
-/* All output was written.  The caller closes first, since some callers treat a
-   close right after the response as a failure.  Only a body that ends with the
-   connection, or a caller that is still sending, requires a shutdown now.  */
+/* The whole response was written; the time limits count from here.  The caller
+   closes first, since some callers treat a close right after the response as a
+   failure.  Only a body that ends with the connection, or a caller that is
+   still sending, requires a shutdown now.  */
 static void
-on_output_written (cv_client_t *c)
+on_response_written (cv_client_t *c)
 {
+  c->since = cv_now ();
+  if (c->state != CV_CLIENT_LINGERING)
+    return;
   if (c->request_incomplete || c->body_ends_at_close)
     (void)shutdown (bufferevent_getfd (c->bev), SHUT_WR);
 }
 
+static bool
+has_unwritten_output (const cv_client_t *c)
+{
+  return evbuffer_get_length (bufferevent_get_output (c->bev)) > 0;
+}
+
 /* Waits for the caller to close; input is read and dropped until then.  */
 static void
 linger (cv_client_t *c)
@@ -167,8 +205,8 @@
   c->state = CV_CLIENT_LINGERING;
   c->since = cv_now ();
   (void)evbuffer_drain (in, evbuffer_get_length (in));
-  if (evbuffer_get_length (bufferevent_get_output (c->bev)) == 0)
-    on_output_written (c);
+  if (!has_unwritten_output (c))
+    on_response_written (c);
 }
 
 void
@@ -186,8 +224,7 @@
       linger (c);
       return;
     }
-  c->state = CV_CLIENT_READING;
-  c->since = cv_now ();
+  begin_idle (c);
   cv_http_reader_reset (&c->reader);
   cv_buf_reset (&c->body);
   if (!c->is_handling_input
@@ -230,20 +267,13 @@
     }
 }
 
-static uint64_t
-body_limit_bytes (const cv_gateway_t *g)
-{
-  return g->routing != NULL ? g->routing->limits.body_bytes
-                            : BODY_BYTES_DEFAULT;
-}
-
 static void
 handle_head (cv_client_t *c)
 {
   static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
   const cv_http_head_t *h = &c->reader.head;
 
-  if (h->has_length && h->length > body_limit_bytes (c->port->gateway))
+  if (h->has_length && h->length > limits_of (c).body_bytes)
     {
       refuse_incomplete (c, 413, "body too large");
       return;
@@ -262,7 +292,7 @@
       handle_head (c);
       return c->state == CV_CLIENT_READING;
     case CV_HTTP_BODY:
-      if (c->body.n + c->reader.body.n > body_limit_bytes (c->port->gateway))
+      if (c->body.n + c->reader.body.n > limits_of (c).body_bytes)
         {
           refuse_incomplete (c, 413, "body too large");
           return false;
@@ -300,7 +330,10 @@
       cv_http_part_t part;
 
       if (!c->reader.started)
-        c->since = cv_now ();
+        {
+          c->since = cv_now ();
+          c->reader.head_max = limits_of (c).head_bytes;
+        }
       part = cv_http_reader_next (&c->reader, data, n, &used);
       if (part == CV_HTTP_BODY && !handle_part (c, part))
         break;
@@ -340,10 +373,43 @@
 on_write (struct bufferevent *bev, void *arg)
 {
   cv_client_t *c = arg;
+  bool is_idle = c->state == CV_CLIENT_READING && !c->reader.started;
+
+  (void)bev;
+  if ((is_idle || c->state == CV_CLIENT_LINGERING) && !has_unwritten_output (c))
+    on_response_written (c);
+}
+
+/* Bytes of output that the caller's host has acknowledged.  */
+static uint64_t
+acknowledged_bytes (const cv_client_t *c)
+{
+  uint64_t unwritten = evbuffer_get_length (bufferevent_get_output (c->bev));
+  int unacknowledged = 0;
+
+  if (ioctl (bufferevent_getfd (c->bev), SIOCOUTQ, &unacknowledged) != 0)
+    return c->acknowledged_bytes;
+  return c->output_bytes - unwritten - (uint64_t)unacknowledged;
+}
+
+/* The connection accepted no output for WRITE_CHECK_S.  The kernel accepts more
+   only when a large part of its buffer is free, which a slow reader may take
+   longer for than the write timeout.  */
+static void
+check_reading (cv_client_t *c)
+{
+  uint64_t acknowledged = acknowledged_bytes (c);
+  cv_time_t now = cv_now ();
 
-  if (c->state == CV_CLIENT_LINGERING
-      && evbuffer_get_length (bufferevent_get_output (bev)) == 0)
-    on_output_written (c);
+  if (acknowledged > c->acknowledged_bytes)
+    {
+      c->acknowledged_bytes = acknowledged;
+      c->acknowledged_at = now;
+    }
+  if (now - c->acknowledged_at > WRITE_TIMEOUT)
+    cv_client_close (c, CV_CLOSE_NOT_READ);
+  else
+    (void)bufferevent_enable (c->bev, EV_WRITE);
 }
 
 static void
@@ -353,7 +419,7 @@
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
     cv_client_close (arg, CV_CLOSE_BY_CALLER);
   else if (what & BEV_EVENT_TIMEOUT)
-    cv_client_close (arg, CV_CLOSE_NOT_READ);
+    check_reading (arg);
 }
 
 /* Whether bytes have arrived that no callback has handled, as in a busy
@@ -369,24 +435,22 @@
 }
 
 /* Closes C when it is idle or slow beyond the limits.  The idle timeout also
-   limits the time from the start of a request to the end of its body.  */
+   limits the time from the start of a request to the end of its body.  While a
+   response is being written, only the write timeout applies.  */
 static void
 check_timeouts (cv_client_t *c, cv_time_t now)
 {
   const cv_gateway_t *g = c->port->gateway;
-  cv_time_t head = g->routing != NULL
-                       ? g->routing->limits.head_timeout_ms * CV_MS
-                       : HEAD_TIMEOUT_DEFAULT;
-  cv_time_t idle = g->routing != NULL
-                       ? g->routing->limits.idle_timeout_ms * CV_MS
-                       : IDLE_TIMEOUT_DEFAULT;
+  cv_caller_limits_t limits = limits_of (c);
+  cv_time_t head = limits.head_timeout_ms * CV_MS;
+  cv_time_t idle = limits.idle_timeout_ms * CV_MS;
 
   switch (c->state)
     {
     case CV_CLIENT_WAITING:
       return;
     case CV_CLIENT_LINGERING:
-      if (now - c->since > LINGER_TIMEOUT)
+      if (now - c->since > LINGER_TIMEOUT && !has_unwritten_output (c))
         cv_client_close (c, CV_CLOSE_IDLE);
       return;
     case CV_CLIENT_READING:
@@ -394,7 +458,7 @@
         {
           if (now - c->since
                   > (g->stopping ? STOP_IDLE_TIMEOUT : idle + IDLE_SLACK)
-              && !has_unread_input (c))
+              && !has_unwritten_output (c) && !has_unread_input (c))
             cv_client_close (c, CV_CLOSE_IDLE);
         }
       else if (!c->reader.head_done ? now - c->since > head
@@ -451,7 +515,7 @@
   const cv_client_t *c;
 
   TAILQ_FOREACH (c, &g->clients, entry)
-  if (evbuffer_get_length (bufferevent_get_output (c->bev)) > 0)
+  if (has_unwritten_output (c))
     return true;
   return false;
 }
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -35,15 +35,30 @@
     b->credits = b->cap;
 }
 
+bool
+cv_retry_budget_has (const cv_retry_budget_t *b)
+{
+  return b->credits >= 1 - RETRY_ROUNDING;
+}
+
 bool
 cv_retry_budget_take (cv_retry_budget_t *b)
 {
-  if (b->credits < 1 - RETRY_ROUNDING)
+  if (!cv_retry_budget_has (b))
     return false;
   b->credits -= 1;
   return true;
 }
 
+cv_time_t
+cv_retry_wait_end (cv_time_t now, cv_time_t first_end, cv_time_t deadline,
+                   bool has_begun)
+{
+  cv_time_t end = has_begun ? deadline : now + (deadline - now) / 2;
+
+  return end > first_end ? end : first_end;
+}
+
 uint32_t
 cv_retry_after_ms (cv_rng_t *rng, uint32_t base_ms)
 {
--- a/policy/tests/engines_test.cc
+++ b/policy/tests/engines_test.cc
@@ -513,4 +513,35 @@
   EXPECT_GE (taken, 20);
 }
 
+/* A silent target is left only while a retry can be paid for; asking does not
+   use it up.  */
+TEST (Retries, AskingForARetryDoesNotTakeIt)
+{
+  cv_retry_budget_t b;
+
+  cv_retry_budget_init (&b);
+  cv_retry_budget_set (&b, 0.2, 1);
+  EXPECT_TRUE (cv_retry_budget_has (&b));
+  EXPECT_TRUE (cv_retry_budget_has (&b));
+  EXPECT_TRUE (cv_retry_budget_take (&b));
+  EXPECT_FALSE (cv_retry_budget_has (&b));
+  for (int i = 0; i < 5; i++)
+    cv_retry_budget_first (&b);
+  EXPECT_TRUE (cv_retry_budget_has (&b));
+}
+
+/* An engine is lost 1.8 s after a request whose first wait ended at 1.2 s, with
+   a deadline at 5 s.  */
+TEST (Retries, WaitForATargetBeyondTheFirstWait)
+{
+  cv_time_t now = 1800 * CV_MS;
+  cv_time_t first = 1200 * CV_MS;
+  cv_time_t deadline = 5000 * CV_MS;
+
+  EXPECT_EQ (3400 * CV_MS, cv_retry_wait_end (now, first, deadline, false));
+  EXPECT_EQ (deadline, cv_retry_wait_end (now, first, deadline, true));
+  EXPECT_EQ (4000 * CV_MS,
+             cv_retry_wait_end (now, 4000 * CV_MS, deadline, false));
+}
+
 } // namespace
