Gateway: estimate a generation in a stop only at an engine

More than 2 s after SIGTERM, one request with a Token-Usage field on a route of a plain service ended the process with SIGFPE, and every other request in progress with it. So did any generation with a configuration that states 0 tokens for each event of an engine.

The estimate of a late generation divides by the tokens of one event. A plain service has none, and the configuration was not checked for 0.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -308,7 +308,7 @@
           .prefill = q->prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS,
           .expected_tokens = (uint32_t)(x->need_tokens - q->prompt_tokens),
           .output_limit = q->output_limit,
-          .is_generation = q->is_generation };
+          .is_generation = q->is_generation && x->service->is_engine };
 
   cv_stop_estimate (&r, is_late_in_stop (x), out);
 }
--- a/policy/stop.h
+++ b/policy/stop.h
@@ -39,7 +39,7 @@
   uint32_t event_tokens;    /* tokens of one event; at least 1 */
   uint32_t expected_tokens; /* of output, by the caller's estimate */
   uint32_t output_limit;    /* most tokens of output */
-  bool is_generation;
+  bool is_generation;       /* at an engine */
 } cv_stop_request_t;
 
 /* A stop that begins at NOW in a process that is killed after GRACE.  */
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -56,7 +56,7 @@
   uint32_t slots;         /* concurrent requests */
   uint64_t memory_tokens; /* KV cache: running requests, cached prompts */
   bool can_migrate;       /* generations can migrate to another engine */
-  uint32_t event_tokens;  /* tokens per event of a stream */
+  uint32_t event_tokens;  /* tokens per event of a stream; at least 1 */
 } cv_engine_traits_t;
 
 typedef struct
--- a/tests/gateway/review_scenarios.py
+++ b/tests/gateway/review_scenarios.py
@@ -30,6 +30,26 @@
     bench.say(f"exit code {await bench.process.wait()}")
 
 
+async def stop_zero_stride(bench):
+    """The configuration states 0 tokens for each event of an engine, and a
+    generation arrives late in a stop."""
+    async def one_event(target, request, writer):
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)) + b"0\r\n\r\n")
+        return True
+
+    bench.config["Backends"][1]["Engine"]["Stride"] = 0
+    await bench.add_target("m1", "model", one_event)
+    await bench.start(grace_s=8)
+    bench.terminate()
+    await bench.until_logged("DAEMON_STOPPING")
+    await asyncio.sleep(LATE_IN_STOP_S)
+    status, _, _ = await bench.send(
+        "POST", "/tag/1", b"x", **{**GEN_HEADERS, "Token-Usage": "400,8"})
+    bench.say(f"late in the stop: {status}")
+    bench.say(f"exit code {await bench.process.wait()}")
+
+
 async def stop_stalled_end(bench):
     """The process is stalled while its stop should end.  The requests that it
     has read get a refusal before it exits."""
