Gateway: write the last refusals also after a stall

A process that is stalled at the end of its stop, for 0.5 s or more, closed all connections without an answer. The log showed the refusals as sent.

The time to write the last responses counted from the planned end. A tick 200 ms later than that created the refusals and ended the event loop before they were written, and requests in the input buffers were not handled at all. The time now counts from the tick that created the refusals.

gateway-stop-stalled-end got status 0 before and gets 502 now.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -261,13 +261,14 @@
 }
 
 /* Ends what is still in progress when its time is over.  The process exits
-   later than this, when the last responses have been written.  */
+   later than this, when the last responses have been written; also when this
+   runs late because the process was stalled.  */
 static void
 advance_stop (cv_gateway_t *g, cv_time_t now)
 {
   bool is_idle = now - g->stop.started_at > STOP_ACCEPT_PERIOD
                  && TAILQ_EMPTY (&g->clients);
-  bool is_over = now >= g->stop.ends_at + STOP_WRITE_PERIOD;
+  bool is_over = g->is_ending && now >= g->ending_at + STOP_WRITE_PERIOD;
 
   if (now >= g->stop.answer_by)
     cv_exchanges_end (g, now >= g->stop.ends_at);
@@ -280,6 +281,7 @@
   if (now >= g->stop.ends_at && !g->is_ending)
     {
       g->is_ending = true;
+      g->ending_at = now;
       (void)evconnlistener_disable (g->ports[0].listener);
       cv_clients_end (g);
     }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -381,8 +381,9 @@
   cv_time_t stall_ended_at; /* end of the last period without ticks */
   cv_rng_t rng;
   bool stopping;
-  bool is_ending; /* the stop is over; the last responses are written */
-  cv_stop_t stop; /* valid while STOPPING */
+  bool is_ending;      /* the stop is over; the last responses are written */
+  cv_time_t ending_at; /* start of IS_ENDING */
+  cv_stop_t stop;      /* valid while STOPPING */
   cv_gateway_counts_t counts;
   cv_hist_t latency;     /* milliseconds to the end of a response */
   cv_hist_t first_event; /* milliseconds to the first event of a stream */
