Gateway: handle what arrived during a stall before the stop ends

A process was stalled while an engine ended a stream, and woke after the end of its stop. The caller's response was cut off, although its end had arrived.

Ticks run before the callbacks of connections. The first tick after a stall now leaves the end of the stop to the next one, unless the previous tick was after it already, so that repeated stalls delay the end only once.

gateway-stop-stalled-stream got a cut response before and gets both events now.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -292,10 +292,11 @@
 {
   cv_gateway_t *g = arg;
   cv_time_t now = cv_now ();
+  cv_time_t previous_tick_at = g->last_tick_at;
 
   (void)fd;
   (void)what;
-  if (now - g->last_tick_at > STALL_THRESHOLD)
+  if (now - previous_tick_at > STALL_THRESHOLD)
     g->stall_ended_at = now;
   g->last_tick_at = now;
   cv_watcher_tick (&g->routing_watcher, now);
@@ -307,6 +308,9 @@
   cv_clients_tick (g, now);
   limit_clients (g);
   cv_line_flush ();
-  if (g->stopping)
+  /* What arrived during a stall is handled before anything is cut off, but the
+     end of the stop is delayed by one tick only.  */
+  if (g->stopping
+      && (now != g->stall_ended_at || previous_tick_at >= g->stop.ends_at))
     advance_stop (g, now);
 }
--- a/tests/gateway/review_scenarios.py
+++ b/tests/gateway/review_scenarios.py
@@ -69,6 +69,34 @@
     bench.say(f"exit code {await bench.process.wait()}")
 
 
+async def stop_stalled_stream(bench):
+    """The process is stalled while its stop should end, and an engine ends its
+    stream meanwhile.  The caller gets the whole stream."""
+    async def stream(target, request, writer):
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)))
+        await asyncio.sleep(1.8)
+        writer.write(chunk(event(1)) + b"0\r\n\r\n")
+        return True
+
+    await bench.add_target("m1", "model", stream)
+    await bench.start(grace_s=3)
+    sent = asyncio.ensure_future(
+        bench.send("POST", "/long/1", b"x", **GEN_HEADERS))
+    await bench.until_logged("GATEWAY_SENT")
+    bench.terminate()
+    await bench.until_logged("DAEMON_STOPPING")
+    await asyncio.sleep(1.3)
+    bench.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(1.2)
+    bench.process.send_signal(signal.SIGCONT)
+    try:
+        status, _, body = await sent
+    except ValueError:  # no size of the next chunk
+        status, body = 0, b""
+    bench.say(f"stream: {status}, {body.count(b'data:')} events")
+
+
 async def stop_late_large_response(bench):
     """A response of a plain service, too large to be buffered, begins shortly
     before the stopping gateway ends and goes on for longer."""
