Gateway: late in a stop, do not begin a response of unknown length

A request sent 3.5 s after SIGTERM got the head and a part of a large response, and was cut off by the end of the stop. So was an event stream of a plain service.

Only the length of a generation is estimated: of other requests, the estimate covers the time until the response begins. A response above 256 KiB, or a stream of a plain service, was begun whatever it took. Late in a stop such a response is now buffered to its end, and the request refused with 502 if the stop ends first, unless its deadline is earlier than the end of the stop.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -6,7 +6,8 @@
 #include "gateway/state.h"
 
 /* Response bodies up to this size are buffered before they are forwarded, so
-   that the request can be retried if the response fails.  */
+   that the request can be retried if the response fails.  Late in a stop, all
+   are, so that the request can be refused.  */
 #define BUFFERED_BODY_MAX_BYTES (256u * 1024)
 /* Engines accept priorities from 0 to 9.  */
 #define PRIORITY_MAX 9
@@ -290,19 +291,21 @@
                                     true);
       return;
     }
-  if (h->status == 200 && fields.is_event_stream)
+  if (h->status != 200 || !fields.is_event_stream)
+    {
+      x->state = CV_EXCHANGE_BUFFERING;
+      return;
+    }
+  if (cv_exchange_can_begin_response (x))
     {
-      if (!cv_exchange_can_begin_response (x))
-        {
-          cv_exchange_handle_failure (x, "stream cannot end before the stop",
-                                      true);
-          return;
-        }
       send_head (x, caller_framing (x), 0);
       x->state = CV_EXCHANGE_STREAMING;
       return;
     }
-  x->state = CV_EXCHANGE_BUFFERING;
+  if (cv_exchange_is_generation (x))
+    cv_exchange_handle_failure (x, "stream cannot end before the stop", true);
+  else
+    x->state = CV_EXCHANGE_BUFFERING;
 }
 
 /* Forwards the buffered part of a large response, then the rest as it
@@ -376,7 +379,8 @@
     {
     case CV_EXCHANGE_BUFFERING:
       cv_buf_add (&x->response_body, data.p, data.n);
-      if (x->response_body.n > BUFFERED_BODY_MAX_BYTES)
+      if (x->response_body.n > BUFFERED_BODY_MAX_BYTES
+          && cv_exchange_can_begin_response (x))
         start_relaying (x);
       return;
     case CV_EXCHANGE_RELAYING:
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -297,6 +297,12 @@
   return cv_stop_is_late (&x->gateway->stop, x->started_at);
 }
 
+bool
+cv_exchange_is_generation (const cv_exchange_t *x)
+{
+  return x->request.is_generation && x->service->is_engine;
+}
+
 static void
 estimate_stop_work (const cv_exchange_t *x, cv_stop_work_t *out)
 {
@@ -308,7 +314,7 @@
           .prefill = q->prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS,
           .expected_tokens = (uint32_t)(x->need_tokens - q->prompt_tokens),
           .output_limit = q->output_limit,
-          .is_generation = q->is_generation && x->service->is_engine };
+          .is_generation = cv_exchange_is_generation (x) };
 
   cv_stop_estimate (&r, is_late_in_stop (x), out);
 }
@@ -330,6 +336,9 @@
 
   if (!x->gateway->stopping || !is_late_in_stop (x))
     return true;
+  /* The length of another response than a generation's is unknown.  */
+  if (!cv_exchange_is_generation (x))
+    return x->deadline <= x->gateway->stop.ends_at;
   estimate_stop_work (x, &work);
   work.until_head = 0;
   return cv_stop_fits (&x->gateway->stop, cv_now (), &work);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -443,6 +443,8 @@
 /* Ends all exchanges whose response has not begun, and with CUT_RESPONSES the
    others too, because the process stops.  */
 void cv_exchanges_end (cv_gateway_t *g, bool cut_responses);
+/* Whether X asks for a generation and its service is an engine.  */
+bool cv_exchange_is_generation (const cv_exchange_t *x);
 /* Whether the response of X, which begins now, ends before the process stops;
    always true for a request that is rather tried than refused.  */
 bool cv_exchange_can_begin_response (const cv_exchange_t *x);
--- a/tests/gateway/review_scenarios.py
+++ b/tests/gateway/review_scenarios.py
@@ -130,6 +130,35 @@
     await bench.process.wait()
 
 
+async def stop_late_plain_stream(bench):
+    """A plain service streams events to a request that comes late in a stop:
+    the caller gets the whole stream, or a refusal if it lasts too long."""
+    async def stream(target, request, writer):
+        await start_stream(request, writer)
+        writer.write(chunk(event(0)))
+        await asyncio.sleep(0.3 if request.path == "/book/1" else 3)
+        writer.write(chunk(event(1)) + b"0\r\n\r\n")
+        return True
+
+    bench.config["Routes"][1]["TimeoutMs"] = 5000
+    await bench.add_target("t1", "plain", stream)
+    await bench.add_target("m1", "model", hang)
+    await bench.start(grace_s=6)
+    other = asyncio.ensure_future(
+        bench.send("POST", "/long/1", b"x", **GEN_HEADERS))
+    await bench.until_logged("GATEWAY_SENT")
+    bench.terminate()
+    await bench.until_logged("DAEMON_STOPPING")
+    await asyncio.sleep(3.5)
+    for path in ("/book/1", "/book/2"):
+        try:
+            status, _, body = await bench.send("POST", path, b"x")
+        except ValueError:  # no size of the next chunk
+            status, body = 0, b""
+        bench.say(f"{path}: {status}, {body.count(b'data:')} events")
+    await other
+
+
 async def stop_not_full(bench):
     """The end of a stop is not logged as a full table of connections."""
     await bench.add_target("m1", "model", hang)
