Gateway: do not log the end of a stop as a full table of connections

Each stop that reached its end with output left to write logged GATEWAY_CONNECTIONS_FULL, with 0 callers, since the listener is closed for connections then in the same way as at the limit. The limit is not checked any more from then on. gateway-stop-not-full failed before and passes now.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -243,10 +243,10 @@
 static void
 limit_clients (cv_gateway_t *g)
 {
-  bool has_room = g->client_count < client_limit (g) && !g->is_ending;
+  bool has_room = g->client_count < client_limit (g);
   cv_line_t l;
 
-  if (has_room == g->accepting)
+  if (g->is_ending || has_room == g->accepting)
     return;
   g->accepting = has_room;
   if (has_room)
