Gateway: reset the connection of a cut HTTP/1.0 response

A response to an HTTP/1.0 caller ends with the connection. When it was cut off, the connection was closed as after a complete one, so the caller took the part for the whole. The connection is now reset. gateway-stop-cut-http-1-0 failed before and passes now.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -209,6 +209,16 @@
     on_response_written (c);
 }
 
+/* Makes the close of C a reset, which discards unsent output.  */
+static void
+reset_at_close (const cv_client_t *c)
+{
+  struct linger option = { .l_onoff = 1, .l_linger = 0 };
+
+  (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &option,
+                    sizeof option);
+}
+
 void
 cv_client_response_done (cv_client_t *c, bool complete)
 {
@@ -216,6 +226,8 @@
   if (!complete)
     {
       /* Without its end, the response cannot be taken for a complete one.  */
+      if (c->body_ends_at_close)
+        reset_at_close (c);
       cv_client_close (c, CV_CLOSE_INCOMPLETE);
       return;
     }
