--- a/gateway/state.h
+++ b/gateway/state.h
@@ -381,8 +381,9 @@
   cv_time_t stall_ended_at; /* end of the last period without ticks */
   cv_rng_t rng;
   bool stopping;
-  bool is_ending; /* the stop is over; the last responses are written */
-  cv_stop_t stop; /* valid while STOPPING */
+  bool is_ending;      /* the stop is over; the last responses are written */
+  cv_time_t ending_at; /* start of IS_ENDING */
+  cv_stop_t stop;      /* valid while STOPPING */
   cv_gateway_counts_t counts;
   cv_hist_t latency;     /* milliseconds to the end of a response */
   cv_hist_t first_event; /* milliseconds to the first event of a stream */
@@ -442,6 +443,8 @@
 /* Ends all exchanges whose response has not begun, and with CUT_RESPONSES the
    others too, because the process stops.  */
 void cv_exchanges_end (cv_gateway_t *g, bool cut_responses);
+/* Whether X asks for a generation and its service is an engine.  */
+bool cv_exchange_is_generation (const cv_exchange_t *x);
 /* Whether the response of X, which begins now, ends before the process stops;
    always true for a request that is rather tried than refused.  */
 bool cv_exchange_can_begin_response (const cv_exchange_t *x);
