--- a/tests/gateway/limit_scenarios.py
+++ b/tests/gateway/limit_scenarios.py
@@ -546,3 +546,23 @@
     bench.say(f"then {await asyncio.wait_for(reader.read(), 3)}")
     seen = [r.path for r in bench.targets["t1"].requests]
     bench.say(f"arrived {seen}")
+
+
+async def slow_answer(bench):
+    """Both targets send an answer in small parts for longer than the limit of
+    silence, but within the time of the request: a target that sends is not
+    silent."""
+    async def trickle(target, request, writer):
+        data = signed(request, b"x" * 700)
+        for i in range(0, len(data), 100):
+            writer.write(data[i:i + 100])
+            await asyncio.sleep(0.1)
+        return True
+
+    await bench.start()
+    for name in ("t1", "t2"):
+        await bench.add_target(name, "plain", trickle)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    status, _, body = await send(bench, "GET", "/read/x")
+    bench.say(f"{status}, {len(body)} bytes")
+    bench.say(f"sent {sum(len(t.requests) for t in bench.targets.values())}")
