Gateway: a target that sends its response is not silent

An idempotent request got 504 although its target was sending the answer: the limit of silence counted until the end of a buffered response, so the attempt was given up for another target, which started from the beginning and could not finish in time.

The head and the body of a buffered response now count as activity. A target that stops within its response is still replaced after the limit.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -297,6 +297,7 @@
       return;
     }
   x->state = CV_EXCHANGE_BUFFERING;
+  x->last_activity_at = cv_now ();
 }
 
 /* Forwards the buffered part of a large response, then the rest as it
@@ -369,6 +370,7 @@
   switch (x->state)
     {
     case CV_EXCHANGE_BUFFERING:
+      x->last_activity_at = cv_now ();
       cv_buf_add (&x->response_body, data.p, data.n);
       if (x->response_body.n > BUFFERED_BODY_MAX_BYTES)
         start_relaying (x);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -19,10 +19,11 @@
 #define CONNECT_FAILURES_MAX 4
 /* Most resumes of one stream.  */
 #define RESUMES_MAX 6
-/* On a retryable route, an attempt without a whole response or a first event is
-   a failure after a time that follows from the route's latency objective for
-   these.  At a plain service it is the objective times this factor, and at
-   least SILENCE_MIN; at an engine, the objective plus SILENCE_MIN.  */
+/* On a retryable route, an attempt is a failure when no first event, and
+   nothing of another response, arrives for a time that follows from the route's
+   latency objective.  Another attempt replaces it only if it can start.  At a
+   plain service it is the objective times this factor, and at least
+   SILENCE_MIN; at an engine, the objective plus SILENCE_MIN.  */
 #define SILENCE_FACTOR 4
 #define SILENCE_MIN (300 * CV_MS)
 /* On a retryable route, a stream whose events stop is resumed after this many
@@ -546,9 +547,9 @@
 
 /* ---- timeouts ---- */
 
-/* Longest time since the request was sent or the last event of the stream was
-   received; 0: no limit.  It also limits the time until the end of a response
-   that is buffered, since its head and body do not count as activity.  */
+/* Longest time since the request was sent, the last event of the stream or the
+   last bytes of a buffered response; 0: no limit.  The head of a stream does
+   not count.  */
 static cv_time_t
 silence_limit (const cv_exchange_t *x)
 {
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -250,8 +250,8 @@
   cv_target_t *target;      /* of the current attempt */
   cv_http_link_t *link;
   cv_time_t sent_at;
-  cv_time_t last_activity_at;  /* sending, or last event of a stream; not the
-                                  head or body of another response */
+  cv_time_t last_activity_at;  /* sending, last event of a stream, or last
+                                  bytes of a buffered response */
   cv_time_t first_event_delay; /* from the start; 0: no event yet */
   cv_time_t max_gap;           /* longest time between events */
   cv_time_t last_event_at;     /* last event forwarded */
