--- a/policy/policy.h
+++ b/policy/policy.h
@@ -145,10 +145,10 @@
 bool cv_retry_budget_has (const cv_retry_budget_t *b);
 /* Takes one retry from the budget; returns false when there is none.  */
 bool cv_retry_budget_take (cv_retry_budget_t *b);
-/* Until when a request that may have run waits for another target, given the end
-   of its first wait and its deadline.  It cannot be refused as not run, so its
-   caller gains nothing from an earlier end.  Half of the time is left for the
-   attempt itself; a response that HAS_BEGUN waits until its deadline.  */
+/* Until when a request that may have run waits for another target, given the
+   end of its first wait and its deadline.  It cannot be refused as not run, so
+   its caller gains nothing from an earlier end.  Half of the time is left for
+   the attempt itself; a response that HAS_BEGUN waits until its deadline.  */
 cv_time_t cv_retry_wait_end (cv_time_t now, cv_time_t first_end,
                              cv_time_t deadline, bool has_begun);
 /* Returns a random backoff in [BASE_MS, 2 BASE_MS), so that retries do not
