Gateway: count the write timeout from the begin of output

A connection whose caller had acknowledged nothing at all could be closed at the first check, after one second instead of ten.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -159,6 +159,8 @@
 {
   struct evbuffer *out = bufferevent_get_output (c->bev);
 
+  if (evbuffer_get_length (out) == 0)
+    c->acknowledged_at = cv_now ();
   c->output_bytes += head.n + body.n;
   CV_INVARIANT (evbuffer_add (out, head.p, head.n) == 0);
   if (body.n > 0)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -181,7 +181,7 @@
   cv_caller_limits_t limits; /* in force when C was last idle */
   uint64_t output_bytes;     /* of all responses, written or not */
   /* Of these, received by the caller's host when the output was last found
-     blocked, and when that number had last grown.  */
+     blocked, and when that number had last grown or output was begun.  */
   uint64_t acknowledged_bytes;
   cv_time_t acknowledged_at;
   bool close_after;        /* the connection ends with this response */
