--- a/tests/gateway/limit_scenarios.py
+++ b/tests/gateway/limit_scenarios.py
@@ -566,3 +566,16 @@
     status, _, body = await send(bench, "GET", "/read/x")
     bench.say(f"{status}, {len(body)} bytes")
     bench.say(f"sent {sum(len(t.requests) for t in bench.targets.values())}")
+
+
+async def pausing_engine_avoided(bench):
+    """The only engine is silent for longer than the limit before each answer
+    and completes it: it is not taken for a failing one."""
+    shorten_objective(bench)
+    await bench.start()
+    await bench.add_target("m1", "model", pausing(bench, before_first=0.9))
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    one_by_one = [(await generate(bench))[:3] for _ in range(8)]
+    bench.say(f"one by one: {one_by_one}")
+    await asyncio.gather(*(generate(bench) for _ in range(8)))
+    bench.say(f"after eight at once: {(await generate(bench))[:3]}")
