Health: a target that serves an overdue request works

An engine that paused before each answer and then completed it was avoided as failing; with no other engine, callers got 503 from the sixth request on. The failure is recorded when the request is overdue, and its completion did not count.

A late completion now makes up for the failure and ends the avoidance. The observer of an engine gets the completion too, but counts it as an ordinary success.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -164,10 +164,14 @@
 void
 cv_attempt_record_outcome (cv_exchange_t *x, bool served)
 {
-  if (x->is_outcome_recorded)
+  bool is_late = x->is_outcome_recorded;
+
+  if (is_late && !served)
     return;
   x->is_outcome_recorded = true;
-  if (served)
+  if (is_late)
+    cv_health_late_success (&x->target->health);
+  else if (served)
     cv_health_success (&x->target->health);
   else
     cv_target_record_failure (x->target);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -467,8 +467,9 @@
    releases its reservation and target, and withdraws a pending request for a
    reservation.  */
 void cv_attempt_stop (cv_exchange_t *x);
-/* Records once per attempt whether the target SERVED it, and reports this to
-   the observer, which combines the outcomes of all gateways.  */
+/* Records whether the target SERVED the attempt, and reports this to the
+   observer, which combines the outcomes of all gateways.  Only the first
+   failure counts; an overdue attempt may be served later.  */
 void cv_attempt_record_outcome (cv_exchange_t *x, bool served);
 /* Removes the prompt of X from its target's prefill_tokens: the first event
    arrived, or the attempt ends.  */
--- a/policy/health.c
+++ b/policy/health.c
@@ -24,6 +24,15 @@
     h->backoff = 0;
 }
 
+void
+cv_health_late_success (cv_health_t *h)
+{
+  /* One makes up for the failure.  */
+  cv_health_success (h);
+  cv_health_success (h);
+  h->avoid_until = 0;
+}
+
 bool
 cv_health_failure (cv_health_t *h, cv_time_t now)
 {
--- a/policy/health.h
+++ b/policy/health.h
@@ -29,6 +29,9 @@
 
 void cv_health_init (cv_health_t *h, double decay);
 void cv_health_success (cv_health_t *h);
+/* A request that was recorded as a failure, since it was overdue, was served
+   after all: the target works and is no longer avoided.  */
+void cv_health_late_success (cv_health_t *h);
 /* Returns whether this failure causes the target to be avoided, until
    H->avoid_until.  */
 bool cv_health_failure (cv_health_t *h, cv_time_t now);
--- a/policy/tests/engines_test.cc
+++ b/policy/tests/engines_test.cc
@@ -495,6 +495,25 @@
   EXPECT_FALSE (cv_health_is_probing (&h, 1100 * CV_MS));
 }
 
+/* Each request is overdue, and then served: one at a time, and many at once. */
+TEST (Health, ATargetThatPausesAndServesIsNotAvoided)
+{
+  cv_health_t h;
+  cv_time_t now = CV_SECOND;
+
+  cv_health_init (&h, CV_HEALTH_DECAY_GATEWAY);
+  for (int i = 0; i < 50; i++)
+    {
+      EXPECT_FALSE (cv_health_failure (&h, now));
+      cv_health_late_success (&h);
+    }
+  for (int i = 0; i < 20; i++)
+    (void)cv_health_failure (&h, now);
+  EXPECT_FALSE (cv_health_is_usable (&h, now));
+  cv_health_late_success (&h);
+  EXPECT_TRUE (cv_health_is_usable (&h, now));
+}
+
 TEST (Retries, AreBoundedInAnySpanOfTime)
 {
   cv_retry_budget_t b;
