--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -165,10 +165,14 @@
 void
 cv_attempt_record_outcome (cv_exchange_t *x, bool served)
 {
-  if (x->is_outcome_recorded)
+  bool is_late = x->is_outcome_recorded;
+
+  if (is_late && !served)
     return;
   x->is_outcome_recorded = true;
-  if (served)
+  if (is_late)
+    cv_health_late_success (&x->target->health);
+  else if (served)
     cv_health_success (&x->target->health);
   else
     cv_target_record_failure (x->target);
@@ -263,6 +267,13 @@
   return NULL;
 }
 
+static void
+begin_buffering (cv_exchange_t *x)
+{
+  x->state = CV_EXCHANGE_BUFFERING;
+  x->last_activity_at = cv_now ();
+}
+
 static void
 on_head (cv_exchange_t *x)
 {
@@ -293,7 +304,7 @@
     }
   if (h->status != 200 || !fields.is_event_stream)
     {
-      x->state = CV_EXCHANGE_BUFFERING;
+      begin_buffering (x);
       return;
     }
   if (cv_exchange_can_begin_response (x))
@@ -305,7 +316,7 @@
   if (cv_exchange_is_generation (x))
     cv_exchange_handle_failure (x, "stream cannot end before the stop", true);
   else
-    x->state = CV_EXCHANGE_BUFFERING;
+    begin_buffering (x);
 }
 
 /* Forwards the buffered part of a large response, then the rest as it
@@ -378,6 +389,7 @@
   switch (x->state)
     {
     case CV_EXCHANGE_BUFFERING:
+      x->last_activity_at = cv_now ();
       cv_buf_add (&x->response_body, data.p, data.n);
       if (x->response_body.n > BUFFERED_BODY_MAX_BYTES
           && cv_exchange_can_begin_response (x))
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -182,7 +182,7 @@
   cv_caller_limits_t limits; /* in force when C was last idle */
   uint64_t output_bytes;     /* of all responses, written or not */
   /* Of these, received by the caller's host when the output was last found
-     blocked, and when that number had last grown.  */
+     blocked, and when that number had last grown or output was begun.  */
   uint64_t acknowledged_bytes;
   cv_time_t acknowledged_at;
   bool close_after;        /* the connection ends with this response */
@@ -251,8 +251,8 @@
   cv_target_t *target;      /* of the current attempt */
   cv_http_link_t *link;
   cv_time_t sent_at;
-  cv_time_t last_activity_at;  /* sending, or last event of a stream; not the
-                                  head or body of another response */
+  cv_time_t last_activity_at;  /* sending, last event of a stream, or last
+                                  bytes of a buffered response */
   cv_time_t first_event_delay; /* from the start; 0: no event yet */
   cv_time_t max_gap;           /* longest time between events */
   cv_time_t last_event_at;     /* last event forwarded */
@@ -482,8 +482,9 @@
    releases its reservation and target, and withdraws a pending request for a
    reservation.  */
 void cv_attempt_stop (cv_exchange_t *x);
-/* Records once per attempt whether the target SERVED it, and reports this to
-   the observer, which combines the outcomes of all gateways.  */
+/* Records whether the target SERVED the attempt, and reports this to the
+   observer, which combines the outcomes of all gateways.  Only the first
+   failure counts; an overdue attempt may be served later.  */
 void cv_attempt_record_outcome (cv_exchange_t *x, bool served);
 /* Removes the prompt of X from its target's prefill_tokens: the first event
    arrived, or the attempt ends.  */
--- a/tests/gateway/limit_scenarios.py
+++ b/tests/gateway/limit_scenarios.py
@@ -242,10 +242,10 @@
     bench.say(f"new request: {status}")
 
 
-async def connect_slowly(bench):
+async def connect_slowly(bench, buffer_bytes=8192):
     """Connect with a small receive buffer."""
     s = socket.socket()
-    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     s.connect(("127.0.0.1", bench.ports["listen"]))
     s.setblocking(False)
     return await asyncio.open_connection(sock=s, limit=8192)
@@ -288,8 +288,9 @@
 
 async def slow_reader_timed_out(bench):
     """A caller reads the first part of an answer fast, then so slowly that the
-    connection accepts no more output for longer than the write timeout.  One
-    that reads nothing is disconnected."""
+    connection may accept no more output for longer than the write timeout.  One
+    that reads nothing is disconnected.  The receive buffer is small, since the
+    caller's host acknowledges nothing until a part of it is free."""
     size = 40 << 20
 
     async def send_large(target, request, writer):
@@ -308,7 +309,7 @@
     await bench.start()
     stuck = await bench.connect()
     stuck[1].write(bench.head("GET", "/read/stuck"))
-    reader, writer = await bench.connect()
+    reader, writer = await connect_slowly(bench, 65536)
     writer.write(bench.head("GET", "/read/slow"))
     total = await read(reader, 16 << 20)
     for _ in range(13):
@@ -546,3 +547,36 @@
     bench.say(f"then {await asyncio.wait_for(reader.read(), 3)}")
     seen = [r.path for r in bench.targets["t1"].requests]
     bench.say(f"arrived {seen}")
+
+
+async def slow_answer(bench):
+    """Both targets send an answer in small parts for longer than the limit of
+    silence, but within the time of the request: a target that sends is not
+    silent."""
+    async def trickle(target, request, writer):
+        data = signed(request, b"x" * 700)
+        for i in range(0, len(data), 100):
+            writer.write(data[i:i + 100])
+            await asyncio.sleep(0.1)
+        return True
+
+    await bench.start()
+    for name in ("t1", "t2"):
+        await bench.add_target(name, "plain", trickle)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    status, _, body = await send(bench, "GET", "/read/x")
+    bench.say(f"{status}, {len(body)} bytes")
+    bench.say(f"sent {sum(len(t.requests) for t in bench.targets.values())}")
+
+
+async def pausing_engine_avoided(bench):
+    """The only engine is silent for longer than the limit before each answer
+    and completes it: it is not taken for a failing one."""
+    shorten_objective(bench)
+    await bench.start()
+    await bench.add_target("m1", "model", pausing(bench, before_first=0.9))
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    one_by_one = [(await generate(bench))[:3] for _ in range(8)]
+    bench.say(f"one by one: {one_by_one}")
+    await asyncio.gather(*(generate(bench) for _ in range(8)))
+    bench.say(f"after eight at once: {(await generate(bench))[:3]}")
