--- a/tests/gateway/bench.py
+++ b/tests/gateway/bench.py
@@ -72,14 +72,17 @@
     async def start_process(self):
         self.process = await self.spawn(self.settings)
 
+    def settings_path(self, settings=None):
+        """Path of the settings file, by default that of the gateway."""
+        return os.path.join(self.directory.name,
+                            f"{(settings or self.settings)['instance']}.json")
+
     async def spawn(self, settings):
         """Start a process of the program with SETTINGS."""
-        path = os.path.join(self.directory.name,
-                            f"{settings['instance']}.json")
-        with open(path, "w") as out:
+        with open(self.settings_path(settings), "w") as out:
             json.dump(settings, out)
         process = await asyncio.create_subprocess_exec(
-            self.program, path, stdout=self.stdout,
+            self.program, self.settings_path(settings), stdout=self.stdout,
             stderr=self.stderr, limit=1 << 20)
         if process.stdout:
             asyncio.ensure_future(self.read_logs(process.stdout))
@@ -204,7 +207,8 @@
         return await self.raw(self.head(method, path, body, **headers))
 
 
-async def read_answer(reader):
+async def read_head(reader):
+    """Status and headers of one response."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     status = int(head[0].split()[1])
     headers = {}
@@ -212,13 +216,22 @@
         if line:
             name, value = line.split(":", 1)
             headers[name.lower()] = value.strip()
+    return status, headers
+
+
+async def read_body(reader, headers):
     if headers.get("transfer-encoding") == "chunked":
         body = b""
-        while size := int(await reader.readline(), 16):
+        while size := int(await reader.readuntil(b"\n"), 16):
             body += (await reader.readexactly(size + 2))[:-2]
-        await reader.readline()
-    elif "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
-    else:
-        body = await reader.read()
-    return status, headers, body
+        await reader.readexactly(2)
+        return body
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"]))
+    return await reader.read()
+
+
+async def read_answer(reader):
+    """Status, headers and body of one response."""
+    status, headers = await read_head(reader)
+    return status, headers, await read_body(reader, headers)
--- /dev/null
+++ b/tests/gateway/soak_checks.py
@@ -0,0 +1,241 @@
+"""Checks of the soak: what callers got against what targets received."""
+
+import collections
+import time
+
+from soak_load import (DEADLINE_S, EVENT_S, KEY, ONCE_PATHS, STEADY_PATHS,
+                       STREAM_PATHS)
+
+# Statuses that say that the request did not run.
+NOT_RUN = (408, 421, 429, 503)
+# Margin for the observation of times in another process.
+MARGIN_S = 0.1
+# A stream that began before this time in a stop may be cut at its end.
+STOP_EARLY_S = 2
+# Responses in progress may be cut this long before the end of the grace period.
+STOP_MARGIN_S = 0.7
+# The process ends this long after the grace period at the latest.
+EXIT_SLACK_S = 1.5
+# Longest distance of the line of a killed process from its request: the process
+# loses the lines that it has not written.
+LOST_LINES_S = 0.2
+
+
+def overlaps(attempt, since, until):
+    end = attempt.ended_at or time.monotonic()
+    return since <= end and (until is None or until >= attempt.begun_at)
+
+
+# ---- excuses for an incomplete response ----
+
+def was_killed(soak, attempt):
+    """SIGKILL leaves the process no time to respond."""
+    killed = attempt.run.killed_at
+    return killed is not None and overlaps(attempt, killed, killed + MARGIN_S)
+
+
+def was_frozen(soak, attempt):
+    """A process that is frozen across the request misses its own times."""
+    return any(overlaps(attempt, since, until)
+               for since, until in attempt.run.freezes)
+
+
+def was_broken_off(soak, attempt):
+    """The target or its link failed after the response began, which can then
+    no longer become a refusal."""
+    if attempt.head_at is None:
+        return False
+    if any(v.how == "broke off" for v in attempt.visits):
+        return True
+    return any(overlaps(attempt, since, until) for v in attempt.visits
+               for _, since, until in soak.targets.proxies[v.target].faults)
+
+
+def was_late(soak, attempt):
+    """The request's deadline passed after the response began.  Before that the
+    gateway owes 504."""
+    return attempt.head_at is not None \
+        and attempt.ended_at >= attempt.begun_at + DEADLINE_S - MARGIN_S
+
+
+def was_at_work_at_stop(soak, attempt):
+    """A stream that was in progress early in the stop, and whose target was
+    still at work at the end of the grace period, cannot be completed."""
+    stop = attempt.run.noticed_stop_at()
+    if stop is None or attempt.head_at is None \
+            or attempt.path not in STREAM_PATHS:
+        return False
+    last = attempt.visits[-1]
+    end = stop + min(attempt.run.graces_s) - STOP_MARGIN_S - MARGIN_S
+    return attempt.visits[0].begun_at <= stop + STOP_EARLY_S \
+        and attempt.ended_at >= end \
+        and (last.ended_at is None or last.ended_at >= end)
+
+
+EXCUSES = (("killed", was_killed), ("frozen", was_frozen),
+           ("target failed", was_broken_off), ("deadline", was_late),
+           ("at work at the end of the stop", was_at_work_at_stop))
+
+
+# ---- checks ----
+
+class Checks:
+    def __init__(self, soak):
+        self.soak = soak
+        self.excused = collections.Counter()
+        self.not_at_target = 0
+        self.violations = []  # (text, attempt or None)
+        self.lines = collections.defaultdict(list)  # by request
+
+    def add(self, text, attempt=None):
+        if attempt:
+            text = f"{attempt.name} {attempt.path}: {text}"
+        self.violations.append((text, attempt))
+
+    def check(self, recent_since):
+        for bench in self.soak.gateways:
+            for line in bench.logs:
+                if "request" in line:
+                    self.lines[line["request"]].append((bench, line))
+        for attempt in self.soak.attempts.values():
+            self.check_runs(attempt)
+            if attempt.is_complete:
+                self.check_response(attempt)
+            else:
+                self.check_unanswered(attempt)
+        for text in self.soak.targets.violations:
+            self.add(text)
+        self.check_logs()
+        for run in self.soak.runs:
+            self.check_exit(run)
+        self.check_recovery(recent_since)
+
+    def check_runs(self, attempt):
+        if attempt.path in ONCE_PATHS and attempt.starts > 1:
+            self.add(f"ran {attempt.starts} times", attempt)
+
+    def check_response(self, attempt):
+        status, text = attempt.status, attempt.text
+        if status in NOT_RUN and attempt.path in ONCE_PATHS \
+                and attempt.starts:
+            self.add(f"refused with {status} and it ran", attempt)
+        if status in (401, 404) and attempt.key == KEY \
+                and attempt.path in STEADY_PATHS:
+            self.add(f"{status}, and all configurations allow it", attempt)
+        if status != 200:
+            return
+        if "server-signature" not in attempt.headers:
+            self.add("unsigned success", attempt)
+        if attempt.path in STREAM_PATHS:
+            numbers = [l[4:] for l in text.split("\n") if l.startswith("id: ")]
+            if numbers != [str(i) for i in range(attempt.events)]:
+                self.add(f"events {numbers}", attempt)
+        elif text != "late" and text.split()[0] != attempt.name:
+            self.add(f"response to another request: {text[:60]}", attempt)
+
+    def check_unanswered(self, attempt):
+        if not attempt.visits:
+            self.not_at_target += 1
+            return
+        for name, holds in EXCUSES:
+            if holds(self.soak, attempt):
+                self.excused[name] += 1
+                return
+        part = "part of a response" if attempt.head_at else "no response"
+        ends = [f"{line['name']} {line.get('reason', '')}"
+                for _, line in self.lines[attempt.name] if line["name"] in (
+                    "GATEWAY_CUT", "GATEWAY_UNANSWERED", "GATEWAY_REFUSED",
+                    "GATEWAY_ANSWERED", "GATEWAY_CALLER_LEFT")]
+        self.add(f"{part}, {attempt.how}; logged: "
+                 f"{', '.join(ends) or 'nothing'}", attempt)
+
+    def check_logs(self):
+        """GATEWAY_UNANSWERED is never right, and no failure goes without a
+        line.  A process that was killed loses its last lines."""
+        named = set()
+        for name, lines in self.lines.items():
+            for _, line in lines:
+                if line["name"] in ("GATEWAY_REFUSED", "GATEWAY_ANSWERED"):
+                    named.add(name)
+                elif line["name"] == "GATEWAY_UNANSWERED":
+                    self.add(f"logged as unanswered: {line['reason']}",
+                             self.soak.attempts.get(name))
+        # A request that was not read completely has no name in the logs: for
+        # each status, a run must have as many lines as it so refused.
+        in_part = collections.Counter(
+            (run, line.get("status")) for run in self.soak.runs
+            for line in run.logs() if line["name"] == "GATEWAY_BAD_INPUT")
+        for attempt in self.soak.attempts.values():
+            if not attempt.is_complete or attempt.status < 400 \
+                    or attempt.name in named:
+                continue
+            killed = attempt.run.killed_at
+            if killed and 0 <= killed - attempt.ended_at < LOST_LINES_S:
+                continue
+            key = (attempt.run, attempt.status)
+            if not attempt.visits and in_part[key] > 0:
+                in_part[key] -= 1
+                continue
+            self.add(f"{attempt.status} without a log line", attempt)
+
+    def check_exit(self, run):
+        """A stopped process ends with code 0 in its grace period.  A signal
+        that arrives before it handles signals ends it at once."""
+        if run.killed_at or run.exited_at is None:
+            return
+        code = run.process.returncode
+        started = any(l["name"] == "GATEWAY_LISTENING" for l in run.logs())
+        if code != 0 and (started or code > 0):
+            self.add(f"{run.bench.name} run {run.number}: exit code {code}")
+        stop = run.noticed_stop_at()
+        if stop is None:
+            return
+        frozen = sum((until or run.exited_at) - since
+                     for since, until in run.freezes)
+        limit = max(run.graces_s) + frozen + EXIT_SLACK_S
+        if run.exited_at - stop > limit:
+            self.add(f"{run.bench.name} run {run.number}: the stop took "
+                     f"{run.exited_at - stop:.1f} s")
+
+    def check_recovery(self, since):
+        """Requests that ended between SINCE and the last stop."""
+        recent = [a for a in self.soak.attempts.values()
+                  if a.begun_at >= since and a.ended_at
+                  and a.ended_at < (a.run.stopped_at or float("inf"))]
+        answered = sum(a.status in (200, 502) for a in recent)
+        if answered < max(20, 0.8 * len(recent)):
+            self.add(f"after the faults {answered} of {len(recent)} "
+                     "got status 200 or 502")
+
+    # ---- traces ----
+
+    def trace(self, attempt):
+        """What is known of ATTEMPT, with times since the start of the soak."""
+        def at(t):
+            return "-" if t is None else f"{t - self.soak.started_at:.3f}"
+
+        run = attempt.run
+        yield (f"{run.bench.name} run {run.number}: signals "
+               + ", ".join(f"{n} {at(t)}" for t, n in run.signals)
+               + f"; grace {run.graces_s}; exit {at(run.exited_at)}")
+        yield (f"begun {at(attempt.begun_at)}, written "
+               f"{at(attempt.written_at)}, head {at(attempt.head_at)}, ended "
+               f"{at(attempt.ended_at)}: {attempt.how}; status "
+               f"{attempt.status}; {'; '.join(attempt.pattern)}")
+        for v in attempt.visits:
+            yield (f"at {v.target} {at(v.begun_at)} to {at(v.ended_at)}: "
+                   f"{v.how}; delays {v.delays}")
+            for kind, since, until in self.soak.targets.proxies[
+                    v.target].faults:
+                if overlaps(attempt, since, until):
+                    yield f"link of {v.target}: {kind} {at(since)} to {at(until)}"
+        def show(line):
+            fields = " ".join(f"{k}={v}" for k, v in line.items() if k not in (
+                "steady_us", "time", "event", "name"))
+            return f"{at(line['steady_us'] / 1e6)} {line['name']} {fields}"
+
+        for bench, line in self.lines[attempt.name]:
+            yield f"{bench.name}: {show(line)}"
+        yield f"last lines of {run.bench.name} run {run.number}:"
+        for line in run.logs()[-8:]:
+            yield f"  {show(line)}"
