Soak: narrower excuses, larger answers, and the faults that it finds

A failed link excuses only the last target's stream, from its arrival there on. The end of a stop excuses only a stream that its target had begun in the first 2 s of it: one that has not begun can still be refused. The targets are in a file of their own.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -2,12 +2,12 @@
 """Randomized fault test: gateway and observer processes under injected faults,
 signals and changes of the configuration.  The responses that callers got are
 checked against the requests that targets received (soak_checks.py); the load
-is in soak_load.py.
+is in soak_load.py and soak_targets.py.
 
 Usage: soak.py PROGRAM [--seeds N,...] [--seconds S] [--gateways N]
-[--engines N] [--logs DIR].  Each task has a generator of random choices that
-the seed starts; the order of the tasks depends on the timing, so a seed repeats
-a run only in part.  Exit code 0 when no guarantee was violated."""
+[--engines N] [--pause S] [--logs DIR].  Each task has a generator of random
+choices that the seed starts; the order of the tasks depends on the timing, so a
+seed repeats a run only in part.  Exit code 0 when no guarantee was violated."""
 
 import argparse
 import asyncio
@@ -25,8 +25,9 @@
 
 from bench import Bench  # noqa: E402
 from soak_checks import Checks  # noqa: E402
-from soak_load import (Caller, OTHER_KEY, PROBE_S, Proxy, Run,  # noqa: E402
-                       Targets, generator)
+from soak_load import (Caller, OTHER_KEY, PROBE_S, Run,  # noqa: E402
+                       generator)
+from soak_targets import Proxy, Targets  # noqa: E402
 from standins import CONFIG  # noqa: E402
 
 # Seeds of former failures, each with a comment on the cause.
@@ -81,6 +82,7 @@
         self.seed = seed
         self.seconds = options.seconds
         self.engine_count = options.engines
+        self.pause_s = options.pause
         self.attempts = {}  # by name, which is "request" in the logs
         self.faults = []
         self.gateways = [Bench(program) for _ in range(options.gateways)]
@@ -269,8 +271,9 @@
             generator(self.seed, "configuration"), self.version))
         self.store_proxy = await Proxy(self.store.port).start()
         for i in range(3):
-            await self.targets.add(f"plain-{i}", "plain" if i < 2 else "plain-2",
-                                   self.targets.plain)
+            await self.targets.add(
+                f"plain-{i}", "plain" if i < 2 else "plain-2",
+                self.targets.plain)
         for i in range(self.engine_count):
             await self.targets.add_engine(
                 f"engine-{i}", "model-2" if i % 3 == 2 else "model")
@@ -403,6 +406,8 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--gateways", type=int, default=2)
     parser.add_argument("--engines", type=int, default=3)
+    parser.add_argument("--pause", type=float, default=1.2,
+                        help="longest pause in a stream, in seconds")
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     options = parser.parse_args()
     seeds = list(REGRESSION_SEEDS) + [int(s) for s in options.seeds.split(",")]
--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -3,14 +3,14 @@
 import collections
 import time
 
-from soak_load import (DEADLINE_S, EVENT_S, KEY, ONCE_PATHS, STEADY_PATHS,
+from soak_load import (DEADLINE_S, KEY, ONCE_PATHS, STEADY_PATHS,
                        STREAM_PATHS)
 
 # Statuses that say that the request did not run.
 NOT_RUN = (408, 421, 429, 503)
 # Margin for the observation of times in another process.
 MARGIN_S = 0.1
-# A stream that began before this time in a stop may be cut at its end.
+# A stream that began before this time of a stop may be cut at its end.
 STOP_EARLY_S = 2
 # Responses in progress may be cut this long before the end of the grace period.
 STOP_MARGIN_S = 0.7
@@ -41,14 +41,14 @@
 
 
 def was_broken_off(soak, attempt):
-    """The target or its link failed after the response began, which can then
-    no longer become a refusal."""
+    """The last target or its link failed after the response began, which can
+    then no longer become a refusal."""
     if attempt.head_at is None:
         return False
-    if any(v.how == "broke off" for v in attempt.visits):
-        return True
-    return any(overlaps(attempt, since, until) for v in attempt.visits
-               for _, since, until in soak.targets.proxies[v.target].faults)
+    last = attempt.visits[-1]
+    return last.how == "broke off" or any(
+        since <= attempt.ended_at and (until is None or until >= last.begun_at)
+        for _, since, until in soak.targets.proxies[last.target].faults)
 
 
 def was_late(soak, attempt):
@@ -59,15 +59,17 @@
 
 
 def was_at_work_at_stop(soak, attempt):
-    """A stream that was in progress early in the stop, and whose target was
-    still at work at the end of the grace period, cannot be completed."""
+    """A stream that had begun early in the stop, and whose target was still at
+    work at the end of the grace period, cannot be completed.  One that has not
+    begun can still be refused."""
     stop = attempt.run.noticed_stop_at()
     if stop is None or attempt.head_at is None \
             or attempt.path not in STREAM_PATHS:
         return False
+    begun = [v.head_at for v in attempt.visits if v.head_at is not None]
     last = attempt.visits[-1]
     end = stop + min(attempt.run.graces_s) - STOP_MARGIN_S - MARGIN_S
-    return attempt.visits[0].begun_at <= stop + STOP_EARLY_S \
+    return min(begun, default=float("inf")) <= stop + STOP_EARLY_S + MARGIN_S \
         and attempt.ended_at >= end \
         and (last.ended_at is None or last.ended_at >= end)
 
@@ -223,12 +225,13 @@
                f"{at(attempt.ended_at)}: {attempt.how}; status "
                f"{attempt.status}; {'; '.join(attempt.pattern)}")
         for v in attempt.visits:
-            yield (f"at {v.target} {at(v.begun_at)} to {at(v.ended_at)}: "
-                   f"{v.how}; delays {v.delays}")
+            yield (f"at {v.target} {at(v.begun_at)} to {at(v.ended_at)}, head "
+                   f"{at(v.head_at)}: {v.how}; delays {v.delays}")
             for kind, since, until in self.soak.targets.proxies[
                     v.target].faults:
                 if overlaps(attempt, since, until):
-                    yield f"link of {v.target}: {kind} {at(since)} to {at(until)}"
+                    yield (f"link of {v.target}: {kind} {at(since)} to "
+                           f"{at(until)}")
         def show(line):
             fields = " ".join(f"{k}={v}" for k, v in line.items() if k not in (
                 "steady_us", "time", "event", "name"))
--- a/tests/gateway/soak_load.py
+++ b/tests/gateway/soak_load.py
@@ -1,18 +1,13 @@
-"""Load of the soak: proxies, targets, callers, and what each of them saw."""
+"""Callers of the soak, their requests, and the processes of the gateways."""
 
 import asyncio
-import json
 import random
 import signal
 import socket
 import time
 
 from bench import read_body, read_head
-from standins import (EngineStatus, Target, answer, chunk, event, signed,
-                      start_stream)
 
-# Interval of the events of a stream.
-EVENT_S = 0.04
 # Output tokens of short and long generations, and their events.
 SHORT, LONG = 12, 80
 TOKENS_PER_EVENT = 4
@@ -22,7 +17,7 @@
 # freeze, and a margin.
 CALLER_WAIT_S = 9
 LARGE_BODY_BYTES = 60000
-LARGE_ANSWER_BYTES = 60000
+LARGE_ANSWER_BYTES = 200000
 # Interval of the new connections to a gateway that stops.
 PROBE_S = 0.08
 # Paths that every configuration allows for KEY, and those that some do not.
@@ -37,24 +32,6 @@
     return random.Random("/".join(str(n) for n in names))
 
 
-class Visit:
-    """One arrival of a request at a target."""
-
-    def __init__(self, target):
-        self.target = target
-        self.begun_at = time.monotonic()
-        self.ended_at = None
-        # "at work", "complete", "rejected", "moved", "broke off", "left": the
-        # gateway closed.
-        self.how = "at work"
-        self.delays = []
-
-    def end(self, how):
-        if self.ended_at is None:
-            self.ended_at = time.monotonic()
-            self.how = how
-
-
 class Attempt:
     """One request of a caller."""
 
@@ -131,257 +108,6 @@
         return self.bench.logs[self.first_log:self.last_log]
 
 
-class Proxy:
-    """A loopback proxy in front of one address that delays or resets
-    connections, or stalls one or both directions."""
-
-    def __init__(self, port):
-        self.target_port = port
-        self.port = 0
-        self.delay = 0
-        self.silent = set()  # stalled directions: "up", "down"
-        self.writers = set()
-        self.faults = []  # [kind, from, to]
-
-    async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return self
-
-    async def serve(self, reader, writer):
-        try:
-            upstream = await asyncio.open_connection("127.0.0.1",
-                                                     self.target_port)
-        except OSError:
-            writer.transport.abort()
-            return
-        self.writers |= {writer, upstream[1]}
-        await asyncio.gather(self.pump(reader, upstream[1], "up"),
-                             self.pump(upstream[0], writer, "down"))
-        self.writers -= {writer, upstream[1]}
-
-    async def pump(self, reader, writer, direction):
-        try:
-            while data := await reader.read(65536):
-                if self.delay:
-                    await asyncio.sleep(self.delay)
-                while direction in self.silent:
-                    await asyncio.sleep(0.05)
-                writer.write(data)
-        except (ConnectionError, asyncio.CancelledError):
-            writer.transport.abort()
-        writer.close()
-
-    def fail(self, kind, dice):
-        now = time.monotonic()
-        self.faults.append([kind, now, now if kind == "reset" else None])
-        if kind == "delay":
-            self.delay = 0.1
-        elif kind == "silence":
-            self.silent = {"up", "down"}
-        elif kind == "one way":
-            self.silent = {dice.choice(("up", "down"))}
-        elif kind == "reset":
-            for writer in list(self.writers):
-                writer.transport.abort()
-
-    def heal(self):
-        self.delay = 0
-        self.silent = set()
-        for fault in self.faults:
-            fault[2] = fault[2] or time.monotonic()
-
-
-class Targets:
-    """The plain services and engines, and their links."""
-
-    def __init__(self, soak):
-        self.soak = soak
-        self.proxies = {}  # by name of the target
-        self.engines = {}
-        self.records = {}  # entries of the instance list by name
-        self.stopped = set()  # (engine, attempt) stopped for a migration
-        self.restarting = set()  # engines that are restarting
-        self.violations = []
-
-    def visit(self, target, request):
-        attempt = self.soak.attempts[request.headers["attempt-id"]]
-        visit = Visit(target.name)
-        attempt.visits.append(visit)
-        dice = generator(self.soak.seed, attempt.name, target.name,
-                         len(attempt.visits))
-        return attempt, visit, dice
-
-    async def plain(self, target, request, writer):
-        attempt, visit, dice = self.visit(target, request)
-        kind = dice.random()
-        if kind < 0.03:
-            visit.end("rejected")
-            writer.write(answer(503, b"", [("Not-Executed", "1")]))
-            return True
-        attempt.starts += 1
-        delay = dice.uniform(0, 0.03)
-        if dice.random() < 0.1 and not self.soak.calm:
-            delay = dice.uniform(0.1, 1.2)
-        visit.delays.append(round(delay, 2))
-        await asyncio.sleep(delay)
-        if kind < 0.06:
-            visit.end("broke off")
-            writer.transport.abort()
-            return False
-        if kind < 0.08:
-            visit.end("broke off")
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf")
-            return False
-        # An extra response precedes the right one.  The caller may get either,
-        # as both carry its attempt id; the right one must not then reach
-        # another request.
-        if kind < 0.10:
-            writer.write(signed(request, b"late", [("X-Extra", "1")]))
-        text = f"{attempt.name} {target.name} "
-        if attempt.path == "/read/large":
-            text += "x" * LARGE_ANSWER_BYTES
-        writer.write(signed(request, text.encode()))
-        visit.end("complete")
-        return kind >= 0.10
-
-    async def model(self, target, request, writer):
-        """An engine: generations, copies of their KV cache, and restarts."""
-        if request.path == "/kv-move":
-            return self.move(target, request, writer)
-        if request.method == "DELETE":
-            writer.write(answer(200))
-            return True
-        attempt, visit, dice = self.visit(target, request)
-        first = int(request.headers.get("last-event-id", "-1")) + 1
-        key = (target.name, attempt.name)
-        if "kv-from" in request.headers:
-            self.check_copy(attempt.name, request.headers["kv-from"])
-        else:
-            attempt.starts += 1
-        # A stop for an earlier migration does not concern this run.
-        self.stopped.discard(key)
-        pauses = self.choose_pauses(attempt, visit, dice)
-        try:
-            await self.generate(attempt, visit, dice, first, pauses, writer)
-        except (ConnectionError, asyncio.CancelledError):
-            visit.end("left")
-            raise
-        finally:
-            self.engines[target.name].runs.pop(attempt.name, None)
-        return visit.how == "complete"
-
-    def choose_pauses(self, attempt, visit, dice):
-        """Pauses of a run by position: -1 is before the head of the response,
-        the others before this event."""
-        pauses = {}
-        if self.soak.calm:
-            return pauses
-        if dice.random() < 0.25:
-            pauses[dice.choice((-1, 0))] = dice.uniform(0.3, 1.5)
-        if dice.random() < 0.1:
-            pauses[dice.randrange(1, attempt.events)] = dice.uniform(0.8, 1.2)
-        visit.delays = [f"{s:.1f} s before {n}" for n, s in pauses.items()]
-        return pauses
-
-    async def generate(self, attempt, visit, dice, first, pauses, writer):
-        key = (visit.target, attempt.name)
-        runs = self.engines[visit.target].runs
-        runs[attempt.name] = PROMPT_TOKENS
-        await asyncio.sleep(pauses.get(-1, 0))
-        writer.write(stream_head(attempt.name))
-        for i in range(first, attempt.events):
-            await asyncio.sleep(pauses.get(i, 0))
-            if key in self.stopped:
-                visit.end("moved")
-                return
-            if dice.random() < 0.005 or visit.target in self.restarting:
-                visit.end("broke off")
-                writer.transport.abort()
-                return
-            runs[attempt.name] = PROMPT_TOKENS + TOKENS_PER_EVENT * i
-            writer.write(chunk(event(i)))
-            await writer.drain()
-            await asyncio.sleep(EVENT_S)
-        writer.write(b"0\r\n\r\n")
-        visit.end("complete")
-
-    def move(self, target, request, writer):
-        order = json.loads(request.body)
-        attempt = order["InstanceId"]
-        if attempt not in self.engines[target.name].runs:
-            writer.write(answer(404))
-            return True
-        if generator(self.soak.seed, "move", attempt,
-                     len(target.requests)).random() < 0.1:
-            writer.write(answer(503))
-            return True
-        if order["Final"]:
-            self.stopped.add((target.name, attempt))
-        handle = f"h-{target.name}-{attempt}"
-        writer.write(answer(200, json.dumps(
-            {"Session": handle, "Created": 4}).encode()))
-        return True
-
-    def check_copy(self, attempt, source):
-        # The handle is h-ENGINE-ATTEMPT, and attempts have no dash.
-        name, _, owner = source.split("/")[1][2:].rpartition("-")
-        if owner != attempt:
-            self.violations.append(
-                f"{attempt} continues from the KV cache of {owner}")
-        if attempt in self.engines[name].runs \
-                and (name, attempt) not in self.stopped:
-            self.violations.append(
-                f"{attempt} continues while {name} still runs it")
-
-    async def add(self, name, service, script):
-        target = await Target(name, service, script).start()
-        proxy = await Proxy(target.port).start()
-        self.proxies[name] = proxy
-        record = {**target.record(), "Address": f"127.0.0.1:{proxy.port}"}
-        self.records[name] = record
-        await self.soak.store.put("servers", name, record)
-
-    async def add_engine(self, name, service):
-        self.engines[name] = await EngineStatus(name).start()
-        await self.add(name, service, self.model)
-
-    async def drain(self, name):
-        """The engine drains for 1.5 s, stops, and restarts under its name."""
-        engine = self.engines[name]
-        if engine.phase == "draining":
-            return
-        engine.phase = "draining"
-        record = self.records[name]
-        await self.soak.store.put("servers", name,
-                                  {**record, "Phase": "draining"})
-        await asyncio.sleep(1.5)
-        self.restarting.add(name)
-        await asyncio.sleep(0.2)
-        self.restarting.discard(name)
-        engine.born += 1
-        engine.phase = "ready"
-        self.records[name] = {**record, "born": engine.born}
-        await self.soak.store.put("servers", name, self.records[name])
-
-    async def leave(self, name, duration_s):
-        """The engine leaves the list of instances for DURATION_S, and completes
-        its streams."""
-        if self.engines[name].phase == "draining":
-            return
-        self.engines[name].phase = "draining"
-        await self.soak.store.remove("servers", name)
-        await asyncio.sleep(duration_s)
-        self.engines[name].phase = "ready"
-        await self.soak.store.put("servers", name, self.records[name])
-
-
-def stream_head(attempt):
-    return ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            f"Attempt-Id: {attempt}\r\nServer-Signature: s\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n").encode()
-
-
 class Caller:
     """Sends requests one at a time.  One that stays uses the address of its
     gateway until connections are refused; others avoid gateways that stop."""
