--- a/tests/gateway/limit_scenarios.py
+++ b/tests/gateway/limit_scenarios.py
@@ -580,3 +580,16 @@
     bench.say(f"one by one: {one_by_one}")
     await asyncio.gather(*(generate(bench) for _ in range(8)))
     bench.say(f"after eight at once: {(await generate(bench))[:3]}")
+
+
+async def pausing_engine_failing(bench):
+    """As pausing-engine-avoided, with an observer: it does not report the
+    engine as failing."""
+    shorten_objective(bench)
+    await bench.start()
+    await bench.add_target("m1", "model", pausing(bench, before_first=0.9))
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    await bench.observe(EngineStatus("m1"))
+    bench.say(f"{[(await generate(bench))[:3] for _ in range(8)]}")
+    bench.say(f"reported as failing: "
+              f"{len(bench.logged('OBSERVER_ENGINE_FAILING'))}")
