Gateway: do not begin a response early in a stop that cannot end

What callers saw: the first events of a stream, and then the end of their connection, when a stop ended.

Cause: only requests taken more than 2 s after SIGTERM were asked, when their response began, whether it would end in time. One taken earlier whose engine was slow got its head shortly before the end of the stop.

Change: the begin of each response during a stop is asked, by what is expected for a request taken early and by the most for one taken late, with one silence of the engine in both. A request that does not fit gets 502.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -335,7 +335,7 @@
 {
   cv_stop_work_t work;
 
-  if (!x->gateway->stopping || !is_late_in_stop (x))
+  if (!x->gateway->stopping)
     return true;
   /* The length of another response than a generation's is unknown.  */
   if (!cv_exchange_is_generation (x))
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -445,8 +445,8 @@
 void cv_exchanges_end (cv_gateway_t *g, bool cut_responses);
 /* Whether X asks for a generation and its service is an engine.  */
 bool cv_exchange_is_generation (const cv_exchange_t *x);
-/* Whether the response of X, which begins now, ends before the process stops;
-   always true for a request that is rather tried than refused.  */
+/* Whether the response of X, which begins now, is expected to end before the
+   process stops.  */
 bool cv_exchange_can_begin_response (const cv_exchange_t *x);
 /* Sends STATUS and REASON as the gateway's own response, and ends X.  Logged as
    a refusal; 502 and 504 are counted as failures.  */
--- a/policy/stop.c
+++ b/policy/stop.c
@@ -39,7 +39,8 @@
 estimate_expected (const cv_stop_request_t *r, cv_stop_work_t *out)
 {
   out->until_head = r->prefill;
-  out->until_end = (cv_time_t)r->expected_tokens * TOKEN_TIME;
+  out->until_end
+      = (cv_time_t)r->expected_tokens * TOKEN_TIME + SILENCE_ALLOWANCE;
 }
 
 static void
--- a/policy/stop.h
+++ b/policy/stop.h
@@ -47,9 +47,10 @@
 /* Whether a request that was read at TAKEN_AT came after the first part of the
    stop, in which the load balancer still counts the gateway as ready.  */
 bool cv_stop_is_late (const cv_stop_t *s, cv_time_t taken_at);
-/* The time that R needs.  For one taken late this is the most that a sound
-   target takes, otherwise what is expected: a request that was taken while the
-   gateway counted as ready is rather tried than refused.  */
+/* The time that R needs, with one silence of its engine.  For one taken late
+   this is the most that a sound target takes, otherwise what is expected: a
+   request that was taken while the gateway counted as ready is rather tried
+   than refused.  */
 void cv_stop_estimate (const cv_stop_request_t *r, bool is_late,
                        cv_stop_work_t *out);
 /* Whether a request that needs W from NOW on ends before the stop does.  */
--- a/tests/gateway/stop_scenarios.py
+++ b/tests/gateway/stop_scenarios.py
@@ -98,6 +98,28 @@
     bench.say(f"unanswered at the engine: {len(caller.unanswered())}")
 
 
+async def stop_early_stream(bench):
+    """As before, with a request that was taken at the begin of the stop."""
+    async def slow_start(target, request, writer):
+        await asyncio.sleep(2.8)
+        await start_stream(request, writer)
+        for i in range(3):
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.2)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    await bench.add_target("m1", "model", slow_start)
+    await bench.start(grace_s=4)
+    bench.terminate()
+    await bench.until_logged("DAEMON_STOPPING")
+    caller = Caller(bench)
+    await caller.send("POST", "/tag/1", b"x",
+                      **{**GEN_HEADERS, "Token-Usage": "400,12"})
+    bench.say(f"reached the engine: {len(bench.targets['m1'].requests)}")
+    bench.say(f"response: {caller.outcomes}")
+
+
 async def stop_unanswered(bench):
     """Requests have no response when the grace period ends.  One that was sent
     to an engine gets 502, since it may have run; one that waits for an engine
