Gateway: a resumed stream has the time of a first event

What callers saw: a stream that was resumed at another engine was taken from it after 0.9 s and read anew at a third.

Cause: the limit on silence between two events applied until the first event of the new run, which has to read the prompt.

Result: two runs; the test and the scenarios on silence and resumption pass.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -605,15 +605,14 @@
 {
   cv_time_t limit;
 
-  if (x->state == CV_EXCHANGE_STREAMING && x->events.count > 0)
+  if (x->state == CV_EXCHANGE_RELAYING || !cv_route_is_repeatable (x->route))
+    return 0;
+  if (x->events.count > 0 && !x->resume_pending)
     {
-      if (!cv_route_is_repeatable (x->route))
-        return 0;
       limit = GAP_FACTOR * x->route->gap_objective_ms * CV_MS;
       return limit > GAP_MIN ? limit : GAP_MIN;
     }
-  if (x->state == CV_EXCHANGE_RELAYING || !cv_route_is_repeatable (x->route)
-      || !cv_exchange_can_retry (x))
+  if (!x->head_sent && !cv_exchange_can_retry (x))
     return 0;
   if (x->service->is_engine)
     return x->route->objective_ms * CV_MS + SILENCE_MIN;
--- a/tests/gateway/limit_scenarios.py
+++ b/tests/gateway/limit_scenarios.py
@@ -107,6 +107,32 @@
     bench.say(f"runs: {runs(bench)}")
 
 
+async def silence_of_a_resumed_stream(bench):
+    """An engine resets a stream, and the one at which it is resumed has to read
+    the prompt again: the time for the first event applies, not that between
+    two events, so the stream is not taken from it for a third engine."""
+    async def script(target, request, writer):
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        if first > 0:
+            await asyncio.sleep(1.3)
+        await start_stream(request, writer)
+        for i in range(first, 4):
+            if first == 0 and i == 2:
+                writer.transport.abort()
+                return False
+            writer.write(chunk(event(i)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    await bench.start()
+    for name in ("m1", "m2", "m3"):
+        await bench.add_target(name, "model", script)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+    bench.say(await generate(bench))
+    bench.say(f"runs: {runs(bench)}")
+
+
 async def silence_with_target(bench):
     """An engine hangs and another has room: the answer comes from the other,
     from the start of the stream and within it."""
