--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -6,7 +6,8 @@
 #include "gateway/state.h"
 
 /* Response bodies up to this size are buffered before they are forwarded, so
-   that the request can be retried if the response fails.  */
+   that the request can be retried if the response fails.  Late in a stop, all
+   are, so that the request can be refused.  */
 #define BUFFERED_BODY_MAX_BYTES (256u * 1024)
 /* Engines accept priorities from 0 to 9.  */
 #define PRIORITY_MAX 9
@@ -164,10 +165,14 @@
 void
 cv_attempt_record_outcome (cv_exchange_t *x, bool served)
 {
-  if (x->is_outcome_recorded)
+  bool is_late = x->is_outcome_recorded;
+
+  if (is_late && !served)
     return;
   x->is_outcome_recorded = true;
-  if (served)
+  if (is_late)
+    cv_health_late_success (&x->target->health);
+  else if (served)
     cv_health_success (&x->target->health);
   else
     cv_target_record_failure (x->target);
@@ -262,6 +267,13 @@
   return NULL;
 }
 
+static void
+begin_buffering (cv_exchange_t *x)
+{
+  x->state = CV_EXCHANGE_BUFFERING;
+  x->last_activity_at = cv_now ();
+}
+
 static void
 on_head (cv_exchange_t *x)
 {
@@ -290,19 +302,21 @@
                                     true);
       return;
     }
-  if (h->status == 200 && fields.is_event_stream)
+  if (h->status != 200 || !fields.is_event_stream)
+    {
+      begin_buffering (x);
+      return;
+    }
+  if (cv_exchange_can_begin_response (x))
     {
-      if (!cv_exchange_can_begin_response (x))
-        {
-          cv_exchange_handle_failure (x, "stream cannot end before the stop",
-                                      true);
-          return;
-        }
       send_head (x, caller_framing (x), 0);
       x->state = CV_EXCHANGE_STREAMING;
       return;
     }
-  x->state = CV_EXCHANGE_BUFFERING;
+  if (cv_exchange_is_generation (x))
+    cv_exchange_handle_failure (x, "stream cannot end before the stop", true);
+  else
+    begin_buffering (x);
 }
 
 /* Forwards the buffered part of a large response, then the rest as it
@@ -375,8 +389,10 @@
   switch (x->state)
     {
     case CV_EXCHANGE_BUFFERING:
+      x->last_activity_at = cv_now ();
       cv_buf_add (&x->response_body, data.p, data.n);
-      if (x->response_body.n > BUFFERED_BODY_MAX_BYTES)
+      if (x->response_body.n > BUFFERED_BODY_MAX_BYTES
+          && cv_exchange_can_begin_response (x))
         start_relaying (x);
       return;
     case CV_EXCHANGE_RELAYING:
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -159,6 +159,8 @@
 {
   struct evbuffer *out = bufferevent_get_output (c->bev);
 
+  if (evbuffer_get_length (out) == 0)
+    c->acknowledged_at = cv_now ();
   c->output_bytes += head.n + body.n;
   CV_INVARIANT (evbuffer_add (out, head.p, head.n) == 0);
   if (body.n > 0)
@@ -209,6 +211,16 @@
     on_response_written (c);
 }
 
+/* Makes the close of C a reset, which discards unsent output.  */
+static void
+reset_at_close (const cv_client_t *c)
+{
+  struct linger option = { .l_onoff = 1, .l_linger = 0 };
+
+  (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &option,
+                    sizeof option);
+}
+
 void
 cv_client_response_done (cv_client_t *c, bool complete)
 {
@@ -216,6 +228,8 @@
   if (!complete)
     {
       /* Without its end, the response cannot be taken for a complete one.  */
+      if (c->body_ends_at_close)
+        reset_at_close (c);
       cv_client_close (c, CV_CLOSE_INCOMPLETE);
       return;
     }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -19,10 +19,11 @@
 #define CONNECT_FAILURES_MAX 4
 /* Most resumes of one stream.  */
 #define RESUMES_MAX 6
-/* On a retryable route, an attempt without a whole response or a first event is
-   a failure after a time that follows from the route's latency objective for
-   these.  At a plain service it is the objective times this factor, and at
-   least SILENCE_MIN; at an engine, the objective plus SILENCE_MIN.  */
+/* On a retryable route, an attempt is a failure when no first event, and
+   nothing of another response, arrives for a time that follows from the route's
+   latency objective.  Another attempt replaces it only if it can start.  At a
+   plain service it is the objective times this factor, and at least
+   SILENCE_MIN; at an engine, the objective plus SILENCE_MIN.  */
 #define SILENCE_FACTOR 4
 #define SILENCE_MIN (300 * CV_MS)
 /* On a retryable route, a stream whose events stop is resumed after this many
@@ -297,6 +298,12 @@
   return cv_stop_is_late (&x->gateway->stop, x->started_at);
 }
 
+bool
+cv_exchange_is_generation (const cv_exchange_t *x)
+{
+  return x->request.is_generation && x->service->is_engine;
+}
+
 static void
 estimate_stop_work (const cv_exchange_t *x, cv_stop_work_t *out)
 {
@@ -308,7 +315,7 @@
           .prefill = q->prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS,
           .expected_tokens = (uint32_t)(x->need_tokens - q->prompt_tokens),
           .output_limit = q->output_limit,
-          .is_generation = q->is_generation };
+          .is_generation = cv_exchange_is_generation (x) };
 
   cv_stop_estimate (&r, is_late_in_stop (x), out);
 }
@@ -328,8 +335,11 @@
 {
   cv_stop_work_t work;
 
-  if (!x->gateway->stopping || !is_late_in_stop (x))
+  if (!x->gateway->stopping)
     return true;
+  /* The length of another response than a generation's is unknown.  */
+  if (!cv_exchange_is_generation (x))
+    return x->deadline <= x->gateway->stop.ends_at;
   estimate_stop_work (x, &work);
   work.until_head = 0;
   return cv_stop_fits (&x->gateway->stop, cv_now (), &work);
@@ -587,23 +597,22 @@
 
 /* ---- timeouts ---- */
 
-/* Longest time since the request was sent or the last event of the stream was
-   received; 0: no limit.  It also limits the time until the end of a response
-   that is buffered, since its head and body do not count as activity.  */
+/* Longest time since the request was sent, the last event of the stream or the
+   last bytes of a buffered response; 0: no limit.  The head of a stream does
+   not count.  */
 static cv_time_t
 silence_limit (const cv_exchange_t *x)
 {
   cv_time_t limit;
 
-  if (x->state == CV_EXCHANGE_STREAMING && x->events.count > 0)
+  if (x->state == CV_EXCHANGE_RELAYING || !cv_route_is_repeatable (x->route))
+    return 0;
+  if (x->events.count > 0 && !x->resume_pending)
     {
-      if (!cv_route_is_repeatable (x->route))
-        return 0;
       limit = GAP_FACTOR * x->route->gap_objective_ms * CV_MS;
       return limit > GAP_MIN ? limit : GAP_MIN;
     }
-  if (x->state == CV_EXCHANGE_RELAYING || !cv_route_is_repeatable (x->route)
-      || !cv_exchange_can_retry (x))
+  if (!x->head_sent && !cv_exchange_can_retry (x))
     return 0;
   if (x->service->is_engine)
     return x->route->objective_ms * CV_MS + SILENCE_MIN;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -243,10 +243,10 @@
 static void
 limit_clients (cv_gateway_t *g)
 {
-  bool has_room = g->client_count < client_limit (g) && !g->is_ending;
+  bool has_room = g->client_count < client_limit (g);
   cv_line_t l;
 
-  if (has_room == g->accepting)
+  if (g->is_ending || has_room == g->accepting)
     return;
   g->accepting = has_room;
   if (has_room)
@@ -261,13 +261,14 @@
 }
 
 /* Ends what is still in progress when its time is over.  The process exits
-   later than this, when the last responses have been written.  */
+   later than this, when the last responses have been written; also when this
+   runs late because the process was stalled.  */
 static void
 advance_stop (cv_gateway_t *g, cv_time_t now)
 {
   bool is_idle = now - g->stop.started_at > STOP_ACCEPT_PERIOD
                  && TAILQ_EMPTY (&g->clients);
-  bool is_over = now >= g->stop.ends_at + STOP_WRITE_PERIOD;
+  bool is_over = g->is_ending && now >= g->ending_at + STOP_WRITE_PERIOD;
 
   if (now >= g->stop.answer_by)
     cv_exchanges_end (g, now >= g->stop.ends_at);
@@ -280,6 +281,7 @@
   if (now >= g->stop.ends_at && !g->is_ending)
     {
       g->is_ending = true;
+      g->ending_at = now;
       (void)evconnlistener_disable (g->ports[0].listener);
       cv_clients_end (g);
     }
@@ -290,10 +292,11 @@
 {
   cv_gateway_t *g = arg;
   cv_time_t now = cv_now ();
+  cv_time_t previous_tick_at = g->last_tick_at;
 
   (void)fd;
   (void)what;
-  if (now - g->last_tick_at > STALL_THRESHOLD)
+  if (now - previous_tick_at > STALL_THRESHOLD)
     g->stall_ended_at = now;
   g->last_tick_at = now;
   cv_watcher_tick (&g->routing_watcher, now);
@@ -305,6 +308,9 @@
   cv_clients_tick (g, now);
   limit_clients (g);
   cv_line_flush ();
-  if (g->stopping)
+  /* What arrived during a stall is handled before anything is cut off, but the
+     end of the stop is delayed by one tick only.  */
+  if (g->stopping
+      && (now != g->stall_ended_at || previous_tick_at >= g->stop.ends_at))
     advance_stop (g, now);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -182,7 +182,7 @@
   cv_caller_limits_t limits; /* in force when C was last idle */
   uint64_t output_bytes;     /* of all responses, written or not */
   /* Of these, received by the caller's host when the output was last found
-     blocked, and when that number had last grown.  */
+     blocked, and when that number had last grown or output was begun.  */
   uint64_t acknowledged_bytes;
   cv_time_t acknowledged_at;
   bool close_after;        /* the connection ends with this response */
@@ -251,8 +251,8 @@
   cv_target_t *target;      /* of the current attempt */
   cv_http_link_t *link;
   cv_time_t sent_at;
-  cv_time_t last_activity_at;  /* sending, or last event of a stream; not the
-                                  head or body of another response */
+  cv_time_t last_activity_at;  /* sending, last event of a stream, or last
+                                  bytes of a buffered response */
   cv_time_t first_event_delay; /* from the start; 0: no event yet */
   cv_time_t max_gap;           /* longest time between events */
   cv_time_t last_event_at;     /* last event forwarded */
@@ -381,8 +381,9 @@
   cv_time_t stall_ended_at; /* end of the last period without ticks */
   cv_rng_t rng;
   bool stopping;
-  bool is_ending; /* the stop is over; the last responses are written */
-  cv_stop_t stop; /* valid while STOPPING */
+  bool is_ending;      /* the stop is over; the last responses are written */
+  cv_time_t ending_at; /* start of IS_ENDING */
+  cv_stop_t stop;      /* valid while STOPPING */
   cv_gateway_counts_t counts;
   cv_hist_t latency;     /* milliseconds to the end of a response */
   cv_hist_t first_event; /* milliseconds to the first event of a stream */
@@ -442,8 +443,10 @@
 /* Ends all exchanges whose response has not begun, and with CUT_RESPONSES the
    others too, because the process stops.  */
 void cv_exchanges_end (cv_gateway_t *g, bool cut_responses);
-/* Whether the response of X, which begins now, ends before the process stops;
-   always true for a request that is rather tried than refused.  */
+/* Whether X asks for a generation and its service is an engine.  */
+bool cv_exchange_is_generation (const cv_exchange_t *x);
+/* Whether the response of X, which begins now, is expected to end before the
+   process stops.  */
 bool cv_exchange_can_begin_response (const cv_exchange_t *x);
 /* Sends STATUS and REASON as the gateway's own response, and ends X.  Logged as
    a refusal; 502 and 504 are counted as failures.  */
@@ -479,8 +482,9 @@
    releases its reservation and target, and withdraws a pending request for a
    reservation.  */
 void cv_attempt_stop (cv_exchange_t *x);
-/* Records once per attempt whether the target SERVED it, and reports this to
-   the observer, which combines the outcomes of all gateways.  */
+/* Records whether the target SERVED the attempt, and reports this to the
+   observer, which combines the outcomes of all gateways.  Only the first
+   failure counts; an overdue attempt may be served later.  */
 void cv_attempt_record_outcome (cv_exchange_t *x, bool served);
 /* Removes the prompt of X from its target's prefill_tokens: the first event
    arrived, or the attempt ends.  */
