Gateway: what a stopping gateway does with exchanges, in a file of its own

The decisions of a stop move to stop.c, without a change of behaviour; the time to prefill a prompt is computed in one place.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -40,8 +40,6 @@
 /* Retry-After without a configuration, which a starting gateway reads within
    about 0.5 s, or without a service for the route.  */
 #define RETRY_ROUTING_MS 500
-/* Retry-After while stopping: another gateway takes the request at once.  */
-#define RETRY_STOPPING_MS 20
 /* A target that rejected a request gets no new one for this time.  */
 #define REJECTION_BACKOFF (100 * CV_MS)
 
@@ -197,6 +195,18 @@
     cv_exchange_refuse (x, timed_out ? 504 : 502, 0, reason);
 }
 
+bool
+cv_exchange_is_generation (const cv_exchange_t *x)
+{
+  return x->request.is_generation && x->service->is_engine;
+}
+
+cv_time_t
+cv_exchange_prefill_time (const cv_exchange_t *x)
+{
+  return x->request.prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS;
+}
+
 uint64_t
 cv_exchange_output_tokens (const cv_exchange_t *x)
 {
@@ -218,8 +228,7 @@
     limit = x->request.deadline_ms * CV_MS;
   x->deadline = x->started_at + limit;
   if (x->service->is_engine)
-    wait = objective - PREFILL_QUEUE_TIME
-           - x->request.prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS;
+    wait = objective - PREFILL_QUEUE_TIME - cv_exchange_prefill_time (x);
   else
     wait = objective / SERVICE_WAIT_DIVISOR;
   x->urgency.priority = r->priority;
@@ -292,78 +301,6 @@
   return true;
 }
 
-static bool
-is_late_in_stop (const cv_exchange_t *x)
-{
-  return cv_stop_is_late (&x->gateway->stop, x->started_at);
-}
-
-bool
-cv_exchange_is_generation (const cv_exchange_t *x)
-{
-  return x->request.is_generation && x->service->is_engine;
-}
-
-static void
-estimate_stop_work (const cv_exchange_t *x, cv_stop_work_t *out)
-{
-  const cv_caller_request_t *q = &x->request;
-  cv_stop_request_t r
-      = { .objective = x->route->objective_ms * CV_MS,
-          .gap_objective = x->route->gap_objective_ms * CV_MS,
-          .event_tokens = x->service->engine.event_tokens,
-          .prefill = q->prompt_tokens / PREFILL_TOKENS_PER_MS * CV_MS,
-          .expected_tokens = (uint32_t)(x->need_tokens - q->prompt_tokens),
-          .output_limit = q->output_limit,
-          .is_generation = cv_exchange_is_generation (x) };
-
-  cv_stop_estimate (&r, is_late_in_stop (x), out);
-}
-
-/* Whether a new attempt of X can end before the stop.  */
-static bool
-ends_before_stop (const cv_exchange_t *x, cv_time_t now)
-{
-  cv_stop_work_t work;
-
-  estimate_stop_work (x, &work);
-  return cv_stop_fits (&x->gateway->stop, now, &work);
-}
-
-bool
-cv_exchange_can_begin_response (const cv_exchange_t *x)
-{
-  cv_stop_work_t work;
-
-  if (!x->gateway->stopping)
-    return true;
-  /* The length of another response than a generation's is unknown.  */
-  if (!cv_exchange_is_generation (x))
-    return x->deadline <= x->gateway->stop.ends_at;
-  estimate_stop_work (x, &work);
-  work.until_head = 0;
-  return cv_stop_fits (&x->gateway->stop, cv_now (), &work);
-}
-
-/* Refuses X, which was not run, because the gateway stops.  */
-static void
-refuse_stopping (cv_exchange_t *x, const char *reason)
-{
-  cv_exchange_refuse (
-      x, 503, cv_retry_after_ms (&x->gateway->rng, RETRY_STOPPING_MS), reason);
-}
-
-/* Refuses X if no target has begun it and it cannot end before the stop.  */
-static bool
-refuse_if_stop_is_near (cv_exchange_t *x)
-{
-  if (!x->gateway->stopping || x->head_sent || x->may_have_run
-      || ends_before_stop (x, cv_now ()))
-    return false;
-  refuse_stopping (x, "gateway stops too soon");
-  return true;
-}
-
 void
 cv_exchange_begin (cv_client_t *c)
 {
@@ -385,7 +322,7 @@
     return;
   set_deadlines (x);
   estimate_memory (x);
-  if (refuse_if_stop_is_near (x))
+  if (cv_exchange_refuse_near_stop (x))
     return;
   cv_retry_budget_first (&x->service_state->retries);
   cv_exchange_place (x);
@@ -424,7 +361,7 @@
 {
   cv_target_t *t;
 
-  if (refuse_if_stop_is_near (x))
+  if (cv_exchange_refuse_near_stop (x))
     return;
   t = cv_choose_target (x);
   if (t == NULL)
@@ -447,7 +384,7 @@
       cv_target_t *t;
 
       next = TAILQ_NEXT (x, waiting);
-      if (refuse_if_stop_is_near (x))
+      if (cv_exchange_refuse_near_stop (x))
         continue;
       t = cv_choose_target (x);
       if (t == NULL)
@@ -470,7 +407,7 @@
   return x->sends < x->route->max_targets + x->connect_failures
          && x->connect_failures < CONNECT_FAILURES_MAX
          && cv_now () < x->deadline - SILENCE_MIN / 3
-         && (!x->gateway->stopping || ends_before_stop (x, cv_now ()));
+         && (!x->gateway->stopping || cv_exchange_ends_before_stop (x));
 }
 
 /* Logs the end of the current attempt, also when a migration ended it as
@@ -733,6 +670,6 @@
       if (x->may_have_run)
         give_up (x, "gateway stops", false);
       else
-        refuse_stopping (x, "gateway stops");
+        cv_exchange_refuse_stopping (x, "gateway stops");
     }
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -443,11 +443,6 @@
 /* Ends all exchanges whose response has not begun, and with CUT_RESPONSES the
    others too, because the process stops.  */
 void cv_exchanges_end (cv_gateway_t *g, bool cut_responses);
-/* Whether X asks for a generation and its service is an engine.  */
-bool cv_exchange_is_generation (const cv_exchange_t *x);
-/* Whether the response of X, which begins now, is expected to end before the
-   process stops.  */
-bool cv_exchange_can_begin_response (const cv_exchange_t *x);
 /* Sends STATUS and REASON as the gateway's own response, and ends X.  Logged as
    a refusal; 502 and 504 are counted as failures.  */
 void cv_exchange_refuse (cv_exchange_t *x, unsigned status,
@@ -468,6 +463,10 @@
 void cv_exchange_resume_from_copy (cv_exchange_t *x, cv_target_t *t,
                                    const struct sockaddr_in *source,
                                    const char *handle, const char *reason);
+/* Whether X asks for a generation and its service is an engine.  */
+bool cv_exchange_is_generation (const cv_exchange_t *x);
+/* Time in which an engine prefills the prompt of X beside other runs.  */
+cv_time_t cv_exchange_prefill_time (const cv_exchange_t *x);
 /* Output tokens forwarded to the caller of X.  */
 uint64_t cv_exchange_output_tokens (const cv_exchange_t *x);
 /* Queues X for a target, or ends X if its placement deadline has passed.  */
@@ -475,6 +474,18 @@
 /* Chooses a target and sends X, or queues X.  */
 void cv_exchange_place (cv_exchange_t *x);
 
+/* stop.c */
+/* Whether the response of X, which begins now, is expected to end before the
+   process stops.  */
+bool cv_exchange_can_begin_response (const cv_exchange_t *x);
+/* Whether a new attempt of X can end before the stop.  */
+bool cv_exchange_ends_before_stop (const cv_exchange_t *x);
+/* Refuses X, which was not run, because the gateway stops.  */
+void cv_exchange_refuse_stopping (cv_exchange_t *x, const char *reason);
+/* Refuses X if no target has begun it and it cannot end before the stop; false
+   when it was not refused.  */
+bool cv_exchange_refuse_near_stop (cv_exchange_t *x);
+
 /* attempt.c */
 /* Sends X to T over an idle or a new connection.  */
 void cv_attempt_start (cv_exchange_t *x, cv_target_t *t);
