Entry: send comment lines more often than the idle limit

A stream without anything to send for idle_timeout_s was closed in the middle of its response, without an error event, while its caller was waiting: with keepalive_ms of 5 s and idle_timeout_s of 1 s, a buffered class never got an answer that took longer than 1 s.

The HTTP library counts the time since bytes last passed in either direction, and the thread of the connection waited for a reply for keepalive_ms. It now waits for at most half of the idle time before it writes a comment line.

process-entry-idle-limit failed for the buffered stream and passes now. Whole generations and calls passed before: the library counts anew when a response starts.

--- a/entry/http_sse.c
+++ b/entry/http_sse.c
@@ -25,6 +25,7 @@
 
 static ssize_t next_block (void *arg, uint64_t offset, char *block, size_t max);
 static void free_stream (void *arg);
+static cv_time_t keepalive_interval (const cv_entry_settings_t *s);
 static void write_replies (cv_sse_stream_t *s);
 static void write_reply (cv_sse_stream_t *s, cv_queued_reply_t *m);
 static void write_tokens (cv_sse_stream_t *s, const cv_queued_reply_t *m);
@@ -95,13 +96,24 @@
   free (s);
 }
 
+/* Interval of the comments.  The HTTP library closes a connection on which
+   nothing was written for the idle time, whatever its caller does.  */
+static cv_time_t
+keepalive_interval (const cv_entry_settings_t *s)
+{
+  cv_time_t interval = s->keepalive_ms * CV_MS;
+  cv_time_t max = s->idle_timeout_s * CV_SECOND / 2;
+
+  return interval < max ? interval : max;
+}
+
 /* Waits for one reply, then also writes those already queued.  Writes a comment
    when no reply arrives within the keep-alive interval.  */
 static void
 write_replies (cv_sse_stream_t *s)
 {
   cv_queued_reply_t *m = cv_reply_queue_take (
-      s->replies, s->http->settings->keepalive_ms * CV_MS);
+      s->replies, keepalive_interval (s->http->settings));
 
   if (m == NULL)
     {
