Entry: answer the requests in flight at the end of the drain time

At the end of drain_s callers with a request in flight saw their connections end without an answer: whole generations, streams, and calls with and without a key or ticket. They could not know whether the request had run, and a caller of a stream was not told to resume it. No line of the log said so either.

The drain loop ended at its deadline with requests in the core, and the stop of the HTTP library shuts down every socket before it waits for the threads that would have answered.

Shortly before the deadline (2 s, or a quarter of a drain time below 8 s) the core now fails every request: `unknown` for a call and the new `stopped` (502, interrupted) for a generation that was at a side, `stopping` (503, refused) only for a request of which every attempt was rejected. Sides are told to keep a stream that its caller can resume, and to cancel the others. The rest of the drain time is for the responses. Events 211 and 212 give the number of requests failed and of those whose response was not sent in the end.

--- a/entry/core.c
+++ b/entry/core.c
@@ -73,6 +73,24 @@
   c->stopping = true;
 }
 
+void
+cv_entry_end_requests (cv_entry_core_t *c, cv_time_t now)
+{
+  cv_request_t *r;
+
+  c->stopping = true;
+  while ((r = TAILQ_FIRST (&c->requests)) != NULL)
+    switch (r->kind)
+      {
+      case REQUEST_STREAM:
+        cv_entry_streams_stop (c, now, r);
+        break;
+      case REQUEST_CALL:
+        cv_entry_calls_stop (c, now, r);
+        break;
+      }
+}
+
 uint32_t
 cv_entry_requests_in_flight (const cv_entry_core_t *c)
 {
--- a/entry/core.h
+++ b/entry/core.h
@@ -38,6 +38,7 @@
   CV_FAIL_TICKET_EXPIRED, /* the side restarted, or rejected the call with
                              CV_REJECT_OLD_EPOCH */
   CV_FAIL_STOPPING,
+  CV_FAIL_STOPPED, /* a generation in flight at the end of the drain time */
   CV_FAIL_COUNT
 } cv_failure_code_t;
 
@@ -258,6 +259,9 @@
 void cv_entry_caller_gone (cv_entry_core_t *c, cv_time_t now, void *caller);
 /* Refuses all new requests from now on.  */
 void cv_entry_refuse_new (cv_entry_core_t *c);
+/* Refuses all new requests and ends those in flight at once, each with a
+   failure that says whether it may have run.  */
+void cv_entry_end_requests (cv_entry_core_t *c, cv_time_t now);
 uint32_t cv_entry_requests_in_flight (const cv_entry_core_t *c);
 
 /* ---- messages and time ---- */
--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -234,6 +234,18 @@
   cv_request_end (c, now, r, &reply, CV_OUTCOME_UNKNOWN);
 }
 
+void
+cv_entry_calls_stop (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  /* Without a target, every attempt was rejected or is known to have run.  An
+     earlier call may have run under a ticket that the caller supplied.  */
+  bool refused = r->target == CV_NO_TARGET && !r->may_have_run
+                 && r->u.call.mode != CV_CALL_TICKET;
+
+  cv_request_fail (c, now, r, refused ? CV_FAIL_STOPPING : CV_FAIL_UNKNOWN,
+                   cv_entry_retry_after (c));
+}
+
 void
 cv_entry_calls_attempt_lost (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
 {
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -310,6 +310,8 @@
                                 cv_request_t *r, const cv_msg_rejected_t *m);
 void cv_entry_streams_caller_gone (cv_entry_core_t *c, cv_time_t now,
                                    cv_request_t *r);
+/* Fails R because the process ends.  */
+void cv_entry_streams_stop (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 /* The attempt at R's target is lost: the target was lost or removed, or its
    side has a new incarnation.  */
 void cv_entry_streams_attempt_lost (cv_entry_core_t *c, cv_time_t now,
@@ -355,6 +357,8 @@
                               cv_request_t *r, const cv_msg_rejected_t *m);
 void cv_entry_calls_caller_gone (cv_entry_core_t *c, cv_time_t now,
                                  cv_request_t *r);
+/* Fails R because the process ends.  */
+void cv_entry_calls_stop (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
 void cv_entry_calls_attempt_lost (cv_entry_core_t *c, cv_time_t now,
                                   cv_request_t *r);
 void cv_entry_calls_tick (cv_entry_core_t *c, cv_time_t now, cv_request_t *r);
--- a/entry/core_streams.c
+++ b/entry/core_streams.c
@@ -12,6 +12,7 @@
 static void init_stream (cv_request_t *r, const cv_stream_spec_t *spec);
 static bool can_retry (const cv_request_t *r);
 static void send_attach (cv_entry_core_t *c, cv_request_t *r);
+static void leave_stream (cv_entry_core_t *c, const cv_request_t *r);
 static void send_stream_msg (cv_entry_core_t *c, const cv_request_t *r,
                              cv_msg_type_t type);
 
@@ -184,13 +185,22 @@
 {
   cv_reply_t reply = { .type = CV_REPLY_GONE };
 
-  /* The stream can be resumed only if the caller received a position.  After
-     DETACH the side keeps it for that; CANCEL stops the generation.  */
-  if (r->target != CV_NO_TARGET)
-    send_stream_msg (c, r, can_retry (r) ? CV_MSG_CANCEL : CV_MSG_DETACH);
+  leave_stream (c, r);
   cv_request_end (c, now, r, &reply, CV_OUTCOME_INTERRUPTED);
 }
 
+void
+cv_entry_streams_stop (cv_entry_core_t *c, cv_time_t now, cv_request_t *r)
+{
+  /* Without a target, every attempt was rejected or is known to have run.  */
+  bool refused
+      = r->target == CV_NO_TARGET && !r->may_have_run && !r->u.stream.resumed;
+
+  leave_stream (c, r);
+  cv_request_fail (c, now, r, refused ? CV_FAIL_STOPPING : CV_FAIL_STOPPED,
+                   cv_entry_retry_after (c));
+}
+
 void
 cv_entry_streams_attempt_lost (cv_entry_core_t *c, cv_time_t now,
                                cv_request_t *r)
@@ -375,6 +385,16 @@
   cv_entry_send (c, r->target, &msg);
 }
 
+/* Tells the side that this entry no longer reads R's stream.  It can be resumed
+   only if the caller received a position.  After DETACH the side keeps it for
+   that; CANCEL stops the generation.  */
+static void
+leave_stream (cv_entry_core_t *c, const cv_request_t *r)
+{
+  if (r->target != CV_NO_TARGET)
+    send_stream_msg (c, r, can_retry (r) ? CV_MSG_CANCEL : CV_MSG_DETACH);
+}
+
 static void
 send_stream_msg (cv_entry_core_t *c, const cv_request_t *r, cv_msg_type_t type)
 {
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -14,8 +14,13 @@
 
 /* Time for the load balancer to notice the failing health check before new
    requests are refused.  */
-#define DRAIN_NOTICE_TIME_S 1
-#define DRAIN_POLL_INTERVAL_NS (50 * 1000 * 1000)
+#define DRAIN_NOTICE_TIME (1 * CV_SECOND)
+#define DRAIN_POLL_INTERVAL (50 * CV_MS)
+/* Part of the drain time for the responses to requests that are still in flight
+   at its end.  */
+#define END_TIME (2 * CV_SECOND)
+/* Each of the two times is at most this fraction of the drain time.  */
+#define DRAIN_PART_DIVISOR 4
 
 typedef struct
 {
@@ -29,6 +34,9 @@
                            cv_error_t *err);
 static void stop_threads (cv_entry_process_t *e);
 static void drain (cv_entry_process_t *e, const cv_entry_settings_t *s);
+static bool wait_idle (cv_entry_process_t *e, cv_time_t deadline);
+static void sleep_until (cv_time_t at);
+static cv_time_t min_time (cv_time_t a, cv_time_t b);
 static void count_in_flight (cv_entry_core_t *core, cv_time_t now, void *arg);
 
 bool
@@ -90,25 +98,65 @@
 }
 
 /* Refuses new requests, then waits until those in flight have ended and their
-   responses are sent, also to slow readers, for at most drain_s.  */
+   responses are sent, also to slow readers.  Requests that have not ended
+   shortly before drain_s are failed, so that their callers get a response.  */
 static void
 drain (cv_entry_process_t *e, const cv_entry_settings_t *s)
 {
-  const struct timespec notice = { .tv_sec = DRAIN_NOTICE_TIME_S };
-  const struct timespec pause = { .tv_nsec = DRAIN_POLL_INTERVAL_NS };
-  cv_time_t deadline = cv_now () + s->drain_s * CV_SECOND;
+  cv_time_t drain_time = s->drain_s * CV_SECOND;
+  cv_time_t max_part = drain_time / DRAIN_PART_DIVISOR;
+  cv_time_t start = cv_now ();
+  cv_time_t end = start + drain_time;
   uint32_t in_flight;
 
   cv_http_drain (e->http);
-  (void)nanosleep (&notice, NULL);
+  sleep_until (start + min_time (DRAIN_NOTICE_TIME, max_part));
   cv_entry_link_refuse_new (e->link);
-  do
+  if (wait_idle (e, end - min_time (END_TIME, max_part)))
+    return;
+  cv_entry_link_inspect (e->link, count_in_flight, &in_flight);
+  cv_log (CV_EV_ENTRY_DRAIN_ENDED, "%u requests", in_flight);
+  cv_entry_link_end_requests (e->link);
+  if (!wait_idle (e, end))
+    cv_log (CV_EV_ENTRY_UNANSWERED, "%u requests",
+            cv_http_active_requests (e->http));
+}
+
+/* Waits until no request is in flight and all responses are sent; false if that
+   is not so at DEADLINE.  */
+static bool
+wait_idle (cv_entry_process_t *e, cv_time_t deadline)
+{
+  uint32_t in_flight;
+
+  for (;;)
     {
-      (void)nanosleep (&pause, NULL);
       cv_entry_link_inspect (e->link, count_in_flight, &in_flight);
+      if (in_flight == 0 && cv_http_active_requests (e->http) == 0)
+        return true;
+      if (cv_now () >= deadline)
+        return false;
+      sleep_until (cv_now () + DRAIN_POLL_INTERVAL);
     }
-  while ((in_flight > 0 || cv_http_active_requests (e->http) > 0)
-         && cv_now () < deadline);
+}
+
+static void
+sleep_until (cv_time_t at)
+{
+  cv_time_t wait = at - cv_now ();
+  struct timespec t;
+
+  if (wait <= 0)
+    return;
+  t.tv_sec = wait / CV_SECOND;
+  t.tv_nsec = wait % CV_SECOND * (1000000000 / CV_SECOND);
+  (void)nanosleep (&t, NULL);
+}
+
+static cv_time_t
+min_time (cv_time_t a, cv_time_t b)
+{
+  return a < b ? a : b;
 }
 
 static void
--- a/entry/failure.c
+++ b/entry/failure.c
@@ -45,6 +45,11 @@
                                CV_OUTCOME_UNKNOWN },
   [CV_FAIL_STOPPING]
   = { 503, "stopping", "this entry is being stopped", CV_OUTCOME_REFUSED },
+  [CV_FAIL_STOPPED]
+  = { 502, "stopped",
+      "this entry stopped before the answer was whole; a stream can be resumed "
+      "at another entry",
+      CV_OUTCOME_INTERRUPTED },
 };
 
 const cv_failure_info_t *
--- a/entry/link.c
+++ b/entry/link.c
@@ -242,6 +242,9 @@
     case COMMAND_REFUSE_NEW:
       cv_entry_refuse_new (l->core);
       break;
+    case COMMAND_END_REQUESTS:
+      cv_entry_end_requests (l->core, now);
+      break;
     case COMMAND_INSPECT:
       c->u.inspect.fn (l->core, now, c->u.inspect.arg);
       waiter = c->u.inspect.waiter;
--- a/entry/link.h
+++ b/entry/link.h
@@ -61,6 +61,8 @@
 uint32_t cv_entry_link_entry_count (cv_entry_link_t *l);
 /* Refuses new requests from now on.  */
 void cv_entry_link_refuse_new (cv_entry_link_t *l);
+/* Refuses new requests and fails those in flight.  */
+void cv_entry_link_end_requests (cv_entry_link_t *l);
 
 /* Returns a copy of the suspects document, which the calling function frees,
    and its version (0: none yet).  */
--- a/entry/link_queue.c
+++ b/entry/link_queue.c
@@ -140,6 +140,12 @@
   enqueue (l, new_command (COMMAND_REFUSE_NEW, NULL));
 }
 
+void
+cv_entry_link_end_requests (cv_entry_link_t *l)
+{
+  enqueue (l, new_command (COMMAND_END_REQUESTS, NULL));
+}
+
 void
 cv_entry_link_inspect (cv_entry_link_t *l,
                        void (*fn) (cv_entry_core_t *core, cv_time_t now,
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -118,7 +118,7 @@
    connected TARGET; freeze MS; store-failed MS (age of the read); confirmed
    VERSION MS (age of the read); show-expect; entries N; ready; unlist TARGET
    (removes it at once); attach CALLER ACCOUNT POSITION; ticket CALLER POOL;
-   gone CALLER; stop (refuses new requests); accept TARGET STREAM; pull TARGET
+   gone CALLER; stop (refuses new requests); end-requests; accept TARGET STREAM; pull TARGET
    (the suspects document).  */
 void
 CoreScript::run_line (const std::string &l)
@@ -180,6 +180,8 @@
     cv_entry_caller_gone (core_, now_, caller_of (w[1]));
   else if (w[0] == "stop")
     cv_entry_refuse_new (core_);
+  else if (w[0] == "end-requests")
+    cv_entry_end_requests (core_, now_);
   else if (w[0] == "accept")
     {
       cv_msg_t m = {};
--- a/tests/process/scenarios/entry_drain_end.py
+++ b/tests/process/scenarios/entry_drain_end.py
@@ -15,10 +15,10 @@
 
 
 def run(s):
-    c = s.start(entries=1, engines=1, services=1,
+    c = s.start(entries=2, engines=1, services=1,
                 engine_flags=["--token-ms", "10"],
                 service_flags=["--work-ms", str(WORK_MS)],
-                side_settings={"resume_s": 1, "generation_s": 10},
+                side_settings={"resume_s": 5, "generation_s": 10},
                 entry_settings={"drain_s": DRAIN_S})
     address = c.entries[0]
     ticket = s.ticket(0)
@@ -39,7 +39,8 @@
                               generation("unread", TOKENS, True)))
     for caller in callers:
         caller.start()
-    wait_for("the requests are at the targets", lambda: _at_targets(c) == 7)
+    resumed = s.generate("resumed", tokens=600, resume_interrupted=True)
+    wait_for("the requests are at the targets", lambda: _at_targets(c) == 8)
     entry = c["entry0"]
     started = time.monotonic()
     entry.terminate()
@@ -56,6 +57,10 @@
                                                        "interrupted"),
                 f"{caller.label}: a complete response, unknown or interrupted",
                 caller.seen())
+    resumed.wait_end()
+    s.judge(resumed.outcome == "done" and resumed.record["connections"] == 2,
+            "an interrupted stream is resumed at the other entry",
+            (resumed.outcome, resumed.record["connections"]))
     s.judge(code == 0, "the entry exits with code 0", code)
     s.judge(DRAIN_S / 2 < took < DRAIN_S + 1.5, "at the end of the drain time",
             f"{took:.1f} s")
