Entry: answer the requests that arrive in the last moment of a stop

A caller whose request reached the entry just before its process ended saw the connection end without an answer, although the entry had read the request.

The stop ended as soon as a look at the counters found no request in flight. The HTTP library went on accepting connections and reading requests until it was stopped, which shuts down every socket.

The entry now stops accepting first. Then it shuts down the receiving direction of each connection without a request: the library reads a request that is already there, which is answered, and closes the connection when it finds the end. The process ends when no connection is left, or at the end of the drain time. The check for callers that left does not count this shutdown.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -34,6 +34,7 @@
                            cv_error_t *err);
 static void stop_threads (cv_entry_process_t *e);
 static void drain (cv_entry_process_t *e, const cv_entry_settings_t *s);
+static void close_connections (cv_entry_process_t *e, cv_time_t deadline);
 static bool wait_idle (cv_entry_process_t *e, cv_time_t deadline);
 static void sleep_until (cv_time_t at);
 static cv_time_t min_time (cv_time_t a, cv_time_t b);
@@ -112,14 +113,28 @@
   cv_http_drain (e->http);
   sleep_until (start + min_time (DRAIN_NOTICE_TIME, max_part));
   cv_entry_link_refuse_new (e->link);
-  if (wait_idle (e, end - min_time (END_TIME, max_part)))
-    return;
-  cv_entry_link_inspect (e->link, count_in_flight, &in_flight);
-  cv_log (CV_EV_ENTRY_DRAIN_ENDED, "%u requests", in_flight);
-  cv_entry_link_end_requests (e->link);
-  if (!wait_idle (e, end))
-    cv_log (CV_EV_ENTRY_UNANSWERED, "%u requests",
-            cv_http_active_requests (e->http));
+  if (!wait_idle (e, end - min_time (END_TIME, max_part)))
+    {
+      cv_entry_link_inspect (e->link, count_in_flight, &in_flight);
+      cv_log (CV_EV_ENTRY_DRAIN_ENDED, "%u requests", in_flight);
+      cv_entry_link_end_requests (e->link);
+    }
+  close_connections (e, end);
+}
+
+/* Closes the connections, each once its request has been answered.  Requests
+   that arrived meanwhile are answered as well.  */
+static void
+close_connections (cv_entry_process_t *e, cv_time_t deadline)
+{
+  uint32_t unanswered;
+
+  cv_http_stop_accepting (e->http);
+  while (cv_http_close_idle (e->http) > 0 && cv_now () < deadline)
+    sleep_until (cv_now () + DRAIN_POLL_INTERVAL);
+  unanswered = cv_http_active_requests (e->http);
+  if (unanswered > 0)
+    cv_log (CV_EV_ENTRY_UNANSWERED, "%u requests", unanswered);
 }
 
 /* Waits until no request is in flight and all responses are sent; false if that
--- a/entry/http.c
+++ b/entry/http.c
@@ -3,8 +3,10 @@
 
 #include <arpa/inet.h>
 #include <ctype.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "entry/http_internal.h"
 
@@ -53,6 +55,7 @@
   h->settings = s;
   h->link = link;
   h->jobs = jobs;
+  h->listen_fd = -1;
   cv_http_conns_init (&h->connections);
   if (!start_server (h, err))
     {
@@ -69,6 +72,8 @@
 {
   (void)ulfius_stop_framework (&h->server);
   ulfius_clean_instance (&h->server);
+  if (h->listen_fd >= 0)
+    (void)close (h->listen_fd);
   cv_http_conns_finish (&h->connections);
   free (h);
 }
@@ -79,6 +84,23 @@
   __atomic_store_n (&h->draining, 1, __ATOMIC_RELAXED);
 }
 
+void
+cv_http_stop_accepting (cv_http_t *h)
+{
+  h->listen_fd = MHD_quiesce_daemon (h->server.mhd_daemon);
+  /* The library needs the descriptor until it is stopped; later callers are
+     refused now.  */
+  if (h->listen_fd < 0 || shutdown (h->listen_fd, SHUT_RD) != 0)
+    cv_log (CV_EV_ENTRY_STILL_ACCEPTING, "%s", strerror (errno));
+}
+
+uint32_t
+cv_http_close_idle (cv_http_t *h)
+{
+  cv_http_conns_close_idle (&h->connections);
+  return cv_http_conns_count (&h->connections);
+}
+
 bool
 cv_http_check_request (cv_http_t *h, const cv_server_request_t *req,
                        cv_server_response_t *resp)
--- a/entry/http_conns.c
+++ b/entry/http_conns.c
@@ -15,8 +15,13 @@
   LIST_ENTRY (cv_http_conn_t) link;
   struct sockaddr_in address;
   int fd;
+  bool has_request;      /* its first line was read, its response is not sent */
+  bool receive_shutdown; /* by cv_http_conns_close_idle */
 };
 
+static void set_has_request (cv_http_conns_t *c,
+                             struct MHD_Connection *connection,
+                             bool has_request);
 static struct cv_http_conn_list_t *bucket (cv_http_conns_t *c,
                                            const struct sockaddr_in *address);
 static cv_http_conn_t *add_connection (cv_http_conns_t *c,
@@ -56,6 +61,7 @@
   else if (*context != NULL)
     {
       LIST_REMOVE ((cv_http_conn_t *)*context, link);
+      c->count--;
       free (*context);
       *context = NULL;
     }
@@ -68,7 +74,7 @@
 {
   cv_http_conns_t *c = arg;
 
-  (void)connection;
+  set_has_request (c, connection, true);
   (void)__atomic_add_fetch (&c->active_requests, 1, __ATOMIC_RELAXED);
   return ulfius_uri_logger (NULL, uri);
 }
@@ -81,6 +87,7 @@
   cv_http_conns_t *c = arg;
 
   mhd_request_completed (NULL, connection, context, code);
+  set_has_request (c, connection, false);
   (void)__atomic_sub_fetch (&c->active_requests, 1, __ATOMIC_RELAXED);
 }
 
@@ -92,13 +99,40 @@
   return n > 0 ? (uint32_t)n : 0;
 }
 
+uint32_t
+cv_http_conns_count (cv_http_conns_t *c)
+{
+  uint32_t n;
+
+  (void)pthread_mutex_lock (&c->lock);
+  n = c->count;
+  (void)pthread_mutex_unlock (&c->lock);
+  return n;
+}
+
+void
+cv_http_conns_close_idle (cv_http_conns_t *c)
+{
+  cv_http_conn_t *conn;
+
+  (void)pthread_mutex_lock (&c->lock);
+  for (size_t i = 0; i < CV_HTTP_CONN_BUCKETS; i++)
+    LIST_FOREACH (conn, &c->buckets[i], link)
+  if (!conn->has_request && !conn->receive_shutdown)
+    {
+      conn->receive_shutdown = true;
+      (void)shutdown (conn->fd, SHUT_RD);
+    }
+  (void)pthread_mutex_unlock (&c->lock);
+}
+
 bool
 cv_http_conns_is_client_gone (cv_http_conns_t *c,
                               const struct sockaddr *address)
 {
   const struct sockaddr_in *in
       = (const struct sockaddr_in *)(const void *)address;
-  struct pollfd p = { .events = POLLRDHUP };
+  struct pollfd p = { 0 };
   const cv_http_conn_t *conn;
   bool gone = false;
 
@@ -110,6 +144,9 @@
       && conn->address.sin_addr.s_addr == in->sin_addr.s_addr)
     {
       p.fd = conn->fd;
+      /* After a shutdown by this process the event says nothing about the
+         client.  */
+      p.events = conn->receive_shutdown ? 0 : POLLRDHUP;
       gone = poll (&p, 1, 0) > 0
              && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
@@ -117,6 +154,21 @@
   return gone;
 }
 
+static void
+set_has_request (cv_http_conns_t *c, struct MHD_Connection *connection,
+                 bool has_request)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  cv_http_conn_t *conn = info == NULL ? NULL : info->socket_context;
+
+  if (conn == NULL)
+    return;
+  (void)pthread_mutex_lock (&c->lock);
+  conn->has_request = has_request;
+  (void)pthread_mutex_unlock (&c->lock);
+}
+
 static struct cv_http_conn_list_t *
 bucket (cv_http_conns_t *c, const struct sockaddr_in *address)
 {
@@ -142,5 +194,6 @@
   memcpy (&conn->address, address->client_addr, sizeof conn->address);
   conn->fd = fd->connect_fd;
   LIST_INSERT_HEAD (bucket (c, &conn->address), conn, link);
+  c->count++;
   return conn;
 }
--- a/entry/http_conns.h
+++ b/entry/http_conns.h
@@ -19,6 +19,7 @@
 {
   pthread_mutex_t lock;
   LIST_HEAD (cv_http_conn_list_t, cv_http_conn_t) buckets[CV_HTTP_CONN_BUCKETS];
+  uint32_t count;
   int active_requests; /* atomic: started, response not fully sent */
 } cv_http_conns_t;
 
@@ -40,6 +41,11 @@
 
 /* Number of requests whose response is neither fully sent nor aborted.  */
 uint32_t cv_http_conns_active_requests (cv_http_conns_t *c);
+uint32_t cv_http_conns_count (cv_http_conns_t *c);
+/* Shuts down the receiving direction of each connection without a request, so
+   that the HTTP library closes it.  A request that has arrived by then is still
+   read and answered.  */
+void cv_http_conns_close_idle (cv_http_conns_t *c);
 /* Whether the client at ADDRESS has closed its connection or the sending
    direction of it.  */
 bool cv_http_conns_is_client_gone (cv_http_conns_t *c,
--- a/entry/http_internal.h
+++ b/entry/http_internal.h
@@ -20,7 +20,8 @@
   cv_entry_link_t *link;
   cv_storejobs_t *jobs;
   cv_http_conns_t connections;
-  int draining; /* atomic */
+  int listen_fd; /* after the server stopped accepting; otherwise -1 */
+  int draining;  /* atomic */
 };
 
 typedef struct _u_request cv_server_request_t;
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -118,8 +118,8 @@
    connected TARGET; freeze MS; store-failed MS (age of the read); confirmed
    VERSION MS (age of the read); show-expect; entries N; ready; unlist TARGET
    (removes it at once); attach CALLER ACCOUNT POSITION; ticket CALLER POOL;
-   gone CALLER; stop (refuses new requests); end-requests; accept TARGET STREAM; pull TARGET
-   (the suspects document).  */
+   gone CALLER; stop (refuses new requests); end-requests; accept TARGET
+   STREAM; pull TARGET (the suspects document).  */
 void
 CoreScript::run_line (const std::string &l)
 {
