Entry: end the waits for the object API with the drain time

When the object API did not respond during a stop, callers with a key and operators with a change of the configuration saw their connections end without an answer at the end of drain_s, and the process ended up to 2 s after it.

Their threads waited for the thread that calls the object API without a bound of their own; a write whose response is lost is resolved for 5 s, and up to 256 jobs queue behind it.

At the end of the drain time the waits now end: a job that has not started is withdrawn and fails as not run (for a key: unknown, as before), the outcome of the one that runs is unknown, later ones are refused. The thread works on copies of a job, so that the waiting thread can leave, and stops resolving a lost write.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -118,6 +118,7 @@
       cv_entry_link_inspect (e->link, count_in_flight, &in_flight);
       cv_log (CV_EV_ENTRY_DRAIN_ENDED, "%u requests", in_flight);
       cv_entry_link_end_requests (e->link);
+      cv_storejobs_end (e->jobs);
     }
   close_connections (e, end);
 }
--- a/entry/storejobs.c
+++ b/entry/storejobs.c
@@ -31,7 +31,8 @@
   JOB_CLAIM
 } cv_job_type_t;
 
-/* Allocated on the stack of the thread that waits for it.  */
+/* Allocated on the stack of the thread that waits for it, and valid until that
+   thread withdraws it.  */
 typedef struct cv_job_t
 {
   STAILQ_ENTRY (cv_job_t) link;
@@ -47,6 +48,16 @@
   cv_error_t err;
 } cv_job_t;
 
+/* A job that the thread runs, with its own copies of what it points to.  */
+typedef struct
+{
+  cv_job_t job;
+  cv_change_t change;
+  cv_ticket_t ticket;
+  char *key;
+  char *json;
+} cv_job_copy_t;
+
 struct cv_storejobs_t
 {
   pthread_t thread;
@@ -55,6 +66,8 @@
   pthread_cond_t job_done;
   STAILQ_HEAD (cv_job_list_t, cv_job_t) jobs;
   unsigned queue_length;
+  cv_job_t *running; /* NULL: none, or withdrawn */
+  bool ending;       /* jobs are no longer accepted or waited for */
   bool quit;
   bool store_failing;
   cv_entry_link_t *link;
@@ -70,8 +83,12 @@
 static void *run_store_thread (void *arg);
 static cv_time_t next_wakeup (const cv_storejobs_t *s, cv_time_t next_poll,
                               bool entry_count_unknown);
-static cv_job_t *next_job (cv_storejobs_t *s, cv_time_t deadline);
-static void run_job (cv_storejobs_t *s, cv_job_t *job);
+static bool take_job (cv_storejobs_t *s, cv_time_t deadline,
+                      cv_job_copy_t *copy);
+static void copy_job (cv_job_copy_t *copy, const cv_job_t *job);
+static void run_job (cv_storejobs_t *s, cv_job_copy_t *copy);
+static void end_job (cv_job_t *job, const cv_job_copy_t *copy, bool ok);
+static void withdraw_job (cv_storejobs_t *s, cv_job_t *job);
 static bool submit_job (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err);
 static void poll_config (cv_storejobs_t *s);
 static bool read_config (cv_storejobs_t *s, cv_error_t *err);
@@ -133,6 +150,16 @@
   free (s);
 }
 
+void
+cv_storejobs_end (cv_storejobs_t *s)
+{
+  (void)pthread_mutex_lock (&s->lock);
+  s->ending = true;
+  (void)pthread_cond_broadcast (&s->job_done);
+  (void)pthread_mutex_unlock (&s->lock);
+  cv_store_stop (&s->store);
+}
+
 bool
 cv_storejobs_change (cv_storejobs_t *s, cv_config_t *base, const char *json,
                      cv_change_t *change, cv_error_t *err)
@@ -181,7 +208,7 @@
 submit_job (cv_storejobs_t *s, cv_job_t *job, cv_error_t *err)
 {
   (void)pthread_mutex_lock (&s->lock);
-  if (s->quit || s->queue_length >= QUEUED_JOBS_MAX)
+  if (s->quit || s->ending || s->queue_length >= QUEUED_JOBS_MAX)
     {
       (void)pthread_mutex_unlock (&s->lock);
       return cv_fail (err, CV_ERR_UNAVAILABLE,
@@ -191,14 +218,33 @@
   s->queue_length++;
   STAILQ_INSERT_TAIL (&s->jobs, job, link);
   (void)pthread_cond_signal (&s->job_queued);
-  while (!job->done)
+  while (!job->done && !s->ending)
     (void)pthread_cond_wait (&s->job_done, &s->lock);
+  if (!job->done)
+    withdraw_job (s, job);
   (void)pthread_mutex_unlock (&s->lock);
   if (!job->ok && err != NULL)
     *err = job->err;
   return job->ok;
 }
 
+/* Ends the wait for JOB: one that has not started never will, and the outcome
+   of one that runs is unknown.  */
+static void
+withdraw_job (cv_storejobs_t *s, cv_job_t *job)
+{
+  if (s->running == job)
+    {
+      s->running = NULL;
+      (void)cv_fail (&job->err, CV_ERR_UNKNOWN,
+                     "the entry stops while the object API is called");
+      return;
+    }
+  STAILQ_REMOVE (&s->jobs, job, cv_job_t, link);
+  s->queue_length--;
+  (void)cv_fail (&job->err, CV_ERR_UNAVAILABLE, "the entry stops");
+}
+
 /* ---- the thread ---- */
 
 static void *
@@ -213,7 +259,7 @@
     {
       uint32_t entries = cv_entry_link_entry_count (s->link);
       bool poll_due = cv_now () >= next_poll;
-      cv_job_t *job;
+      cv_job_copy_t copy;
 
       if (poll_due)
         {
@@ -228,9 +274,8 @@
       entry_count_unknown = entries == 0;
       if (cv_now () >= cv_store_claims_due (&s->claims))
         cv_store_claims_run (&s->claims, &s->store, cv_now ());
-      job = next_job (s, next_wakeup (s, next_poll, entry_count_unknown));
-      if (job != NULL)
-        run_job (s, job);
+      if (take_job (s, next_wakeup (s, next_poll, entry_count_unknown), &copy))
+        run_job (s, &copy);
       (void)pthread_mutex_lock (&s->lock);
       s->counts = s->store.counts;
       quit = s->quit && STAILQ_EMPTY (&s->jobs);
@@ -253,8 +298,9 @@
   return entry_count_unknown && next_check < at ? next_check : at;
 }
 
-static cv_job_t *
-next_job (cv_storejobs_t *s, cv_time_t deadline)
+/* Waits for a job until DEADLINE; false if there is none.  */
+static bool
+take_job (cv_storejobs_t *s, cv_time_t deadline, cv_job_copy_t *copy)
 {
   struct timespec at = deadline_timespec (deadline);
   cv_job_t *job;
@@ -268,14 +314,37 @@
     {
       STAILQ_REMOVE_HEAD (&s->jobs, link);
       s->queue_length--;
+      copy_job (copy, job);
     }
+  s->running = job;
   (void)pthread_mutex_unlock (&s->lock);
-  return job;
+  return job != NULL;
 }
 
 static void
-run_job (cv_storejobs_t *s, cv_job_t *job)
+copy_job (cv_job_copy_t *copy, const cv_job_t *job)
 {
+  memset (copy, 0, sizeof *copy);
+  copy->job = *job;
+  if (job->key != NULL)
+    copy->job.key = copy->key = cv_strdup_n (job->key, strlen (job->key));
+  if (job->json != NULL)
+    copy->job.json = copy->json = cv_strdup_n (job->json, strlen (job->json));
+  if (job->base != NULL)
+    copy->job.base = cv_config_ref (job->base);
+  if (job->change != NULL)
+    copy->change = *job->change;
+  copy->job.change = &copy->change;
+  if (job->ticket != NULL)
+    copy->ticket = *job->ticket;
+  copy->job.ticket = &copy->ticket;
+}
+
+/* Runs the job of COPY and frees the copies.  */
+static void
+run_job (cv_storejobs_t *s, cv_job_copy_t *copy)
+{
+  cv_job_t *job = &copy->job;
   bool ok;
 
   if (cv_now () - job->queued_at > JOB_START_TIMEOUT)
@@ -285,10 +354,27 @@
   else
     ok = run_claim (s, job);
   (void)pthread_mutex_lock (&s->lock);
-  job->ok = ok;
-  job->done = true;
+  if (s->running != NULL)
+    end_job (s->running, copy, ok);
+  s->running = NULL;
   (void)pthread_cond_broadcast (&s->job_done);
   (void)pthread_mutex_unlock (&s->lock);
+  cv_config_unref (job->base);
+  free (copy->key);
+  free (copy->json);
+}
+
+/* Passes the results in COPY to the thread that waits for JOB.  */
+static void
+end_job (cv_job_t *job, const cv_job_copy_t *copy, bool ok)
+{
+  if (job->change != NULL)
+    *job->change = copy->change;
+  if (job->ticket != NULL)
+    *job->ticket = copy->ticket;
+  job->err = copy->job.err;
+  job->ok = ok;
+  job->done = true;
 }
 
 static void
--- a/entry/storejobs.h
+++ b/entry/storejobs.h
@@ -20,6 +20,9 @@
 cv_storejobs_t *cv_storejobs_new (const cv_entry_settings_t *s,
                                   cv_entry_link_t *link, cv_error_t *err);
 void cv_storejobs_free (cv_storejobs_t *s);
+/* Fails the jobs that wait and all later ones, without waiting for the object
+   API.  */
+void cv_storejobs_end (cv_storejobs_t *s);
 
 /* Result of a configuration change.  */
 typedef struct
--- a/store/store.c
+++ b/store/store.c
@@ -21,6 +21,12 @@
 #define STATUS_THROTTLED 429
 #define STATUS_UNAVAILABLE 503
 
+void
+cv_store_stop (cv_store_t *s)
+{
+  __atomic_store_n (&s->stopping, 1, __ATOMIC_RELAXED);
+}
+
 void
 cv_object_finish (cv_object_t *o)
 {
@@ -351,7 +357,8 @@
         case WRITE_UNKNOWN:
           break;
         }
-      if (cv_now () + backoff >= deadline)
+      if (cv_now () + backoff >= deadline
+          || __atomic_load_n (&s->stopping, __ATOMIC_RELAXED) != 0)
         return cv_fail (err, CV_ERR_UNKNOWN,
                         "store: write of %s: outcome unknown at the deadline",
                         key);
--- a/store/store.h
+++ b/store/store.h
@@ -26,7 +26,8 @@
   char url[128]; /* http://IP:PORT */
   int timeout_ms;
   cv_store_counts_t counts;
-  void *curl; /* CURL handle; reads reuse its connection */
+  void *curl;   /* CURL handle; reads reuse its connection */
+  int stopping; /* atomic */
 } cv_store_t;
 
 typedef struct
@@ -37,6 +38,9 @@
 
 void cv_store_init (cv_store_t *s, const char *url, int timeout_ms);
 void cv_store_finish (cv_store_t *s);
+/* Makes cv_store_put_resolved give up after the call that it waits for; may be
+   called by another thread.  */
+void cv_store_stop (cv_store_t *s);
 void cv_object_finish (cv_object_t *o);
 
 /* Reads KEY.  An object that does not exist is returned with version 0 and
