Entry: log the connections that end with a request in progress

Nothing in the log told that a connection ended before the response to a request on it was sent, nor why: a limit on idle callers, the caller or the end of the process.

process-entry-slow-callers checks it with a caller that never sends the rest of its request, and that a response read after the end of the process is whole. process-entry-config-change replaces account, model, class and pools of requests in flight and kills an engine; each request is answered. Both need no change of the entry's logic.

--- a/entry/http_conns.c
+++ b/entry/http_conns.c
@@ -19,6 +19,7 @@
   bool receive_shutdown; /* by cv_http_conns_close_idle */
 };
 
+static const char *abort_reason (enum MHD_RequestTerminationCode code);
 static void set_has_request (cv_http_conns_t *c,
                              struct MHD_Connection *connection,
                              bool has_request);
@@ -86,6 +87,8 @@
 {
   cv_http_conns_t *c = arg;
 
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    cv_log (CV_EV_ENTRY_REQUEST_ABORTED, "%s", abort_reason (code));
   mhd_request_completed (NULL, connection, context, code);
   set_has_request (c, connection, false);
   (void)__atomic_sub_fetch (&c->active_requests, 1, __ATOMIC_RELAXED);
@@ -154,6 +157,25 @@
   return gone;
 }
 
+static const char *
+abort_reason (enum MHD_RequestTerminationCode code)
+{
+  switch (code)
+    {
+    case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+      return "the caller sent or read nothing for the idle time";
+    case MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN:
+      return "the process ends";
+    case MHD_REQUEST_TERMINATED_READ_ERROR:
+    case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+      return "the caller closed the connection";
+    case MHD_REQUEST_TERMINATED_COMPLETED_OK:
+    case MHD_REQUEST_TERMINATED_WITH_ERROR:
+      break;
+    }
+  return "the connection ended";
+}
+
 static void
 set_has_request (cv_http_conns_t *c, struct MHD_Connection *connection,
                  bool has_request)
--- a/tests/process/rawcaller.py
+++ b/tests/process/rawcaller.py
@@ -23,7 +23,7 @@
         self.label = name or f"{method} {path}"
         self.sock = socket.create_connection(address, timeout=TIMEOUT_S)
         self.request = encode(method, path, body, headers)
-        self.data = b""
+        self.data = bytearray()
         self.error = None
         self.unanswered = False
 
@@ -35,7 +35,7 @@
 
     def exchange(self):
         """Send the request and read the response; true if it is complete."""
-        self.data = b""
+        self.data = bytearray()
         try:
             self.sock.sendall(self.request)
             while not is_complete(self.data):
@@ -75,7 +75,7 @@
 
     def seen(self):
         return (self.label, self.complete, self.status, self.outcome,
-                self.error, self.data[-80:])
+                self.error, bytes(self.data[-80:]))
 
 
 def encode(method, path, body="", headers=None):
@@ -99,14 +99,14 @@
 
 
 def is_complete(data):
-    head, found, rest = data.partition(b"\r\n\r\n")
-    if not found:
+    head_end = data.find(b"\r\n\r\n")
+    if head_end < 0:
         return False
-    for line in head.lower().split(b"\r\n"):
+    for line in data[:head_end].lower().split(b"\r\n"):
         if line.startswith(b"content-length:"):
-            return len(rest) >= int(line[15:])
+            return len(data) >= head_end + 4 + int(line[15:])
         if line.startswith(b"transfer-encoding:"):
-            return rest.endswith(b"0\r\n\r\n")
+            return data.endswith(b"\r\n0\r\n\r\n")
     return False
 
 
