Tests: wait for the reset that tells an unread request

It looked for the reset 50 ms after the end of the connection. The reset comes when the entry closes the socket, which may be later than the end of its sending direction.

It now waits up to 5 s for it.

--- a/tests/process/rawcaller.py
+++ b/tests/process/rawcaller.py
@@ -9,7 +9,8 @@
 from caller import HEADERS
 
 TIMEOUT_S = 60
-SETTLE_S = 0.05
+RESET_TIMEOUT_S = 5
+RESET_POLL_S = 0.05
 TCP_CLOSE_WAIT = 8  # the peer has closed and sent no reset
 
 
@@ -91,11 +92,16 @@
 
 
 def was_read(sock):
-    """Whether the peer, which has closed, had read all that was sent to it: a
-    kernel that closes a socket with unread data sends a reset."""
-    time.sleep(SETTLE_S)
-    state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-    return state == TCP_CLOSE_WAIT
+    """Whether the peer, which has shut down its sending direction, had read all
+    that was sent to it.  Otherwise its kernel sends a reset when the peer closes
+    the socket, which may be later."""
+    until = time.monotonic() + RESET_TIMEOUT_S
+    while sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO,
+                          1)[0] == TCP_CLOSE_WAIT:
+        if time.monotonic() > until:
+            return True
+        time.sleep(RESET_POLL_S)
+    return False
 
 
 def is_complete(data):
--- a/tests/process/scenarios/entry_stop_late.py
+++ b/tests/process/scenarios/entry_stop_late.py
@@ -61,7 +61,7 @@
         entry.terminate()
         code = entry.popen.wait(30)
         for one in load:
-            one.join(10)
+            one.join(20)
             unanswered += one.unanswered
             for status, n in one.statuses.items():
                 statuses[status] = statuses.get(status, 0) + n
