Entry: look for connections once more after the end of accepting

A connection that the HTTP library is accepting when the stop closes the listening socket is not counted yet; with no other connection open, the stop would end at once and cut it. The entry now waits for one interval before it counts.

Found by reading, not by a run.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -131,8 +131,10 @@
   uint32_t unanswered;
 
   cv_http_stop_accepting (e->http);
-  while (cv_http_close_idle (e->http) > 0 && cv_now () < deadline)
+  /* A connection that is being accepted is counted a little later.  */
+  do
     sleep_until (cv_now () + DRAIN_POLL_INTERVAL);
+  while (cv_http_close_idle (e->http) > 0 && cv_now () < deadline);
   unanswered = cv_http_active_requests (e->http);
   if (unanswered > 0)
     cv_log (CV_EV_ENTRY_UNANSWERED, "%u requests", unanswered);
