--- a/entry/entry.c
+++ b/entry/entry.c
@@ -52,7 +52,6 @@
   (void)sigaddset (&stop_signals, SIGINT);
   (void)pthread_sigmask (SIG_BLOCK, &stop_signals, NULL);
   (void)signal (SIGPIPE, SIG_IGN);
-  (void)signal (SIGHUP, SIG_IGN);
   if (ulfius_global_init () != U_OK)
     return cv_fail (err, CV_ERR_SYSTEM, "cannot initialise the HTTP library");
   if (!start_threads (&e, s, err))
