Daemon: no role ends at SIGHUP

What callers saw: at SIGHUP a side ended at once. Its streams were interrupted and its calls got the outcome unknown, after the entry missed its heartbeats.

Cause: a side and an entry handle SIGTERM and SIGINT alone, so the default action of SIGHUP ended their processes.

Evidence: process-side-signals failed: both sides ended at SIGHUP, three streams were interrupted, three calls unknown.

Change: the daemon ignores SIGHUP before it loads its settings, in each role; the gateway's handler, which reads the settings again, replaces this. The observer's own call is gone.

--- a/catkinvaled/main.c
+++ b/catkinvaled/main.c
@@ -1,6 +1,7 @@
 /* The daemon: loads the settings file and runs the role that it names.  */
 
 #include <argp.h>
+#include <signal.h>
 #include <stdlib.h>
 
 #include "entry/entry.h"
@@ -32,6 +33,13 @@
 
   (void)argp_parse (&parser, argc, argv, 0, NULL, &arguments);
   cv_log_init ("catkinvaled");
+  /* Only the gateway reloads its settings, with a handler of its own; no role
+     ends at SIGHUP.  */
+  if (signal (SIGHUP, SIG_IGN) == SIG_ERR)
+    {
+      cv_log (CV_EV_DAEMON_FAILED, "cannot ignore SIGHUP");
+      return EXIT_FAILURE;
+    }
   if (!cv_settings_load (arguments.path, &settings, stderr))
     {
       cv_log (CV_EV_SETTINGS_INVALID, "%s", arguments.path);
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -85,8 +85,6 @@
           .tv_usec = (suseconds_t)(o->settings.report_ms % 1000) * 1000 };
 
   (void)signal (SIGPIPE, SIG_IGN);
-  /* Settings are read at start only; there is no reload.  */
-  (void)signal (SIGHUP, SIG_IGN);
   for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
     {
       o->signals[i] = evsignal_new (o->base, numbers[i], on_signal, o);
