Side: keep the earliest reclaim of overlapping drain requests

What operators saw: POST /leave with within_ms was answered 202, and the side drained without a reclaim. At the end of the notice its work was cut without an END or CALL_RESULT.

Cause: the control server stores one request until the event loop takes it, and a later one replaced it, also when it gave no reclaim or a later one.

Change: of the requests not taken yet the least within_ms is kept.

--- a/side/control.c
+++ b/side/control.c
@@ -70,6 +70,7 @@
   requested = c->drain_requested;
   *within_ms = c->within_ms;
   c->drain_requested = false;
+  c->within_ms = 0;
   pthread_mutex_unlock (&c->lock);
   return requested;
 }
@@ -164,7 +165,8 @@
     }
   pthread_mutex_lock (&c->lock);
   c->drain_requested = true;
-  c->within_ms = within_ms;
+  if (within_ms > 0 && (c->within_ms == 0 || within_ms < c->within_ms))
+    c->within_ms = within_ms;
   pthread_mutex_unlock (&c->lock);
   if (write (c->wake_fd, &one, sizeof one) != sizeof one)
     {
--- a/side/control.h
+++ b/side/control.h
@@ -25,7 +25,8 @@
   pthread_mutex_t lock;
   int wake_fd; /* eventfd, readable after a drain request */
   bool drain_requested;
-  uint32_t within_ms; /* of the drain request; 0: no reclaim */
+  /* Earliest reclaim of the drain requests not taken yet; 0: none.  */
+  uint32_t within_ms;
   char *metrics;      /* owned; last text from cv_control_set_metrics */
   struct _u_instance server;
   bool server_running;
@@ -35,8 +36,8 @@
 bool cv_control_init (cv_control_t *c, const char *address, uint16_t port,
                       cv_error_t *err);
 void cv_control_finish (cv_control_t *c);
-/* True when a drain was requested since the last call.  WITHIN_MS is the time
-   until the target is taken away, or 0.  */
+/* True when a drain was requested since the last call.  WITHIN_MS is the least
+   time until the target is taken away that these requests gave, or 0.  */
 bool cv_control_take_drain_request (cv_control_t *c, uint32_t *within_ms);
 /* Set the response body of GET /metrics.  */
 void cv_control_set_metrics (cv_control_t *c, const char *text);
