Side: stay until the work of a reclaim is ended

What entries saw: when no tick ran between the notice and the end of a reclaim, or of the longest drain, the side exited without END or CALL_RESULT for its work. The entry learned of it only when it missed the side's heartbeats.

Cause: the time of the reclaim alone made the side count as drained.

Evidence: stream_late_tick and call_late_tick failed: drained, with a stream and a call running.

Change: the side is drained when its streams and calls are ended and their ends are sent. The first tick after the time of the reclaim ends all of them, so that this stays bounded; ended streams without a reader are not waited for then.

Result: both scripts and process-reclaimed pass.

--- a/side/core.h
+++ b/side/core.h
@@ -412,7 +412,8 @@
 /* Starts to drain.  WITHIN > 0 is the time until the target is reclaimed, that
    is, taken away; an earlier reclaim stays in force.  */
 void cv_side_start_drain (cv_side_core_t *c, cv_time_t now, cv_time_t within);
-/* True when no work is left to finish, or the reclaim time has come.  */
+/* True when no work is left to finish; from the reclaim time on, ended streams
+   without a reader no longer count as work.  */
 bool cv_side_is_drained (const cv_side_core_t *c, cv_time_t now);
 
 /* ---- internal to the core ---- */
--- a/side/drain.c
+++ b/side/drain.c
@@ -8,6 +8,7 @@
 #define MEDIAN_QUANTILE 0.5
 
 static void reclaim_streams (cv_side_core_t *c, cv_time_t now);
+static bool needs_process (const cv_stream_t *s, bool reclaimed);
 static bool can_finish (const cv_side_core_t *c, const cv_stream_t *s,
                         cv_time_t remaining);
 
@@ -30,17 +31,16 @@
 bool
 cv_side_is_drained (const cv_side_core_t *c, cv_time_t now)
 {
+  bool reclaimed = c->reclaim_at != 0 && now >= c->reclaim_at;
   const cv_stream_t *s;
 
-  if (!c->draining || now - c->drain_start < CV_DRAIN_MIN)
-    return c->reclaim_at != 0 && now >= c->reclaim_at;
-  if (c->reclaim_at != 0 && now >= c->reclaim_at)
-    return true;
+  if (!c->draining || (!reclaimed && now - c->drain_start < CV_DRAIN_MIN))
+    return false;
   if (c->calls_running > 0 || !TAILQ_EMPTY (&c->call_queue))
     return false;
   TAILQ_FOREACH (s, &c->streams, link)
-  if (!s->end_sent)
-    return false; /* running, or kept for its reader to reconnect */
+  if (needs_process (s, reclaimed))
+    return false;
   return true;
 }
 
@@ -77,6 +77,16 @@
     }
 }
 
+/* Whether S still runs or has an end to send.  Before a reclaim, an ended stream
+   is kept for its reader to reconnect.  */
+static bool
+needs_process (const cv_stream_t *s, bool reclaimed)
+{
+  if (s->end_sent)
+    return false;
+  return !reclaimed || s->state != CV_STREAM_ENDED || s->peer != CV_NO_PEER;
+}
+
 /* Whether S is expected to end within REMAINING.  */
 static bool
 can_finish (const cv_side_core_t *c, const cv_stream_t *s, cv_time_t remaining)
