Side: let entries read the last answers before the exit

What callers saw: in a planned stop of a side, streams were interrupted and calls got the outcome unknown, although their END or CALL_RESULT had been sent.

Cause: a side exited as soon as its last answer was sent. libzmq at an entry drops the messages that the entry has not read when the connection ends.

Change: a draining side runs on until 400 ms have passed since the tick after its last answer. This is less than the margin of a reclaim, so that a reclaim whose notice exceeds the margin still ends in time. A side that wakes late also waits this long.

--- a/side/core.c
+++ b/side/core.c
@@ -6,6 +6,8 @@
 
 #define LENGTH_KEYS 4096 /* account, class and model combinations */
 
+static bool is_answer (cv_msg_type_t type);
+
 void
 cv_side_init (cv_side_core_t *c, cv_time_t now,
               const cv_side_core_settings_t *set, cv_side_emit_t emit,
@@ -114,6 +116,8 @@
 
   if (!cv_peers_is_connected (c, peer))
     return;
+  if (is_answer (msg->type))
+    c->answered_since_tick = true;
   out.u.send.peer = peer;
   out.u.send.msg = msg;
   c->emit (c->arg, &out);
@@ -182,3 +186,12 @@
   load->token_us = c->engine_load.token_us;
   load->age_ms = c->engine_load.age_ms + (uint32_t)age;
 }
+
+/* Whether an entry waits for a message of this TYPE.  */
+static bool
+is_answer (cv_msg_type_t type)
+{
+  return type == CV_MSG_ACCEPTED || type == CV_MSG_REJECTED
+         || type == CV_MSG_TOKENS || type == CV_MSG_END
+         || type == CV_MSG_CALL_RESULT;
+}
--- a/side/core.h
+++ b/side/core.h
@@ -56,6 +56,10 @@
    earlier, so that it answers work that entries sent before they received its
    new state.  */
 #define CV_DRAIN_MIN (1500 * CV_MS)
+/* A draining side runs on for this long after its last answer.  libzmq at an
+   entry drops messages that the entry has not read when the connection ends.
+   With the interval of ticks it is less than CV_RECLAIM_MARGIN.  */
+#define CV_ANSWER_READ_TIME (400 * CV_MS)
 /* Calls still running this long before the target is reclaimed are ended.
    Streams that are not expected to finish by then are ended earlier.  */
 #define CV_RECLAIM_MARGIN (500 * CV_MS)
@@ -333,6 +337,8 @@
   /* When the target is taken away, or the end of the longest drain once
      CV_RECLAIM_MARGIN is left of it; 0: not set.  */
   cv_time_t reclaim_at;
+  cv_time_t last_answer; /* tick after the last message an entry waits for */
+  bool answered_since_tick;
 
   cv_side_counts_t counts;
 } cv_side_core_t;
@@ -412,8 +418,9 @@
 /* Starts to drain.  WITHIN > 0 is the time until the target is reclaimed, that
    is, taken away; an earlier reclaim stays in force.  */
 void cv_side_start_drain (cv_side_core_t *c, cv_time_t now, cv_time_t within);
-/* True when no work is left to finish; from the reclaim time on, ended streams
-   without a reader no longer count as work.  */
+/* True when no work is left to finish and the entries had time to read the
+   answers; from the reclaim time on, ended streams without a reader no longer
+   count as work.  */
 bool cv_side_is_drained (const cv_side_core_t *c, cv_time_t now);
 
 /* ---- internal to the core ---- */
--- a/side/drain.c
+++ b/side/drain.c
@@ -38,6 +38,8 @@
     return false;
   if (c->calls_running > 0 || !TAILQ_EMPTY (&c->call_queue))
     return false;
+  if (c->answered_since_tick || now - c->last_answer < CV_ANSWER_READ_TIME)
+    return false;
   TAILQ_FOREACH (s, &c->streams, link)
   if (needs_process (s, reclaimed))
     return false;
@@ -47,6 +49,9 @@
 void
 cv_drain_tick (cv_side_core_t *c, cv_time_t now)
 {
+  if (c->answered_since_tick)
+    c->last_answer = now;
+  c->answered_since_tick = false;
   if (c->draining && c->reclaim_at == 0 && c->settings.drain > 0
       && now - c->drain_start >= c->settings.drain - CV_RECLAIM_MARGIN)
     c->reclaim_at = c->drain_start + c->settings.drain;
