Side: answer requests at the control address before the exit

What operators saw: a request at a side's control address that the side had read got no response when the side ended meanwhile.

Cause: the end of the control server closes its connections at once.

Evidence: Control.SendsTheResponseOfARequestThatWasRead failed.

Change: the server stops listening, waits until its connections are closed, for 1 s at most, and ends then. Each connection serves one request, so that an open one is in use. What is still open then is logged as SIDE_CONTROL_CUT.

--- a/side/control.c
+++ b/side/control.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/eventfd.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <json-c/json.h>
@@ -11,9 +12,19 @@
 
 #define BODY_MAX_BYTES 4096
 #define CONNECTION_TIMEOUT_S 5
+/* Longest wait for open connections when the server ends.  */
+#define FINISH_TIMEOUT (1 * CV_SECOND)
+#define FINISH_POLL_INTERVAL_NS 2000000
 
 static bool start_server (cv_control_t *c, const char *address, uint16_t port,
                           cv_error_t *err);
+static bool listen_at (cv_control_t *c);
+static void stop_server (cv_control_t *c);
+static void on_connection (void *arg, struct MHD_Connection *connection,
+                           void **context,
+                           enum MHD_ConnectionNotificationCode code);
+static int respond (struct _u_response *response, unsigned status,
+                    const char *body);
 static int on_health (const struct _u_request *request,
                       struct _u_response *response, void *data);
 static int on_metrics (const struct _u_request *request,
@@ -45,10 +56,7 @@
 cv_control_finish (cv_control_t *c)
 {
   if (c->server_running)
-    {
-      ulfius_stop_framework (&c->server);
-      ulfius_clean_instance (&c->server);
-    }
+    stop_server (c);
   c->server_running = false;
   if (c->wake_fd >= 0)
     (void)close (c->wake_fd);
@@ -92,16 +100,14 @@
 start_server (cv_control_t *c, const char *address, uint16_t port,
               cv_error_t *err)
 {
-  struct sockaddr_in bind = { .sin_family = AF_INET };
-
-  bind.sin_port = htons (port);
-  if (inet_pton (AF_INET, address, &bind.sin_addr) != 1)
+  c->bind.sin_family = AF_INET;
+  c->bind.sin_port = htons (port);
+  if (inet_pton (AF_INET, address, &c->bind.sin_addr) != 1)
     return cv_fail (err, CV_ERR_INVALID,
                     "control address %s is not an IPv4 address", address);
-  if (ulfius_init_instance (&c->server, port, &bind, NULL) != U_OK)
+  if (ulfius_init_instance (&c->server, port, &c->bind, NULL) != U_OK)
     return cv_fail (err, CV_ERR_SYSTEM, "cannot initialize the control server");
   c->server.max_post_body_size = BODY_MAX_BYTES;
-  c->server.timeout = CONNECTION_TIMEOUT_S;
   if (ulfius_add_endpoint_by_val (&c->server, "GET", "/healthz", NULL, 0,
                                   on_health, c)
           != U_OK
@@ -111,7 +117,7 @@
       || ulfius_add_endpoint_by_val (&c->server, "POST", "/leave", NULL, 0,
                                      on_leave, c)
              != U_OK
-      || ulfius_start_framework (&c->server) != U_OK)
+      || !listen_at (c))
     {
       ulfius_clean_instance (&c->server);
       return cv_fail (err, CV_ERR_SYSTEM,
@@ -122,14 +128,76 @@
   return true;
 }
 
+/* MHD_USE_ITC is needed to stop listening before the server ends.  */
+static bool
+listen_at (cv_control_t *c)
+{
+  struct MHD_OptionItem options[] = {
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL },
+    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, c },
+    { MHD_OPTION_SOCK_ADDR, 0, &c->bind },
+    { MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S, NULL },
+    { MHD_OPTION_END, 0, NULL },
+  };
+  unsigned flags = MHD_USE_THREAD_PER_CONNECTION
+                   | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL
+                   | MHD_USE_ITC;
+
+  return ulfius_start_framework_with_mhd_options (&c->server, flags, options)
+         == U_OK;
+}
+
+static void
+stop_server (cv_control_t *c)
+{
+  const struct timespec pause = { .tv_nsec = FINISH_POLL_INTERVAL_NS };
+  cv_time_t deadline = cv_now () + FINISH_TIMEOUT;
+  MHD_socket listener = MHD_quiesce_daemon (c->server.mhd_daemon);
+  int open_count;
+
+  /* It may be closed only after the server has stopped.  */
+  if (listener != MHD_INVALID_SOCKET)
+    (void)shutdown (listener, SHUT_RDWR);
+  while ((open_count = __atomic_load_n (&c->connections, __ATOMIC_ACQUIRE)) > 0
+         && cv_now () < deadline)
+    (void)nanosleep (&pause, NULL);
+  if (open_count > 0)
+    cv_log (CV_EV_SIDE_CONTROL_CUT, "open connections: %d", open_count);
+  (void)ulfius_stop_framework (&c->server);
+  ulfius_clean_instance (&c->server);
+  if (listener != MHD_INVALID_SOCKET)
+    (void)close (listener);
+}
+
+static void
+on_connection (void *arg, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  cv_control_t *c = arg;
+  int change = code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1;
+
+  (void)connection;
+  (void)context;
+  (void)__atomic_add_fetch (&c->connections, change, __ATOMIC_ACQ_REL);
+}
+
+/* Each connection serves one request, so that an open one is always in use.  */
+static int
+respond (struct _u_response *response, unsigned status, const char *body)
+{
+  u_map_put (response->map_header, "Connection", "close");
+  ulfius_set_string_body_response (response, status, body);
+  return U_CALLBACK_COMPLETE;
+}
+
 static int
 on_health (const struct _u_request *request, struct _u_response *response,
            void *data)
 {
   (void)request;
   (void)data;
-  ulfius_set_string_body_response (response, 200, "ok\n");
-  return U_CALLBACK_COMPLETE;
+  return respond (response, 200, "ok\n");
 }
 
 static int
@@ -137,14 +205,14 @@
             void *data)
 {
   cv_control_t *c = data;
+  int rc;
 
   (void)request;
+  u_map_put (response->map_header, "Content-Type", "text/plain");
   pthread_mutex_lock (&c->lock);
-  ulfius_set_string_body_response (response, 200,
-                                   c->metrics != NULL ? c->metrics : "");
+  rc = respond (response, 200, c->metrics != NULL ? c->metrics : "");
   pthread_mutex_unlock (&c->lock);
-  u_map_put (response->map_header, "Content-Type", "text/plain");
-  return U_CALLBACK_COMPLETE;
+  return rc;
 }
 
 static int
@@ -156,25 +224,17 @@
   uint32_t within_ms;
 
   if (!parse_drain_request (request, &within_ms))
-    {
-      ulfius_set_string_body_response (
-          response, 400,
-          "{\"error\":{\"code\":\"invalid\",\"message\":\"expected "
-          "{\\\"within_ms\\\": a number from 0 to 86400000}\"}}\n");
-      return U_CALLBACK_COMPLETE;
-    }
+    return respond (response, 400,
+                    "{\"error\":{\"code\":\"invalid\",\"message\":\"expected "
+                    "{\\\"within_ms\\\": a number from 0 to 86400000}\"}}\n");
   pthread_mutex_lock (&c->lock);
   c->drain_requested = true;
   if (within_ms > 0 && (c->within_ms == 0 || within_ms < c->within_ms))
     c->within_ms = within_ms;
   pthread_mutex_unlock (&c->lock);
   if (write (c->wake_fd, &one, sizeof one) != sizeof one)
-    {
-      ulfius_set_string_body_response (response, 500, "");
-      return U_CALLBACK_COMPLETE;
-    }
-  ulfius_set_string_body_response (response, 202, "{}\n");
-  return U_CALLBACK_COMPLETE;
+    return respond (response, 500, "");
+  return respond (response, 202, "{}\n");
 }
 
 /* Parse the body of POST /leave; an empty one means a drain without a
--- a/side/control.h
+++ b/side/control.h
@@ -27,14 +27,18 @@
   bool drain_requested;
   /* Earliest reclaim of the drain requests not taken yet; 0: none.  */
   uint32_t within_ms;
-  char *metrics;      /* owned; last text from cv_control_set_metrics */
+  char *metrics; /* owned; last text from cv_control_set_metrics */
   struct _u_instance server;
+  struct sockaddr_in bind;
   bool server_running;
+  int connections; /* open; atomic, not protected by LOCK */
 } cv_control_t;
 
 /* With PORT 0 no server is started.  */
 bool cv_control_init (cv_control_t *c, const char *address, uint16_t port,
                       cv_error_t *err);
+/* Accepts no more connections and waits a short time for the open ones to get
+   their responses.  */
 void cv_control_finish (cv_control_t *c);
 /* True when a drain was requested since the last call.  WITHIN_MS is the least
    time until the target is taken away that these requests gave, or 0.  */
--- a/side/drain.c
+++ b/side/drain.c
@@ -82,8 +82,8 @@
     }
 }
 
-/* Whether S still runs or has an end to send.  Before a reclaim, an ended stream
-   is kept for its reader to reconnect.  */
+/* Whether S still runs or has an end to send.  Before a reclaim, an ended
+   stream is kept for its reader to reconnect.  */
 static bool
 needs_process (const cv_stream_t *s, bool reclaimed)
 {
