Gateway, observer: a further signal does not end a process that is ending

Cause: freeing the signal events of the loop restores the default actions, and a signal that arrives after that ends the process at once.

Change: the signals are blocked once the loop has ended, at both.

Also in the stop of a gateway, each found by the review of it: - a request that has arrived behind another one is answered, too: the response before it does not announce the close (gateway-stop-pipelined, which got no answer to the second of two requests); - a response of unknown length is buffered up to 4 MiB and then refused; - a stall of the gateway itself does not count as silence of a target.

--- a/base/base.h
+++ b/base/base.h
@@ -99,6 +99,10 @@
 
 cv_id_t cv_id_random (void);
 uint64_t cv_random_u64 (void);
+
+/* Blocks SIGTERM, SIGINT and SIGHUP, for a process that ends: freeing the
+   signal handlers of an event loop restores the default actions.  */
+bool cv_block_stop_signals (cv_error_t *err);
 bool cv_id_equal (cv_id_t a, cv_id_t b);
 bool cv_id_is_zero (cv_id_t id);
 const char *cv_id_format (cv_id_t id, char text[CV_ID_TEXT]);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -6,9 +6,10 @@
 #include "gateway/state.h"
 
 /* Response bodies up to this size are buffered before they are forwarded, so
-   that the request can be retried if the response fails.  Late in a stop, all
-   are, so that the request can be refused.  */
+   that the request can be retried if the response fails.  */
 #define BUFFERED_BODY_MAX_BYTES (256u * 1024)
+/* The same in a stop, when the request can still be refused that way.  */
+#define STOP_BUFFERED_BODY_MAX_BYTES (4u * 1024 * 1024)
 /* Engines accept priorities from 0 to 9.  */
 #define PRIORITY_MAX 9
 /* Route priorities that are distinguished within one account priority.  */
@@ -391,9 +392,13 @@
     case CV_EXCHANGE_BUFFERING:
       x->last_activity_at = cv_now ();
       cv_buf_add (&x->response_body, data.p, data.n);
-      if (x->response_body.n > BUFFERED_BODY_MAX_BYTES
-          && cv_exchange_can_begin_response (x))
+      if (x->response_body.n <= BUFFERED_BODY_MAX_BYTES)
+        return;
+      if (cv_exchange_can_begin_response (x))
         start_relaying (x);
+      else if (x->response_body.n > STOP_BUFFERED_BODY_MAX_BYTES)
+        cv_exchange_handle_failure (
+            x, "response is too large to end before the stop", true);
       return;
     case CV_EXCHANGE_RELAYING:
       cv_response_send_data (x->client, caller_framing (x), data);
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -167,14 +167,27 @@
     CV_INVARIANT (evbuffer_add (out, body.p, body.n) == 0);
 }
 
+/* Whether bytes have arrived that no callback has handled, as in a busy
+   process.  */
+static bool
+has_unread_input (const cv_client_t *c)
+{
+  char byte;
+
+  return evbuffer_get_length (bufferevent_get_input (c->bev)) > 0
+         || recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+                > 0;
+}
+
 /* The decision is final once it was sent in a response head: a stop that begins
    later does not close the connection at once, so that the caller can send
-   another request before STOP_IDLE_TIMEOUT.  */
+   another request before STOP_IDLE_TIMEOUT.  A request that has arrived behind
+   this one is answered as well.  */
 bool
 cv_client_decide_close (cv_client_t *c)
 {
-  c->close_after = c->close_after || c->port->gateway->stopping
-                   || !c->reader.head.keep_alive;
+  c->close_after = c->close_after || !c->reader.head.keep_alive
+                   || (c->port->gateway->stopping && !has_unread_input (c));
   return c->close_after;
 }
 
@@ -436,18 +449,6 @@
     check_reading (arg);
 }
 
-/* Whether bytes have arrived that no callback has handled, as in a busy
-   process.  */
-static bool
-has_unread_input (const cv_client_t *c)
-{
-  char byte;
-
-  return evbuffer_get_length (bufferevent_get_input (c->bev)) > 0
-         || recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
-                > 0;
-}
-
 /* Closes C when it is idle or slow beyond the limits.  The idle timeout also
    limits the time from the start of a request to the end of its body.  While a
    response is being written, only the write timeout applies.  */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -557,21 +557,25 @@
   return limit > SILENCE_MIN ? limit : SILENCE_MIN;
 }
 
+/* Start of the silence of X's target.  Time before the end of a stall of this
+   process does not count, since bytes may have arrived during the stall.  */
+static cv_time_t
+silent_since (const cv_exchange_t *x)
+{
+  return x->last_activity_at > x->gateway->stall_ended_at
+             ? x->last_activity_at
+             : x->gateway->stall_ended_at;
+}
+
 /* Whether the first event of X is overdue.  X was sent because its engine
-   seemed to have room, so this is taken for a failure of the engine.  Time
-   before the end of a stall of this process does not count, since the event may
-   have arrived during the stall.  */
+   seemed to have room, so this is taken for a failure of the engine.  */
 static bool
 is_overdue (const cv_exchange_t *x, cv_time_t now)
 {
-  cv_time_t since = x->last_activity_at;
-
   if (!x->request.is_generation || x->is_outcome_recorded
       || !(x->state == CV_EXCHANGE_SENT || x->resume_pending))
     return false;
-  if (since < x->gateway->stall_ended_at)
-    since = x->gateway->stall_ended_at;
-  return now - since > x->route->objective_ms * CV_MS + SILENCE_MIN;
+  return now - silent_since (x) > x->route->objective_ms * CV_MS + SILENCE_MIN;
 }
 
 /* Whether the target of X has been silent for longer than its limit.  */
@@ -580,7 +584,7 @@
 {
   cv_time_t limit = silence_limit (x);
 
-  return limit > 0 && now - x->last_activity_at > limit;
+  return limit > 0 && now - silent_since (x) > limit;
 }
 
 bool
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -123,7 +123,7 @@
       add_signals (g);
       g->tick_event = event_new (g->base, -1, EV_PERSIST, on_tick, g);
       ok = g->tick_event != NULL && event_add (g->tick_event, &tick) == 0
-           && event_base_dispatch (g->base) >= 0;
+           && event_base_dispatch (g->base) >= 0 && cv_block_stop_signals (err);
       if (!ok)
         (void)cv_fail (err, CV_ERR_SYSTEM, "event loop failed");
     }
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -114,7 +114,8 @@
       cv_line_text (&l, "instance", cv_slice (s->instance));
       cv_line_text (&l, "engine", cv_slice (s->engine_url));
       cv_line_end (&l);
-      ok = add_events (o) && event_base_dispatch (o->base) >= 0;
+      ok = add_events (o) && event_base_dispatch (o->base) >= 0
+           && cv_block_stop_signals (err);
       if (!ok)
         (void)cv_fail (err, CV_ERR_SYSTEM, "event loop failed");
     }
--- a/tests/gateway/observer_scenarios.py
+++ b/tests/gateway/observer_scenarios.py
@@ -1,6 +1,8 @@
 """Scenarios of an observer that ends while gateways use it."""
 
 import asyncio
+import contextlib
+import os
 import signal
 
 from scenarios import GEN_HEADERS
@@ -55,3 +57,23 @@
     statuses = await callers
     bench.say(f"more than 60 requests: {len(statuses) > 60}, "
               f"statuses {sorted(set(statuses))}")
+
+
+async def observer_signals(bench):
+    """Signals arrive until an observer has ended: it still ends by itself."""
+    await bench.start()
+    engine = await EngineStatus("m1").start()
+    codes = set()
+    for _ in range(20):
+        before = len(bench.logged("OBSERVER_STARTED"))
+        process = await bench.spawn_observer(engine)
+        while len(bench.logged("OBSERVER_STARTED")) == before:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        while process.returncode is None:
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGTERM):
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, number)
+            await asyncio.sleep(0)
+        codes.add(process.returncode)
+    bench.say(f"exit codes {codes}")
--- a/tests/gateway/stop_scenarios.py
+++ b/tests/gateway/stop_scenarios.py
@@ -1,9 +1,12 @@
 """Scenarios of a gateway that is stopped while callers keep using it."""
 
 import asyncio
+import contextlib
+import os
+import signal
 
 from scenarios import GEN_HEADERS
-from standins import chunk, event, start_stream
+from standins import chunk, event, signed, start_stream
 
 # Requests are sent at this interval while the gateway stops.
 INTERVAL_S = 0.05
@@ -120,6 +123,54 @@
     bench.say(f"response: {caller.outcomes}")
 
 
+async def stop_pipelined(bench):
+    """A request has arrived behind one in progress when the stop begins: both
+    are answered."""
+    async def slow(target, request, writer):
+        await asyncio.sleep(0.4)
+        writer.write(signed(request, request.path.encode()))
+        return True
+
+    await bench.add_target("t1", "plain", slow)
+    await bench.start(grace_s=4)
+    reader, writer = await bench.connect()
+    writer.write(bench.head("GET", "/read/1") + bench.head("GET", "/read/2"))
+    await bench.until_logged("GATEWAY_SENT")
+    bench.terminate()
+    for _ in range(2):
+        status, headers, body = await bench.exchange(reader, writer, b"")
+        bench.say(f"{status} {body.decode()}, connection "
+                  f"{headers.get('connection')}")
+
+
+async def stop_signals(bench):
+    """Signals arrive until the process has ended: it still ends by itself, with
+    its last log lines."""
+    async def hang(target, request, writer):
+        await request.reader.read(1)
+        return False
+
+    await bench.add_target("t1", "plain", hang)
+    codes = []
+    await bench.start(grace_s=1.5)
+    for attempt in range(5):
+        if attempt > 0:
+            await bench.start_process()
+            await bench.until(bench.is_ready)
+        answer = asyncio.ensure_future(bench.send("GET", "/read/1"))
+        await bench.until_logged("GATEWAY_SENT",
+                                 request=f"a{bench.request_count}")
+        while bench.process.returncode is None:
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(bench.process.pid, number)
+            await asyncio.sleep(0.0005)
+        codes.append((bench.process.returncode, (await answer)[0]))
+    bench.say(f"exit codes and responses {codes}")
+    await asyncio.sleep(0.1)
+    bench.say(f"ends logged: {len(bench.logged('GATEWAY_STOPPED'))}")
+
+
 async def stop_unanswered(bench):
     """Requests have no response when the grace period ends.  One that was sent
     to an engine gets 502, since it may have run; one that waits for an engine
