--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 
+import loopback
 from relay import Relay
 
 OPERATOR_KEY = "operator-key"
@@ -107,8 +108,7 @@
                  entry_settings=None):
         self.build = build
         self.dir = tempfile.mkdtemp(prefix="cv-process-")
-        self.net_lock = None
-        self.net = self._reserve_net()
+        self.net, self.net_lock = loopback.reserve()
         self.relays = relays
         self.engine_flags = list(engine_flags)
         self.service_flags = list(service_flags)
@@ -133,20 +133,6 @@
         self.bad_stops = []
         self.lifetime = LIFETIME_S
 
-    def _reserve_net(self):
-        """Reserve a /16 of the loopback network that no other run uses."""
-        for k in range(120):
-            net = 100 + (os.getpid() + k) % 120
-            lock = socket.socket()
-            try:
-                lock.bind((f"127.{net}.255.1", 9999))
-                lock.listen(1)
-                self.net_lock = lock
-                return net
-            except OSError:
-                lock.close()
-        raise AssertionError("no free loopback network")
-
     def address(self, group, host, port):
         return (f"127.{self.net}.{group}.{host}", port)
 
