Gateway: no second migration of a run that its engine does not have

Seen: gateway-copy-freed, in 3 of 36 runs, printed the DELETE of the copy twice.

Cause: the engine answers the final copy with 404, as the run has ended. The gateway gave the migration up and started another one of the same run on its next tick, 20 ms later, with a new reservation, copy and release, up to six times, while the end of the stream was not read. RESCUE_BACKOFF is for a run for which no engine had room, and does not apply. The test ended within 20 ms of the first release in most runs and so did not see it.

After this 404 the run is not migrated again. The log line of the migration says "no such run", as after a 404 to the first copy. The test now waits 0.5 s after the release, so that a second copy would appear in its output.

--- a/gateway/move.c
+++ b/gateway/move.c
@@ -233,6 +233,12 @@
       m->response_lost_at = cv_now ();
       check_source_end (m, cv_now ());
     }
+  else if (r->status == 404)
+    {
+      /* The run has ended; a further migration of it is useless.  */
+      x->no_migration_until = x->deadline;
+      fail (m, "no such run");
+    }
   else
     fail (m, "run was not stopped");
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -275,7 +275,7 @@
   char copy_handle[CV_HANDLE_MAX];
   cv_migration_t *migration;     /* migration of its run, or NULL */
   uint32_t migrations;           /* started */
-  cv_time_t no_migration_until;  /* no engine had room for its run */
+  cv_time_t no_migration_until;  /* no room or no such run */
   bool is_stopped_for_migration; /* its stream ended for a migration */
 
   cv_buf_t response_body; /* of CV_EXCHANGE_BUFFERING */
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -409,6 +409,8 @@
     await asyncio.wait_for(freed.wait(), 5)
     await bench.until_logged("OBSERVER_ROOM_GIVEN_BACK", target="m2")
     bench.say("reservation is released")
+    # A second migration of the run would start 20 ms later.
+    await asyncio.sleep(0.5)
     caller.cancel()
 
 
