Observer: a late completion takes back the failure of its run

An engine that paused before each answer and then completed it was reported as failing by its observer; with no other engine, callers got 503 from the fourth request on.

The gateway reports a run as failed when it is overdue, and as completed when it completes after all. The observer did not relate the two: it counted a failure and an ordinary success, and the share of failures rose to the bound at the third run.

The health of an engine now remembers the last 16 failed runs, each with the part that it has in the share of failures. A completion of one of them takes exactly that part away, and ends an avoidance only if it would not have begun without that failure; the failures of other runs stay. A run that is to be started once more loses its entry, so that a retry does not take back the failure of the first attempt. OBSERVER_FAILURE_TAKEN_BACK logs it. A hanging engine completes nothing, so it is avoided as before.

Three new tests of Health replay the load pattern, the failures of several runs, and a full memory.

--- a/observer/observer.c
+++ b/observer/observer.c
@@ -38,7 +38,7 @@
   o->socket = -1;
   cv_migration_lease_init (&o->lease);
   cv_reservations_init (&o->reservations);
-  cv_health_init (&o->health, CV_HEALTH_DECAY_ENGINE);
+  cv_engine_health_init (&o->health);
   o->logged_lease = CV_MIGRATION_LEASE_NONE;
   if (!cv_http_parse_address (s->engine_url, &engine)
       || !cv_http_parse_address (s->store_url, &store))
@@ -162,7 +162,8 @@
   msg.u.engine_load.kv_peak = o->reservations.peak;
   msg.u.engine_load.prefill_backlog = o->reservations.demand.prefill_backlog;
   msg.u.engine_load.memory_pressure = o->reservations.memory_pressure;
-  msg.u.engine_load.failing = !cv_health_is_usable (&o->health, cv_now ());
+  msg.u.engine_load.failing
+      = !cv_health_is_usable (&o->health.health, cv_now ());
   o->sent_failing = msg.u.engine_load.failing;
   (void)cv_copy (msg.u.engine_load.target, CV_NAME_MAX, o->name);
   for (uint32_t i = 0; i < o->gateway_count; i++)
@@ -205,7 +206,7 @@
   if (load.started_ms != o->load.started_ms)
     {
       cv_reservations_init (&o->reservations);
-      cv_health_init (&o->health, CV_HEALTH_DECAY_ENGINE);
+      cv_engine_health_init (&o->health);
     }
   report = (cv_engine_report_t){ .runs = runs,
                                  .run_count = n,
@@ -215,7 +216,7 @@
                                  .total = load.kv_total };
   cv_reservations_update (&o->reservations, cv_now (), &report);
   if (o->reservations.has_started)
-    cv_health_success (&o->health);
+    cv_engine_health_success (&o->health);
   if (load.started_ms != o->name_started_ms || o->name[0] == '\0')
     {
       o->load = load;
@@ -223,7 +224,7 @@
       return;
     }
   if (!load_differs (&load, &o->load)
-      && o->sent_failing == !cv_health_is_usable (&o->health, cv_now ())
+      && o->sent_failing == !cv_health_is_usable (&o->health.health, cv_now ())
       && cv_now () - o->load_sent_at < KEEPALIVE_INTERVAL)
     return;
   o->load = load;
--- a/observer/requests.c
+++ b/observer/requests.c
@@ -87,20 +87,42 @@
 /* Failures are counted here because each gateway sees only a few of an
    engine's generations, and the observer gets the outcomes of all.  */
 static void
-handle_failure (cv_observer_t *o, const cv_msg_reservation_t *m, cv_time_t now)
+handle_failure (cv_observer_t *o, const cv_msg_reservation_t *m, uint64_t run,
+                cv_time_t now)
 {
   cv_line_t l;
 
-  if (!cv_health_failure (&o->health, now))
+  if (!cv_engine_health_failure (&o->health, run, now))
     return;
   cv_line_begin (&l, CV_EV_OBSERVER_ENGINE_FAILING);
   cv_line_text (&l, "target", cv_slice (o->name));
   cv_line_text (&l, "request", cv_slice (m->run));
-  cv_line_number (&l, "avoided_ms", (o->health.avoid_until - now) / CV_MS);
+  cv_line_number (&l, "avoided_ms",
+                  (o->health.health.avoid_until - now) / CV_MS);
   cv_line_end (&l);
   cv_observer_send_load (o);
 }
 
+static void
+handle_completion (cv_observer_t *o, const cv_msg_reservation_t *m,
+                   uint64_t run, cv_time_t now)
+{
+  bool was_avoided = !cv_health_is_usable (&o->health.health, now);
+  bool is_avoided;
+  cv_line_t l;
+
+  if (!cv_engine_health_completed (&o->health, run))
+    return;
+  is_avoided = !cv_health_is_usable (&o->health.health, now);
+  cv_line_begin (&l, CV_EV_OBSERVER_FAILURE_TAKEN_BACK);
+  cv_line_text (&l, "target", cv_slice (o->name));
+  cv_line_text (&l, "request", cv_slice (m->run));
+  cv_line_number (&l, "avoided", is_avoided);
+  cv_line_end (&l);
+  if (was_avoided && !is_avoided)
+    cv_observer_send_load (o);
+}
+
 /* Refused reservations are not logged here: the gateway logs one line for all
    engines it tried.  */
 static void
@@ -125,9 +147,9 @@
 try_reserve (cv_observer_t *o, const cv_reservation_request_t *need,
              cv_time_t now)
 {
-  bool needs_probe = cv_health_is_probing (&o->health, now);
+  bool needs_probe = cv_health_is_probing (&o->health.health, now);
 
-  if (o->load.draining || !cv_health_is_usable (&o->health, now))
+  if (o->load.draining || !cv_health_is_usable (&o->health.health, now))
     return false;
   if (needs_probe && (need->purpose != CV_RESERVE_NEW || now < o->probe_until))
     return false;
@@ -152,14 +174,15 @@
   switch (m->step)
     {
     case CV_RESERVATION_REQUESTED:
+      cv_engine_health_restarted (&o->health, need.run);
       send_reservation_reply (o, m, try_reserve (o, &need, now), gateway);
       return;
     case CV_RESERVATION_RUN_COMPLETED:
-      cv_health_success (&o->health);
+      handle_completion (o, m, need.run, now);
       (void)cv_reservations_release (&o->reservations, need.run);
       return;
     case CV_RESERVATION_RUN_FAILED:
-      handle_failure (o, m, now);
+      handle_failure (o, m, need.run, now);
       (void)cv_reservations_release (&o->reservations, need.run);
       return;
     case CV_RESERVATION_RELEASED:
--- a/observer/state.h
+++ b/observer/state.h
@@ -53,9 +53,10 @@
   uint32_t listed_count;
   uint64_t sequence; /* of the last load report */
   cv_reservations_t reservations;
-  cv_health_t health; /* of the engine, by the outcomes that gateways report */
-  bool sent_failing;  /* "failing" in the last load report: the engine is
-                         avoided */
+  cv_engine_health_t
+      health;        /* of the engine, by the outcomes that gateways report */
+  bool sent_failing; /* "failing" in the last load report: the engine is
+                        avoided */
   cv_time_t probe_until; /* no second probe before this time */
   cv_migration_lease_t lease;
   cv_lease_request_t
--- a/policy/health.h
+++ b/policy/health.h
@@ -27,6 +27,31 @@
   cv_time_t backoff;     /* last avoidance after failures, 0 after recovery */
 } cv_health_t;
 
+/* Failed runs of an engine that are remembered.  After as many later outcomes a
+   failure has 0.3 % of its weight left (CV_HEALTH_DECAY_ENGINE to the 16th). */
+#define CV_FAILED_RUNS_MAX 16
+
+typedef struct
+{
+  uint64_t run; /* hash of the name */
+  double share; /* the failure's part of the share of failed requests; 0: no
+                   failure */
+} cv_failed_run_t;
+
+/* The health of an engine by the outcomes of its runs.  A run is reported as
+   failed when it is overdue, and may complete later.  */
+typedef struct
+{
+  cv_health_t health;
+  cv_failed_run_t failed[CV_FAILED_RUNS_MAX]; /* a ring */
+  uint32_t next;                              /* index in FAILED */
+  /* The share of failures at the last avoidance without those taken back since,
+     and the share from which an engine is avoided.  Both decay with each
+     outcome, as the parts in FAILED do.  */
+  double avoided_share;
+  double avoided_from;
+} cv_engine_health_t;
+
 void cv_health_init (cv_health_t *h, double decay);
 void cv_health_success (cv_health_t *h);
 /* A request that was recorded as a failure, since it was overdue, was served
@@ -42,6 +67,17 @@
    caused (not cv_health_unreachable), but no request has succeeded since.  */
 bool cv_health_is_probing (const cv_health_t *h, cv_time_t now);
 
+void cv_engine_health_init (cv_engine_health_t *e);
+void cv_engine_health_success (cv_engine_health_t *e);
+/* Returns whether this failure causes the engine to be avoided.  */
+bool cv_engine_health_failure (cv_engine_health_t *e, uint64_t run,
+                               cv_time_t now);
+/* RUN completed.  Returns whether a failure of it was counted; that failure is
+   taken back, and an avoidance that would not have begun without it ends.  */
+bool cv_engine_health_completed (cv_engine_health_t *e, uint64_t run);
+/* RUN is to be started once more: its failure is not taken back any more.  */
+void cv_engine_health_restarted (cv_engine_health_t *e, uint64_t run);
+
 #ifdef __cplusplus
 }
 #endif
--- a/policy/tests/engines_test.cc
+++ b/policy/tests/engines_test.cc
@@ -514,6 +514,67 @@
   EXPECT_TRUE (cv_health_is_usable (&h, now));
 }
 
+/* One engine, at which each run is overdue and then completes: one at a time,
+   and eight at once.  */
+TEST (Health, AnEngineThatPausesAndCompletesIsNotAvoided)
+{
+  cv_engine_health_t e;
+  cv_time_t now = CV_SECOND;
+
+  cv_engine_health_init (&e);
+  for (uint64_t run = 1; run <= 50; run++)
+    {
+      EXPECT_FALSE (cv_engine_health_failure (&e, run, now));
+      cv_engine_health_success (&e);
+      EXPECT_TRUE (cv_engine_health_completed (&e, run));
+    }
+  for (uint64_t run = 101; run <= 108; run++)
+    (void)cv_engine_health_failure (&e, run, now);
+  EXPECT_FALSE (cv_health_is_usable (&e.health, now));
+  for (uint64_t run = 108; run >= 101; run--)
+    (void)cv_engine_health_completed (&e, run);
+  EXPECT_TRUE (cv_health_is_usable (&e.health, now));
+}
+
+/* An engine hangs in some runs while others, overdue or not, complete.  */
+TEST (Health, ALateCompletionTakesBackOnlyItsOwnFailure)
+{
+  cv_engine_health_t e;
+  cv_time_t now = CV_SECOND;
+
+  cv_engine_health_init (&e);
+  EXPECT_FALSE (cv_engine_health_failure (&e, 1, now));
+  for (int i = 0; i < 8; i++)
+    cv_engine_health_success (&e);
+  EXPECT_FALSE (cv_engine_health_failure (&e, 2, now));
+  EXPECT_TRUE (cv_engine_health_failure (&e, 3, now));
+  EXPECT_FALSE (cv_engine_health_completed (&e, 4)) << "another run";
+  EXPECT_TRUE (cv_engine_health_completed (&e, 1));
+  EXPECT_FALSE (cv_health_is_usable (&e.health, now)) << "2 and 3 hang";
+  EXPECT_FALSE (cv_engine_health_completed (&e, 1)) << "once for a failure";
+  cv_engine_health_restarted (&e, 2);
+  EXPECT_FALSE (cv_engine_health_completed (&e, 2)) << "a second attempt";
+  EXPECT_FALSE (cv_health_is_usable (&e.health, now));
+  EXPECT_TRUE (cv_engine_health_completed (&e, 3));
+  EXPECT_TRUE (cv_health_is_usable (&e.health, now));
+}
+
+/* More runs fail, one after the other, than are remembered.  */
+TEST (Health, AnEngineThatHangsIsAvoidedAndTheOldestFailureForgotten)
+{
+  cv_engine_health_t e;
+  cv_time_t now = 0;
+  int avoided = 0;
+
+  cv_engine_health_init (&e);
+  for (uint64_t run = 0; run <= CV_FAILED_RUNS_MAX;
+       run++, now += 10 * CV_SECOND)
+    avoided += cv_engine_health_failure (&e, run, now);
+  EXPECT_EQ (CV_FAILED_RUNS_MAX, avoided) << "all but the first";
+  EXPECT_FALSE (cv_engine_health_completed (&e, 0));
+  EXPECT_TRUE (cv_engine_health_completed (&e, 1));
+}
+
 TEST (Retries, AreBoundedInAnySpanOfTime)
 {
   cv_retry_budget_t b;
