Tests: stop-signals waits for the right request and stays below the log's limit

Cause: the scenario read the number of its request before the request was sent, and waited for a request that never came; it could not pass. It also caused more reloads a second than the log writes lines, so that a line could be dropped.

--- a/tests/gateway/stop_scenarios.py
+++ b/tests/gateway/stop_scenarios.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import signal
 
@@ -157,14 +158,16 @@
         if attempt > 0:
             await bench.start_process()
             await bench.until(bench.is_ready)
+        name = f"a{bench.request_count + 1}"
         answer = asyncio.ensure_future(bench.send("GET", "/read/1"))
-        await bench.until_logged("GATEWAY_SENT",
-                                 request=f"a{bench.request_count}")
+        await bench.until_logged("GATEWAY_SENT", request=name)
+        # A reload is logged, and more lines than the log's limit are dropped.
+        series = itertools.cycle((signal.SIGTERM, signal.SIGINT) * 20
+                                 + (signal.SIGHUP,))
         while bench.process.returncode is None:
-            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-                with contextlib.suppress(ProcessLookupError):
-                    os.kill(bench.process.pid, number)
-            await asyncio.sleep(0.0005)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(bench.process.pid, next(series))
+            await asyncio.sleep(0.0002)
         codes.append((bench.process.returncode, (await answer)[0]))
     bench.say(f"exit codes and responses {codes}")
     await asyncio.sleep(0.1)
