Soak: the end of a gateway is seen late while the soak itself stalls

The gateways logged the end of their stops after 3.83 s each.

Cause: the soak's own process did not run. All three stand-in engines, which it serves, were unreachable for their observers from 4203.9 to 4207.3 and from 4303.2 to 4308.2 s of the log's clock, and it saw the ends when it ran again.

Change: the soak records the times in which it does not run, and allows for these in the check of a stop's length, as for a frozen gateway.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -37,6 +37,9 @@
 # target's response or with 502 for a target that failed.
 RECOVERY_S = 6
 GRACE_S = 4.5
+# This process is checked for stalls at this interval; shorter ones do not count.
+STALL_CHECK_S = 0.05
+STALL_MIN_S = 0.2
 # Callers for each gateway; half of them stay with a gateway that stops.
 CALLERS = 6
 # Kinds of faults, and how often each is chosen.  Each group has a task of its
@@ -95,6 +98,7 @@
         self.idle_timeout_s = CONFIG["Limits"]["IdleTimeoutMs"] / 1000
         self.started_at = time.monotonic()
         self.calm = False  # the faults are over
+        self.stalls = []  # (from, to)
         self.over = False
         self.checks = Checks(self)
 
@@ -309,9 +313,20 @@
             await asyncio.sleep(0.02)
         self.over = True
 
+    async def record_stalls(self):
+        """Record the times in which this process itself did not run: it sees
+        the end of a gateway late then."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(STALL_CHECK_S)
+            now = time.monotonic()
+            if now - before > STALL_CHECK_S + STALL_MIN_S:
+                self.stalls.append((before + STALL_CHECK_S, now))
+
     async def run(self):
         await self.start()
         self.started_at = time.monotonic()
+        self.spawn_task(self.record_stalls())
         for bench in self.gateways:
             self.spawn_task(self.keep_running(bench))
         callers = [asyncio.ensure_future(
--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -194,7 +194,9 @@
             return
         frozen = sum((until or run.exited_at) - since
                      for since, until in run.freezes)
-        limit = max(run.graces_s) + frozen + EXIT_SLACK_S
+        stalled = sum(max(0, min(until, run.exited_at) - max(since, stop))
+                      for since, until in self.soak.stalls)
+        limit = max(run.graces_s) + frozen + stalled + EXIT_SLACK_S
         if run.exited_at - stop > limit:
             self.add(f"{run.bench.name} run {run.number}: the stop took "
                      f"{run.exited_at - stop:.1f} s")
