Gateway, observer: run deferred callbacks before the event loop is freed

Cause: a connection that is closed while libevent has deferred a callback of it is freed by that callback, which never ran: the loop had ended.

Change: one pass of the loop, without waiting, after everything is closed.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -95,7 +95,11 @@
   if (g->tick_event != NULL)
     event_free (g->tick_event);
   if (g->base != NULL)
-    event_base_free (g->base);
+    {
+      /* Deferred callbacks hold the last references to closed connections.  */
+      (void)event_base_loop (g->base, EVLOOP_NONBLOCK);
+      event_base_free (g->base);
+    }
   cv_rng_finish (&g->rng);
   cv_hist_finish (&g->latency);
   cv_hist_finish (&g->first_event);
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -71,7 +71,11 @@
   if (o->tick != NULL)
     event_free (o->tick);
   if (o->base != NULL)
-    event_base_free (o->base);
+    {
+      /* Deferred callbacks hold the last references to closed connections.  */
+      (void)event_base_loop (o->base, EVLOOP_NONBLOCK);
+      event_base_free (o->base);
+    }
   if (o->socket >= 0)
     (void)close (o->socket);
 }
