Store: one client that follows the store's era; log ignored configurations

The log named no era and did not say that a configuration was ignored, so that the hypotheses on CONFIG could not be told apart. All calls of gateways and observers to the store go through replica/call, which decodes the era and decides whether an answer belongs to the current history; nothing acts on that yet.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -221,11 +221,15 @@
                n->quarantined);
   add_fleet_counters (&body, g);
   add_counter (&body, "store_calls_total", "Calls to the store.",
-               g->routing_watcher.call.calls + g->instance_watcher.call.calls
-                   + g->registration.call.calls + g->evidence.roster.store.calls
-                   + g->quarantine_store.call.calls);
+               g->routing_watcher.call.http.calls
+                   + g->instance_watcher.call.http.calls
+                   + g->registration.call.http.calls
+                   + g->evidence.roster.store.http.calls
+                   + g->quarantine_store.call.http.calls);
   add_counter (&body, "configuration_version", "Version in force.",
                g->routing != NULL ? g->routing->version : 0);
+  add_counter (&body, "store_era", "Era of the store.",
+               g->store_history.era.number);
   add_counter (&body, "log_lines_dropped_total", "Log lines dropped.",
                cv_line_dropped ());
   add_histogram (&body, "latency_ms", "Milliseconds to the end of an answer.",
@@ -233,6 +237,9 @@
   add_histogram (&body, "first_event_ms",
                  "Milliseconds to the first event of a stream.",
                  &g->first_event);
+  add_histogram (&body, "configuration_delay_ms",
+                 "Most milliseconds that configurations were in force late.",
+                 &g->adoption_delay);
   add_histogram (&body, "gap_ms",
                  "Longest milliseconds between two events, by stream.",
                  &g->gaps);
--- a/gateway/evidence.c
+++ b/gateway/evidence.c
@@ -29,7 +29,8 @@
   e->suspects = cv_suspects_new ();
   cv_suspects_set_trial_delay (e->suspects, cv_rng_uniform (&g->rng));
   cv_recent_init (&e->completed);
-  cv_roster_init (&e->roster, g->base, &g->store, CV_EV_GATEWAY_PEER_SKIPPED);
+  cv_roster_init (&e->roster, g->base, &g->store, &g->store_history,
+                  CV_EV_GATEWAY_PEER_SKIPPED);
 }
 
 void
--- a/gateway/evidence.h
+++ b/gateway/evidence.h
@@ -10,6 +10,7 @@
 #include "base/line.h"
 #include "policy/policy.h"
 #include "policy/recent.h"
+#include "replica/call.h"
 #include "roster/roster.h"
 
 #ifdef __cplusplus
@@ -67,7 +68,7 @@
 {
   cv_gateway_t *gateway;
   cv_quarantine_phase_t phase;
-  cv_http_call_t call;
+  cv_replica_call_t call;
   cv_time_t next_read_at;
   uint64_t revision; /* of the object as read, 0: there is none */
   bool is_fresh;     /* the next read must not be stale */
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -32,7 +32,8 @@
    expired during the outage.  */
 #define EXPIRY_WINDOW (2500 * CV_MS)
 
-static void on_result (void *owner, const cv_http_result_t *r);
+static void on_result (void *owner, const cv_http_result_t *r,
+                       bool is_outdated);
 
 void
 cv_watcher_init (cv_watcher_t *w, cv_gateway_t *g, cv_store_kind_t kind)
@@ -41,13 +42,14 @@
   w->gateway = g;
   w->kind = kind;
   w->phase = CV_WATCHER_LIST;
-  cv_http_call_init (&w->call, g->base, &g->store, on_result, w);
+  cv_replica_call_init (&w->call, g->base, &g->store, &g->store_history,
+                        on_result, w);
 }
 
 void
 cv_watcher_finish (cv_watcher_t *w)
 {
-  cv_http_call_finish (&w->call);
+  cv_replica_call_finish (&w->call);
 }
 
 static const char *
@@ -76,6 +78,8 @@
   bool watch = w->phase == CV_WATCHER_WATCH;
   uint32_t poll_ms
       = w->kind == CV_STORE_ROUTING ? POLL_ROUTING_MS : POLL_INSTANCES_MS;
+  cv_replica_request_t request
+      = { .method = "GET", .continues = watch || w->list_cursor[0] != '\0' };
   cv_buf_t path;
 
   if (w->failures > 0)
@@ -85,9 +89,9 @@
     cv_platform_watch_path (&path, w->kind, w->revision, poll_ms);
   else
     cv_platform_list_path (&path, w->kind, w->list_cursor);
-  cv_http_call_start (&w->call, "GET", cv_buf_text (&path),
-                      (cv_slice_t){ NULL, 0 },
-                      STORE_CALL_TIMEOUT + (watch ? poll_ms * CV_MS : 0));
+  request.path = cv_buf_text (&path);
+  request.timeout = STORE_CALL_TIMEOUT + (watch ? poll_ms * CV_MS : 0);
+  cv_replica_call_start (&w->call, &request);
   cv_buf_finish (&path);
 }
 
@@ -139,9 +143,29 @@
              && cv_now () - w->reachable_since < EXPIRY_WINDOW);
 }
 
+/* Logs that O does not replace the configuration in force, unless it is the
+   one in force.  */
 static void
-adopt_routing (cv_gateway_t *g, const cv_store_object_t *o)
+log_ignored (const cv_gateway_t *g, const cv_store_object_t *o)
 {
+  cv_line_t l;
+
+  if (o->revision == g->routing->revision)
+    return;
+  cv_line_begin (&l, CV_EV_GATEWAY_ROUTING_IGNORED);
+  cv_line_number (&l, "version", (int64_t)cv_platform_routing_version (o));
+  cv_line_number (&l, "revision", (int64_t)o->revision);
+  cv_line_number (&l, "era", (int64_t)g->store_history.era.number);
+  cv_line_number (&l, "in_force", (int64_t)g->routing->version);
+  cv_line_number (&l, "in_force_revision", (int64_t)g->routing->revision);
+  cv_line_end (&l);
+}
+
+static void
+adopt_routing (cv_watcher_t *w, const cv_store_object_t *o)
+{
+  cv_gateway_t *g = w->gateway;
+  cv_time_t unconfirmed = cv_now () - w->confirmed_at;
   cv_error_t err = { 0 };
   cv_routing_t *r;
   cv_line_t l;
@@ -150,7 +174,10 @@
     return;
   /* Only a newer store revision replaces the configuration in force.  */
   if (g->routing != NULL && o->revision <= g->routing->revision)
-    return;
+    {
+      log_ignored (g, o);
+      return;
+    }
   r = cv_platform_decode_routing (o, &err);
   if (r == NULL)
     {
@@ -160,6 +187,8 @@
       cv_line_end (&l);
       return;
     }
+  if (g->routing != NULL)
+    cv_hist_add (&g->adoption_delay, (double)unconfirmed / CV_MS);
   cv_routing_unref (g->routing);
   g->routing = r;
   cv_line_begin (&l, CV_EV_GATEWAY_ROUTING_ADOPTED);
@@ -167,6 +196,9 @@
   cv_line_number (&l, "revision", (int64_t)r->revision);
   cv_line_number (&l, "routes", r->route_count);
   cv_line_number (&l, "keys", r->key_count);
+  cv_line_number (&l, "era", (int64_t)g->store_history.era.number);
+  /* The most that it was in force late: it was written since.  */
+  cv_line_number (&l, "unconfirmed_us", w->confirmed_at > 0 ? unconfirmed : -1);
   cv_line_end (&l);
 }
 
@@ -198,7 +230,7 @@
   switch (w->kind)
     {
     case CV_STORE_ROUTING:
-      adopt_routing (w->gateway, o);
+      adopt_routing (w, o);
       return;
     case CV_STORE_INSTANCES:
       update_instance (w, o);
@@ -259,11 +291,12 @@
 }
 
 static void
-on_result (void *owner, const cv_http_result_t *r)
+on_result (void *owner, const cv_http_result_t *r, bool is_outdated)
 {
   cv_watcher_t *w = owner;
   cv_error_t err = { 0 };
 
+  (void)is_outdated;
   switch (r->status)
     {
     case 0:
@@ -297,15 +330,15 @@
 void
 cv_watcher_tick (cv_watcher_t *w, cv_time_t now)
 {
-  cv_http_call_tick (&w->call, now);
-  if (!w->call.busy && now >= w->next_call)
+  cv_replica_call_tick (&w->call, now);
+  if (!w->call.http.busy && now >= w->next_call)
     start_call (w);
 }
 
 void
 cv_watcher_poll_now (cv_watcher_t *w, cv_time_t now)
 {
-  bool is_batching = w->is_synced && w->failures == 0 && !w->call.busy;
+  bool is_batching = w->is_synced && w->failures == 0 && !w->call.http.busy;
 
   if (!is_batching || now - w->polled_now_at < POLL_NOW_INTERVAL)
     return;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -50,6 +50,7 @@
   cv_hist_init (&g->latency, HIST_MIN_MS, HIST_MAX_MS);
   cv_hist_init (&g->first_event, HIST_MIN_MS, HIST_MAX_MS);
   cv_hist_init (&g->gaps, HIST_MIN_MS, HIST_MAX_MS);
+  cv_hist_init (&g->adoption_delay, HIST_MIN_MS, HIST_MAX_MS);
   if (!cv_http_parse_address (s->store_url, &g->store))
     return cv_fail (err, CV_ERR_INVALID, "store_url: not an IPv4 address");
   g->base = event_base_new ();
@@ -112,6 +113,7 @@
   cv_hist_finish (&g->latency);
   cv_hist_finish (&g->first_event);
   cv_hist_finish (&g->gaps);
+  cv_hist_finish (&g->adoption_delay);
 }
 
 bool
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -20,7 +20,8 @@
 /* A gateway takes requests without the object after this many failed reads.  */
 #define READS_MAX 4
 
-static void on_result (void *owner, const cv_http_result_t *r);
+static void on_result (void *owner, const cv_http_result_t *r,
+                       bool is_outdated);
 
 void
 cv_quarantine_store_init (cv_quarantine_store_t *q, cv_gateway_t *g)
@@ -29,13 +30,14 @@
   q->gateway = g;
   q->phase = CV_QUARANTINE_READ;
   q->is_fresh = true;
-  cv_http_call_init (&q->call, g->base, &g->store, on_result, q);
+  cv_replica_call_init (&q->call, g->base, &g->store, &g->store_history,
+                        on_result, q);
 }
 
 void
 cv_quarantine_store_finish (cv_quarantine_store_t *q)
 {
-  cv_http_call_finish (&q->call);
+  cv_replica_call_finish (&q->call);
 }
 
 void
@@ -52,6 +54,9 @@
 static void
 start_read (cv_quarantine_store_t *q)
 {
+  cv_replica_request_t request = { .method = "GET",
+                                   .timeout = CALL_TIMEOUT,
+                                   .may_be_stale = !q->is_fresh };
   cv_buf_t path;
 
   q->phase = CV_QUARANTINE_READ;
@@ -61,29 +66,33 @@
   else
     cv_platform_stale_list_path (&path, CV_STORE_SUSPECTS, "");
   q->is_fresh = false;
-  cv_http_call_start (&q->call, "GET", cv_buf_text (&path),
-                      (cv_slice_t){ NULL, 0 }, CALL_TIMEOUT);
+  request.path = cv_buf_text (&path);
+  cv_replica_call_start (&q->call, &request);
   cv_buf_finish (&path);
 }
 
 static void
 start_write (cv_quarantine_store_t *q, const char *document)
 {
+  bool exists = q->revision > 0;
+  cv_replica_request_t request = { .method = exists ? "PUT" : "POST",
+                                   .timeout = CALL_TIMEOUT,
+                                   .continues = exists };
   cv_buf_t path;
   cv_buf_t body;
 
   q->phase = CV_QUARANTINE_WRITE;
   cv_buf_init (&path);
   cv_buf_init (&body);
-  if (q->revision > 0)
+  if (exists)
     cv_platform_object_path (&path, CV_STORE_SUSPECTS, CV_QUARANTINE_OBJECT);
   else
     cv_platform_list_path (&path, CV_STORE_SUSPECTS, "");
   cv_platform_encode_object (&body, CV_QUARANTINE_OBJECT, q->revision,
                              document);
-  cv_http_call_start (&q->call, q->revision > 0 ? "PUT" : "POST",
-                      cv_buf_text (&path), (cv_slice_t){ body.p, body.n },
-                      CALL_TIMEOUT);
+  request.path = cv_buf_text (&path);
+  request.body = (cv_slice_t){ body.p, body.n };
+  cv_replica_call_start (&q->call, &request);
   cv_buf_finish (&path);
   cv_buf_finish (&body);
 }
@@ -187,12 +196,13 @@
 }
 
 static void
-on_result (void *owner, const cv_http_result_t *r)
+on_result (void *owner, const cv_http_result_t *r, bool is_outdated)
 {
   cv_quarantine_store_t *q = owner;
   cv_store_page_t page;
   cv_error_t err = { 0 };
 
+  (void)is_outdated;
   q->next_read_at = cv_now () + READ_INTERVAL;
   switch (q->phase)
     {
@@ -222,8 +232,8 @@
 void
 cv_quarantine_store_tick (cv_quarantine_store_t *q, cv_time_t now)
 {
-  cv_http_call_tick (&q->call, now);
-  if (!q->call.busy && now >= q->next_read_at)
+  cv_replica_call_tick (&q->call, now);
+  if (!q->call.http.busy && now >= q->next_read_at)
     start_read (q);
 }
 
--- a/gateway/register.c
+++ b/gateway/register.c
@@ -11,7 +11,8 @@
    receive no load reports, and places requests by its own counts.  */
 #define BACKOFF (1 * CV_SECOND)
 
-static void on_result (void *owner, const cv_http_result_t *r);
+static void on_result (void *owner, const cv_http_result_t *result,
+                       bool is_outdated);
 
 void
 cv_register_init (cv_register_t *r, cv_gateway_t *g)
@@ -19,13 +20,14 @@
   memset (r, 0, sizeof *r);
   r->gateway = g;
   r->phase = CV_REGISTER_CREATE;
-  cv_http_call_init (&r->call, g->base, &g->store, on_result, r);
+  cv_replica_call_init (&r->call, g->base, &g->store, &g->store_history,
+                        on_result, r);
 }
 
 void
 cv_register_finish (cv_register_t *r)
 {
-  cv_http_call_finish (&r->call);
+  cv_replica_call_finish (&r->call);
 }
 
 static void
@@ -33,6 +35,8 @@
 {
   const char *name = r->gateway->settings.instance;
   bool create = r->phase == CV_REGISTER_CREATE;
+  cv_replica_request_t request
+      = { .method = create ? "POST" : "PUT", .timeout = REGISTER_CALL_TIMEOUT };
   cv_buf_t path;
   cv_buf_t spec;
   cv_buf_t body;
@@ -46,8 +50,9 @@
     cv_platform_object_path (&path, CV_STORE_GATEWAYS, name);
   cv_gateway_address_encode (&spec, &r->gateway->loads_address);
   cv_platform_encode_object (&body, name, 0, cv_buf_text (&spec));
-  cv_http_call_start (&r->call, create ? "POST" : "PUT", cv_buf_text (&path),
-                      (cv_slice_t){ body.p, body.n }, REGISTER_CALL_TIMEOUT);
+  request.path = cv_buf_text (&path);
+  request.body = (cv_slice_t){ body.p, body.n };
+  cv_replica_call_start (&r->call, &request);
   cv_buf_finish (&path);
   cv_buf_finish (&spec);
   cv_buf_finish (&body);
@@ -55,11 +60,12 @@
 
 /* Without a response the same object is written again, which is harmless.  */
 static void
-on_result (void *owner, const cv_http_result_t *result)
+on_result (void *owner, const cv_http_result_t *result, bool is_outdated)
 {
   cv_register_t *r = owner;
   cv_line_t l;
 
+  (void)is_outdated;
   switch (result->status)
     {
     case 200:
@@ -85,7 +91,7 @@
 void
 cv_register_tick (cv_register_t *r, cv_time_t now)
 {
-  cv_http_call_tick (&r->call, now);
-  if (r->phase != CV_REGISTER_DONE && !r->call.busy && now >= r->next_call)
+  cv_replica_call_tick (&r->call, now);
+  if (r->phase != CV_REGISTER_DONE && !r->call.http.busy && now >= r->next_call)
     write_object (r);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -34,6 +34,7 @@
 #include "platform/platform.h"
 #include "policy/evacuation.h"
 #include "policy/health.h"
+#include "policy/history.h"
 #include "policy/output.h"
 #include "policy/pause.h"
 #include "policy/placement.h"
@@ -217,7 +218,7 @@
   cv_gateway_t *gateway;
   cv_store_kind_t kind;
   cv_watcher_phase_t phase;
-  cv_http_call_t call;
+  cv_replica_call_t call;
   uint64_t revision;             /* changes up to it are applied */
   uint64_t list_revision;        /* of the list being read */
   char list_cursor[CV_NAME_MAX]; /* last name of the previous page */
@@ -243,7 +244,7 @@
 {
   cv_gateway_t *gateway;
   cv_register_phase_t phase;
-  cv_http_call_t call;
+  cv_replica_call_t call;
   cv_time_t next_call;
 } cv_register_t;
 
@@ -294,6 +295,7 @@
   cv_gateway_settings_t settings;
   const char *settings_path;
   struct sockaddr_in store;
+  cv_history_t store_history;
   struct event_base *base;
   struct event *tick_event;
   struct event *signals[4];
@@ -335,9 +337,11 @@
   cv_time_t ending_at; /* start of IS_ENDING */
   cv_stop_t stop;      /* valid while STOPPING */
   cv_gateway_counts_t counts;
-  cv_hist_t latency;     /* milliseconds to the end of a response */
-  cv_hist_t first_event; /* milliseconds to the first event of a stream */
-  cv_hist_t gaps;        /* longest gap of each stream, milliseconds */
+  cv_hist_t latency;        /* milliseconds to the end of a response */
+  cv_hist_t first_event;    /* milliseconds to the first event of a stream */
+  cv_hist_t adoption_delay; /* milliseconds since the former configuration was
+                               last confirmed, as a newer one was adopted */
+  cv_hist_t gaps;           /* longest gap of each stream, milliseconds */
 };
 
 /* client.c */
--- a/http/call.c
+++ b/http/call.c
@@ -44,13 +44,19 @@
 }
 
 void
-cv_http_call_finish (cv_http_call_t *c)
+cv_http_call_cancel (cv_http_call_t *c)
 {
   close_link (c);
-  cv_buf_finish (&c->body);
   c->busy = false;
 }
 
+void
+cv_http_call_finish (cv_http_call_t *c)
+{
+  cv_http_call_cancel (c);
+  cv_buf_finish (&c->body);
+}
+
 static void
 fail_call (cv_http_call_t *c, const char *failure)
 {
--- a/http/call.h
+++ b/http/call.h
@@ -42,6 +42,9 @@
 /* Cancels a call in progress without calling its handler, and frees the
    resources.  */
 void cv_http_call_finish (cv_http_call_t *c);
+/* Cancels a call in progress without calling its handler; another one may be
+   started.  */
+void cv_http_call_cancel (cv_http_call_t *c);
 /* Starts a call; no other call may be in progress.  BODY is sent as JSON unless
    it is empty.  A call that cannot be sent fails at the next tick, so that the
    handler never runs within this function.  */
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -44,7 +44,8 @@
   if (o->base == NULL)
     return cv_fail (err, CV_ERR_SYSTEM, "cannot create the event loop");
   cv_http_call_init (&o->engine, o->base, &engine, on_engine, o);
-  cv_roster_init (&o->roster, o->base, &store, CV_EV_OBSERVER_GATEWAY_SKIPPED);
+  cv_roster_init (&o->roster, o->base, &store, &o->store_history,
+                  CV_EV_OBSERVER_GATEWAY_SKIPPED);
   /* Any port: gateways send to the source address of the load reports.  */
   o->socket = cv_datagram_open (NULL, err);
   return o->socket >= 0;
--- a/roster/roster.c
+++ b/roster/roster.c
@@ -10,21 +10,23 @@
 #define LIST_INTERVAL (2 * CV_SECOND)
 #define CALL_TIMEOUT (500 * CV_MS)
 
-static void on_store (void *owner, const cv_http_result_t *r);
+static void on_store (void *owner, const cv_http_result_t *result,
+                      bool is_outdated);
 
 void
 cv_roster_init (cv_roster_t *r, struct event_base *base,
-                const struct sockaddr_in *store, cv_event_t skipped)
+                const struct sockaddr_in *store, cv_history_t *history,
+                cv_event_t skipped)
 {
   memset (r, 0, sizeof *r);
   r->skipped = skipped;
-  cv_http_call_init (&r->store, base, store, on_store, r);
+  cv_replica_call_init (&r->store, base, store, history, on_store, r);
 }
 
 void
 cv_roster_finish (cv_roster_t *r)
 {
-  cv_http_call_finish (&r->store);
+  cv_replica_call_finish (&r->store);
 }
 
 static void
@@ -73,12 +75,13 @@
 
 /* After a failed call, listing starts over at the next LIST_INTERVAL.  */
 static void
-on_store (void *owner, const cv_http_result_t *result)
+on_store (void *owner, const cv_http_result_t *result, bool is_outdated)
 {
   cv_roster_t *r = owner;
   cv_store_page_t page;
   cv_error_t err = { 0 };
 
+  (void)is_outdated;
   if (result->status != 200
       || !cv_platform_decode_page (result->body, false, &page, &err))
     {
@@ -92,17 +95,20 @@
 void
 cv_roster_tick (cv_roster_t *r, cv_time_t now)
 {
+  cv_replica_request_t request
+      = { .method = "GET", .timeout = CALL_TIMEOUT, .may_be_stale = true };
   cv_buf_t path;
 
-  cv_http_call_tick (&r->store, now);
-  if (r->store.busy || now < r->next_list_at)
+  cv_replica_call_tick (&r->store, now);
+  if (r->store.http.busy || now < r->next_list_at)
     return;
   r->next_list_at = now + LIST_INTERVAL;
   if (r->list_after[0] == '\0')
     r->listed_count = 0;
   cv_buf_init (&path);
   cv_platform_stale_list_path (&path, CV_STORE_GATEWAYS, r->list_after);
-  cv_http_call_start (&r->store, "GET", cv_buf_text (&path),
-                      (cv_slice_t){ NULL, 0 }, CALL_TIMEOUT);
+  request.path = cv_buf_text (&path);
+  request.continues = r->list_after[0] != '\0';
+  cv_replica_call_start (&r->store, &request);
   cv_buf_finish (&path);
 }
--- a/roster/roster.h
+++ b/roster/roster.h
@@ -7,7 +7,7 @@
 
 #include <netinet/in.h>
 
-#include "http/call.h"
+#include "replica/call.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -18,7 +18,7 @@
 
 typedef struct
 {
-  cv_http_call_t store;
+  cv_replica_call_t store;
   cv_event_t skipped; /* logged for a gateway that is skipped */
   cv_time_t next_list_at;
   char list_after[CV_NAME_MAX]; /* last name of the previous page, or "" */
@@ -31,7 +31,8 @@
 } cv_roster_t;
 
 void cv_roster_init (cv_roster_t *r, struct event_base *base,
-                     const struct sockaddr_in *store, cv_event_t skipped);
+                     const struct sockaddr_in *store, cv_history_t *history,
+                     cv_event_t skipped);
 void cv_roster_finish (cv_roster_t *r);
 /* Lists the gateways when it is time.  After a failed call the previous list
    stays in use.  */
