--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -85,16 +85,20 @@
 
 
 class Store(Server):
-    """The object store: lists and watches the objects of a kind."""
+    """The object store: lists and watches the objects of a kind, and may return
+    from an older copy of itself."""
 
     def __init__(self):
         super().__init__()
+        self.era = 1
         self.revision = 1
         self.objects = {}
         self.events = []
         self.changed = asyncio.Condition()
         self.silent = False  # if set, calls get no response
         self.status = None  # if set, status of the response to every call
+        self.page_size = 500  # objects in an answer to a list
+        self.after_page = None  # called once, after a page that is not the last
 
     async def put(self, kind, name, spec):
         self.revision += 1
@@ -114,11 +118,30 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy(self):
+        """What restore returns to."""
+        return self.revision, dict(self.objects), list(self.events)
+
+    async def restore(self, copy, drop=True):
+        """Return from COPY: later changes are lost, and their revisions are
+        given out again.  With DROP the connections are reset."""
+        self.revision, self.objects, self.events = copy[0], dict(copy[1]), list(
+            copy[2])
+        self.era += 1
+        if drop:
+            self.drop_connections()
+        async with self.changed:
+            self.changed.notify_all()
+
+    def answer(self, status, body=b""):
+        era = [] if self.era is None else [("Store-Era", str(self.era))]
+        return answer(status, body, era)
+
     async def handle(self, request, writer):
         if self.silent:
             await asyncio.sleep(3600)
         if self.status is not None:
-            writer.write(answer(self.status))
+            writer.write(self.answer(self.status))
             return True
         path, _, query = request.path.partition("?")
         parameters = dict(w.split("=") for w in query.split("&") if w)
@@ -130,10 +153,15 @@
             await self.watch(kind, int(parameters["Watch"]),
                              int(parameters["WaitMs"]), writer)
             return True
-        entries = [v for (k, _), v in sorted(self.objects.items())
-                   if k == kind]
-        body = {"Entries": entries, "HasMore": False, "At": self.revision}
-        writer.write(answer(200, json.dumps(body).encode()))
+        entries = [v for (k, name), v in sorted(self.objects.items())
+                   if k == kind and name > parameters.get("After", "")]
+        has_more = len(entries) > self.page_size
+        body = {"Entries": entries[:self.page_size], "HasMore": has_more,
+                "At": self.revision}
+        writer.write(self.answer(200, json.dumps(body).encode()))
+        if has_more and self.after_page:
+            call, self.after_page = self.after_page, None
+            await call()
         return True
 
     async def write(self, kind, request):
@@ -144,18 +172,22 @@
         revision = value["Metadata"].get("Revision")
         present = self.objects.get((kind, name))
         if present is None and request.method == "PUT":
-            return answer(404)
+            return self.answer(404)
         if present is not None and (
                 request.method == "POST"
                 or revision not in (None, present["Metadata"]["Revision"])):
-            return answer(409, json.dumps(present).encode())
+            return self.answer(409, json.dumps(present).encode())
         await self.put(kind, name, value["Spec"])
-        return answer(200, json.dumps(self.objects[(kind, name)]).encode())
+        return self.answer(200, json.dumps(self.objects[(kind, name)]).encode())
 
     async def watch(self, kind, since, wait_ms, writer):
         def new_events():
             return [e for r, k, e in self.events if k == kind and r > since]
 
+        if since > self.revision:
+            writer.write(self.answer(410))
+            return
+
         try:
             async with self.changed:
                 await asyncio.wait_for(
@@ -164,7 +196,7 @@
         except asyncio.TimeoutError:
             pass
         body = {"events": new_events(), "At": self.revision}
-        writer.write(answer(200, json.dumps(body).encode()))
+        writer.write(self.answer(200, json.dumps(body).encode()))
 
 
 class Target(Server):
