gateway: versions order configurations in all histories of the store

Callers got 404 on routes of a configuration that had been confirmed, and an older configuration, with a key that was taken away, could be in force again.

Cause: positions of one history of the store were used in another. A configuration was taken only at a higher revision, watches and lists went on from revisions and names that the restored store had given out again, and the gateway's own object was not written again.

Now each reader keeps the history of its position, an answer of another one makes it start over, and the configuration's own version says which one is newer. A gateway that has learnt of a restoration writes its object again; targets and gateways that the copy lacks are kept until they can have registered again.

--- a/gateway/evidence.h
+++ b/gateway/evidence.h
@@ -70,6 +70,7 @@
   cv_quarantine_phase_t phase;
   cv_replica_call_t call;
   cv_time_t next_read_at;
+  uint64_t history;  /* of the store, in which the last call was answered */
   uint64_t revision; /* of the object as read, 0: there is none */
   bool is_fresh;     /* the next read must not be stale */
   bool is_read;
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -95,6 +95,14 @@
   cv_buf_finish (&path);
 }
 
+/* Reads the list from its first page on.  */
+static void
+restart_list (cv_watcher_t *w)
+{
+  w->phase = CV_WATCHER_LIST;
+  w->list_cursor[0] = '\0';
+}
+
 /* Schedules a retry of a failed call.  */
 static void
 handle_failure (cv_watcher_t *w, const char *reason)
@@ -143,18 +151,27 @@
              && cv_now () - w->reachable_since < EXPIRY_WINDOW);
 }
 
-/* Logs that O does not replace the configuration in force, unless it is the
-   one in force.  */
+/* Whether an entry that a list lacks may have been registered since the copy
+   that the store was restored from.  */
+static bool
+was_restored_lately (const cv_watcher_t *w)
+{
+  return cv_store_history_is_recent (&w->gateway->store_history, cv_now (),
+                                     EXPIRY_WINDOW);
+}
+
+/* Logs that R does not replace the configuration in force, unless it is the one
+   in force.  */
 static void
-log_ignored (const cv_gateway_t *g, const cv_store_object_t *o)
+log_ignored (const cv_gateway_t *g, const cv_routing_t *r)
 {
   cv_line_t l;
 
-  if (o->revision == g->routing->revision)
+  if (r->version == g->routing->version)
     return;
   cv_line_begin (&l, CV_EV_GATEWAY_ROUTING_IGNORED);
-  cv_line_number (&l, "version", (int64_t)cv_platform_routing_version (o));
-  cv_line_number (&l, "revision", (int64_t)o->revision);
+  cv_line_number (&l, "version", (int64_t)r->version);
+  cv_line_number (&l, "revision", (int64_t)r->revision);
   cv_line_number (&l, "era", (int64_t)g->store_history.era.number);
   cv_line_number (&l, "in_force", (int64_t)g->routing->version);
   cv_line_number (&l, "in_force_revision", (int64_t)g->routing->revision);
@@ -172,12 +189,6 @@
 
   if (o->deleted || !cv_platform_is_active_routing (o))
     return;
-  /* Only a newer store revision replaces the configuration in force.  */
-  if (g->routing != NULL && o->revision <= g->routing->revision)
-    {
-      log_ignored (g, o);
-      return;
-    }
   r = cv_platform_decode_routing (o, &err);
   if (r == NULL)
     {
@@ -187,6 +198,13 @@
       cv_line_end (&l);
       return;
     }
+  r->history = g->store_history.number;
+  if (g->routing != NULL && !cv_routing_supersedes (r, g->routing))
+    {
+      log_ignored (g, r);
+      cv_routing_unref (r);
+      return;
+    }
   if (g->routing != NULL)
     cv_hist_add (&g->adoption_delay, (double)unconfirmed / CV_MS);
   cv_routing_unref (g->routing);
@@ -253,7 +271,8 @@
   if (page->has_more)
     return;
   if (w->kind == CV_STORE_INSTANCES)
-    cv_targets_list_end (w->gateway, entry_may_have_expired (w));
+    cv_targets_list_end (w->gateway,
+                         entry_may_have_expired (w) || was_restored_lately (w));
   w->is_synced = true;
   w->revision = w->list_revision;
   w->list_cursor[0] = '\0';
@@ -272,6 +291,7 @@
       /* Changes made between two pages are read later as changes since the
          revision of the first page.  */
       w->list_revision = page.revision;
+      w->history = w->gateway->store_history.number;
       if (w->kind == CV_STORE_INSTANCES)
         cv_targets_list_begin (w->gateway);
     }
@@ -296,7 +316,14 @@
   cv_watcher_t *w = owner;
   cv_error_t err = { 0 };
 
-  (void)is_outdated;
+  if (is_outdated)
+    {
+      restart_list (w);
+      handle_failure (w, "answer of another era");
+      if (w->failures == 1)
+        w->next_call = 0;
+      return;
+    }
   switch (r->status)
     {
     case 0:
@@ -311,8 +338,7 @@
       break;
     case 410:
       /* The store no longer keeps the changes since this revision.  */
-      w->phase = CV_WATCHER_LIST;
-      w->list_cursor[0] = '\0';
+      restart_list (w);
       break;
     default:
       /* "refuses" means any other status.  */
@@ -327,10 +353,24 @@
     start_call (w);
 }
 
+/* Another reader has learnt that the store was restored: what W waits for may
+   never come.  */
+static void
+leave_history (cv_watcher_t *w)
+{
+  if (w->phase == CV_WATCHER_LIST && w->list_cursor[0] == '\0')
+    return;
+  cv_replica_call_cancel (&w->call);
+  restart_list (w);
+  w->next_call = 0;
+}
+
 void
 cv_watcher_tick (cv_watcher_t *w, cv_time_t now)
 {
   cv_replica_call_tick (&w->call, now);
+  if (w->history != w->gateway->store_history.number)
+    leave_history (w);
   if (!w->call.http.busy && now >= w->next_call)
     start_call (w);
 }
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -202,7 +202,12 @@
   cv_store_page_t page;
   cv_error_t err = { 0 };
 
-  (void)is_outdated;
+  if (is_outdated)
+    {
+      handle_failure (q);
+      return;
+    }
+  q->history = q->gateway->store_history.number;
   q->next_read_at = cv_now () + READ_INTERVAL;
   switch (q->phase)
     {
@@ -233,6 +238,11 @@
 cv_quarantine_store_tick (cv_quarantine_store_t *q, cv_time_t now)
 {
   cv_replica_call_tick (&q->call, now);
+  if (q->history != q->gateway->store_history.number && !q->call.http.busy)
+    {
+      q->history = q->gateway->store_history.number;
+      cv_quarantine_store_changed (q);
+    }
   if (!q->call.http.busy && now >= q->next_read_at)
     start_read (q);
 }
--- a/gateway/register.c
+++ b/gateway/register.c
@@ -10,6 +10,8 @@
 /* Backoff after a failed call.  Until it is registered, the gateway may
    receive no load reports, and places requests by its own counts.  */
 #define BACKOFF (1 * CV_SECOND)
+/* After the store was restored, all gateways write within this time.  */
+#define RESTORED_DELAY (500 * CV_MS)
 
 static void on_result (void *owner, const cv_http_result_t *result,
                        bool is_outdated);
@@ -65,12 +67,17 @@
   cv_register_t *r = owner;
   cv_line_t l;
 
-  (void)is_outdated;
+  if (is_outdated)
+    {
+      r->phase = CV_REGISTER_CREATE;
+      return;
+    }
   switch (result->status)
     {
     case 200:
     case 201:
       r->phase = CV_REGISTER_DONE;
+      r->history = r->gateway->store_history.number;
       cv_line_begin (&l, CV_EV_GATEWAY_REGISTERED);
       cv_line_text (&l, "instance", cv_slice (r->gateway->settings.instance));
       cv_line_end (&l);
@@ -88,10 +95,23 @@
     }
 }
 
+/* The store was restored; it may not have the object any longer.  */
+static void
+register_again (cv_register_t *r, cv_time_t now)
+{
+  r->phase = CV_REGISTER_CREATE;
+  r->next_call = now
+                 + (cv_time_t)((double)RESTORED_DELAY
+                               * cv_rng_uniform (&r->gateway->rng));
+}
+
 void
 cv_register_tick (cv_register_t *r, cv_time_t now)
 {
   cv_replica_call_tick (&r->call, now);
+  if (r->phase == CV_REGISTER_DONE
+      && r->history != r->gateway->store_history.number)
+    register_again (r, now);
   if (r->phase != CV_REGISTER_DONE && !r->call.http.busy && now >= r->next_call)
     write_object (r);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -34,13 +34,13 @@
 #include "platform/platform.h"
 #include "policy/evacuation.h"
 #include "policy/health.h"
-#include "policy/history.h"
 #include "policy/output.h"
 #include "policy/pause.h"
 #include "policy/placement.h"
 #include "policy/policy.h"
 #include "policy/refusal.h"
 #include "policy/stop.h"
+#include "policy/store_history.h"
 #include "policy/urgency.h"
 #include "routing/routing.h"
 
@@ -219,6 +219,7 @@
   cv_store_kind_t kind;
   cv_watcher_phase_t phase;
   cv_replica_call_t call;
+  uint64_t history;              /* of the positions that follow */
   uint64_t revision;             /* changes up to it are applied */
   uint64_t list_revision;        /* of the list being read */
   char list_cursor[CV_NAME_MAX]; /* last name of the previous page */
@@ -245,6 +246,7 @@
   cv_gateway_t *gateway;
   cv_register_phase_t phase;
   cv_replica_call_t call;
+  uint64_t history; /* of the store, in which the object was written */
   cv_time_t next_call;
 } cv_register_t;
 
@@ -295,7 +297,7 @@
   cv_gateway_settings_t settings;
   const char *settings_path;
   struct sockaddr_in store;
-  cv_history_t store_history;
+  cv_store_history_t store_history;
   struct event_base *base;
   struct event *tick_event;
   struct event *signals[4];
--- a/observer/state.h
+++ b/observer/state.h
@@ -31,7 +31,7 @@
   int socket; /* UDP: load reports, reservations and migration leases */
   struct event *datagrams;
   cv_http_call_t engine;
-  cv_history_t store_history;
+  cv_store_history_t store_history;
   cv_roster_t roster; /* gateways that get load reports */
   bool wants_name; /* the next or current call to the engine is for its name */
   bool reachable;  /* the last engine report was valid, and all later calls to
--- a/policy/history.h
+++ b/policy/store_history.h
@@ -8,8 +8,8 @@
    one history says nothing about positions (revisions, names in a list) in
    another.  */
 
-#ifndef CV_POLICY_HISTORY_H
-#define CV_POLICY_HISTORY_H
+#ifndef CV_POLICY_STORE_HISTORY_H
+#define CV_POLICY_STORE_HISTORY_H
 
 #include "base/base.h"
 
@@ -30,7 +30,7 @@
   uint64_t number; /* counted by this process; 0: none was named yet */
   cv_era_t era;
   cv_time_t began_at; /* when this process learnt of it */
-} cv_history_t;
+} cv_store_history_t;
 
 /* What the position of a call to the store rests on.  */
 typedef struct
@@ -42,11 +42,11 @@
 
 /* Records the ERA of an answer to a call with BASIS.  Returns false when the
    answer does not belong to the current history: its reader starts over.  */
-bool cv_history_admit (cv_history_t *h, cv_era_t era,
-                       const cv_call_basis_t *basis, cv_time_t now);
+bool cv_store_history_admit (cv_store_history_t *h, cv_era_t era,
+                             const cv_call_basis_t *basis, cv_time_t now);
 /* Whether the store was restored less than PERIOD ago, as far as known.  */
-bool cv_history_is_recent (const cv_history_t *h, cv_time_t now,
-                           cv_time_t period);
+bool cv_store_history_is_recent (const cv_store_history_t *h, cv_time_t now,
+                                 cv_time_t period);
 
 #ifdef __cplusplus
 }
--- a/policy/tests/history_test.cc
+++ b/policy/tests/store_history_test.cc
@@ -2,17 +2,17 @@
 
 #include <gtest/gtest.h>
 
-#include "policy/history.h"
+#include "policy/store_history.h"
 
 namespace
 {
 
 const cv_time_t kStart = 100 * CV_SECOND;
 
-class History : public ::testing::Test
+class StoreHistory : public ::testing::Test
 {
 protected:
-  cv_history_t h = {};
+  cv_store_history_t h = {};
 
   cv_call_basis_t
   list () const
@@ -32,23 +32,23 @@
   bool
   admit (uint64_t era, const cv_call_basis_t &basis, cv_time_t at = kStart)
   {
-    return cv_history_admit (&h, { true, era }, &basis, at);
+    return cv_store_history_admit (&h, { true, era }, &basis, at);
   }
   bool
   admitWithout (const cv_call_basis_t &basis)
   {
-    return cv_history_admit (&h, {}, &basis, kStart);
+    return cv_store_history_admit (&h, {}, &basis, kStart);
   }
 };
 
-TEST_F (History, OfAStoreThatNamesNoneGoesOn)
+TEST_F (StoreHistory, OfAStoreThatNamesNoneGoesOn)
 {
   EXPECT_TRUE (admitWithout (list ()));
   EXPECT_TRUE (admitWithout (watch ()));
   EXPECT_EQ (h.number, 0U);
 }
 
-TEST_F (History, ListsOfANewOneCountAndWatchesFromTheFormerDoNot)
+TEST_F (StoreHistory, ListsOfANewOneCountAndWatchesFromTheFormerDoNot)
 {
   EXPECT_TRUE (admit (0, list ()));
   EXPECT_TRUE (admit (0, watch ()));
@@ -59,7 +59,7 @@
   EXPECT_TRUE (admit (1, watch ()));
 }
 
-TEST_F (History, AnswersOfAFormerOneThatArriveLateDoNotCount)
+TEST_F (StoreHistory, AnswersOfAFormerOneThatArriveLateDoNotCount)
 {
   EXPECT_TRUE (admit (4, list ()));
   const cv_call_basis_t old_list = list ();
@@ -72,7 +72,7 @@
   EXPECT_TRUE (admitWithout (watch ()));
 }
 
-TEST_F (History, AStaleReadLearnsOfANewOneButNotOfAnOlderOne)
+TEST_F (StoreHistory, AStaleReadLearnsOfANewOneButNotOfAnOlderOne)
 {
   EXPECT_TRUE (admit (4, list ()));
   EXPECT_FALSE (admit (3, stale ()));
@@ -81,7 +81,7 @@
   EXPECT_EQ (h.era.number, 5U);
 }
 
-TEST_F (History, ALowerEraOfACallSentSinceIsAnother)
+TEST_F (StoreHistory, ALowerEraOfACallSentSinceIsAnother)
 {
   EXPECT_TRUE (admit (7, list ()));
   EXPECT_TRUE (admit (1, list ()));
@@ -89,13 +89,14 @@
   EXPECT_FALSE (admit (7, { 1, true, false }));
 }
 
-TEST_F (History, IsRecentAfterARestorationOnly)
+TEST_F (StoreHistory, IsRecentAfterARestorationOnly)
 {
   EXPECT_TRUE (admit (1, list ()));
-  EXPECT_FALSE (cv_history_is_recent (&h, kStart, CV_SECOND));
+  EXPECT_FALSE (cv_store_history_is_recent (&h, kStart, CV_SECOND));
   EXPECT_TRUE (admit (2, list (), kStart + CV_SECOND));
-  EXPECT_TRUE (cv_history_is_recent (&h, kStart + CV_SECOND, CV_SECOND));
-  EXPECT_FALSE (cv_history_is_recent (&h, kStart + 2 * CV_SECOND, CV_SECOND));
+  EXPECT_TRUE (cv_store_history_is_recent (&h, kStart + CV_SECOND, CV_SECOND));
+  EXPECT_FALSE (
+      cv_store_history_is_recent (&h, kStart + 2 * CV_SECOND, CV_SECOND));
 }
 
 } // namespace
--- a/replica/call.c
+++ b/replica/call.c
@@ -5,7 +5,7 @@
 #include "base/line.h"
 
 static void
-log_history (const cv_history_t *h, cv_era_t former)
+log_history (const cv_store_history_t *h, cv_era_t former)
 {
   cv_line_t l;
 
@@ -45,14 +45,14 @@
 on_result (void *owner, const cv_http_result_t *r)
 {
   cv_replica_call_t *c = owner;
-  cv_history_t *h = c->history;
+  cv_store_history_t *h = c->history;
   cv_era_t former = h->era;
   uint64_t number = h->number;
   bool is_admitted = true;
 
   if (r->head != NULL)
-    is_admitted
-        = cv_history_admit (h, decode_era (c, r->head), &c->basis, cv_now ());
+    is_admitted = cv_store_history_admit (h, decode_era (c, r->head), &c->basis,
+                                          cv_now ());
   if (h->number != number && former.is_named)
     log_history (h, former);
   c->handler (c->owner, r, !is_admitted);
@@ -60,7 +60,8 @@
 
 void
 cv_replica_call_init (cv_replica_call_t *c, struct event_base *base,
-                      const struct sockaddr_in *store, cv_history_t *history,
+                      const struct sockaddr_in *store,
+                      cv_store_history_t *history,
                       cv_replica_handler_t *handler, void *owner)
 {
   memset (c, 0, sizeof *c);
--- a/replica/call.h
+++ b/replica/call.h
@@ -8,7 +8,7 @@
 
 #include "http/call.h"
 #include "platform/platform.h"
-#include "policy/history.h"
+#include "policy/store_history.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -23,9 +23,9 @@
 typedef struct
 {
   cv_http_call_t http;
-  cv_history_t *history;  /* shared by all calls of the process */
-  cv_call_basis_t basis;  /* of the call in progress */
-  bool has_malformed_era; /* one was logged */
+  cv_store_history_t *history; /* shared by all calls of the process */
+  cv_call_basis_t basis;       /* of the call in progress */
+  bool has_malformed_era;      /* one was logged */
   cv_replica_handler_t *handler;
   void *owner;
 } cv_replica_call_t;
@@ -43,8 +43,8 @@
 
 void cv_replica_call_init (cv_replica_call_t *c, struct event_base *base,
                            const struct sockaddr_in *store,
-                           cv_history_t *history, cv_replica_handler_t *handler,
-                           void *owner);
+                           cv_store_history_t *history,
+                           cv_replica_handler_t *handler, void *owner);
 /* Cancels a call in progress without calling its handler, and frees the
    resources.  */
 void cv_replica_call_finish (cv_replica_call_t *c);
--- a/roster/roster.c
+++ b/roster/roster.c
@@ -9,13 +9,17 @@
 
 #define LIST_INTERVAL (2 * CV_SECOND)
 #define CALL_TIMEOUT (500 * CV_MS)
+/* Gateways write their objects again within this time after the store was
+   restored, and a stale list shows them: 3 s of staleness, one LIST_INTERVAL
+   and the time until each gateway has learnt of it.  */
+#define FORMER_PERIOD (8 * CV_SECOND)
 
 static void on_store (void *owner, const cv_http_result_t *result,
                       bool is_outdated);
 
 void
 cv_roster_init (cv_roster_t *r, struct event_base *base,
-                const struct sockaddr_in *store, cv_history_t *history,
+                const struct sockaddr_in *store, cv_store_history_t *history,
                 cv_event_t skipped)
 {
   memset (r, 0, sizeof *r);
@@ -51,6 +55,26 @@
   r->listed[r->listed_count++] = address;
 }
 
+static bool
+is_listed (const cv_roster_t *r, const struct sockaddr_in *gateway)
+{
+  for (uint32_t i = 0; i < r->listed_count; i++)
+    if (r->listed[i].sin_addr.s_addr == gateway->sin_addr.s_addr
+        && r->listed[i].sin_port == gateway->sin_port)
+      return true;
+  return false;
+}
+
+/* Adds the gateways known so far to those that were listed: the copy that the
+   store was restored from may lack them.  */
+static void
+keep_former (cv_roster_t *r)
+{
+  for (uint32_t i = 0; i < r->count && r->listed_count < CV_ROSTER_MAX; i++)
+    if (!is_listed (r, &r->gateways[i]))
+      r->listed[r->listed_count++] = r->gateways[i];
+}
+
 static void
 handle_page (cv_roster_t *r, const cv_store_page_t *page)
 {
@@ -68,6 +92,8 @@
       r->next_list_at = 0;
       return;
     }
+  if (cv_store_history_is_recent (r->store.history, cv_now (), FORMER_PERIOD))
+    keep_former (r);
   memcpy (r->gateways, r->listed, sizeof r->gateways);
   r->count = r->listed_count;
   r->list_after[0] = '\0';
@@ -81,8 +107,7 @@
   cv_store_page_t page;
   cv_error_t err = { 0 };
 
-  (void)is_outdated;
-  if (result->status != 200
+  if (is_outdated || result->status != 200
       || !cv_platform_decode_page (result->body, false, &page, &err))
     {
       r->list_after[0] = '\0';
--- a/roster/roster.h
+++ b/roster/roster.h
@@ -31,8 +31,8 @@
 } cv_roster_t;
 
 void cv_roster_init (cv_roster_t *r, struct event_base *base,
-                     const struct sockaddr_in *store, cv_history_t *history,
-                     cv_event_t skipped);
+                     const struct sockaddr_in *store,
+                     cv_store_history_t *history, cv_event_t skipped);
 void cv_roster_finish (cv_roster_t *r);
 /* Lists the gateways when it is time.  After a failed call the previous list
    stays in use.  */
--- a/routing/routing.c
+++ b/routing/routing.c
@@ -10,6 +10,16 @@
 /* Bytes of a request's host that are compared; the rest is ignored.  */
 #define HOST_BYTES_MAX 256
 
+bool
+cv_routing_supersedes (const cv_routing_t *r, const cv_routing_t *current)
+{
+  if (r->version != current->version)
+    return r->version > current->version;
+  if (r->history != current->history)
+    return r->history > current->history;
+  return r->revision > current->revision;
+}
+
 cv_routing_t *
 cv_routing_new (void)
 {
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -97,8 +97,10 @@
 typedef struct
 {
   uint32_t refs;
-  uint64_t version;  /* number set by the operators */
-  uint64_t revision; /* of the object in the store */
+  uint64_t version; /* number set by the operators */
+  uint64_t
+      history; /* of the store, in which it was read (policy/store_history.h) */
+  uint64_t revision; /* of the object in the store, in HISTORY */
   cv_route_t *routes;
   uint32_t route_count;
   cv_service_t *services;
@@ -116,6 +118,9 @@
   cv_map_t longest_prefix; /* hash of a host to length of longest prefix */
 } cv_routing_t;
 
+/* Whether R replaces CURRENT.  Versions increase in all histories of the store;
+   revisions tell two writes of one version apart.  */
+bool cv_routing_supersedes (const cv_routing_t *r, const cv_routing_t *current);
 /* Returns an empty version with one reference, for a decoder to fill.  */
 cv_routing_t *cv_routing_new (void);
 cv_routing_t *cv_routing_ref (cv_routing_t *r);
--- a/routing/tests/routing_test.cc
+++ b/routing/tests/routing_test.cc
@@ -94,4 +94,29 @@
     }
 }
 
+/* The store is restored from a copy; the operator writes versions again.  */
+TEST (Routing, AVersionIsNeverReplacedByAnOlderOne)
+{
+  cv_routing_t current = {};
+  cv_routing_t r = {};
+
+  current.version = 7;
+  current.history = 1;
+  current.revision = 900;
+  r.version = 6;
+  r.history = 2;
+  r.revision = 1000;
+  EXPECT_FALSE (cv_routing_supersedes (&r, &current));
+  r.version = 8;
+  r.revision = 4;
+  EXPECT_TRUE (cv_routing_supersedes (&r, &current)) << "at a lower revision";
+  r.version = 7;
+  r.revision = 4;
+  EXPECT_TRUE (cv_routing_supersedes (&r, &current)) << "written again";
+  r.history = 1;
+  EXPECT_FALSE (cv_routing_supersedes (&r, &current)) << "a late answer";
+  r.revision = 901;
+  EXPECT_TRUE (cv_routing_supersedes (&r, &current));
+}
+
 } // namespace
