gateway: log targets that return and attempts at targets that are leaving

The hypotheses on DRAIN could not be told apart in the log: a target that an entry shows as ready again had no line, and an attempt did not say that its target was known to be leaving.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -168,6 +168,9 @@
   add_counter (body, "leavings_announced_total",
                "Targets that announced their leaving in an answer.",
                g->counts.leavings);
+  add_counter (body, "sent_to_leaving_total",
+               "Attempts at targets that were known to be leaving.",
+               g->counts.sent_to_leaving);
   add_counter (body, "pauses_total",
                "Pauses without requests that targets asked for.",
                g->counts.pauses);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -90,6 +90,11 @@
   cv_line_number (&l, "attempt", x->sends);
   cv_line_number (&l, "waited_us", cv_now () - x->started_at);
   cv_line_number (&l, "late", x->urgency.is_late);
+  if (x->target->leaving_since > 0)
+    {
+      cv_line_number (&l, "leaving_us", x->sent_at - x->target->leaving_since);
+      x->gateway->counts.sent_to_leaving += !x->from_copy;
+    }
   cv_line_number (&l, "version", (int64_t)x->routing->version);
   if (x->gateway->stopping)
     cv_line_number (&l, "stop_left_us", x->gateway->stop.ends_at - x->sent_at);
--- a/gateway/leaving.c
+++ b/gateway/leaving.c
@@ -32,6 +32,8 @@
   if (t->has_announced_leaving)
     return;
   t->has_announced_leaving = true;
+  if (t->leaving_since == 0)
+    t->leaving_since = cv_now ();
   t->gateway->counts.leavings++;
   s->keys[s->next] = key_of (t);
   s->next = (s->next + 1) % CV_LEAVINGS_MAX;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -82,6 +82,7 @@
   bool in_current_list;       /* occurs in the list being read */
   cv_time_t displaced_until;  /* another instance uses its address */
   bool has_announced_leaving; /* in an answer: no new requests */
+  cv_time_t leaving_since;    /* first known to be leaving; 0: not known */
   bool has_malformed_leaving; /* an unknown value was logged */
   cv_pause_t pause;           /* that it asked for */
   bool has_malformed_pause;   /* a malformed one was logged */
@@ -277,6 +278,7 @@
   uint64_t limit_refusals;   /* refused because of the limits of all targets */
   uint64_t leavings;         /* announced by targets in their answers */
   uint64_t pauses;           /* that targets asked for */
+  uint64_t sent_to_leaving;  /* attempts at targets known to be leaving */
 } cv_gateway_counts_t;
 
 /* Announcements of leaving that are kept after their targets; the oldest is
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -80,6 +80,7 @@
   cv_line_text (&l, "target", cv_slice (t->record.id));
   cv_line_text (&l, "service", cv_slice (t->record.service));
   cv_line_text (&l, "reason", cv_slice (reason));
+  cv_line_number (&l, "started_ms", (int64_t)t->record.started_ms);
   cv_line_number (&l, "in_flight", t->in_flight);
   cv_line_end (&l);
 }
@@ -88,6 +89,8 @@
 mark_removed (cv_target_t *t, const char *reason)
 {
   log_target (CV_EV_GATEWAY_TARGET_LEAVING, t, reason);
+  if (t->leaving_since == 0)
+    t->leaving_since = cv_now ();
   t->presence = CV_TARGET_REMOVED;
   close_all_idle (t);
 }
@@ -168,7 +171,9 @@
   if (t != NULL && t->record.started_ms != r->started_ms
       && t->record.started_ms != 0)
     {
-      mark_removed (t, "instance restarted");
+      mark_removed (t, t->record.started_ms < r->started_ms
+                           ? "instance restarted"
+                           : "an older start is listed");
       delete_target (t);
       t = NULL;
     }
@@ -176,11 +181,15 @@
     t = add_target (g, r);
   t->in_current_list = true;
   t->record = *r;
+  if (!r->draining && t->presence != CV_TARGET_LISTED)
+    log_target (CV_EV_GATEWAY_TARGET_RETURNED, t, "listed as ready again");
   if (!r->draining)
     t->presence = CV_TARGET_LISTED;
   else if (t->presence != CV_TARGET_DRAINING)
     {
       t->presence = CV_TARGET_DRAINING;
+      if (t->leaving_since == 0)
+        t->leaving_since = cv_now ();
       /* The reason means: marked as draining in the store.  */
       log_target (CV_EV_GATEWAY_TARGET_LEAVING, t, "leaving");
     }
