gateway: an older entry does not bring back a target that left

Requests reached targets that had said they were leaving, or were gone, after an older entry showed them as ready: one of the copy that the store was restored from, or one of an earlier start, which counted as a restart.

Cause: entries were followed without asking what is known of their start. Now policy/starts keeps, beside the list, the latest start of each instance that left and how; a leaving is final for its start, an earlier start is ignored, and an entry that was removed before a restoration is used only if it is written again or stays.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -221,7 +221,7 @@
 }
 
 static void
-update_instance (cv_watcher_t *w, const cv_store_object_t *o)
+update_instance (cv_watcher_t *w, const cv_store_object_t *o, bool is_change)
 {
   cv_instance_record_t record;
   cv_error_t err = { 0 };
@@ -234,7 +234,7 @@
     }
   if (cv_platform_decode_instance (o, &record, &err))
     {
-      cv_targets_update (w->gateway, &record);
+      cv_targets_update (w->gateway, &record, is_change);
       return;
     }
   cv_line_begin (&l, CV_EV_GATEWAY_TARGET_INVALID);
@@ -243,7 +243,7 @@
 }
 
 static void
-apply_object (cv_watcher_t *w, const cv_store_object_t *o)
+apply_object (cv_watcher_t *w, const cv_store_object_t *o, bool is_change)
 {
   switch (w->kind)
     {
@@ -251,7 +251,7 @@
       adopt_routing (w, o);
       return;
     case CV_STORE_INSTANCES:
-      update_instance (w, o);
+      update_instance (w, o, is_change);
       return;
     case CV_STORE_GATEWAYS:
     case CV_STORE_SUSPECTS:
@@ -301,7 +301,7 @@
 
       if (!cv_platform_page_object (&page, i, &o))
         continue;
-      apply_object (w, &o);
+      apply_object (w, &o, page.is_change);
       if (!page.is_change)
         (void)cv_copy (w->list_cursor, sizeof w->list_cursor, o.name);
     }
--- a/gateway/leaving.c
+++ b/gateway/leaving.c
@@ -1,50 +1,130 @@
-/* Targets that say in their answers that they are leaving.  From then on a
-   gateway sends them nothing new, whatever the list of instances says, until it
-   has another instance or another start at the address.  */
+/* Targets that are leaving, by their entry, by their observer or by their own
+   answers, and targets that were removed.  A gateway sends them nothing new
+   until it has another instance or a later start at the address, whatever an
+   older entry says.  */
 
 #include <string.h>
 
 #include "gateway/state.h"
 
+/* After a restoration of the store, the entry of a target that has ended is
+   dropped after three of its heartbeats (1.2 s), and one of a target that runs
+   stays.  Time until the store takes heartbeats again is added.  */
+#define COPIED_PERIOD (6 * CV_SECOND)
+
 static uint64_t
-key_of (const cv_target_t *t)
+instance_of (const char *id)
 {
-  return cv_hash (t->record.id, strlen (t->record.id), t->record.started_ms);
+  uint64_t hash = cv_hash (id, strlen (id), 0);
+
+  return hash != 0 ? hash : 1;
 }
 
-bool
-cv_leaving_was_announced (const cv_target_t *t)
+static void
+record_state (const cv_target_t *t, cv_start_state_t state)
 {
-  const cv_leavings_t *s = &t->gateway->leavings;
+  cv_gateway_t *g = t->gateway;
 
-  for (uint32_t i = 0; i < CV_LEAVINGS_MAX; i++)
-    if (s->keys[i] == key_of (t))
-      return true;
-  return false;
+  cv_starts_record (&g->starts, instance_of (t->record.id),
+                    t->record.started_ms, state, g->store_history.number,
+                    cv_now ());
 }
 
-static void
-record (cv_target_t *t)
+/* REASON is the one that is logged.  */
+void
+cv_target_note_leaving (cv_target_t *t, const char *reason)
 {
-  cv_leavings_t *s = &t->gateway->leavings;
-  cv_line_t l;
-
-  if (t->has_announced_leaving)
+  if (t->leaving_since == 0)
+    t->leaving_since = cv_now ();
+  if (t->is_leaving)
     return;
-  t->has_announced_leaving = true;
+  t->is_leaving = true;
+  record_state (t, CV_START_LEAVING);
+  cv_target_log (CV_EV_GATEWAY_TARGET_LEAVING, t, reason);
+}
+
+void
+cv_target_note_removed (cv_target_t *t)
+{
   if (t->leaving_since == 0)
     t->leaving_since = cv_now ();
-  t->gateway->counts.leavings++;
-  s->keys[s->next] = key_of (t);
-  s->next = (s->next + 1) % CV_LEAVINGS_MAX;
-  cv_line_begin (&l, CV_EV_GATEWAY_TARGET_LEAVING);
-  cv_line_text (&l, "target", cv_slice (t->record.id));
-  cv_line_text (&l, "service", cv_slice (t->record.service));
-  cv_line_text (&l, "reason", cv_slice ("announced in an answer"));
-  cv_line_number (&l, "in_flight", t->in_flight);
+  record_state (t, CV_START_REMOVED);
+}
+
+static void
+log_returned (const cv_gateway_t *g, const cv_instance_record_t *r,
+              const char *next)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_TARGET_RETURNED);
+  cv_line_text (&l, "target", cv_slice (r->id));
+  cv_line_text (&l, "service", cv_slice (r->service));
+  cv_line_text (&l, "next", cv_slice (next));
+  cv_line_number (&l, "started_ms", (int64_t)r->started_ms);
+  cv_line_number (&l, "era", (int64_t)g->store_history.era.number);
   cv_line_end (&l);
 }
 
+bool
+cv_entry_counts (cv_gateway_t *g, const cv_instance_record_t *r)
+{
+  const cv_start_entry_t entry
+      = { .instance = instance_of (r->id), .started_ms = r->started_ms };
+  const cv_target_t *t = cv_target_find (g, r->id);
+
+  if ((t == NULL || t->record.started_ms <= r->started_ms)
+      && cv_starts_judge (&g->starts, &entry) != CV_ENTRY_OLDER)
+    return true;
+  log_returned (g, r, "an earlier start, is ignored");
+  return false;
+}
+
+void
+cv_target_admit_entry (cv_target_t *t, bool is_change)
+{
+  cv_gateway_t *g = t->gateway;
+  const cv_start_entry_t entry = { .instance = instance_of (t->record.id),
+                                   .started_ms = t->record.started_ms,
+                                   .history = g->store_history.number,
+                                   .is_change = is_change };
+
+  switch (cv_starts_judge (&g->starts, &entry))
+    {
+    case CV_ENTRY_COUNTS:
+      t->copied_until = 0;
+      t->leaving_since = 0;
+      record_state (t, CV_START_SERVES);
+      return;
+    case CV_ENTRY_COPIED:
+      if (t->copied_until == 0 || t->copied_in != entry.history)
+        {
+          t->copied_until = cv_now () + COPIED_PERIOD;
+          t->copied_in = entry.history;
+          log_returned (g, &t->record, "was removed, is used if it stays");
+        }
+      return;
+    case CV_ENTRY_LEAVING:
+      if (!t->is_leaving)
+        log_returned (g, &t->record, "stays leaving");
+      t->is_leaving = true;
+      return;
+    case CV_ENTRY_OLDER:
+      return; /* cv_entry_counts */
+    }
+}
+
+void
+cv_target_tick_copied (cv_target_t *t, cv_time_t now)
+{
+  if (t->copied_until == 0 || now < t->copied_until
+      || t->presence != CV_TARGET_LISTED)
+    return;
+  t->copied_until = 0;
+  t->leaving_since = 0;
+  record_state (t, CV_START_SERVES);
+}
+
 /* Logs an unknown value once for each target.  */
 static void
 log_malformed (cv_target_t *t, cv_slice_t text)
@@ -68,7 +148,8 @@
     case CV_LEAVING_NOT_SAID:
       return;
     case CV_LEAVING_ANNOUNCED:
-      record (t);
+      t->gateway->counts.leavings += !t->is_leaving;
+      cv_target_note_leaving (t, "announced in an answer");
       return;
     case CV_LEAVING_MALFORMED:
       log_malformed (t, fields->leaving_text);
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -135,6 +135,8 @@
       && now - t->load_received_at < CV_SECOND)
     return;
   t->load = *load;
+  if (load->draining && t->record.started_ms == load->started_ms)
+    cv_target_note_leaving (t, "reported by its observer");
   t->min_refused_tokens = 0;
   t->min_refused_late_tokens = 0;
   t->load_received_at = now;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -39,6 +39,7 @@
 #include "policy/placement.h"
 #include "policy/policy.h"
 #include "policy/refusal.h"
+#include "policy/starts.h"
 #include "policy/stop.h"
 #include "policy/store_history.h"
 #include "policy/urgency.h"
@@ -78,11 +79,15 @@
   cv_instance_record_t record;
   cv_target_presence_t presence;
   cv_time_t listed_at;
-  cv_time_t missing_until;    /* CV_TARGET_MISSING: time of its removal */
-  bool in_current_list;       /* occurs in the list being read */
-  cv_time_t displaced_until;  /* another instance uses its address */
-  bool has_announced_leaving; /* in an answer: no new requests */
-  cv_time_t leaving_since;    /* first known to be leaving; 0: not known */
+  cv_time_t missing_until;   /* CV_TARGET_MISSING: time of its removal */
+  bool in_current_list;      /* occurs in the list being read */
+  cv_time_t displaced_until; /* another instance uses its address */
+  bool is_leaving;           /* by its own word: no new requests */
+  cv_time_t leaving_since;   /* first known to be leaving or gone; 0: never */
+  /* It was removed before the store was restored, and the copy has it: no new
+     requests until then; 0: none.  And the history of that copy.  */
+  cv_time_t copied_until;
+  uint64_t copied_in;
   bool has_malformed_leaving; /* an unknown value was logged */
   cv_pause_t pause;           /* that it asked for */
   bool has_malformed_pause;   /* a malformed one was logged */
@@ -281,19 +286,6 @@
   uint64_t sent_to_leaving;  /* attempts at targets known to be leaving */
 } cv_gateway_counts_t;
 
-/* Announcements of leaving that are kept after their targets; the oldest is
-   dropped first.  Above the targets that leave while a list of instances may be
-   older.  */
-#define CV_LEAVINGS_MAX 512
-
-/* Targets that announced their leaving, so that an older list does not bring
-   them back.  */
-typedef struct
-{
-  uint64_t keys[CV_LEAVINGS_MAX]; /* of instance and start, 0: none */
-  uint32_t next;
-} cv_leavings_t;
-
 struct cv_gateway_t
 {
   cv_gateway_settings_t settings;
@@ -307,7 +299,7 @@
   uint32_t port_count;
   cv_routing_t *routing; /* NULL until a configuration was read */
   struct cv_targets_t targets;
-  cv_leavings_t leavings;
+  cv_starts_t starts; /* of targets that left */
   struct cv_service_states_t services;
   struct cv_route_states_t route_states;
   uint32_t route_state_count;
@@ -427,8 +419,10 @@
 uint32_t cv_choose_retry_after (cv_exchange_t *x, uint32_t wait_ms);
 
 /* targets.c */
-/* Adds the instance of R or updates its target.  */
-void cv_targets_update (cv_gateway_t *g, const cv_instance_record_t *r);
+/* Adds the instance of R or updates its target.  IS_CHANGE: R was read as a
+   change, not in a list.  */
+void cv_targets_update (cv_gateway_t *g, const cv_instance_record_t *r,
+                        bool is_change);
 /* Removes the target ID at once; if its entry MAY_HAVE_EXPIRED while the store
    was unreachable and the target is not draining, after settings.lapse_s.  */
 void cv_targets_remove (cv_gateway_t *g, const char *id, bool may_have_expired);
@@ -442,6 +436,11 @@
 void cv_target_mark_displaced (cv_target_t *t);
 /* A request failed at T.  */
 void cv_target_record_failure (cv_target_t *t);
+/* Whether X may be sent to T now, at which it was placed some milliseconds ago.
+   A run that goes on from a copy has no other target; pause.c decides on it
+   further.  */
+bool cv_target_admits (const cv_exchange_t *x, const cv_target_t *t,
+                       cv_time_t now);
 /* Whether T takes new requests.  */
 bool cv_target_is_usable (const cv_target_t *t, cv_time_t now);
 /* The same, whether or not T pauses.  */
@@ -460,6 +459,7 @@
 void cv_targets_finish (cv_gateway_t *g);
 
 cv_target_t *cv_target_find (cv_gateway_t *g, const char *id);
+void cv_target_log (cv_event_t event, const cv_target_t *t, const char *reason);
 /* Whether T stops soon: marked so in the store, in its load report or in an
    answer, or no longer listed.  */
 bool cv_target_is_draining (const cv_target_t *t);
@@ -481,9 +481,14 @@
 /* leaving.c */
 /* Records what an answer of T says of T's leaving.  */
 void cv_leaving_observe (cv_target_t *t, const cv_answer_fields_t *fields);
-/* Whether the instance and start of T, which was added to the table, announced
-   its leaving before.  */
-bool cv_leaving_was_announced (const cv_target_t *t);
+/* T is leaving, for the REASON that is logged, or was removed.  */
+void cv_target_note_leaving (cv_target_t *t, const char *reason);
+void cv_target_note_removed (cv_target_t *t);
+/* Whether the entry R is of the latest start known of its instance.  */
+bool cv_entry_counts (cv_gateway_t *g, const cv_instance_record_t *r);
+/* The entry of T shows it as ready: decides whether it takes requests.  */
+void cv_target_admit_entry (cv_target_t *t, bool is_change);
+void cv_target_tick_copied (cv_target_t *t, cv_time_t now);
 
 /* loads.c: the datagram socket for observers, at the address that the settings
    call `loads` */
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -71,8 +71,8 @@
     close_idle (t, l);
 }
 
-static void
-log_target (cv_event_t event, const cv_target_t *t, const char *reason)
+void
+cv_target_log (cv_event_t event, const cv_target_t *t, const char *reason)
 {
   cv_line_t l;
 
@@ -88,9 +88,8 @@
 static void
 mark_removed (cv_target_t *t, const char *reason)
 {
-  log_target (CV_EV_GATEWAY_TARGET_LEAVING, t, reason);
-  if (t->leaving_since == 0)
-    t->leaving_since = cv_now ();
+  cv_target_log (CV_EV_GATEWAY_TARGET_LEAVING, t, reason);
+  cv_target_note_removed (t);
   t->presence = CV_TARGET_REMOVED;
   close_all_idle (t);
 }
@@ -112,8 +111,8 @@
   if (now < t->displaced_until)
     return;
   t->displaced_until = now + DISPLACED_PERIOD;
-  log_target (CV_EV_GATEWAY_TARGET_AVOIDED, t,
-              "address now used by another instance");
+  cv_target_log (CV_EV_GATEWAY_TARGET_AVOIDED, t,
+                 "address now used by another instance");
 }
 
 static bool
@@ -153,27 +152,28 @@
   t->record = *r;
   t->presence = CV_TARGET_LISTED;
   t->listed_at = cv_now ();
-  t->has_announced_leaving = cv_leaving_was_announced (t);
   TAILQ_INIT (&t->idle);
   cv_health_init (&t->health, CV_HEALTH_DECAY_GATEWAY);
   TAILQ_INSERT_TAIL (&g->targets, t, entry);
-  log_target (CV_EV_GATEWAY_TARGET_ADDED, t, "listed");
+  cv_target_log (CV_EV_GATEWAY_TARGET_ADDED, t, "listed");
   displace_older (t);
   return t;
 }
 
 void
-cv_targets_update (cv_gateway_t *g, const cv_instance_record_t *r)
+cv_targets_update (cv_gateway_t *g, const cv_instance_record_t *r,
+                   bool is_change)
 {
-  cv_target_t *t = cv_target_find (g, r->id);
+  cv_target_t *t;
 
+  if (!cv_entry_counts (g, r))
+    return;
+  t = cv_target_find (g, r->id);
   /* A restarted instance has none of the state kept for its predecessor.  */
   if (t != NULL && t->record.started_ms != r->started_ms
       && t->record.started_ms != 0)
     {
-      mark_removed (t, t->record.started_ms < r->started_ms
-                           ? "instance restarted"
-                           : "an older start is listed");
+      mark_removed (t, "instance restarted");
       delete_target (t);
       t = NULL;
     }
@@ -181,18 +181,12 @@
     t = add_target (g, r);
   t->in_current_list = true;
   t->record = *r;
-  if (!r->draining && t->presence != CV_TARGET_LISTED)
-    log_target (CV_EV_GATEWAY_TARGET_RETURNED, t, "listed as ready again");
-  if (!r->draining)
-    t->presence = CV_TARGET_LISTED;
-  else if (t->presence != CV_TARGET_DRAINING)
-    {
-      t->presence = CV_TARGET_DRAINING;
-      if (t->leaving_since == 0)
-        t->leaving_since = cv_now ();
-      /* The reason means: marked as draining in the store.  */
-      log_target (CV_EV_GATEWAY_TARGET_LEAVING, t, "leaving");
-    }
+  /* The reason means: marked as draining in the store.  */
+  if (r->draining)
+    cv_target_note_leaving (t, "leaving");
+  else
+    cv_target_admit_entry (t, is_change);
+  t->presence = t->is_leaving ? CV_TARGET_DRAINING : CV_TARGET_LISTED;
 }
 
 /* Entries expire while the store is unreachable.  A running target registers
@@ -271,6 +265,7 @@
     {
       next = TAILQ_NEXT (t, entry);
       close_expired (t, now);
+      cv_target_tick_copied (t, now);
       if (t->presence == CV_TARGET_MISSING && now >= t->missing_until)
         mark_removed (t, "not listed again after the store became reachable");
       /* One that pauses may be listed again.  */
@@ -284,15 +279,15 @@
 cv_target_record_failure (cv_target_t *t)
 {
   if (cv_health_failure (&t->health, cv_now ()))
-    log_target (CV_EV_GATEWAY_TARGET_AVOIDED, t, "too many failures");
+    cv_target_log (CV_EV_GATEWAY_TARGET_AVOIDED, t, "too many failures");
 }
 
 bool
 cv_target_is_available (const cv_target_t *t, cv_time_t now)
 {
   return (t->presence == CV_TARGET_LISTED || t->presence == CV_TARGET_MISSING)
-         && !t->has_announced_leaving && now >= t->displaced_until
-         && !t->load.draining && !t->load.failing
+         && !t->is_leaving && now >= t->copied_until
+         && now >= t->displaced_until && !t->load.draining && !t->load.failing
          && cv_health_is_usable (&t->health, now) && now >= t->full_until;
 }
 
@@ -303,11 +298,19 @@
          && !cv_pause_is_in_force (&t->pause, now);
 }
 
+bool
+cv_target_admits (const cv_exchange_t *x, const cv_target_t *t, cv_time_t now)
+{
+  return cv_version_admits (x, t)
+         && (x->from_copy || cv_target_is_usable (t, now));
+}
+
 cv_time_t
 cv_target_returns_at (const cv_target_t *t)
 {
-  const cv_time_t times[] = { t->displaced_until, t->health.avoid_until,
-                              t->full_until, t->pause.until };
+  const cv_time_t times[]
+      = { t->copied_until, t->displaced_until, t->health.avoid_until,
+          t->full_until, t->pause.until };
   cv_time_t latest = 0;
 
   if (cv_target_is_draining (t))
@@ -329,7 +332,7 @@
 cv_target_is_draining (const cv_target_t *t)
 {
   return t->presence == CV_TARGET_DRAINING || t->presence == CV_TARGET_REMOVED
-         || t->has_announced_leaving || t->load.draining;
+         || t->is_leaving || t->load.draining;
 }
 
 cv_time_t
