gateway: a target is judged at the moment of sending too

A request that waited for a reservation or a permit was sent to a target that announced its leaving, or a pause, meanwhile.

Cause: targets were judged as they were chosen. cv_target_admits is asked by every attempt as it is sent; the request is placed elsewhere otherwise.

--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -175,7 +175,7 @@
 {
   if (now - x->reservation_sent_at < REPLY_TIMEOUT)
     return;
-  if (cv_target_is_usable (x->reservation_target, now))
+  if (cv_target_admits (x, x->reservation_target, now))
     send_now (x);
   else
     {
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -119,9 +119,10 @@
   cv_error_t err = { 0 };
   cv_buf_t head;
 
-  if (!cv_version_admits (x, t))
+  if (!cv_target_admits (x, t, cv_now ()))
     {
-      /* The stream got its first event while T was reserved.  */
+      /* T has said that it is leaving or pauses, or the stream got its first
+         event, while T was reserved.  */
       cv_exchange_release_reservation (x, t);
       cv_exchange_place (x);
       return;
--- a/gateway/permit.c
+++ b/gateway/permit.c
@@ -121,7 +121,7 @@
 
   if (x == NULL)
     return false;
-  if (x->from_copy || cv_target_is_usable (t, cv_now ()))
+  if (cv_target_admits (x, t, cv_now ()))
     {
       send_now (x);
       return true;
--- a/tests/gateway/drain_scenarios.py
+++ b/tests/gateway/drain_scenarios.py
@@ -2,8 +2,10 @@
 as ready."""
 
 import asyncio
+import signal
 
-from standins import signed
+from scenarios import GEN_HEADERS
+from standins import EngineStatus, chunk, event, signed, start_stream
 
 # DrainMs of the deployments is 2 s: what reaches a target later than that after
 # its leaving was acknowledged counts.
@@ -150,3 +152,36 @@
     await asyncio.sleep(1.5)
     await bench.store.restore(older)
     bench.say(f"older start: {await send_for(bench, 8)}")
+
+
+async def drain_while_reserved(bench):
+    """An engine announces its leaving while a request waits for its observer's
+    reply: the request does not reach it."""
+    heads = asyncio.Event()
+
+    async def script(target, request, writer):
+        if request.path == "/tag/first":
+            await heads.wait()
+        await start_stream(request, writer, [("Server-Leaving", "1")])
+        writer.write(chunk(event(0)) + b"0\r\n\r\n")
+        return True
+
+    await bench.start()
+    m1 = await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    await bench.observe(EngineStatus("m1"))
+    observer = bench.observers[0]
+    await asyncio.sleep(0.5)
+    first = asyncio.ensure_future(
+        bench.send("POST", "/tag/first", b"x", **GEN_HEADERS))
+    await asyncio.sleep(0.2)
+    observer.send_signal(signal.SIGSTOP)
+    second = asyncio.ensure_future(
+        bench.send("POST", "/tag/second", b"x", **GEN_HEADERS))
+    await asyncio.sleep(0.012)
+    heads.set()
+    await bench.until_logged("GATEWAY_TARGET_LEAVING", target="m1")
+    observer.send_signal(signal.SIGCONT)
+    statuses = [(await first)[0], (await second)[0]]
+    late = sum(r.path == "/tag/second" for r in m1.requests)
+    bench.say(f"{statuses}, reached the engine: {late}")
