gateway, observer: streams are known to processes that outlive all gateways

Cause: records of streams lived in gateways only, and a gateway that had just started took the one version it saw for the one that had served.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -47,6 +47,7 @@
   TAILQ_INIT (&g->exchanges);
   TAILQ_INIT (&g->waiting);
   cv_rng_init (&g->rng, cv_random_u64 ());
+  g->started_at = cv_now ();
   cv_hist_init (&g->latency, HIST_MIN_MS, HIST_MAX_MS);
   cv_hist_init (&g->first_event, HIST_MIN_MS, HIST_MAX_MS);
   cv_hist_init (&g->gaps, HIST_MIN_MS, HIST_MAX_MS);
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -114,6 +114,7 @@
   cv_time_t now = cv_now ();
 
   set_gateway_count (g, load->gateways);
+  cv_observers_heard (&g->observers, from, now);
   g->last_load_report_at = now;
   if (t == NULL)
     {
--- a/gateway/resume.c
+++ b/gateway/resume.c
@@ -9,9 +9,13 @@
 
 /* Gateways reply in about 2 ms; a datagram may be lost.  */
 #define REPLY_TIMEOUT (60 * CV_MS)
-/* While several versions serve, each record is sent to this many gateways, so
-   that it outlives the one that began the stream.  */
+/* Each record is sent to this many observers, so that it outlives all gateways,
+   and while several versions serve to this many gateways, so that it outlives
+   the one that began the stream.  */
 #define COPIES 3
+/* Until this time from its start on a gateway asks again, as it may not have
+   heard of all observers; load reports come every 0.4 s.  */
+#define FIRST_REPORTS (700 * CV_MS)
 /* A gateway whose list of instances is older may not know all versions.  */
 #define LIST_MAX_AGE (4 * CV_SECOND)
 
@@ -27,6 +31,27 @@
 
 /* ---- records ---- */
 
+void
+cv_resume_keep (const cv_gateway_t *g, uint64_t key, uint64_t version,
+                const char *service)
+{
+  cv_msg_origin_t m
+      = { .step = CV_ORIGIN_RECORDED, .key = key, .version = version };
+  uint64_t limit = UINT64_MAX;
+  cv_time_t now = cv_now ();
+
+  (void)cv_copy (m.service, sizeof m.service, service);
+  for (uint32_t copy = 0; copy < COPIES; copy++)
+    {
+      const struct sockaddr_in *to = cv_observers_ranked (g, key, limit, now);
+
+      if (to == NULL)
+        return;
+      limit = cv_gateway_rank (to, key);
+      send_step (g, &m, to);
+    }
+}
+
 void
 cv_resume_publish (const cv_gateway_t *g, uint64_t key, uint64_t version)
 {
@@ -120,7 +145,7 @@
   return true;
 }
 
-/* No gateway knows the stream of X; false when X was refused.  */
+/* Nobody knows the stream of X; false when X was refused.  */
 static bool
 decide_unknown (cv_exchange_t *x)
 {
@@ -130,7 +155,8 @@
                   && now - g->instance_watcher.confirmed_at > LIST_MAX_AGE;
 
   if (x->question.is_mixed || is_alone
-      || cv_versions_are_mixed (&x->service_state->versions, now))
+      || !cv_versions_are_certain (&x->service_state->versions, g->started_at,
+                                   x->question.sole, now))
     {
       g->counts.streams_unknown++;
       refuse (x, "version that began the stream is not known");
@@ -140,8 +166,8 @@
   return true;
 }
 
-/* Asks the other gateways for the record of X's stream; false when there are
-   none.  */
+/* Asks the other gateways and the observers for the record of X's stream; false
+   when there are none.  */
 static bool
 ask (cv_exchange_t *x)
 {
@@ -153,12 +179,21 @@
   m->key = x->stream_key;
   m->number = x->question.number = ++g->last_question;
   (void)cv_copy (m->service, sizeof m->service, x->service->name);
-  x->question.asked = cv_gateways_send (g, &msg);
+  x->question.replies = 0;
+  x->question.asked
+      = cv_gateways_send (g, &msg) + cv_observers_send (g, &msg, cv_now ());
   x->question.asked_at = cv_now ();
   g->counts.stream_questions++;
   return x->question.asked > 0;
 }
 
+/* Whether observers may not have reported to G yet.  */
+static bool
+is_starting (const cv_gateway_t *g, cv_time_t now)
+{
+  return now - g->started_at < FIRST_REPORTS;
+}
+
 bool
 cv_resume_begin (cv_exchange_t *x)
 {
@@ -177,7 +212,7 @@
   if (r != NULL)
     return !go_on_at (x, r->version, "known here");
   x->state = CV_EXCHANGE_RESERVING;
-  if (x->stream_key != 0 && ask (x))
+  if (x->stream_key != 0 && (ask (x) || is_starting (g, cv_now ())))
     return true;
   x->question.number = 0;
   return !decide_unknown (x);
@@ -193,7 +228,11 @@
 void
 cv_resume_tick (cv_exchange_t *x, cv_time_t now)
 {
-  if (now - x->question.asked_at >= REPLY_TIMEOUT && decide_unknown (x))
+  if (now - x->question.asked_at < REPLY_TIMEOUT)
+    return;
+  if (is_starting (x->gateway, now))
+    (void)ask (x);
+  else if (decide_unknown (x))
     place (x);
 }
 
@@ -211,7 +250,10 @@
 
   TAILQ_FOREACH (s, &g->services, entry)
   if (strcmp (s->name, m->service) == 0)
-    reply.is_mixed = cv_versions_are_mixed (&s->versions, now);
+    {
+      reply.is_mixed = cv_versions_are_mixed (&s->versions, now);
+      reply.version = cv_versions_sole (&s->versions, g->started_at, now);
+    }
   if (r != NULL && !r->is_ambiguous)
     {
       reply.step = CV_ORIGIN_KNOWN;
@@ -244,10 +286,18 @@
   x->question.is_mixed |= m->is_mixed;
   if (m->step == CV_ORIGIN_KNOWN)
     {
-      if (go_on_at (x, m->version, "known by another gateway"))
+      if (go_on_at (x, m->version, "known by another process"))
         place (x);
+      return;
+    }
+  if (m->version != CV_VERSION_NONE)
+    {
+      x->question.is_mixed |= x->question.sole != CV_VERSION_NONE
+                              && x->question.sole != m->version;
+      x->question.sole = m->version;
     }
-  else if (x->question.replies >= x->question.asked && decide_unknown (x))
+  if (x->question.replies >= x->question.asked && !is_starting (g, cv_now ())
+      && decide_unknown (x))
     place (x);
 }
 
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -44,6 +44,7 @@
 #include "policy/store_history.h"
 #include "policy/urgency.h"
 #include "routing/routing.h"
+#include "wire/datagram.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -286,9 +287,26 @@
   uint64_t sent_to_leaving;  /* attempts at targets known to be leaving */
 } cv_gateway_counts_t;
 
+/* An observer, by its last load report.  */
+typedef struct
+{
+  struct sockaddr_in address;
+  cv_time_t heard_at;
+} cv_observer_peer_t;
+
+/* Most observers that are known; more are not asked about streams.  */
+#define CV_OBSERVERS_MAX 1024
+
+typedef struct
+{
+  cv_observer_peer_t peers[CV_OBSERVERS_MAX];
+  uint32_t count;
+} cv_observers_t;
+
 struct cv_gateway_t
 {
   cv_gateway_settings_t settings;
+  cv_time_t started_at;
   const char *settings_path;
   struct sockaddr_in store;
   cv_store_history_t store_history;
@@ -315,6 +333,7 @@
   cv_evidence_t evidence;
   cv_quarantine_store_t quarantine_store;
   struct sockaddr_in loads_address;
+  cv_observers_t observers;
   int loads_fd;
   struct event *loads_event;
   uint64_t last_question; /* number of the last one to another gateway, for a
@@ -506,6 +525,18 @@
 /* Sets this gateway's share of the retry budget.  */
 void cv_gateway_set_retry_budget (const cv_gateway_t *g, cv_retry_budget_t *b);
 
+/* observers.c */
+/* A load report has arrived from ADDRESS.  */
+void cv_observers_heard (cv_observers_t *s, const struct sockaddr_in *address,
+                         cv_time_t now);
+/* Sends MSG to all observers heard lately, and returns their number.  */
+uint32_t cv_observers_send (const cv_gateway_t *g, const cv_msg_t *msg,
+                            cv_time_t now);
+/* The observer of the highest rank for KEY below LIMIT, or NULL.  */
+const struct sockaddr_in *cv_observers_ranked (const cv_gateway_t *g,
+                                               uint64_t key, uint64_t limit,
+                                               cv_time_t now);
+
 /* register.c */
 void cv_register_init (cv_register_t *r, cv_gateway_t *g);
 void cv_register_finish (cv_register_t *r);
--- a/gateway/version.c
+++ b/gateway/version.c
@@ -62,6 +62,7 @@
   if (x->stream_key == 0)
     return;
   cv_origins_add (&g->origins, x->stream_key, x->version, now);
+  cv_resume_keep (g, x->stream_key, x->version, x->service->name);
   if (cv_versions_are_mixed (&x->service_state->versions, now))
     cv_resume_publish (g, x->stream_key, x->version);
 }
--- a/gateway/version.h
+++ b/gateway/version.h
@@ -22,9 +22,10 @@
 {
   uint64_t number; /* 0: none is pending */
   cv_time_t asked_at;
-  uint32_t asked; /* gateways */
+  uint32_t asked; /* gateways and observers */
   uint32_t replies;
   bool is_mixed; /* by a reply, several versions serve */
+  uint64_t sole; /* by a reply, the one version that served; or 0 */
 } cv_stream_question_t;
 
 /* version.c */
@@ -54,6 +55,9 @@
 void cv_resume_tick (cv_exchange_t *x, cv_time_t now);
 void cv_resume_handle_message (cv_gateway_t *g, const cv_msg_origin_t *m,
                                const struct sockaddr_in *from);
+/* Tells some observers of the record of a stream of SERVICE.  */
+void cv_resume_keep (const cv_gateway_t *g, uint64_t key, uint64_t version,
+                     const char *service);
 /* Tells some other gateways of the record of a stream.  */
 void cv_resume_publish (const cv_gateway_t *g, uint64_t key, uint64_t version);
 
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -33,6 +33,8 @@
   o->socket = -1;
   cv_migration_lease_init (&o->lease);
   cv_reservations_init (&o->reservations);
+  cv_origins_init (&o->origins);
+  o->started_at = cv_now ();
   cv_engine_health_init (&o->health);
   o->logged_lease = CV_MIGRATION_LEASE_NONE;
   if (!cv_http_parse_address (s->engine_url, &engine)
@@ -54,6 +56,7 @@
 static void
 finish (cv_observer_t *o)
 {
+  cv_origins_finish (&o->origins);
   if (o->base != NULL)
     {
       cv_http_call_finish (&o->engine);
--- a/observer/requests.c
+++ b/observer/requests.c
@@ -211,6 +211,9 @@
     case CV_MSG_ROOM:
       handle_reservation (o, &msg->u.reservation, from, cv_now ());
       return true;
+    case CV_MSG_ORIGIN:
+      cv_observer_handle_origin (o, &msg->u.origin, from);
+      return true;
     default:
       return cv_fail (err, CV_ERR_INVALID, "message %s",
                       cv_msg_name (msg->type));
--- a/observer/state.h
+++ b/observer/state.h
@@ -10,6 +10,7 @@
 #include "observer/observer.h"
 #include "platform/platform.h"
 #include "policy/health.h"
+#include "policy/origins.h"
 #include "policy/room.h"
 #include "policy/turns.h"
 #include "roster/roster.h"
@@ -22,9 +23,21 @@
   struct sockaddr_in gateway;
 } cv_lease_request_t;
 
+/* The versions of one service that began streams lately.  */
+typedef struct
+{
+  char service[CV_NAME_MAX];
+  cv_versions_t versions;
+  cv_time_t recorded_at;
+} cv_served_t;
+
+/* Services of which versions are kept.  Engines belong to one or two.  */
+#define CV_SERVED_MAX 8
+
 typedef struct
 {
   cv_observer_settings_t settings;
+  cv_time_t started_at;
   struct event_base *base;
   struct event *tick;
   struct event *signals[2];
@@ -43,6 +56,8 @@
   cv_time_t next_poll_at; /* next poll of the engine */
   uint64_t sequence;      /* of the last load report */
   cv_reservations_t reservations;
+  cv_origins_t origins; /* streams, as recorded by gateways */
+  cv_served_t served[CV_SERVED_MAX];
   cv_engine_health_t
       health;        /* of the engine, by the outcomes that gateways report */
   bool sent_failing; /* "failing" in the last load report: the engine is
@@ -60,6 +75,10 @@
 /* Sends the present load to all gateways.  */
 void cv_observer_send_load (cv_observer_t *o);
 
+/* streams.c */
+void cv_observer_handle_origin (cv_observer_t *o, const cv_msg_origin_t *m,
+                                const struct sockaddr_in *from);
+
 /* requests.c */
 void cv_observer_on_datagram (evutil_socket_t fd, short what, void *arg);
 
--- a/policy/origins.c
+++ b/policy/origins.c
@@ -127,6 +127,31 @@
   return is_last && others > 0;
 }
 
+uint64_t
+cv_versions_sole (const cv_versions_t *v, cv_time_t known_since, cv_time_t now)
+{
+  if (now - known_since < CV_STREAM_LIFE || cv_versions_are_mixed (v, now))
+    return CV_VERSION_NONE;
+  for (uint32_t i = 0; i < v->count; i++)
+    if (is_recent (v, i, now))
+      return v->id[i];
+  return CV_VERSION_NONE;
+}
+
+bool
+cv_versions_are_certain (const cv_versions_t *v, cv_time_t known_since,
+                         uint64_t sole, cv_time_t now)
+{
+  if (cv_versions_are_mixed (v, now))
+    return false;
+  if (now - known_since >= CV_STREAM_LIFE)
+    return true;
+  for (uint32_t i = 0; sole != CV_VERSION_NONE && i < v->count; i++)
+    if (v->id[i] == sole && is_recent (v, i, now))
+      return true;
+  return false;
+}
+
 bool
 cv_versions_are_mixed (const cv_versions_t *v, cv_time_t now)
 {
--- a/policy/origins.h
+++ b/policy/origins.h
@@ -75,6 +75,17 @@
 /* Whether one instance of VERSION is left while others of it are about to stop,
    and other versions serve: a stream that begins there could not be moved.  */
 bool cv_versions_is_ending (const cv_versions_t *v, uint64_t version);
+/* The one version whose streams can be alive, as far as a process knows that
+   has followed the versions since KNOWN_SINCE; CV_VERSION_NONE if there are
+   several or it has not followed them for CV_STREAM_LIFE.  */
+uint64_t cv_versions_sole (const cv_versions_t *v, cv_time_t known_since,
+                           cv_time_t now);
+/* Whether one version must have begun each stream that is alive and of which
+   nothing is known.  SOLE is that version by another process
+   (cv_versions_sole), or CV_VERSION_NONE; a process that has followed the
+   versions for less than CV_STREAM_LIFE does not know by itself.  */
+bool cv_versions_are_certain (const cv_versions_t *v, cv_time_t known_since,
+                              uint64_t sole, cv_time_t now);
 /* Whether streams of several versions may be alive.  */
 bool cv_versions_are_mixed (const cv_versions_t *v, cv_time_t now);
 
--- a/policy/tests/origins_test.cc
+++ b/policy/tests/origins_test.cc
@@ -108,4 +108,24 @@
   EXPECT_FALSE (cv_versions_is_ending (&v, 1)) << "no other version serves";
 }
 
+// All gateways have ended and started again; the former version may have left.
+TEST (Versions, AreCertainOnceFollowedForTheLifeOfAStream)
+{
+  const cv_versions_t one = versions_of ({ { 1, false } });
+  const cv_versions_t two = versions_of ({ { 1, false }, { 2, false } });
+  const cv_time_t long_ago = kStart - CV_STREAM_LIFE;
+  const cv_time_t lately = kStart - CV_SECOND;
+
+  EXPECT_EQ (cv_versions_sole (&one, long_ago, kStart), 1U);
+  EXPECT_EQ (cv_versions_sole (&one, lately, kStart), CV_VERSION_NONE);
+  EXPECT_EQ (cv_versions_sole (&two, long_ago, kStart), CV_VERSION_NONE);
+  EXPECT_TRUE (
+      cv_versions_are_certain (&one, long_ago, CV_VERSION_NONE, kStart));
+  EXPECT_FALSE (
+      cv_versions_are_certain (&one, lately, CV_VERSION_NONE, kStart));
+  EXPECT_TRUE (cv_versions_are_certain (&one, lately, 1, kStart));
+  EXPECT_FALSE (cv_versions_are_certain (&one, lately, 2, kStart));
+  EXPECT_FALSE (cv_versions_are_certain (&two, long_ago, 1, kStart));
+}
+
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -349,9 +349,11 @@
 {
   cv_origin_step_t step;
   uint64_t key;              /* of the stream */
-  uint64_t version;          /* of RECORDED and KNOWN */
+  /* Of RECORDED and KNOWN.  Of UNKNOWN, the one version of the service that the
+     sender has known for the life of a stream, 0 if it knows of none.  */
+  uint64_t version;
   uint64_t number;           /* of a question, and in its replies */
-  char service[CV_NAME_MAX]; /* of ASKED */
+  char service[CV_NAME_MAX]; /* of RECORDED and ASKED */
   bool is_mixed; /* of replies: several versions of the service served lately */
 } cv_msg_origin_t;
 
