--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -99,6 +99,7 @@
         self.status = None  # if set, status of the response to every call
         self.page_size = 500  # objects in an answer to a list
         self.after_page = None  # called once, after a page that is not the last
+        self.raw = {}  # bytes that answers have in place of a string
 
     async def put(self, kind, name, spec):
         self.revision += 1
@@ -135,6 +136,8 @@
 
     def answer(self, status, body=b""):
         era = [] if self.era is None else [("Store-Era", str(self.era))]
+        for text, raw in self.raw.items():
+            body = body.replace(json.dumps(text).encode(), raw)
         return answer(status, body, era)
 
     async def handle(self, request, writer):
