platform: an object that cannot be decoded costs itself only

One odd entry of another writer, nested deeply, made each page that it was in unreadable: gateways followed no target any longer, and those that started were never ready.

Cause: a page was decoded as one document, with one limit of depth. A page is now divided into objects and fields without decoding or recursion, and each field is decoded by itself. The cursor of a list goes on behind each object, whatever its name.

--- a/catkinctl/quarantine.c
+++ b/catkinctl/quarantine.c
@@ -28,19 +28,18 @@
 {
   cv_error_t err = { 0 };
   cv_store_page_t page;
+  cv_store_object_t o;
 
   if (!cv_platform_decode_page (body, false, &page, &err))
     {
       fprintf (stderr, "catkinctl: %s\n", err.text);
       return false;
     }
-  for (size_t i = 0; i < cv_platform_page_count (&page); i++)
+  while (cv_platform_page_next (&page, &o))
     {
-      cv_store_object_t o;
       cv_slice_t text;
 
-      if (!cv_platform_page_object (&page, i, &o)
-          || strcmp (o.name, CV_QUARANTINE_OBJECT) != 0)
+      if (strcmp (o.name, CV_QUARANTINE_OBJECT) != 0)
         continue;
       object->revision = o.revision;
       text = cv_slice (json_object_to_json_string (o.spec));
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -238,6 +238,7 @@
       return;
     }
   cv_line_begin (&l, CV_EV_GATEWAY_TARGET_INVALID);
+  cv_line_text (&l, "target", cv_slice (o->name));
   cv_line_text (&l, "reason", cv_slice (err.text));
   cv_line_end (&l);
 }
@@ -283,6 +284,7 @@
 apply_page (cv_watcher_t *w, cv_slice_t body, cv_error_t *err)
 {
   cv_store_page_t page;
+  cv_store_object_t o;
 
   if (!cv_platform_decode_page (body, w->phase == CV_WATCHER_WATCH, &page, err))
     return false;
@@ -295,15 +297,11 @@
       if (w->kind == CV_STORE_INSTANCES)
         cv_targets_list_begin (w->gateway);
     }
-  for (size_t i = 0; i < cv_platform_page_count (&page); i++)
+  while (cv_platform_page_next (&page, &o))
     {
-      cv_store_object_t o;
-
-      if (!cv_platform_page_object (&page, i, &o))
-        continue;
       apply_object (w, &o, page.is_change);
       if (!page.is_change)
-        (void)cv_copy (w->list_cursor, sizeof w->list_cursor, o.name);
+        cv_platform_page_cursor (&o, w->list_cursor);
     }
   finish_page (w, &page);
   cv_platform_page_finish (&page);
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -152,19 +152,18 @@
 }
 
 static void
-handle_page (cv_quarantine_store_t *q, const cv_store_page_t *page)
+handle_page (cv_quarantine_store_t *q, cv_store_page_t *page)
 {
   cv_suspects_t *stored = cv_suspects_new ();
+  cv_store_object_t o;
 
   q->revision = 0;
-  for (size_t i = 0; i < cv_platform_page_count (page); i++)
+  while (cv_platform_page_next (page, &o))
     {
-      cv_store_object_t o;
       cv_error_t err = { 0 };
       cv_slice_t text;
 
-      if (!cv_platform_page_object (page, i, &o)
-          || strcmp (o.name, CV_QUARANTINE_OBJECT) != 0)
+      if (strcmp (o.name, CV_QUARANTINE_OBJECT) != 0)
         continue;
       q->revision = o.revision;
       text = cv_slice (json_object_to_json_string (o.spec));
--- a/roster/roster.c
+++ b/roster/roster.c
@@ -76,16 +76,14 @@
 }
 
 static void
-handle_page (cv_roster_t *r, const cv_store_page_t *page)
+handle_page (cv_roster_t *r, cv_store_page_t *page)
 {
-  for (size_t i = 0; i < cv_platform_page_count (page); i++)
-    {
-      cv_store_object_t object;
+  cv_store_object_t object;
 
-      if (!cv_platform_page_object (page, i, &object))
-        continue;
+  while (cv_platform_page_next (page, &object))
+    {
       add_listed_gateway (r, &object);
-      (void)cv_copy (r->list_after, sizeof r->list_after, object.name);
+      cv_platform_page_cursor (&object, r->list_after);
     }
   if (page->has_more)
     {
--- a/tests/gateway/drain_scenarios.py
+++ b/tests/gateway/drain_scenarios.py
@@ -103,6 +103,12 @@
     """An older start of an instance is no new one: neither after the newer one has
     left, nor while it runs."""
     await start(bench)
+    p2 = bench.targets["p2"]
+    await write_entry(bench, "p2", born=0, Address="127.0.0.1:9")
+    await asyncio.sleep(1.5)
+    before = arrivals(p2)
+    await send_for(bench, 2)
+    bench.say(f"entry without a start, still used: {arrivals(p2) > before}")
     await write_entry(bench, "p1", born=5)
     await until_leaving(bench, "p1", "instance restarted")
     p1 = bench.targets["p1"]
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import urllib.parse
 
 
 class Request:
@@ -147,7 +148,8 @@
             writer.write(self.answer(self.status))
             return True
         path, _, query = request.path.partition("?")
-        parameters = dict(w.split("=") for w in query.split("&") if w)
+        parameters = {k: urllib.parse.unquote(v) for k, v in (
+            w.split("=") for w in query.split("&") if w)}
         kind = path.split("/")[2]
         if request.method in ("POST", "PUT"):
             writer.write(await self.write(kind, request))
