--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -118,6 +118,7 @@
   bool is_queued;             /* in the queue for a target */
   bool is_prefill_counted;    /* counted in the target's prefill_tokens */
   bool skip_response;         /* the response belongs to another request */
+  bool is_named;              /* the response names this request */
   uint32_t skipped_responses; /* of the current attempt */
   bool is_paused;   /* the target is not read until the caller has read more */
   bool is_rejected; /* the response states that it was not run */
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -110,6 +110,7 @@
                      && !cv_slice_equal (fields.attempt, x->request.attempt);
   if (x->skip_response)
     return;
+  x->is_named = fields.attempt.p != NULL && x->request.attempt.p != NULL;
   x->is_rejected = fields.not_run;
   x->is_signed = fields.is_signed;
   /* A response with status 421 is another target's.  */
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -51,6 +51,11 @@
   cv_line_text (&l, "next", cv_slice (next));
   cv_line_number (&l, "attempt", x->sends);
   cv_line_number (&l, "events", (int64_t)x->events.count);
+  if (x->link != NULL)
+    {
+      cv_line_number (&l, "exchange", x->link->exchanges);
+      cv_line_number (&l, "named", x->is_named);
+    }
   cv_line_number (&l, "after_us", cv_now () - x->sent_at);
   cv_line_end (&l);
 }
--- a/http/link.c
+++ b/http/link.c
@@ -124,6 +124,7 @@
   l->owner = owner;
   l->busy = true;
   l->informational = 0;
+  l->exchanges++;
   cv_http_reader_reset (&l->reader);
   CV_INVARIANT (evbuffer_add (out, head.p, head.n) == 0);
   if (body.n > 0)
--- a/http/link.h
+++ b/http/link.h
@@ -60,6 +60,7 @@
   bool open;              /* the connection is established */
   bool busy;              /* an exchange is in progress */
   bool failed;            /* closed or no longer usable */
+  uint32_t exchanges;     /* requests sent so far */
   uint32_t informational; /* responses of the exchange so far */
   cv_time_t idle_since;   /* end of the last exchange */
   cv_time_t idle_limit;   /* assumed time after which the server closes an
