gateway: an answer that names no request is not believed on a kept connection

Cause: an answer without a name was taken for the answer to the last request. On a connection that has carried an earlier request, such an answer of a target whose other answers name theirs is in doubt: the connection is closed and the request may have run.

Evidence: gateway-refusal-repeated and -misdirected failed before and pass now; test policy, Answer.*; mutants.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -98,6 +98,23 @@
   cv_target_observe_pause (x->target, fields);
 }
 
+static cv_answer_verdict_t
+judge_answer (cv_exchange_t *x, const cv_answer_fields_t *fields)
+{
+  cv_answer_name_t name = CV_ANSWER_UNNAMED;
+
+  if (x->request.attempt.p == NULL)
+    return CV_ANSWER_IS_DUE;
+  if (fields->attempt.p != NULL)
+    name = cv_slice_equal (fields->attempt, x->request.attempt)
+               ? CV_ANSWER_OF_THIS
+               : CV_ANSWER_OF_ANOTHER;
+  x->skip_response = false;
+  x->is_named = name == CV_ANSWER_OF_THIS;
+  x->target->names_requests |= x->is_named;
+  return cv_answer_judge (name, x->link->exchanges, x->target->names_requests);
+}
+
 static void
 on_head (cv_exchange_t *x)
 {
@@ -106,11 +123,18 @@
   const char *fault;
 
   cv_platform_decode_answer (h, &fields);
-  x->skip_response = fields.attempt.p != NULL && x->request.attempt.p != NULL
-                     && !cv_slice_equal (fields.attempt, x->request.attempt);
-  if (x->skip_response)
-    return;
-  x->is_named = fields.attempt.p != NULL && x->request.attempt.p != NULL;
+  switch (judge_answer (x, &fields))
+    {
+    case CV_ANSWER_IS_DUE:
+      break;
+    case CV_ANSWER_IS_SKIPPED:
+      x->skip_response = true;
+      return;
+    case CV_ANSWER_IN_DOUBT:
+      cv_attempt_record_outcome (x, false);
+      cv_exchange_handle_failure (x, "answer names no request", true);
+      return;
+    }
   x->is_rejected = fields.not_run;
   x->is_signed = fields.is_signed;
   /* A response with status 421 is another target's.  */
--- /dev/null
+++ b/policy/answer.c
@@ -0,0 +1,18 @@
+#include "policy/answer.h"
+
+cv_answer_verdict_t
+cv_answer_judge (cv_answer_name_t name, uint32_t exchange, bool target_names)
+{
+  switch (name)
+    {
+    case CV_ANSWER_OF_THIS:
+      return CV_ANSWER_IS_DUE;
+    case CV_ANSWER_OF_ANOTHER:
+      return CV_ANSWER_IS_SKIPPED;
+    case CV_ANSWER_UNNAMED:
+      /* A new connection has carried no earlier request.  */
+      return exchange > 1 && target_names ? CV_ANSWER_IN_DOUBT
+                                          : CV_ANSWER_IS_DUE;
+    }
+  return CV_ANSWER_IN_DOUBT;
+}
