Soak: stores that return from a copy, odd entries, all gateways killed at once

The store is restored from a copy once or twice in a row, with and without reset connections, and what the operator and the targets wrote since is written again; entries that cannot be read come and go; all gateways are killed at once; plain targets write an earlier refusal once more, without a name. New checks: configurations never go back in a run, all gateways have the last one at the end, and no request is sent to a target that the gateway knows to be leaving.

An engine that left the list said in its load report that it was draining, and came back in the same start. A leaving is final for a start, so that it starts again now; the checks are as strict as before.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -24,6 +24,7 @@
 sys.path.insert(0, HERE)
 
 from bench import Bench  # noqa: E402
+from odd_scenarios import RAW, odd_values  # noqa: E402
 from soak_checks import Checks  # noqa: E402
 from soak_load import (BadCaller, BadPartCaller, Caller, OTHER_KEY,  # noqa: E402
                        PROBE_S, ReturningCaller, Run, generator)
@@ -45,10 +46,11 @@
 # Kinds of faults, and how often each is chosen.  Each group has a task of its
 # own, so that faults of different groups overlap.
 PROCESS_FAULTS = {"pause": 1, "kill": 1, "stop": 2, "stop series": 2,
-                  "stop all": 3, "stop at start": 1, "stop frozen": 1,
+                  "stop all": 3, "kill all": 1, "stop at start": 1, "stop frozen": 1,
                   "reload": 1, "settings": 2}
 LINK_FAULTS = {"delay": 1, "silence": 1, "one way": 1, "reset": 1,
                "store silent": 1, "store refuses": 1, "store reset": 1,
+              "store restored": 2, "odd entries": 1,
                "engine drains": 2, "engine leaves": 1, "limit": 2}
 CONFIGURATION_FAULTS = {"configuration": 1}
 FAULT_GROUPS = (PROCESS_FAULTS, LINK_FAULTS, CONFIGURATION_FAULTS)
@@ -99,6 +101,7 @@
         self.returning_caller = ReturningCaller(self)
         self.store_faults = []  # [from, to]
         self.version = 1
+        self.config = None  # the last one that the operator wrote
         self.idle_timeout_s = CONFIG["Limits"]["IdleTimeoutMs"] / 1000
         self.started_at = time.monotonic()
         self.calm = False  # the faults are over
@@ -168,6 +171,10 @@
             proxy.fail(kind, dice)
             await asyncio.sleep(duration_s)
             proxy.heal()
+        elif kind == "store restored":
+            await self.restore_store(dice)
+        elif kind == "odd entries":
+            await self.add_odd_entries(duration_s)
         elif kind.startswith("store"):
             await self.store_fault(kind, dice, duration_s)
         elif kind == "engine drains":
@@ -201,6 +208,36 @@
         self.store.status = None
         self.store_faults[-1][1] = time.monotonic()
 
+    async def restore_store(self, dice):
+        """The store returns from a copy of itself, once or twice; the operator and
+        the targets write again what they wrote since."""
+        older = self.store.copy()
+        await asyncio.sleep(dice.uniform(0.2, 2))
+        self.store_faults.append([time.monotonic(), None])
+        for _ in range(dice.choice((1, 1, 2))):
+            await self.store.restore(older, drop=dice.random() < 0.7)
+            await asyncio.sleep(dice.uniform(0, 0.5))
+        if self.config["Version"] > self.store.objects[
+                ("config", "main")]["Spec"]["Version"]:
+            await self.store.put("config", "main", self.config)
+        await asyncio.sleep(dice.uniform(0, 1))
+        await self.targets.register_again()
+        self.store_faults[-1][1] = time.monotonic()
+
+    async def add_odd_entries(self, duration_s):
+        """Another writer leaves entries that cannot be read."""
+        names = []
+        self.store.raw = RAW
+        for name, value in odd_values(next(iter(
+                self.targets.records.values()))).items():
+            names.append(f"odd-{name}")
+            await self.store.put("servers", names[-1], value)
+        await asyncio.sleep(duration_s)
+        for name in names:
+            # A copy that the store returned from may lack it.
+            if ("servers", name) in self.store.objects:
+                await self.store.remove("servers", name)
+
     async def process_fault(self, kind, bench, dice, name):
         run = bench.run
         if kind == "pause":
@@ -208,6 +245,10 @@
         elif kind == "kill":
             run.send(signal.SIGCONT)
             run.send(signal.SIGKILL)
+        elif kind == "kill all":
+            for other in self.gateways:
+                other.run.send(signal.SIGCONT)
+                other.run.send(signal.SIGKILL)
         elif kind == "reload":
             run.send(signal.SIGHUP)
         elif kind == "settings":
@@ -275,6 +316,7 @@
             self.version += 1
             config = draw_configuration(dice, self.version)
             self.idle_timeout_s = config["Limits"]["IdleTimeoutMs"] / 1000
+            self.config = config
             await self.store.put("config", "main", config)
             await asyncio.sleep(dice.choice((0, 0.02, 0.2)))
 
@@ -282,8 +324,9 @@
 
     async def start(self):
         await self.store.start()
-        await self.store.put("config", "main", draw_configuration(
-            generator(self.seed, "configuration"), self.version))
+        self.config = draw_configuration(
+            generator(self.seed, "configuration"), self.version)
+        await self.store.put("config", "main", self.config)
         self.store_proxy = await Proxy(self.store.port).start()
         for i in range(3):
             await self.targets.add(
@@ -353,6 +396,7 @@
         await asyncio.sleep(RECOVERY_S)
         recent_since = time.monotonic()
         await asyncio.sleep(2)
+        self.checks.check_in_force()
         await self.stop_all()
         await asyncio.wait(callers + bad, timeout=12)
         self.checks.check(recent_since)
--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -142,6 +142,7 @@
             for span in limit.spans:
                 self.check_limit(name, span, limit.arrivals)
         for run in self.soak.runs:
+            self.check_versions(run)
             self.check_leaving(run)
             self.check_pauses(run)
             self.check_exit(run)
@@ -251,12 +252,32 @@
             self.add(f"{name}: {most} requests in {LIMIT_WINDOW_S} s at a "
                      f"limit of {per_s} a second")
 
+    def check_in_force(self):
+        """All gateways have the last configuration."""
+        for bench in self.soak.gateways:
+            adopted = [l["version"] for l in bench.run.logs()
+                       if l["name"] == "GATEWAY_ROUTING_ADOPTED"]
+            if adopted[-1:] != [self.soak.version]:
+                self.add(f"{bench.name}: configuration {adopted[-1:]} in force "
+                         f"at the end, not {self.soak.version}")
+
+    def check_versions(self, run):
+        """No older configuration replaces a newer one."""
+        adopted = [l["version"] for l in run.logs()
+                   if l["name"] == "GATEWAY_ROUTING_ADOPTED"]
+        if adopted != sorted(adopted):
+            self.add(f"{run.bench.name} run {run.number}: configurations "
+                     f"{adopted}")
+
     def check_leaving(self, run):
         """A target that announced its leaving in an answer gets no requests that
         arrive later, until it is added with another start."""
         announced = {}
         for line in run.logs():
             name, target = line["name"], line.get("target")
+            if line.get("leaving_us", 0) > line.get("waited_us", 0):
+                self.add(f"{target}: {line['request']} sent although it was "
+                         f"known to be leaving")
             if name == "GATEWAY_TARGET_ADDED":
                 announced.pop(target, None)
             elif line.get("reason") == "announced in an answer":
--- a/tests/gateway/soak_targets.py
+++ b/tests/gateway/soak_targets.py
@@ -153,6 +153,8 @@
         self.crashes = collections.defaultdict(list)  # times, by kind
         self.stopped = set()  # (engine, attempt) stopped for a migration
         self.draining = set()  # engines that say so in their answers
+        self.absent = set()  # engines that have left the list of instances
+        self.kept = set()  # connections that have carried a request
         self.restarting = set()  # engines that are restarting
         self.version_dice = generator(soak.seed, "versions")
         self.leaving_dice = generator(soak.seed, "leaving")
@@ -203,6 +205,10 @@
             return await self.run_bad(target, "request", request)
         attempt, visit, dice = self.visit(target, request)
         kind = dice.random()
+        # An earlier refusal once more, which names no request.
+        if writer in self.kept and kind > 0.97 and not self.soak.calm:
+            writer.write(answer(503, b"", [("Not-Executed", "1")]))
+        self.kept.add(writer)
         if kind < 0.03:
             self.reject(visit, dice, writer)
             return True
@@ -398,14 +404,35 @@
                               "Version": self.draw_version()}
         await self.soak.store.put("servers", name, self.records[name])
 
+    async def register_again(self):
+        """Targets write their entries again after the store was restored."""
+        for name, record in self.records.items():
+            if name in self.absent:
+                if ("servers", name) in self.soak.store.objects:
+                    await self.soak.store.remove("servers", name)
+                continue
+            engine = self.engines.get(name)
+            if engine and engine.phase == "draining":
+                record = {**record, "Phase": "draining"}
+            present = self.soak.store.objects.get(("servers", name))
+            if present is None or present["Spec"] != record:
+                await self.soak.store.put("servers", name, record)
+
     async def leave(self, name, duration_s):
-        """The engine leaves the list of instances for DURATION_S, and completes
-        its streams."""
+        """The engine leaves the list of instances for DURATION_S, completes its
+        streams, and starts again."""
         if self.engines[name].phase == "draining" \
                 or name in self.crashed | self.draining:
             return
         self.engines[name].phase = "draining"
-        await self.soak.store.remove("servers", name)
+        self.absent.add(name)
+        if ("servers", name) in self.soak.store.objects:
+            await self.soak.store.remove("servers", name)
         await asyncio.sleep(duration_s)
-        self.engines[name].phase = "ready"
+        self.absent.discard(name)
+        # Its leaving is final for this start.
+        engine = self.engines[name]
+        engine.born += 1
+        self.records[name] = {**self.records[name], "born": engine.born}
+        engine.phase = "ready"
         await self.soak.store.put("servers", name, self.records[name])
