--- a/wire/wire.h
+++ b/wire/wire.h
@@ -348,7 +348,7 @@
 typedef struct
 {
   cv_origin_step_t step;
-  uint64_t key;              /* of the stream */
+  uint64_t key; /* of the stream */
   /* Of RECORDED and KNOWN.  Of UNKNOWN, the one version of the service that the
      sender has known for the life of a stream, 0 if it knows of none.  */
   uint64_t version;
