--- a/tests/gateway/pause_scenarios.py
+++ b/tests/gateway/pause_scenarios.py
@@ -26,19 +26,20 @@
         self.texts[name] = texts or (str(seconds),)
         self.until[name] = time.monotonic() + seconds
 
-    def turn_away(self, target, writer):
+    def turn_away(self, target, request, writer):
         """Whether the target turned the request away."""
         now = time.monotonic()
         self.arrivals.setdefault(target.name, []).append(now)
         if now >= self.until.get(target.name, 0):
             return False
-        writer.write(answer(503, b"", [("Not-Executed", "1")] + [
+        attempt = ("Attempt-Id", request.headers["attempt-id"])
+        writer.write(answer(503, b"", [attempt, ("Not-Executed", "1")] + [
             ("Retry-After", text) for text in self.texts[target.name]]))
         return True
 
     def script(self, work_s=0.02):
         async def plain(target, request, writer):
-            if self.turn_away(target, writer):
+            if self.turn_away(target, request, writer):
                 return True
             now = self.running.get(target.name, 0) + 1
             self.running[target.name] = now
@@ -52,7 +53,7 @@
 
     def engine_script(self):
         async def engine(target, request, writer):
-            if self.turn_away(target, writer):
+            if self.turn_away(target, request, writer):
                 return True
             await start_stream(request, writer)
             writer.write(chunk(event(1)) + b"0\r\n\r\n")
--- a/tests/gateway/rejoin_scenarios.py
+++ b/tests/gateway/rejoin_scenarios.py
@@ -8,6 +8,7 @@
 
 GATEWAYS = 5
 STREAMS = 40
+NEXT = ("n0", "n1")
 
 
 async def observe_all(bench, names):
@@ -34,6 +35,12 @@
     return fleet, script
 
 
+async def add_next(bench, script):
+    """Engines of the next version."""
+    for name in NEXT:
+        await add_engine(bench, name, "v2", script)
+
+
 async def begin(fleet, count=STREAMS):
     streams = [Stream(fleet, i) for i in range(count)]
     await asyncio.gather(*(
@@ -41,12 +48,15 @@
     return streams
 
 
-async def end_all_gateways(fleet, away_s=1.0):
-    """Kill all gateways, and start them again at their addresses."""
+async def end_all_gateways(fleet, meanwhile=None, away_s=1.0):
+    """Kill all gateways, and start them again at their addresses after
+    MEANWHILE."""
     for gateway in fleet.gateways:
         gateway.process.kill()
     for gateway in fleet.gateways:
         await gateway.process.wait()
+    if meanwhile:
+        await meanwhile
     await asyncio.sleep(away_s)
     for gateway in fleet.gateways:
         await gateway.start_process()
@@ -87,11 +97,7 @@
     streams = await begin(fleet)
     for name in ("m0", "m1"):
         await bench.store.remove("servers", name)
-    for gateway in fleet.gateways:
-        gateway.process.kill()
-    for name in ("n0", "n1"):
-        await add_engine(bench, name, "v2", script)
-    await end_all_gateways(fleet)
+    await end_all_gateways(fleet, add_next(bench, script))
     _, mixed = await take_up(bench, fleet, streams)
     bench.say(f"of two versions: {mixed}")
 
@@ -104,9 +110,8 @@
         await bench.store.remove("servers", name)
     for process in fleet.engine_observers:
         process.kill()
-    for name in ("n0", "n1"):
-        await add_engine(bench, name, "v2", script)
-    await observe_all(bench, ["n0", "n1"])
+    await add_next(bench, script)
+    await observe_all(bench, NEXT)
     await end_all_gateways(fleet)
     _, mixed = await take_up(bench, fleet, streams)
     bench.say(f"of two versions: {mixed}")
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -149,7 +149,9 @@
     """A target rejects a request as not executed: the request is sent to
     another target, or refused with Retry-After if there is none."""
     async def full(target, request, writer):
-        writer.write(answer(503, b"", [("Not-Executed", "1")]))
+        writer.write(answer(503, b"", [
+            ("Attempt-Id", request.headers["attempt-id"]),
+            ("Not-Executed", "1")]))
         return True
 
     await bench.add_target("t1", "plain", full)
--- a/tests/gateway/soak_targets.py
+++ b/tests/gateway/soak_targets.py
@@ -210,7 +210,7 @@
             writer.write(answer(503, b"", [("Not-Executed", "1")]))
         self.kept.add(writer)
         if kind < 0.03:
-            self.reject(visit, dice, writer)
+            self.reject(attempt, visit, dice, writer)
             return True
         attempt.starts += 1
         delay = dice.uniform(0, 0.03)
@@ -239,11 +239,11 @@
         visit.end("complete")
         return kind >= 0.10
 
-    def reject(self, visit, dice, writer):
+    def reject(self, attempt, visit, dice, writer):
         """Turn a request away; before the faults end, half of the time for a
         while."""
         visit.end("rejected")
-        fields = [("Not-Executed", "1")]
+        fields = [("Attempt-Id", attempt.name), ("Not-Executed", "1")]
         if dice.random() < 0.5 and not self.soak.calm:
             fields.append(("Retry-After", f"{dice.uniform(0.3, 1):.2f}"))
         writer.write(answer(503, b"", fields))
@@ -263,7 +263,7 @@
         key = (target.name, attempt.name)
         # Not a retry: its response may have begun (KNOWN-RED.txt).
         if len(attempt.visits) == 1 and dice.random() < 0.02:
-            self.reject(visit, dice, writer)
+            self.reject(attempt, visit, dice, writer)
             return True
         if "kv-from" in request.headers:
             self.check_copy(attempt.name, request.headers["kv-from"])
--- a/tests/gateway/target_limit_scenarios.py
+++ b/tests/gateway/target_limit_scenarios.py
@@ -311,7 +311,9 @@
     async def script(target, request, writer):
         if target.base_name == "plain-1":
             limits.arrived("plain-1")
-            writer.write(answer(503, b"", [("Not-Executed", "1"),
+            writer.write(answer(503, b"", [("Attempt-Id",
+                                            request.headers["attempt-id"]),
+                                           ("Not-Executed", "1"),
                                            *limits.headers("plain-1")]))
             return True
         return await limits.script()(target, request, writer)
