gateway: targets are found through hash tables

Cause: a target was looked up by a walk over all of them, for each entry of the list, each load report and each address. With thousands of instances the start of a gateway took that time squared.

Change: an index by id and one by address; the table of starts is searched up to its first free place.

--- a/gateway/state.h
+++ b/gateway/state.h
@@ -59,11 +59,15 @@
 
 TAILQ_HEAD (cv_http_links_t, cv_http_link_t);
 TAILQ_HEAD (cv_targets_t, cv_target_t);
+LIST_HEAD (cv_target_bucket_t, cv_target_t);
 TAILQ_HEAD (cv_clients_t, cv_client_t);
 TAILQ_HEAD (cv_exchanges_t, cv_exchange_t);
 
 /* ---- targets ---- */
 
+/* Buckets of an index of targets: a few in each at thousands of targets.  */
+#define CV_TARGET_BUCKETS 1024
+
 typedef enum
 {
   CV_TARGET_LISTED = 1, /* in the store; takes new requests */
@@ -76,6 +80,8 @@
 struct cv_target_t
 {
   TAILQ_ENTRY (cv_target_t) entry;
+  LIST_ENTRY (cv_target_t) by_id;
+  LIST_ENTRY (cv_target_t) by_address;
   cv_gateway_t *gateway;
   uint32_t refs; /* the table, and each exchange or migration that uses it */
   cv_instance_record_t record;
@@ -319,7 +325,9 @@
   uint32_t port_count;
   cv_routing_t *routing; /* NULL until a configuration was read */
   struct cv_targets_t targets;
-  cv_starts_t starts; /* of targets that left */
+  struct cv_target_bucket_t targets_by_id[CV_TARGET_BUCKETS];
+  struct cv_target_bucket_t targets_by_address[CV_TARGET_BUCKETS];
+  cv_starts_t starts;                             /* of targets that left */
   struct cv_service_states_t services;
   struct cv_route_states_t route_states;
   uint32_t route_state_count;
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -21,12 +21,25 @@
 
 static void on_idle_event (void *owner, const cv_http_link_event_t *event);
 
+static struct cv_target_bucket_t *
+bucket_of_id (cv_gateway_t *g, const char *id)
+{
+  return &g->targets_by_id[cv_hash (id, strlen (id), 0) % CV_TARGET_BUCKETS];
+}
+
+static struct cv_target_bucket_t *
+bucket_of_address (cv_gateway_t *g, const struct sockaddr_in *address)
+{
+  return &g->targets_by_address[cv_gateway_rank (address, 0)
+                                % CV_TARGET_BUCKETS];
+}
+
 cv_target_t *
 cv_target_find (cv_gateway_t *g, const char *id)
 {
   cv_target_t *t;
 
-  TAILQ_FOREACH (t, &g->targets, entry)
+  LIST_FOREACH (t, bucket_of_id (g, id), by_id)
   if (strcmp (t->record.id, id) == 0)
     return t;
   return NULL;
@@ -100,6 +113,8 @@
   cv_crash_check_cancel (t);
   close_all_idle (t);
   TAILQ_REMOVE (&t->gateway->targets, t, entry);
+  LIST_REMOVE (t, by_id);
+  LIST_REMOVE (t, by_address);
   cv_target_unref (t);
 }
 
@@ -130,16 +145,16 @@
 {
   cv_target_t *other;
 
-  for (other = TAILQ_FIRST (&t->gateway->targets); other != NULL;
-       other = TAILQ_NEXT (other, entry))
-    {
-      if (other == t || !has_same_address (t, other))
-        continue;
-      if (other->record.started_ms < t->record.started_ms)
-        cv_target_mark_displaced (other);
-      else if (other->record.started_ms > t->record.started_ms)
-        cv_target_mark_displaced (t);
-    }
+  LIST_FOREACH (other, bucket_of_address (t->gateway, &t->record.address),
+                by_address)
+  {
+    if (other == t || !has_same_address (t, other))
+      continue;
+    if (other->record.started_ms < t->record.started_ms)
+      cv_target_mark_displaced (other);
+    else if (other->record.started_ms > t->record.started_ms)
+      cv_target_mark_displaced (t);
+  }
 }
 
 static cv_target_t *
@@ -155,6 +170,8 @@
   TAILQ_INIT (&t->idle);
   cv_health_init (&t->health, CV_HEALTH_DECAY_GATEWAY);
   TAILQ_INSERT_TAIL (&g->targets, t, entry);
+  LIST_INSERT_HEAD (bucket_of_id (g, r->id), t, by_id);
+  LIST_INSERT_HEAD (bucket_of_address (g, &r->address), t, by_address);
   cv_target_log (CV_EV_GATEWAY_TARGET_ADDED, t, "listed");
   displace_older (t);
   return t;
@@ -180,7 +197,9 @@
   if (t == NULL)
     t = add_target (g, r);
   t->in_current_list = true;
+  LIST_REMOVE (t, by_address);
   t->record = *r;
+  LIST_INSERT_HEAD (bucket_of_address (g, &r->address), t, by_address);
   /* The reason means: marked as draining in the store.  */
   if (r->draining)
     cv_target_note_leaving (t, "leaving");
--- a/policy/starts.c
+++ b/policy/starts.c
@@ -3,7 +3,8 @@
 static const cv_start_t *
 find (const cv_starts_t *s, uint64_t instance)
 {
-  for (uint32_t i = 0; i < CV_STARTS_MAX; i++)
+  /* Places are taken in order, and do not become free again.  */
+  for (uint32_t i = 0; i < CV_STARTS_MAX && s->starts[i].instance != 0; i++)
     if (s->starts[i].instance == instance)
       return &s->starts[i];
   return NULL;
