gateway: one reads the store for all

Change: a gateway that has heard no answer of the store for a while reads it and hands its answers on (PAGE), until it hears a reader of a higher rank. policy/reader.c decides; a gateway that lacks a page, stood still or hears nothing asks the store by itself.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -183,6 +183,18 @@
   add_counter (body, "stream_records_dropped_total",
                "Records of streams dropped before their time.",
                g->origins.dropped);
+  add_counter (body, "pages_sent_total",
+               "Answers of the store handed on to another gateway.",
+               g->counts.pages_sent);
+  add_counter (body, "pages_heard_total",
+               "Answers of the store that another gateway handed on.",
+               g->counts.pages_heard);
+  add_counter (body, "configuration_reader",
+               "Whether it reads configurations for the others.",
+               g->routing_watcher.reader.is_reader);
+  add_counter (body, "instances_reader",
+               "Whether it reads the list of instances for the others.",
+               g->instance_watcher.reader.is_reader);
 }
 
 void
--- a/gateway/evidence.c
+++ b/gateway/evidence.c
@@ -282,6 +282,6 @@
 void
 cv_evidence_tick (cv_evidence_t *e, cv_time_t now)
 {
-  cv_roster_tick (&e->roster, now);
+  cv_roster_tick (&e->roster, &e->gateway->loads_address, now);
   send_due (e, now);
 }
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -1,27 +1,22 @@
-/* Watches one kind of store object: reads the list, then polls for changes, and
-   reads the list again when the store no longer keeps them.  The last known
-   state stays in use while the store is unreachable.  */
+/* Watches one kind of store object: reads the list, then polls for changes or
+   hears of them from other gateways, and reads the list again when the store no
+   longer keeps them.  The last known state stays in use while the store is
+   unreachable.  */
 
 #include <string.h>
 
 #include "gateway/state.h"
 
-/* Long-poll time of a call that waits for changes.  A store that stopped
-   responding is noticed only STORE_CALL_TIMEOUT after the poll's end, and a
-   configuration should be in force about 2 s after the store is reachable
-   again.  Shorter polls cost more calls.  */
-#define POLL_ROUTING_MS 1800
-#define POLL_INSTANCES_MS 2000
 /* Long-poll time after a failure, since the store may fail again.  */
 #define POLL_AFTER_FAILURE_MS 300
 /* Changes of instances are read in batches: a large fleet has about ten a
-   second, and each would cost a call by each gateway.  Load reports announce
-   new and draining engines sooner.  Draining plain services are not announced
-   otherwise, but serve for at least 2 s more.  */
-#define INSTANCES_BATCH_PERIOD (1200 * CV_MS)
-/* Shortest time between two immediate polls: engines start in groups, and one
+   second, and each would cost a call.  */
+#define INSTANCES_BATCH_PERIOD (200 * CV_MS)
+/* Shortest time between two immediate calls: engines start in groups, and one
    call returns the whole group.  */
-#define POLL_NOW_INTERVAL (300 * CV_MS)
+#define ASK_NOW_INTERVAL (300 * CV_MS)
+/* Gateways that have all learnt of the same change ask within this time.  */
+#define ASK_NOW_SPREAD (50 * CV_MS)
 /* Timeout of a call beyond its long-poll time; a slow store takes about
    300 ms.  */
 #define STORE_CALL_TIMEOUT (600 * CV_MS)
@@ -44,6 +39,7 @@
   w->phase = CV_WATCHER_LIST;
   cv_replica_call_init (&w->call, g->base, &g->store, &g->store_history,
                         on_result, w);
+  cv_reader_init (&w->reader, cv_pages_rank (w, &g->loads_address), cv_now ());
 }
 
 void
@@ -76,14 +72,15 @@
 start_call (cv_watcher_t *w)
 {
   bool watch = w->phase == CV_WATCHER_WATCH;
-  uint32_t poll_ms
-      = w->kind == CV_STORE_ROUTING ? POLL_ROUTING_MS : POLL_INSTANCES_MS;
+  uint32_t poll_ms = cv_reader_wait_ms (&w->reader);
   cv_replica_request_t request
       = { .method = "GET", .continues = watch || w->list_cursor[0] != '\0' };
   cv_buf_t path;
 
   if (w->failures > 0)
     poll_ms = POLL_AFTER_FAILURE_MS;
+  w->call_revision = w->revision;
+  w->called_at = cv_now ();
   cv_buf_init (&path);
   if (watch)
     cv_platform_watch_path (&path, w->kind, w->revision, poll_ms);
@@ -111,6 +108,7 @@
   cv_time_t backoff = BACKOFF_FIRST << (w->failures < 3 ? w->failures : 3);
 
   w->failures++;
+  cv_reader_failed (&w->reader);
   /* A long poll may be cut off, so one failure is no outage.  */
   if (!w->is_unreachable && w->failures > 1)
     {
@@ -132,6 +130,10 @@
 
   w->failures = 0;
   w->confirmed_at = now;
+  cv_reader_answered (
+      &w->reader,
+      cv_roster_has (&w->gateway->evidence.roster, &w->gateway->loads_address),
+      now);
   if (!w->is_unreachable)
     return;
   w->is_unreachable = false;
@@ -141,11 +143,12 @@
              now - w->unreachable_since);
 }
 
-/* Whether a removal may be an entry that expired while the store was
-   unreachable.  */
-static bool
-entry_may_have_expired (const cv_watcher_t *w)
+bool
+cv_watcher_may_have_expired (const cv_watcher_t *w)
 {
+  /* What another gateway read is of its calls to the store.  */
+  if (w->is_applying_heard)
+    return w->has_heard_expired;
   return w->is_unreachable
          || (w->reachable_since > 0
              && cv_now () - w->reachable_since < EXPIRY_WINDOW);
@@ -229,7 +232,7 @@
 
   if (o->deleted)
     {
-      cv_targets_remove (w->gateway, o->name, entry_may_have_expired (w));
+      cv_targets_remove (w->gateway, o->name, cv_watcher_may_have_expired (w));
       return;
     }
   if (cv_platform_decode_instance (o, &record, &err))
@@ -266,25 +269,53 @@
 {
   if (page->is_change)
     {
-      w->revision = page->revision;
+      w->page_revision = page->revision;
+      /* Later changes may have been heard of during the call.  */
+      if (page->revision > w->revision)
+        w->revision = page->revision;
       return;
     }
   if (page->has_more)
     return;
   if (w->kind == CV_STORE_INSTANCES)
-    cv_targets_list_end (w->gateway,
-                         entry_may_have_expired (w) || was_restored_lately (w));
+    cv_targets_list_end (w->gateway, cv_watcher_may_have_expired (w)
+                                         || was_restored_lately (w));
   w->is_synced = true;
   w->revision = w->list_revision;
   w->list_cursor[0] = '\0';
   w->phase = CV_WATCHER_WATCH;
 }
 
+/* Number of the first changes in BODY that are included in REVISION.  They are
+   in the store's order; a removal bears no revision of its own, so that one
+   behind the last such change counts as new.  */
+static uint32_t
+count_included (cv_slice_t body, uint64_t revision)
+{
+  cv_store_page_t page;
+  cv_store_object_t o;
+  uint32_t included = 0;
+
+  if (!cv_platform_decode_page (body, true, &page, NULL))
+    return 0;
+  for (uint32_t i = 1; cv_platform_page_next (&page, &o); i++)
+    {
+      if (o.deleted)
+        continue;
+      if (o.revision > revision)
+        break;
+      included = i;
+    }
+  cv_platform_page_finish (&page);
+  return included;
+}
+
 static bool
 apply_page (cv_watcher_t *w, cv_slice_t body, cv_error_t *err)
 {
   cv_store_page_t page;
   cv_store_object_t o;
+  uint32_t skipped;
 
   if (!cv_platform_decode_page (body, w->phase == CV_WATCHER_WATCH, &page, err))
     return false;
@@ -297,8 +328,17 @@
       if (w->kind == CV_STORE_INSTANCES)
         cv_targets_list_begin (w->gateway);
     }
+  /* An older state must not follow a newer one that was heard of.  */
+  skipped = page.is_change ? count_included (body, w->revision) : 0;
+  w->has_changes = false;
   while (cv_platform_page_next (&page, &o))
     {
+      w->has_changes = true;
+      if (skipped > 0)
+        {
+          skipped--;
+          continue;
+        }
       apply_object (w, &o, page.is_change);
       if (!page.is_change)
         cv_platform_page_cursor (&o, w->list_cursor);
@@ -308,14 +348,63 @@
   return true;
 }
 
+bool
+cv_watcher_apply_heard (cv_watcher_t *w, const cv_msg_page_t *m,
+                        cv_error_t *err)
+{
+  cv_store_page_t page;
+  bool is_page = cv_platform_decode_page (m->body, true, &page, err);
+
+  if (!is_page)
+    return false;
+  cv_platform_page_finish (&page);
+  if (page.revision != m->to)
+    return cv_fail (err, CV_ERR_INVALID, "page: body is of another revision");
+  w->is_applying_heard = true;
+  w->has_heard_expired = m->may_have_expired;
+  is_page = apply_page (w, m->body, err);
+  w->is_applying_heard = false;
+  cv_exchange_place_waiting (w->gateway);
+  return is_page;
+}
+
+static void
+log_reader (const cv_watcher_t *w)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_READER);
+  cv_line_text (&l, "kind", cv_slice (kind_text (w->kind)));
+  cv_line_number (&l, "revision", (int64_t)w->revision);
+  cv_line_end (&l);
+}
+
+/* An answer of the store was applied; WAS_READER: before it.  */
+static void
+go_on (cv_watcher_t *w, bool was_reader)
+{
+  bool is_batching = w->kind == CV_STORE_INSTANCES && w->has_changes;
+
+  if (w->reader.is_reader && !was_reader)
+    log_reader (w);
+  w->next_call = is_batching ? cv_now () + INSTANCES_BATCH_PERIOD : 0;
+  if (w->phase == CV_WATCHER_LIST
+      || (!is_batching && cv_reader_next_call (&w->reader) == 0))
+    start_call (w);
+}
+
 static void
 on_result (void *owner, const cv_http_result_t *r, bool is_outdated)
 {
   cv_watcher_t *w = owner;
+  bool is_watch = w->phase == CV_WATCHER_WATCH;
+  bool was_reader = w->reader.is_reader;
   cv_error_t err = { 0 };
 
   if (is_outdated)
     {
+      if (is_watch)
+        cv_pages_send_era (w);
       restart_list (w);
       handle_failure (w, "answer of another era");
       if (w->failures == 1)
@@ -344,11 +433,12 @@
       return;
     }
   handle_success (w);
+  if (w->phase == CV_WATCHER_WATCH)
+    w->known_as_of = w->called_at;
+  if (is_watch && w->phase == CV_WATCHER_WATCH && w->reader.is_reader)
+    cv_pages_send (w, r->body);
   cv_exchange_place_waiting (w->gateway);
-  if (w->kind == CV_STORE_INSTANCES && w->phase == CV_WATCHER_WATCH)
-    w->next_call = cv_now () + INSTANCES_BATCH_PERIOD;
-  else
-    start_call (w);
+  go_on (w, was_reader);
 }
 
 /* Another reader has learnt that the store was restored: what W waits for may
@@ -363,23 +453,61 @@
   w->next_call = 0;
 }
 
+/* The process was stalled: an answer that waits for changes may have been sent
+   long ago, and so may those of other gateways.  */
+static void
+ask_after_stall (cv_watcher_t *w, cv_time_t now)
+{
+  cv_reader_stalled (&w->reader, now);
+  if (w->phase != CV_WATCHER_WATCH)
+    return;
+  cv_replica_call_cancel (&w->call);
+  w->next_call = 0;
+}
+
+static cv_time_t
+next_call_at (const cv_watcher_t *w)
+{
+  cv_time_t planned
+      = w->phase == CV_WATCHER_LIST ? 0 : cv_reader_next_call (&w->reader);
+
+  return planned > w->next_call ? planned : w->next_call;
+}
+
 void
 cv_watcher_tick (cv_watcher_t *w, cv_time_t now)
 {
   cv_replica_call_tick (&w->call, now);
   if (w->history != w->gateway->store_history.number)
     leave_history (w);
-  if (!w->call.http.busy && now >= w->next_call)
+  if (w->gateway->stall_ended_at == now)
+    ask_after_stall (w, now);
+  if (!w->call.http.busy && now >= next_call_at (w))
     start_call (w);
 }
 
 void
 cv_watcher_poll_now (cv_watcher_t *w, cv_time_t now)
 {
-  bool is_batching = w->is_synced && w->failures == 0 && !w->call.http.busy;
+  bool is_batching = w->is_synced && w->failures == 0 && !w->call.http.busy
+                     && w->reader.is_reader;
 
-  if (!is_batching || now - w->polled_now_at < POLL_NOW_INTERVAL)
+  if (!is_batching || now - w->asked_now_at < ASK_NOW_INTERVAL)
     return;
-  w->polled_now_at = now;
+  w->asked_now_at = now;
   start_call (w);
 }
+
+void
+cv_watcher_ask_now (cv_watcher_t *w, cv_time_t now)
+{
+  cv_time_t earliest = w->asked_now_at + ASK_NOW_INTERVAL;
+
+  w->reader.known_at = 0;
+  if (now < w->asked_now_at)
+    return; /* such a call is planned */
+  w->asked_now_at = (now > earliest ? now : earliest)
+                    + (cv_time_t)((double)ASK_NOW_SPREAD
+                                  * cv_rng_uniform (&w->gateway->rng));
+  w->next_call = w->asked_now_at;
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -57,13 +57,16 @@
   g->base = event_base_new ();
   if (g->base == NULL)
     return cv_fail (err, CV_ERR_SYSTEM, "cannot create event loop");
-  cv_watcher_init (&g->routing_watcher, g, CV_STORE_ROUTING);
-  cv_watcher_init (&g->instance_watcher, g, CV_STORE_INSTANCES);
   cv_register_init (&g->registration, g);
   cv_evidence_init (&g->evidence, g);
   cv_origins_init (&g->origins);
   cv_quarantine_store_init (&g->quarantine_store, g);
-  return open_ports (g, err) && cv_loads_open (g, err);
+  if (!open_ports (g, err) || !cv_loads_open (g, err))
+    return false;
+  /* The rank of a reader is that of its address for datagrams.  */
+  cv_watcher_init (&g->routing_watcher, g, CV_STORE_ROUTING);
+  cv_watcher_init (&g->instance_watcher, g, CV_STORE_INSTANCES);
+  return true;
 }
 
 static bool
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -1,6 +1,6 @@
 /* Exchanges datagrams with observers, about loads, reservations and migration
    leases, and with other gateways: evidence on crashes, the limits of targets,
-   and the versions that began streams.  */
+   the versions that began streams, and answers of the store.  */
 
 #include <string.h>
 #include <unistd.h>
@@ -203,6 +203,8 @@
     case CV_MSG_ORIGIN:
       cv_resume_handle_message (g, &msg->u.origin, from);
       return true;
+    case CV_MSG_PAGE:
+      return cv_pages_handle (g, &msg->u.page, from, err);
     default:
       return cv_fail (err, CV_ERR_INVALID, "unexpected message %s",
                       cv_msg_name (msg->type));
--- /dev/null
+++ b/gateway/pages.c
@@ -0,0 +1,133 @@
+/* Answers of the store that gateways hand on to each other.  A configuration,
+   which holds keys, is read from the store only: the others are told its
+   revision.  */
+
+#include <string.h>
+
+#include "gateway/state.h"
+
+/* Longest answer that is handed on: with the other fields it fits into a
+   datagram.  */
+#define BODY_MAX_BYTES (CV_DATAGRAM_MAX_BYTES - 128)
+/* A reader that was stalled for longer does not hand on what it reads then: the
+   answer may have waited in its socket.  */
+#define STALL_MAX (250 * CV_MS)
+
+static cv_page_kind_t
+page_kind (const cv_watcher_t *w)
+{
+  return w->kind == CV_STORE_ROUTING ? CV_PAGE_CONFIGURATION
+                                     : CV_PAGE_INSTANCES;
+}
+
+static cv_watcher_t *
+watcher_of (cv_gateway_t *g, cv_page_kind_t kind)
+{
+  switch (kind)
+    {
+    case CV_PAGE_CONFIGURATION:
+      return &g->routing_watcher;
+    case CV_PAGE_INSTANCES:
+      return &g->instance_watcher;
+    }
+  return NULL;
+}
+
+double
+cv_pages_rank (const cv_watcher_t *w, const struct sockaddr_in *address)
+{
+  uint64_t rank = cv_gateway_rank (address, (uint64_t)page_kind (w));
+
+  return (double)(UINT64_MAX - rank) / 0x1p64;
+}
+
+static void
+send_page (const cv_watcher_t *w, cv_msg_t *msg)
+{
+  const cv_era_t *era = &w->gateway->store_history.era;
+
+  msg->type = CV_MSG_PAGE;
+  msg->u.page.kind = page_kind (w);
+  msg->u.page.has_era = era->is_named;
+  msg->u.page.era = era->is_named ? era->number : 0;
+  w->gateway->counts.pages_sent += cv_gateways_send (w->gateway, msg);
+}
+
+/* Whether BODY, the last answer that W has read, may be handed on.  */
+static bool
+may_hand_on (const cv_watcher_t *w, cv_slice_t body)
+{
+  return body.n <= BODY_MAX_BYTES
+         && (w->kind == CV_STORE_INSTANCES || !w->has_changes);
+}
+
+void
+cv_pages_send (const cv_watcher_t *w, cv_slice_t body)
+{
+  cv_msg_t msg
+      = { .u.page = { .from = w->call_revision,
+                      .to = w->page_revision,
+                      .may_have_expired = cv_watcher_may_have_expired (w),
+                      .body = { "", 0 } } };
+
+  if (cv_now () - w->gateway->last_tick_at > STALL_MAX)
+    return;
+  if (may_hand_on (w, body))
+    msg.u.page.body = body;
+  send_page (w, &msg);
+}
+
+void
+cv_pages_send_era (const cv_watcher_t *w)
+{
+  cv_msg_t msg = { .u.page.body = { "", 0 } };
+
+  send_page (w, &msg);
+}
+
+/* Whether M is of the history of the store that this gateway follows.  If it is
+   of a later one, W asks the store.  */
+static bool
+check_era (cv_watcher_t *w, const cv_msg_page_t *m, cv_time_t now)
+{
+  const cv_era_t *era = &w->gateway->store_history.era;
+
+  if (m->has_era == era->is_named && (!m->has_era || m->era == era->number))
+    return w->history == w->gateway->store_history.number;
+  if (m->has_era && (!era->is_named || m->era > era->number))
+    cv_watcher_ask_now (w, now);
+  return false;
+}
+
+bool
+cv_pages_handle (cv_gateway_t *g, const cv_msg_page_t *m,
+                 const struct sockaddr_in *from, cv_error_t *err)
+{
+  cv_watcher_t *w = watcher_of (g, m->kind);
+  cv_time_t now = cv_now ();
+  bool has_gap;
+
+  if (now - g->last_tick_at > STALL_MAX)
+    return true;
+  if (w->phase != CV_WATCHER_WATCH || !check_era (w, m, now)
+      || m->to < w->revision)
+    return true;
+  has_gap = m->from > w->revision || (m->body.n == 0 && m->to > w->revision);
+  if (has_gap)
+    {
+      cv_reader_missed (&w->reader, now);
+      cv_watcher_ask_now (w, now);
+      return true;
+    }
+  if (!cv_reader_heard (&w->reader, cv_pages_rank (w, from), now))
+    return true;
+  if (m->to > w->revision && !cv_watcher_apply_heard (w, m, err))
+    {
+      cv_reader_missed (&w->reader, now);
+      cv_watcher_ask_now (w, now);
+      return false;
+    }
+  g->counts.pages_heard++;
+  w->confirmed_at = now;
+  return true;
+}
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -25,6 +25,7 @@
 #include "gateway/events.h"
 #include "gateway/evidence.h"
 #include "gateway/exchange.h"
+#include "gateway/follow.h"
 #include "gateway/gateway.h"
 #include "gateway/limit.h"
 #include "gateway/version.h"
@@ -219,34 +220,7 @@
   cv_close_reason_t close_reason; /* of close_pending */
 };
 
-/* ---- store watchers ---- */
-
-typedef enum
-{
-  CV_WATCHER_LIST = 1, /* reads the whole list, page by page */
-  CV_WATCHER_WATCH     /* waits for changes */
-} cv_watcher_phase_t;
-
-/* Keeps the gateway's copy of one kind of store object up to date.  */
-typedef struct
-{
-  cv_gateway_t *gateway;
-  cv_store_kind_t kind;
-  cv_watcher_phase_t phase;
-  cv_replica_call_t call;
-  uint64_t history;              /* of the positions that follow */
-  uint64_t revision;             /* changes up to it are applied */
-  uint64_t list_revision;        /* of the list being read */
-  char list_cursor[CV_NAME_MAX]; /* last name of the previous page */
-  cv_time_t next_call;
-  cv_time_t polled_now_at; /* last use of cv_watcher_poll_now */
-  bool is_synced;          /* a whole list was read since the start */
-  bool is_unreachable;     /* the last calls to the store failed */
-  cv_time_t unreachable_since;
-  cv_time_t reachable_since; /* end of the last outage; 0: none yet */
-  cv_time_t confirmed_at;    /* last valid response */
-  uint32_t failures;         /* in a row */
-} cv_watcher_t;
+/* ---- registration ---- */
 
 typedef enum
 {
@@ -293,6 +267,8 @@
   uint64_t leavings;         /* announced by targets in their answers */
   uint64_t pauses;           /* that targets asked for */
   uint64_t sent_to_leaving;  /* attempts at targets known to be leaving */
+  uint64_t pages_sent;       /* answers of the store handed on */
+  uint64_t pages_heard;      /* of other gateways, that were of use */
 } cv_gateway_counts_t;
 
 /* An observer, by its last load report.  */
@@ -582,13 +558,6 @@
    exchange may continue too.  */
 void cv_migration_detach (cv_migration_t *m);
 
-/* follow.c */
-void cv_watcher_init (cv_watcher_t *w, cv_gateway_t *g, cv_store_kind_t kind);
-void cv_watcher_finish (cv_watcher_t *w);
-/* Reads changes at once instead of at the end of the batching period.  */
-void cv_watcher_poll_now (cv_watcher_t *w, cv_time_t now);
-void cv_watcher_tick (cv_watcher_t *w, cv_time_t now);
-
 #ifdef __cplusplus
 }
 #endif
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -281,6 +281,6 @@
   (void)what;
   cv_http_call_tick (&o->engine, now);
   poll_engine (o, now);
-  cv_roster_tick (&o->roster, now);
+  cv_roster_tick (&o->roster, NULL, now);
   cv_line_flush ();
 }
--- a/roster/roster.c
+++ b/roster/roster.c
@@ -8,6 +8,8 @@
 #include "routing/card.h"
 
 #define LIST_INTERVAL (2 * CV_SECOND)
+/* The same while a gateway is awaited that was registered just now.  */
+#define AWAITED_LIST_INTERVAL (500 * CV_MS)
 #define CALL_TIMEOUT (500 * CV_MS)
 /* Gateways write their objects again within this time after the store was
    restored, and a stale list shows them: 3 s of staleness, one LIST_INTERVAL
@@ -56,22 +58,29 @@
 }
 
 static bool
-is_listed (const cv_roster_t *r, const struct sockaddr_in *gateway)
+has_address (const struct sockaddr_in *gateways, uint32_t count,
+             const struct sockaddr_in *address)
 {
-  for (uint32_t i = 0; i < r->listed_count; i++)
-    if (r->listed[i].sin_addr.s_addr == gateway->sin_addr.s_addr
-        && r->listed[i].sin_port == gateway->sin_port)
+  for (uint32_t i = 0; i < count; i++)
+    if (gateways[i].sin_addr.s_addr == address->sin_addr.s_addr
+        && gateways[i].sin_port == address->sin_port)
       return true;
   return false;
 }
 
+bool
+cv_roster_has (const cv_roster_t *r, const struct sockaddr_in *address)
+{
+  return has_address (r->gateways, r->count, address);
+}
+
 /* Adds the gateways known so far to those that were listed: the copy that the
    store was restored from may lack them.  */
 static void
 keep_former (cv_roster_t *r)
 {
   for (uint32_t i = 0; i < r->count && r->listed_count < CV_ROSTER_MAX; i++)
-    if (!is_listed (r, &r->gateways[i]))
+    if (!has_address (r->listed, r->listed_count, &r->gateways[i]))
       r->listed[r->listed_count++] = r->gateways[i];
 }
 
@@ -116,8 +125,10 @@
 }
 
 void
-cv_roster_tick (cv_roster_t *r, cv_time_t now)
+cv_roster_tick (cv_roster_t *r, const struct sockaddr_in *awaited,
+                cv_time_t now)
 {
+  bool is_awaiting = awaited != NULL && !cv_roster_has (r, awaited);
   cv_replica_request_t request
       = { .method = "GET", .timeout = CALL_TIMEOUT, .may_be_stale = true };
   cv_buf_t path;
@@ -125,7 +136,7 @@
   cv_replica_call_tick (&r->store, now);
   if (r->store.http.busy || now < r->next_list_at)
     return;
-  r->next_list_at = now + LIST_INTERVAL;
+  r->next_list_at = now + (is_awaiting ? AWAITED_LIST_INTERVAL : LIST_INTERVAL);
   if (r->list_after[0] == '\0')
     r->listed_count = 0;
   cv_buf_init (&path);
--- a/roster/roster.h
+++ b/roster/roster.h
@@ -34,9 +34,13 @@
                      const struct sockaddr_in *store,
                      cv_store_history_t *history, cv_event_t skipped);
 void cv_roster_finish (cv_roster_t *r);
-/* Lists the gateways when it is time.  After a failed call the previous list
+/* Whether the gateway at ADDRESS was listed.  */
+bool cv_roster_has (const cv_roster_t *r, const struct sockaddr_in *address);
+/* Lists the gateways when it is time, sooner while one is AWAITED (NULL: none)
+   that is not listed.  After a failed call the previous list
    stays in use.  */
-void cv_roster_tick (cv_roster_t *r, cv_time_t now);
+void cv_roster_tick (cv_roster_t *r, const struct sockaddr_in *awaited,
+                     cv_time_t now);
 
 #ifdef __cplusplus
 }
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -320,6 +320,19 @@
   c->ok = c->ok && m->step >= CV_ORIGIN_RECORDED;
 }
 
+static void
+get_page (cursor_t *c, cv_msg_page_t *m)
+{
+  m->kind = (cv_page_kind_t)get_u64 (c, CV_PAGE_INSTANCES);
+  m->has_era = get_u64 (c, 1) == 1;
+  m->era = get_u64 (c, UINT64_MAX);
+  m->from = get_u64 (c, UINT64_MAX);
+  m->to = get_u64 (c, UINT64_MAX);
+  m->may_have_expired = get_u64 (c, 1) == 1;
+  m->body = get_slice (c, CV_BODY_MAX);
+  c->ok = c->ok && m->kind >= CV_PAGE_CONFIGURATION;
+}
+
 static void
 get_rejected (cursor_t *c, cv_msg_rejected_t *m)
 {
@@ -426,6 +439,9 @@
     case CV_MSG_ORIGIN:
       get_origin (c, &msg->u.origin);
       return;
+    case CV_MSG_PAGE:
+      get_page (c, &msg->u.page);
+      return;
     default:
       c->ok = false;
       return;
@@ -491,6 +507,7 @@
     case CV_MSG_ROOM:
     case CV_MSG_RATE:
     case CV_MSG_ORIGIN:
+    case CV_MSG_PAGE:
       get_datagram_body (c, msg);
       break;
     case CV_MSG_LAST:
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -178,6 +178,18 @@
   put_u64 (pk, m->is_mixed);
 }
 
+static void
+put_page (msgpack_packer *pk, const cv_msg_page_t *m)
+{
+  put_u64 (pk, m->kind);
+  put_u64 (pk, m->has_era);
+  put_u64 (pk, m->era);
+  put_u64 (pk, m->from);
+  put_u64 (pk, m->to);
+  put_u64 (pk, m->may_have_expired);
+  put_slice (pk, m->body);
+}
+
 static void
 put_hello (msgpack_packer *pk, const cv_msg_hello_t *m)
 {
@@ -262,6 +274,9 @@
     case CV_MSG_ORIGIN:
       put_origin (pk, &msg->u.origin);
       return;
+    case CV_MSG_PAGE:
+      put_page (pk, &msg->u.page);
+      return;
     default:
       return;
     }
@@ -330,6 +345,7 @@
     case CV_MSG_ROOM:
     case CV_MSG_RATE:
     case CV_MSG_ORIGIN:
+    case CV_MSG_PAGE:
       put_datagram_body (pk, msg);
       break;
     case CV_MSG_LAST:
@@ -345,7 +361,7 @@
   [CV_MSG_REVOKE] = 6,       [CV_MSG_ACCEPTED] = 1, [CV_MSG_REJECTED] = 3,
   [CV_MSG_TOKENS] = 3,       [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
   [CV_MSG_ENGINE_LOAD] = 17, [CV_MSG_MOVE] = 4,     [CV_MSG_ROOM] = 8,
-  [CV_MSG_RATE] = 11,        [CV_MSG_ORIGIN] = 6,
+  [CV_MSG_RATE] = 11,        [CV_MSG_ORIGIN] = 6,   [CV_MSG_PAGE] = 7,
 };
 
 void
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -63,6 +63,8 @@
     msg.u.rate.step = CV_RATE_NAMED;
   if (type == CV_MSG_ORIGIN)
     msg.u.origin.step = CV_ORIGIN_ASKED;
+  if (type == CV_MSG_PAGE)
+    msg.u.page.kind = CV_PAGE_INSTANCES;
   if (type == CV_MSG_END)
     msg.u.end.end = CV_END_STOP;
   return msg;
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -180,6 +180,7 @@
   /* gateway to gateway */
   CV_MSG_RATE,   /* limit of a target, and permits to send to it */
   CV_MSG_ORIGIN, /* which software version began a stream */
+  CV_MSG_PAGE,   /* an answer of the store, handed on */
   CV_MSG_LAST
 } cv_msg_type_t;
 
@@ -357,6 +358,28 @@
   bool is_mixed; /* of replies: several versions of the service served lately */
 } cv_msg_origin_t;
 
+/* Objects that gateways read for each other.  */
+typedef enum
+{
+  CV_PAGE_CONFIGURATION = 1,
+  CV_PAGE_INSTANCES
+} cv_page_kind_t;
+
+/* PAGE: the store's changes between two revisions, as one gateway has read
+   them.  */
+typedef struct
+{
+  cv_page_kind_t kind;
+  bool has_era;
+  uint64_t era;  /* of HAS_ERA: of the store */
+  uint64_t from; /* the changes after this revision */
+  uint64_t to;   /* up to this one */
+  /* A removal may be an entry that expired while the store was unreachable.  */
+  bool may_have_expired;
+  cv_slice_t body; /* the store's answer; empty: not sent, as it has changes
+                      that are read from the store only, or is too long */
+} cv_msg_page_t;
+
 typedef struct
 {
   cv_doc_t doc;
@@ -498,6 +521,7 @@
     cv_msg_reservation_t reservation;
     cv_msg_rate_t rate;
     cv_msg_origin_t origin;
+    cv_msg_page_t page;
   } u;
 } cv_msg_t;
 
