gateway: the list of gateways states their number without observers

Cause: the slack of the retry budget was shared by a fixed number of gateways until an observer stated how many there are. On a fleet without observers more gateways than that retried more than the budget of all.

Change: while no load report states the number, the store's list does.

Test: gateway-retry-budget-of-many (16 gateways, 12 targets that begin to fail).

--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -12,9 +12,11 @@
    margin: the gateway counts each request as one, but in the retries allowed a
    request whose caller disconnects counts for less.  */
 #define RETRY_RATIO_FACTOR 0.9
-/* Gateways assumed to share the slack of the retry budget until a load report
-   states their number.  */
+/* Least number of gateways that are taken to share the slack of the retry
+   budget while no load report states their number.  */
 #define GATEWAY_COUNT_DEFAULT 8
+/* Load reports come several times a second.  */
+#define LOAD_REPORTS_MAX_AGE (3 * CV_SECOND)
 
 static void on_readable (evutil_socket_t fd, short what, void *arg);
 
@@ -106,6 +108,18 @@
   cv_gateway_set_retry_budget (g, &s->retries);
 }
 
+/* Without observers the store's list of gateways has their number.  */
+void
+cv_gateway_count_tick (cv_gateway_t *g, cv_time_t now)
+{
+  uint32_t listed = g->evidence.roster.count;
+
+  if (g->last_load_report_at == 0
+      || now - g->last_load_report_at > LOAD_REPORTS_MAX_AGE)
+    set_gateway_count (
+        g, listed > GATEWAY_COUNT_DEFAULT ? listed : GATEWAY_COUNT_DEFAULT);
+}
+
 static void
 handle_load_report (cv_gateway_t *g, const cv_msg_engine_load_t *load,
                     const struct sockaddr_in *from)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -508,6 +508,8 @@
 /* Rank of the gateway at ADDRESS for KEY, the same at all gateways; the ranks
    of different keys are in different orders.  */
 uint64_t cv_gateway_rank (const struct sockaddr_in *address, uint64_t key);
+/* Takes over the number of gateways while no observer states it.  */
+void cv_gateway_count_tick (cv_gateway_t *g, cv_time_t now);
 /* Sets this gateway's share of the retry budget.  */
 void cv_gateway_set_retry_budget (const cv_gateway_t *g, cv_retry_budget_t *b);
 
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -6,6 +6,7 @@
 import os
 import time
 
+from fleet import Fleet
 from standins import (EngineStatus, answer, chunk, echo, event, signed,
                       start_stream)
 
@@ -127,6 +128,40 @@
         bench.say(f"{status} {body.decode()}")
 
 
+async def retry_budget_of_many(bench):
+    """More gateways than are assumed at the start, and no observer that states
+    their number: requests that fail after a pause are retried within the budget
+    of all."""
+    gateways, targets, requests = 16, 12, 12
+    # Longer than the requests before it count.
+    pause_s = 21
+    is_failing = False
+
+    async def script(target, request, writer):
+        writer.write(answer(500 if is_failing else 200, b"", [
+            ("Attempt-Id", request.headers["attempt-id"]),
+            ("Server-Signature", "s")]))
+        return True
+
+    async def send(count):
+        before = sum(len(t.requests) for t in bench.targets.values())
+        for _ in range(count):
+            await asyncio.gather(*[fleet.send(g, "GET", "/read/x")
+                                   for g in fleet.gateways])
+        return sum(len(t.requests) for t in bench.targets.values()) - before
+
+    fleet = Fleet(bench, gateways)
+    for i in range(targets):
+        await bench.add_target(f"t{i}", "plain", script)
+    await fleet.start()
+    await send(60)
+    await asyncio.sleep(pause_s)
+    is_failing = True
+    retries = await send(requests) - gateways * requests
+    allowed = 0.2 * gateways * requests + 80
+    bench.say(f"retried {retries > 0}, within the budget {retries <= allowed}")
+
+
 async def once(bench):
     """A request that is not idempotent is sent once.  It may have run, so its
     failure must not carry Retry-After, which says that the request did not
