gateway: a copy without room goes elsewhere

Cause: an engine that could not copy a generation to the chosen destination, which had no room or was not reached, ended the migration; without an observer the same destination was asked six times in 150 ms.

Change: another destination is chosen, and the one that refused is left alone for 0.5 s. The order does not count as a migration of the run.

Test: gateway-move-without-room.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -129,7 +129,7 @@
   struct sockaddr_in copy_source;
   char copy_handle[CV_HANDLE_MAX];
   cv_migration_t *migration;     /* migration of its run, or NULL */
-  uint32_t migrations;           /* started */
+  uint32_t migrations;           /* without those that found no room */
   cv_time_t no_migration_until;  /* no room or no such run */
   bool is_stopped_for_migration; /* its stream ended for a migration */
 
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -26,6 +26,9 @@
    tried again for this time.  An observer polls its engine's load about as
    often (report_ms).  */
 #define REFUSED_BACKOFF (60 * CV_MS)
+/* The same for one to which the source could not copy: it has no room for the
+   copy, or does not answer.  Without an observer nothing tells when it has.  */
+#define COPY_REFUSED_BACKOFF (500 * CV_MS)
 /* Backoff of a run for which no engine had room.  A draining engine gives at
    least 1.4 s notice, and full engines stay full for seconds.  */
 #define RESCUE_BACKOFF (50 * CV_MS)
@@ -57,12 +60,14 @@
   cv_time_t response_lost_at; /* of CV_MIGRATION_AWAIT_END */
   bool is_resumed; /* at the destination: the reservation stays in use */
   const char *outcome;
+  unsigned status; /* of the source's last answer to an order to copy, or 0 */
   char run[CV_RUN_MAX];
   char handle[CV_NAME_MAX]; /* of the copy, empty when there is none */
 };
 
 static void on_result (void *owner, const cv_http_result_t *r);
 static void release_destination (cv_migration_t *m);
+static void reserve_elsewhere (cv_migration_t *m, cv_time_t backoff);
 
 static const char *
 purpose_text (cv_reservation_purpose_t purpose)
@@ -95,6 +100,7 @@
       cv_slice (m->destination != NULL ? m->destination->record.id : ""));
   cv_line_text (&l, "outcome", cv_slice (text));
   cv_line_number (&l, "phase", m->phase);
+  cv_line_number (&l, "status", m->status);
   cv_line_number (&l, "after_us", cv_now () - m->started_at);
   cv_line_end (&l);
 }
@@ -243,6 +249,39 @@
     fail (m, "run was not stopped");
 }
 
+/* The destination did not take the copy; the run goes on at the source.  */
+static void
+on_copy_refused (cv_migration_t *m)
+{
+  log_migration (m, CV_EV_GATEWAY_MOVE_REFUSED, "no room, or not reached");
+  cv_reserve_send_end (m->destination, cv_slice (m->run),
+                       CV_RESERVATION_RELEASED);
+  reserve_elsewhere (m, COPY_REFUSED_BACKOFF);
+}
+
+static void
+on_run_copied (cv_migration_t *m, const cv_http_result_t *r)
+{
+  bool has_handle
+      = r->status == 200 && cv_platform_decode_migration (r->body, m->handle);
+
+  if (m->exchange == NULL)
+    {
+      fail (m, "run has ended");
+      return;
+    }
+  if (r->status == 503)
+    {
+      on_copy_refused (m);
+      return;
+    }
+  m->exchange->migrations++;
+  if (has_handle)
+    request_copy (m, true);
+  else
+    fail (m, r->status == 404 ? "no such run" : "no copy was made");
+}
+
 /* Records what the answer R says of the engine that gave it.  */
 static void
 observe_answer (cv_migration_t *m, const cv_http_result_t *r)
@@ -264,19 +303,15 @@
   cv_migration_t *m = owner;
 
   observe_answer (m, r);
+  if (m->phase == CV_MIGRATION_COPY || m->phase == CV_MIGRATION_STOP)
+    m->status = r->status;
   switch (m->phase)
     {
     case CV_MIGRATION_RESERVE:
     case CV_MIGRATION_AWAIT_END:
       return; /* no call is made in these phases */
     case CV_MIGRATION_COPY:
-      if (r->status != 200
-          || !cv_platform_decode_migration (r->body, m->handle))
-        fail (m, r->status == 404 ? "no such run" : "no copy was made");
-      else if (m->exchange != NULL)
-        request_copy (m, true);
-      else
-        fail (m, "run has ended");
+      on_run_copied (m, r);
       return;
     case CV_MIGRATION_STOP:
       on_run_stopped (m, r);
@@ -317,7 +352,6 @@
 static void
 start_copy (cv_migration_t *m)
 {
-  m->exchange->migrations++;
   log_migration (m, CV_EV_GATEWAY_MOVE_STARTED, purpose_text (m->purpose));
   request_copy (m, false);
 }
@@ -382,12 +416,11 @@
     fail_without_room (m);
 }
 
-/* The destination's observer refused or did not reply: tries another
-   destination.  */
+/* The destination is refused for BACKOFF: tries another one.  */
 static void
-reserve_elsewhere (cv_migration_t *m)
+reserve_elsewhere (cv_migration_t *m, cv_time_t backoff)
 {
-  m->destination->migration_refused_until = cv_now () + REFUSED_BACKOFF;
+  m->destination->migration_refused_until = cv_now () + backoff;
   release_destination (m);
   if (m->reservation_requests >= DESTINATIONS_MAX || !reserve (m))
     fail_without_room (m);
@@ -411,7 +444,7 @@
       else if (reply->step == CV_RESERVATION_GRANTED)
         start_copy (m);
       else
-        reserve_elsewhere (m);
+        reserve_elsewhere (m, REFUSED_BACKOFF);
       return true;
     }
   return false;
@@ -429,7 +462,7 @@
   else if (m->purpose == CV_RESERVE_RESCUE)
     start_copy (m);
   else
-    reserve_elsewhere (m);
+    reserve_elsewhere (m, REFUSED_BACKOFF);
 }
 
 void
