gateway: a grant that waited in a socket does not hold

Cause: a gateway that stood still found the reply to its question in its socket as it went on, and used it, although the granter may have given the same to another one since. A request that waited for a permit was refused as if nobody had replied.

What waits after a stall is read before a question counts as unanswered.

--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -134,6 +134,22 @@
     *min_tokens = x->need_tokens;
 }
 
+/* A grant that does not hold is given back: the observer may have given the
+   memory to another run.  */
+static void
+handle_grant (cv_exchange_t *x)
+{
+  if (cv_gateway_grant_holds (x->reservation_target, x->request.attempt,
+                              "reservation", x->reservation_sent_at))
+    {
+      send_now (x);
+      return;
+    }
+  cv_exchange_cancel_reservation (x);
+  if (x->target == NULL)
+    cv_exchange_place (x);
+}
+
 void
 cv_reserve_handle_reply (cv_gateway_t *g, cv_target_t *t,
                          const cv_msg_reservation_t *m)
@@ -151,7 +167,7 @@
     return;
   if (m->step == CV_RESERVATION_GRANTED)
     {
-      send_now (x);
+      handle_grant (x);
       return;
     }
   record_reservation_refusal (t, x);
@@ -173,7 +189,9 @@
 void
 cv_exchange_reserve_tick (cv_exchange_t *x, cv_time_t now)
 {
-  if (now - x->reservation_sent_at < REPLY_TIMEOUT)
+  /* After a stall of this process the reply may be in its socket.  */
+  if (now - x->reservation_sent_at < REPLY_TIMEOUT
+      || now == x->gateway->stall_ended_at)
     return;
   if (cv_target_admits (x, x->reservation_target, now))
     send_now (x);
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -189,6 +189,24 @@
   cv_datagram_send (t->gateway->loads_fd, &t->observer, msg);
 }
 
+bool
+cv_gateway_grant_holds (const cv_target_t *t, cv_slice_t run, const char *kind,
+                        cv_time_t asked_at)
+{
+  cv_time_t now = cv_now ();
+  cv_line_t l;
+
+  if (cv_grant_holds (asked_at, now))
+    return true;
+  cv_line_begin (&l, CV_EV_GATEWAY_GRANT_EXPIRED);
+  cv_line_text (&l, "request", run);
+  cv_line_text (&l, "target", cv_slice (t->record.id));
+  cv_line_text (&l, "kind", cv_slice (kind));
+  cv_line_number (&l, "asked_us", now - asked_at);
+  cv_line_end (&l);
+  return false;
+}
+
 /* False with ERR when gateways do not receive messages of this type.  */
 static bool
 handle_message (void *owner, const cv_msg_t *msg,
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -455,7 +455,9 @@
 static void
 check_reply_timeout (cv_migration_t *m, cv_time_t now)
 {
-  if (now - m->reservation_sent_at < REPLY_TIMEOUT)
+  /* After a stall of this process the reply may be in its socket.  */
+  if (now - m->reservation_sent_at < REPLY_TIMEOUT
+      || now == m->source->gateway->stall_ended_at)
     return;
   if (m->exchange == NULL)
     fail (m, "run has ended");
--- a/gateway/permit.c
+++ b/gateway/permit.c
@@ -121,6 +121,13 @@
 
   if (x == NULL)
     return false;
+  if (!cv_gateway_grant_holds (t, x->request.attempt, "permit",
+                               x->permit.asked_at))
+    {
+      if (request_permit (x))
+        send_now (x);
+      return false;
+    }
   if (cv_target_admits (x, t, cv_now ()))
     {
       send_now (x);
@@ -168,7 +175,9 @@
         send_now (x);
       return;
     }
-  if (now - x->permit.asked_at < REPLY_TIMEOUT)
+  /* After a stall of this process the reply may be in its socket.  */
+  if (now - x->permit.asked_at < REPLY_TIMEOUT
+      || now == x->gateway->stall_ended_at)
     return;
   cv_keeper_silent (t);
   handle_refusal (x, t->limit.blocked_until - now, "keeper does not reply");
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -35,6 +35,7 @@
 #include "platform/platform.h"
 #include "policy/answer.h"
 #include "policy/evacuation.h"
+#include "policy/grant.h"
 #include "policy/health.h"
 #include "policy/output.h"
 #include "policy/pause.h"
@@ -501,6 +502,10 @@
 void cv_loads_close (cv_gateway_t *g);
 /* Sends a message to the observer of T, if one is known.  */
 void cv_observer_send (const cv_target_t *t, const cv_msg_t *msg);
+/* Whether a grant of KIND for RUN at T, which was asked for at ASKED_AT, may be
+   used; logs one that may not.  */
+bool cv_gateway_grant_holds (const cv_target_t *t, cv_slice_t run,
+                             const char *kind, cv_time_t asked_at);
 /* Sends MSG to all other gateways, and returns their number.  */
 uint32_t cv_gateways_send (const cv_gateway_t *g, const cv_msg_t *msg);
 bool cv_gateway_is_own_address (const cv_gateway_t *g,
