gateway: migration leases without observers

Change: the gateway of the highest rank for an engine grants its lease; a migration takes those of both ends, the source's first. The table is that of the observer (policy/lease_book.c). A gateway without a reply within 0.1 s orders its own migrations, as before.

--- a/gateway/evacuate.c
+++ b/gateway/evacuate.c
@@ -1,6 +1,6 @@
 /* Selects the runs to migrate: off engines that are draining or overcommitted,
-   and, while requests are queued, off full engines.  An engine's observer
-   grants one migration lease at a time.  */
+   and, while requests are queued, off full engines.  One migration lease of an
+   engine is granted at a time (lease.c).  */
 
 #include <string.h>
 
@@ -50,20 +50,7 @@
                       : TOKEN_US_DEFAULT;
 }
 
-void
-cv_migration_send_lease (const cv_target_t *t, cv_slice_t run,
-                         cv_lease_step_t step, uint64_t tokens)
-{
-  cv_msg_t msg = { .type = CV_MSG_MOVE };
-
-  msg.u.migration_lease.step = step;
-  msg.u.migration_lease.tokens = tokens;
-  (void)cv_copy (msg.u.migration_lease.target, CV_NAME_MAX, t->record.id);
-  (void)cv_copy_slice (msg.u.migration_lease.run, CV_RUN_MAX, run);
-  cv_observer_send (t, &msg);
-}
-
-/* Without an observer to grant leases, the gateway orders its own runs.  */
+/* Where nobody grants leases, the gateway orders its own runs.  */
 static void
 migrate_next (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
 {
@@ -98,11 +85,23 @@
       cv_migration_estimate (x, now, &run);
       if (cv_evacuation_pick (&run, 1, cv_target_time_left (t, now))
           != CV_EVACUATION_NONE)
-        cv_migration_send_lease (t, x->request.attempt, CV_LEASE_REQUESTED,
-                                 run.memory_tokens);
+        cv_lease_send (t, x->request.attempt, CV_LEASE_REQUESTED,
+                       run.memory_tokens);
     }
 }
 
+static cv_exchange_t *
+find_run (cv_gateway_t *g, const cv_target_t *t, const char *run, cv_time_t now)
+{
+  cv_exchange_t *x;
+
+  TAILQ_FOREACH (x, &g->exchanges, entry)
+  if (can_start_migration (x, t, now)
+      && cv_slice_equal (x->request.attempt, cv_slice (run)))
+    return x;
+  return NULL;
+}
+
 void
 cv_migration_lease_granted (cv_gateway_t *g, cv_target_t *t, const char *run)
 {
@@ -111,20 +110,21 @@
 
   if (t->migration != NULL)
     return;
-  for (x = TAILQ_FIRST (&g->exchanges); x != NULL; x = TAILQ_NEXT (x, entry))
-    if (can_start_migration (x, t, now)
-        && cv_slice_equal (x->request.attempt, cv_slice (run)))
-      {
-        cv_migration_start (x, t);
-        return;
-      }
-  cv_migration_send_lease (t, cv_slice (run), CV_LEASE_RELEASED, 0);
+  x = find_run (g, t, run, now);
+  /* An engine without an observer is evacuated only when it drains; otherwise
+     the grant is late, and was for a migration to it.  */
+  if (x != NULL
+      && cv_gateway_grant_holds (t, cv_slice (run), "lease", t->lease_asked_at)
+      && (cv_target_is_observed (t, now) || cv_target_is_draining (t)))
+    cv_migration_start (x, t);
+  else
+    cv_lease_send (t, cv_slice (run), CV_LEASE_RELEASED, 0);
 }
 
 static void
 evacuate (cv_gateway_t *g, cv_target_t *t, cv_time_t now)
 {
-  if (cv_target_is_observed (t, now))
+  if (cv_lease_has_granter (t, now))
     request_leases (g, t, now);
   else
     migrate_next (g, t, now);
@@ -165,7 +165,10 @@
       next = TAILQ_NEXT (t, entry);
       if (t->migration != NULL)
         cv_migration_tick (t->migration, now);
-      else if (t->in_flight > 0 && should_evacuate (t, now, is_shortage))
+      /* After a stall of this process a lease that does not hold may be in its
+         socket.  */
+      else if (t->in_flight > 0 && now != g->stall_ended_at
+               && should_evacuate (t, now, is_shortage))
         evacuate (g, t, now);
     }
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -41,6 +41,7 @@
   g->settings_path = path;
   g->accepting = true;
   TAILQ_INIT (&g->targets);
+  TAILQ_INIT (&g->granted_leases);
   TAILQ_INIT (&g->services);
   TAILQ_INIT (&g->route_states);
   TAILQ_INIT (&g->clients);
@@ -88,6 +89,7 @@
   while ((c = TAILQ_FIRST (&g->clients)) != NULL)
     cv_client_close (c, CV_CLOSE_STOP);
   cv_migrations_finish (g);
+  cv_lease_drop (g, 0, true);
   if (g->loads_event != NULL)
     cv_limits_finish (g);
   cv_loads_close (g);
@@ -327,6 +329,7 @@
   cv_limits_tick (g, now);
   cv_versions_tick (g, now);
   cv_migrations_tick (g, now);
+  cv_lease_drop (g, now, false);
   cv_exchanges_tick (g, now);
   cv_clients_tick (g, now);
   limit_clients (g);
--- a/gateway/keeper.c
+++ b/gateway/keeper.c
@@ -48,6 +48,14 @@
   return best;
 }
 
+const struct sockaddr_in *
+cv_keeper_first_gateway (const cv_target_t *t)
+{
+  const struct sockaddr_in *first = highest_below (t, UINT64_MAX);
+
+  return first != NULL ? first : &t->gateway->loads_address;
+}
+
 /* The gateway to ask for a permit of T while no keeper is known; this one after
    all that did not reply.  */
 static const struct sockaddr_in *
--- a/gateway/limit.h
+++ b/gateway/limit.h
@@ -69,6 +69,8 @@
                         cv_time_t wait, const char *reason, const char *next);
 
 /* keeper.c */
+/* The gateway of the highest rank for T, this one if no other is known.  */
+const struct sockaddr_in *cv_keeper_first_gateway (const cv_target_t *t);
 /* This gateway asks for a permit to send a request of PRIORITY to T, with
    NUMBER in the reply.  Returns true with REPLY if this gateway is the keeper.
  */
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -158,15 +158,6 @@
   t->observer = *from;
 }
 
-static void
-handle_lease (cv_gateway_t *g, const cv_msg_migration_lease_t *m)
-{
-  cv_target_t *t = cv_target_find (g, m->target);
-
-  if (t != NULL && m->step == CV_LEASE_GRANTED)
-    cv_migration_lease_granted (g, t, m->run);
-}
-
 static void
 handle_reservation_reply (cv_gateway_t *g, const cv_msg_reservation_t *m)
 {
@@ -220,7 +211,7 @@
       handle_load_report (g, &msg->u.engine_load, from);
       return true;
     case CV_MSG_MOVE:
-      handle_lease (g, &msg->u.migration_lease);
+      cv_lease_handle (g, &msg->u.migration_lease, from);
       return true;
     case CV_MSG_ROOM:
       handle_reservation_reply (g, &msg->u.reservation);
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -58,6 +58,7 @@
   uint32_t reservation_requests;
   cv_time_t started_at;
   cv_time_t response_lost_at; /* of CV_MIGRATION_AWAIT_END */
+  bool is_link_requested;     /* the destination's lease, or it has it */
   bool is_resumed; /* at the destination: the reservation stays in use */
   const char *outcome;
   unsigned status; /* of the source's last answer to an order to copy, or 0 */
@@ -111,7 +112,7 @@
   if (!m->is_resumed && m->destination != NULL)
     cv_reserve_send_end (m->destination, cv_slice (m->run),
                          CV_RESERVATION_RELEASED);
-  cv_migration_send_lease (m->source, cv_slice (m->run), CV_LEASE_RELEASED, 0);
+  cv_lease_send (m->source, cv_slice (m->run), CV_LEASE_RELEASED, 0);
   log_migration (m, CV_EV_GATEWAY_MOVE_ENDED, m->outcome);
   if (m->exchange != NULL)
     m->exchange->migration = NULL;
@@ -344,6 +345,9 @@
 static void
 release_destination (cv_migration_t *m)
 {
+  if (m->is_link_requested)
+    cv_lease_send (m->destination, cv_slice (m->run), CV_LEASE_RELEASED, 0);
+  m->is_link_requested = false;
   m->destination->incoming_tokens -= m->incoming_tokens;
   cv_target_unref (m->destination);
   m->destination = NULL;
@@ -356,6 +360,15 @@
   request_copy (m, false);
 }
 
+/* Requests the lease of the destination, which has no observer: one copy at a
+   time goes over its network link.  The reply may come at once and end M.  */
+static void
+request_link (cv_migration_t *m, uint64_t tokens)
+{
+  m->is_link_requested = true;
+  cv_lease_send (m->destination, cv_slice (m->run), CV_LEASE_REQUESTED, tokens);
+}
+
 /* Chooses a destination and requests a reservation there; false when there is
    no destination.  */
 static bool
@@ -372,7 +385,7 @@
     return false;
   m->destination = cv_target_ref (to);
   to->incoming_tokens += m->incoming_tokens;
-  if (!cv_target_is_observed (to, cv_now ()))
+  if (!cv_lease_has_granter (to, cv_now ()))
     {
       start_copy (m);
       return true;
@@ -380,7 +393,10 @@
   m->phase = CV_MIGRATION_RESERVE;
   m->reservation_sent_at = cv_now ();
   m->reservation_requests++;
-  cv_reserve_send_request (x, to, m->purpose);
+  if (cv_target_is_observed (to, cv_now ()))
+    cv_reserve_send_request (x, to, m->purpose);
+  else
+    request_link (m, run.memory_tokens);
   return true;
 }
 
@@ -426,9 +442,10 @@
     fail_without_room (m);
 }
 
-bool
-cv_migration_handle_reply (cv_gateway_t *g, const cv_target_t *destination,
-                           const cv_msg_reservation_t *reply)
+/* The migration of RUN to DESTINATION, or NULL.  */
+static cv_migration_t *
+find_migration (cv_gateway_t *g, const cv_target_t *destination,
+                const char *run)
 {
   cv_target_t *t;
 
@@ -436,18 +453,60 @@
     {
       cv_migration_t *m = t->migration;
 
-      if (m == NULL || m->phase != CV_MIGRATION_RESERVE
-          || m->destination != destination || strcmp (m->run, reply->run) != 0)
-        continue;
-      if (m->exchange == NULL)
-        fail (m, "run has ended");
-      else if (reply->step == CV_RESERVATION_GRANTED)
-        start_copy (m);
-      else
-        reserve_elsewhere (m, REFUSED_BACKOFF);
-      return true;
+      if (m != NULL && m->destination == destination
+          && strcmp (m->run, run) == 0)
+        return m;
     }
-  return false;
+  return NULL;
+}
+
+static void
+handle_destination (cv_migration_t *m, bool is_granted)
+{
+  if (m->exchange == NULL)
+    {
+      fail (m, "run has ended");
+      return;
+    }
+  if (is_granted
+      && cv_gateway_grant_holds (m->destination, cv_slice (m->run),
+                                 "place of a migration",
+                                 m->reservation_sent_at))
+    {
+      start_copy (m);
+      return;
+    }
+  if (is_granted)
+    cv_reserve_send_end (m->destination, cv_slice (m->run),
+                         CV_RESERVATION_RELEASED);
+  reserve_elsewhere (m, REFUSED_BACKOFF);
+}
+
+bool
+cv_migration_handle_reply (cv_gateway_t *g, const cv_target_t *destination,
+                           const cv_msg_reservation_t *reply)
+{
+  cv_migration_t *m = find_migration (g, destination, reply->run);
+
+  if (m == NULL || m->phase != CV_MIGRATION_RESERVE)
+    return false;
+  handle_destination (m, reply->step == CV_RESERVATION_GRANTED);
+  return true;
+}
+
+bool
+cv_migration_handle_link (cv_target_t *destination,
+                          const cv_msg_migration_lease_t *reply)
+{
+  cv_migration_t *m
+      = find_migration (destination->gateway, destination, reply->run);
+
+  if (m == NULL || !m->is_link_requested)
+    return false;
+  /* A grant may be repeated.  */
+  if (m->phase == CV_MIGRATION_RESERVE)
+    handle_destination (m, reply->step == CV_LEASE_GRANTED);
+  return true;
 }
 
 /* Without a reply the observer may have stopped.  A run that would otherwise be
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -37,6 +37,7 @@
 #include "policy/evacuation.h"
 #include "policy/grant.h"
 #include "policy/health.h"
+#include "policy/lease_book.h"
 #include "policy/output.h"
 #include "policy/pause.h"
 #include "policy/placement.h"
@@ -79,6 +80,28 @@
   CV_TARGET_REMOVED     /* no longer listed; kept while it is in use */
 } cv_target_presence_t;
 
+/* The gateway that grants migration leases of an engine without an observer.
+ */
+typedef struct
+{
+  cv_time_t asked_at; /* first request that it may not have answered; 0: none */
+  cv_time_t last_asked_at;
+  cv_time_t heard_at;
+  cv_time_t silent_until; /* it does not answer */
+} cv_granter_t;
+
+/* Leases of one engine that this gateway grants.  The engine may be none of its
+   targets any longer.  */
+typedef struct cv_granted_leases_t
+{
+  TAILQ_ENTRY (cv_granted_leases_t) entry;
+  char target[CV_NAME_MAX];
+  cv_time_t used_at;
+  cv_lease_book_t book;
+} cv_granted_leases_t;
+
+TAILQ_HEAD (cv_granted_leases_list_t, cv_granted_leases_t);
+
 struct cv_target_t
 {
   TAILQ_ENTRY (cv_target_t) entry;
@@ -141,6 +164,8 @@
   cv_time_t recalled_at;
   cv_candidate_t candidate;  /* inputs of the last placement decision */
   cv_migration_t *migration; /* migration of a run off this target, or NULL */
+  cv_granter_t granter;
+  cv_time_t lease_asked_at; /* last request for a migration lease */
 };
 
 /* State of a service that outlives a configuration.  */
@@ -305,6 +330,7 @@
   struct cv_target_bucket_t targets_by_id[CV_TARGET_BUCKETS];
   struct cv_target_bucket_t targets_by_address[CV_TARGET_BUCKETS];
   cv_starts_t starts;                             /* of targets that left */
+  struct cv_granted_leases_list_t granted_leases; /* last used first */
   struct cv_service_states_t services;
   struct cv_route_states_t route_states;
   uint32_t route_state_count;
@@ -538,16 +564,26 @@
 /* evacuate.c */
 void cv_migrations_tick (cv_gateway_t *g, cv_time_t now);
 void cv_migrations_finish (cv_gateway_t *g);
-/* The observer of T has granted the migration lease to RUN.  */
+/* RUN has got the migration lease of T.  */
 void cv_migration_lease_granted (cv_gateway_t *g, cv_target_t *t,
                                  const char *run);
 /* Estimates the memory to copy and the remaining time of X's run.  */
 void cv_migration_estimate (const cv_exchange_t *x, cv_time_t now,
                             cv_evacuation_candidate_t *out);
-/* Sends the observer of T the request for, or the end of, the migration lease
-   of RUN, which has TOKENS.  */
-void cv_migration_send_lease (const cv_target_t *t, cv_slice_t run,
-                              cv_lease_step_t step, uint64_t tokens);
+
+/* lease.c */
+/* Whether the migration lease of T is granted by its observer or a gateway that
+   replies.  */
+bool cv_lease_has_granter (cv_target_t *t, cv_time_t now);
+/* Sends who grants the lease of T a request of RUN, which has TOKENS, or its
+   end.  */
+void cv_lease_send (cv_target_t *t, cv_slice_t run, cv_lease_step_t step,
+                    uint64_t tokens);
+/* Drops the leases of engines that were not asked for lately, or ALL.  */
+void cv_lease_drop (cv_gateway_t *g, cv_time_t now, bool all);
+/* Handles M of an observer, or of another gateway at FROM.  */
+void cv_lease_handle (cv_gateway_t *g, const cv_msg_migration_lease_t *m,
+                      const struct sockaddr_in *from);
 
 /* move.c */
 /* Starts to migrate the run of X off T.  */
@@ -561,6 +597,10 @@
    for a migration; false when no migration waits for it.  */
 bool cv_migration_handle_reply (cv_gateway_t *g, const cv_target_t *destination,
                                 const cv_msg_reservation_t *reply);
+/* Handles the reply to a request for the lease of DESTINATION; false when no
+   migration has requested it.  */
+bool cv_migration_handle_link (cv_target_t *destination,
+                               const cv_msg_migration_lease_t *reply);
 /* Separates M from its exchange.  M continues, and ends at its next step; the
    exchange may continue too.  */
 void cv_migration_detach (cv_migration_t *m);
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -31,7 +31,7 @@
   memset (o, 0, sizeof *o);
   o->settings = *s;
   o->socket = -1;
-  cv_migration_lease_init (&o->lease);
+  cv_lease_book_init (&o->leases);
   cv_reservations_init (&o->reservations);
   cv_origins_init (&o->origins);
   o->started_at = cv_now ();
--- a/observer/requests.c
+++ b/observer/requests.c
@@ -16,14 +16,15 @@
   cv_msg_t msg = { .type = CV_MSG_MOVE };
   cv_line_t l;
 
-  msg.u.migration_lease = o->lease_requests[index].lease;
+  msg.u.migration_lease = o->leases.requests[index].message;
   msg.u.migration_lease.step = CV_LEASE_GRANTED;
   /* A gateway that got no answer asks again, and the grant is repeated.  */
-  cv_datagram_send (o->socket, &o->lease_requests[index].gateway, &msg);
-  if (o->logged_lease == index && o->logged_lease_since == o->lease.since)
+  cv_datagram_send (o->socket, &o->leases.requests[index].gateway, &msg);
+  if (o->logged_lease == index
+      && o->logged_lease_since == o->leases.lease.since)
     return;
   o->logged_lease = index;
-  o->logged_lease_since = o->lease.since;
+  o->logged_lease_since = o->leases.lease.since;
   cv_line_begin (&l, CV_EV_OBSERVER_TURN_GRANTED);
   cv_line_text (&l, "target", cv_slice (o->name));
   cv_line_text (&l, "request", cv_slice (msg.u.migration_lease.run));
@@ -36,34 +37,15 @@
 handle_migration (cv_observer_t *o, const cv_msg_migration_lease_t *m,
                   const struct sockaddr_in *gateway, cv_time_t now)
 {
-  uint64_t run = cv_platform_run_hash (cv_slice (m->run));
-  uint32_t index;
-  uint32_t holder;
+  uint32_t granted;
 
-  switch (m->step)
-    {
-    case CV_LEASE_REQUESTED:
-      if (!o->load.draining
-          && o->reservations.memory_pressure == CV_PRESSURE_NONE)
-        return;
-      index = cv_migration_lease_request (&o->lease, now, run, m->tokens);
-      if (index == CV_MIGRATION_LEASE_NONE)
-        return;
-      o->lease_requests[index].lease = *m;
-      o->lease_requests[index].gateway = *gateway;
-      holder = cv_migration_lease_grant (&o->lease, now);
-      if (holder == index)
-        grant_lease (o, index);
-      return;
-    case CV_LEASE_RELEASED:
-      cv_migration_lease_release (&o->lease, run);
-      holder = cv_migration_lease_grant (&o->lease, now);
-      if (holder != CV_MIGRATION_LEASE_NONE)
-        grant_lease (o, holder);
-      return;
-    case CV_LEASE_GRANTED:
-      return; /* observers send this and never receive it */
-    }
+  if (m->step == CV_LEASE_REQUESTED && !o->load.draining
+      && o->reservations.memory_pressure == CV_PRESSURE_NONE)
+    return;
+  granted = cv_lease_book_handle (
+      &o->leases, cv_platform_run_hash (cv_slice (m->run)), m, gateway, now);
+  if (granted != CV_MIGRATION_LEASE_NONE)
+    grant_lease (o, granted);
 }
 
 static void
--- a/observer/state.h
+++ b/observer/state.h
@@ -10,19 +10,12 @@
 #include "observer/observer.h"
 #include "platform/platform.h"
 #include "policy/health.h"
+#include "policy/lease_book.h"
 #include "policy/origins.h"
 #include "policy/room.h"
-#include "policy/turns.h"
 #include "roster/roster.h"
 #include "wire/wire.h"
 
-/* A gateway's request for a migration lease.  */
-typedef struct
-{
-  cv_msg_migration_lease_t lease;
-  struct sockaddr_in gateway;
-} cv_lease_request_t;
-
 /* The versions of one service that began streams lately.  */
 typedef struct
 {
@@ -63,10 +56,7 @@
   bool sent_failing; /* "failing" in the last load report: the engine is
                         avoided */
   cv_time_t probe_until; /* no second probe before this time */
-  cv_migration_lease_t lease;
-  cv_lease_request_t
-      lease_requests[CV_MIGRATION_LEASE_REQUESTS_MAX]; /* by index in
-                                                          lease.entries */
+  cv_lease_book_t leases;
   uint32_t logged_lease;        /* index of the last lease that was logged */
   cv_time_t logged_lease_since; /* start of that lease */
 } cv_observer_t;
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -253,7 +253,7 @@
 {
   get_text (c, m->target, sizeof m->target);
   get_text (c, m->run, sizeof m->run);
-  m->step = (cv_lease_step_t)get_u64 (c, CV_LEASE_RELEASED);
+  m->step = (cv_lease_step_t)get_u64 (c, CV_LEASE_WAITS);
   m->tokens = get_u64 (c, UINT64_MAX);
   c->ok = c->ok && m->step >= CV_LEASE_REQUESTED;
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -253,12 +253,14 @@
    null byte.  */
 #define CV_RUN_MAX 128
 
-/* Steps of a migration lease.  */
+/* Steps of a migration lease.  It is granted by the engine's observer, or by a
+   gateway if there is no observer.  */
 typedef enum
 {
-  CV_LEASE_REQUESTED = 1, /* gateway to observer, repeated until granted */
-  CV_LEASE_GRANTED,       /* observer to gateway */
-  CV_LEASE_RELEASED /* gateway to observer: migrated, or no longer needed */
+  CV_LEASE_REQUESTED = 1, /* to the granter, repeated until granted */
+  CV_LEASE_GRANTED,       /* reply */
+  CV_LEASE_RELEASED,      /* to the granter: migrated, or no longer needed */
+  CV_LEASE_WAITS          /* reply of a gateway: another run has the lease */
 } cv_lease_step_t;
 
 /* Steps of a reservation.  */
