gateway: gateways tell each other their work at engines without observers

Cause: the load of an engine without an observer is known to nobody; each gateway knew its own requests there, one in eighteen on the small twin. Generations gathered on some engines, which ran out of memory.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -189,6 +189,12 @@
   add_counter (body, "pages_heard_total",
                "Answers of the store that another gateway handed on.",
                g->counts.pages_heard);
+  add_counter (body, "shares_sent_total",
+               "Messages to other gateways on its work at engines.",
+               g->counts.shares_sent);
+  add_counter (body, "shares_heard_total",
+               "Messages of other gateways on their work at engines.",
+               g->counts.shares_heard);
   add_counter (body, "configuration_reader",
                "Whether it reads configurations for the others.",
                g->routing_watcher.reader.is_reader);
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -59,18 +59,29 @@
 /* No recent load report of T.  All gateways see a new engine empty at the same
    time and would overfill it.  While any observer reports, a new engine is
    therefore not used before its own observer can have reported.  Otherwise each
-   gateway assumes that the others, once their number is known, have sent the
-   engine as many tokens as it has itself; in_flight counts only its own
+   gateway adds what the others have told that they have there.  If none has
+   told anything of this engine, its observer may report to the others only: the
+   gateway assumes that these, once their number is known, have sent the engine
+   as many tokens as it has itself; in_flight then counts only its own
    requests.  */
 static void
 fill_unobserved (cv_candidate_t *out, const cv_target_t *t, cv_time_t now)
 {
   bool is_count_known = t->gateway->last_load_report_at > 0;
-  uint64_t gateways = is_count_known ? t->gateway->gateway_count : 1;
+  bool is_shared = cv_shares_sum (t->gateway, now)
+                   && (t->shared_requests > 0 || !is_count_known);
+  uint64_t gateways
+      = is_count_known && !is_shared ? t->gateway->gateway_count : 1;
 
   out->memory_used = (t->expected_tokens + t->incoming_tokens) * gateways;
   out->prompt_backlog = t->prefill_tokens * gateways;
   out->in_flight = t->in_flight;
+  if (is_shared)
+    {
+      out->memory_used += t->shared_tokens;
+      out->prompt_backlog += t->shared_prefill_tokens;
+      out->in_flight += t->shared_requests;
+    }
   if (now - t->gateway->last_load_report_at < LOAD_MAX_AGE
       && now - t->listed_at < FIRST_REPORT_WAIT)
     out->usable = false;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -60,6 +60,7 @@
     return cv_fail (err, CV_ERR_SYSTEM, "cannot create event loop");
   cv_register_init (&g->registration, g);
   cv_evidence_init (&g->evidence, g);
+  cv_shares_init (&g->shares);
   cv_origins_init (&g->origins);
   cv_quarantine_store_init (&g->quarantine_store, g);
   if (!open_ports (g, err) || !cv_loads_open (g, err))
@@ -99,6 +100,7 @@
   cv_watcher_finish (&g->instance_watcher);
   cv_targets_finish (g);
   cv_evidence_finish (&g->evidence);
+  cv_shares_finish (&g->shares);
   cv_origins_finish (&g->origins);
   cv_states_finish (g);
   cv_routing_unref (g->routing);
@@ -329,6 +331,7 @@
   cv_limits_tick (g, now);
   cv_versions_tick (g, now);
   cv_migrations_tick (g, now);
+  cv_shares_tick (g, now);
   cv_lease_drop (g, now, false);
   cv_exchanges_tick (g, now);
   cv_clients_tick (g, now);
--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -226,6 +226,9 @@
     case CV_MSG_ORIGIN:
       cv_resume_handle_message (g, &msg->u.origin, from);
       return true;
+    case CV_MSG_SHARE:
+      cv_shares_handle (g, &msg->u.share, from);
+      return true;
     case CV_MSG_PAGE:
       return cv_pages_handle (g, &msg->u.page, from, err);
     default:
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -28,6 +28,7 @@
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
 #include "gateway/limit.h"
+#include "gateway/shares.h"
 #include "gateway/version.h"
 #include "http/call.h"
 #include "http/link.h"
@@ -150,6 +151,12 @@
   cv_msg_engine_load_t load;
   cv_time_t load_received_at;  /* 0: never */
   struct sockaddr_in observer; /* sender of the report */
+  /* What the other gateways have told of their requests here, in the units of
+     expected_tokens and prefill_tokens; brought up to date by
+     cv_shares_sum.  */
+  uint64_t shared_tokens;
+  uint64_t shared_prefill_tokens;
+  uint32_t shared_requests;
   /* Sums of this gateway's requests that the last load report does not include
      yet; valid only while a target is chosen.  */
   uint64_t unreported_tokens;
@@ -295,6 +302,8 @@
   uint64_t sent_to_leaving;  /* attempts at targets known to be leaving */
   uint64_t pages_sent;       /* answers of the store handed on */
   uint64_t pages_heard;      /* of other gateways, that were of use */
+  uint64_t shares_sent;      /* messages on its work at engines */
+  uint64_t shares_heard;     /* of other gateways */
 } cv_gateway_counts_t;
 
 /* An observer, by its last load report.  */
@@ -344,6 +353,7 @@
   cv_watcher_t instance_watcher;
   cv_register_t registration;
   cv_evidence_t evidence;
+  cv_shares_t shares;
   cv_quarantine_store_t quarantine_store;
   struct sockaddr_in loads_address;
   cv_observers_t observers;
--- a/side/core.c
+++ b/side/core.c
@@ -84,6 +84,7 @@
     case CV_MSG_RATE:
     case CV_MSG_ORIGIN:
     case CV_MSG_PAGE:
+    case CV_MSG_SHARE:
     case CV_MSG_LAST:
       break; /* for entries only */
     }
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -308,6 +308,35 @@
   c->ok = c->ok && m->step >= CV_RATE_NAMED;
 }
 
+static void
+get_share (cursor_t *c, cv_msg_share_t *m)
+{
+  const msgpack_object *o;
+  cursor_t items;
+
+  m->sequence = get_u64 (c, UINT64_MAX);
+  o = next_item (c);
+  if (o == NULL || o->type != MSGPACK_OBJECT_ARRAY
+      || o->via.array.size > CV_SHARES_MAX * CV_SHARE_ITEMS
+      || o->via.array.size % CV_SHARE_ITEMS != 0)
+    {
+      c->ok = false;
+      return;
+    }
+  items.next = o->via.array.ptr;
+  items.left = o->via.array.size;
+  items.ok = true;
+  m->count = o->via.array.size / CV_SHARE_ITEMS;
+  for (uint32_t i = 0; i < m->count; i++)
+    {
+      get_text (&items, m->share[i].target, sizeof m->share[i].target);
+      m->share[i].tokens = get_u64 (&items, UINT32_MAX);
+      m->share[i].prefill_tokens = get_u64 (&items, UINT32_MAX);
+      m->share[i].requests = (uint32_t)get_u64 (&items, UINT32_MAX);
+    }
+  c->ok = c->ok && items.ok;
+}
+
 static void
 get_origin (cursor_t *c, cv_msg_origin_t *m)
 {
@@ -442,6 +471,9 @@
     case CV_MSG_PAGE:
       get_page (c, &msg->u.page);
       return;
+    case CV_MSG_SHARE:
+      get_share (c, &msg->u.share);
+      return;
     default:
       c->ok = false;
       return;
@@ -508,6 +540,7 @@
     case CV_MSG_RATE:
     case CV_MSG_ORIGIN:
     case CV_MSG_PAGE:
+    case CV_MSG_SHARE:
       get_datagram_body (c, msg);
       break;
     case CV_MSG_LAST:
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -190,6 +190,21 @@
   put_slice (pk, m->body);
 }
 
+static void
+put_share (msgpack_packer *pk, const cv_msg_share_t *m)
+{
+  CV_INVARIANT (m->count <= CV_SHARES_MAX);
+  put_u64 (pk, m->sequence);
+  (void)msgpack_pack_array (pk, m->count * CV_SHARE_ITEMS);
+  for (uint32_t i = 0; i < m->count; i++)
+    {
+      put_text (pk, m->share[i].target);
+      put_u64 (pk, m->share[i].tokens);
+      put_u64 (pk, m->share[i].prefill_tokens);
+      put_u64 (pk, m->share[i].requests);
+    }
+}
+
 static void
 put_hello (msgpack_packer *pk, const cv_msg_hello_t *m)
 {
@@ -277,6 +292,9 @@
     case CV_MSG_PAGE:
       put_page (pk, &msg->u.page);
       return;
+    case CV_MSG_SHARE:
+      put_share (pk, &msg->u.share);
+      return;
     default:
       return;
     }
@@ -346,6 +364,7 @@
     case CV_MSG_RATE:
     case CV_MSG_ORIGIN:
     case CV_MSG_PAGE:
+    case CV_MSG_SHARE:
       put_datagram_body (pk, msg);
       break;
     case CV_MSG_LAST:
@@ -362,6 +381,7 @@
   [CV_MSG_TOKENS] = 3,       [CV_MSG_END] = 3,      [CV_MSG_CALL_RESULT] = 6,
   [CV_MSG_ENGINE_LOAD] = 17, [CV_MSG_MOVE] = 4,     [CV_MSG_ROOM] = 8,
   [CV_MSG_RATE] = 11,        [CV_MSG_ORIGIN] = 6,   [CV_MSG_PAGE] = 7,
+  [CV_MSG_SHARE] = 2,
 };
 
 void
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -84,6 +84,29 @@
   EXPECT_EQ (out.u.tokens.token[1].n, 0u);
 }
 
+TEST (Codec, SharesKeepTheirFigures)
+{
+  cv_msg_t msg = message_of (CV_MSG_SHARE);
+  cv_msg_t out;
+  std::string frame;
+
+  msg.u.share.sequence = 9;
+  msg.u.share.count = CV_SHARES_MAX;
+  for (uint32_t i = 0; i < CV_SHARES_MAX; i++)
+    {
+      snprintf (msg.u.share.share[i].target, CV_NAME_MAX, "engine-%u", i);
+      msg.u.share.share[i].tokens = 4000 + i;
+      msg.u.share.share[i].prefill_tokens = i;
+      msg.u.share.share[i].requests = 1;
+    }
+  frame = encode (msg);
+  ASSERT_TRUE (cv_msg_decode (&out, frame.data (), frame.size (), nullptr));
+  EXPECT_EQ (out.u.share.count, uint32_t{ CV_SHARES_MAX });
+  EXPECT_STREQ (out.u.share.share[31].target, "engine-31");
+  EXPECT_EQ (out.u.share.share[31].tokens, 4031u);
+  EXPECT_EQ (encode (out), frame);
+}
+
 TEST (Codec, EveryTypeRoundTrips)
 {
   for (int type = CV_MSG_HELLO; type < CV_MSG_LAST; type++)
--- a/wire/text.c
+++ b/wire/text.c
@@ -146,7 +146,7 @@
           "SUBMIT",      "ATTACH",      "DETACH",   "CANCEL",   "CALL",
           "REVOKE",      "ACCEPTED",    "REJECTED", "TOKENS",   "END",
           "CALL_RESULT", "ENGINE_LOAD", "MOVE",     "ROOM",     "RATE",
-          "ORIGIN" };
+          "ORIGIN",      "PAGE",        "SHARE" };
 
   return type > 0 && type < CV_MSG_LAST ? names[type] : names[0];
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -181,6 +181,7 @@
   CV_MSG_RATE,   /* limit of a target, and permits to send to it */
   CV_MSG_ORIGIN, /* which software version began a stream */
   CV_MSG_PAGE,   /* an answer of the store, handed on */
+  CV_MSG_SHARE,  /* the sender's work at engines */
   CV_MSG_LAST
 } cv_msg_type_t;
 
@@ -382,6 +383,30 @@
                       that are read from the store only, or is too long */
 } cv_msg_page_t;
 
+/* Most engines in one SHARE.  */
+#define CV_SHARES_MAX 32
+/* Items of the array of shares for each of them.  */
+#define CV_SHARE_ITEMS 4
+
+/* What one gateway has at an engine: memory expected at the end of its
+   requests, and their prompts that are still to be prefilled, in tokens.  */
+typedef struct
+{
+  char target[CV_NAME_MAX];
+  uint64_t tokens;
+  uint64_t prefill_tokens;
+  uint32_t requests;
+} cv_share_t;
+
+/* SHARE: the sender's work at the engines that have no observer.  It has none
+   at those that are absent, or less than at these.  */
+typedef struct
+{
+  uint64_t sequence; /* increases with each message of the sender */
+  uint32_t count;
+  cv_share_t share[CV_SHARES_MAX];
+} cv_msg_share_t;
+
 typedef struct
 {
   cv_doc_t doc;
@@ -524,6 +549,7 @@
     cv_msg_rate_t rate;
     cv_msg_origin_t origin;
     cv_msg_page_t page;
+    cv_msg_share_t share;
   } u;
 } cv_msg_t;
 
