gateway: a service may have more than 256 targets

Cause: a choice looked at the first 256 targets of a service. Where these took nothing, callers got 503 although others would have.

Change: as many are compared at a time, from a random one on, until one takes the request.

Test: gateway-many-targets (failed first: 503 to all).

--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -7,7 +7,8 @@
 #include "policy/placement.h"
 #include "policy/room.h"
 
-/* Most targets of one service that are considered.  */
+/* Targets of one service that are compared at a time.  Of more, others are
+   compared when none of these takes the request.  */
 #define CANDIDATES_MAX 256
 /* Base of the Retry-After of refusals.  Engines free memory within about a
    second, plain services free slots within the time of a request.  */
@@ -149,21 +150,61 @@
   c->target[c->n++] = t;
 }
 
+/* The targets of a service, of which CANDIDATES_MAX are collected at a time, in
+   turn from a random one on.  */
+typedef struct
+{
+  uint32_t total;
+  uint32_t first; /* place of the next one to be collected */
+  uint32_t left;  /* not yet collected */
+} candidate_walk_t;
+
+static bool
+serves (const cv_target_t *t, const cv_exchange_t *x)
+{
+  return strcmp (t->record.service, x->service->name) == 0;
+}
+
 static void
-collect (candidates_t *c, cv_exchange_t *x, const char *domain)
+begin_walk (candidate_walk_t *w, cv_exchange_t *x)
+{
+  const cv_target_t *t;
+
+  *w = (candidate_walk_t){ 0 };
+  TAILQ_FOREACH (t, &x->gateway->targets, entry)
+  w->total += serves (t, x);
+  w->left = w->total;
+  if (w->total > CANDIDATES_MAX)
+    w->first = (uint32_t)(cv_rng_uniform (&x->gateway->rng) * w->total);
+  if (x->service->is_engine)
+    count_unreported (x->gateway);
+}
+
+/* Collects the next candidates; false when there are none left.  */
+static bool
+collect (candidates_t *c, candidate_walk_t *w, cv_exchange_t *x,
+         const char *domain)
 {
+  uint32_t count = w->left < CANDIDATES_MAX ? w->left : CANDIDATES_MAX;
   cv_time_t now = cv_now ();
+  uint32_t place = 0;
   cv_target_t *t;
 
   c->n = 0;
+  if (count == 0)
+    return false;
   c->is_solitary = cv_exchange_is_solitary (x, now);
-  if (x->service->is_engine)
-    count_unreported (x->gateway);
-  for (t = TAILQ_FIRST (&x->gateway->targets); t != NULL;
-       t = TAILQ_NEXT (t, entry))
-    if (c->n < CANDIDATES_MAX
-        && strcmp (t->record.service, x->service->name) == 0)
+  TAILQ_FOREACH (t, &x->gateway->targets, entry)
+  {
+    if (!serves (t, x))
+      continue;
+    if ((place + w->total - w->first) % w->total < count)
       add_candidate (c, x, t, domain, now);
+    place++;
+  }
+  w->left -= count;
+  w->first = (w->first + count) % w->total;
+  return true;
 }
 
 /* Whether T has no room for X although it is usable: it returns from a pause,
@@ -234,19 +275,28 @@
         bool is_rescue)
 {
   candidates_t c;
-  uint32_t i;
-
-  collect (&c, x, domain);
-  for (i = 0; i < c.n; i++)
-    c.candidate[i].usable &= !would_refuse (c.target[i], x, work->is_migration);
-  /* For a rescue, the growth of the runs already at an engine is ignored: what
-     they use now counts, not what they are expected to use at their end.  */
-  for (i = 0; is_rescue && i < c.n; i++)
-    c.candidate[i].memory_used = c.target[i]->load.kv_used
-                                 + c.target[i]->incoming_tokens
-                                 + c.target[i]->unreported_tokens;
-  i = pick (&c, x, work);
-  return i == CV_PLACEMENT_NONE ? NULL : c.target[i];
+  candidate_walk_t walk;
+
+  begin_walk (&walk, x);
+  while (collect (&c, &walk, x, domain))
+    {
+      uint32_t i;
+
+      for (i = 0; i < c.n; i++)
+        c.candidate[i].usable
+            &= !would_refuse (c.target[i], x, work->is_migration);
+      /* For a rescue, the growth of the runs already at an engine is ignored:
+         what they use now counts, not what they are expected to use at their
+         end.  */
+      for (i = 0; is_rescue && i < c.n; i++)
+        c.candidate[i].memory_used = c.target[i]->load.kv_used
+                                     + c.target[i]->incoming_tokens
+                                     + c.target[i]->unreported_tokens;
+      i = pick (&c, x, work);
+      if (i != CV_PLACEMENT_NONE)
+        return c.target[i];
+    }
+  return NULL;
 }
 
 cv_target_t *
@@ -293,25 +343,38 @@
     b->returns_at = at;
 }
 
+/* Adds the candidates C of X, none of which takes it; false if one does.
+   HAS_PAUSED: whether one pauses.  */
+static bool
+add_blocked (const candidates_t *c, const cv_exchange_t *x,
+             cv_blocked_targets_t *out, bool *has_paused)
+{
+  for (uint32_t i = 0; i < c->n; i++)
+    {
+      if (c->candidate[i].usable)
+        return false;
+      if (c->is_blocked_by_limit[i])
+        add_limited (out, c->target[i]);
+      else if (!was_tried (x, c->target[i])
+               && cv_version_admits (x, c->target[i]))
+        add_returning (out, c->target[i]);
+      *has_paused |= c->is_paused[i];
+    }
+  return true;
+}
+
 bool
 cv_choose_blocked (cv_exchange_t *x, cv_blocked_targets_t *out)
 {
   candidates_t c;
+  candidate_walk_t walk;
   bool has_paused = false;
 
-  collect (&c, x, x->gateway->settings.failure_domain);
   *out = (cv_blocked_targets_t){ .returns_at = INT64_MAX };
-  for (uint32_t i = 0; i < c.n; i++)
-    {
-      if (c.candidate[i].usable)
-        return false;
-      if (c.is_blocked_by_limit[i])
-        add_limited (out, c.target[i]);
-      else if (!was_tried (x, c.target[i])
-               && cv_version_admits (x, c.target[i]))
-        add_returning (out, c.target[i]);
-      has_paused |= c.is_paused[i];
-    }
+  begin_walk (&walk, x);
+  while (collect (&c, &walk, x, x->gateway->settings.failure_domain))
+    if (!add_blocked (&c, x, out, &has_paused))
+      return false;
   return out->limited != NULL || has_paused;
 }
 
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -599,6 +599,26 @@
     bench.say(f"probed by one request: {arrivals() - before == 1}")
 
 
+async def many_targets(bench):
+    """A service has 600 targets, of which two take requests: one of the last in
+    the list, and one added later."""
+    await bench.add_target("z1", "plain", echo)
+    entry = bench.targets["z1"].record("draining")
+    for i in range(600):
+        await bench.store.put("servers", f"p{i:03}",
+                              {**entry, "Address": f"127.0.1.1:{1000 + i}"})
+    await bench.start()
+    outcomes = [await bench.send("GET", "/read/x") for _ in range(8)]
+    bench.say(f"{sorted({(status, body) for status, _, body in outcomes})}")
+    # The lines about the first list exceed the rate of the log.
+    await bench.until_logged("LINES_DROPPED")
+    await bench.store.remove("servers", "z1")
+    await bench.add_target("a1", "plain", echo)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="a1")
+    outcomes = [await bench.send("GET", "/read/x") for _ in range(8)]
+    bench.say(f"{sorted({(status, body) for status, _, body in outcomes})}")
+
+
 async def new_engine(bench):
     """An engine is listed while the gateway delays its reading of the list to
     batch changes: a load report of an engine that is not in the list makes the
