gateway: a connection is kept only after an answer that names its request

Callers got another request's answer. Cause: a late second copy of an answer that names no request cannot be told from the next answer, and an answer to a request without a name was always believed.

Change: the connection is closed after such an answer, and an unnamed answer on a connection in use again is in doubt (policy/answer.c).

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -139,7 +139,7 @@
   x->sent_at = cv_now ();
   x->last_activity_at = x->sent_at;
   x->skip_response = false;
-  x->is_named = false;
+  x->answer_name = CV_ANSWER_UNNAMED;
   x->skipped_responses = 0;
   x->is_paused = false;
   x->is_rejected = false;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -9,6 +9,7 @@
 #include "gateway/version.h"
 #include "http/link.h"
 #include "platform/platform.h"
+#include "policy/answer.h"
 #include "policy/output.h"
 #include "policy/policy.h"
 #include "policy/urgency.h"
@@ -111,14 +112,14 @@
   uint32_t sends;
   uint32_t rejections; /* attempts that the target did not run */
   uint32_t connect_failures;
-  uint32_t resumes; /* of its stream, from a copy or in a new run */
+  uint32_t resumes;             /* of its stream, from a copy or in a new run */
+  cv_answer_name_t answer_name; /* of the current attempt */
   cv_tried_t tried[CV_TRIED_MAX];
   uint32_t tried_count;
   bool may_have_run;          /* an attempt may have been executed */
   bool is_queued;             /* in the queue for a target */
   bool is_prefill_counted;    /* counted in the target's prefill_tokens */
   bool skip_response;         /* the response belongs to another request */
-  bool is_named;              /* the response names this request */
   uint32_t skipped_responses; /* of the current attempt */
   bool is_paused;   /* the target is not read until the caller has read more */
   bool is_rejected; /* the response states that it was not run */
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -98,21 +98,25 @@
   cv_target_observe_pause (x->target, fields);
 }
 
+static cv_answer_name_t
+answer_name (const cv_exchange_t *x, const cv_answer_fields_t *fields)
+{
+  if (x->request.attempt.p == NULL
+      && (fields->attempt.p == NULL || x->link->exchanges == 1))
+    return CV_ANSWER_TO_UNNAMED;
+  if (fields->attempt.p == NULL)
+    return CV_ANSWER_UNNAMED;
+  return cv_slice_equal (fields->attempt, x->request.attempt)
+             ? CV_ANSWER_OF_THIS
+             : CV_ANSWER_OF_ANOTHER;
+}
+
 static cv_answer_verdict_t
 judge_answer (cv_exchange_t *x, const cv_answer_fields_t *fields)
 {
-  cv_answer_name_t name = CV_ANSWER_UNNAMED;
-
-  if (x->request.attempt.p == NULL)
-    return CV_ANSWER_IS_DUE;
-  if (fields->attempt.p != NULL)
-    name = cv_slice_equal (fields->attempt, x->request.attempt)
-               ? CV_ANSWER_OF_THIS
-               : CV_ANSWER_OF_ANOTHER;
+  x->answer_name = answer_name (x, fields);
   x->skip_response = false;
-  x->is_named = name == CV_ANSWER_OF_THIS;
-  x->target->names_requests |= x->is_named;
-  return cv_answer_judge (name, x->link->exchanges, x->target->names_requests);
+  return cv_answer_judge (x->answer_name, x->link->exchanges);
 }
 
 static void
@@ -302,14 +306,17 @@
     }
 }
 
-/* Returns the connection to the target's idle connections.  */
+/* Returns the connection to the target's idle connections, or closes it.  */
 static void
 release_link (cv_exchange_t *x)
 {
   cv_http_link_t *l = x->link;
 
   x->link = NULL;
-  cv_target_release_link (x->target, l);
+  if (cv_answer_keeps_connection (x->answer_name))
+    cv_target_release_link (x->target, l);
+  else
+    cv_http_link_close (l);
 }
 
 static void
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -54,7 +54,7 @@
   if (x->link != NULL)
     {
       cv_line_number (&l, "exchange", x->link->exchanges);
-      cv_line_number (&l, "named", x->is_named);
+      cv_line_number (&l, "named", x->answer_name == CV_ANSWER_OF_THIS);
     }
   cv_line_number (&l, "after_us", cv_now () - x->sent_at);
   cv_line_end (&l);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -34,7 +34,6 @@
 #include "http/link.h"
 #include "http/reader.h"
 #include "platform/platform.h"
-#include "policy/answer.h"
 #include "policy/evacuation.h"
 #include "policy/grant.h"
 #include "policy/health.h"
@@ -123,7 +122,6 @@
   cv_time_t copied_until;
   uint64_t copied_in;
   bool has_malformed_leaving; /* an unknown value was logged */
-  bool names_requests;        /* an answer of it named its request */
   cv_pause_t pause;           /* that it asked for */
   bool has_malformed_pause;   /* a malformed one was logged */
   /* Start of a process that replaced the one of RECORD under its id, by its
--- a/policy/answer.h
+++ b/policy/answer.h
@@ -15,6 +15,7 @@
 typedef enum
 {
   CV_ANSWER_UNNAMED = 1,
+  CV_ANSWER_TO_UNNAMED, /* the request has no name to compare */
   CV_ANSWER_OF_THIS,
   CV_ANSWER_OF_ANOTHER
 } cv_answer_name_t;
@@ -26,10 +27,14 @@
   CV_ANSWER_IN_DOUBT    /* the request may have run, or not */
 } cv_answer_verdict_t;
 
-/* EXCHANGE: which request of its connection is to be answered, from 1.
-   TARGET_NAMES: other answers of the target named their requests.  */
-cv_answer_verdict_t cv_answer_judge (cv_answer_name_t name, uint32_t exchange,
-                                     bool target_names);
+/* EXCHANGE: which request of its connection is to be answered, from 1; of the
+   earlier ones, each got an answer that cv_answer_keeps_connection.  */
+cv_answer_verdict_t cv_answer_judge (cv_answer_name_t name, uint32_t exchange);
+
+/* Whether another request may follow on the connection of an answer with NAME.
+   A copy of an answer that names no request could not be told from the answer
+   to the next one.  */
+bool cv_answer_keeps_connection (cv_answer_name_t name);
 
 #ifdef __cplusplus
 }
