gateway: a stop answers the connections that wait to be accepted

Callers were cut without an answer during a planned stop. Cause: at its end the gateway accepted no more, but its socket still listened until the process ended: the kernel went on to accept connections, and reset them with it.

Change: the waiting connections are accepted, the socket is closed, and callers have 50 ms to send what they began.

Test: gateway-stop-under-load.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -136,6 +136,20 @@
   g->client_count++;
 }
 
+void
+cv_port_end (cv_port_t *p)
+{
+  int fd;
+
+  if (p->listener == NULL)
+    return;
+  while ((fd = accept4 (evconnlistener_get_fd (p->listener), NULL, NULL,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    on_accept (p->listener, fd, NULL, 0, p);
+  cv_port_close (p);
+}
+
 void
 cv_client_close (cv_client_t *c, cv_close_reason_t reason)
 {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -12,11 +12,14 @@
 /* After a longer time without a tick, the process or its machine was stalled.
  */
 #define STALL_THRESHOLD (500 * CV_MS)
-/* Shortest time from the start of a stop to the exit.  Connections are accepted
-   until the exit, as the load balancer sends connections until two health
-   checks, a second apart, have failed.  */
+/* Shortest time from the start of a stop to its end.  Connections are accepted
+   until then, as the load balancer sends connections until two health checks, a
+   second apart, have failed.  */
 #define STOP_ACCEPT_PERIOD (3 * CV_SECOND)
-/* Time for callers to read their last responses after the stop is over.  */
+/* Time for callers to send a request on a connection that was accepted as the
+   stop ended, and then for all of them to read their last responses; both from
+   the end of the stop.  */
+#define STOP_READ_PERIOD (50 * CV_MS)
 #define STOP_WRITE_PERIOD (200 * CV_MS)
 /* Descriptors kept for targets, the store and files.  */
 #define DESCRIPTORS_RESERVED 200
@@ -282,30 +285,42 @@
   cv_line_end (&l);
 }
 
+/* The time of the stop is over, or nothing is left to be done.  */
+static bool
+is_stop_over (const cv_gateway_t *g, cv_time_t now)
+{
+  return now >= g->stop.ends_at
+         || (now - g->stop.started_at > STOP_ACCEPT_PERIOD
+             && TAILQ_EMPTY (&g->clients));
+}
+
 /* Ends what is still in progress when its time is over.  The process exits
    later than this, when the last responses have been written; also when this
    runs late because the process was stalled.  */
 static void
 advance_stop (cv_gateway_t *g, cv_time_t now)
 {
-  bool is_idle = now - g->stop.started_at > STOP_ACCEPT_PERIOD
-                 && TAILQ_EMPTY (&g->clients);
-  bool is_over = g->is_ending && now >= g->ending_at + STOP_WRITE_PERIOD;
+  bool is_written;
 
   if (now >= g->stop.answer_by)
     cv_exchanges_end (g, now >= g->stop.ends_at);
-  if (is_idle || is_over || (g->is_ending && !cv_clients_have_output (g)))
-    {
-      log_stopped (g);
-      (void)event_base_loopbreak (g->base);
-      return;
-    }
-  if (now >= g->stop.ends_at && !g->is_ending)
+  if (!g->is_ending && is_stop_over (g, now))
     {
       g->is_ending = true;
       g->ending_at = now;
-      (void)evconnlistener_disable (g->ports[0].listener);
-      cv_clients_end (g);
+      cv_port_end (&g->ports[0]);
+    }
+  if (!g->is_ending)
+    return;
+  if (now >= g->ending_at + STOP_READ_PERIOD)
+    cv_clients_end (g);
+  is_written
+      = now >= g->ending_at + STOP_READ_PERIOD && !cv_clients_have_output (g);
+  if (is_written || TAILQ_EMPTY (&g->clients)
+      || now >= g->ending_at + STOP_WRITE_PERIOD)
+    {
+      log_stopped (g);
+      (void)event_base_loopbreak (g->base);
     }
 }
 
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -369,7 +369,7 @@
   cv_time_t stall_ended_at; /* end of the last period without ticks */
   cv_rng_t rng;
   bool stopping;
-  bool is_ending;      /* the stop is over; the last responses are written */
+  bool is_ending;      /* the stop is over; last requests are refused */
   cv_time_t ending_at; /* start of IS_ENDING */
   cv_stop_t stop;      /* valid while STOPPING */
   cv_gateway_counts_t counts;
@@ -384,6 +384,9 @@
 bool cv_port_open (cv_gateway_t *g, cv_port_kind_t kind, const char *url,
                    cv_error_t *err);
 void cv_port_close (cv_port_t *p);
+/* Accepts the connections that wait for it, and closes P: who connects later is
+   told that no request of his was read.  */
+void cv_port_end (cv_port_t *p);
 /* The response on C has ended; its exchange, if any, is already freed.  A
    response that is not COMPLETE closes the connection.  */
 void cv_client_response_done (cv_client_t *c, bool complete);
--- a/tests/gateway/stop_scenarios.py
+++ b/tests/gateway/stop_scenarios.py
@@ -1,6 +1,7 @@
 """Scenarios of a gateway that is stopped while callers keep using it."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import os
@@ -225,3 +226,107 @@
                   f"{'retry-after' in headers}, connection "
                   f"{headers.get('connection')}")
     bench.say(f"exit code {await bench.process.wait()}")
+
+
+class Load:
+    """Callers that send requests until a process has ended, and what became of
+    them."""
+
+    def __init__(self, bench):
+        self.bench = bench
+        self.ends = collections.Counter()
+
+    def note(self, kind, status):
+        """STATUS: 0 for an answer that is absent or incomplete, None for a
+        connection that was refused."""
+        if status is None:
+            self.ends["refused connections"] += 1
+        elif status == 0:
+            self.ends[f"cut, {kind}"] += 1
+        else:
+            self.ends["answered"] += 1
+
+    async def send(self, kind, data, pause_s=0):
+        """DATA on a connection of its own, its last bytes after a pause."""
+        try:
+            reader, writer = await self.bench.connect()
+        except OSError:
+            self.note(kind, None)
+            return
+        try:
+            writer.write(data[:-100])
+            await asyncio.sleep(pause_s)
+            status, _, _ = await self.bench.exchange(reader, writer,
+                                                     data[-100:])
+        except OSError:
+            status = 0
+        writer.close()
+        self.note(kind, status)
+
+    async def send_on_one(self, kind):
+        """Requests on a connection, two at a time, and on the next one when the
+        gateway closes it."""
+        while self.bench.process.returncode is None:
+            try:
+                reader, writer = await self.bench.connect()
+            except OSError:
+                self.note(kind, None)
+                return
+            is_kept = True
+            while is_kept:
+                data = b"".join(self.bench.head("GET", f"/read/{i}")
+                                for i in range(2))
+                for part in (data, b""):
+                    status, headers, _ = await self.bench.exchange(
+                        reader, writer, part)
+                    self.note(kind, status)
+                    is_kept = status and headers.get("connection") != "close"
+                    if not is_kept:
+                        break
+                await asyncio.sleep(0.01)
+            writer.close()
+
+
+async def stop_under_load(bench):
+    """New connections, kept ones with requests behind each other, bodies that come
+    in parts and generations of which most wait for memory, until the process
+    has ended: each request that it has accepted is answered."""
+    async def work(target, request, writer):
+        await asyncio.sleep(0.05)
+        writer.write(signed(request, b"ok"))
+        return True
+
+    async def generate(target, request, writer):
+        await start_stream(request, writer)
+        for i in range(4):
+            writer.write(chunk(event(i)))
+            await asyncio.sleep(0.05)
+        writer.write(chunk(b""))
+        return True
+
+    for name in ("t1", "t2"):
+        await bench.add_target(name, "plain", work)
+    await bench.add_target("m1", "model", generate)
+    await bench.start(grace_s=4)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    load = Load(bench)
+    tasks = [asyncio.ensure_future(load.send_on_one("kept")) for _ in range(8)]
+    await asyncio.sleep(0.5)
+    bench.terminate()
+    for i in itertools.count():
+        if bench.process.returncode is not None:
+            break
+        read = bench.head("POST", "/read/x", b"x" * 2000)
+        tasks.append(asyncio.ensure_future(load.send("new", read)))
+        if i % 5 == 0:
+            read = bench.head("POST", "/read/x", b"x" * 2000)
+            tasks.append(asyncio.ensure_future(load.send("in parts", read, 0.2)))
+        if i % 10 == 0:
+            large = {**GEN_HEADERS, "Token-Usage": "12000,900"}
+            data = bench.head("POST", "/tag/x", b"x" * 200, **large)
+            tasks.append(asyncio.ensure_future(load.send("generation", data)))
+        await asyncio.sleep(0.005)
+    await asyncio.gather(*tasks)
+    cut = {k: n for k, n in load.ends.items() if k.startswith("cut")}
+    bench.say(f"most answered {load.ends['answered'] > 500}, {cut}")
+    bench.say(f"logged as unanswered: {len(bench.logged('GATEWAY_UNANSWERED'))}")
