gateway: a pause that a restarted target asks for

Requests reached a target in its pause. Cause: a process that has started again under its id answers to requests that were sent under its former start, and the pause was kept for that one only.

Change: it counts for the new start as well, whichever becomes known first.

Tests: policy (Pause); gateway-pause-restarted, -late (failed first: one request each).

--- a/gateway/pause.c
+++ b/gateway/pause.c
@@ -31,21 +31,31 @@
   cv_line_end (&l);
 }
 
+/* T has asked for a pause, in the answer to a request that may have been sent
+   before it was known to have started again.  */
+static void
+ask_pause (cv_target_t *t, cv_time_t length)
+{
+  cv_target_t *successor = cv_target_find (t->gateway, t->record.id);
+  cv_time_t now = cv_now ();
+
+  if (successor != NULL && successor != t)
+    (void)cv_pause_ask (&successor->pause, now, length);
+  if (!cv_pause_ask (&t->pause, now, length))
+    return;
+  t->gateway->counts.pauses++;
+  log_pause (t, length);
+}
+
 void
 cv_target_observe_pause (cv_target_t *t, const cv_answer_fields_t *fields)
 {
-  cv_time_t length;
-
   switch (fields->pause)
     {
     case CV_PAUSE_NONE:
       return;
     case CV_PAUSE_ASKED:
-      length = (cv_time_t)(fields->pause_s * (double)CV_SECOND);
-      if (!cv_pause_ask (&t->pause, cv_now (), length))
-        return;
-      t->gateway->counts.pauses++;
-      log_pause (t, length);
+      ask_pause (t, (cv_time_t)(fields->pause_s * (double)CV_SECOND));
       return;
     case CV_PAUSE_MALFORMED:
       log_malformed (t, fields->pause_text);
--- a/policy/pause.c
+++ b/policy/pause.c
@@ -15,6 +15,7 @@
 {
   bool begins = !cv_pause_is_in_force (p, now);
 
+  p->asked_at = now;
   if (begins)
     p->exempted_runs = 0;
   if (now + length > p->until)
@@ -28,6 +29,12 @@
   return now < p->until;
 }
 
+bool
+cv_pause_was_asked_within (const cv_pause_t *p, cv_time_t period, cv_time_t now)
+{
+  return p->until != 0 && now - p->asked_at < period;
+}
+
 bool
 cv_pause_exempt_run (cv_pause_t *p)
 {
--- a/policy/pause.h
+++ b/policy/pause.h
@@ -15,6 +15,7 @@
 typedef struct
 {
   cv_time_t until;        /* end of the last pause, 0: there was none */
+  cv_time_t asked_at;     /* the last time that it was asked for */
   uint32_t exempted_runs; /* in this pause */
 } cv_pause_t;
 
@@ -22,6 +23,9 @@
    begins; the end of one in force is never brought forward.  */
 bool cv_pause_ask (cv_pause_t *p, cv_time_t now, cv_time_t length);
 bool cv_pause_is_in_force (const cv_pause_t *p, cv_time_t now);
+/* Whether it was asked for within PERIOD before NOW.  */
+bool cv_pause_was_asked_within (const cv_pause_t *p, cv_time_t period,
+                                cv_time_t now);
 /* Whether a run that can go on at this target only may be sent there in the
    pause.  The platform allows two requests in each.  */
 bool cv_pause_exempt_run (cv_pause_t *p);
--- a/policy/tests/pause_test.cc
+++ b/policy/tests/pause_test.cc
@@ -36,6 +36,19 @@
   EXPECT_TRUE (cv_pause_exempt_run (&p));
 }
 
+TEST (Pause, IsOfTheTimeAtWhichItWasLastAskedFor)
+{
+  cv_pause_t p = {};
+
+  EXPECT_FALSE (cv_pause_was_asked_within (&p, CV_SECOND, CV_SECOND / 2));
+  (void)cv_pause_ask (&p, kStart, 5 * CV_SECOND);
+  (void)cv_pause_ask (&p, kStart + CV_SECOND, CV_SECOND);
+  EXPECT_TRUE (
+      cv_pause_was_asked_within (&p, CV_SECOND, kStart + 2 * CV_SECOND - 1));
+  EXPECT_FALSE (
+      cv_pause_was_asked_within (&p, CV_SECOND, kStart + 2 * CV_SECOND));
+}
+
 // Requests that take 0.3 s each arrive faster than a target can serve them.
 TEST (Pause, LoadReturnsGraduallyAfterIt)
 {
--- a/tests/gateway/pause_scenarios.py
+++ b/tests/gateway/pause_scenarios.py
@@ -132,6 +132,59 @@
               f"still pauses {time.monotonic() < pauses.until['p1']}")
 
 
+async def restart(bench, name):
+    """The entry of NAME shows that it has started again under its id."""
+    await bench.store.put("servers", name,
+                          {**bench.targets[name].record(), "born": 2})
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target=name, started_ms=2)
+
+
+async def pause_restarted(bench):
+    """A target that has started again asks for a pause before the gateway reads
+    of its start."""
+    pauses = Pauses()
+    await add_targets(bench, ("p1", "p2"), "plain", pauses.script())
+    since = time.monotonic()
+    pauses.ask("p1", 4)
+    await send_for(bench, 0.2)
+    await restart(bench, "p1")
+    outcomes = await send_for(bench, 1)
+    bench.say(f"{statuses(outcomes)}, late {pauses.late('p1', since)}, "
+              f"still pauses {time.monotonic() < pauses.until['p1']}")
+
+
+async def pause_restarted_late(bench):
+    """The answer that asks for the pause comes after the gateway has read of the
+    start, to a request that it had sent before; its route allows one attempt."""
+    pauses = Pauses()
+    script = pauses.script()
+    held = asyncio.Event()
+    released = asyncio.Event()
+
+    async def hold_first(target, request, writer):
+        if target.name == "p1" and not held.is_set():
+            held.set()
+            await released.wait()
+        return await script(target, request, writer)
+
+    await add_targets(bench, ("p1", "p2"), "plain", hold_first)
+    # From then on it reads of the start within the timeout of the requests.
+    await bench.until_logged("GATEWAY_READER", kind="instances")
+    # Requests that are not sent again while their target is silent.
+    first = [asyncio.ensure_future(bench.send("POST", "/book/1", b"x"))
+             for _ in range(4)]
+    await held.wait()
+    await restart(bench, "p1")
+    since = time.monotonic()
+    pauses.ask("p1", 3)
+    released.set()
+    outcomes = await asyncio.gather(*first)
+    await asyncio.sleep(2 * ON_THE_WAY_S)
+    outcomes += await send_for(bench, 1)
+    bench.say(f"{statuses(outcomes)}, late {pauses.late('p1', since)}, "
+              f"still pauses {time.monotonic() < pauses.until['p1']}")
+
+
 async def pause_all(bench):
     """All targets ask for a pause that is longer than callers wait: they are
     refused at once, and told when the first target takes requests again."""
