gateway: streams sent to an instance as it started again

Streams had events of two versions. Cause: a request names an instance, not its start: between a restart with another version and the moment that the list or the observer tells of it, streams are recorded under the former version.

Change: streams that were sent there within 3 s before that moment are in doubt: they end where they are, and are not taken up. Others are told.

Tests: policy (Origins), gateway-versions-restarted-unseen.

--- a/gateway/loads.c
+++ b/gateway/loads.c
@@ -139,6 +139,8 @@
     {
       if (load->started_ms > t->record.started_ms)
         {
+          if (t->newer_started_ms != load->started_ms)
+            cv_version_note_restart (t);
           t->newer_started_ms = load->started_ms;
           cv_watcher_poll_now (&g->instance_watcher, now);
         }
--- a/gateway/resume.c
+++ b/gateway/resume.c
@@ -206,7 +206,7 @@
   r = cv_origins_find (&g->origins, x->stream_key, cv_now ());
   if (r != NULL && r->is_ambiguous)
     {
-      refuse (x, "two streams of this attempt");
+      refuse (x, "version that began the stream is not certain");
       return true;
     }
   if (r != NULL)
@@ -254,7 +254,9 @@
       reply.is_mixed = cv_versions_are_mixed (&s->versions, now);
       reply.version = cv_versions_sole (&s->versions, g->started_at, now);
     }
-  if (r != NULL && !r->is_ambiguous)
+  if (r != NULL && r->is_ambiguous)
+    reply.is_mixed = true;
+  else if (r != NULL)
     {
       reply.step = CV_ORIGIN_KNOWN;
       reply.version = r->version;
@@ -308,7 +310,7 @@
   switch (m->step)
     {
     case CV_ORIGIN_RECORDED:
-      cv_origins_add (&g->origins, m->key, m->version, cv_now ());
+      cv_origins_add (&g->origins, m->key, m->version, 0, cv_now ());
       return;
     case CV_ORIGIN_ASKED:
       answer (g, m, from);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -177,6 +177,26 @@
   return t;
 }
 
+/* The instance of T has started again as R.  The new target has none of the
+   state kept for T, but a pause that either process may have asked for.  */
+static cv_target_t *
+replace_target (cv_target_t *t, const cv_instance_record_t *r)
+{
+  cv_gateway_t *g = t->gateway;
+  cv_pause_t pause = t->pause;
+  cv_target_t *successor;
+
+  if (t->newer_started_ms != r->started_ms
+      && strcmp (t->record.software, r->software) != 0)
+    cv_version_note_restart (t);
+  mark_removed (t, "instance restarted");
+  delete_target (t);
+  successor = add_target (g, r);
+  if (cv_pause_was_asked_within (&pause, CV_RESTART_LAG, cv_now ()))
+    successor->pause = pause;
+  return successor;
+}
+
 void
 cv_targets_update (cv_gateway_t *g, const cv_instance_record_t *r,
                    bool is_change)
@@ -186,16 +206,10 @@
   if (!cv_entry_counts (g, r))
     return;
   t = cv_target_find (g, r->id);
-  /* A restarted instance has none of the state kept for its predecessor.  */
-  if (t != NULL && t->record.started_ms != r->started_ms
-      && t->record.started_ms != 0)
-    {
-      mark_removed (t, "instance restarted");
-      delete_target (t);
-      t = NULL;
-    }
   if (t == NULL)
     t = add_target (g, r);
+  else if (t->record.started_ms != r->started_ms && t->record.started_ms != 0)
+    t = replace_target (t, r);
   t->in_current_list = true;
   LIST_REMOVE (t, by_address);
   t->record = *r;
--- a/gateway/version.c
+++ b/gateway/version.c
@@ -49,6 +49,13 @@
          && !cv_version_is_served (x->gateway, x->service->name, x->version);
 }
 
+/* Identifies the instance of T, whichever process it is.  */
+static uint64_t
+source_of (const cv_target_t *t)
+{
+  return cv_hash (t->record.id, strlen (t->record.id), 0);
+}
+
 void
 cv_version_note_event (cv_exchange_t *x)
 {
@@ -61,12 +68,55 @@
   x->version = cv_target_version (x->target);
   if (x->stream_key == 0)
     return;
-  cv_origins_add (&g->origins, x->stream_key, x->version, now);
+  cv_origins_add (&g->origins, x->stream_key, x->version, source_of (x->target),
+                  now);
   cv_resume_keep (g, x->stream_key, x->version, x->service->name);
   if (cv_versions_are_mixed (&x->service_state->versions, now))
     cv_resume_publish (g, x->stream_key, x->version);
 }
 
+/* Streams of a target that started again.  */
+typedef struct
+{
+  const cv_target_t *target;
+  int64_t count;
+} doubt_t;
+
+/* Tells those that were told of the stream KEY.  */
+static void
+publish_doubt (void *owner, uint64_t key)
+{
+  doubt_t *doubt = owner;
+  const cv_target_t *t = doubt->target;
+
+  doubt->count++;
+  cv_resume_keep (t->gateway, key, CV_VERSION_UNCERTAIN, t->record.service);
+  cv_resume_publish (t->gateway, key, CV_VERSION_UNCERTAIN);
+}
+
+void
+cv_version_note_restart (cv_target_t *t)
+{
+  cv_time_t now = cv_now ();
+  doubt_t doubt = { .target = t };
+  cv_exchange_t *x;
+  cv_line_t l;
+
+  cv_origins_doubt (&t->gateway->origins, source_of (t), now, publish_doubt,
+                    &doubt);
+  TAILQ_FOREACH (x, &t->gateway->exchanges, entry)
+  if (x->target == t && x->is_version_recorded
+      && now - x->sent_at < CV_RESTART_LAG)
+    x->version = CV_VERSION_UNCERTAIN;
+  if (doubt.count == 0)
+    return;
+  cv_line_begin (&l, CV_EV_GATEWAY_STREAMS_IN_DOUBT);
+  cv_line_text (&l, "target", cv_slice (t->record.id));
+  cv_line_number (&l, "started_ms", (int64_t)t->record.started_ms);
+  cv_line_number (&l, "streams", doubt.count);
+  cv_line_end (&l);
+}
+
 /* Sends the newest records to others, as this gateway may be killed.  */
 static void
 publish_all (const cv_gateway_t *g, cv_time_t now)
--- a/gateway/version.h
+++ b/gateway/version.h
@@ -39,6 +39,9 @@
 /* Events of X are about to be passed on: records the version of their target
    with the first.  */
 void cv_version_note_event (cv_exchange_t *x);
+/* T has become known to have started again under its id: streams that were sent
+   there lately may have begun at either process, and do not go on elsewhere. */
+void cv_version_note_restart (cv_target_t *t);
 /* Whether no target is left that X could go on at.  */
 bool cv_version_is_gone (const cv_exchange_t *x);
 /* Whether a target of SERVICE that takes new requests has VERSION.  */
--- a/observer/streams.c
+++ b/observer/streams.c
@@ -29,7 +29,9 @@
 {
   cv_served_t *s = served (o, m->service);
 
-  cv_origins_add (&o->origins, m->key, m->version, now);
+  cv_origins_add (&o->origins, m->key, m->version, 0, now);
+  if (m->version == CV_VERSION_UNCERTAIN)
+    return;
   s->recorded_at = now;
   (void)cv_versions_see (&s->versions, m->version, false, now);
 }
@@ -49,7 +51,8 @@
     .number = m->number,
     .version
     = is_known ? r->version : cv_versions_sole (versions, o->started_at, now),
-    .is_mixed = cv_versions_are_mixed (versions, now)
+    .is_mixed
+    = cv_versions_are_mixed (versions, now) || (r != NULL && r->is_ambiguous)
   };
   cv_datagram_send (o->socket, gateway, &msg);
 }
--- a/policy/origins.c
+++ b/policy/origins.c
@@ -38,17 +38,35 @@
 }
 
 void
-cv_origins_add (cv_origins_t *s, uint64_t key, uint64_t version, cv_time_t now)
+cv_origins_add (cv_origins_t *s, uint64_t key, uint64_t version,
+                uint64_t source, cv_time_t now)
 {
   uint32_t i = cv_map_get (&s->index, key);
   cv_origin_t *r = i != CV_MAP_NONE ? &s->records[i] : insert (s, key, now);
   bool is_fresh = r->at > 0 && now - r->at < CV_STREAM_LIFE;
 
-  r->is_ambiguous = is_fresh && (r->is_ambiguous || r->version != version);
+  r->is_ambiguous = version == CV_VERSION_UNCERTAIN
+                    || (is_fresh && (r->is_ambiguous || r->version != version));
   r->version = version;
+  r->source = source;
   r->at = now;
 }
 
+void
+cv_origins_doubt (cv_origins_t *s, uint64_t source, cv_time_t now,
+                  void (*handler) (void *owner, uint64_t key), void *owner)
+{
+  for (uint32_t i = 0; i < s->count; i++)
+    {
+      cv_origin_t *r = &s->records[i];
+
+      if (r->source != source || now - r->at >= CV_RESTART_LAG)
+        continue;
+      r->is_ambiguous = true;
+      handler (owner, r->key);
+    }
+}
+
 const cv_origin_t *
 cv_origins_find (const cv_origins_t *s, uint64_t key, cv_time_t now)
 {
@@ -113,6 +131,15 @@
   return !was_mixed && cv_versions_are_mixed (v, now);
 }
 
+bool
+cv_versions_has (const cv_versions_t *v, uint64_t version, cv_time_t now)
+{
+  for (uint32_t i = 0; i < v->count; i++)
+    if (v->id[i] == version && is_recent (v, i, now))
+      return true;
+  return false;
+}
+
 bool
 cv_versions_is_ending (const cv_versions_t *v, uint64_t version)
 {
--- a/policy/origins.h
+++ b/policy/origins.h
@@ -22,13 +22,20 @@
 #define CV_STREAM_LIFE (60 * CV_SECOND)
 /* Identifies no version.  */
 #define CV_VERSION_NONE 0
+/* Stands for a version that cannot be told: the stream does not go on.  */
+#define CV_VERSION_UNCERTAIN UINT64_MAX
+/* An instance that started again under its id is known to have done so within
+   this time.  */
+#define CV_RESTART_LAG (3 * CV_SECOND)
 
 typedef struct
 {
   uint64_t key; /* of the stream */
   uint64_t version;
+  uint64_t source; /* instance that began the stream, 0: not known here */
   cv_time_t at;
-  bool is_ambiguous; /* two streams of this key, of two versions */
+  bool is_ambiguous; /* two streams of this key, of two versions, or a version
+                        that cannot be told */
 } cv_origin_t;
 
 typedef struct
@@ -42,9 +49,16 @@
 
 void cv_origins_init (cv_origins_t *s);
 void cv_origins_finish (cv_origins_t *s);
-/* VERSION began the stream KEY, or goes on with it.  */
+/* VERSION began the stream KEY, or goes on with it, at the instance SOURCE; 0:
+   not known here.  */
 void cv_origins_add (cv_origins_t *s, uint64_t key, uint64_t version,
-                     cv_time_t now);
+                     uint64_t source, cv_time_t now);
+/* The instance SOURCE is known by now to have started again: a stream that
+   began there within CV_RESTART_LAG may be of either process.  Calls HANDLER
+   with the key of each.  */
+void cv_origins_doubt (cv_origins_t *s, uint64_t source, cv_time_t now,
+                       void (*handler) (void *owner, uint64_t key),
+                       void *owner);
 /* The record of KEY, NULL when there is none of the last CV_STREAM_LIFE.  */
 const cv_origin_t *cv_origins_find (const cv_origins_t *s, uint64_t key,
                                     cv_time_t now);
@@ -72,6 +86,8 @@
    mixed by this.  */
 bool cv_versions_see (cv_versions_t *v, uint64_t version, bool is_leaving,
                       cv_time_t now);
+/* Whether VERSION served within CV_STREAM_LIFE.  */
+bool cv_versions_has (const cv_versions_t *v, uint64_t version, cv_time_t now);
 /* Whether one instance of VERSION is left while others of it are about to stop,
    and other versions serve: a stream that begins there could not be moved.  */
 bool cv_versions_is_ending (const cv_versions_t *v, uint64_t version);
--- a/tests/gateway/version_scenarios.py
+++ b/tests/gateway/version_scenarios.py
@@ -272,6 +272,33 @@
         bench.say(line)
 
 
+async def versions_restarted_unseen(bench):
+    """An engine has started again under its id with another version, and nothing
+    tells of it before its streams begin.  The list does before they break off,
+    within the gateway or at its caller: none goes on at the former version."""
+    fleet = Fleet(bench, 3)
+    await add_engine(bench, "m1", "v1", version_events(bench, 0.1))
+    restarted = await add_engine(bench, "m2", "v1",
+                                 version_events(bench, 0.1, reset_at=5))
+    await fleet.start(retry_ratio=1)
+    restarted.version = "v2"
+    running = [asyncio.ensure_future(
+        bench.send("POST", "/tag/1", b"x", **GEN_HEADERS)) for _ in range(8)]
+    streams = [Stream(fleet, i) for i in range(16)]
+    await asyncio.gather(*(s.begin(bench) for s in streams))
+    await bench.store.put("servers", "m2", {**restarted.record(), "born": 2})
+    for gateway in fleet.gateways:
+        await gateway.until_logged("GATEWAY_TARGET_ADDED", target="m2",
+                                   started_ms=2)
+    await asyncio.gather(*(s.take_up(fleet.gateways[i % 3])
+                           for i, s in enumerate(streams)))
+    bodies = [body for _, _, body in await asyncio.gather(*running)]
+    bodies += [s.body for s in streams]
+    begun = {versions[0] for _, versions in map(parse, bodies) if versions}
+    mixed = sum(len(set(parse(body)[1])) > 1 for body in bodies)
+    bench.say(f"begun at {sorted(begun)}, of two versions: {mixed}")
+
+
 async def versions_none_left(bench):
     """No engine of the version that began a stream is left: the try is refused
     at once, as not run."""
