gateway: a run that ends before what was passed on

A stream that had broken off looked complete with events missing. Cause: an engine that was asked to go on after event 2 began with event 0 and ended after event 1; the end was judged by whether an event was incomplete. And comments counted as events, so that a target that sends nothing else never was silent.

Change: such a run has failed. A comment is forwarded, and is no event.

--- a/gateway/events.c
+++ b/gateway/events.c
@@ -27,12 +27,13 @@
 cv_events_restart (cv_events_t *e)
 {
   cv_buf_reset (&e->partial);
+  e->is_behind = false;
 }
 
 bool
-cv_events_is_at_boundary (const cv_events_t *e)
+cv_events_may_end (const cv_events_t *e)
 {
-  return e->partial.n == 0;
+  return e->partial.n == 0 && !e->is_behind;
 }
 
 /* Length in bytes of the line at P with its line end; 0 when the line is
@@ -51,14 +52,23 @@
   return n == 1 || (n == 2 && line[0] == '\r');
 }
 
-/* Length in bytes of the first event in the N bytes at P with its blank line;
-   0 when the event is incomplete.  *ID is set if *HAS_ID.  */
-static size_t
-event_length (const char *p, size_t n, bool *has_id, uint64_t *id)
+/* An event with its blank line.  */
+typedef struct
+{
+  const char *p;
+  size_t n;
+  bool has_id;
+  uint64_t id;     /* if HAS_ID */
+  bool is_comment; /* it has lines of comments only, or none */
+} event_t;
+
+/* Reads the first event in the N bytes at P; false when it is incomplete.  */
+static bool
+read_event (const char *p, size_t n, event_t *out)
 {
   size_t at = 0;
 
-  *has_id = false;
+  *out = (event_t){ .p = p, .is_comment = true };
   while (at < n)
     {
       size_t line = line_length (p + at, n - at);
@@ -66,40 +76,48 @@
       char *end;
 
       if (line == 0)
-        return 0;
+        return false;
       if (is_blank (p + at, line))
-        return at + line;
+        {
+          out->n = at + line;
+          return true;
+        }
+      out->is_comment &= p[at] == ':';
       if (line > strlen (ID_FIELD)
           && memcmp (p + at, ID_FIELD, strlen (ID_FIELD)) == 0
           && cv_copy_slice (text, sizeof text,
                             (cv_slice_t){ p + at + strlen (ID_FIELD),
                                           line - strlen (ID_FIELD) }))
         {
-          *id = strtoull (text, &end, 10);
-          *has_id = end != text;
+          out->id = strtoull (text, &end, 10);
+          out->has_id = end != text;
         }
       at += line;
     }
-  return 0;
+  return false;
 }
 
-/* Appends the event at P to OUT, unless it was forwarded before.  */
+/* Appends EVENT to OUT, unless it was forwarded before.  */
 static bool
-forward_event (cv_events_t *e, const char *p, size_t n, bool has_id,
-               uint64_t id, cv_buf_t *out, cv_error_t *err)
+forward_event (cv_events_t *e, const event_t *event, cv_buf_t *out,
+               cv_error_t *err)
 {
-  if (has_id && e->has_last_id && id <= e->last_id)
+  uint64_t id = event->id;
+
+  if (event->has_id)
+    e->is_behind = e->has_last_id && id < e->last_id;
+  if (event->has_id && e->has_last_id && id <= e->last_id)
     return true;
-  if (has_id && e->has_last_id && id != e->last_id + 1)
+  if (event->has_id && e->has_last_id && id != e->last_id + 1)
     return cv_fail (err, CV_ERR_INVALID, "event %llu follows event %llu",
                     (unsigned long long)id, (unsigned long long)e->last_id);
-  if (has_id)
+  if (event->has_id)
     {
       e->has_last_id = true;
       e->last_id = id;
     }
-  e->count++;
-  cv_buf_add (out, p, n);
+  e->count += !event->is_comment;
+  cv_buf_add (out, event->p, event->n);
   return true;
 }
 
@@ -111,16 +129,13 @@
   cv_buf_add (&e->partial, data.p, data.n);
   while (at < e->partial.n)
     {
-      bool has_id;
-      uint64_t id = 0;
-      size_t n
-          = event_length (e->partial.p + at, e->partial.n - at, &has_id, &id);
+      event_t event;
 
-      if (n == 0)
+      if (!read_event (e->partial.p + at, e->partial.n - at, &event))
         break;
-      if (!forward_event (e, e->partial.p + at, n, has_id, id, out, err))
+      if (!forward_event (e, &event, out, err))
         return false;
-      at += n;
+      at += event.n;
     }
   e->partial.n -= at;
   memmove (e->partial.p, e->partial.p + at, e->partial.n);
--- a/gateway/events.h
+++ b/gateway/events.h
@@ -16,7 +16,9 @@
   cv_buf_t partial; /* start of an incomplete event */
   bool has_last_id;
   uint64_t last_id; /* of the last event forwarded */
-  uint64_t count;   /* events forwarded */
+  uint64_t count;   /* events forwarded; a comment is none */
+  /* The last event of the current run was forwarded before.  */
+  bool is_behind;
 } cv_events_t;
 
 void cv_events_init (cv_events_t *e);
@@ -28,8 +30,9 @@
    skips one or an event is too large.  */
 bool cv_events_feed (cv_events_t *e, cv_slice_t data, cv_buf_t *out,
                      cv_error_t *err);
-/* Whether no event is incomplete.  */
-bool cv_events_is_at_boundary (const cv_events_t *e);
+/* Whether the stream may end here: no event is incomplete, and a run that
+   repeats events has repeated all that were forwarded.  */
+bool cv_events_may_end (const cv_events_t *e);
 
 #ifdef __cplusplus
 }
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -365,10 +365,10 @@
   cv_attempt_record_outcome (x, h->status < 500);
   if (x->state == CV_EXCHANGE_STREAMING)
     {
-      if (!cv_events_is_at_boundary (&x->events))
+      if (!cv_events_may_end (&x->events))
         {
           cv_crash_check_begin (x);
-          cv_exchange_handle_failure (x, "stream ends within an event", true);
+          cv_exchange_handle_failure (x, "stream ends early", true);
           return;
         }
       cv_evidence_completed (&x->gateway->evidence, x);
--- a/gateway/tests/events_test.cc
+++ b/gateway/tests/events_test.cc
@@ -48,7 +48,7 @@
     got += feed (std::string (1, c));
   EXPECT_EQ (all, got);
   EXPECT_EQ ("", feed ("id: 3\ndata: ha"));
-  EXPECT_FALSE (cv_events_is_at_boundary (&e));
+  EXPECT_FALSE (cv_events_may_end (&e));
 }
 
 TEST_F (Events, ContinuesInANewRunWithoutRepeats)
@@ -59,6 +59,28 @@
   EXPECT_EQ (3u, e.last_id);
 }
 
+TEST_F (Events, ARunThatEndsBehindTheFormerOneIsNotComplete)
+{
+  EXPECT_EQ (event (1) + event (2) + event (3),
+             feed (event (1) + event (2) + event (3)));
+  cv_events_restart (&e);
+  EXPECT_TRUE (cv_events_may_end (&e)) << "nothing was left to send";
+  EXPECT_EQ ("", feed (event (1) + event (2)));
+  EXPECT_FALSE (cv_events_may_end (&e));
+  EXPECT_EQ ("", feed (event (3)));
+  EXPECT_TRUE (cv_events_may_end (&e));
+}
+
+TEST_F (Events, ACommentIsForwardedAndIsNoEvent)
+{
+  EXPECT_EQ (": alive\n\n", feed (": alive\n\n"));
+  EXPECT_EQ (0u, e.count);
+  EXPECT_EQ (": alive\n" + event (1), feed (": alive\n" + event (1)));
+  EXPECT_EQ (1u, e.count);
+  EXPECT_EQ ("data: x\n\n", feed ("data: x\n\n"));
+  EXPECT_EQ (2u, e.count);
+}
+
 TEST_F (Events, RejectsAMissingEvent)
 {
   EXPECT_EQ (event (1), feed (event (1)));
