gateway: the head of a stream is sent with its first event

Cause: the head was sent as it came, so that the caller of a run that ended before its first event could be given nothing but a cut. A comment was taken for progress, so that a stalled stream lasted until its deadline.

Change: the head goes out with the first event, a comment before it, or the end; until then another attempt may follow, or a refusal.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -166,7 +166,6 @@
     }
   if (cv_exchange_can_begin_response (x))
     {
-      send_head (x, caller_framing (x), 0);
       x->state = CV_EXCHANGE_STREAMING;
       return;
     }
@@ -237,20 +236,35 @@
   cv_http_link_set_paused (x->link, true);
 }
 
+/* The head of a stream is sent with its first event, or at its end: a run that
+   ends before is no loss to the caller, whose request may still be refused.  */
+static void
+begin_stream (cv_exchange_t *x)
+{
+  if (!x->head_sent)
+    send_head (x, caller_framing (x), 0);
+}
+
 static void
 forward_events (cv_exchange_t *x, cv_slice_t data)
 {
+  uint64_t count = x->events.count;
   cv_error_t err = { 0 };
   cv_buf_t out;
   bool ok;
 
   cv_buf_init (&out);
   ok = cv_events_feed (&x->events, data, &out, &err);
-  if (out.n > 0)
+  /* A target that sends comments only makes no progress.  */
+  if (x->events.count > count)
     {
       cv_attempt_prefill_done (x);
       cv_version_note_event (x);
       record_event (x, cv_now ());
+    }
+  if (out.n > 0)
+    {
+      begin_stream (x);
       cv_response_send_data (x->client, caller_framing (x),
                              (cv_slice_t){ out.p, out.n });
     }
@@ -372,6 +386,7 @@
           return;
         }
       cv_evidence_completed (&x->gateway->evidence, x);
+      begin_stream (x);
       cv_response_end_body (x->client, caller_framing (x));
       release_link (x);
       cv_exchange_end (x, true);
--- a/tests/gateway/limit_scenarios.py
+++ b/tests/gateway/limit_scenarios.py
@@ -107,6 +107,62 @@
     bench.say(f"runs: {runs(bench)}")
 
 
+async def silence_with_comments(bench):
+    """An engine stops sending events, before the first or later, but sends a
+    comment now and then: another one with room takes over."""
+    stops_at = 0
+
+    async def script(target, request, writer):
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        await start_stream(request, writer)
+        for i in range(first, 4):
+            while target.name == "m1" and i == stops_at:
+                writer.write(chunk(b": alive\n\n"))
+                await writer.drain()
+                await asyncio.sleep(0.1)
+            writer.write(chunk(event(i)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    await bench.start(retry_ratio=1)
+    for stops_at in (0, 2):
+        await bench.add_target("m1", "model", script)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+        answer = asyncio.ensure_future(generate(bench))
+        await asyncio.sleep(0.1)
+        await bench.add_target("m2", "model", script)
+        bench.say(f"stops at {stops_at}: {await answer}")
+        for name in ("m1", "m2"):
+            await bench.store.remove("servers", name)
+            await bench.until_logged("GATEWAY_TARGET_LEAVING", target=name)
+            bench.logs.clear()
+
+
+async def stream_without_events(bench):
+    """An engine crashes after the head of a stream and before its first event,
+    the next one rejects the retry, and the retry budget is empty: the caller
+    gets an answer, not the beginning of a stream."""
+    async def script(target, request, writer):
+        if target.name == "m2":
+            writer.write(answer(503, b"", [
+                ("Attempt-Id", request.headers["attempt-id"]),
+                ("Not-Executed", "1")]))
+            return True
+        await start_stream(request, writer)
+        await asyncio.sleep(0.3)
+        writer.transport.abort()
+        return False
+
+    await bench.start(retry_ratio=0, retry_slack=1)
+    await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    response = asyncio.ensure_future(generate(bench))
+    await asyncio.sleep(0.1)
+    await bench.add_target("m2", "model", script)
+    bench.say(await response)
+
+
 async def silence_of_a_resumed_stream(bench):
     """An engine resets a stream, and the one at which it is resumed has to read
     the prompt again: the time for the first event applies, not that between
--- a/tests/gateway/observer_scenarios.py
+++ b/tests/gateway/observer_scenarios.py
@@ -8,12 +8,24 @@
 from scenarios import GEN_HEADERS
 from standins import EngineStatus, chunk, event, start_stream
 
+NAMES = ("m1", "m2")
 INTERVAL_S = 0.03
 SIGNAL_INTERVAL_S = 0.02
 SERIES = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT,
           signal.SIGTERM)
 
 
+class SilentStatus(EngineStatus):
+    """A status address that may not answer for a while."""
+
+    is_hanging = False
+
+    async def handle(self, request, writer):
+        while self.is_hanging:
+            await asyncio.sleep(0.05)
+        return await super().handle(request, writer)
+
+
 async def observer_stop(bench):
     """Signals in series end the observer while callers keep sending: each gets
     its response, before and after the gateway takes the observer for lost."""
@@ -77,3 +89,61 @@
             await asyncio.sleep(0)
         codes.add(process.returncode)
     bench.say(f"exit codes {codes}")
+
+
+async def observer_silent(bench):
+    """Engines run streams while they report nothing for a while: their observers
+    are killed, their status does not answer, or their entries are gone and come
+    back.  The streams stay where they run."""
+    async def script(target, request, writer):
+        await start_stream(request, writer)
+        for i in range(30):
+            writer.write(chunk(event(i)))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def kill_observers():
+        for process in bench.observers:
+            process.kill()
+        await asyncio.sleep(2)
+
+    async def hang_status():
+        for status in statuses:
+            status.is_hanging = True
+        await asyncio.sleep(2)
+        for status in statuses:
+            status.is_hanging = False
+        # Until the observers report again, and the gateway uses it.
+        await asyncio.sleep(1.5)
+
+    async def lose_entries():
+        bench.store.status = 503
+        await asyncio.sleep(1.5)
+        entries = [bench.targets[name].record() for name in NAMES]
+        for name in NAMES:
+            await bench.store.remove("servers", name)
+        bench.store.status = None
+        await asyncio.sleep(1)
+        for name, entry in zip(NAMES, entries):
+            await bench.store.put("servers", name, entry)
+
+    await bench.start(retry_ratio=1)
+    statuses = [SilentStatus(name) for name in NAMES]
+    for status in statuses:
+        await bench.add_target(status.name, "model", script)
+        await bench.observe(status)
+    for name, silence in (("status hangs", hang_status),
+                          ("entries lost", lose_entries),
+                          ("observers killed", kill_observers)):
+        before = sum(len(t.requests) for t in bench.targets.values())
+        streams = [asyncio.ensure_future(bench.send(
+            "POST", path, b"x", **GEN_HEADERS))
+            for path in ("/tag/1", "/long/1") for _ in range(4)]
+        await asyncio.sleep(0.3)
+        await silence()
+        whole = sum(status == 200 and body.count(b"id:") == 30
+                    for status, _, body in await asyncio.gather(*streams))
+        runs = sum(len(t.requests) for t in bench.targets.values()) - before
+        bench.say(f"{name}: {whole} whole, {runs} runs")
