gateway: a take-up waits for a newer list of instances

Streams ended although engines of their version served. Cause: a gateway that had stood still during a release knew the version that began a stream from another process, but none of the engines of it.

Change: it asks the store, and waits for at most 1 s until its list is newer than the question.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -463,7 +463,7 @@
       cv_exchange_reserve_tick (x, now);
       return;
     }
-  if (x->question.number != 0)
+  if (cv_resume_is_pending (x))
     {
       cv_resume_tick (x, now);
       return;
--- a/gateway/resume.c
+++ b/gateway/resume.c
@@ -18,6 +18,8 @@
 #define FIRST_REPORTS (700 * CV_MS)
 /* A gateway whose list of instances is older may not know all versions.  */
 #define LIST_MAX_AGE (4 * CV_SECOND)
+/* Longest wait for a newer list, which a slow store sends within 0.3 s.  */
+#define LIST_TIMEOUT CV_SECOND
 
 static void
 send_step (const cv_gateway_t *g, cv_msg_origin_t *m,
@@ -126,14 +128,34 @@
   return NULL;
 }
 
-/* VERSION began the stream of X; false when X was refused.  */
+/* Whether the list of instances may lack the targets of X's version: this
+   gateway stood still, or has never seen the version, which another process has
+   recorded.  */
 static bool
-go_on_at (cv_exchange_t *x, uint64_t version, const char *reason)
+is_list_behind (const cv_exchange_t *x)
 {
-  const cv_service_t *s;
+  const cv_gateway_t *g = x->gateway;
 
-  x->version = version;
-  s = service_of_version (x);
+  return g->instance_watcher.reader.known_at == 0
+         || !cv_version_was_seen (g, x->version, cv_now ());
+}
+
+/* The version that began the stream of X is known.  Returns false when X waits
+   for a newer list of instances, or was refused.  */
+static bool
+go_on (cv_exchange_t *x, const char *reason)
+{
+  const cv_service_t *s = service_of_version (x);
+
+  if (s == NULL && x->question.list_awaited_since == 0 && is_list_behind (x))
+    {
+      x->state = CV_EXCHANGE_RESERVING;
+      x->question.number = 0;
+      x->question.list_awaited_since = cv_now ();
+      cv_watcher_ask_now (&x->gateway->instance_watcher, cv_now ());
+      return false;
+    }
+  x->question.list_awaited_since = 0;
   if (s == NULL)
     {
       refuse (x, "no target of the version that began the stream");
@@ -210,7 +232,10 @@
       return true;
     }
   if (r != NULL)
-    return !go_on_at (x, r->version, "known here");
+    {
+      x->version = r->version;
+      return !go_on (x, "known here");
+    }
   x->state = CV_EXCHANGE_RESERVING;
   if (x->stream_key != 0 && (ask (x) || is_starting (g, cv_now ())))
     return true;
@@ -225,9 +250,34 @@
   cv_exchange_place (x);
 }
 
+bool
+cv_resume_is_pending (const cv_exchange_t *x)
+{
+  return x->question.number != 0 || x->question.list_awaited_since != 0;
+}
+
+/* X waits for a newer list of instances.  */
+static void
+tick_list (cv_exchange_t *x, cv_time_t now)
+{
+  cv_time_t since = x->question.list_awaited_since;
+
+  if (service_of_version (x) == NULL
+      && x->gateway->instance_watcher.known_as_of < since
+      && now - since < LIST_TIMEOUT)
+    return;
+  if (go_on (x, "known after the list was read"))
+    place (x);
+}
+
 void
 cv_resume_tick (cv_exchange_t *x, cv_time_t now)
 {
+  if (x->question.list_awaited_since != 0)
+    {
+      tick_list (x, now);
+      return;
+    }
   if (now - x->question.asked_at < REPLY_TIMEOUT)
     return;
   if (is_starting (x->gateway, now))
@@ -288,7 +338,8 @@
   x->question.is_mixed |= m->is_mixed;
   if (m->step == CV_ORIGIN_KNOWN)
     {
-      if (go_on_at (x, m->version, "known by another process"))
+      x->version = m->version;
+      if (go_on (x, "known by another process"))
         place (x);
       return;
     }
--- a/gateway/version.c
+++ b/gateway/version.c
@@ -42,6 +42,17 @@
   return false;
 }
 
+bool
+cv_version_was_seen (const cv_gateway_t *g, uint64_t version, cv_time_t now)
+{
+  const cv_service_state_t *s;
+
+  TAILQ_FOREACH (s, &g->services, entry)
+  if (cv_versions_has (&s->versions, version, now))
+    return true;
+  return false;
+}
+
 bool
 cv_version_is_gone (const cv_exchange_t *x)
 {
--- a/gateway/version.h
+++ b/gateway/version.h
@@ -26,6 +26,9 @@
   uint32_t replies;
   bool is_mixed; /* by a reply, several versions serve */
   uint64_t sole; /* by a reply, the one version that served; or 0 */
+  /* The version that began the stream is known, but none of its targets: time
+     from which a newer list of instances is waited for; 0: not waiting.  */
+  cv_time_t list_awaited_since;
 } cv_stream_question_t;
 
 /* version.c */
@@ -51,10 +54,16 @@
 void cv_versions_update (cv_gateway_t *g, cv_time_t now);
 void cv_versions_tick (cv_gateway_t *g, cv_time_t now);
 
+/* Whether a target of VERSION was known lately.  */
+bool cv_version_was_seen (const cv_gateway_t *g, uint64_t version,
+                          cv_time_t now);
+
 /* resume.c */
 /* X may be a stream that its caller takes up: finds out which version began it.
-   Returns true if X waits for other gateways, or was refused.  */
+   Returns true if X waits for that, or was refused.  */
 bool cv_resume_begin (cv_exchange_t *x);
+/* Whether X waits for other gateways or for the list of instances.  */
+bool cv_resume_is_pending (const cv_exchange_t *x);
 void cv_resume_tick (cv_exchange_t *x, cv_time_t now);
 void cv_resume_handle_message (cv_gateway_t *g, const cv_msg_origin_t *m,
                                const struct sockaddr_in *from);
