--- a/tests/gateway/restore_scenarios.py
+++ b/tests/gateway/restore_scenarios.py
@@ -149,7 +149,7 @@
         target.server.close()
         target.drop_connections()
     await asyncio.sleep(IN_FORCE_S)
-    statuses = {await status(bench, "/read/") for _ in range(30)}
+    statuses = set(await asyncio.gather(*(status(bench, "/read/") for _ in range(60))))
     used = [n for n, t in sorted(bench.targets.items()) if t.requests]
     left = {l["target"] for l in bench.logged("GATEWAY_TARGET_LEAVING")}
     bench.say(f"{sorted(statuses)}, requests at {used}, left {sorted(left)}")
--- a/tests/gateway/soak_load.py
+++ b/tests/gateway/soak_load.py
@@ -240,10 +240,12 @@
             cut = self.dice.choice((head_size, head_size // 2))
             attempt.pattern.append(f"in two parts at {cut}")
             writer.write(text[:cut])
+            attempt.written_at = time.monotonic()
             await asyncio.sleep(self.dice.uniform(0, 0.4))
             text = text[cut:]
         writer.write(text)
-        if not writer.transport.is_closing():
+        # A request without a body is whole with its head.
+        if text and not writer.transport.is_closing():
             attempt.written_at = time.monotonic()
         if self.reads_slowly and not self.soak.calm:
             pause = self.dice.uniform(0, 0.8)
--- a/tests/gateway/soak_targets.py
+++ b/tests/gateway/soak_targets.py
@@ -329,8 +329,9 @@
         if attempt not in self.engines[target.name].runs:
             writer.write(answer(404))
             return True
-        if generator(self.soak.seed, "move", attempt,
-                     len(target.requests)).random() < 0.1:
+        if self.is_down(order["To"]) or generator(
+                self.soak.seed, "move", attempt,
+                len(target.requests)).random() < 0.1:
             writer.write(answer(503))
             return True
         if order["Final"]:
@@ -340,6 +341,11 @@
             {"Session": handle, "Created": 4}).encode()))
         return True
 
+    def is_down(self, address):
+        """Whether the process at ADDRESS has crashed and not started again."""
+        return any(address == f"127.0.0.1:{self.proxies[name].port}"
+                   for name in self.crashed)
+
     def check_copy(self, attempt, source):
         # The handle is h-ENGINE-ATTEMPT, and attempts have no dash.
         name, _, owner = source.split("/")[1][2:].rpartition("-")
