gateway: a stream that is taken up goes on with its next event

A caller that took its stream up after event 2 got events 0 and 1 once more, as a stream that looked complete, or event 5 next. Cause: what the caller has was compared with an engine's events only where the gateway itself had passed them on; the engine of a take-up was believed whatever event it began with.

Change: the caller's Last-Event-Id counts as passed on. Events up to it are dropped, and a run that skips one or ends before it has failed, so that another engine is tried within the bounds.

Tests: gateway (Events); gateway-broken-stream-taken-up, which failed first: events [0, 1] and [5] instead of [3, 4, 5, 6, 7].

--- a/gateway/events.c
+++ b/gateway/events.c
@@ -17,6 +17,13 @@
   cv_buf_init (&e->partial);
 }
 
+void
+cv_events_follow (cv_events_t *e, uint64_t id)
+{
+  e->has_last_id = true;
+  e->last_id = id;
+}
+
 void
 cv_events_finish (cv_events_t *e)
 {
--- a/gateway/events.h
+++ b/gateway/events.h
@@ -15,13 +15,15 @@
 {
   cv_buf_t partial; /* start of an incomplete event */
   bool has_last_id;
-  uint64_t last_id; /* of the last event forwarded */
+  uint64_t last_id; /* of the last event that the caller has */
   uint64_t count;   /* events forwarded; a comment is none */
   /* The last event of the current run was forwarded before.  */
   bool is_behind;
 } cv_events_t;
 
 void cv_events_init (cv_events_t *e);
+/* The stream is taken up after the event with ID.  */
+void cv_events_follow (cv_events_t *e, uint64_t id);
 void cv_events_finish (cv_events_t *e);
 /* Discards the incomplete event before a new run.  */
 void cv_events_restart (cv_events_t *e);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -337,6 +337,8 @@
   if (cv_exchange_refuse_near_stop (x) || cv_exchange_refuse_quarantined (x))
     return;
   cv_retry_budget_first (&x->service_state->retries);
+  if (x->request.has_last_event)
+    cv_events_follow (&x->events, x->request.last_event);
   if (!cv_resume_begin (x))
     cv_exchange_place (x);
 }
--- a/gateway/tests/events_test.cc
+++ b/gateway/tests/events_test.cc
@@ -71,6 +71,23 @@
   EXPECT_TRUE (cv_events_may_end (&e));
 }
 
+TEST_F (Events, AStreamThatIsTakenUpGoesOnWithTheNextOne)
+{
+  cv_events_follow (&e, 2);
+  EXPECT_TRUE (cv_events_may_end (&e)) << "the caller may have had all";
+  EXPECT_EQ ("", feed (event (0) + event (1)));
+  EXPECT_FALSE (cv_events_may_end (&e));
+  EXPECT_EQ (event (3), feed (event (2) + event (3)));
+  EXPECT_TRUE (cv_events_may_end (&e));
+}
+
+TEST_F (Events, AStreamThatIsTakenUpSkipsNoEvent)
+{
+  cv_events_follow (&e, 2);
+  EXPECT_EQ ("", feed (event (5)));
+  EXPECT_FALSE (ok);
+}
+
 TEST_F (Events, ACommentIsForwardedAndIsNoEvent)
 {
   EXPECT_EQ (": alive\n\n", feed (": alive\n\n"));
--- a/tests/gateway/broken_stream_scenarios.py
+++ b/tests/gateway/broken_stream_scenarios.py
@@ -65,6 +65,14 @@
 }
 
 
+def answers_that_differ(first):
+    """The answers that cannot be taken for the rest of a stream from event FIRST
+    on."""
+    return [write for name, write in ANSWERS.items()
+            if not (name == "from event 0" and first <= 2)
+            and not (name == "a later event" and first == CUT_AT + 2)]
+
+
 class BrokenStreams:
     """Engines of which the first to get a stream breaks it off, and the second
     answers with WRITE; the others go on, unless ALL do what the second does."""
@@ -90,10 +98,10 @@
         return True
 
 
-async def read_stream(bench, path):
+async def read_stream(bench, path, **headers):
     """All bytes that a caller gets."""
     reader, writer = await bench.connect()
-    writer.write(bench.head("POST", path, b"x", **GEN_HEADERS,
+    writer.write(bench.head("POST", path, b"x", **GEN_HEADERS, **headers,
                             **{"Deadline-Ms": "1500"}))
     data = b""
     try:
@@ -146,3 +154,39 @@
 async def broken_stream_ends(bench):
     """All engines do: the stream breaks off, and does not look complete."""
     await play(bench, all_fail=True)
+
+
+async def broken_stream_taken_up(bench):
+    """A caller takes its stream up after some events, and the first engine begins
+    at another one: the caller gets those that follow its own, from another
+    engine."""
+    for name in ("from event 0", "a later event"):
+        attempts = []
+
+        async def script(target, request, writer):
+            first = int(request.headers.get("last-event-id", "-1")) + 1
+            attempts.append(first)
+            if first > 0 and attempts.count(first) == 1:
+                return ANSWERS[name](request, writer)
+            await start_stream(request, writer)
+            for i in range(first, EVENTS):
+                writer.write(chunk(event(i)))
+            writer.write(b"0\r\n\r\n")
+            return True
+
+        if bench.process is None:
+            for i in range(3):
+                await bench.add_target(f"m{i}", "model", script)
+            await bench.start(retry_ratio=1)
+        for target in bench.targets.values():
+            target.script = script
+        for _ in range(FIRST_ATTEMPTS):
+            await read_stream(bench, "/tag/1")
+        begun = f"begun-{len(name)}"
+        await read_stream(bench, "/tag/1", **{"Attempt-Id": begun})
+        data = await read_stream(bench, "/tag/1",
+                                 **{"Last-Event-Id": str(CUT_AT - 1),
+                                    "Resumes": begun})
+        numbers = [int(l[4:]) for l in data.replace(b"\r\n", b"\n").split(b"\n")
+                   if l.startswith(b"id:")]
+        bench.say(f"{name}: events {numbers}, asked for {attempts[-2:]}")
