gateway: a restart that is known before a stream's first event

Streams had events of two versions: sent to an engine as it started again, known to have started again before they brought an event, and recorded under the former version with the first one. A gateway that stands still in between meets it most often.

Cause: only the streams whose version was recorded by then were put in doubt.

Change: an attempt that was under way is in doubt too, and the version of its first event is not certain: the stream ends where it is and is not taken up.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -140,6 +140,7 @@
   x->last_activity_at = x->sent_at;
   x->skip_response = false;
   x->answer_name = CV_ANSWER_UNNAMED;
+  x->is_target_in_doubt = false;
   x->skipped_responses = 0;
   x->is_paused = false;
   x->is_rejected = false;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -94,6 +94,9 @@
                           attempt id */
   uint64_t version; /* that began the stream, CV_VERSION_NONE: no event yet */
   bool is_version_recorded; /* an event was passed on */
+  /* The target of the current attempt started again about when it was sent:
+     either process may have it.  */
+  bool is_target_in_doubt;
   cv_stream_question_t question;
   bool is_outcome_recorded; /* of the current attempt */
   cv_target_t *target;      /* of the current attempt */
--- a/gateway/version.c
+++ b/gateway/version.c
@@ -76,7 +76,8 @@
   if (x->is_version_recorded)
     return;
   x->is_version_recorded = true;
-  x->version = cv_target_version (x->target);
+  x->version = x->is_target_in_doubt ? CV_VERSION_UNCERTAIN
+                                     : cv_target_version (x->target);
   if (x->stream_key == 0)
     return;
   cv_origins_add (&g->origins, x->stream_key, x->version, source_of (x->target),
@@ -116,9 +117,12 @@
   cv_origins_doubt (&t->gateway->origins, source_of (t), now, publish_doubt,
                     &doubt);
   TAILQ_FOREACH (x, &t->gateway->exchanges, entry)
-  if (x->target == t && x->is_version_recorded
-      && now - x->sent_at < CV_RESTART_LAG)
-    x->version = CV_VERSION_UNCERTAIN;
+  if (x->target == t && now - x->sent_at < CV_RESTART_LAG)
+    {
+      x->is_target_in_doubt = true;
+      if (x->is_version_recorded)
+        x->version = CV_VERSION_UNCERTAIN;
+    }
   if (doubt.count == 0)
     return;
   cv_line_begin (&l, CV_EV_GATEWAY_STREAMS_IN_DOUBT);
--- a/tests/gateway/version_scenarios.py
+++ b/tests/gateway/version_scenarios.py
@@ -272,24 +272,36 @@
         bench.say(line)
 
 
-async def versions_restarted_unseen(bench):
+async def restart_unseen(bench, wait):
     """An engine has started again under its id with another version, and nothing
-    tells of it before its streams begin.  The list does before they break off,
-    within the gateway or at its caller: none goes on at the former version."""
+    tells of it before its streams are sent there.  It awaits WAIT before the
+    first event."""
+    events = version_events(bench, 0.1, reset_at=5)
+
+    async def script(target, request, writer):
+        if "last-event-id" not in request.headers:
+            await wait.wait()
+        return await events(target, request, writer)
+
     fleet = Fleet(bench, 3)
     await add_engine(bench, "m1", "v1", version_events(bench, 0.1))
-    restarted = await add_engine(bench, "m2", "v1",
-                                 version_events(bench, 0.1, reset_at=5))
+    restarted = await add_engine(bench, "m2", "v1", script)
     await fleet.start(retry_ratio=1)
     restarted.version = "v2"
     running = [asyncio.ensure_future(
         bench.send("POST", "/tag/1", b"x", **GEN_HEADERS)) for _ in range(8)]
     streams = [Stream(fleet, i) for i in range(16)]
-    await asyncio.gather(*(s.begin(bench) for s in streams))
+    begun = asyncio.gather(*(s.begin(bench) for s in streams))
+    if wait.is_set():
+        await begun
+    else:
+        await asyncio.sleep(0.3)
     await bench.store.put("servers", "m2", {**restarted.record(), "born": 2})
     for gateway in fleet.gateways:
         await gateway.until_logged("GATEWAY_TARGET_ADDED", target="m2",
                                    started_ms=2)
+    wait.set()
+    await begun
     await asyncio.gather(*(s.take_up(fleet.gateways[i % 3])
                            for i, s in enumerate(streams)))
     bodies = [body for _, _, body in await asyncio.gather(*running)]
@@ -299,6 +311,19 @@
     bench.say(f"begun at {sorted(begun)}, of two versions: {mixed}")
 
 
+async def versions_restarted_unseen(bench):
+    """The list tells of it before its streams break off, within the gateway or
+    at its caller: none goes on at the former version."""
+    begun = asyncio.Event()
+    begun.set()
+    await restart_unseen(bench, begun)
+
+
+async def versions_restarted_silent(bench):
+    """The list tells of it before its streams bring their first event."""
+    await restart_unseen(bench, asyncio.Event())
+
+
 async def versions_none_left(bench):
     """No engine of the version that began a stream is left: the try is refused
     at once, as not run."""
