gateway: after a stall, a stream is not taken up before the list is heard again

Streams had events of two versions at a gateway that had stood still: sent to an engine as it started again with another version, they brought their first event as the gateway went on, were recorded under the version that it knew from before, and were taken up, there or at another gateway, before it could know.

Cause: what a gateway knew before a stall was used without asking first.

Change: until it has heard of the instances again, for a second at most, such a gateway lets take-ups wait for the list, does not hand new records on, and does not answer for certain what version began a stream.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -15,6 +15,9 @@
 /* Shortest time between two immediate calls: engines start in groups, and one
    call returns the whole group.  */
 #define ASK_NOW_INTERVAL (300 * CV_MS)
+/* Without an answer for this time after a stall, as the store is away, what was
+   known before it is used.  */
+#define BEHIND_MAX CV_SECOND
 /* Gateways that have all learnt of the same change ask within this time.  */
 #define ASK_NOW_SPREAD (50 * CV_MS)
 /* Timeout of a call beyond its long-poll time; a slow store takes about
@@ -498,6 +501,17 @@
   start_call (w);
 }
 
+bool
+cv_watcher_is_behind (const cv_watcher_t *w, cv_time_t now)
+{
+  const cv_gateway_t *g = w->gateway;
+
+  if (now - g->last_tick_at > CV_STALL_MAX)
+    return true;
+  return w->confirmed_at < g->stall_ended_at
+         && now - g->stall_ended_at < BEHIND_MAX;
+}
+
 void
 cv_watcher_ask_now (cv_watcher_t *w, cv_time_t now)
 {
--- a/gateway/follow.h
+++ b/gateway/follow.h
@@ -15,6 +15,10 @@
 extern "C" {
 #endif
 
+/* A process that ticked longer ago than this has stood still: what it reads may
+   have waited in its socket.  */
+#define CV_STALL_MAX (250 * CV_MS)
+
 typedef struct cv_gateway_t cv_gateway_t;
 
 typedef enum
@@ -63,6 +67,9 @@
 void cv_watcher_poll_now (cv_watcher_t *w, cv_time_t now);
 /* What W knows lacks something: asks the store soon.  */
 void cv_watcher_ask_now (cv_watcher_t *w, cv_time_t now);
+/* Whether this process stood still just now and has heard nothing of W's
+   objects since.  */
+bool cv_watcher_is_behind (const cv_watcher_t *w, cv_time_t now);
 /* Whether a removal may be an entry that expired while the store was
    unreachable.  */
 bool cv_watcher_may_have_expired (const cv_watcher_t *w);
--- a/gateway/pages.c
+++ b/gateway/pages.c
@@ -9,9 +9,6 @@
 /* Longest answer that is handed on: with the other fields it fits into a
    datagram.  */
 #define BODY_MAX_BYTES (CV_DATAGRAM_MAX_BYTES - 128)
-/* A reader that was stalled for longer does not hand on what it reads then: the
-   answer may have waited in its socket.  */
-#define STALL_MAX (250 * CV_MS)
 
 static cv_page_kind_t
 page_kind (const cv_watcher_t *w)
@@ -70,7 +67,7 @@
                       .may_have_expired = cv_watcher_may_have_expired (w),
                       .body = { "", 0 } } };
 
-  if (cv_now () - w->gateway->last_tick_at > STALL_MAX)
+  if (cv_now () - w->gateway->last_tick_at > CV_STALL_MAX)
     return;
   if (may_hand_on (w, body))
     msg.u.page.body = body;
@@ -107,7 +104,7 @@
   cv_time_t now = cv_now ();
   bool has_gap;
 
-  if (now - g->last_tick_at > STALL_MAX)
+  if (now - g->last_tick_at > CV_STALL_MAX)
     return true;
   if (w->phase != CV_WATCHER_WATCH || !check_era (w, m, now)
       || m->to < w->revision)
--- a/gateway/resume.c
+++ b/gateway/resume.c
@@ -21,6 +21,9 @@
 /* Longest wait for a newer list, which a slow store sends within 0.3 s.  */
 #define LIST_TIMEOUT CV_SECOND
 
+static const char not_certain[]
+    = "version that began the stream is not certain";
+
 static void
 send_step (const cv_gateway_t *g, cv_msg_origin_t *m,
            const struct sockaddr_in *to)
@@ -128,16 +131,20 @@
   return NULL;
 }
 
-/* Whether the list of instances may lack the targets of X's version: this
-   gateway stood still, or has never seen the version, which another process has
-   recorded.  */
+/* Whether the list of instances may be older than what X needs: this gateway
+   stood still, and may not know yet that the engine which began the stream has
+   started again; or S, the service of X's version, is not known, and neither is
+   the version, which another process has recorded.  */
 static bool
-is_list_behind (const cv_exchange_t *x)
+is_list_behind (const cv_exchange_t *x, const cv_service_t *s)
 {
-  const cv_gateway_t *g = x->gateway;
+  const cv_watcher_t *w = &x->gateway->instance_watcher;
+  cv_time_t now = cv_now ();
 
-  return g->instance_watcher.reader.known_at == 0
-         || !cv_version_was_seen (g, x->version, cv_now ());
+  if (s != NULL)
+    return cv_watcher_is_behind (w, now);
+  return w->reader.known_at == 0
+         || !cv_version_was_seen (x->gateway, x->version, now);
 }
 
 /* The version that began the stream of X is known.  Returns false when X waits
@@ -147,7 +154,7 @@
 {
   const cv_service_t *s = service_of_version (x);
 
-  if (s == NULL && x->question.list_awaited_since == 0 && is_list_behind (x))
+  if (x->question.list_awaited_since == 0 && is_list_behind (x, s))
     {
       x->state = CV_EXCHANGE_RESERVING;
       x->question.number = 0;
@@ -228,7 +235,7 @@
   r = cv_origins_find (&g->origins, x->stream_key, cv_now ());
   if (r != NULL && r->is_ambiguous)
     {
-      refuse (x, "version that began the stream is not certain");
+      refuse (x, not_certain);
       return true;
     }
   if (r != NULL)
@@ -256,17 +263,23 @@
   return x->question.number != 0 || x->question.list_awaited_since != 0;
 }
 
-/* X waits for a newer list of instances.  */
+/* X waits for a newer list of instances, or for a target of its version if this
+   gateway did not stand still.  */
 static void
 tick_list (cv_exchange_t *x, cv_time_t now)
 {
+  const cv_watcher_t *w = &x->gateway->instance_watcher;
+  bool is_known
+      = service_of_version (x) != NULL && !cv_watcher_is_behind (w, now);
   cv_time_t since = x->question.list_awaited_since;
+  const cv_origin_t *r;
 
-  if (service_of_version (x) == NULL
-      && x->gateway->instance_watcher.known_as_of < since
-      && now - since < LIST_TIMEOUT)
+  if (!is_known && w->known_as_of < since && now - since < LIST_TIMEOUT)
     return;
-  if (go_on (x, "known after the list was read"))
+  r = cv_origins_find (&x->gateway->origins, x->stream_key, now);
+  if (r != NULL && r->is_ambiguous)
+    refuse (x, not_certain);
+  else if (go_on (x, "known after the list was read"))
     place (x);
 }
 
@@ -304,7 +317,9 @@
       reply.is_mixed = cv_versions_are_mixed (&s->versions, now);
       reply.version = cv_versions_sole (&s->versions, g->started_at, now);
     }
-  if (r != NULL && r->is_ambiguous)
+  /* The engine that began the stream may have started again meanwhile.  */
+  if (r != NULL
+      && (r->is_ambiguous || cv_watcher_is_behind (&g->instance_watcher, now)))
     reply.is_mixed = true;
   else if (r != NULL)
     {
--- a/gateway/version.c
+++ b/gateway/version.c
@@ -82,6 +82,9 @@
     return;
   cv_origins_add (&g->origins, x->stream_key, x->version, source_of (x->target),
                   now);
+  /* Whether the target has started again is not known yet.  */
+  if (cv_watcher_is_behind (&g->instance_watcher, now))
+    return;
   cv_resume_keep (g, x->stream_key, x->version, x->service->name);
   if (cv_versions_are_mixed (&x->service_state->versions, now))
     cv_resume_publish (g, x->stream_key, x->version);
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -97,6 +97,7 @@
         self.events = []
         self.changed = asyncio.Condition()
         self.silent = False  # if set, calls get no response
+        self.delay_s = 0  # of the responses
         self.status = None  # if set, status of the response to every call
         self.page_size = 500  # objects in an answer to a list
         self.after_page = None  # called once, after a page that is not the last
@@ -144,6 +145,7 @@
     async def handle(self, request, writer):
         if self.silent:
             await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay_s)
         if self.status is not None:
             writer.write(self.answer(self.status))
             return True
--- a/tests/gateway/version_scenarios.py
+++ b/tests/gateway/version_scenarios.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import signal
 
 from bench import read_head
 from fleet import Fleet
@@ -324,6 +325,44 @@
     await restart_unseen(bench, asyncio.Event())
 
 
+async def versions_restarted_stalled(bench):
+    """A gateway stands still as an engine to which it has sent streams starts
+    again, and the store is slow as it goes on: they are taken up, there or at
+    another gateway, before it can know."""
+    begun = asyncio.Event()
+    events = version_events(bench, 0.1)
+
+    async def script(target, request, writer):
+        if "last-event-id" not in request.headers:
+            await begun.wait()
+        return await events(target, request, writer)
+
+    fleet = Fleet(bench, 2)
+    await add_engine(bench, "m1", "v1", script)
+    restarted = await add_engine(bench, "m2", "v1", script)
+    await fleet.start(retry_ratio=1)
+    streams = [Stream(fleet, i) for i in range(16)]
+
+    async def play(stream):
+        await stream.begin(bench)
+        await stream.take_up(fleet.gateways[stream.number % 2])
+
+    played = asyncio.gather(*(play(s) for s in streams))
+    await asyncio.sleep(0.3)
+    bench.process.send_signal(signal.SIGSTOP)
+    restarted.version = "v2"
+    begun.set()
+    await bench.store.put("servers", "m2", {**restarted.record(), "born": 2})
+    await asyncio.sleep(0.6)
+    bench.store.delay_s = 0.2
+    bench.process.send_signal(signal.SIGCONT)
+    await played
+    began = {parse(s.body)[1][0] for s in streams}
+    bench.say(f"begun at {sorted(began)}, of two versions: "
+              f"{sum(s.is_mixed() for s in streams)}, all of v1 go on there: "
+              f"{all(s.goes_on() for s in streams[::2] if b'v2' not in s.body)}")
+
+
 async def versions_none_left(bench):
     """No engine of the version that began a stream is left: the try is refused
     at once, as not run."""
