--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -18,9 +18,10 @@
 #define SILENCE_MIN (300 * CV_MS)
 /* On a retryable route, a stream whose events stop is resumed after this many
    times its objective for a gap, and at least after GAP_MIN: a sound engine may
-   send nothing for a second or a little more.  */
+   send nothing for a second or a little more.  What then follows elsewhere is
+   within the silence that a stop allows for (policy/stop.c).  */
 #define GAP_FACTOR 5
-#define GAP_MIN (1500 * CV_MS)
+#define GAP_MIN (1250 * CV_MS)
 /* A target that rejected a request gets no new one for this time.  */
 #define REJECTION_BACKOFF (100 * CV_MS)
 
