--- a/tests/gateway/soak_targets.py
+++ b/tests/gateway/soak_targets.py
@@ -272,7 +272,7 @@
             visit.end("broke off")
             first = int(request.headers["last-event-id"]) + 1
             return dice.choice(answers_that_differ(first))(request, writer)
-        # Not a retry: its response may have begun (KNOWN-RED.txt).
+        # Not a retry: its response may have begun.
         if len(attempt.visits) == 1 and dice.random() < 0.02:
             self.reject(attempt, visit, dice, writer)
             return True
