--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,6 @@
-"""Callers upload large bodies.  The servers of a plain service are silent for a
-second and go on.  The gateway keeps each body twice meanwhile, exceeds its
-memory and is killed, with the streams that it had at sound engines."""
+"""Edge machines have been replaced by others again and again.  The gateways that
+serve now do not know of each other, and each acts as the one that counts the
+requests for a server with a limit."""
 
 import asyncio
 import os
@@ -10,138 +10,134 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 
-from common import (EDGE, Engine, MemoryLimit, StreamCaller,  # noqa: E402
-                    configure, has_trouble, main)
-from bench import read_answer  # noqa: E402
-from standins import Target, answer, read_request  # noqa: E402
+from common import EDGE, Bench, has_trouble, main  # noqa: E402
+from standins import answer  # noqa: E402
 
-STREAMS = 12
-EVENTS = 200  # of a stream, 8 s
-UPLOADERS = 60
-UPLOADS_PER_S = 15  # 480 Mbit/s of a link with 1,000
-# Within MaxBodyBytes, 4194304.
-BODY_BYTES = 4_000_000
-SILENT_AT_S, SILENT_FOR_S = 4.0, 1.25
-LENGTH_S = 9
-# LOST: "more than three times".
-LOST_MAX = 3
+GATEWAYS = 3
+REPLACED = 520
+AT_ONCE = 16
+PER_S = 10  # Server-Limit
+ASKED_PER_S = 20  # at each gateway
+LENGTH_S = 40
+CONTACT_S = 3.0  # ContactMs
+# LIMIT: "in some 4 s", "half a second before or earlier".
+WINDOW_S = 4.0
+TOLD_S = 0.5
 
 
-class Silence:
-    """All of a service's servers read and answer nothing until then."""
+async def replace_machines(bench, first):
+    """Start gateways on machines that are then removed without a notice."""
+    async def replace(number):
+        gateway = Bench(bench.program)
+        gateway.store = bench.store
+        gateway.stderr = bench.stderr
+        name = f"edge-a-{number:03d}"
+        await gateway.start_gateway(wait=False, instance=name, **EDGE)
 
-    def __init__(self):
-        self.until = 0
+        async def is_registered():
+            return ("gateways", name) in bench.store.objects
+        await gateway.until(is_registered)
+        await gateway.stop()
+        gateway.directory.cleanup()
 
-    async def end(self):
-        while time.monotonic() < self.until:
-            await asyncio.sleep(0.01)
+    await asyncio.gather(*(replace(first + i) for i in range(AT_ONCE)))
 
 
-class PlainServer(Target):
-    def __init__(self, name, silence):
-        super().__init__(name, "plain", None)
-        self.silence = silence
+class LimitedServer:
+    """A sound server that names a limit in all its answers."""
 
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            while True:
-                await self.silence.end()
-                request = await read_request(reader)
-                if request is None:
-                    break
-                await asyncio.sleep(0.015)
-                await self.silence.end()
-                writer.write(answer(200, b"x" * 800, [
-                    ("Attempt-Id", request.headers["attempt-id"]),
-                    ("Server-Signature", "s")]))
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-
-class Uploader:
-    """Sends bookings on one connection, which it keeps."""
-
-    def __init__(self, gateway, record):
+    def __init__(self, record):
+        self.record = record
+        self.named_at = None
+        self.arrivals = []  # (time, gateway)
+
+    async def __call__(self, target, request, writer):
+        gateway = request.path.split("/")[2]
+        attempt = request.headers["attempt-id"]
+        self.arrivals.append((time.monotonic(), gateway))
+        self.record(f"server: runs {attempt} of gateway {gateway}")
+        await asyncio.sleep(0.015)
+        writer.write(answer(200, b"x" * 800, [
+            ("Attempt-Id", attempt), ("Server-Signature", "s"),
+            ("Server-Limit", str(PER_S))]))
+        self.named_at = self.named_at or time.monotonic()
+        return True
+
+
+class Callers:
+    """Callers of one gateway, which ask as often whatever they get."""
+
+    def __init__(self, gateway, number, record):
         self.gateway = gateway
+        self.number = number
         self.record = record
-        self.link = None
-        self.outcomes = []
-        self.is_free = True
+        self.sent = 0
+        self.told_at = None  # when the gateway had passed on an answer
+        self.statuses = {}
 
-    async def send(self):
-        self.is_free = False
+    async def call(self):
+        self.sent += 1
         try:
-            if self.link is None:
-                self.link = await self.gateway.connect()
-            self.link[1].write(self.gateway.head(
-                "POST", "/book/1", b"z" * BODY_BYTES,
-                **{"Deadline-Ms": "4000"}))
-            status, _, _ = await asyncio.wait_for(read_answer(self.link[0]), 5)
-            self.outcomes.append(status)
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-            self.outcomes.append(0)
-            self.leave()
-        self.is_free = True
-
-    def leave(self):
-        if self.link:
-            self.link[1].close()
-        self.link = None
+            status, _, _ = await self.gateway.send(
+                "GET", f"/read/{self.number}/x",
+                **{"Attempt-Id": f"g{self.number}-{self.sent}"})
+        except OSError:
+            status = 0
+        if status == 200:
+            self.told_at = self.told_at or time.monotonic()
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    async def run(self, until):
+        tasks = []
+        while time.monotonic() < until:
+            tasks.append(asyncio.ensure_future(self.call()))
+            await asyncio.sleep(1 / ASKED_PER_S)
+        await asyncio.gather(*tasks)
+        self.record(f"callers of gateway {self.number}: answers by status "
+                    f"{self.statuses}")
 
 
 async def case(bench, record):
-    configure(bench)
-    bench.config["Routes"][1]["TimeoutMs"] = 4000
-    silence = Silence()
+    server = LimitedServer(record)
     await bench.store.start()
     await bench.store.put("config", "main", bench.config)
-    for i in range(1, 4):
-        server = await PlainServer(f"plain-{i}", silence).start()
-        await bench.store.put("servers", server.name, server.record())
-    engines = []
-    for i in range(1, 4):
-        engine = await Engine(f"engine-{i}", "model", {}, record).start()
-        engines.append(engine)
-        await bench.store.put("servers", engine.name, engine.record())
-    await bench.start_gateway(**EDGE)
-    limit = MemoryLimit(bench, EDGE["memory_mb"], record)
-    watcher = asyncio.ensure_future(limit.run())
-    callers = [StreamCaller(bench, i, EVENTS, record) for i in range(STREAMS)]
-    tasks = [asyncio.ensure_future(c.run()) for c in callers]
-    uploaders = [Uploader(bench, record) for _ in range(UPLOADERS)]
-    start = time.monotonic()
-    is_silent = False
-    sent = 0
-    while time.monotonic() - start < LENGTH_S:
-        if has_trouble() and not is_silent \
-                and time.monotonic() - start > SILENT_AT_S:
-            is_silent = True
-            silence.until = time.monotonic() + SILENT_FOR_S
-            record(f"the plain servers are silent for {SILENT_FOR_S} s")
-        uploader = next((u for u in uploaders if u.is_free), None)
-        if uploader:
-            sent += 1
-            tasks.append(asyncio.ensure_future(uploader.send()))
-        await asyncio.sleep(max(0, start + sent / UPLOADS_PER_S
-                                - time.monotonic()))
-    await asyncio.gather(*tasks)
-    watcher.cancel()
-    for uploader in uploaders:
-        uploader.leave()
-    outcomes = [o for u in uploaders for o in u.outcomes]
-    record(f"uploads by status, 0 without an answer: "
-           f"{ {s: outcomes.count(s) for s in sorted(set(outcomes))} }")
-    lost = [c for c in callers if c.outcome == "no complete answer"
-            and any(c.attempt in e.ran for e in engines)]
-    record(f"at most {limit.peak_mb:.0f} MB in use, killed {limit.kills} times")
-    record(f"{len(lost)} streams at sound engines ended without an answer, "
-           f"{LOST_MAX} are allowed")
-    return len(lost) <= LOST_MAX
+    await bench.add_target("plain-1", "plain", server)
+    for first in range(0, REPLACED if has_trouble() else 0, AT_ONCE):
+        await replace_machines(bench, first)
+    count = sum(kind == "gateways" for kind, _ in bench.store.objects)
+    record(f"{count} edge machines have been replaced; the store has the "
+           "objects of their gateways")
+    gateways = [bench] + [Bench(bench.program) for _ in range(GATEWAYS - 1)]
+    for i, gateway in enumerate(gateways, 1):
+        gateway.store = bench.store
+        gateway.stderr = bench.stderr
+        await gateway.start_gateway(instance=f"edge-c-{i}", **EDGE)
+    # Gateways read the list of the others every 2 s.
+    await asyncio.sleep(4)
+    callers = [Callers(g, i, record) for i, g in enumerate(gateways, 1)]
+    until = time.monotonic() + LENGTH_S
+    try:
+        await asyncio.gather(*(c.run(until) for c in callers))
+    finally:
+        for gateway in gateways[1:]:
+            await gateway.stop()
+    keepers = [g.settings["instance"] for g in gateways
+               if g.logged("GATEWAY_LIMIT_KEEPER")]
+    record(f"gateways that have counted the server's requests: {keepers}")
+    return judge(server, callers, record)
+
+
+def judge(server, callers, record):
+    told = {str(c.number): c.told_at for c in callers}
+    counted = [at for at, gateway in server.arrivals
+               if told[gateway] is not None and at > told[gateway] + TOLD_S
+               and at > server.named_at + CONTACT_S]
+    most = max((sum(begin <= at < begin + WINDOW_S for at in counted)
+                for begin in counted), default=0)
+    allowed = 1.5 * PER_S * WINDOW_S + 5
+    record(f"a server that names a limit of {PER_S} a second got at most "
+           f"{most} requests in {WINDOW_S:.0f} s, {allowed:.0f} are allowed")
+    return most <= allowed
 
 
 main(case, HERE)
