Review: case 1 judges only streams that got no answer

The rule speaks of connections closed without an answer; the case counted streams of which a part had been received.

--- a/review/common.py
+++ b/review/common.py
@@ -13,7 +13,7 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(ROOT, "tests", "gateway"))
 
-from bench import Bench, read_answer  # noqa: E402
+from bench import Bench, read_answer, read_body, read_head  # noqa: E402
 from standins import Target, answer, chunk, event, start_stream  # noqa: E402
 
 # What the deploy file runs, with the path of a settings file.
@@ -85,6 +85,7 @@
     runs to other engines.  A run makes as many events as the last part of its
     path says."""
 
+    FIRST_EVENT_S = 0.1
     EVENT_S = 0.04
 
     def __init__(self, name, service, fleet, record):
@@ -166,7 +167,7 @@
         self.record_line(f"{self.name}: runs {attempt} from event {first}")
         self.runs[attempt] = first - 1
         try:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(self.FIRST_EVENT_S)
             await start_stream(request, writer, self.leaving())
             for number in range(first, int(request.path.rsplit("/")[-1]) + 1):
                 if attempt in self.stopped:
@@ -215,6 +216,7 @@
         self.number = number
         self.record = record
         self.attempt = None  # of the stream
+        self.has_begun = False  # a part of the stream's answer was received
         self.outcome = None
 
     def head(self, method, path, body=b"", **fields):
@@ -238,12 +240,15 @@
                "Prefix-Hash": f"a1:79,{self.number + 256:x}:221"})
         writer.write(head)
         try:
-            status, _, body = await read_answer(reader)
+            status, headers = await read_head(reader)
+            self.has_begun = True
+            body = await read_body(reader, headers)
             count = body.count(b"data:")
             self.outcome = "complete" if status == 200 and count == self.events \
                 else f"status {status}, {count} events"
         except (asyncio.IncompleteReadError, ConnectionError):
-            self.outcome = "no complete answer"
+            self.outcome = "an answer without its end" if self.has_begun \
+                else "no answer"
         writer.close()
         self.record(f"caller {self.number}: {self.attempt}: {self.outcome}")
 
