--- a/review/common.py
+++ b/review/common.py
@@ -13,7 +13,7 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(ROOT, "tests", "gateway"))
 
-from bench import Bench, read_answer, read_body, read_head  # noqa: E402
+from bench import Bench, read_answer, read_head  # noqa: E402,F401
 from standins import Target, answer, chunk, event, start_stream  # noqa: E402
 
 # What the deploy file runs, with the path of a settings file.
@@ -195,7 +195,7 @@
         self.record_line(f"{self.name}: has left")
 
 
-def plain_script(ran, work_s=0.015):
+def plain_script(ran, work_s):
     """Script of a sound server of a plain service."""
     async def script(target, request, writer):
         attempt = request.headers["attempt-id"]
@@ -207,50 +207,46 @@
     return script
 
 
-class StreamCaller:
-    """Reads a page and then a stream of EVENTS on one connection."""
+class Booker:
+    """Sends bookings one after the other on a kept connection."""
 
-    def __init__(self, gateway, number, events, record):
-        self.gateway = gateway
-        self.events = events
+    def __init__(self, bench, number, ran, record):
+        self.bench = bench
         self.number = number
+        self.ran = ran  # of the servers: (time, attempt)
         self.record = record
-        self.attempt = None  # of the stream
-        self.has_begun = False  # a part of the stream's answer was received
-        self.outcome = None
-
-    def head(self, method, path, body=b"", **fields):
-        head = self.gateway.head(method, path, body, **fields)
-        # The gateways number their callers' attempts apart.
-        attempt = f"{self.gateway.settings['instance']}-" \
-                  f"{self.gateway.request_count}"
-        return attempt, head.replace(
-            f"Attempt-Id: a{self.gateway.request_count}\r\n".encode(),
-            f"Attempt-Id: {attempt}\r\n".encode())
+        self.answered = 0
+        self.lost = []  # attempts that a server got and that were not answered
 
-    async def run(self):
-        reader, writer = await self.gateway.connect()
-        writer.write(self.head("GET", "/read/1")[1])
-        status, _, _ = await read_answer(reader)
-        self.record(f"caller {self.number}: a page is read, {status}")
-        self.attempt, head = self.head(
-            "POST", f"/long/{self.events}", b"x",
-            **{"Deadline-Ms": "39000", "Model": "m",
-               "Token-Usage": f"300,{4 * self.events}",
-               "Prefix-Hash": f"a1:79,{self.number + 256:x}:221"})
-        writer.write(head)
+    async def book(self, reader, writer, is_kept):
+        head = self.bench.head("POST", f"/book/{self.number}", b"slot",
+                               **{"Deadline-Ms": "1000"})
+        attempt = f"a{self.bench.request_count}"
         try:
-            status, headers = await read_head(reader)
-            self.has_begun = True
-            body = await read_body(reader, headers)
-            count = body.count(b"data:")
-            self.outcome = "complete" if status == 200 and count == self.events \
-                else f"status {status}, {count} events"
+            writer.write(head)
+            await read_answer(reader)
         except (asyncio.IncompleteReadError, ConnectionError):
-            self.outcome = "an answer without its end" if self.has_begun \
-                else "no answer"
-        writer.close()
-        self.record(f"caller {self.number}: {self.attempt}: {self.outcome}")
+            if is_kept and any(a == attempt for _, a in self.ran):
+                self.lost.append(attempt)
+                self.record(f"booker {self.number}: {attempt} was at a server, "
+                            "and its connection ends without an answer")
+            return False
+        self.answered += 1
+        return True
+
+    async def run(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            try:
+                reader, writer = await self.bench.connect()
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            is_kept = False
+            while time.monotonic() < end \
+                    and await self.book(reader, writer, is_kept):
+                is_kept = True
+            writer.close()
 
 
 def configure(bench):
