--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,56 +1,81 @@
-"""Many callers send bodies of the size that the configuration allows, at the
-same moment, while others book."""
+"""A draining engine answers the order to copy a run with bytes without end,
+while callers book at sound servers of another service."""
 
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from common import (EDGE, Booker, MemoryLimit, configure, has_trouble,  # noqa: E402
-                    main, plain_script, read_answer)
+from common import (EDGE, Booker, Engine, MemoryLimit, configure,  # noqa: E402
+                    has_trouble, main, plain_script)
 
-# MaxBodyBytes of the configuration, and the 17 callers of the zone lhr-c, which
-# has one gateway, in a burst of 1.7.
-BODY_BYTES = 4194304
-SENDERS = 28
+# Below the link of the gateway's machine, 1,000 Mbit/s.
+BYTES_PER_S = 100e6
+EVENTS = 300
 BOOKERS = 8
 BOOKING_S = 0.1
-SECONDS = 6
+# The engine stays longer than DrainMs, 2,000.
+STAY_S = 4
 # More than three requests lost in this way break the rule.
 LOST_MAX = 3
 
 
-async def send_body(bench, number, record):
-    body = b"x" * (BODY_BYTES if has_trouble() else 800)
-    try:
-        reader, writer = await bench.connect()
-        writer.write(bench.head("POST", f"/book/{number}", body,
-                                **{"Deadline-Ms": "1000"}))
-        status, _, _ = await read_answer(reader)
-        record(f"sender {number}: {status}")
-        writer.close()
-    except (asyncio.IncompleteReadError, OSError):
-        record(f"sender {number}: the connection ends without an answer")
+class EndlessEngine(Engine):
+    async def move(self, request, writer):
+        if not has_trouble():
+            return await super().move(request, writer)
+        self.record_line(f"{self.name}: answers an order to copy without end")
+        piece = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+        start, sent = time.monotonic(), 0
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        try:
+            while True:
+                writer.write(piece)
+                sent += len(piece)
+                await writer.drain()
+                ahead = sent / BYTES_PER_S - (time.monotonic() - start)
+                await asyncio.sleep(max(0, ahead))
+        finally:
+            self.record_line(f"{self.name}: the connection of the order ends "
+                             f"after {sent >> 20} MB")
+
+
+async def run_stream(bench, record):
+    """Read a stream to its end."""
+    status, _, body = await bench.raw(bench.head(
+        "POST", f"/long/{EVENTS}", b"prompt", **{
+            "Deadline-Ms": "39000", "Model": "m",
+            "Token-Usage": f"300,{4 * EVENTS}",
+            "Prefix-Hash": "a1:79,b2:221"}), timeout=60)
+    record(f"stream: {status}, {body.count(b'data:')} of {EVENTS} events")
 
 
 async def case(bench, record):
+    fleet = {}
     configure(bench)
     ran = []
     await bench.start(**EDGE)
     for i in range(3):
         await bench.add_target(f"portal-{i}", "plain",
                                plain_script(ran, BOOKING_S))
+    leaving = await EndlessEngine("engine-1", "model", fleet, record).start()
+    await bench.store.put("servers", "engine-1", leaving.record())
     await asyncio.sleep(3)
     limit = MemoryLimit(bench, EDGE["memory_mb"], record)
     watch = asyncio.ensure_future(limit.run())
-    bookers = [Booker(bench, i, ran, record) for i in range(BOOKERS)]
-    tasks = [asyncio.ensure_future(b.run(SECONDS)) for b in bookers]
+    stream = asyncio.ensure_future(run_stream(bench, record))
     await asyncio.sleep(2)
-    record(f"{SENDERS} callers send a body each")
-    await asyncio.gather(*(send_body(bench, 100 + i, record)
-                           for i in range(SENDERS)))
+    other = await Engine("engine-2", "model", fleet, record).start()
+    await bench.store.put("servers", "engine-2", other.record())
+    await asyncio.sleep(3)
+    bookers = [Booker(bench, i, ran, record) for i in range(BOOKERS)]
+    tasks = [asyncio.ensure_future(b.run(STAY_S + 2)) for b in bookers]
+    await asyncio.sleep(1)
+    await leaving.leave(bench.store, STAY_S)
     await asyncio.gather(*tasks)
+    await stream
     watch.cancel()
     lost = sum(len(b.lost) for b in bookers)
     record(f"bookings answered {sum(b.answered for b in bookers)}, lost {lost}; "
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
