http: the answer to a call has a limit

A leaving engine answered the order to copy its run with a body without end.

Cause: a call kept its whole answer, whatever its length; only its deadline, 2.5 s for orders, ended it. The same held for load reports and names of engines at observers, and for all that is read from the store.

Change: the owner of a call states the size limit of its answer, 16 KiB for orders, 256 KiB for load reports, 4 MiB for the store's pages of about 1 MB. A longer body ends the call and its connection. A watch whose changes exceed it together reads the list instead, which has pages, or it would ask for them again for ever.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -417,6 +417,9 @@
   switch (r->status)
     {
     case 0:
+      /* Changes that exceed the limit together fit into the pages of a list. */
+      if (r->is_too_long)
+        restart_list (w);
       handle_failure (w, r->failure);
       return;
     case 200:
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -10,6 +10,8 @@
 /* Copying the largest run to another failure domain takes about 0.5 s, and the
    copy may queue behind others.  */
 #define MIGRATION_CALL_TIMEOUT (2500 * CV_MS)
+/* Size limit of an engine's answer to an order: a handle and a number.  */
+#define RESPONSE_BODY_MAX_BYTES (16u * 1024)
 /* Time from the loss of the source's response until its stream ends, if the
    source itself is lost.  Its connections end after up to 2 s (link.c).  An
    event that arrives this much later shows that the run goes on.  */
@@ -152,7 +154,8 @@
     {
       cv_http_call_finish (&m->call);
       cv_http_call_init (&m->call, m->destination->gateway->base,
-                         &m->destination->record.address, on_result, m);
+                         &m->destination->record.address,
+                         RESPONSE_BODY_MAX_BYTES, on_result, m);
     }
   cv_buf_init (&path);
   cv_platform_kv_handle_path (&path, m->handle);
@@ -426,8 +429,8 @@
   (void)cv_copy_slice (m->run, sizeof m->run, x->request.attempt);
   t->migration = m;
   x->migration = m;
-  cv_http_call_init (&m->call, x->gateway->base, &t->record.address, on_result,
-                     m);
+  cv_http_call_init (&m->call, x->gateway->base, &t->record.address,
+                     RESPONSE_BODY_MAX_BYTES, on_result, m);
   if (!reserve (m))
     fail_without_room (m);
 }
--- a/http/call.c
+++ b/http/call.c
@@ -24,10 +24,11 @@
 
 void
 cv_http_call_init (cv_http_call_t *c, struct event_base *base,
-                   const struct sockaddr_in *address,
+                   const struct sockaddr_in *address, size_t body_max,
                    cv_http_call_handler_t *handler, void *owner)
 {
   memset (c, 0, sizeof *c);
+  c->body_max = body_max;
   c->base = base;
   c->address = *address;
   c->handler = handler;
@@ -58,13 +59,32 @@
 }
 
 static void
-fail_call (cv_http_call_t *c, const char *failure)
+end_failed (cv_http_call_t *c, const cv_http_result_t *r)
 {
-  cv_http_result_t r = { .failure = failure };
-
   close_link (c);
   c->busy = false;
-  c->handler (c->owner, &r);
+  c->handler (c->owner, r);
+}
+
+static void
+fail_call (cv_http_call_t *c, const char *failure)
+{
+  end_failed (c, &(cv_http_result_t){ .failure = failure });
+}
+
+/* A faulty server may send a body without end.  */
+static void
+add_body (cv_http_call_t *c, cv_slice_t data)
+{
+  if (data.n <= c->body_max - c->body.n)
+    {
+      cv_buf_add (&c->body, data.p, data.n);
+      return;
+    }
+  cv_buf_finish (&c->body);
+  cv_buf_init (&c->body);
+  end_failed (c, &(cv_http_result_t){ .failure = "response body is too long",
+                                      .is_too_long = true });
 }
 
 void
@@ -134,7 +154,7 @@
     case CV_LINK_HEAD:
       return;
     case CV_LINK_BODY:
-      cv_buf_add (&c->body, event->u.body.p, event->u.body.n);
+      add_body (c, event->u.body);
       return;
     case CV_LINK_DONE:
       on_response_complete (c);
--- a/http/call.h
+++ b/http/call.h
@@ -15,6 +15,7 @@
 {
   unsigned status;     /* HTTP status; 0: no complete response */
   const char *failure; /* reason, with status 0 */
+  bool is_too_long;    /* with status 0: the body exceeds the limit */
   cv_slice_t body;
   const cv_http_head_t *head; /* NULL with status 0 */
 } cv_http_result_t;
@@ -29,6 +30,7 @@
   struct sockaddr_in address;
   cv_http_link_t *link;
   cv_buf_t body;
+  size_t body_max; /* bytes */
   bool busy;
   cv_time_t deadline; /* the call fails at this time */
   uint64_t calls;     /* number of calls started */
@@ -36,8 +38,10 @@
   void *owner;
 } cv_http_call_t;
 
+/* BODY_MAX: size limit of a response's body in bytes.  A call whose response
+   exceeds it fails, and its connection is closed.  */
 void cv_http_call_init (cv_http_call_t *c, struct event_base *base,
-                        const struct sockaddr_in *address,
+                        const struct sockaddr_in *address, size_t body_max,
                         cv_http_call_handler_t *handler, void *owner);
 /* Cancels a call in progress without calling its handler, and frees the
    resources.  */
--- a/observer/observer.c
+++ b/observer/observer.c
@@ -18,6 +18,10 @@
    observer as lost after 1 s without a load report (gateway/targets.c).  */
 #define KEEPALIVE_INTERVAL (400 * CV_MS)
 
+/* Size limit of the engine's answers; one run takes about 60 bytes of a load
+   report.  */
+#define RESPONSE_BODY_MAX_BYTES (256u * 1024)
+
 static void on_engine (void *owner, const cv_http_result_t *r);
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_signal (evutil_socket_t number, short what, void *arg);
@@ -45,7 +49,8 @@
   o->base = event_base_new ();
   if (o->base == NULL)
     return cv_fail (err, CV_ERR_SYSTEM, "cannot create the event loop");
-  cv_http_call_init (&o->engine, o->base, &engine, on_engine, o);
+  cv_http_call_init (&o->engine, o->base, &engine, RESPONSE_BODY_MAX_BYTES,
+                     on_engine, o);
   cv_roster_init (&o->roster, o->base, &store, &o->store_history,
                   CV_EV_OBSERVER_GATEWAY_SKIPPED);
   /* Any port: gateways send to the source address of the load reports.  */
--- a/replica/call.c
+++ b/replica/call.c
@@ -4,6 +4,9 @@
 
 #include "base/line.h"
 
+/* The store returns about 1 MB a page, and objects of 1 MiB.  */
+#define RESPONSE_BODY_MAX_BYTES (4u * 1024 * 1024)
+
 static void
 log_history (const cv_store_history_t *h, cv_era_t former)
 {
@@ -68,7 +71,8 @@
   c->history = history;
   c->handler = handler;
   c->owner = owner;
-  cv_http_call_init (&c->http, base, store, on_result, c);
+  cv_http_call_init (&c->http, base, store, RESPONSE_BODY_MAX_BYTES, on_result,
+                     c);
 }
 
 void
