gateway: all parts of a prompt may be suspect

A part of prompts that crashes engines was the ninth of ten.

Cause: the decoder read eight parts and dropped the others. Behind it, a strike with more than twelve companions told nothing of its part, and one such strike kept the part from being refused until it was cleared; so parts that are new in each request would have hidden a bad one as well. Of more than 256 changes of evidence all but the last were lost.

Change: the parts are read from the head one by one, however many there are, and a request keeps the hashes of all. Of the companions in one prompt the twelve lowest are kept; a strike at which several requests shared a part with too many others is passed over instead of excusing the part. An id may have any number of digits; one of more than 23 was answered 400.

--- a/gateway/content.c
+++ b/gateway/content.c
@@ -12,8 +12,7 @@
 static uint64_t
 part_hash (const cv_prompt_part_t *part)
 {
-  cv_slice_t texts[]
-      = { cv_slice ("part"), { (const char *)&part->id, sizeof part->id } };
+  cv_slice_t texts[] = { cv_slice ("part"), part->id };
 
   return cv_digest (texts, sizeof texts / sizeof texts[0]);
 }
@@ -45,13 +44,17 @@
     cv_slice (x->account != NULL ? x->account->name : ""),
     { x->client->body.p, x->client->body.n },
   };
-  uint32_t shared = q->has_more_parts || q->part_count == 0 ? q->part_count
-                                                            : q->part_count - 1;
+  cv_suspect_hash_t content
+      = { .hash = cv_digest (texts, sizeof texts / sizeof texts[0]) };
+  uint32_t shared = q->part_count > 0 ? q->part_count - 1 : 0;
+  cv_slice_t rest = q->parts;
+  cv_prompt_part_t part;
 
-  x->identity.content.hash = cv_digest (texts, sizeof texts / sizeof texts[0]);
+  cv_suspect_request_init (&x->identity, content, shared);
   identify_stream (x);
-  for (uint32_t i = 0; i < shared && i < CV_SUSPECT_PARTS_MAX; i++)
-    x->identity.parts[x->identity.part_count++].hash = part_hash (&q->parts[i]);
+  while (x->identity.part_count < shared
+         && cv_platform_next_part (&rest, &part))
+    x->identity.parts[x->identity.part_count++].hash = part_hash (&part);
 }
 
 void
@@ -78,16 +81,9 @@
 void
 cv_exchange_log_content (const cv_exchange_t *x, cv_line_t *l)
 {
-  char text[CV_PROMPT_PARTS_MAX * CV_CONTENT_TEXT];
-  size_t n = 0;
-
   cv_content_log ("content", x->identity.content.hash, l);
-  for (uint32_t i = 0; i < x->request.part_count; i++)
-    n += (size_t)snprintf (text + n, sizeof text - n, "%s%llx",
-                           i > 0 ? "," : "",
-                           (unsigned long long)x->request.parts[i].id);
-  if (n > 0)
-    cv_line_text (l, "parts", cv_slice (text));
+  if (x->request.part_count > 0)
+    cv_line_text (l, "parts", x->request.parts);
 }
 
 void
@@ -144,15 +140,6 @@
          && cv_suspects_strikes (s, hash, now) >= min_strikes;
 }
 
-static bool
-has_part (const cv_exchange_t *x, uint64_t hash)
-{
-  for (uint32_t i = 0; i < x->identity.part_count; i++)
-    if (x->identity.parts[i].hash == hash)
-      return true;
-  return false;
-}
-
 /* Whether X and OTHER have the same suspect content, or a part on trial.  */
 static bool
 is_same_trial (const cv_exchange_t *x, const cv_exchange_t *other)
@@ -162,7 +149,8 @@
   if (content == other->identity.content.hash && is_on_trial (x, content, 1))
     return true;
   for (uint32_t i = 0; i < x->identity.part_count; i++)
-    if (has_part (other, x->identity.parts[i].hash)
+    if (cv_suspect_request_has_part (&other->identity,
+                                     x->identity.parts[i].hash)
         && is_on_trial (x, x->identity.parts[i].hash, CV_SUSPECT_STRIKES))
       return true;
   return false;
--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -46,11 +46,30 @@
   return true;
 }
 
-/* Adds X to the requests that the target may have crashed on.  */
+/* Adds R to the requests that the target may have crashed on.  */
 static void
-add_lost (cv_crash_check_t *check, const cv_exchange_t *x)
+add_lost (cv_crash_check_t *check, const cv_suspect_request_t *r)
 {
-  cv_buf_add (&check->lost, &x->identity, sizeof x->identity);
+  cv_suspect_request_t copy;
+
+  cv_suspect_request_init_copy (&copy, r);
+  cv_buf_add (&check->lost, &copy, sizeof copy);
+}
+
+static size_t
+lost_count (const cv_crash_check_t *check)
+{
+  return check->lost.n / sizeof (cv_suspect_request_t);
+}
+
+static void
+drop_lost (cv_crash_check_t *check)
+{
+  cv_suspect_request_t *lost = (cv_suspect_request_t *)check->lost.p;
+
+  for (size_t i = 0; i < lost_count (check); i++)
+    cv_suspect_request_finish (&lost[i]);
+  cv_buf_finish (&check->lost);
 }
 
 void
@@ -67,7 +86,7 @@
       cv_buf_init (&t->crash_check.lost);
       (void)cv_target_ref (t);
     }
-  add_lost (&t->crash_check, x);
+  add_lost (&t->crash_check, &x->identity);
   cv_crash_check_forget (x);
   x->awaited_target = cv_target_ref (t);
   x->awaited_until = cv_now () + RETRY_WAIT;
@@ -83,7 +102,7 @@
   event_free (check->event);
   check->event = NULL;
   (void)evutil_closesocket (check->fd);
-  cv_buf_finish (&check->lost);
+  drop_lost (check);
   cv_target_unref (t);
 }
 
@@ -114,22 +133,21 @@
 handle_crash (cv_target_t *t)
 {
   cv_gateway_t *g = t->gateway;
-  cv_buf_t *lost = &t->crash_check.lost;
+  cv_crash_check_t *check = &t->crash_check;
   const cv_exchange_t *x;
-  size_t n;
 
   TAILQ_FOREACH (x, &g->exchanges, entry)
   if (x->target == t && x->link != NULL)
-    add_lost (&t->crash_check, x);
+    add_lost (check, &x->identity);
   if (cv_now () - t->recalled_at < RECALL_PERIOD)
-    cv_buf_add (lost, &t->recalled, sizeof t->recalled);
-  n = lost->n / sizeof (cv_suspect_request_t);
+    add_lost (check, &t->recalled);
   t->has_crashed = true;
   cv_health_unreachable (&t->health, cv_now ());
   g->counts.crashes++;
-  log_crash (t, n);
-  cv_evidence_crashed (&g->evidence, t, (const cv_suspect_request_t *)lost->p,
-                       n);
+  log_crash (t, lost_count (check));
+  cv_evidence_crashed (&g->evidence, t,
+                       (const cv_suspect_request_t *)check->lost.p,
+                       lost_count (check));
 }
 
 /* Places the exchanges that waited for the check of T.  */
--- a/gateway/evidence.c
+++ b/gateway/evidence.c
@@ -218,17 +218,15 @@
     add_change (e, hash);
 }
 
-/* R without the parts that completed here lately.  */
-static cv_suspect_request_t
-without_completed (const cv_evidence_t *e, const cv_suspect_request_t *r,
-                   cv_time_t now)
+/* Initializes OUT as R without the parts that completed here lately.  */
+static void
+init_without_completed (const cv_evidence_t *e, const cv_suspect_request_t *r,
+                        cv_time_t now, cv_suspect_request_t *out)
 {
-  cv_suspect_request_t out = { .content = r->content };
-
+  cv_suspect_request_init (out, r->content, r->part_count);
   for (uint32_t i = 0; i < r->part_count; i++)
     if (!cv_recent_has (&e->completed, r->parts[i].hash, now))
-      out.parts[out.part_count++] = r->parts[i];
-  return out;
+      out->parts[out->part_count++] = r->parts[i];
 }
 
 void
@@ -242,13 +240,14 @@
 
   for (size_t i = 0; i < n; i++)
     if (!cv_recent_has (&e->completed, requests[i].content.hash, now))
-      suspected[count++] = without_completed (e, &requests[i], now);
+      init_without_completed (e, &requests[i], now, &suspected[count++]);
   cv_suspects_strike (e->suspects, suspected, count, wall_s, crash_id (t));
   for (size_t i = 0; i < count; i++)
     {
       announce (e, suspected[i].content.hash, wall_s);
       for (uint32_t k = 0; k < suspected[i].part_count; k++)
         announce (e, suspected[i].parts[k].hash, wall_s);
+      cv_suspect_request_finish (&suspected[i]);
     }
   free (suspected);
   send_due (e, now);
--- a/gateway/evidence.h
+++ b/gateway/evidence.h
@@ -35,9 +35,9 @@
   cv_buf_t lost;
 } cv_crash_check_t;
 
-/* Most changes of evidence that are repeated at the same time.  An engine runs
-   some 24 generations with a few parts each.  */
-#define CV_EVIDENCE_CHANGES_MAX 256
+/* Most changes of evidence that are repeated at the same time: as many as the
+   table has entries.  */
+#define CV_EVIDENCE_CHANGES_MAX 1024
 
 /* A change of the suspects table that the other gateways are told.  */
 typedef struct
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -85,6 +85,7 @@
   cv_routing_unref (x->routing);
   cv_buf_finish (&x->response_body);
   cv_events_finish (&x->events);
+  cv_suspect_request_finish (&x->identity);
   free (x);
   if (c != NULL)
     cv_client_response_done (c, complete);
@@ -444,7 +445,8 @@
       || cv_exchange_content_state (x) != CV_CONTENT_QUARANTINED)
     return false;
   x->may_have_run = true;
-  x->target->recalled = x->identity;
+  cv_suspect_request_finish (&x->target->recalled);
+  cv_suspect_request_init_copy (&x->target->recalled, &x->identity);
   x->target->recalled_at = now;
   cv_attempt_stop (x);
   return cv_exchange_refuse_quarantined (x);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -58,6 +58,7 @@
   if (--t->refs > 0)
     return;
   CV_INVARIANT (TAILQ_EMPTY (&t->idle));
+  cv_suspect_request_finish (&t->recalled);
   free (t);
 }
 
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -229,9 +229,6 @@
 
 /* Makes a strike count beside all others of its content.  */
 #define CV_SEEN_ALL UINT32_MAX
-/* Parts of a prompt that are told apart; further ones are never suspect.  */
-#define CV_SUSPECT_PARTS_MAX 8
-
 /* A content or a part of prompts.  */
 typedef struct
 {
@@ -242,14 +239,23 @@
 
 /* What may have crashed the engine that runs a request: its content, or a part
    of its prompt that other contents share.  The last part of a prompt belongs
-   to the request itself and is not among PARTS.  */
+   to the request itself and is not among PARTS, which belong to the struct.  */
 typedef struct
 {
   cv_suspect_hash_t content;
-  cv_suspect_hash_t parts[CV_SUSPECT_PARTS_MAX];
+  cv_suspect_hash_t *parts; /* NULL if there are none */
   uint32_t part_count;
 } cv_suspect_request_t;
 
+/* Initializes R with room for PART_MAX parts and none in it.  */
+void cv_suspect_request_init (cv_suspect_request_t *r,
+                              cv_suspect_hash_t content, uint32_t part_max);
+/* Initializes R as a copy of OTHER.  */
+void cv_suspect_request_init_copy (cv_suspect_request_t *r,
+                                   const cv_suspect_request_t *other);
+void cv_suspect_request_finish (cv_suspect_request_t *r);
+bool cv_suspect_request_has_part (const cv_suspect_request_t *r, uint64_t hash);
+
 /* Selects entries of S by their hash.  */
 typedef bool cv_suspects_filter_t (const void *owner, const cv_suspects_t *s,
                                    uint64_t hash);
--- a/policy/suspects.c
+++ b/policy/suspects.c
@@ -179,42 +179,40 @@
   return false;
 }
 
-/* Whether COMPANION was beside the part E at all strikes that count.  */
+/* Whether COMPANION was beside the part E at all strikes that count and tell
+   what was.  */
 static bool
 was_always_beside (const cv_suspect_t *e, uint64_t companion)
 {
   for (int i = 0; i < STRIKES_KEPT; i++)
-    if (cv_strike_counts (e, i) && !cv_suspect_was_beside (e, i, companion))
+    if (cv_strike_counts (e, i) && !e->strike[i].is_common
+        && !cv_suspect_was_beside (e, i, companion))
       return false;
   return true;
 }
 
-/* Whether R has all companions of the part E that are suspect themselves, and E
-   is not in so many requests that a crash tells nothing of it.  */
+/* Whether R has all companions of the part E that are suspect themselves.  A
+   crash at which E was in too many requests tells nothing of it.  */
 static bool
 has_companions (const cv_suspects_t *s, const cv_suspect_t *e,
                 const cv_suspect_request_t *r, int64_t wall_s)
 {
-  uint64_t parts[CV_SUSPECT_PARTS_MAX];
+  uint32_t telling = 0;
 
-  for (uint32_t i = 0; i < r->part_count; i++)
-    parts[i] = r->parts[i].hash;
   for (int i = 0; i < STRIKES_KEPT; i++)
     {
       const cv_strike_t *strike = &e->strike[i];
 
-      if (strike->wall_s <= e->cleared)
+      if (!cv_strike_is_current (e, i) || strike->is_common)
         continue;
-      if (strike->is_common)
-        return false;
+      telling += cv_strike_counts (e, i);
       for (uint32_t k = 0; k < strike->companion_count; k++)
         if (cv_suspects_strikes (s, strike->companions[k], wall_s) > 0
             && was_always_beside (e, strike->companions[k])
-            && !cv_suspect_has_hash (parts, r->part_count,
-                                     strike->companions[k]))
+            && !cv_suspect_request_has_part (r, strike->companions[k]))
           return false;
     }
-  return true;
+  return telling >= CV_SUSPECT_STRIKES;
 }
 
 /* The state of HASH, the content or a part of R, in R.  */
@@ -260,7 +258,7 @@
 {
   uint64_t worst;
 
-  return find_worst (s, r, wall_s, &worst);
+  return s->count == 0 ? CV_CONTENT_CLEAR : find_worst (s, r, wall_s, &worst);
 }
 
 uint64_t
--- a/policy/suspects_count.c
+++ b/policy/suspects_count.c
@@ -27,6 +27,7 @@
 static size_t find_crash (const crash_index_t *index, uint64_t crash);
 static bool is_ambiguous (const crash_index_t *index, const cv_suspect_t *e,
                           int i);
+static bool may_have_been_beside (const cv_suspect_t *e, int i, uint64_t hash);
 static bool was_suspect_at (const cv_suspect_t *e, uint64_t crash);
 static bool is_suspect_elsewhere (const cv_suspects_t *s, uint64_t hash,
                                   uint64_t crash);
@@ -70,6 +71,18 @@
   return false;
 }
 
+/* The same as far as it is known: of a long prompt not all companions are
+   kept.  */
+static bool
+may_have_been_beside (const cv_suspect_t *e, int i, uint64_t hash)
+{
+  for (int k = 0; k < STRIKES_KEPT; k++)
+    if (cv_strike_is_current (e, k) && e->strike[k].crash == e->strike[i].crash
+        && e->strike[k].companion_count == COMPANIONS_MAX)
+      return true;
+  return cv_suspect_was_beside (e, i, hash);
+}
+
 /* Whether E was suspect before CRASH, which is a strike of it.  */
 static bool
 was_suspect_at (const cv_suspect_t *e, uint64_t crash)
@@ -102,7 +115,7 @@
   uint64_t crash = e->strike[i].crash;
 
   if (other->was_again && was_suspect_at (other, crash)
-      && !cv_suspect_was_beside (e, i, other->hash))
+      && !may_have_been_beside (e, i, other->hash))
     return true;
   for (int k = 0; k < KNOWN_KEPT; k++)
     {
@@ -112,7 +125,7 @@
         continue;
       for (uint32_t n = 0; n < strike->companion_count; n++)
         if (strike->companions[n] != e->hash
-            && !cv_suspect_was_beside (e, i, strike->companions[n])
+            && !may_have_been_beside (e, i, strike->companions[n])
             && is_suspect_elsewhere (s, strike->companions[n], crash))
           return true;
     }
--- a/policy/suspects_strike.c
+++ b/policy/suspects_strike.c
@@ -13,6 +13,22 @@
   cv_strike_t strike;
 } new_strike_t;
 
+/* That a content or a part is in a request.  */
+typedef struct
+{
+  uint64_t hash;
+  size_t request; /* index */
+} occurrence_t;
+
+/* What a crash strikes of a request: the lowest hashes, one more than the
+   companions that are kept and the one that they are beside.  */
+typedef struct
+{
+  uint64_t hashes[COMPANIONS_MAX + 2];
+  uint32_t count;
+  bool has_suspects; /* in the request, before the crash */
+} struck_t;
+
 /* An engine crash and the requests that may have caused it.  */
 typedef struct
 {
@@ -20,7 +36,10 @@
   size_t n;
   int64_t wall_s;
   uint64_t crash;
-  bool has_suspects; /* in REQUESTS, before the crash */
+  bool has_suspects;         /* in REQUESTS, before the crash */
+  size_t hash_count;         /* contents and parts in REQUESTS */
+  occurrence_t *occurrences; /* HASH_COUNT, by hash */
+  struck_t *struck;          /* of each request */
 } crash_t;
 
 static void add_unknown (cv_strike_t *kept, cv_strike_t strike);
@@ -34,19 +53,26 @@
 static bool has_suspect (const cv_suspects_t *s, const cv_suspect_request_t *r,
                          int64_t wall_s);
 static bool was_cleared (const cv_suspects_t *s, uint64_t hash);
-static bool is_struck (const cv_suspects_t *s, const crash_t *c,
-                       const cv_suspect_request_t *r, uint32_t i);
+static bool is_struck (const cv_suspects_t *s, const crash_t *c, size_t request,
+                       uint64_t hash);
 static void add_strike (cv_suspects_t *s, const cv_suspect_hash_t *h,
                         cv_strike_t strike);
 static int compare_hashes (const void *a, const void *b);
 static const cv_suspect_hash_t *hash_at (const cv_suspect_request_t *r,
                                          uint32_t i);
-static bool contains (const cv_suspect_request_t *r, uint64_t hash);
-static void add_companions (const cv_suspects_t *s, const crash_t *c,
-                            uint64_t hash, cv_strike_t *strike);
+static int compare_occurrences (const void *a, const void *b);
+static void index_occurrences (crash_t *c);
+static void insert_lowest (struck_t *struck, uint64_t hash);
+static void note_struck (const cv_suspects_t *s, crash_t *c);
+static void crash_init (crash_t *c, const cv_suspects_t *s,
+                        const cv_suspect_request_t *requests, size_t n,
+                        int64_t wall_s, uint64_t crash);
+static void crash_finish (crash_t *c);
+static size_t find_occurrence (const crash_t *c, uint64_t hash);
+static void add_companions (const crash_t *c, uint64_t hash,
+                            cv_strike_t *strike);
 static size_t collect_strikes (const cv_suspects_t *s, const crash_t *c,
-                               const cv_suspect_request_t *r,
-                               new_strike_t *out);
+                               size_t request, new_strike_t *out);
 static size_t select_quarantined (const cv_suspects_t *s,
                                   const cv_suspect_request_t *requests,
                                   size_t n, int64_t wall_s,
@@ -206,17 +232,16 @@
   return e != NULL && e->cleared > 0;
 }
 
-/* Whether the crash C is a strike of the content (I 0) or a part of R: it was
-   suspect already, or nothing was.  What is beside a suspect in a request is
-   struck too, as the suspect may have become one for being beside it, unless it
-   has ever completed.  */
+/* Whether the crash C is a strike of HASH, the content or a part of REQUEST: it
+   was suspect already, or nothing was.  What is beside a suspect in a request
+   is struck too, as the suspect may have become one for being beside it, unless
+   it has ever completed.  */
 static bool
-is_struck (const cv_suspects_t *s, const crash_t *c,
-           const cv_suspect_request_t *r, uint32_t i)
+is_struck (const cv_suspects_t *s, const crash_t *c, size_t request,
+           uint64_t hash)
 {
-  return !c->has_suspects || is_suspect (s, hash_at (r, i)->hash, c->wall_s)
-         || (!was_cleared (s, hash_at (r, i)->hash)
-             && has_suspect (s, r, c->wall_s));
+  return !c->has_suspects || is_suspect (s, hash, c->wall_s)
+         || (!was_cleared (s, hash) && c->struck[request].has_suspects);
 }
 
 static void
@@ -248,42 +273,137 @@
   return i == 0 ? &r->content : &r->parts[i - 1];
 }
 
-static bool
-contains (const cv_suspect_request_t *r, uint64_t hash)
+static int
+compare_occurrences (const void *a, const void *b)
 {
-  for (uint32_t i = 0; i <= r->part_count; i++)
-    if (hash_at (r, i)->hash == hash)
-      return true;
-  return false;
+  const occurrence_t *x = a;
+  const occurrence_t *y = b;
+
+  if (x->hash != y->hash)
+    return x->hash > y->hash ? 1 : -1;
+  return (x->request > y->request) - (x->request < y->request);
 }
 
-/* Adds to STRIKE what is beside HASH in the requests with it: all parts, as one
-   that is no suspect here may be one at another gateway, and struck contents.
- */
 static void
-add_companions (const cv_suspects_t *s, const crash_t *c, uint64_t hash,
-                cv_strike_t *strike)
+index_occurrences (crash_t *c)
 {
+  size_t n = 0;
+
+  for (size_t i = 0; i < c->n; i++)
+    c->hash_count += c->requests[i].part_count + 1;
+  c->occurrences = cv_calloc (c->hash_count + 1, sizeof *c->occurrences);
+  for (size_t i = 0; i < c->n; i++)
+    for (uint32_t k = 0; k <= c->requests[i].part_count; k++)
+      c->occurrences[n++]
+          = (occurrence_t){ hash_at (&c->requests[i], k)->hash, i };
+  qsort (c->occurrences, n, sizeof *c->occurrences, compare_occurrences);
+}
+
+static void
+insert_lowest (struck_t *struck, uint64_t hash)
+{
+  const uint32_t max = sizeof struck->hashes / sizeof struck->hashes[0];
+  uint32_t i;
+
+  if (cv_suspect_has_hash (struck->hashes, struck->count, hash)
+      || (struck->count == max && hash >= struck->hashes[max - 1]))
+    return;
+  if (struck->count < max)
+    struck->count++;
+  for (i = struck->count - 1; i > 0 && struck->hashes[i - 1] > hash; i--)
+    struck->hashes[i] = struck->hashes[i - 1];
+  struck->hashes[i] = hash;
+}
+
+static void
+note_struck (const cv_suspects_t *s, crash_t *c)
+{
+  c->struck = cv_calloc (c->n + 1, sizeof *c->struck);
+  for (size_t i = 0; i < c->n; i++)
+    {
+      c->struck[i].has_suspects = has_suspect (s, &c->requests[i], c->wall_s);
+      c->has_suspects |= c->struck[i].has_suspects;
+    }
   for (size_t i = 0; i < c->n; i++)
+    for (uint32_t k = 0; k <= c->requests[i].part_count; k++)
+      {
+        uint64_t hash = hash_at (&c->requests[i], k)->hash;
+
+        if (is_struck (s, c, i, hash))
+          insert_lowest (&c->struck[i], hash);
+      }
+}
+
+static void
+crash_init (crash_t *c, const cv_suspects_t *s,
+            const cv_suspect_request_t *requests, size_t n, int64_t wall_s,
+            uint64_t crash)
+{
+  *c = (crash_t){
+    .requests = requests, .n = n, .wall_s = wall_s, .crash = crash
+  };
+  index_occurrences (c);
+  note_struck (s, c);
+}
+
+static void
+crash_finish (crash_t *c)
+{
+  free (c->occurrences);
+  free (c->struck);
+}
+
+/* The first occurrence of HASH, which has one.  */
+static size_t
+find_occurrence (const crash_t *c, uint64_t hash)
+{
+  size_t low = 0;
+  size_t high = c->hash_count;
+
+  while (low < high)
     {
-      const cv_suspect_request_t *r = &c->requests[i];
+      size_t middle = low + (high - low) / 2;
+
+      if (c->occurrences[middle].hash < hash)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
 
-      for (uint32_t k = 0; k <= r->part_count && contains (r, hash); k++)
-        {
-          uint64_t other = hash_at (r, k)->hash;
+/* Adds to STRIKE what is beside HASH in the requests with it: all parts, as one
+   that is no suspect here may be one at another gateway, and struck contents.
+   A prompt of many parts does not make each of them a common one.  */
+static void
+add_companions (const crash_t *c, uint64_t hash, cv_strike_t *strike)
+{
+  size_t first = find_occurrence (c, hash);
+  size_t end = first;
+  bool is_in_several;
+
+  while (end < c->hash_count && c->occurrences[end].hash == hash)
+    end++;
+  is_in_several
+      = c->occurrences[end - 1].request != c->occurrences[first].request;
+  for (size_t i = first; i < end; i++)
+    {
+      const struck_t *struck = &c->struck[c->occurrences[i].request];
 
-          if (other != hash && is_struck (s, c, r, k))
-            add_companion (strike, other);
-        }
+      for (uint32_t k = 0; k < struck->count; k++)
+        if (struck->hashes[k] != hash
+            && (is_in_several || strike->companion_count < COMPANIONS_MAX))
+          add_companion (strike, struck->hashes[k]);
     }
 }
 
-/* Collects the strikes of R before any is added, since they depend on what was
-   suspect before the crash.  */
+/* Collects the strikes of REQUEST before any is added, since they depend on
+   what was suspect before the crash.  */
 static size_t
-collect_strikes (const cv_suspects_t *s, const crash_t *c,
-                 const cv_suspect_request_t *r, new_strike_t *out)
+collect_strikes (const cv_suspects_t *s, const crash_t *c, size_t request,
+                 new_strike_t *out)
 {
+  const cv_suspect_request_t *r = &c->requests[request];
   size_t n = 0;
 
   for (uint32_t i = 0; i <= r->part_count; i++)
@@ -296,9 +416,9 @@
               = c->has_suspects && is_suspect (s, h->hash, c->wall_s),
               .source = i > 0 ? r->content.hash : 0 };
 
-      if (!is_struck (s, c, r, i))
+      if (!is_struck (s, c, request, h->hash))
         continue;
-      add_companions (s, c, h->hash, &strike);
+      add_companions (c, h->hash, &strike);
       out[n++] = (new_strike_t){ h, strike };
     }
   return n;
@@ -327,23 +447,19 @@
   cv_suspect_request_t *quarantined = cv_calloc (n + 1, sizeof *quarantined);
   size_t quarantined_count
       = select_quarantined (s, requests, n, wall_s, quarantined);
-  crash_t c = {
-    .requests = quarantined_count > 0 ? quarantined : requests,
-    .n = quarantined_count > 0 ? quarantined_count : n,
-    .wall_s = wall_s,
-    .crash = crash,
-  };
-  new_strike_t *strikes
-      = cv_calloc (n * (CV_SUSPECT_PARTS_MAX + 1) + 1, sizeof *strikes);
+  new_strike_t *strikes;
   size_t count = 0;
+  crash_t c;
 
+  crash_init (&c, s, quarantined_count > 0 ? quarantined : requests,
+              quarantined_count > 0 ? quarantined_count : n, wall_s, crash);
+  strikes = cv_calloc (c.hash_count + 1, sizeof *strikes);
   for (size_t i = 0; i < c.n; i++)
-    c.has_suspects |= has_suspect (s, &c.requests[i], wall_s);
-  for (size_t i = 0; i < c.n; i++)
-    count += collect_strikes (s, &c, &c.requests[i], strikes + count);
+    count += collect_strikes (s, &c, i, strikes + count);
   for (size_t i = 0; i < count; i++)
     add_strike (s, strikes[i].of, strikes[i].strike);
   cv_suspects_count_named (s);
+  crash_finish (&c);
   free (strikes);
   free (quarantined);
 }
--- a/policy/suspects_table.h
+++ b/policy/suspects_table.h
@@ -19,8 +19,9 @@
 #define UNKNOWN_KEPT 2
 #define STRIKES_KEPT (KNOWN_KEPT + UNKNOWN_KEPT)
 
-/* Companions of one strike: the other parts of a request, and the contents of
-   several requests.  */
+/* Companions kept of one strike: the other parts of a request, and the contents
+   of several requests.  Of more in one request, those with the lowest hashes
+   are kept, the same at each crash.  */
 #define COMPANIONS_MAX 12
 
 /* One engine crash.  */
@@ -35,7 +36,7 @@
   uint32_t companion_count;
   uint32_t seen;    /* strikes of the content known when the attempt was sent */
   bool was_suspect; /* already before this crash */
-  bool is_common;   /* there were more companions */
+  bool is_common;   /* there were more, in several requests */
 } cv_strike_t;
 
 typedef struct
--- a/policy/tests/crash_model_test.cc
+++ b/policy/tests/crash_model_test.cc
@@ -17,6 +17,7 @@
 
 #include "policy/policy.h"
 #include "policy/recent.h"
+#include "policy/tests/suspect_requests.h"
 
 namespace
 {
@@ -99,15 +100,14 @@
     return cv_suspects_request_state (gateways[(size_t)g].table, &r, wall ());
   }
 
-  static cv_suspect_request_t
+  cv_suspect_request_t
   make (uint64_t content, const std::vector<uint64_t> &parts = {})
   {
-    cv_suspect_request_t r = {};
+    std::vector<cv_suspect_hash_t> hashes;
 
-    r.content.hash = content;
     for (uint64_t part : parts)
-      r.parts[r.part_count++].hash = part;
-    return r;
+      hashes.push_back ({ part, 0 });
+    return requests.make ({ content, 0 }, hashes);
   }
 
   void
@@ -180,14 +180,14 @@
     for (const Attempt &a : t.running)
       {
         const cv_recent_t *completed = &gateways[(size_t)a.gateway].completed;
-        cv_suspect_request_t r = { a.request.content, {}, 0 };
+        std::vector<cv_suspect_hash_t> parts;
 
-        if (cv_recent_has (completed, r.content.hash, now))
+        if (cv_recent_has (completed, a.request.content.hash, now))
           continue;
         for (uint32_t i = 0; i < a.request.part_count; i++)
           if (!cv_recent_has (completed, a.request.parts[i].hash, now))
-            r.parts[r.part_count++] = a.request.parts[i];
-        lost[a.gateway].push_back (r);
+            parts.push_back (a.request.parts[i]);
+        lost[a.gateway].push_back (requests.make (a.request.content, parts));
       }
     t.running.clear ();
     t.up_at = now + kRestartTime;
@@ -223,6 +223,7 @@
               |= a.gateway == g && state (g, a.request) == CV_CONTENT_SUSPECT;
         if (t.up_at > now || (is_suspect && is_beside))
           continue;
+        r = requests.copy (r);
         note_strikes (g, r);
         t.running.push_back ({ g, r, is_bad, now + kRunTime });
         arrivals[r.content.hash]++;
@@ -278,6 +279,7 @@
   std::vector<Target> targets;
   std::list<Message> messages;
   std::map<uint64_t, int> arrivals;
+  SuspectRequests requests;
   uint64_t crashes = 0;
   std::vector<cv_time_t> bad_arrivals;
   std::vector<cv_time_t> bad_crashes;
--- a/policy/tests/suspects_test.cc
+++ b/policy/tests/suspects_test.cc
@@ -9,6 +9,7 @@
 
 #include "policy/policy.h"
 #include "policy/recent.h"
+#include "policy/tests/suspect_requests.h"
 #include "wire/datagram.h"
 
 namespace
@@ -155,12 +156,11 @@
   cv_suspect_request_t
   request (uint64_t content, const std::vector<uint64_t> &parts)
   {
-    cv_suspect_request_t r = {};
+    std::vector<cv_suspect_hash_t> hashes;
 
-    r.content = seen (content);
     for (uint64_t part : parts)
-      r.parts[r.part_count++] = seen (part);
-    return r;
+      hashes.push_back (seen (part));
+    return made.make (seen (content), hashes);
   }
 
   cv_suspect_hash_t
@@ -184,6 +184,7 @@
     return cv_suspects_request_state (table, &r, kNow);
   }
 
+  SuspectRequests made;
   uint64_t crashes = 0;
 };
 
@@ -352,6 +353,63 @@
   EXPECT_EQ (CV_CONTENT_SUSPECT, state (102, { 1, 3 }));
 }
 
+/* Each bad request has many parts that no other has: they told nothing of any
+   of them.  */
+TEST_F (Parts, TwoLongPromptsQuarantineTheirCommonPart)
+{
+  for (uint64_t i = 1; i <= 2; i++)
+    {
+      std::vector<uint64_t> parts = { 9 };
+
+      for (uint64_t k = 0; k < 60; k++)
+        parts.push_back (1000 * i + k);
+      crash ({ request (100 + i, parts) });
+    }
+  EXPECT_EQ (CV_CONTENT_QUARANTINED, state (200, { 9, 7 }));
+  EXPECT_EQ (CV_CONTENT_SUSPECT, state (200, { 1001, 7 }));
+}
+
+TEST_F (Parts, TwoLongPromptsQuarantineAllTheirCommonParts)
+{
+  std::vector<uint64_t> shared;
+
+  for (uint64_t k = 1; k <= 30; k++)
+    shared.push_back (k);
+  crash ({ request (101, shared) });
+  crash ({ request (102, shared) });
+  EXPECT_EQ (CV_CONTENT_QUARANTINED, state (200, shared));
+  EXPECT_EQ (CV_CONTENT_SUSPECT, state (200, { 30 }));
+}
+
+/* One crash at which a part was in many requests kept it from being refused for
+   ever.  */
+TEST_F (Parts, ACrashOfManyRequestsWithAPartTellsNothingOfIt)
+{
+  std::vector<cv_suspect_request_t> many;
+
+  for (uint64_t i = 0; i < 20; i++)
+    many.push_back (request (100 + i, { 9 }));
+  crash (many);
+  EXPECT_EQ (CV_CONTENT_SUSPECT, state (200, { 9 }));
+  crash ({ request (201, { 9 }) });
+  EXPECT_EQ (CV_CONTENT_SUSPECT, state (200, { 9 }));
+  crash ({ request (202, { 9 }) });
+  EXPECT_EQ (CV_CONTENT_QUARANTINED, state (200, { 9 }));
+}
+
+TEST_F (Parts, APartInManyRequestsAtEachCrashIsNotRefused)
+{
+  for (uint64_t n = 0; n < 4; n++)
+    {
+      std::vector<cv_suspect_request_t> many;
+
+      for (uint64_t i = 0; i < 20; i++)
+        many.push_back (request (100 * (n + 1) + i, { 9 }));
+      crash (many);
+    }
+  EXPECT_EQ (CV_CONTENT_SUSPECT, state (900, { 9 }));
+}
+
 /* A part with all strikes that are kept, each with all companions.  */
 TEST_F (Parts, TheLongestEntryFitsInADatagram)
 {
@@ -362,10 +420,11 @@
   for (uint32_t level = 0; level < 8; level++)
     for (uint64_t i = 0; i < 6; i++)
       {
-        cv_suspect_request_t r = request (UINT64_MAX - i, { UINT64_MAX - 100 });
+        std::vector<uint64_t> parts;
 
-        for (uint64_t part = 1; part < CV_SUSPECT_PARTS_MAX; part++)
-          r.parts[r.part_count++] = seen (UINT64_MAX - 100 - part);
+        for (uint64_t part = 0; part < 20; part++)
+          parts.push_back (UINT64_MAX - 100 - part);
+        cv_suspect_request_t r = request (UINT64_MAX - i, parts);
         r.parts[0].seen = level < 7 ? level : CV_SEEN_ALL;
         cv_suspects_strike (table, &r, 1, kNow + level,
                             UINT64_MAX - level * 10 - i);
@@ -400,12 +459,12 @@
   request_at (const cv_suspects_t *t, uint64_t content,
               const std::vector<uint64_t> &parts)
   {
-    cv_suspect_request_t r = {};
+    std::vector<cv_suspect_hash_t> hashes;
 
-    r.content = { content, cv_suspects_strikes (t, content, kNow) };
     for (uint64_t part : parts)
-      r.parts[r.part_count++] = { part, cv_suspects_strikes (t, part, kNow) };
-    return r;
+      hashes.push_back ({ part, cv_suspects_strikes (t, part, kNow) });
+    return made.make ({ content, cv_suspects_strikes (t, content, kNow) },
+                      hashes);
   }
 
   void
--- a/tests/gateway/crash_scenarios.py
+++ b/tests/gateway/crash_scenarios.py
@@ -390,27 +390,25 @@
     return script
 
 
-async def crashing_part(bench):
-    """Each request whose prompt has one part crashes its engine, whatever else
-    it holds; no two are alike.  They must reach a bounded number of engines, and
-    requests that share their account and their other parts must be served."""
+def sound_parts(number):
+    return ("a1" if number % 2 else f"a{number % 7}", f"b{number % 23:x}")
+
+
+async def play_bad_part(bench, sound, bad):
+    """Requests with the parts SOUND (number) and, among them, some with BAD
+    (number), which have the part "bad" that crashes engines."""
     fleet = Fleet(bench, 5)
     await fleet.add_targets(9, "model", crash_on_part(fleet, {"bad"}))
     await fleet.start()
     begun = time.monotonic()
-
-    def sound(number):
-        first = "a1" if number % 2 else f"a{number % 7}"
-        return part_request(number, (first, f"b{number % 23:x}"))
-
-    async def send_sound():
-        await fleet.send_repeatedly(14, 0.05, sound)
     # The outcomes of both have the same path; those of the bad ones are told
     # apart by their time.
-    bad = Fleet(bench, 1)
-    bad.gateways, bad.targets = fleet.gateways, fleet.targets
-    await asyncio.gather(send_sound(), bad.send_repeatedly(
-        14, BAD_INTERVAL_S, lambda i: part_request(1000 + i, ("a1", "bad"))))
+    bad_fleet = Fleet(bench, 1)
+    bad_fleet.gateways, bad_fleet.targets = fleet.gateways, fleet.targets
+    await asyncio.gather(
+        fleet.send_repeatedly(14, 0.05, lambda i: part_request(i, sound(i))),
+        bad_fleet.send_repeatedly(
+            14, BAD_INTERVAL_S, lambda i: part_request(1000 + i, bad(i))))
     bench.say(f"some crashed: {len(fleet.crashes()) > 0}")
     bench.say(f"at most five crashed: {len(fleet.crashes()) <= 5}")
     bench.say("late arrivals after the fifth crash: "
@@ -418,10 +416,33 @@
     lost = [o for o in fleet.outcomes
             if o[2] != 200 and o[0] > begun + 2 * CONTACT_S]
     bench.say(f"sound requests not served from 6 s on: {len(lost)}")
-    late = {o[2] for o in bad.outcomes if o[0] > begun + 2 * CONTACT_S}
+    late = {o[2] for o in bad_fleet.outcomes if o[0] > begun + 2 * CONTACT_S}
     bench.say(f"the bad ones get from then on: {sorted(late)}")
 
 
+async def crashing_part(bench):
+    """Each request whose prompt has one part crashes its engine, whatever else
+    it holds; no two are alike.  They must reach a bounded number of engines, and
+    requests that share their account and their other parts must be served."""
+    await play_bad_part(bench, sound_parts, lambda i: ("a1", "bad"))
+
+
+async def crashing_part_of_a_long_prompt(bench):
+    """The same with the part behind 30 others that all requests share: parts
+    behind the first few were not known to crash engines."""
+    shared = tuple(f"c{i:x}" for i in range(30))
+    await play_bad_part(bench, lambda i: (*shared, *sound_parts(i)),
+                        lambda i: (*shared, "a1", "bad"))
+
+
+async def crashing_part_among_new_parts(bench):
+    """The same with the part behind 30 others that no other request has: a crash
+    told nothing of any of so many."""
+    await play_bad_part(
+        bench, sound_parts,
+        lambda i: (*(f"d{30 * i + k:x}" for k in range(30)), "bad"))
+
+
 async def crashed_targets_are_avoided(bench):
     """Five of six targets have just crashed, and the gateway knows it: requests
     go to the sixth at the first attempt.  The others start again 1.2 s later."""
