--- a/routing/routing.c
+++ b/routing/routing.c
@@ -48,6 +48,7 @@
     {
       free (r->routes[i].host);
       free (r->routes[i].prefix);
+      free (r->routes[i].shares);
     }
   for (uint32_t i = 0; i < r->key_count; i++)
     free (r->keys[i].text);
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -14,8 +14,6 @@
 extern "C" {
 #endif
 
-/* Most services that one route may split its requests among.  */
-#define CV_ROUTE_SHARES_MAX 8
 #define CV_NO_SERVICE UINT32_MAX
 
 /* Kind of a route: whether a request may be sent again, within one attempt of
@@ -46,7 +44,7 @@
   uint32_t gap_objective_ms; /* between events of a stream, 0: none */
   uint32_t priority;         /* 0 is the most urgent */
   uint32_t max_targets;      /* tried per attempt of a caller */
-  cv_route_share_t shares[CV_ROUTE_SHARES_MAX];
+  cv_route_share_t *shares;  /* the services that share its requests */
   uint32_t share_count;
 } cv_route_t;
 
--- a/routing/tests/routing_test.cc
+++ b/routing/tests/routing_test.cc
@@ -66,10 +66,10 @@
 TEST (Routing, ServicesArePickedByWeight)
 {
   cv_route_t route = {};
+  cv_route_share_t shares[] = { { 7, 900 }, { 8, 100 } };
 
   route.share_count = 2;
-  route.shares[0] = { 7, 900 };
-  route.shares[1] = { 8, 100 };
+  route.shares = shares;
   EXPECT_EQ (7u, cv_route_pick_service (&route, 0.0));
   EXPECT_EQ (7u, cv_route_pick_service (&route, 0.89));
   EXPECT_EQ (8u, cv_route_pick_service (&route, 0.91));
--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -780,6 +780,33 @@
     bench.say(f"after a malformed instance: {status}")
 
 
+async def split_over_many_services(bench):
+    """A version splits a route over twelve services and withdraws a key: it was
+    refused as a whole, and the key went on to be accepted."""
+    names = [f"plain-{i}" for i in range(12)]
+    for name in names:
+        await bench.add_target(f"t-{name}", name, echo)
+    await bench.add_target("t1", "plain", echo)
+    bench.config["Tenants"].append({"Name": "other", "ApiKeys": ["key-2"]})
+    await bench.start()
+    status, _, _ = await bench.send("GET", "/read/x", **{"X-Api-Key": "key-2"})
+    bench.say(f"before: {status}")
+    bench.config["Version"] = 2
+    bench.config["Tenants"].pop()
+    bench.config["Backends"] += [
+        {**bench.config["Backends"][0], "Name": name} for name in names]
+    bench.config["Routes"][0]["TrafficSplit"] = [
+        {"Backend": name, "Weight": 1} for name in names]
+    await bench.store.put("config", "main", bench.config)
+    await asyncio.sleep(2)  # ConfigSyncMs of the deployments
+    statuses = {(await bench.send("GET", "/read/x"))[0] for _ in range(200)}
+    used = sum(any(r.path.startswith("/read/") for r in
+                   bench.targets[f"t-{name}"].requests) for name in names)
+    status, _, _ = await bench.send("GET", "/read/x", **{"X-Api-Key": "key-2"})
+    bench.say(f"after: {sorted(statuses)}, services in use {used}, withdrawn "
+              f"key {status}")
+
+
 async def gone_engine(bench):
     """An engine crashes after the first event of a stream that cannot be
     resumed: the generation is not started again at another engine."""
