gateway: one trial in the fleet of what was quarantined

Four gateways had quarantined a part that crashes engines.

Cause: each gateway ended the quarantine by its own clock and limited trials to one at a time at itself. Besides, a content that was at two of seven crashes excused the part at all of them, and it was not refused at all.

Change: a trial is claimed by a conditional write to the store's object of quarantined content; one request is sent, for all others the quarantine goes on until that request has completed. Claims count as trials, three at most. What was beside a part at some of its crashes only does not excuse it.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -119,10 +119,11 @@
   cv_error_t err = { 0 };
   cv_buf_t head;
 
-  if (!cv_target_admits (x, t, cv_now ()))
+  if (!cv_target_admits (x, t, cv_now ()) || cv_trial_is_needed (x))
     {
-      /* T has said that it is leaving or pauses, or the stream got its first
-         event, while T was reserved.  */
+      /* T has said that it is leaving or pauses, the stream got its first
+         event, or the quarantine of what X holds has ended, while T was
+         reserved.  */
       cv_exchange_release_reservation (x, t);
       cv_exchange_place (x);
       return;
--- a/gateway/content.c
+++ b/gateway/content.c
@@ -5,6 +5,8 @@
 
 #include "gateway/state.h"
 
+/* Retry-After of what may be tried while the store does not answer.  */
+#define TRIAL_RETRY_MS 1000
 /* Longest Retry-After of content that no trial will ever admit.  */
 #define RETRY_AFTER_MAX_S (24 * 3600)
 
@@ -118,7 +120,16 @@
   int64_t left;
 
   if (cv_exchange_content_state (x) != CV_CONTENT_QUARANTINED)
-    return false;
+    {
+      if (!cv_trial_is_needed (x) || cv_trial_is_possible (x))
+        return false;
+      x->gateway->counts.quarantined++;
+      cv_exchange_give_up (x,
+                           "content crashed its targets, and no trial can be "
+                           "claimed",
+                           TRIAL_RETRY_MS);
+      return true;
+    }
   left = cv_suspects_time_left (s, cv_suspects_worst (s, &x->identity, now),
                                 now);
   if (left > RETRY_AFTER_MAX_S)
@@ -159,10 +170,15 @@
 /* The trials of a suspect run one after the other, so that at most one target
    is lost before the outcome is known.  */
 bool
-cv_exchange_must_wait_for_trial (const cv_exchange_t *x)
+cv_exchange_must_wait_for_trial (cv_exchange_t *x)
 {
   const cv_exchange_t *other;
 
+  if (cv_trial_is_needed (x))
+    {
+      cv_trial_request (x);
+      return true;
+    }
   if (cv_exchange_content_state (x) != CV_CONTENT_SUSPECT)
     return false;
   TAILQ_FOREACH (other, &x->gateway->exchanges, entry)
--- a/gateway/evidence.c
+++ b/gateway/evidence.c
@@ -253,6 +253,17 @@
   send_due (e, now);
 }
 
+void
+cv_evidence_claimed (cv_evidence_t *e, const cv_suspect_request_t *r)
+{
+  if (r->content.trial != 0)
+    add_change (e, r->content.hash);
+  for (uint32_t i = 0; i < r->part_count; i++)
+    if (r->parts[i].trial != 0)
+      add_change (e, r->parts[i].hash);
+  send_due (e, cv_now ());
+}
+
 /* Clears what has completed here since the documents of other gateways
    accuse it.  */
 static void
--- a/gateway/evidence.h
+++ b/gateway/evidence.h
@@ -63,10 +63,22 @@
   CV_QUARANTINE_WRITE
 } cv_quarantine_phase_t;
 
+/* The claim of a trial, which is written into the store's object.  */
+typedef struct
+{
+  bool is_active;
+  bool is_in_document; /* of the write in progress */
+  cv_time_t asked_at;
+  cv_time_t next_at;            /* none is made before; the last one failed */
+  cv_suspect_request_t request; /* for which it is made */
+  cv_buf_t document;            /* with the claim, as it is written */
+} cv_trial_t;
+
 /* Reads and writes the store object of quarantined content.  */
 typedef struct
 {
   cv_gateway_t *gateway;
+  cv_trial_t trial;
   cv_quarantine_phase_t phase;
   cv_replica_call_t call;
   cv_time_t next_read_at;
@@ -93,9 +105,9 @@
 cv_content_state_t cv_exchange_content_state (const cv_exchange_t *x);
 /* Ends X if its content is quarantined; false when it was not ended.  */
 bool cv_exchange_refuse_quarantined (cv_exchange_t *x);
-/* Whether a request with the same suspect content, or the same part on trial,
-   is at a target.  */
-bool cv_exchange_must_wait_for_trial (const cv_exchange_t *x);
+/* Whether X waits for its trial to be claimed, or a request with the same
+   suspect content, or the same part on trial, is at a target.  */
+bool cv_exchange_must_wait_for_trial (cv_exchange_t *x);
 /* Whether X, which is to be sent now, runs beside no suspect content.  */
 bool cv_exchange_is_solitary (const cv_exchange_t *x, cv_time_t now);
 /* Whether a suspect request of another content than X is at T.  */
@@ -111,6 +123,8 @@
 /* T has crashed with these requests in flight.  */
 void cv_evidence_crashed (cv_evidence_t *e, const cv_target_t *t,
                           const cv_suspect_request_t *requests, size_t n);
+/* A trial was claimed for what R notes: tells the others.  */
+void cv_evidence_claimed (cv_evidence_t *e, const cv_suspect_request_t *r);
 /* Merges a document of another gateway or of the store; false with ERR when an
    entry is invalid.  */
 bool cv_evidence_merge (cv_evidence_t *e, cv_slice_t document, cv_error_t *err);
@@ -121,9 +135,32 @@
 void cv_quarantine_store_tick (cv_quarantine_store_t *q, cv_time_t now);
 /* What the object should hold has changed: it is read soon, and written.  */
 void cv_quarantine_store_changed (cv_quarantine_store_t *q);
+/* The same, at once.  */
+void cv_quarantine_store_read_now (cv_quarantine_store_t *q);
 /* Whether the object was read, or cannot be read for now.  */
 bool cv_quarantine_store_is_ready (const cv_quarantine_store_t *q);
 
+/* trial.c */
+void cv_trial_init (cv_trial_t *t);
+void cv_trial_finish (cv_trial_t *t);
+/* Whether X has what was quarantined and may be tried, and is not its trial. */
+bool cv_trial_is_needed (const cv_exchange_t *x);
+/* Whether a claim of a trial for X can be expected soon.  */
+bool cv_trial_is_possible (const cv_exchange_t *x);
+/* Has a trial claimed for X, unless another claim is in progress.  */
+void cv_trial_request (cv_exchange_t *x);
+/* Adds the claim in progress, if any, to the table STORED, which is then to be
+   written; ends the claim if another gateway has made one.  */
+void cv_trial_add_claim (cv_quarantine_store_t *q, cv_suspects_t *stored);
+/* DOCUMENT is written now.  */
+void cv_trial_write_begins (cv_trial_t *t, const char *document);
+/* The object with the claim, if it had one, was written.  */
+void cv_trial_written (cv_quarantine_store_t *q);
+/* The object was not written as another gateway has changed it.  */
+void cv_trial_write_conflicts (cv_quarantine_store_t *q);
+/* A call to the store failed.  */
+void cv_trial_store_failed (cv_quarantine_store_t *q);
+
 /* crash.c */
 /* The connection of X ended early: starts to check whether its target has
    crashed, unless the target stops as planned.  Another attempt of X waits for
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -30,6 +30,7 @@
   q->gateway = g;
   q->phase = CV_QUARANTINE_READ;
   q->is_fresh = true;
+  cv_trial_init (&q->trial);
   cv_replica_call_init (&q->call, g->base, &g->store, &g->store_history,
                         on_result, q);
 }
@@ -38,6 +39,14 @@
 cv_quarantine_store_finish (cv_quarantine_store_t *q)
 {
   cv_replica_call_finish (&q->call);
+  cv_trial_finish (&q->trial);
+}
+
+void
+cv_quarantine_store_read_now (cv_quarantine_store_t *q)
+{
+  q->is_fresh = true;
+  q->next_read_at = 0;
 }
 
 void
@@ -112,9 +121,13 @@
   cv_suspects_dump (q->gateway->evidence.suspects, cv_suspects_is_lasting, NULL,
                     &own);
   (void)cv_suspects_merge (stored, cv_slice (cv_buf_text (&own)), NULL);
+  cv_trial_add_claim (q, stored);
   cv_suspects_dump (stored, NULL, NULL, &after);
   if (strcmp (cv_buf_text (&before), cv_buf_text (&after)) != 0)
-    start_write (q, cv_buf_text (&after));
+    {
+      cv_trial_write_begins (&q->trial, cv_buf_text (&after));
+      start_write (q, cv_buf_text (&after));
+    }
   else
     q->failures = 0;
   cv_buf_finish (&before);
@@ -194,6 +207,29 @@
         + (cv_time_t)(backoff * (0.5 + cv_rng_uniform (&q->gateway->rng)));
 }
 
+/* 409 and 404: another gateway has written or the object is gone.  */
+static void
+handle_write (cv_quarantine_store_t *q, unsigned status)
+{
+  switch (status)
+    {
+    case 200:
+    case 201:
+      q->failures = 0;
+      log_written ();
+      cv_trial_written (q);
+      return;
+    case 404:
+    case 409:
+      handle_failure (q);
+      cv_trial_write_conflicts (q);
+      return;
+    default:
+      handle_failure (q);
+      cv_trial_store_failed (q);
+    }
+}
+
 static void
 on_result (void *owner, const cv_http_result_t *r, bool is_outdated)
 {
@@ -204,10 +240,12 @@
   if (is_outdated)
     {
       handle_failure (q);
+      cv_trial_store_failed (q);
       return;
     }
   q->history = q->gateway->store_history.number;
-  q->next_read_at = cv_now () + READ_INTERVAL;
+  if (!q->is_fresh)
+    q->next_read_at = cv_now () + READ_INTERVAL;
   switch (q->phase)
     {
     case CV_QUARANTINE_READ:
@@ -215,20 +253,14 @@
           || !cv_platform_decode_page (r->body, false, &page, &err))
         {
           handle_failure (q);
+          cv_trial_store_failed (q);
           return;
         }
       handle_page (q, &page);
       cv_platform_page_finish (&page);
       return;
     case CV_QUARANTINE_WRITE:
-      /* 409 and 404: another gateway has written or the object is gone.  */
-      if (r->status != 200 && r->status != 201)
-        {
-          handle_failure (q);
-          return;
-        }
-      q->failures = 0;
-      log_written ();
+      handle_write (q, r->status);
       return;
     }
 }
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -95,6 +95,9 @@
 end_for_retry (cv_exchange_t *x, const char *reason, const char *next)
 {
   log_failure (x, reason, next);
+  /* A trial is one request.  */
+  if (x->link != NULL && x->link->open)
+    cv_suspect_request_revoke (&x->identity);
   cv_attempt_stop (x);
   x->from_copy = false;
   if (x->head_sent)
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -233,8 +233,9 @@
 typedef struct
 {
   uint64_t hash;
-  uint32_t seen; /* its cv_suspects_strikes when the attempt was sent, or
-                    CV_SEEN_ALL */
+  uint32_t seen;  /* its cv_suspects_strikes when the attempt was sent, or
+                     CV_SEEN_ALL */
+  uint32_t trial; /* number of the claimed trial that the request is, 0: none */
 } cv_suspect_hash_t;
 
 /* What may have crashed the engine that runs a request: its content, or a part
@@ -267,8 +268,24 @@
    several trials have failed.  */
 cv_content_state_t cv_suspects_state (const cv_suspects_t *s,
                                       uint64_t content_hash, int64_t wall_s);
+/* Whether R has what was quarantined and may be tried: it may be sent once a
+   trial is claimed for it.  */
+bool cv_suspects_trial_is_due (const cv_suspects_t *s,
+                               const cv_suspect_request_t *r, int64_t wall_s);
+/* Claims a trial of all that is due in R, and notes their numbers in R.  Others
+   do not try it then until the quarantine that follows a failed trial is over.
+   A claim holds once the document with it was stored under a condition.  False
+   when nothing is due.  */
+bool cv_suspects_claim_trial (cv_suspects_t *s, cv_suspect_request_t *r,
+                              int64_t wall_s);
+/* Makes R the trial that was claimed for CLAIMED, as far as they have the same
+   content and parts; false when they have none of what was claimed.  */
+bool cv_suspect_request_grant (cv_suspect_request_t *r,
+                               const cv_suspect_request_t *claimed);
+/* R is no trial any longer.  */
+void cv_suspect_request_revoke (cv_suspect_request_t *r);
 /* Lengthens the time until a quarantined part is tried, by the share DELAY in
-   [0, 1), so that not all users of a fleet try it at the same time.  */
+   [0, 1), so that not all users of a fleet claim its trial at the same time. */
 void cv_suspects_set_trial_delay (cv_suspects_t *s, double delay);
 /* Strikes that count at WALL_S.  */
 uint32_t cv_suspects_strikes (const cv_suspects_t *s, uint64_t content_hash,
@@ -277,7 +294,7 @@
    or may be tried, INT64_MAX: until it is cleared.  */
 int64_t cv_suspects_time_left (const cv_suspects_t *s, uint64_t content_hash,
                                int64_t wall_s);
-/* Unix time of the newest strike that counts, 0: none.  */
+/* Unix time of the newest strike or claim of a trial, 0: no strike counts.  */
 int64_t cv_suspects_newest (const cv_suspects_t *s, uint64_t content_hash);
 /* Number of entries, and the hash of entry I; cleared ones included.  */
 size_t cv_suspects_count (const cv_suspects_t *s);
--- a/policy/suspects.c
+++ b/policy/suspects.c
@@ -14,28 +14,11 @@
 
 #include "policy/suspects_table.h"
 
-/* Time for which a first strike counts.  Quarantined content is admitted for
-   one trial after this time, and after twice as long for each further crash. */
-#define STRIKE_LIFETIME_S (6 * 3600)
-/* A part that sound requests share is missed more than one content, and the
-   evidence on it is less certain: it is tried sooner, at each gateway after
-   another time within twice this.  */
-static const int64_t part_lifetime_s[] = { 3, 30, 600 };
-#define PART_TRIALS (sizeof part_lifetime_s / sizeof *part_lifetime_s)
-/* Failed trials after which only an operator lifts a quarantine.  */
-#define TRIALS_MAX 4
-
-static int64_t newest_time (const cv_suspect_t *e);
-static bool is_part (const cv_suspect_t *e);
-static uint32_t count_trials (const cv_suspect_t *e);
-static int64_t part_lifetime (const cv_suspects_t *s, const cv_suspect_t *e);
-static int64_t strike_lifetime (const cv_suspects_t *s, const cv_suspect_t *e,
-                                uint32_t strikes);
 static bool was_always_beside (const cv_suspect_t *e, uint64_t companion);
 static bool has_companions (const cv_suspects_t *s, const cv_suspect_t *e,
                             const cv_suspect_request_t *r, int64_t wall_s);
 static cv_content_state_t state_in_request (const cv_suspects_t *s,
-                                            uint64_t hash,
+                                            const cv_suspect_hash_t *h,
                                             const cv_suspect_request_t *r,
                                             int64_t wall_s);
 static cv_content_state_t find_worst (const cv_suspects_t *s,
@@ -68,79 +51,6 @@
   return i == CV_MAP_NONE ? NULL : &s->entries[i];
 }
 
-static int64_t
-newest_time (const cv_suspect_t *e)
-{
-  int64_t newest = 0;
-
-  for (int i = 0; i < STRIKES_KEPT; i++)
-    if (e->strike[i].wall_s > newest)
-      newest = e->strike[i].wall_s;
-  return newest;
-}
-
-static bool
-is_part (const cv_suspect_t *e)
-{
-  for (int i = 0; i < KNOWN_KEPT; i++)
-    if (e->strike[i].source != 0)
-      return true;
-  return false;
-}
-
-/* Trials of the part E that failed: strikes after a time without any.  Many
-   strikes within a short time are no trials, and do not delay the first one. */
-static uint32_t
-count_trials (const cv_suspect_t *e)
-{
-  uint32_t trials = 0;
-
-  for (int i = 0; i < STRIKES_KEPT; i++)
-    {
-      int64_t previous = 0;
-
-      for (int k = 0; k < STRIKES_KEPT; k++)
-        if (e->strike[k].wall_s < e->strike[i].wall_s && cv_strike_counts (e, k)
-            && e->strike[k].wall_s > previous)
-          previous = e->strike[k].wall_s;
-      trials += cv_strike_counts (e, i) && previous > 0
-                && e->strike[i].wall_s - previous >= part_lifetime_s[0];
-    }
-  return trials;
-}
-
-/* Time for which the part E is quarantined since the last strike.  */
-static int64_t
-part_lifetime (const cv_suspects_t *s, const cv_suspect_t *e)
-{
-  uint32_t trials = count_trials (e);
-
-  if (trials < PART_TRIALS)
-    return (int64_t)(part_lifetime_s[trials] * (1 + s->trial_delay));
-  return trials < TRIALS_MAX ? STRIKE_LIFETIME_S : INT64_MAX;
-}
-
-/* Time for which E, which has STRIKES, is suspect or quarantined since the last
-   one.  */
-static int64_t
-strike_lifetime (const cv_suspects_t *s, const cv_suspect_t *e,
-                 uint32_t strikes)
-{
-  if (strikes < CV_SUSPECT_STRIKES)
-    return STRIKE_LIFETIME_S;
-  if (is_part (e))
-    return part_lifetime (s, e);
-  if (strikes >= STRIKE_LEVELS)
-    return INT64_MAX;
-  return (int64_t)STRIKE_LIFETIME_S << (strikes - CV_SUSPECT_STRIKES);
-}
-
-void
-cv_suspects_set_trial_delay (cv_suspects_t *s, double delay)
-{
-  s->trial_delay = delay;
-}
-
 uint32_t
 cv_suspects_strikes (const cv_suspects_t *s, uint64_t content_hash,
                      int64_t wall_s)
@@ -149,7 +59,8 @@
   uint32_t n = e == NULL ? 0 : cv_suspect_count_strikes (e);
 
   return n < CV_SUSPECT_STRIKES && n > 0
-                 && wall_s - newest_time (e) >= strike_lifetime (s, e, n)
+                 && wall_s - cv_suspect_newest_time (e)
+                        >= cv_suspect_lifetime (s, e, n)
              ? 0
              : n;
 }
@@ -179,13 +90,13 @@
   return false;
 }
 
-/* Whether COMPANION was beside the part E at all strikes that count and tell
-   what was.  */
+/* Whether COMPANION was beside the part E at all strikes that tell what was:
+   also at those that do not count, as what was not there explains none.  */
 static bool
 was_always_beside (const cv_suspect_t *e, uint64_t companion)
 {
   for (int i = 0; i < STRIKES_KEPT; i++)
-    if (cv_strike_counts (e, i) && !e->strike[i].is_common
+    if (cv_strike_is_current (e, i) && !e->strike[i].is_common
         && !cv_suspect_was_beside (e, i, companion))
       return false;
   return true;
@@ -215,15 +126,24 @@
   return telling >= CV_SUSPECT_STRIKES;
 }
 
-/* The state of HASH, the content or a part of R, in R.  */
+bool
+cv_suspect_accuses (const cv_suspects_t *s, uint64_t hash,
+                    const cv_suspect_request_t *r, int64_t wall_s)
+{
+  return hash == r->content.hash
+         || has_companions (s, cv_suspect_find (s, hash), r, wall_s);
+}
+
+/* The state of H, the content or a part of R, in R.  */
 static cv_content_state_t
-state_in_request (const cv_suspects_t *s, uint64_t hash,
+state_in_request (const cv_suspects_t *s, const cv_suspect_hash_t *h,
                   const cv_suspect_request_t *r, int64_t wall_s)
 {
-  cv_content_state_t state = cv_suspects_state (s, hash, wall_s);
+  cv_content_state_t state = cv_suspects_state (s, h->hash, wall_s);
 
-  if (state == CV_CONTENT_QUARANTINED && hash != r->content.hash
-      && !has_companions (s, cv_suspect_find (s, hash), r, wall_s))
+  if (state == CV_CONTENT_QUARANTINED
+      && (cv_suspect_is_granted (cv_suspect_find (s, h->hash), h)
+          || !cv_suspect_accuses (s, h->hash, r, wall_s)))
     return CV_CONTENT_SUSPECT;
   return state;
 }
@@ -233,13 +153,13 @@
 find_worst (const cv_suspects_t *s, const cv_suspect_request_t *r,
             int64_t wall_s, uint64_t *out)
 {
-  cv_content_state_t worst = state_in_request (s, r->content.hash, r, wall_s);
+  cv_content_state_t worst = state_in_request (s, &r->content, r, wall_s);
 
   *out = r->content.hash;
   for (uint32_t i = 0; i < r->part_count; i++)
     {
       uint64_t hash = r->parts[i].hash;
-      cv_content_state_t state = state_in_request (s, hash, r, wall_s);
+      cv_content_state_t state = state_in_request (s, &r->parts[i], r, wall_s);
 
       if (state < worst
           || (state == worst
@@ -282,8 +202,8 @@
 
   if (n == 0)
     return 0;
-  lifetime = strike_lifetime (s, e, n);
-  age = wall_s - newest_time (e);
+  lifetime = cv_suspect_lifetime (s, e, n);
+  age = wall_s - cv_suspect_newest_time (e);
   return age >= lifetime         ? 0
          : lifetime == INT64_MAX ? lifetime
                                  : lifetime - age;
@@ -294,7 +214,9 @@
 {
   const cv_suspect_t *e = cv_suspect_find (s, content_hash);
 
-  return e == NULL || cv_suspect_count_strikes (e) == 0 ? 0 : newest_time (e);
+  return e == NULL || cv_suspect_count_strikes (e) == 0
+             ? 0
+             : cv_suspect_newest_time (e);
 }
 
 size_t
@@ -321,8 +243,8 @@
 
   if (n != m)
     return n < m;
-  if (newest_time (a) != newest_time (b))
-    return newest_time (a) < newest_time (b);
+  if (cv_suspect_newest_time (a) != cv_suspect_newest_time (b))
+    return cv_suspect_newest_time (a) < cv_suspect_newest_time (b);
   return a->hash < b->hash;
 }
 
@@ -365,7 +287,7 @@
 
   if (i == CV_MAP_NONE)
     return;
-  s->entries[i].cleared = newest_time (&s->entries[i]);
+  s->entries[i].cleared = cv_suspect_newest_time (&s->entries[i]);
   cv_suspect_count (&s->entries[i]);
   cv_suspects_count_named (s);
 }
--- a/policy/suspects_document.c
+++ b/policy/suspects_document.c
@@ -23,6 +23,7 @@
 static bool find_list (json_object *item, const char *key, size_t n,
                        json_object **out);
 static bool parse_strikes (json_object *item, cv_suspect_t *e);
+static bool parse_claim (json_object *item, cv_trial_claim_t *claim);
 static bool parse_entry (json_object *item, cv_suspect_t *e);
 
 static int
@@ -116,6 +117,9 @@
         dump_companions (&sorted[i], i > 0, out);
       cv_buf_printf (out, "]");
     }
+  if (e->claim.wall_s > e->cleared)
+    cv_buf_printf (out, ",\"trial\":[%" PRIu32 ",%" PRId64 "]", e->claim.number,
+                   e->claim.wall_s);
   cv_buf_printf (out, ",\"cleared\":%" PRId64 "}", e->cleared);
 }
 
@@ -241,6 +245,22 @@
   return true;
 }
 
+/* The number and the time of the newest claim; there may be none.  */
+static bool
+parse_claim (json_object *item, cv_trial_claim_t *claim)
+{
+  json_object *list = NULL;
+
+  if (!find_list (item, "trial", 2, &list))
+    return false;
+  if (list == NULL)
+    return true;
+  claim->number
+      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (list, 0));
+  claim->wall_s = json_object_get_int64 (json_object_array_get_idx (list, 1));
+  return true;
+}
+
 static bool
 parse_entry (json_object *item, cv_suspect_t *e)
 {
@@ -251,7 +271,7 @@
   if (!json_object_object_get_ex (item, "hash", &hash)
       || !parse_hash (hash, &e->hash)
       || !json_object_object_get_ex (item, "cleared", &cleared)
-      || !parse_strikes (item, e))
+      || !parse_strikes (item, e) || !parse_claim (item, &e->claim))
     return false;
   e->cleared = json_object_get_int64 (cleared);
   cv_suspect_count (e);
--- a/policy/suspects_strike.c
+++ b/policy/suspects_strike.c
@@ -476,6 +476,7 @@
   e = cv_suspect_get (s, from->hash);
   for (int i = 0; i < STRIKES_KEPT; i++)
     cv_suspect_add (e, from->strike[i]);
+  cv_suspect_join_claim (e, from->claim);
   if (from->cleared > e->cleared)
     e->cleared = from->cleared;
   cv_suspect_count (e);
--- a/policy/suspects_table.h
+++ b/policy/suspects_table.h
@@ -39,13 +39,21 @@
   bool is_common;   /* there were more, in several requests */
 } cv_strike_t;
 
+/* The newest claim of a trial.  */
+typedef struct
+{
+  uint32_t number; /* of the claims so far, 0: none */
+  int64_t wall_s;
+} cv_trial_claim_t;
+
 typedef struct
 {
   uint64_t hash;
   /* By level, of each the newest first; those with CV_SEEN_ALL last.  */
   cv_strike_t strike[STRIKES_KEPT];
-  int64_t cleared; /* time of the newest cleared strike, seconds; strikes up
-                      to then do not count */
+  cv_trial_claim_t claim;
+  int64_t cleared; /* time of the newest cleared strike or claim, seconds;
+                      those up to then do not count */
   /* Derived: NAMED_COUNT by cv_suspects_count_named, the others by
      cv_suspect_count.  */
   uint32_t counted;     /* strikes that count, a bit each */
@@ -67,12 +75,28 @@
 /* Finds or makes the entry of HASH, replacing the least important one in a full
    table.  */
 cv_suspect_t *cv_suspect_get (cv_suspects_t *s, uint64_t hash);
+/* Whether a quarantine of HASH, the content or a part of R, holds in R.  */
+bool cv_suspect_accuses (const cv_suspects_t *s, uint64_t hash,
+                         const cv_suspect_request_t *r, int64_t wall_s);
 /* Order in which entries are replaced when the table is full.  */
 bool cv_suspect_is_less_important (const cv_suspect_t *a,
                                    const cv_suspect_t *b);
 uint32_t cv_suspect_least_important (const cv_suspects_t *s);
 bool cv_suspect_has_hash (const uint64_t *hashes, uint32_t n, uint64_t hash);
 
+/* suspects_trial.c */
+/* Time of the newest strike or claim of E, seconds; 0: none.  */
+int64_t cv_suspect_newest_time (const cv_suspect_t *e);
+/* Seconds for which E, which has STRIKES, is suspect or quarantined since
+   then.  */
+int64_t cv_suspect_lifetime (const cv_suspects_t *s, const cv_suspect_t *e,
+                             uint32_t strikes);
+/* Keeps the newer claim of E and OTHER.  */
+void cv_suspect_join_claim (cv_suspect_t *e, cv_trial_claim_t other);
+/* Whether H is in a request that was granted the newest claim of E, and no
+   crash has been added since.  */
+bool cv_suspect_is_granted (const cv_suspect_t *e, const cv_suspect_hash_t *h);
+
 /* suspects_count.c */
 /* Whether strike I has not been cleared.  */
 bool cv_strike_is_current (const cv_suspect_t *e, int i);
--- a/policy/tests/crash_model_test.cc
+++ b/policy/tests/crash_model_test.cc
@@ -106,8 +106,8 @@
     std::vector<cv_suspect_hash_t> hashes;
 
     for (uint64_t part : parts)
-      hashes.push_back ({ part, 0 });
-    return requests.make ({ content, 0 }, hashes);
+      hashes.push_back ({ part, 0, 0 });
+    return requests.make ({ content, 0, 0 }, hashes);
   }
 
   void
--- a/policy/tests/script_test.cc
+++ b/policy/tests/script_test.cc
@@ -388,7 +388,7 @@
                       ? CV_SEEN_ALL
                       : (uint32_t)std::stoul (w[i].substr (slash + 1));
 
-            contents.push_back ({ { std::stoull (w[i]), seen }, {}, 0 });
+            contents.push_back ({ { std::stoull (w[i]), seen, 0 }, {}, 0 });
           }
         cv_suspects_strike (suspects, contents.data (), contents.size (),
                             std::stol (w[1]), ++deaths);
--- a/policy/tests/suspects_test.cc
+++ b/policy/tests/suspects_test.cc
@@ -26,7 +26,7 @@
   void
   strike (uint64_t hash, uint32_t seen, int64_t wall_s, uint64_t crash)
   {
-    cv_suspect_request_t content = { { hash, seen }, {}, 0 };
+    cv_suspect_request_t content = { { hash, seen, 0 }, {}, 0 };
 
     cv_suspects_strike (table, &content, 1, wall_s, crash);
   }
@@ -82,7 +82,7 @@
   strike (7, 1, kNow + 1, 2);
   for (uint64_t i = 0; i < 1024; i++)
     {
-      cv_suspect_request_t content = { { 1000 + i, 0 }, {}, 0 };
+      cv_suspect_request_t content = { { 1000 + i, 0, 0 }, {}, 0 };
 
       cv_suspects_strike (other, &content, 1, kNow + 2, 100 + i);
     }
@@ -105,7 +105,7 @@
       for (int k = 0; k < 30; k++)
         {
           cv_suspect_request_t content
-              = { { random () % 8, (uint32_t)(random () % 9) }, {}, 0 };
+              = { { random () % 8, (uint32_t)(random () % 9), 0 }, {}, 0 };
 
           if (content.content.seen == 8)
             content.content.seen = CV_SEEN_ALL;
@@ -166,7 +166,7 @@
   cv_suspect_hash_t
   seen (uint64_t hash)
   {
-    return { hash, cv_suspects_strikes (table, hash, kNow) };
+    return { hash, cv_suspects_strikes (table, hash, kNow), 0 };
   }
 
   void
@@ -353,6 +353,147 @@
   EXPECT_EQ (CV_CONTENT_SUSPECT, state (102, { 1, 3 }));
 }
 
+/* A bad request was sent twice, beside others, and a crash without it went
+   unnoticed as another one of the same time counted.  */
+TEST_F (Parts, AContentThatWasNotAtAllCrashesExplainsNone)
+{
+  cv_suspect_request_t first = request (101, { 9 });
+  cv_suspect_request_t second = request (102, { 9 });
+  cv_suspect_request_t third = request (103, { 9 });
+
+  crash ({ first });
+  crash ({ second, third });
+  crash ({ request (101, { 9 }), request (102, { 9 }) });
+  crash ({ request (103, { 9 }), request (102, { 9 }) });
+  EXPECT_EQ (CV_CONTENT_QUARANTINED, state (200, { 9 }));
+}
+
+/* Trials of the part 9, which two crashes have quarantined at two gateways.  */
+class Trials : public Parts
+{
+protected:
+  Trials () : other (cv_suspects_new ())
+  {
+    crash ({ request (101, { 9 }) });
+    crash ({ request (102, { 9 }) });
+    tell ();
+  }
+  ~Trials () override { cv_suspects_free (other); }
+
+  void
+  tell ()
+  {
+    std::string text = dump (table);
+
+    ASSERT_TRUE (
+        cv_suspects_merge (other, { text.data (), text.size () }, nullptr));
+  }
+
+  bool
+  is_due (const cv_suspects_t *t, int64_t wall_s)
+  {
+    cv_suspect_request_t r = request (200, { 9 });
+
+    return cv_suspects_trial_is_due (t, &r, wall_s);
+  }
+
+  /* Claims a trial in the table, at WALL_S of its gateway's clock.  */
+  cv_suspect_request_t
+  claim (int64_t wall_s)
+  {
+    cv_suspect_request_t r = request (200, { 9 });
+
+    EXPECT_TRUE (cv_suspects_claim_trial (table, &r, wall_s));
+    return r;
+  }
+
+  cv_suspects_t *other;
+};
+
+TEST_F (Trials, AreDueAfterTheQuarantine)
+{
+  EXPECT_FALSE (is_due (table, kNow + 2));
+  EXPECT_TRUE (is_due (table, kNow + 3));
+}
+
+TEST_F (Trials, AClaimKeepsOthersFromTrying)
+{
+  cv_suspect_request_t mine = claim (kNow + 4);
+  cv_suspect_request_t another = request (201, { 9 });
+
+  tell ();
+  EXPECT_FALSE (is_due (other, kNow + 4));
+  EXPECT_EQ (CV_CONTENT_QUARANTINED,
+             cv_suspects_request_state (other, &another, kNow + 33));
+  EXPECT_TRUE (is_due (other, kNow + 34));
+  EXPECT_EQ (CV_CONTENT_SUSPECT,
+             cv_suspects_request_state (table, &mine, kNow + 4));
+  EXPECT_EQ (CV_CONTENT_QUARANTINED,
+             cv_suspects_request_state (table, &another, kNow + 4));
+}
+
+TEST_F (Trials, AClaimIsGrantedToARequestWithTheSamePart)
+{
+  cv_suspect_request_t mine = claim (kNow + 4);
+  cv_suspect_request_t another = request (201, { 5, 9 });
+  cv_suspect_request_t none = request (202, { 5 });
+
+  EXPECT_FALSE (cv_suspect_request_grant (&none, &mine));
+  EXPECT_TRUE (cv_suspect_request_grant (&another, &mine));
+  EXPECT_EQ (CV_CONTENT_SUSPECT,
+             cv_suspects_request_state (table, &another, kNow + 4));
+  cv_suspect_request_revoke (&another);
+  EXPECT_EQ (CV_CONTENT_QUARANTINED,
+             cv_suspects_request_state (table, &another, kNow + 4));
+}
+
+TEST_F (Trials, ACrashEndsTheGrant)
+{
+  cv_suspect_request_t mine = claim (kNow + 4);
+
+  cv_suspects_strike (table, &mine, 1, kNow + 5, ++crashes);
+  EXPECT_EQ (CV_CONTENT_QUARANTINED,
+             cv_suspects_request_state (table, &mine, kNow + 5));
+}
+
+/* More than three requests with a bad part may not reach targets.  */
+TEST_F (Trials, EndAfterThree)
+{
+  int64_t now = kNow;
+
+  for (int64_t lifetime : { 3, 30, 600 })
+    {
+      EXPECT_FALSE (is_due (table, now + lifetime - 1));
+      now += lifetime;
+      (void)claim (now);
+    }
+  EXPECT_FALSE (is_due (table, now + 365 * 86400));
+}
+
+TEST_F (Trials, ACompletionEndsTheClaim)
+{
+  (void)claim (kNow + 4);
+  cv_suspects_clear (table, 9);
+  tell ();
+  EXPECT_EQ (0u, cv_suspects_strikes (other, 9, kNow + 4));
+  crash ({ request (301, { 9 }) });
+  cv_suspect_request_t r = request (302, { 9 });
+  cv_suspects_strike (table, &r, 1, kNow + 6, ++crashes);
+  EXPECT_TRUE (is_due (table, kNow + 9));
+}
+
+/* The clock of the gateway that claims is behind those of the former one.  */
+TEST_F (Trials, AClaimFollowsTheFormerOneWhateverTheClock)
+{
+  (void)claim (kNow + 1000);
+  tell ();
+  cv_suspect_request_t r = request (200, { 9 });
+  EXPECT_FALSE (is_due (table, kNow + 20));
+  EXPECT_TRUE (cv_suspects_claim_trial (table, &r, kNow + 1030));
+  tell ();
+  EXPECT_FALSE (is_due (other, kNow + 1030 + 599));
+}
+
 /* Each bad request has many parts that no other has: they told nothing of any
    of them.  */
 TEST_F (Parts, TwoLongPromptsQuarantineTheirCommonPart)
@@ -462,8 +603,8 @@
     std::vector<cv_suspect_hash_t> hashes;
 
     for (uint64_t part : parts)
-      hashes.push_back ({ part, cv_suspects_strikes (t, part, kNow) });
-    return made.make ({ content, cv_suspects_strikes (t, content, kNow) },
+      hashes.push_back ({ part, cv_suspects_strikes (t, part, kNow), 0 });
+    return made.make ({ content, cv_suspects_strikes (t, content, kNow), 0 },
                       hashes);
   }
 
--- a/tests/gateway/crash_scenarios.py
+++ b/tests/gateway/crash_scenarios.py
@@ -443,6 +443,86 @@
         lambda i: (*(f"d{30 * i + k:x}" for k in range(30)), "bad"))
 
 
+async def quarantine_part(bench, bad_parts):
+    """Five gateways, and a part that has crashed engines and is quarantined."""
+    fleet = Fleet(bench, 5)
+    await fleet.add_targets(9, "model", crash_on_part(fleet, bad_parts))
+    await fleet.start()
+    await send_to_all(fleet, 100, 2)
+    return fleet
+
+
+async def send_to_all(fleet, number, times=1, gap_s=0):
+    """Send requests with the part "bad" at each gateway, GAP_S apart; return
+    their statuses."""
+    tasks = []
+    for i in range(times):
+        for k, gateway in enumerate(fleet.gateways):
+            method, path, body, headers = part_request(
+                number + 10 * i + k, ("a1", "bad"))
+            tasks.append(asyncio.ensure_future(
+                fleet.send(gateway, method, path, body, **headers)))
+            await asyncio.sleep(gap_s)
+    return [status for status, _ in await asyncio.gather(*tasks)]
+
+
+def bad_arrivals(fleet, since):
+    return sum(part == "bad" and at > since for at, part in fleet.arrivals)
+
+
+async def trial_of_several_gateways(bench):
+    """The quarantine of a part ends, and a request with it comes to each gateway
+    before its target can crash: each gateway tried it by itself."""
+    fleet = await quarantine_part(bench, {"bad"})
+    # The quarantine lasts 3 to 6 s.
+    await asyncio.sleep(7)
+    since = time.monotonic()
+    statuses = await send_to_all(fleet, 200, gap_s=0.02)
+    bench.say(f"one request reaches a target: "
+              f"{bad_arrivals(fleet, since) == 1}, the others get 503: "
+              f"{statuses.count(503) == 4}")
+    # The next trial comes after 30 s at the earliest.
+    await asyncio.sleep(7)
+    since = time.monotonic()
+    statuses = await send_to_all(fleet, 300)
+    bench.say(f"then none: {bad_arrivals(fleet, since) == 0}, {set(statuses)}")
+
+
+async def trial_that_completes(bench):
+    """A part that crashes nothing any longer is tried once, and then served by
+    all gateways."""
+    bad_parts = {"bad"}
+    fleet = await quarantine_part(bench, bad_parts)
+    await asyncio.sleep(7)
+    bad_parts.clear()
+    statuses = await send_to_all(fleet, 200, gap_s=0.02)
+    bench.say(f"one is served: {statuses.count(200) == 1}, the others get 503: "
+              f"{statuses.count(503) == 4}")
+    await asyncio.sleep(0.5)
+    bench.say(f"then all: {await send_to_all(fleet, 300)}")
+
+
+async def trial_without_the_store(bench):
+    """No trial can be claimed while the store does not answer: requests are
+    refused at once, and one is tried when it is back."""
+    fleet = await quarantine_part(bench, {"bad"})
+    await fleet.until_written()
+    await asyncio.sleep(4)
+    bench.store.silent = True
+    bench.store.drop_connections()
+    await asyncio.sleep(3)
+    since = time.monotonic()
+    statuses = await send_to_all(fleet, 200)
+    bench.say(f"without the store: {bad_arrivals(fleet, since)} at a target, "
+              f"{set(statuses)}, within 1 s {time.monotonic() - since < 1}")
+    bench.store.silent = False
+    bench.store.drop_connections()
+    await asyncio.sleep(3)
+    since = time.monotonic()
+    await send_to_all(fleet, 300)
+    bench.say(f"with it: {bad_arrivals(fleet, since)}")
+
+
 async def crashed_targets_are_avoided(bench):
     """Five of six targets have just crashed, and the gateway knows it: requests
     go to the sixth at the first attempt.  The others start again 1.2 s later."""
