gateway: the word of a leaving target comes in time after a lost call

Reproduced in another way: the reader of the instances ends just before it could read the change, and the next call of each other gateway gets no answer.

Cause: no sum of the steps was kept below the bound: 1.35 s of silence, 0.6 s for the lost call, 0.1 s of backoff. An answer that reached the reader late was taken as new by the others. A call that had failed before the last page counted as a failure of the next silence, which doubled its time-out.

Change: 1.12 to 1.22 s of silence, 0.35 s without a byte for the first call after it, 20 ms until the next; pages tell their lateness and end the count of failures. A watch waits for 0.76 s instead of 0.8. Bytes of an answer put off the time-out of a call, so that a long one is not cut.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -20,12 +20,19 @@
 #define BEHIND_MAX CV_SECOND
 /* Gateways that have all learnt of the same change ask within this time.  */
 #define ASK_NOW_SPREAD (50 * CV_MS)
-/* Timeout of a call beyond its long-poll time; a slow store takes about
-   300 ms.  */
+/* Time without a byte of the answer, beyond the call's long-poll time; a slow
+   store takes about 300 ms.  */
 #define STORE_CALL_TIMEOUT (600 * CV_MS)
+/* The same for the first call after a silence of the reader: another one is to
+   be answered in time.  */
+#define FIRST_ASK_TIMEOUT (350 * CV_MS)
+/* A smaller delay of an answer is not worth telling.  */
+#define LATE_MIN (50 * CV_MS)
 /* Backoff after a failed call, doubled up to the maximum.  */
 #define BACKOFF_FIRST (100 * CV_MS)
 #define BACKOFF_MAX (800 * CV_MS)
+/* After one call without an answer, which may have been lost on the way.  */
+#define LOST_CALL_BACKOFF (20 * CV_MS)
 /* A removal within this time after an outage of the store may be an entry that
    expired during the outage.  */
 #define EXPIRY_WINDOW (2500 * CV_MS)
@@ -71,6 +78,13 @@
   cv_line_end (&l);
 }
 
+static cv_time_t
+first_byte_timeout (const cv_watcher_t *w, bool watch)
+{
+  return watch && w->failures == 0 && !w->reader.is_reader ? FIRST_ASK_TIMEOUT
+                                                           : STORE_CALL_TIMEOUT;
+}
+
 static void
 start_call (cv_watcher_t *w)
 {
@@ -84,13 +98,15 @@
     poll_ms = POLL_AFTER_FAILURE_MS;
   w->call_revision = w->revision;
   w->called_at = cv_now ();
+  w->call_wait = watch ? poll_ms * CV_MS : 0;
   cv_buf_init (&path);
   if (watch)
     cv_platform_watch_path (&path, w->kind, w->revision, poll_ms);
   else
     cv_platform_list_path (&path, w->kind, w->list_cursor);
   request.path = cv_buf_text (&path);
-  request.timeout = STORE_CALL_TIMEOUT + (watch ? poll_ms * CV_MS : 0);
+  request.timeout = first_byte_timeout (w, watch) + w->call_wait;
+  request.progress_timeout = STORE_CALL_TIMEOUT;
   cv_replica_call_start (&w->call, &request);
   cv_buf_finish (&path);
 }
@@ -103,9 +119,9 @@
   w->list_cursor[0] = '\0';
 }
 
-/* Schedules a retry of a failed call.  */
+/* Schedules a retry of a failed call, which had an answer if IS_ANSWERED.  */
 static void
-handle_failure (cv_watcher_t *w, const char *reason)
+handle_failure (cv_watcher_t *w, const char *reason, bool is_answered)
 {
   cv_time_t now = cv_now ();
   cv_time_t backoff = BACKOFF_FIRST << (w->failures < 3 ? w->failures : 3);
@@ -121,6 +137,8 @@
     }
   if (backoff > BACKOFF_MAX)
     backoff = BACKOFF_MAX;
+  if (w->failures == 1 && !is_answered)
+    backoff = LOST_CALL_BACKOFF;
   w->next_call
       = now + backoff / 2
         + (cv_time_t)((double)backoff / 2 * cv_rng_uniform (&w->gateway->rng));
@@ -396,6 +414,22 @@
     start_call (w);
 }
 
+/* Notes by how much the answer to W's call took longer than answers do: the
+   store may have given it so long ago.  */
+static void
+note_lateness (cv_watcher_t *w, cv_time_t now)
+{
+  cv_time_t delay = now - w->called_at - w->call_wait;
+
+  if (delay < 0)
+    delay = 0;
+  w->late = delay > w->usual_delay + LATE_MIN ? delay - w->usual_delay : 0;
+  if (delay < w->usual_delay)
+    w->usual_delay = delay;
+  else
+    w->usual_delay += (delay - w->usual_delay) / 4;
+}
+
 static void
 on_result (void *owner, const cv_http_result_t *r, bool is_outdated)
 {
@@ -409,7 +443,7 @@
       if (is_watch)
         cv_pages_send_era (w);
       restart_list (w);
-      handle_failure (w, "answer of another era");
+      handle_failure (w, "answer of another era", true);
       if (w->failures == 1)
         w->next_call = 0;
       return;
@@ -420,12 +454,12 @@
       /* Changes that exceed the limit together fit into the pages of a list. */
       if (r->is_too_long)
         restart_list (w);
-      handle_failure (w, r->failure);
+      handle_failure (w, r->failure, r->is_too_long);
       return;
     case 200:
       if (!apply_page (w, r->body, &err))
         {
-          handle_failure (w, err.text);
+          handle_failure (w, err.text, true);
           return;
         }
       break;
@@ -435,10 +469,12 @@
       break;
     default:
       /* "refuses" means any other status.  */
-      handle_failure (w, r->status == 429 ? "rate limit exceeded" : "refuses");
+      handle_failure (w, r->status == 429 ? "rate limit exceeded" : "refuses",
+                      true);
       return;
     }
   handle_success (w);
+  note_lateness (w, cv_now ());
   if (w->phase == CV_WATCHER_WATCH)
     w->known_as_of = w->called_at;
   if (is_watch && w->phase == CV_WATCHER_WATCH && w->reader.is_reader)
--- a/gateway/follow.h
+++ b/gateway/follow.h
@@ -52,6 +52,9 @@
   cv_time_t reachable_since; /* end of the last outage; 0: none yet */
   cv_time_t confirmed_at;    /* last answer, its own or another gateway's */
   cv_time_t called_at;       /* start of the last call */
+  cv_time_t call_wait;       /* for which it waits for changes */
+  cv_time_t usual_delay;     /* of answers, beyond that */
+  cv_time_t late;            /* by which the last answer took longer */
   cv_time_t known_as_of;     /* start of the last call that left nothing to be
                                 read; 0: none */
   uint32_t failures;         /* in a row */
--- a/gateway/pages.c
+++ b/gateway/pages.c
@@ -65,7 +65,8 @@
       = { .u.page = { .from = w->call_revision,
                       .to = w->page_revision,
                       .may_have_expired = cv_watcher_may_have_expired (w),
-                      .body = { "", 0 } } };
+                      .body = { "", 0 },
+                      .late_ms = (uint64_t)(w->late / CV_MS) } };
 
   if (cv_now () - w->gateway->last_tick_at > CV_STALL_MAX)
     return;
@@ -102,6 +103,7 @@
 {
   cv_watcher_t *w = watcher_of (g, m->kind);
   cv_time_t now = cv_now ();
+  cv_time_t late;
   bool has_gap;
 
   if (now - g->last_tick_at > CV_STALL_MAX)
@@ -116,7 +118,8 @@
       cv_watcher_ask_now (w, now);
       return true;
     }
-  if (!cv_reader_heard (&w->reader, cv_pages_rank (w, from), now))
+  late = (cv_time_t)m->late_ms * CV_MS;
+  if (!cv_reader_heard (&w->reader, cv_pages_rank (w, from), late, now))
     return true;
   if (m->to > w->revision && !cv_watcher_apply_heard (w, m, err))
     {
@@ -125,6 +128,8 @@
       return false;
     }
   g->counts.pages_heard++;
-  w->confirmed_at = now;
+  /* A call that failed before has no part in the next silence.  */
+  w->failures = 0;
+  w->confirmed_at = now - late;
   return true;
 }
--- a/http/call.c
+++ b/http/call.c
@@ -6,6 +6,9 @@
 #include "http/call.h"
 
 #define SCHEME "http://"
+/* Longest time for which bytes of a response put off the deadline of its
+   call.  */
+#define PROGRESS_MAX (10 * CV_SECOND)
 
 static void on_link_event (void *owner, const cv_http_link_event_t *event);
 static void on_idle_event (void *owner, const cv_http_link_event_t *event);
@@ -72,6 +75,19 @@
   end_failed (c, &(cv_http_result_t){ .failure = failure });
 }
 
+static void
+put_off_deadline (cv_http_call_t *c)
+{
+  cv_time_t deadline = cv_now () + c->progress_timeout;
+
+  if (c->progress_timeout == 0)
+    return;
+  if (deadline > c->last_deadline)
+    deadline = c->last_deadline;
+  if (deadline > c->deadline)
+    c->deadline = deadline;
+}
+
 /* A faulty server may send a body without end.  */
 static void
 add_body (cv_http_call_t *c, cv_slice_t data)
@@ -99,6 +115,8 @@
   c->busy = true;
   c->calls++;
   c->deadline = cv_now () + timeout;
+  c->last_deadline = c->deadline + PROGRESS_MAX;
+  c->progress_timeout = 0;
   cv_buf_reset (&c->body);
   if (c->link == NULL)
     c->link = cv_http_link_open (c->base, &c->address, &err);
@@ -152,8 +170,10 @@
   switch (event->kind)
     {
     case CV_LINK_HEAD:
+      put_off_deadline (c);
       return;
     case CV_LINK_BODY:
+      put_off_deadline (c);
       add_body (c, event->u.body);
       return;
     case CV_LINK_DONE:
--- a/http/call.h
+++ b/http/call.h
@@ -32,8 +32,11 @@
   cv_buf_t body;
   size_t body_max; /* bytes */
   bool busy;
-  cv_time_t deadline; /* the call fails at this time */
-  uint64_t calls;     /* number of calls started */
+  cv_time_t deadline;         /* the call fails at this time */
+  cv_time_t progress_timeout; /* time between bytes of a response, by which the
+                                 deadline is put off; 0: it is not */
+  cv_time_t last_deadline;    /* it is not put off beyond this */
+  uint64_t calls;             /* number of calls started */
   cv_http_call_handler_t *handler;
   void *owner;
 } cv_http_call_t;
@@ -49,7 +52,8 @@
 /* Cancels a call in progress without calling its handler; another one may be
    started.  */
 void cv_http_call_cancel (cv_http_call_t *c);
-/* Starts a call; no other call may be in progress.  BODY is sent as JSON unless
+/* Starts a call; no other call may be in progress.  PROGRESS_TIMEOUT of C may
+   be set afterwards.  BODY is sent as JSON unless
    it is empty.  A call that cannot be sent fails at the next tick, so that the
    handler never runs within this function.  */
 void cv_http_call_start (cv_http_call_t *c, const char *method,
--- a/policy/reader.c
+++ b/policy/reader.c
@@ -2,17 +2,21 @@
 
 #include "policy/reader.h"
 
+/* A gateway must know of a change within two seconds, also when the reader ends
+   just before it and then one call of this gateway is lost: SILENCE and its
+   spread, the time after which a call counts as lost (gateway/follow.c), and
+   one more answer of a slow store are to be less.  */
+
 /* A reader's calls wait this long for changes.  */
-#define READER_WAIT_MS 800
+#define READER_WAIT_MS 760
 /* Other calls ask what has changed and do not wait.  */
 #define ASK_WAIT_MS 1
 /* Without an answer for this time a gateway asks by itself: above the longest
-   interval of a reader's answers with a slow store, and with SILENCE_SPREAD
-   below the two seconds in which a configuration is to be in force.  */
-#define SILENCE (1200 * CV_MS)
+   interval of a reader's answers with a slow store.  */
+#define SILENCE (1120 * CV_MS)
 /* Gateways ask after a silence in the order of their ranks, spread over this
    time, so that most of them hear the answer to another one.  */
-#define SILENCE_SPREAD (150 * CV_MS)
+#define SILENCE_SPREAD (100 * CV_MS)
 /* Datagrams that arrived during a stall are read within this time after it.  */
 #define STALL_QUEUE_TIME (200 * CV_MS)
 
@@ -37,11 +41,11 @@
 }
 
 bool
-cv_reader_heard (cv_reader_t *r, double rank, cv_time_t now)
+cv_reader_heard (cv_reader_t *r, double rank, cv_time_t late, cv_time_t now)
 {
   if (now < r->deaf_until)
     return false;
-  r->known_at = now;
+  r->known_at = now - late;
   r->heard_at = now;
   if (rank < r->rank)
     r->is_reader = false;
--- a/policy/reader.h
+++ b/policy/reader.h
@@ -23,8 +23,8 @@
 {
   double rank; /* of this gateway, 0 the highest, below 1 */
   bool is_reader;
-  cv_time_t known_at;   /* of the newest answer, its own or another one's; 0:
-                           what is known may be old */
+  cv_time_t known_at;   /* as of when, by the newest answer, its own or another
+                           one's; 0: what is known may be old */
   cv_time_t heard_at;   /* of the newest answer of another reader */
   cv_time_t deaf_until; /* what is heard until then may be old */
 } cv_reader_t;
@@ -38,8 +38,10 @@
 /* A call of this gateway failed: others may have answers.  */
 void cv_reader_failed (cv_reader_t *r);
 /* An answer of the reader of RANK has arrived, that goes on from what this
-   gateway knows.  Returns false when it may have been sent long ago.  */
-bool cv_reader_heard (cv_reader_t *r, double rank, cv_time_t now);
+   gateway knows; the reader had it LATE.  Returns false when it may have been
+   sent long ago.  */
+bool cv_reader_heard (cv_reader_t *r, double rank, cv_time_t late,
+                      cv_time_t now);
 /* Another reader's answer that does not go on from what this gateway knows: it
    asks by itself.  */
 void cv_reader_missed (cv_reader_t *r, cv_time_t now);
--- a/policy/tests/reader_test.cc
+++ b/policy/tests/reader_test.cc
@@ -147,7 +147,7 @@
   {
     if (from > g.revision)
       cv_reader_missed (&g.reader, now);
-    else if (cv_reader_heard (&g.reader, rank, now))
+    else if (cv_reader_heard (&g.reader, rank, 0, now))
       learn (g);
   }
 
@@ -273,12 +273,26 @@
   EXPECT_GT (cv_reader_next_call (&r), kStart);
   cv_reader_stalled (&r, kStart + CV_SECOND);
   EXPECT_EQ (0, cv_reader_next_call (&r));
-  EXPECT_FALSE (cv_reader_heard (&r, 0.1, kStart + CV_SECOND + 1));
+  EXPECT_FALSE (cv_reader_heard (&r, 0.1, 0, kStart + CV_SECOND + 1));
   EXPECT_EQ (0, cv_reader_next_call (&r));
-  EXPECT_TRUE (cv_reader_heard (&r, 0.1, kStart + 2 * CV_SECOND));
+  EXPECT_TRUE (cv_reader_heard (&r, 0.1, 0, kStart + 2 * CV_SECOND));
   EXPECT_GT (cv_reader_next_call (&r), kStart + 2 * CV_SECOND);
 }
 
+/* A page that reached the reader late was true that long ago.  */
+TEST (Reader, AsksSoonerAfterALatePage)
+{
+  cv_reader_t prompt;
+  cv_reader_t late;
+
+  cv_reader_init (&prompt, 0.5, kStart);
+  cv_reader_init (&late, 0.5, kStart);
+  EXPECT_TRUE (cv_reader_heard (&prompt, 0.1, 0, kStart + CV_SECOND));
+  EXPECT_TRUE (cv_reader_heard (&late, 0.1, 350 * CV_MS, kStart + CV_SECOND));
+  EXPECT_EQ (cv_reader_next_call (&prompt),
+             cv_reader_next_call (&late) + 350 * CV_MS);
+}
+
 TEST (Reader, DoesNotWaitWhenSomethingIsMissing)
 {
   cv_reader_t r;
--- a/replica/call.c
+++ b/replica/call.c
@@ -90,6 +90,7 @@
                                 .may_be_stale = request->may_be_stale };
   cv_http_call_start (&c->http, request->method, request->path, request->body,
                       request->timeout);
+  c->http.progress_timeout = request->progress_timeout;
 }
 
 void
--- a/replica/call.h
+++ b/replica/call.h
@@ -36,9 +36,11 @@
   const char *method;
   const char *path;
   cv_slice_t body;
-  cv_time_t timeout;
-  bool continues;    /* goes on from a revision or a name in a list */
-  bool may_be_stale; /* the answer may be seconds old */
+  cv_time_t timeout;          /* until the answer, or its first byte */
+  cv_time_t progress_timeout; /* between bytes of the answer; 0: TIMEOUT is for
+                                 all of it */
+  bool continues;             /* goes on from a revision or a name in a list */
+  bool may_be_stale;          /* the answer may be seconds old */
 } cv_replica_request_t;
 
 void cv_replica_call_init (cv_replica_call_t *c, struct event_base *base,
--- a/tests/gateway/page_scenarios.py
+++ b/tests/gateway/page_scenarios.py
@@ -22,6 +22,20 @@
 READER_CALLS_PER_S = 3
 
 
+class HeldWriter:
+    """Keeps what is written until it is released."""
+
+    def __init__(self, writer):
+        self.writer = writer
+        self.data = b""
+
+    def write(self, data):
+        self.data += data
+
+    def release(self):
+        self.writer.write(self.data)
+
+
 class Door(Server):
     """The store as one gateway reaches it: it turns calls away while closed."""
 
@@ -30,15 +44,36 @@
         self.store = store
         self.is_closed = False
         self.watches = 0
+        self.instance_watches = 0
+        self.loses_call = False  # the next watch of instances is not answered
+        self.delay_s = 0  # of the next answer to one
+        self.held = asyncio.Event()  # the store has given the delayed answer
 
     async def handle(self, request, writer):
         self.watches += "Watch=" in request.path
+        if "servers" in request.path and "Watch=" in request.path:
+            self.instance_watches += 1
+            if self.loses_call:
+                self.loses_call = False
+                await asyncio.sleep(3600)
+            if self.delay_s:
+                return await self.delay(request, writer)
         if self.is_closed:
             writer.write(self.store.answer(503))
             return True
         return await self.store.handle(request, writer)
 
 
+    async def delay(self, request, writer):
+        delay_s, self.delay_s = self.delay_s, 0
+        held = HeldWriter(writer)
+        await self.store.handle(request, held)
+        self.held.set()
+        await asyncio.sleep(delay_s)
+        held.release()
+        return True
+
+
 class PageFleet(Fleet):
     """Gateways each of which reaches the store by a door of its own."""
 
@@ -121,6 +156,70 @@
         bench.say(f"version {version}: {await fleet.in_force(version, left)}")
 
 
+async def instance_reader(fleet, left):
+    """The gateway of LEFT that has been watching the instances."""
+    before = [d.instance_watches for d in fleet.doors]
+    await asyncio.sleep(2)
+    counts = {g: d.instance_watches - n for g, d, n
+              in zip(fleet.gateways, fleet.doors, before)}
+    return max(left, key=counts.get)
+
+
+async def play_lost_call(bench, delay_s):
+    """A target says that it leaves after the reader of the instances has heard
+    of no change for the last time, DELAY_S late; the reader ends, and the next
+    call of each other gateway is lost.  Says when the target gets its last
+    request."""
+    fleet = await start(bench)
+    left = list(fleet.gateways)
+
+    async def send():
+        await asyncio.gather(*(g.send("GET", "/read/x") for g in left
+                               for _ in range(3)))
+
+    for number in (2, 3):
+        await bench.add_target(f"p{number}", "plain", echo)
+        reader = await instance_reader(fleet, left)
+        seen = {t: len(t.requests) for t in bench.targets.values()}
+        for _ in range(10):
+            await send()
+        target = max(seen, key=lambda t: len(t.requests) - seen[t])
+        door = fleet.doors[fleet.gateways.index(reader)]
+        left.remove(reader)
+        door.held.clear()
+        door.delay_s = delay_s
+        await door.held.wait()
+        await bench.store.put("servers", target.name,
+                              target.record("draining"))
+        marked_at = time.monotonic()
+        # The reader has not read on when it ends.
+        for other in fleet.doors:
+            other.loses_call = True
+        await asyncio.sleep(delay_s + 0.02)
+        reader.process.kill()
+        last_at = marked_at
+        while time.monotonic() < marked_at + 3:
+            seen = len(target.requests)
+            await send()
+            if len(target.requests) > seen:
+                last_at = time.monotonic()
+            await asyncio.sleep(0.02)
+        bench.say(f"no request later than 2 s: {last_at - marked_at < 2}")
+        bench.delays = getattr(bench, "delays", []) + [last_at - marked_at]
+
+
+async def pages_reader_ends_and_calls_are_lost(bench):
+    """The word of a leaving target takes the longest way to a gateway: the
+    reader ends, and a call is lost."""
+    await play_lost_call(bench, 0.01)
+
+
+async def pages_reader_ends_after_a_late_answer(bench):
+    """The same after an answer that was late: what the reader handed on was true
+    that long ago, and the others waited as if it was new."""
+    await play_lost_call(bench, 0.35)
+
+
 async def pages_stalled(bench):
     """Gateways stand still in turn while the configuration changes; each knows
     of it soon after, also of changes that it was told of meanwhile."""
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -359,6 +359,8 @@
   m->to = get_u64 (c, UINT64_MAX);
   m->may_have_expired = get_u64 (c, 1) == 1;
   m->body = get_slice (c, CV_BODY_MAX);
+  /* Not sent if it is 0.  */
+  m->late_ms = c->ok && c->left > 0 ? get_u64 (c, UINT32_MAX) : 0;
   c->ok = c->ok && m->kind >= CV_PAGE_CONFIGURATION;
 }
 
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -188,6 +188,8 @@
   put_u64 (pk, m->to);
   put_u64 (pk, m->may_have_expired);
   put_slice (pk, m->body);
+  if (m->late_ms > 0)
+    put_u64 (pk, m->late_ms);
 }
 
 static void
@@ -387,11 +389,12 @@
 void
 cv_msg_encode (const cv_msg_t *msg, cv_buf_t *out)
 {
+  uint32_t optional = msg->type == CV_MSG_PAGE && msg->u.page.late_ms > 0;
   msgpack_packer pk;
 
   CV_INVARIANT (msg->type > 0 && msg->type < CV_MSG_LAST);
   msgpack_packer_init (&pk, out, write_buf);
-  (void)msgpack_pack_array (&pk, field_count[msg->type] + 2u);
+  (void)msgpack_pack_array (&pk, field_count[msg->type] + optional + 2u);
   put_u64 (&pk, CV_WIRE_VERSION);
   put_u64 (&pk, msg->type);
   put_body (&pk, msg);
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -107,6 +107,23 @@
   EXPECT_EQ (encode (out), frame);
 }
 
+/* Gateways of an earlier version know no lateness.  */
+TEST (Codec, APageNamesItsLatenessOnlyIfItIsLate)
+{
+  cv_msg_t msg = message_of (CV_MSG_PAGE);
+  cv_msg_t out;
+  std::string prompt = encode (msg);
+  std::string late;
+
+  msg.u.page.late_ms = 350;
+  late = encode (msg);
+  EXPECT_GT (late.size (), prompt.size ());
+  ASSERT_TRUE (cv_msg_decode (&out, prompt.data (), prompt.size (), nullptr));
+  EXPECT_EQ (0u, out.u.page.late_ms);
+  ASSERT_TRUE (cv_msg_decode (&out, late.data (), late.size (), nullptr));
+  EXPECT_EQ (350u, out.u.page.late_ms);
+}
+
 TEST (Codec, EveryTypeRoundTrips)
 {
   for (int type = CV_MSG_HELLO; type < CV_MSG_LAST; type++)
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -379,8 +379,9 @@
   uint64_t to;   /* up to this one */
   /* A removal may be an entry that expired while the store was unreachable.  */
   bool may_have_expired;
-  cv_slice_t body; /* the store's answer; empty: not sent, as it has changes
-                      that are read from the store only, or is too long */
+  cv_slice_t body;  /* the store's answer; empty: not sent, as it has changes
+                       that are read from the store only, or is too long */
+  uint64_t late_ms; /* by which the answer reached the reader late */
 } cv_msg_page_t;
 
 /* Most engines in one SHARE.  */
