--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -65,6 +65,7 @@
 {
   cv_replica_request_t request = { .method = "GET",
                                    .timeout = CALL_TIMEOUT,
+                                   .progress_timeout = CALL_TIMEOUT,
                                    .may_be_stale = !q->is_fresh };
   cv_buf_t path;
 
--- a/roster/roster.c
+++ b/roster/roster.c
@@ -129,8 +129,10 @@
                 cv_time_t now)
 {
   bool is_awaiting = awaited != NULL && !cv_roster_has (r, awaited);
-  cv_replica_request_t request
-      = { .method = "GET", .timeout = CALL_TIMEOUT, .may_be_stale = true };
+  cv_replica_request_t request = { .method = "GET",
+                                   .timeout = CALL_TIMEOUT,
+                                   .progress_timeout = CALL_TIMEOUT,
+                                   .may_be_stale = true };
   cv_buf_t path;
 
   cv_replica_call_tick (&r->store, now);
--- a/tests/gateway/page_scenarios.py
+++ b/tests/gateway/page_scenarios.py
@@ -220,6 +220,44 @@
     await play_lost_call(bench, 0.35)
 
 
+class SlowLink(Server):
+    """The store behind a link that takes LENGTH_S for each answer to a list."""
+
+    LENGTH_S = 1.2
+    PIECES = 12
+
+    def __init__(self, store):
+        super().__init__()
+        self.store = store
+
+    async def handle(self, request, writer):
+        held = HeldWriter(writer)
+        result = await self.store.handle(request, held)
+        size = len(held.data) // self.PIECES + 1
+        for at in range(0, len(held.data), size):
+            writer.write(held.data[at:at + size])
+            if "Watch=" not in request.path and request.method == "GET":
+                await asyncio.sleep(self.LENGTH_S / self.PIECES)
+        return result
+
+
+async def store_behind_a_slow_link(bench):
+    """A configuration takes longer to arrive than a call may wait for its first
+    byte: a gateway that started then never had one."""
+    await bench.store.start()
+    await bench.store.put("config", "main", bench.config)
+    await bench.add_target("p1", "plain", echo)
+    link = await SlowLink(bench.store).start()
+    await bench.start_gateway(store_url=f"http://127.0.0.1:{link.port}")
+    status, _, _ = await bench.send("GET", "/read/x")
+    bench.say(f"ready, and serves: {status}")
+    await asyncio.sleep(3)
+    await bench.store.put("servers", "p1",
+                          bench.targets["p1"].record("draining"))
+    await bench.until_logged("GATEWAY_TARGET_LEAVING", target="p1")
+    bench.say("follows the changes")
+
+
 async def pages_stalled(bench):
     """Gateways stand still in turn while the configuration changes; each knows
     of it soon after, also of changes that it was told of meanwhile."""
--- a/tests/gateway/stop_scenarios.py
+++ b/tests/gateway/stop_scenarios.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import os
+import random
 import signal
 import time
 
@@ -202,6 +203,45 @@
     bench.say(f"ends logged: {len(bench.logged('GATEWAY_STOPPED'))}")
 
 
+async def stop_late_actions(bench):
+    """Requests that may run once come on new connections and on kept ones until
+    the end of a calm stop, and take a target up to almost their time limit: the
+    process does not end before each that has run is answered."""
+    dice = random.Random(1)
+
+    async def work(target, request, writer):
+        await asyncio.sleep(dice.choice((0.05, 0.3, 0.9)))
+        writer.write(signed(request, b"ok"))
+        return True
+
+    async def send_on_one_connection(caller):
+        with contextlib.suppress(OSError):
+            reader, writer = await bench.connect()
+            while True:
+                head = bench.head("POST", "/book/x", b"x")
+                attempt = f"a{bench.request_count}"
+                status, headers, _ = await bench.exchange(reader, writer, head)
+                caller.outcomes[attempt] = status
+                if status == 0 or headers.get("connection") == "close":
+                    break
+            writer.close()
+
+    for name in ("t1", "t2", "t3"):
+        await bench.add_target(name, "plain", work)
+    await bench.start(grace_s=4)
+    kept = Caller(bench)
+    tasks = [asyncio.ensure_future(send_on_one_connection(kept))
+             for _ in range(8)]
+    await asyncio.sleep(0.5)
+    bench.terminate()
+    new = await send_until_stopped(bench, "POST", "/book/x", b"x")
+    await asyncio.gather(*tasks)
+    late = sum(s == 200 for s in new.outcomes.values())
+    bench.say(f"served in the stop: {late > 10}, unanswered on new connections "
+              f"{len(new.unanswered())}, on kept ones "
+              f"{len(kept.unanswered())}")
+
+
 async def stop_unanswered(bench):
     """Requests have no response when the grace period ends.  One that was sent
     to an engine gets 502, since it may have run; one that waits for an engine
