--- a/gateway/trial.c
+++ b/gateway/trial.c
@@ -109,21 +109,27 @@
   cv_buf_printf (&t->document, "%s", document);
 }
 
-/* Makes one of the requests that wait the trial that was claimed.  */
+/* Makes X the trial that was claimed for CLAIMED, if that lets it be sent.  */
+static bool
+grant (cv_exchange_t *x, const cv_suspect_request_t *claimed)
+{
+  if (!cv_suspect_request_grant (&x->identity, claimed))
+    return false;
+  if (cv_exchange_content_state (x) == CV_CONTENT_SUSPECT
+      && !cv_trial_is_needed (x))
+    return true;
+  cv_suspect_request_revoke (&x->identity);
+  return false;
+}
+
 static void
-grant (cv_quarantine_store_t *q)
+grant_to_one (cv_quarantine_store_t *q)
 {
   cv_exchange_t *x;
 
   TAILQ_FOREACH (x, &q->gateway->waiting, waiting)
-  {
-    if (!cv_suspect_request_grant (&x->identity, &q->trial.request))
-      continue;
-    if (cv_exchange_content_state (x) == CV_CONTENT_SUSPECT
-        && !cv_trial_is_needed (x))
-      return;
-    cv_suspect_request_revoke (&x->identity);
-  }
+  if (grant (x, &q->trial.request))
+    return;
 }
 
 void
@@ -136,7 +142,7 @@
     return;
   (void)cv_evidence_merge (e, cv_slice (cv_buf_text (&t->document)), NULL);
   cv_evidence_claimed (e, &t->request);
-  grant (q);
+  grant_to_one (q);
   end (q, "claimed");
 }
 
