--- a/gateway/evidence.h
+++ b/gateway/evidence.h
@@ -103,7 +103,8 @@
 /* Adds the content of X, if known, and the evidence against it, if any.  */
 void cv_exchange_log_evidence (const cv_exchange_t *x, cv_line_t *l);
 cv_content_state_t cv_exchange_content_state (const cv_exchange_t *x);
-/* Ends X if its content is quarantined; false when it was not ended.  */
+/* Ends X if its content is quarantined, or if it may be tried and no trial can
+   be claimed; false when it was not ended.  */
 bool cv_exchange_refuse_quarantined (cv_exchange_t *x);
 /* Whether X waits for its trial to be claimed, or a request with the same
    suspect content, or the same part on trial, is at a target.  */
--- a/http/call.h
+++ b/http/call.h
@@ -52,10 +52,10 @@
 /* Cancels a call in progress without calling its handler; another one may be
    started.  */
 void cv_http_call_cancel (cv_http_call_t *c);
-/* Starts a call; no other call may be in progress.  PROGRESS_TIMEOUT of C may
-   be set afterwards.  BODY is sent as JSON unless
+/* Starts a call; no other call may be in progress.  BODY is sent as JSON unless
    it is empty.  A call that cannot be sent fails at the next tick, so that the
-   handler never runs within this function.  */
+   handler never runs within this function.  C's PROGRESS_TIMEOUT is 0 then, and
+   may be set.  */
 void cv_http_call_start (cv_http_call_t *c, const char *method,
                          const char *path, cv_slice_t body, cv_time_t timeout);
 /* Fails a call that has reached its deadline.  */
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -229,6 +229,7 @@
 
 /* Makes a strike count beside all others of its content.  */
 #define CV_SEEN_ALL UINT32_MAX
+
 /* A content or a part of prompts.  */
 typedef struct
 {
--- a/tests/gateway/call_scenarios.py
+++ b/tests/gateway/call_scenarios.py
@@ -6,7 +6,7 @@
 
 from answer_scenarios import BLOCK_BYTES, memory_mb
 from scenarios import GEN_HEADERS
-from standins import EngineStatus, answer, chunk, event, start_stream
+from standins import EngineStatus, answer, chunk, echo, event, start_stream
 
 BLOCK = chunk(b"x" * BLOCK_BYTES)
 # Far above the size of any answer, and below the memory of a process.
@@ -151,13 +151,7 @@
         written.append(await write_endlessly(writer))
         return False
 
-    async def script(target, request, writer):
-        writer.write(answer(200, b"", [
-            ("Attempt-Id", request.headers["attempt-id"]),
-            ("Server-Signature", "s")]))
-        return True
-
-    await bench.add_target("t1", "plain", script)
+    await bench.add_target("t1", "plain", echo)
     await bench.start()
     bench.store.handle = handle_endlessly
     await asyncio.sleep(4)
--- a/tests/gateway/page_scenarios.py
+++ b/tests/gateway/page_scenarios.py
@@ -63,7 +63,6 @@
             return True
         return await self.store.handle(request, writer)
 
-
     async def delay(self, request, writer):
         delay_s, self.delay_s = self.delay_s, 0
         held = HeldWriter(writer)
@@ -205,7 +204,6 @@
                 last_at = time.monotonic()
             await asyncio.sleep(0.02)
         bench.say(f"no request later than 2 s: {last_at - marked_at < 2}")
-        bench.delays = getattr(bench, "delays", []) + [last_at - marked_at]
 
 
 async def pages_reader_ends_and_calls_are_lost(bench):
