gateway: log the order that stops a run, and what told a response's end

Cause: the lines of a migrated request did not tell three hypotheses apart: that the end of the connection was taken for the end of the body while the order to stop the run was open, that the migration had ended before, and that the response ended at the destination. Change: GATEWAY_ANSWERED names the target at which the response ended and whether its end was told (length, last chunk) or is the end of the connection; GATEWAY_MOVE_STOP_SENT and GATEWAY_MOVE_SOURCE_ENDED are new. No logic is changed.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -55,6 +55,19 @@
   cv_line_end (&l);
 }
 
+static const char *
+body_end_text (cv_body_end_t end)
+{
+  switch (end)
+    {
+    case CV_BODY_END_TOLD:
+      return "told";
+    case CV_BODY_END_CLOSE:
+      return "connection closed";
+    }
+  return "";
+}
+
 void
 cv_exchange_end (cv_exchange_t *x, bool complete)
 {
@@ -71,6 +84,11 @@
                    (double)(cv_now () - x->started_at) / (double)CV_MS);
       cv_line_begin (&l, CV_EV_GATEWAY_ANSWERED);
       cv_line_text (&l, "request", x->request.attempt);
+      if (x->target != NULL)
+        {
+          cv_line_text (&l, "target", cv_slice (x->target->record.id));
+          cv_line_text (&l, "end", cv_slice (body_end_text (x->body_end)));
+        }
       cv_line_number (&l, "age_us", cv_now () - x->started_at);
       cv_line_number (&l, "sends", x->sends);
       if (x->first_event_delay > 0)
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -149,6 +149,7 @@
   cv_time_t no_migration_until;  /* no room or no such run */
   bool is_stopped_for_migration; /* its stream ended for a migration */
 
+  cv_body_end_t body_end; /* of the response that is complete */
   cv_buf_t response_body; /* of CV_EXCHANGE_BUFFERING */
   bool head_sent;         /* the response head was sent to the caller */
   cv_events_t events;     /* of a stream */
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -62,6 +62,7 @@
   cv_time_t response_lost_at; /* of CV_MIGRATION_AWAIT_END */
   bool is_link_requested;     /* the destination's lease, or it has it */
   bool is_resumed; /* at the destination: the reservation stays in use */
+  uint32_t stop_orders;
   const char *outcome;
   unsigned status; /* of the source's last answer to an order to copy, or 0 */
   char run[CV_RUN_MAX];
@@ -108,6 +109,36 @@
   cv_line_end (&l);
 }
 
+void
+cv_migration_log_source_end (const cv_migration_t *m, const char *how)
+{
+  const cv_events_t *events = &m->exchange->events;
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_MOVE_SOURCE_ENDED);
+  cv_line_text (&l, "request", cv_slice (m->run));
+  cv_line_text (&l, "target", cv_slice (m->source->record.id));
+  cv_line_text (&l, "end", cv_slice (how));
+  cv_line_number (&l, "events", (int64_t)events->count);
+  cv_line_number (&l, "partial_bytes", (int64_t)events->partial.n);
+  cv_line_number (&l, "phase", m->phase);
+  cv_line_number (&l, "after_us", cv_now () - m->started_at);
+  cv_line_end (&l);
+}
+
+static void
+log_stop_sent (const cv_migration_t *m)
+{
+  cv_line_t l;
+
+  cv_line_begin (&l, CV_EV_GATEWAY_MOVE_STOP_SENT);
+  cv_line_text (&l, "request", cv_slice (m->run));
+  cv_line_text (&l, "target", cv_slice (m->source->record.id));
+  cv_line_number (&l, "orders", m->stop_orders);
+  cv_line_number (&l, "after_us", cv_now () - m->started_at);
+  cv_line_end (&l);
+}
+
 static void
 finish (cv_migration_t *m)
 {
@@ -132,6 +163,11 @@
   cv_buf_t body;
 
   m->phase = stop ? CV_MIGRATION_STOP : CV_MIGRATION_COPY;
+  if (stop)
+    {
+      m->stop_orders++;
+      log_stop_sent (m);
+    }
   cv_buf_init (&body);
   cv_platform_encode_migration (&body, cv_slice (m->run),
                                 &m->destination->record.address, stop);
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -20,7 +20,7 @@
 
 static void on_head (cv_exchange_t *x);
 static void on_body (cv_exchange_t *x, cv_slice_t data);
-static void on_done (cv_exchange_t *x);
+static void on_done (cv_exchange_t *x, cv_body_end_t end);
 static void on_failed (cv_exchange_t *x, cv_http_link_failure_t failure);
 
 void
@@ -37,7 +37,7 @@
       on_body (x, event->u.body);
       return;
     case CV_LINK_DONE:
-      on_done (x);
+      on_done (x, event->u.end);
       return;
     case CV_LINK_FAILED:
       on_failed (x, event->u.failure);
@@ -395,10 +395,11 @@
 }
 
 static void
-on_done (cv_exchange_t *x)
+on_done (cv_exchange_t *x, cv_body_end_t end)
 {
   const cv_http_head_t *h = &x->link->reader.head;
 
+  x->body_end = end;
   if (x->skip_response)
     {
       if (++x->skipped_responses > SKIPPED_RESPONSES_MAX)
@@ -417,6 +418,9 @@
       cv_exchange_handle_rejection (x, h->status);
       return;
     }
+  if (end == CV_BODY_END_CLOSE && x->migration != NULL
+      && cv_migration_is_stopping_run (x->migration))
+    cv_migration_log_source_end (x->migration, "connection closed");
   cv_attempt_record_outcome (x, h->status < 500);
   if (x->state == CV_EXCHANGE_STREAMING)
     {
@@ -470,6 +474,7 @@
   /* The migration stopped the run and decides how the stream is resumed.  */
   if (x->migration != NULL && cv_migration_is_stopping_run (x->migration))
     {
+      cv_migration_log_source_end (x->migration, "connection failed");
       cv_http_link_close (x->link);
       x->link = NULL;
       x->is_stopped_for_migration = true;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -806,6 +806,8 @@
 void cv_migration_abort (cv_migration_t *m);
 /* Whether M is stopping the run: the end of its stream is no failure then.  */
 bool cv_migration_is_stopping_run (const cv_migration_t *m);
+/* Logs HOW the connection of a run ended that M is stopping.  */
+void cv_migration_log_source_end (const cv_migration_t *m, const char *how);
 /* Handles the reply of the observer of DESTINATION to a reservation request
    for a migration; false when no migration waits for it.  */
 bool cv_migration_handle_reply (cv_gateway_t *g, const cv_target_t *destination,
--- a/http/link.c
+++ b/http/link.c
@@ -267,6 +267,7 @@
         }
       l->busy = false;
       event.kind = CV_LINK_DONE;
+      event.u.end = l->at_eof ? CV_BODY_END_CLOSE : CV_BODY_END_TOLD;
       notify_owner (l, &event);
       return;
     case CV_HTTP_HEAD_TOO_LARGE:
@@ -341,7 +342,10 @@
     read_input (l);
   if (l->bev != NULL && l->open && l->busy && (what & BEV_EVENT_EOF)
       && cv_http_reader_eof (&l->reader))
-    handle_part (l, CV_HTTP_DONE);
+    {
+      l->at_eof = true;
+      handle_part (l, CV_HTTP_DONE);
+    }
   else if (l->bev != NULL)
     fail_link (l, l->open ? CV_LINK_RESET : CV_LINK_NOT_CONNECTED);
   cv_http_link_release (l);
--- a/http/link.h
+++ b/http/link.h
@@ -26,6 +26,13 @@
                             */
 } cv_http_link_failure_t;
 
+/* What told the end of a response.  */
+typedef enum
+{
+  CV_BODY_END_TOLD = 1, /* its length, its last chunk, or it has no body */
+  CV_BODY_END_CLOSE     /* only the orderly end of the connection */
+} cv_body_end_t;
+
 typedef enum
 {
   CV_LINK_HEAD, /* link->reader.head has the head of the response */
@@ -40,6 +47,7 @@
   union
   {
     cv_slice_t body;                /* CV_LINK_BODY */
+    cv_body_end_t end;              /* CV_LINK_DONE */
     cv_http_link_failure_t failure; /* CV_LINK_FAILED */
   } u;
 } cv_http_link_event_t;
@@ -61,6 +69,7 @@
   bool open;              /* the connection is established */
   bool busy;              /* an exchange is in progress */
   bool failed;            /* closed or no longer usable */
+  bool at_eof;            /* the server has closed the connection in order */
   uint32_t exchanges;     /* requests sent so far */
   size_t shared_bytes;    /* of the exchange's body, in the output or sent */
   uint32_t informational; /* responses of the exchange so far */
