gateway: the end of a connection does not complete a stream being stopped

Cause: callers got a part of a stream as a complete response, with status 200. The last step of a migration orders the engine to stop the run, and the engine closes its stream without an end. In a response without a length or chunks that close is also how a body ends. The handler of a failed connection asked whether the migration was stopping the run, the handler of a complete response did not. And an order without an answer was forgotten with its migration, although the engine may carry it out as long as the run goes on; a 200 whose handle cannot be read was taken for 'run was not stopped'. Change: cv_stream_end_judge decides for all ends of streams. An end that was told (length, last chunk) completes the stream. While an order is open any other end waits for the migration: it resumes the stream if the run was stopped or may have been, and completes it only if the source says that it has no such run or did not stop it, the close fell between two events, and no earlier order is in doubt. An order without an answer stays in doubt for the rest of the attempt; such an end is a cut. cv_order_answer_read reads the answers.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -305,6 +305,9 @@
   add_counter (body, "stream_questions_total",
                "Questions to other gateways about a stream's version.",
                g->counts.stream_questions);
+  add_counter (body, "streams_in_doubt_total",
+               "Streams cut because their run may have been stopped.",
+               g->counts.streams_in_doubt);
   add_counter (body, "streams_unknown_total",
                "Streams refused because their version is not known.",
                g->counts.streams_unknown);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -148,6 +148,9 @@
   uint32_t migrations;           /* without those that found no room */
   cv_time_t no_migration_until;  /* no room or no such run */
   bool is_stopped_for_migration; /* its stream ended for a migration */
+  bool may_be_complete;  /* of IS_STOPPED_FOR_MIGRATION: complete if the run was
+                            not stopped */
+  bool is_stop_in_doubt; /* an order to stop the run has got no answer */
 
   cv_body_end_t body_end; /* of the response that is complete */
   cv_buf_t response_body; /* of CV_EXCHANGE_BUFFERING */
@@ -272,6 +275,8 @@
 /* relay.c */
 /* Handles an event of the connection of the exchange OWNER to its target.  */
 void cv_attempt_handle_event (void *owner, const cv_http_link_event_t *event);
+/* Ends X, whose stream is complete.  */
+void cv_attempt_complete_stream (cv_exchange_t *x);
 /* Reads on from a target that was not read since the caller was slow.  */
 void cv_attempt_tick (cv_exchange_t *x, cv_time_t now);
 /* Records whether the target SERVED the attempt, and reports this to the
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -280,42 +280,117 @@
     fail (m, "run has ended");
   else if (m->exchange->is_stopped_for_migration)
     resume (m, CV_FINAL_COPY_UNKNOWN,
-            "no response of the source; resumed from the partial copy");
+            "no answer of the source; resumed from the partial copy");
   else if (now - m->response_lost_at > SOURCE_END_WAIT
            || m->exchange->last_event_at
                   > m->response_lost_at + LAST_EVENTS_WAIT)
     fail (m, "run was not stopped");
 }
 
+/* Ends M: the run was not stopped, and its stream has ended by itself.  */
 static void
-on_run_stopped (cv_migration_t *m, const cv_http_result_t *r)
+complete (cv_migration_t *m)
 {
   cv_exchange_t *x = m->exchange;
-  bool has_handle = cv_platform_decode_migration (r->body, m->handle);
 
-  /* A 503 with a handle means that the run can be resumed only at the source.
-     Status 0 is no response, also after a timeout; the destination then has
-     what was copied while the run continued.  */
-  if (x == NULL)
-    fail (m, "run has ended");
-  else if (has_handle && r->status == 200)
-    resume (m, CV_FINAL_COPY_MADE, "moved");
-  else if (has_handle && r->status == 503)
-    resume (m, CV_FINAL_COPY_FAILED, "resumed at the source");
-  else if (r->status == 0)
+  m->outcome = "run has ended by itself";
+  cv_migration_detach (m);
+  free_copy (m, true);
+  cv_attempt_complete_stream (x);
+}
+
+static void
+await_source_end (cv_migration_t *m)
+{
+  m->phase = CV_MIGRATION_AWAIT_END;
+  m->response_lost_at = cv_now ();
+  check_source_end (m, cv_now ());
+}
+
+/* The source says that it has no such run.  An earlier order without an answer
+   may have stopped it.  */
+static void
+on_no_run (cv_migration_t *m)
+{
+  cv_exchange_t *x = m->exchange;
+
+  /* A further migration is useless.  */
+  x->no_migration_until = x->deadline;
+  if (x->is_stop_in_doubt)
+    await_source_end (m);
+  else if (!x->is_stopped_for_migration)
+    fail (m, "no such run");
+  else if (x->may_be_complete)
+    complete (m);
+  else
+    resume (m, CV_FINAL_COPY_UNKNOWN,
+            "stream was broken; resumed from the partial copy");
+}
+
+/* The source says that the run goes on.  */
+static void
+on_stop_refused (cv_migration_t *m)
+{
+  cv_exchange_t *x = m->exchange;
+
+  if (!x->is_stopped_for_migration)
+    fail (m, "run was not stopped");
+  else if (x->is_stop_in_doubt)
+    await_source_end (m);
+  else if (x->may_be_complete)
+    complete (m);
+  else
+    fail (m, "stream was broken");
+}
+
+/* Reads the answer R to the order to stop the run.  Without a handle in it the
+   one of the first copy stays.  */
+static cv_order_answer_t
+read_order_answer (cv_migration_t *m, const cv_http_result_t *r)
+{
+  char handle[CV_NAME_MAX];
+  bool has_handle = cv_platform_decode_migration (r->body, handle);
+  cv_answer_fields_t fields = { 0 };
+  cv_order_answer_t answer;
+
+  if (r->head != NULL)
+    cv_platform_decode_answer (r->head, &fields);
+  answer = cv_order_answer_read (r->status, has_handle, fields.not_run);
+  if (answer == CV_ORDER_MADE || answer == CV_ORDER_COPY_FAILED)
+    (void)cv_copy (m->handle, sizeof m->handle, handle);
+  return answer;
+}
+
+static void
+on_stop_answered (cv_migration_t *m, const cv_http_result_t *r)
+{
+  cv_order_answer_t answer = read_order_answer (m, r);
+
+  if (m->exchange == NULL)
     {
-      m->phase = CV_MIGRATION_AWAIT_END;
-      m->response_lost_at = cv_now ();
-      check_source_end (m, cv_now ());
+      fail (m, "run has ended");
+      return;
     }
-  else if (r->status == 404)
+  switch (answer)
     {
-      /* The run has ended; a further migration of it is useless.  */
-      x->no_migration_until = x->deadline;
-      fail (m, "no such run");
+    case CV_ORDER_MADE:
+      resume (m, CV_FINAL_COPY_MADE, "moved");
+      return;
+    case CV_ORDER_COPY_FAILED:
+      resume (m, CV_FINAL_COPY_FAILED, "resumed at the source");
+      return;
+    case CV_ORDER_HAS_NO_RUN:
+      on_no_run (m);
+      return;
+    case CV_ORDER_REFUSED:
+      on_stop_refused (m);
+      return;
+    case CV_ORDER_IN_PROGRESS:
+    case CV_ORDER_IS_UNANSWERED:
+      m->exchange->is_stop_in_doubt = true;
+      await_source_end (m);
+      return;
     }
-  else
-    fail (m, "run was not stopped");
 }
 
 /* The destination did not take the copy; the run goes on at the source.  */
@@ -390,7 +465,7 @@
       on_run_copied (m, r);
       return;
     case CV_MIGRATION_STOP:
-      on_run_stopped (m, r);
+      on_stop_answered (m, r);
       return;
     case CV_MIGRATION_FREE_AT_SOURCE:
       if (r->status == 0)
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -394,6 +394,76 @@
   return x->is_failure_retry;
 }
 
+static cv_stop_order_t
+stop_order (const cv_exchange_t *x)
+{
+  if (x->migration != NULL && cv_migration_is_stopping_run (x->migration))
+    return CV_STOP_PENDING;
+  return x->is_stop_in_doubt ? CV_STOP_IN_DOUBT : CV_STOP_NOT_ORDERED;
+}
+
+static cv_stream_verdict_t
+judge_stream_end (const cv_exchange_t *x, cv_stream_end_t end)
+{
+  return cv_stream_end_judge (end, cv_events_may_end (&x->events),
+                              stop_order (x));
+}
+
+/* The connection has ended while the run is being stopped: the migration
+   decides how the stream goes on, or that it is complete.  */
+static void
+await_migration (cv_exchange_t *x, cv_stream_end_t end)
+{
+  bool is_closed = end == CV_STREAM_END_CLOSED;
+
+  cv_migration_log_source_end (x->migration, is_closed ? "connection closed"
+                                                       : "connection failed");
+  cv_http_link_close (x->link);
+  x->link = NULL;
+  x->is_stopped_for_migration = true;
+  x->may_be_complete = is_closed && cv_events_may_end (&x->events);
+}
+
+void
+cv_attempt_complete_stream (cv_exchange_t *x)
+{
+  cv_attempt_record_outcome (x, true);
+  cv_evidence_completed (&x->gateway->evidence, x);
+  begin_stream (x);
+  cv_response_end_body (x->client, caller_framing (x));
+  if (x->link != NULL)
+    release_link (x);
+  cv_exchange_end (x, true);
+}
+
+static void
+on_stream_done (cv_exchange_t *x)
+{
+  cv_stream_end_t end = x->body_end == CV_BODY_END_CLOSE ? CV_STREAM_END_CLOSED
+                                                         : CV_STREAM_END_TOLD;
+
+  switch (judge_stream_end (x, end))
+    {
+    case CV_STREAM_IS_COMPLETE:
+      cv_attempt_complete_stream (x);
+      return;
+    case CV_STREAM_WAITS_FOR_MIGRATION:
+      await_migration (x, end);
+      return;
+    case CV_STREAM_IS_INTERRUPTED:
+      cv_attempt_record_outcome (x, true);
+      cv_crash_check_begin (x);
+      if (cv_events_may_end (&x->events))
+        {
+          x->gateway->counts.streams_in_doubt++;
+          cv_exchange_handle_failure (x, "run may have been stopped", true);
+        }
+      else
+        cv_exchange_handle_failure (x, "stream ends early", true);
+      return;
+    }
+}
+
 static void
 on_done (cv_exchange_t *x, cv_body_end_t end)
 {
@@ -418,25 +488,12 @@
       cv_exchange_handle_rejection (x, h->status);
       return;
     }
-  if (end == CV_BODY_END_CLOSE && x->migration != NULL
-      && cv_migration_is_stopping_run (x->migration))
-    cv_migration_log_source_end (x->migration, "connection closed");
-  cv_attempt_record_outcome (x, h->status < 500);
   if (x->state == CV_EXCHANGE_STREAMING)
     {
-      if (!cv_events_may_end (&x->events))
-        {
-          cv_crash_check_begin (x);
-          cv_exchange_handle_failure (x, "stream ends early", true);
-          return;
-        }
-      cv_evidence_completed (&x->gateway->evidence, x);
-      begin_stream (x);
-      cv_response_end_body (x->client, caller_framing (x));
-      release_link (x);
-      cv_exchange_end (x, true);
+      on_stream_done (x);
       return;
     }
+  cv_attempt_record_outcome (x, h->status < 500);
   if (x->is_signed)
     cv_evidence_completed (&x->gateway->evidence, x);
   if (x->state == CV_EXCHANGE_RELAYING)
@@ -471,13 +528,10 @@
 static void
 on_failed (cv_exchange_t *x, cv_http_link_failure_t failure)
 {
-  /* The migration stopped the run and decides how the stream is resumed.  */
-  if (x->migration != NULL && cv_migration_is_stopping_run (x->migration))
+  if (judge_stream_end (x, CV_STREAM_END_BROKEN)
+      == CV_STREAM_WAITS_FOR_MIGRATION)
     {
-      cv_migration_log_source_end (x->migration, "connection failed");
-      cv_http_link_close (x->link);
-      x->link = NULL;
-      x->is_stopped_for_migration = true;
+      await_migration (x, CV_STREAM_END_BROKEN);
       return;
     }
   if (failure == CV_LINK_NOT_CONNECTED)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -48,6 +48,7 @@
 #include "policy/starts.h"
 #include "policy/stop.h"
 #include "policy/store_history.h"
+#include "policy/stream_end.h"
 #include "policy/unplaced.h"
 #include "policy/urgency.h"
 #include "routing/routing.h"
@@ -319,6 +320,8 @@
                        a stream's resumes in a new run */
   uint64_t failures_passed_on; /* answers of 500 that were not retried, as
                                   retries of their route do not help */
+  uint64_t streams_in_doubt;   /* ended while an order to stop their run had no
+                                  answer */
   uint64_t resumes; /* attempts from a copy, also at the migration's source */
   uint64_t sends;
   uint64_t connections;
