Tests: a stopped run is answered as complete

An engine stops a run for the last step of its migration and closes the stream before it answers the order. A stream without length or chunks looks complete then, and the gateway ends the response.

The scenario expects that the stream goes on at the destination.

The stand-ins' start_stream takes the framing of the stream; it is chunks where none is given, as before.

--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -276,12 +276,18 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
-async def start_stream(request, writer, headers=()):
+# How the end of a stream is told: by its last chunk, or by the end of its
+# connection.
+CHUNKS = "Transfer-Encoding: chunked"
+CLOSE = "Connection: close"
+
+
+async def start_stream(request, writer, headers=(), framing=CHUNKS):
     extra = "".join(f"{name}: {value}\r\n" for name, value in headers)
     writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                   f"{extra}"
                   f"Attempt-Id: {request.headers['attempt-id']}\r\n"
-                  "Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  f"Server-Signature: s\r\n{framing}\r\n\r\n"
                   ).encode())
 
 
@@ -289,6 +295,11 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
+def framed(data, framing):
+    """DATA of a stream; without DATA, what ends it before its connection does."""
+    return chunk(data) if framing == CHUNKS else data
+
+
 CONFIG = {
     "Version": 1,
     "Routes": [
