gateway: an order to stop a run is sent again while the run goes on

Cause: callers' streams were cut although the run could have gone on. When an order to stop a run got no answer and events still came, the gateway gave the migration up and had the copy freed. An engine that carries the order out later, or answers a second one with 409 until it has, then stops a run of which no copy is left. Change: the migration keeps the copy and sends the order again, three times at most without an answer. A source that answers 409 is asked every 100 ms while the run goes on, and for 2.5 s after its stream has ended; then the destination goes on from what was copied. After a 409 to the first copy the run is not migrated for 300 ms.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -148,6 +148,7 @@
   uint32_t migrations;           /* without those that found no room */
   cv_time_t no_migration_until;  /* no room or no such run */
   bool is_stopped_for_migration; /* its stream ended for a migration */
+  cv_time_t stopped_at;          /* of IS_STOPPED_FOR_MIGRATION */
   bool may_be_complete;  /* of IS_STOPPED_FOR_MIGRATION: complete if the run was
                             not stopped */
   bool is_stop_in_doubt; /* an order to stop the run has got no answer */
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -17,6 +17,12 @@
    event that arrives this much later shows that the run goes on.  */
 #define SOURCE_END_WAIT (2500 * CV_MS)
 #define LAST_EVENTS_WAIT (250 * CV_MS)
+/* Most orders to stop a run that goes on although their outcome is unknown.  */
+#define UNSETTLED_ORDERS_MAX 3
+/* A source that carries out an earlier order is asked again at this interval,
+   while the run goes on and then as long as it may take to answer an order.  */
+#define IN_PROGRESS_INTERVAL (100 * CV_MS)
+#define IN_PROGRESS_MAX MIGRATION_CALL_TIMEOUT
 /* Growth of a run while it is copied.  */
 #define GROWTH_MARGIN_TOKENS 64
 
@@ -44,7 +50,8 @@
   CV_MIGRATION_STOP,        /* the source stops the run and copies the rest */
   CV_MIGRATION_FREE_AT_SOURCE,      /* the source frees an unused copy */
   CV_MIGRATION_FREE_AT_DESTINATION, /* the destination frees its side */
-  CV_MIGRATION_AWAIT_END /* the response to STOP was lost; the run may end */
+  CV_MIGRATION_AWAIT_END,  /* the response to STOP was lost; the run may end */
+  CV_MIGRATION_IN_PROGRESS /* an earlier order is carried out; asked again */
 } cv_migration_phase_t;
 
 struct cv_migration_t
@@ -60,9 +67,11 @@
   uint32_t reservation_requests;
   cv_time_t started_at;
   cv_time_t response_lost_at; /* of CV_MIGRATION_AWAIT_END */
+  cv_time_t in_progress_at;   /* last answer that an order is in progress */
   bool is_link_requested;     /* the destination's lease, or it has it */
   bool is_resumed; /* at the destination: the reservation stays in use */
   uint32_t stop_orders;
+  uint32_t unsettled_orders; /* of them, those whose outcome is unknown */
   const char *outcome;
   unsigned status; /* of the source's last answer to an order to copy, or 0 */
   char run[CV_RUN_MAX];
@@ -270,9 +279,30 @@
     }
 }
 
+/* Orders the source to stop the run, which may go on from what was copied.  */
+static void
+order_stop (cv_migration_t *m)
+{
+  if (cv_target_is_evacuated (m->destination))
+    fail (m, "destination is evacuated");
+  /* The run could not go on at a source that has stopped it and then fails to
+     copy the rest: the destination computes that again.  */
+  else if (cv_target_is_evacuated (m->source))
+    resume (m, CV_FINAL_COPY_UNKNOWN,
+            "source is evacuated; resumed from the first copy");
+  else
+    request_copy (m, true);
+}
+
+static bool
+run_goes_on (const cv_migration_t *m)
+{
+  return m->exchange->last_event_at > m->response_lost_at + LAST_EVENTS_WAIT;
+}
+
 /* The source did not respond.  If its stream ends too, the run goes on from
-   what was copied while it ran; if the stream goes on, the run was not stopped.
- */
+   what was copied while it ran; if the stream goes on, the run is not stopped
+   yet, and the order is sent again.  */
 static void
 check_source_end (cv_migration_t *m, cv_time_t now)
 {
@@ -281,12 +311,29 @@
   else if (m->exchange->is_stopped_for_migration)
     resume (m, CV_FINAL_COPY_UNKNOWN,
             "no answer of the source; resumed from the partial copy");
-  else if (now - m->response_lost_at > SOURCE_END_WAIT
-           || m->exchange->last_event_at
-                  > m->response_lost_at + LAST_EVENTS_WAIT)
+  else if (run_goes_on (m) && m->unsettled_orders < UNSETTLED_ORDERS_MAX)
+    order_stop (m);
+  else if (run_goes_on (m) || now - m->response_lost_at > SOURCE_END_WAIT)
     fail (m, "run was not stopped");
 }
 
+/* Asks the source, which carries out an earlier order, for its outcome.  */
+static void
+check_in_progress (cv_migration_t *m, cv_time_t now)
+{
+  const cv_exchange_t *x = m->exchange;
+
+  if (x == NULL)
+    fail (m, "run has ended");
+  else if (now - m->in_progress_at < IN_PROGRESS_INTERVAL)
+    return;
+  else if (x->is_stopped_for_migration && now - x->stopped_at > IN_PROGRESS_MAX)
+    resume (m, CV_FINAL_COPY_UNKNOWN,
+            "order stays in progress; resumed from the partial copy");
+  else
+    order_stop (m);
+}
+
 /* Ends M: the run was not stopped, and its stream has ended by itself.  */
 static void
 complete (cv_migration_t *m)
@@ -303,6 +350,7 @@
 await_source_end (cv_migration_t *m)
 {
   m->phase = CV_MIGRATION_AWAIT_END;
+  m->unsettled_orders++;
   m->response_lost_at = cv_now ();
   check_source_end (m, cv_now ());
 }
@@ -386,6 +434,9 @@
       on_stop_refused (m);
       return;
     case CV_ORDER_IN_PROGRESS:
+      m->phase = CV_MIGRATION_IN_PROGRESS;
+      m->in_progress_at = cv_now ();
+      return;
     case CV_ORDER_IS_UNANSWERED:
       m->exchange->is_stop_in_doubt = true;
       await_source_end (m);
@@ -420,17 +471,12 @@
       return;
     }
   m->exchange->migrations++;
+  if (r->status == 409)
+    m->exchange->no_migration_until = cv_now () + BALANCE_BACKOFF;
   if (!has_handle)
     fail (m, r->status == 404 ? "no such run" : "no copy was made");
-  else if (cv_target_is_evacuated (m->destination))
-    fail (m, "destination is evacuated");
-  /* The run could not go on at a source that has stopped it and then fails to
-     copy the rest: the destination computes that again.  */
-  else if (cv_target_is_evacuated (m->source))
-    resume (m, CV_FINAL_COPY_UNKNOWN,
-            "source is evacuated; resumed from the first copy");
   else
-    request_copy (m, true);
+    order_stop (m);
 }
 
 /* Records what the answer R says of the engine that gave it.  */
@@ -460,6 +506,7 @@
     {
     case CV_MIGRATION_RESERVE:
     case CV_MIGRATION_AWAIT_END:
+    case CV_MIGRATION_IN_PROGRESS:
       return; /* no call is made in these phases */
     case CV_MIGRATION_COPY:
       on_run_copied (m, r);
@@ -482,7 +529,8 @@
 bool
 cv_migration_is_stopping_run (const cv_migration_t *m)
 {
-  return m->phase == CV_MIGRATION_STOP || m->phase == CV_MIGRATION_AWAIT_END;
+  return m->phase == CV_MIGRATION_STOP || m->phase == CV_MIGRATION_AWAIT_END
+         || m->phase == CV_MIGRATION_IN_PROGRESS;
 }
 
 void
@@ -688,6 +736,9 @@
     case CV_MIGRATION_AWAIT_END:
       check_source_end (m, now);
       return;
+    case CV_MIGRATION_IN_PROGRESS:
+      check_in_progress (m, now);
+      return;
     case CV_MIGRATION_COPY:
     case CV_MIGRATION_STOP:
     case CV_MIGRATION_FREE_AT_SOURCE:
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -421,6 +421,7 @@
   cv_http_link_close (x->link);
   x->link = NULL;
   x->is_stopped_for_migration = true;
+  x->stopped_at = cv_now ();
   x->may_be_complete = is_closed && cv_events_may_end (&x->events);
 }
 
