Soak: responses that end with their connection; what becomes of orders to stop

The soak has always compared the events that a caller got with those of its request, and it missed a run that was stopped and taken for complete, for two reasons. Every stream of its engines was in chunks, and every plain response had a length, so that nothing could end too early unnoticed.

A third of the responses of engines and plain services, and of the answers to orders, now have neither a length nor chunks and end with their connection, as drawn by generators of their own. Only complete ones and those of stopped runs are closed in order; all others are reset, which asyncio's abort did not do. An order that stops a run is answered before, with or after the close of the stream; refused with and without a handle; kept until the run has ended by itself, 404; or its answer is lost and it is carried out at once, one to two seconds later or not at all, with 409 for others meanwhile. A run stops between two events, after the last one, or within one. A tenth of the requests are sent with HTTP/1.0.

Checks, beside those there were: a stream holds whole events only; a plain response is the whole one that a target sent (it had to begin with its name); a stream that is taken up has all events, in order, over its tries; a request that must run once does not go on after its run has ended and each order was refused. A trace shows the orders. A request that may not run again may be cut where an order whose answer was lost stops its run one to two seconds later, which nothing can tell.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -5,9 +5,10 @@
 is in soak_load.py and soak_targets.py.
 
 Usage: soak.py PROGRAM [--seeds N,...] [--seconds S] [--gateways N]
-[--engines N] [--pause S] [--logs DIR].  Each task has a generator of random
-choices that the seed starts; the order of the tasks depends on the timing, so a
-seed repeats a run only in part.  Exit code 0 when no guarantee was violated."""
+[--engines N] [--pause S] [--faults GROUP,...] [--logs DIR].  Each task has a
+generator of random choices that the seed starts; the order of the tasks depends
+on the timing, so a seed repeats a run only in part.  Exit code 0 when no
+guarantee was violated."""
 
 import argparse
 import asyncio
@@ -27,7 +28,7 @@
 from odd_scenarios import RAW, odd_values  # noqa: E402
 from soak_checks import Checks  # noqa: E402
 from soak_load import (BadCaller, BadPartCaller, Caller, OTHER_KEY,  # noqa: E402
-                       PROBE_S, ReturningCaller, Run, generator)
+                       PROBE_S, ReturningCaller, Run, StreamCaller, generator)
 from soak_targets import Proxy, Targets  # noqa: E402
 from standins import CONFIG  # noqa: E402
 
@@ -43,6 +44,9 @@
 STALL_MIN_S = 0.2
 # Callers for each gateway; half of them stay with a gateway that stops.
 CALLERS = 6
+# Those that request long streams only, most of which may be migrated.
+STREAM_CALLERS = 8
+ENGINE_SERVICES = ("model", "model", "model-2", "model-2", "model", "model-2")
 # Kinds of faults, and how often each is chosen.  Each group has a task of its
 # own, so that faults of different groups overlap.
 PROCESS_FAULTS = {"pause": 1, "kill": 1, "stop": 2, "stop series": 2,
@@ -54,7 +58,10 @@
                "engine drains": 2, "engine leaves": 1, "limit": 2,
               "release": 2}
 CONFIGURATION_FAULTS = {"configuration": 1}
-FAULT_GROUPS = (PROCESS_FAULTS, LINK_FAULTS, CONFIGURATION_FAULTS)
+MIGRATION_FAULTS = {"engines short": 4, "engine drains": 1, "engine leaves": 1}
+FAULT_GROUPS = {"process": PROCESS_FAULTS, "link": LINK_FAULTS,
+                "configuration": CONFIGURATION_FAULTS,
+                "migration": MIGRATION_FAULTS}
 
 
 def draw_configuration(dice, version):
@@ -89,6 +96,7 @@
         self.seconds = options.seconds
         self.engine_count = options.engines
         self.pause_s = options.pause
+        self.fault_groups = options.faults.split(",")
         self.attempts = {}  # by name, which is "request" in the logs
         self.faults = []
         self.gateways = [Bench(program) for _ in range(options.gateways)]
@@ -180,6 +188,8 @@
             await self.store_fault(kind, dice, duration_s)
         elif kind == "engine drains":
             await self.targets.drain(dice.choice(list(self.targets.engines)))
+        elif kind == "engines short":
+            await self.targets.fall_short(dice, duration_s / 3)
         elif kind == "engine leaves":
             await self.targets.leave(
                 dice.choice(list(self.targets.engines)), duration_s)
@@ -354,7 +364,7 @@
                 self.targets.plain)
         for i in range(self.engine_count):
             await self.targets.add_engine(
-                f"engine-{i}", "model-2" if i % 3 == 2 else "model")
+                f"engine-{i}", ENGINE_SERVICES[i % len(ENGINE_SERVICES)])
         for i, bench in enumerate(self.gateways):
             bench.name = f"gateway-{i}"
             # Each gateway reaches it through a proxy of its own.
@@ -365,15 +375,16 @@
         self.observers = [await self.gateways[0].spawn_observer(e)
                           for e in self.targets.engines.values()]
 
-    async def inject_faults(self, number, end):
-        """Faults of one group until END, one or two at a time."""
+    async def inject_faults(self, name, end):
+        """Faults of the group NAME until END, one or two at a time."""
+        number = list(FAULT_GROUPS).index(name)
         dice = generator(self.seed, "faults", number)
         count = 0
         while time.monotonic() < end:
             await asyncio.sleep(dice.choice((0, 0, dice.uniform(0, 2))))
             several = dice.choice((1, 1, 2))
             await asyncio.gather(*(
-                self.fault(FAULT_GROUPS[number], f"{number}x{count + i}")
+                self.fault(FAULT_GROUPS[name], f"{number}x{count + i}")
                 for i in range(several)))
             count += several
 
@@ -408,11 +419,13 @@
             Caller(self, f"c{i}", stays=i % 2 == 0,
                    reads_slowly=i % 6 >= 4).run())
             for i in range(CALLERS * len(self.gateways))]
+        callers += [asyncio.ensure_future(StreamCaller(self, f"s{i}").run())
+                    for i in range(STREAM_CALLERS * len(self.gateways))]
         bad = [asyncio.ensure_future(c.run())
                for c in (*self.bad_callers.values(), self.returning_caller)]
         end = time.monotonic() + self.seconds
-        await asyncio.gather(*(self.inject_faults(i, end)
-                               for i in range(len(FAULT_GROUPS))))
+        await asyncio.gather(*(self.inject_faults(name, end)
+                               for name in self.fault_groups))
         self.calm = True
         await asyncio.sleep(RECOVERY_S)
         recent_since = time.monotonic()
@@ -457,6 +470,16 @@
             f"{name} {len(limit.spans)} times, {len(limit.arrivals)} arrivals"
             for name, limit in sorted(self.targets.limits.items())
             if limit.spans) or "none")
+        orders = collections.Counter(
+            o.story for a in self.attempts.values() for o in a.orders
+            if o.final)
+        yield "  orders to stop: " + (", ".join(
+            f"{story} {n}" for story, n in sorted(orders.items())) or "none")
+        unframed = [v for a in self.attempts.values() for v in a.visits
+                    if v.is_unframed]
+        yield (f"  without length or chunks: {len(unframed)} of "
+               f"{sum(len(a.visits) for a in self.attempts.values())}, "
+               f"{sum(v.how == 'moved' for v in unframed)} stopped")
         yield "  no answer: " + ", ".join(
             [f"not at a target {self.checks.not_at_target}"]
             + [f"excused as {k} {n}"
@@ -510,9 +533,11 @@
     parser.add_argument("--seeds", default="1")
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--gateways", type=int, default=2)
-    parser.add_argument("--engines", type=int, default=3)
+    parser.add_argument("--engines", type=int, default=8)
     parser.add_argument("--pause", type=float, default=1.4,
                         help="longest pause in a stream, in seconds")
+    parser.add_argument("--faults", default=",".join(FAULT_GROUPS),
+                        help="groups of faults (default: all)")
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     options = parser.parse_args()
     # A shell ignores SIGINT in background jobs, and the gateways inherit that.
--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -1,10 +1,12 @@
 """Checks of the soak: what callers got against what targets received."""
 
 import collections
+import re
 import time
 
-from soak_load import (DEADLINE_S, KEY, ONCE_PATHS, STEADY_PATHS,
-                       STREAM_PATHS)
+from soak_load import (DEADLINE_S, KEY, LONG, ONCE_PATHS, STEADY_PATHS,
+                       STREAM_PATHS, TOKENS_PER_EVENT)
+from soak_targets import plain_text
 
 # Statuses that say that the request did not run.
 NOT_RUN = (408, 421, 429, 503)
@@ -25,10 +27,30 @@
 # may follow in all, sent by gateways in touch.
 CRASHES_MAX = {"request": 3, "part": 5}
 LATE_ARRIVALS_MAX = 3
+# A gateway that has no answer to an order for this long takes it for lost.
+ORDER_WAIT_S = 2.4
 # The arrivals at a target with a limit are counted over this time.
 LIMIT_WINDOW_S = 4
 
 
+# Whole events of a stream.
+EVENTS = re.compile(r"(?:id: \d+\ndata: v\d\n\n)*")
+
+
+def fault_of_events(text, count, is_complete=True):
+    """Why TEXT cannot be all COUNT events of a stream, or the first of them;
+    None if it can."""
+    numbers = [l[4:] for l in text.split("\n") if l.startswith("id: ")]
+    if numbers != [str(i) for i in range(len(numbers))] \
+            or len(numbers) > count:
+        return f"events {numbers}"
+    if is_complete and len(numbers) < count:
+        return "complete without its last events"
+    if not EVENTS.fullmatch(text):
+        return "a part of an event"
+    return None
+
+
 def versions_of(text):
     """The software versions that wrote the events of a stream."""
     return {l[6:] for l in text.split("\n") if l.startswith("data: ")}
@@ -98,11 +120,36 @@
         and (last.ended_at is None or last.ended_at >= end)
 
 
+def was_stopped_late(soak, attempt):
+    """An order whose answer was lost stopped the run after a second or two, and
+    the request may not run again."""
+    if attempt.head_at is None or attempt.path not in ONCE_PATHS:
+        return False
+    last = attempt.visits[-1]
+    return last.how == "moved" and any(
+        o.is_lost_and_late() and o.stopped_at and o.target == last.target
+        for o in attempt.orders)
+
+
 EXCUSES = (("killed", was_killed), ("frozen", was_frozen),
            ("target failed", was_broken_off), ("deadline", was_late),
+           ("stopped by a lost order", was_stopped_late),
            ("at work at the end of the stop", was_at_work_at_stop))
 
 
+def was_known_to_end(soak, attempt, visit):
+    """Each order to stop the run of VISIT was answered, with a status which says
+    that it was not stopped."""
+    return all(o.answer in ("404", "409", "503")
+               and o.answered_at - o.at < ORDER_WAIT_S
+               for o in attempt.orders
+               if o.final and o.target == visit.target
+               and visit.begun_at <= o.at) \
+        and not was_frozen(soak, attempt) \
+        and not any(overlaps(attempt, since, until) for _, since, until
+                    in soak.targets.proxies[visit.target].faults)
+
+
 # ---- checks ----
 
 class Checks:
@@ -139,6 +186,12 @@
         for name, text in self.soak.returning_caller.texts.items():
             if len(versions_of(text)) > 1:
                 self.add(f"{name}: versions {versions_of(text)} over its tries")
+            fault = fault_of_events(
+                text, LONG // TOKENS_PER_EVENT,
+                name in self.soak.returning_caller.ended)
+            if fault:
+                self.add(f"{name}: {fault} over its tries",
+                         self.soak.attempts[name])
         for name, limit in self.soak.targets.limits.items():
             for span in limit.spans:
                 self.check_limit(name, span, limit.arrivals)
@@ -150,8 +203,15 @@
         self.check_recovery(recent_since)
 
     def check_runs(self, attempt):
-        if attempt.path in ONCE_PATHS and attempt.starts > 1:
+        if attempt.path not in ONCE_PATHS:
+            return
+        if attempt.starts > 1:
             self.add(f"ran {attempt.starts} times", attempt)
+        for visit in attempt.visits[:-1]:
+            if visit.how == "complete" \
+                    and was_known_to_end(self.soak, attempt, visit):
+                self.add("goes on after its run has ended", attempt)
+
 
     def check_response(self, attempt):
         status, text = attempt.status, attempt.text
@@ -163,16 +223,29 @@
             self.add(f"{status}, and all configurations allow it", attempt)
         if status != 200:
             return
+        # Its kernel ends the connection in order.
+        if attempt.ends_at_close and was_killed(self.soak, attempt):
+            return
         if "server-signature" not in attempt.headers:
             self.add("unsigned success", attempt)
         if attempt.path in STREAM_PATHS:
-            numbers = [l[4:] for l in text.split("\n") if l.startswith("id: ")]
-            if numbers != [str(i) for i in range(attempt.events)]:
-                self.add(f"events {numbers}", attempt)
+            fault = fault_of_events(text, attempt.events)
+            if fault:
+                self.add(fault, attempt)
             if len(versions_of(text)) > 1:
                 self.add(f"versions {versions_of(text)}", attempt)
-        elif text != "late" and text.split()[0] != attempt.name:
-            self.add(f"response to another request: {text[:60]}", attempt)
+        elif text != "late":
+            self.check_plain(attempt)
+
+    def check_plain(self, attempt):
+        whole = [plain_text(attempt, v.target, v.size) for v in attempt.visits]
+        if attempt.text in whole:
+            return
+        if any(t.startswith(attempt.text) for t in whole):
+            self.add("a part of a response as complete", attempt)
+        else:
+            self.add(f"response to another request: {attempt.text[:60]}",
+                     attempt)
 
     def check_unanswered(self, attempt):
         if not attempt.visits:
@@ -366,12 +439,22 @@
                f"{attempt.status}; {'; '.join(attempt.pattern)}")
         for v in attempt.visits:
             yield (f"at {v.target} {at(v.begun_at)} to {at(v.ended_at)}, head "
-                   f"{at(v.head_at)}: {v.how}; delays {v.delays}")
+                   f"{at(v.head_at)}: {v.how}; delays {v.delays}; "
+                   f"{v.made} events"
+                   f"{', no length or chunks' if v.is_unframed else ''}")
             for kind, since, until in self.soak.targets.proxies[
                     v.target].faults:
                 if overlaps(attempt, since, until):
                     yield (f"link of {v.target}: {kind} {at(since)} to "
                            f"{at(until)}")
+        for o in attempt.orders:
+            yield (f"order{' to stop' if o.final else ''} at {o.target} "
+                   f"{at(o.at)}: {o.story}; stopped {at(o.stopped_at)}, "
+                   f"answered {at(o.answered_at)}: {o.answer}")
+        if attempt.text is not None and attempt.path in STREAM_PATHS:
+            yield (f"the caller has {attempt.text.count('id: ')} of "
+                   f"{attempt.events} events")
+
         def show(line):
             fields = " ".join(f"{k}={v}" for k, v in line.items() if k not in (
                 "steady_us", "time", "event", "name"))
--- a/tests/gateway/soak_load.py
+++ b/tests/gateway/soak_load.py
@@ -16,6 +16,8 @@
 # A caller waits this long for the end of a response: the deadline, the longest
 # freeze, and a margin.
 CALLER_WAIT_S = 9
+# Share of the requests that are sent with HTTP/1.0.
+HTTP_1_0 = 0.1
 LARGE_BODY_BYTES = 60000
 LARGE_ANSWER_BYTES = 200000
 # Interval of the new connections to a gateway that stops.
@@ -59,8 +61,12 @@
         self.text = None  # body of a complete response
         self.pattern = []  # how the caller sends and reads
         self.visits = []
+        self.orders = []  # to copy or stop its runs
         self.starts = 0
         self.leaves = False  # its caller closes before the end
+        # Sent with HTTP/1.0: nothing but the end of the connection in order
+        # tells that the response is complete.
+        self.ends_at_close = False
 
     @property
     def is_complete(self):
@@ -188,18 +194,24 @@
         else:
             await asyncio.sleep(self.dice.uniform(0, 0.03))
 
+    def choose_path(self):
+        return self.dice.choice(STEADY_PATHS + (
+            () if self.soak.calm else ("/extra/1", "/extra-tag/1", "/tag/1")))
+
+    def choose_output(self):
+        return self.dice.choice((SHORT, LONG))
+
     def next_request(self, run):
         self.count += 1
         calm = self.soak.calm
-        path = self.dice.choice(STEADY_PATHS + (
-            () if calm else ("/extra/1", "/extra-tag/1", "/tag/1")))
+        path = self.choose_path()
         key = OTHER_KEY if not calm and self.dice.random() < 0.08 else KEY
         attempt = Attempt(f"{self.name}n{self.count}", path, run, key=key)
         headers = {"Attempt-Id": attempt.name, "X-Api-Key": key,
                    "Deadline-Ms": str(1000 * DEADLINE_S)}
         body = b""
         if path in STREAM_PATHS:
-            output = self.dice.choice((SHORT, LONG))
+            output = self.choose_output()
             attempt.events = output // TOKENS_PER_EVENT
             headers.update({"Model": "m", "Prefix-Hash": "1:200,2:100," + f"{self.count:x}f:100",
                             "Token-Usage": f"{PROMPT_TOKENS},{output}"})
@@ -210,6 +222,10 @@
             attempt.pattern.append("large body")
             body *= LARGE_BODY_BYTES // len(body)
         text = run.bench.head("POST" if body else "GET", path, body, **headers)
+        if generator(self.soak.seed, "version", attempt.name).random() < HTTP_1_0:
+            attempt.ends_at_close = True
+            attempt.pattern.append("HTTP/1.0")
+            text = text.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n", 1)
         return attempt, text, len(text) - len(body)
 
     async def exchange(self, run, reader, writer):
@@ -232,7 +248,7 @@
             attempt.how = f"malformed: {error}"
         finally:
             attempt.ended_at = time.monotonic()
-        return attempt.how == "complete" \
+        return attempt.how == "complete" and not attempt.ends_at_close \
             and attempt.headers.get("connection") != "close"
 
     async def send_and_read(self, attempt, text, head_size, reader, writer):
@@ -259,6 +275,16 @@
         attempt.text = body.decode()
 
 
+class StreamCaller(Caller):
+    """Requests long streams only."""
+
+    def choose_path(self):
+        return self.dice.choice(("/tag/1", "/long/1", "/long/1", "/long/1"))
+
+    def choose_output(self):
+        return LONG
+
+
 class BadCaller:
     """Sends one request that crashes its targets again and again, each time at
     a gateway drawn at random and under another id."""
@@ -326,6 +352,7 @@
     def __init__(self, soak):
         super().__init__(soak)
         self.texts = {}  # of the events, by the attempt that began the stream
+        self.ended = set()  # attempts that began a stream which ended
         self.taken_up = 0
         self.went_on = 0
 
@@ -369,6 +396,7 @@
         while status == 200 and events > 0:
             size = int(await reader.readuntil(b"\n"), 16)
             if size == 0:
+                self.ended.add(name)
                 return
             self.texts[name] += (await reader.readexactly(size + 2))[:-2].decode()
             events -= 1
--- a/tests/gateway/soak_targets.py
+++ b/tests/gateway/soak_targets.py
@@ -3,25 +3,95 @@
 import asyncio
 import collections
 import json
+import socket
+import struct
 import time
 
 from broken_stream_scenarios import answers_that_differ
 from soak_load import (BAD_PART, BAD_PATH, LARGE_ANSWER_BYTES, PROMPT_TOKENS, TOKENS_PER_EVENT,
                        generator)
-from standins import (EngineStatus, Target, answer, chunk, signed,
+from standins import (CHUNKED, EngineStatus, Target, answer, chunk, signed,
                       start_stream)
 
-# Interval of the events of a stream.
+# Interval of the events of a stream, and while an order waits at the engine.
 EVENT_S = 0.04
+EVENT_WITH_ORDER_S = 0.15
+# Share of the responses that have neither a length nor chunks.
+UNFRAMED = 1 / 3
+# Time from the loss of an answer to an order until the order is carried out.
+LATE_ORDER_S = (1, 2)
+# Longest time between the answer to an order and the close of the stream.
+ANSWER_TO_CLOSE_S = 0.3
+# What becomes of an order that stops a run, and how often.
+ORDERS = {"moved, answer before the close": 8,
+          "moved, answer with the close": 8,
+          "moved, answer after the close": 8,
+          "refused with a handle, answer before the close": 4,
+          "refused with a handle, answer with the close": 4,
+          "refused with a handle, answer after the close": 4,
+          "refused without a handle": 4,
+          "waits until the run has ended": 5,
+          "answer lost, carried out at once": 5,
+          "answer lost, carried out late": 5,
+          "answer lost, not carried out": 3}
 # A gateway that passed on a limit this long ago has to keep to it.
 TOLD_S = 0.5
 
 
+def reset(writer):
+    """Reset the connection: without this option it would end in order, and what
+    its peer has read of a response without a length would be complete."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def without_length(data):
+    """The response DATA as one that ends with its connection."""
+    head, end, body = data.partition(b"\r\n\r\n")
+    lines = [b"Connection: close" if line.startswith(b"Content-Length:")
+             else line for line in head.split(b"\r\n")]
+    return b"\r\n".join(lines) + end + body
+
+
+def plain_text(attempt, target, size):
+    """The body of a plain service's response."""
+    return f"{attempt.name} {target} " + "x" * size
+
+
+class Order:
+    """An order to copy a run, which stops the run if it is FINAL."""
+
+    def __init__(self, target, final):
+        self.target = target
+        self.final = final
+        self.at = time.monotonic()
+        self.story = "copied"
+        self.stopped_at = None  # the run was stopped
+        self.answered_at = None
+        self.answer = "none"
+
+    def is_lost_and_late(self):
+        return self.story == "answer lost, carried out late"
+
+
 class Visit:
     """One arrival of a request at a target."""
 
-    def __init__(self, target):
+    def __init__(self, seed, attempt, target):
+        self.names = (attempt.name, target, len(attempt.visits) + 1)
+        self.seed = seed
         self.target = target
+        # The response ends with its connection.
+        self.is_unframed = self.dice("framing").random() < UNFRAMED
+        self.size = 0  # of a plain response, beyond its first words
+        self.made = 0  # events of a run
+        self.order = None  # that is in progress
+        self.is_stopped = asyncio.Event()  # makes no more events
+        self.may_close = asyncio.Event()  # after it was stopped
+        self.has_ended = asyncio.Event()
         self.begun_at = time.monotonic()
         self.head_at = None  # the head of a stream was sent
         self.ended_at = None
@@ -30,10 +100,14 @@
         self.how = "at work"
         self.delays = []
 
+    def dice(self, purpose):
+        return generator(self.seed, purpose, *self.names)
+
     def end(self, how):
         if self.ended_at is None:
             self.ended_at = time.monotonic()
             self.how = how
+            self.has_ended.set()
 
 
 class Proxy:
@@ -61,14 +135,14 @@
         self.faults.append(["crash", time.monotonic(), None])
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def serve(self, reader, writer):
         try:
             upstream = await asyncio.open_connection("127.0.0.1",
                                                      self.target_port)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers |= {writer, upstream[1]}
         await asyncio.gather(self.pump(reader, upstream[1], "up"),
@@ -84,7 +158,7 @@
                     await asyncio.sleep(0.05)
                 writer.write(data)
         except (ConnectionError, asyncio.CancelledError):
-            writer.transport.abort()
+            reset(writer)
         writer.close()
 
     def fail(self, kind, dice):
@@ -98,7 +172,7 @@
             self.silent = {dice.choice(("up", "down"))}
         elif kind == "reset":
             for writer in list(self.writers):
-                writer.transport.abort()
+                reset(writer)
 
     def heal(self):
         self.delay = 0
@@ -153,9 +227,11 @@
         self.bad_arrivals = collections.defaultdict(list)  # times, by kind
         self.crashes = collections.defaultdict(list)  # times, by kind
         self.stopped = set()  # (engine, attempt) stopped for a migration
+        self.runs = {}  # visits in progress, by (engine, attempt)
         self.draining = set()  # engines that say so in their answers
         self.absent = set()  # engines that have left the list of instances
         self.kept = set()  # connections that have carried a request
+        self.unframed = set()  # connections whose end is that of a response
         self.restarting = set()  # engines that are restarting
         self.version_dice = generator(soak.seed, "versions")
         self.leaving_dice = generator(soak.seed, "leaving")
@@ -164,11 +240,10 @@
 
     def visit(self, target, request):
         attempt = self.soak.attempts[request.headers["attempt-id"]]
-        visit = Visit(target.name)
+        visit = Visit(self.soak.seed, attempt, target.name)
         attempt.visits.append(visit)
         self.limits[target.name].arrived(attempt.run)
-        dice = generator(self.soak.seed, attempt.name, target.name,
-                         len(attempt.visits))
+        dice = generator(self.soak.seed, *visit.names)
         return attempt, visit, dice
 
     async def run_bad(self, target, kind, request):
@@ -219,9 +294,21 @@
             delay = dice.uniform(0.1, 1.2)
         visit.delays.append(round(delay, 2))
         await asyncio.sleep(delay)
+        if attempt.path == "/read/large":
+            visit.size = LARGE_ANSWER_BYTES
+            if visit.is_unframed:
+                visit.size *= visit.dice("size").choice((1, 2))
+        data = signed(request, plain_text(attempt, target.name,
+                                          visit.size).encode(),
+                      self.limits[target.name].headers(attempt.run))
+        if visit.is_unframed:
+            self.unframed.add(writer)
+        if kind < 0.08 and visit.is_unframed:
+            await self.break_off(visit, without_length(data), writer)
+            return False
         if kind < 0.06:
             visit.end("broke off")
-            writer.transport.abort()
+            reset(writer)
             return False
         if kind < 0.08:
             visit.end("broke off")
@@ -232,19 +319,35 @@
         # another request.
         if kind < 0.10:
             writer.write(signed(request, b"late", [("X-Extra", "1")]))
-        text = f"{attempt.name} {target.name} "
-        if attempt.path == "/read/large":
-            text += "x" * LARGE_ANSWER_BYTES
-        data = signed(request, text.encode(),
-                      self.limits[target.name].headers(attempt.run))
+        if visit.is_unframed:
+            writer.write(without_length(data))
+            visit.end("complete")
+            return False
         writer.write(data)
         visit.end("complete")
         # Once more, while the connection is idle or in use again.
         if kind > 0.90 and not self.soak.calm:
-            asyncio.get_running_loop().call_later(dice.uniform(0, 0.05),
-                                                  writer.write, data)
+            asyncio.get_running_loop().call_later(
+                dice.uniform(0, 0.05), self.write_again, writer, data)
         return kind >= 0.10
 
+    def write_again(self, writer, data):
+        # It would be a part of the body.
+        if writer not in self.unframed:
+            writer.write(data)
+
+    async def break_off(self, visit, data, writer):
+        """Reset the connection after a part of the response DATA, with no or some
+        bytes of the body."""
+        dice = visit.dice("part")
+        first = data.index(b"\r\n\r\n") + 4
+        visit.end("broke off")
+        writer.write(data[:dice.choice((0, first, dice.randrange(
+            first, len(data))))])
+        # What was sent before the reset should arrive.
+        await asyncio.sleep(dice.choice((0, 0.02, 0.1)))
+        reset(writer)
+
     def reject(self, attempt, visit, dice, writer):
         """Turn a request away; before the faults end, half of the time for a
         while."""
@@ -257,7 +360,7 @@
     async def model(self, target, request, writer):
         """An engine: generations, copies of their KV cache, and restarts."""
         if request.path == "/kv-move":
-            return self.move(target, request, writer)
+            return await self.move(target, request, writer)
         if request.method == "DELETE":
             writer.write(answer(200))
             return True
@@ -289,8 +392,11 @@
             visit.end("left")
             raise
         finally:
-            self.engines[target.name].runs.pop(attempt.name, None)
-        return visit.how == "complete"
+            # The run may have been resumed here before its first part closed.
+            if self.runs.get(key) is visit:
+                del self.runs[key]
+                self.engines[target.name].runs.pop(attempt.name, None)
+        return visit.how == "complete" and not visit.is_unframed
 
     def choose_pauses(self, attempt, visit, dice):
         """Pauses of a run by position: -1 is before the head of the response,
@@ -308,49 +414,159 @@
 
     async def generate(self, attempt, visit, dice, pauses, request, writer):
         first = int(request.headers.get("last-event-id", "-1")) + 1
-        key = (visit.target, attempt.name)
         runs = self.engines[visit.target].runs
         version = self.records[visit.target]["Version"]
+
+        def frame(data):
+            return data if visit.is_unframed else chunk(data)
+
+        self.runs[visit.target, attempt.name] = visit
+        visit.made = first
         runs[attempt.name] = PROMPT_TOKENS
         await asyncio.sleep(pauses.get(-1, 0))
         await start_stream(request, writer, [
             *self.limits[visit.target].headers(attempt.run),
             *([("Server-Leaving", "1")] if visit.target in self.draining
-              else [])])
+              else [])],
+            "Connection: close" if visit.is_unframed else CHUNKED)
         visit.head_at = time.monotonic()
         for i in range(first, attempt.events):
-            await asyncio.sleep(pauses.get(i, 0))
-            if key in self.stopped:
-                visit.end("moved")
-                return
+            data = f"id: {i}\ndata: {version}\n\n".encode()
+            if await self.is_stopped_within(visit, pauses.get(i, 0)):
+                break
             if dice.random() < 0.005 or visit.target in self.restarting:
                 visit.end("broke off")
-                writer.transport.abort()
+                reset(writer)
                 return
             runs[attempt.name] = PROMPT_TOKENS + TOKENS_PER_EVENT * i
-            writer.write(chunk(f"id: {i}\ndata: {version}\n\n".encode()))
+            writer.write(frame(data))
+            visit.made = i + 1
             await writer.drain()
-            await asyncio.sleep(EVENT_S)
-        writer.write(b"0\r\n\r\n")
-        visit.end("complete")
+            if await self.is_stopped_within(visit, EVENT_WITH_ORDER_S if (
+                    visit.order and visit.order.is_lost_and_late())
+                    else EVENT_S):
+                break
+        if not visit.is_stopped.is_set():
+            if not visit.is_unframed:
+                writer.write(b"0\r\n\r\n")
+            visit.end("complete")
+            return
+        # The engine may have written a part of the next event.
+        part = visit.dice("stop").choice((0, 0, 0, 3, 7, 14))
+        if visit.made < attempt.events and part > 0:
+            writer.write(frame(f"id: {visit.made}\ndata: {version}\n\n"
+                               .encode()[:part]))
+        await visit.may_close.wait()
+        visit.end("moved")
+
+    async def is_stopped_within(self, visit, duration_s):
+        """Wait for DURATION_S; true as soon as an order has stopped the run."""
+        try:
+            await asyncio.wait_for(visit.is_stopped.wait(), duration_s)
+        except asyncio.TimeoutError:
+            pass
+        return visit.is_stopped.is_set()
+
+    async def move(self, target, request, writer):
+        body = json.loads(request.body)
+        name = body["InstanceId"]
+        number = len(target.requests)
+        dice = generator(self.soak.seed, "order", name, number)
+        order = Order(target.name, body["Final"])
+        if name in self.soak.attempts:
+            self.soak.attempts[name].orders.append(order)
+        if name not in self.engines[target.name].runs:
+            order.story = "no such run"
+            return self.answer_order(order, 404, dice, writer)
+        visit = self.runs[target.name, name]
+        if visit.order is not None or visit.is_stopped.is_set():
+            order.story = "another one is in progress"
+            return self.answer_order(order, 409, dice, writer)
+        if self.is_down(body["To"]) or generator(
+                self.soak.seed, "move", name, number).random() < 0.1:
+            order.story = "refused without a handle"
+            return self.answer_order(order, 503, dice, writer)
+        handle = json.dumps({"Session": f"h-{target.name}-{name}",
+                             "Created": visit.made}).encode()
+        if not order.final:
+            return self.answer_order(order, 200, dice, writer, handle)
+        visit.order = order
+        order.story = dice.choices(list(ORDERS), ORDERS.values())[0]
+        if self.soak.calm:
+            order.story = "moved, answer with the close"
+        return await self.obey(visit, order, handle, dice, request, writer)
+
+    async def obey(self, visit, order, handle, dice, request, writer):
+        """What becomes of an order that stops the run of VISIT."""
+        what, _, when = order.story.partition(", answer ")
+        gap_s = dice.uniform(0, ANSWER_TO_CLOSE_S)
+        if what in ("moved", "refused with a handle"):
+            status = 200 if what == "moved" else 503
+            self.stop_run(visit, order)
+            if when != "before the close":
+                visit.may_close.set()
+            if when == "after the close":
+                await visit.has_ended.wait()
+                await asyncio.sleep(gap_s)
+            visit.order = None
+            keeps = self.answer_order(order, status, dice, writer, handle)
+            if when == "before the close":
+                asyncio.get_running_loop().call_later(gap_s,
+                                                      visit.may_close.set)
+            return keeps
+        if what == "refused without a handle":
+            visit.order = None
+            return self.answer_order(order, 503, dice, writer)
+        if what == "waits until the run has ended":
+            await visit.has_ended.wait()
+            return self.answer_order(order, 404, dice, writer)
+        if order.story == "answer lost, carried out at once":
+            self.stop_run(visit, order)
+            asyncio.get_running_loop().call_later(
+                dice.choice((0, gap_s)), visit.may_close.set)
+        elif order.is_lost_and_late():
+            self.soak.spawn_task(self.stop_late(visit, order, dice))
+        else:
+            visit.order = None
+        await self.lose_answer(order, handle, dice, request, writer)
+        return False
 
-    def move(self, target, request, writer):
-        order = json.loads(request.body)
-        attempt = order["InstanceId"]
-        if attempt not in self.engines[target.name].runs:
-            writer.write(answer(404))
-            return True
-        if self.is_down(order["To"]) or generator(
-                self.soak.seed, "move", attempt,
-                len(target.requests)).random() < 0.1:
-            writer.write(answer(503))
-            return True
-        if order["Final"]:
-            self.stopped.add((target.name, attempt))
-        handle = f"h-{target.name}-{attempt}"
-        writer.write(answer(200, json.dumps(
-            {"Session": handle, "Created": 4}).encode()))
-        return True
+    def stop_run(self, visit, order):
+        if visit.how != "at work":
+            return
+        order.stopped_at = time.monotonic()
+        visit.is_stopped.set()
+        key = (visit.target, visit.names[0])
+        if self.runs.get(key) is visit:
+            self.stopped.add(key)
+
+    async def stop_late(self, visit, order, dice):
+        await asyncio.sleep(dice.uniform(*LATE_ORDER_S))
+        self.stop_run(visit, order)
+        visit.may_close.set()
+        visit.order = None
+
+    def answer_order(self, order, status, dice, writer, body=b""):
+        """Returns whether the connection is kept."""
+        order.answered_at = time.monotonic()
+        order.answer = f"{status}{' with a handle' if body else ''}"
+        data = answer(status, body)
+        is_unframed = dice.random() < UNFRAMED
+        writer.write(without_length(data) if is_unframed else data)
+        return not is_unframed
+
+    async def lose_answer(self, order, handle, dice, request, writer):
+        """The connection is reset before or within the answer, or there is no
+        answer."""
+        order.answer = dice.choice(("reset", "reset within", "none"))
+        if order.answer == "none":
+            await request.reader.read(1)
+            return
+        if order.answer == "reset within":
+            data = without_length(answer(200, handle))
+            writer.write(data[:dice.randrange(len(data))])
+        await asyncio.sleep(dice.choice((0, 0.02, 0.3)))
+        reset(writer)
 
     def is_down(self, address):
         """Whether the process at ADDRESS has crashed and not started again."""
@@ -397,6 +613,22 @@
         if limit.spans[-1] is span:
             limit.end()
 
+    async def fall_short(self, dice, duration_s):
+        """Other users of the memory of half the engines of each service leave them
+        less than their runs have, so that these are moved."""
+        by_service = collections.defaultdict(list)
+        for name, engine in self.engines.items():
+            by_service[self.records[name]["Backend"]].append(engine)
+        short = [e for engines in by_service.values()
+                 for e in dice.sample(engines, len(engines) // 2)
+                 if e.total > PROMPT_TOKENS]
+        totals = [e.total for e in short]
+        for engine in short:
+            engine.total = PROMPT_TOKENS // 2
+        await asyncio.sleep(duration_s)
+        for engine, total in zip(short, totals):
+            engine.total = total
+
     async def drain(self, name):
         """The engine drains for 1.5 s, stops, and restarts under its name.  Its
         answers say so; the list of instances and its load reports do at times."""
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -276,12 +276,15 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
-async def start_stream(request, writer, headers=()):
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+async def start_stream(request, writer, headers=(), framing=CHUNKED):
     extra = "".join(f"{name}: {value}\r\n" for name, value in headers)
     writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                   f"{extra}"
                   f"Attempt-Id: {request.headers['attempt-id']}\r\n"
-                  "Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  f"Server-Signature: s\r\n{framing}\r\n\r\n"
                   ).encode())
 
 
