Soak: a refusal that is read after its process was killed

A request in two parts may be refused after the first one. Its caller writes the second part up to 0.4 s later and only then reads; a process that was killed in between has sent the refusal and lost its line.

For requests in two parts the process must have been killed between their begin and their end; the bounds for all others are unchanged, and a process that was not killed owes the line as before.

--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -66,6 +66,11 @@
     wrote after the request was written and before the response was read; what it
     sent just before may be read later."""
     killed = attempt.run.killed_at
+    # A request may be refused before its second part is written, and its caller
+    # reads the refusal after that.
+    if killed is not None and attempt.is_in_parts \
+            and attempt.begun_at <= killed < attempt.ended_at:
+        return True
     times = [attempt.written_at or attempt.begun_at, attempt.head_at,
              attempt.ended_at]
     return killed is not None and any(
--- a/tests/gateway/soak_load.py
+++ b/tests/gateway/soak_load.py
@@ -60,6 +60,7 @@
         self.headers = {}
         self.text = None  # body of a complete response
         self.pattern = []  # how the caller sends and reads
+        self.is_in_parts = False  # written in two parts
         self.visits = []
         self.orders = []  # to copy or stop its runs
         self.starts = 0
@@ -255,6 +256,7 @@
         if not self.soak.calm and self.dice.random() < 0.15:
             cut = self.dice.choice((head_size, head_size // 2))
             attempt.pattern.append(f"in two parts at {cut}")
+            attempt.is_in_parts = True
             writer.write(text[:cut])
             attempt.written_at = time.monotonic()
             await asyncio.sleep(self.dice.uniform(0, 0.4))
