gateway: an order that is answered settles the orders before it

Cause: callers' streams that were whole were cut. After an order without an answer the end of a connection is in doubt, and stayed so when a later order was answered 'refused' and the run went on to its own end. Change: an engine carries out one order of a run at a time and answers others 409, so any answer of a run that goes on shows that no earlier order is open. 404 does not: an earlier order may be why there is no run.

--- a/gateway/move.c
+++ b/gateway/move.c
@@ -279,6 +279,28 @@
     }
 }
 
+/* Reads the answer R to an order to copy or to stop the run.  Without a handle
+   in it the one of an earlier copy stays.  */
+static cv_order_answer_t
+read_order_answer (cv_migration_t *m, const cv_http_result_t *r)
+{
+  char handle[CV_NAME_MAX];
+  bool has_handle = cv_platform_decode_migration (r->body, handle);
+  cv_answer_fields_t fields = { 0 };
+  cv_order_answer_t answer;
+
+  if (r->head != NULL)
+    cv_platform_decode_answer (r->head, &fields);
+  answer = cv_order_answer_read (r->status, has_handle, fields.not_run);
+  if (answer == CV_ORDER_MADE
+      || (answer == CV_ORDER_COPY_FAILED && m->phase == CV_MIGRATION_STOP))
+    (void)cv_copy (m->handle, sizeof m->handle, handle);
+  if (m->exchange != NULL && !m->exchange->is_stopped_for_migration
+      && cv_order_answer_settles_earlier (answer))
+    m->exchange->is_stop_in_doubt = false;
+  return answer;
+}
+
 /* Orders the source to stop the run, which may go on from what was copied.  */
 static void
 order_stop (cv_migration_t *m)
@@ -391,24 +413,6 @@
     fail (m, "stream was broken");
 }
 
-/* Reads the answer R to the order to stop the run.  Without a handle in it the
-   one of the first copy stays.  */
-static cv_order_answer_t
-read_order_answer (cv_migration_t *m, const cv_http_result_t *r)
-{
-  char handle[CV_NAME_MAX];
-  bool has_handle = cv_platform_decode_migration (r->body, handle);
-  cv_answer_fields_t fields = { 0 };
-  cv_order_answer_t answer;
-
-  if (r->head != NULL)
-    cv_platform_decode_answer (r->head, &fields);
-  answer = cv_order_answer_read (r->status, has_handle, fields.not_run);
-  if (answer == CV_ORDER_MADE || answer == CV_ORDER_COPY_FAILED)
-    (void)cv_copy (m->handle, sizeof m->handle, handle);
-  return answer;
-}
-
 static void
 on_stop_answered (cv_migration_t *m, const cv_http_result_t *r)
 {
@@ -457,10 +461,10 @@
 static void
 on_run_copied (cv_migration_t *m, const cv_http_result_t *r)
 {
-  bool has_handle
-      = r->status == 200 && cv_platform_decode_migration (r->body, m->handle);
+  cv_exchange_t *x = m->exchange;
+  cv_order_answer_t answer = read_order_answer (m, r);
 
-  if (m->exchange == NULL)
+  if (x == NULL)
     {
       fail (m, "run has ended");
       return;
@@ -470,13 +474,25 @@
       on_copy_refused (m);
       return;
     }
-  m->exchange->migrations++;
-  if (r->status == 409)
-    m->exchange->no_migration_until = cv_now () + BALANCE_BACKOFF;
-  if (!has_handle)
-    fail (m, r->status == 404 ? "no such run" : "no copy was made");
-  else
-    order_stop (m);
+  x->migrations++;
+  switch (answer)
+    {
+    case CV_ORDER_MADE:
+      order_stop (m);
+      return;
+    case CV_ORDER_HAS_NO_RUN:
+      fail (m, "no such run");
+      return;
+    case CV_ORDER_IN_PROGRESS:
+      x->no_migration_until = cv_now () + BALANCE_BACKOFF;
+      fail (m, "an order is in progress");
+      return;
+    case CV_ORDER_COPY_FAILED:
+    case CV_ORDER_REFUSED:
+    case CV_ORDER_IS_UNANSWERED:
+      fail (m, "no copy was made");
+      return;
+    }
 }
 
 /* Records what the answer R says of the engine that gave it.  */
--- a/policy/stream_end.c
+++ b/policy/stream_end.c
@@ -39,3 +39,21 @@
       return not_run ? CV_ORDER_REFUSED : CV_ORDER_IS_UNANSWERED;
     }
 }
+
+bool
+cv_order_answer_settles_earlier (cv_order_answer_t answer)
+{
+  switch (answer)
+    {
+    case CV_ORDER_MADE:
+    case CV_ORDER_COPY_FAILED:
+    case CV_ORDER_REFUSED:
+      return true;
+    /* An earlier order may be why there is no run.  */
+    case CV_ORDER_HAS_NO_RUN:
+    case CV_ORDER_IN_PROGRESS:
+    case CV_ORDER_IS_UNANSWERED:
+      return false;
+    }
+  return false;
+}
--- a/policy/stream_end.h
+++ b/policy/stream_end.h
@@ -27,8 +27,9 @@
 {
   CV_STOP_NOT_ORDERED = 1, /* none, or all were answered: not carried out */
   CV_STOP_PENDING,         /* a migration decides, by the answer or without */
-  CV_STOP_IN_DOUBT         /* one has got no answer and may be carried out
-                              as long as the run goes on */
+  CV_STOP_IN_DOUBT         /* one has got no answer, and no later one was
+                              answered: it may be carried out as long as the
+                              run goes on */
 } cv_stop_order_t;
 
 typedef enum
@@ -59,6 +60,10 @@
 cv_order_answer_t cv_order_answer_read (unsigned status, bool has_handle,
                                         bool not_run);
 
+/* Whether ANSWER shows that no earlier order for the run is open: an engine
+   carries out one at a time, and says so to others.  */
+bool cv_order_answer_settles_earlier (cv_order_answer_t answer);
+
 #ifdef __cplusplus
 }
 #endif
--- a/policy/tests/stream_end_test.cc
+++ b/policy/tests/stream_end_test.cc
@@ -69,4 +69,14 @@
   EXPECT_EQ (cv_order_answer_read (421, false, true), CV_ORDER_IS_UNANSWERED);
 }
 
+TEST (StreamEnd, AnEarlierOrderIsSettledByAnAnswerOfARunThatGoesOn)
+{
+  for (cv_order_answer_t answer :
+       { CV_ORDER_MADE, CV_ORDER_COPY_FAILED, CV_ORDER_REFUSED })
+    EXPECT_TRUE (cv_order_answer_settles_earlier (answer));
+  for (cv_order_answer_t answer :
+       { CV_ORDER_HAS_NO_RUN, CV_ORDER_IN_PROGRESS, CV_ORDER_IS_UNANSWERED })
+    EXPECT_FALSE (cv_order_answer_settles_earlier (answer));
+}
+
 } // namespace
--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -346,6 +346,16 @@
     return on_stop
 
 
+def lost_then_refused():
+    """The first order is lost, and later ones are refused: the run goes on."""
+    replies = [reset]
+
+    async def on_stop(run, writer):
+        (replies.pop() if replies else refused)(run, writer)
+        return True
+    return on_stop
+
+
 def moved(run, writer):
     writer.write(copied(run))
 
@@ -513,6 +523,13 @@
     await play(bench, never_cases(CLOSE), complete_only_if_whole)
 
 
+async def run_stop_refused_after_a_lost_order(bench):
+    """A refusal shows that no earlier order is open: the run that ends by itself
+    is complete."""
+    await play(bench, [Case("reset, then 503", lost_then_refused(), framing)
+                       for framing in (CLOSE, CHUNKS)])
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
