HTTP: a status outside 100 to 599 is no status

Cause: http-parser takes any number up to 999. One below 100, and 101, was taken for an informational answer, behind which the request waited until its deadline; one above 599 was passed on to the caller, and with Not-Executed believed as a refusal. An order to stop a run that was answered 600 was taken for refused. Change: the reader of all answers, to forwarded requests and to own calls, takes such a status, and 101, for a malformed answer: the target may have run the request, and nothing in the answer is believed. Result: before, callers got 504 after the whole time (000, 099, 20, 101) or the status of the target (600, 999); a non-idempotent request with such a refusal was sent twice, and the stream whose order to stop was answered 600 was cut. Now each gets 502 at once, after another try where one is allowed, and streams go on.

--- a/http/reader.c
+++ b/http/reader.c
@@ -168,13 +168,23 @@
   return true;
 }
 
+/* A status is from 100 to 599 (RFC 9110, 15), and 101 (Switching Protocols) is
+   an answer only to a request for another protocol, which is never sent.  */
+static bool
+status_is_valid (const http_parser *p)
+{
+  return p->type == HTTP_REQUEST
+         || (p->status_code >= 100 && p->status_code <= 599
+             && p->status_code != 101);
+}
+
 static int
 on_head (http_parser *p)
 {
   cv_http_reader_t *r = p->data;
   cv_http_head_t *h = &r->head;
 
-  if (!fields_are_valid (h)
+  if (!fields_are_valid (h) || !status_is_valid (p)
       || (p->type == HTTP_REQUEST && p->uses_transfer_encoding
           && !(p->flags & F_CHUNKED)))
     return abort_with (r, CV_HTTP_MALFORMED);
--- a/http/tests/reader_test.cc
+++ b/http/tests/reader_test.cc
@@ -105,6 +105,31 @@
     EXPECT_EQ ("broken", read (head, HTTP_REQUEST, 1000)) << head;
 }
 
+std::string
+response (const std::string &status)
+{
+  return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nab";
+}
+
+TEST (Reader, AStatusThatIsNoneIsRejected)
+{
+  for (const char *status : { "000", "001", "099", "20", "101", "600", "999",
+                              "2000", "-20", "2xx", "" })
+    for (size_t step : { 1, 1000 })
+      EXPECT_EQ ("broken", read (response (status), HTTP_RESPONSE, step))
+          << status;
+  for (const char *status : { "200", "299", "421", "500", "599" })
+    EXPECT_EQ (std::string (status) + " Content-Length=2|ab|done;",
+               read (response (status), HTTP_RESPONSE, 1))
+        << status;
+  for (const char *status : { "100", "102", "103", "199" })
+    EXPECT_EQ (std::string (status) + "||done;200 Content-Length=2|ab|done;",
+               read ("HTTP/1.1 " + std::string (status) + " X\r\n\r\n"
+                         + response ("200"),
+                     HTTP_RESPONSE, 1000))
+        << status;
+}
+
 TEST (Reader, AHeadOverTheLimitIsRejected)
 {
   std::string text
--- /dev/null
+++ b/tests/gateway/status_scenarios.py
@@ -0,0 +1,259 @@
+"""Scenarios of answers whose status is none, or that announces another answer."""
+
+import asyncio
+import json
+import time
+
+from scenarios import GEN_HEADERS
+from standins import EngineStatus, answer, chunk, echo, event, start_stream
+
+EVENTS = b"".join(event(i) for i in range(3))
+# Shorter than each time limit of the routes and calls below.
+AT_ONCE_S = 0.5
+TARGETS = 16
+FIELDS = "Attempt-Id: {}\r\nServer-Signature: s\r\n"
+# Fields of the head and bytes of the body.
+BODIES = {
+    "length": ("Content-Length: 4\r\n", b"body"),
+    "empty": ("Content-Length: 0\r\n", b""),
+    "chunks": ("Transfer-Encoding: chunked\r\n", chunk(b"body") + b"0\r\n\r\n"),
+    "close": ("", b"body"),
+    "events": ("Content-Type: text/event-stream\r\n"
+               "Transfer-Encoding: chunked\r\n",
+               chunk(EVENTS) + b"0\r\n\r\n"),
+}
+# A status is from 100 to 599 (RFC 9110, 15), and 101 follows only a request that
+# asks for another protocol.
+INVALID = ("000", "099", "20", "101", "600", "999", "2000", "-20", "2xx")
+ROUTES = {"idempotent": ("GET", "/read/"), "non-idempotent": ("POST", "/book/"),
+          "stream": ("POST", "/long/"), "resumable": ("POST", "/tag/")}
+
+
+def encode(line, body, attempt, fields=""):
+    """The answer with the status line LINE and the body of the kind BODY."""
+    more, data = BODIES[body]
+    return (f"HTTP/1.1 {line} X\r\n" + FIELDS.format(attempt) + fields + more
+            + "\r\n").encode() + data
+
+
+class Responder:
+    """Targets that answer with a status line and a body of the path, as in
+    /read/000/length.  Each connection stays open, but for bodies that end with
+    it."""
+
+    def __init__(self, fields=""):
+        self.fields = fields
+        self.sends = 0
+
+    async def __call__(self, target, request, writer):
+        _, _, line, body = request.path.split("/")
+        self.sends += 1
+        writer.write(encode(line, body, request.headers["attempt-id"],
+                            self.fields))
+        await writer.drain()
+        return body != "close"
+
+
+async def start(bench, script, names):
+    """Start a gateway with targets of its own for each of NAMES, as targets
+    that failed are avoided."""
+    routes, services = [], []
+    for i, name in enumerate(names):
+        for route in bench.config["Routes"]:
+            kind = route["Backend"]
+            routes.append({**route, "Name": f"{route['Name']}-{i}",
+                           "PathPrefix": f"{route['PathPrefix']}{name}/",
+                           "MaxAttempts": 2, "Backend": f"{kind}-{i}"})
+        for service in bench.config["Backends"]:
+            services.append({**service, "Name": f"{service['Name']}-{i}"})
+            for k in range(TARGETS):
+                await bench.add_target(f"{service['Name']}-{i}-{k}",
+                                       f"{service['Name']}-{i}", script)
+    bench.config["Routes"] += routes
+    bench.config["Backends"] += services
+    await bench.start(retry_ratio=1, retry_slack=1000)
+
+
+async def ask(bench, script, kind, path):
+    """What a caller gets, how often its request was sent, and whether it was
+    answered at once."""
+    method, prefix = ROUTES[kind]
+    script.sends = 0
+    headers = GEN_HEADERS if prefix in ("/long/", "/tag/") else {}
+    begun = time.monotonic()
+    status, fields, body = await bench.send(
+        method, prefix + path, b"" if method == "GET" else b"x", **headers)
+    took = time.monotonic() - begun
+    whose = "" if status == 0 or b'"error"' in body else \
+        f" and {len(body)} bytes of the target"
+    return (f"{status}{whose}, sent {script.sends}, "
+            f"{'at once' if took < AT_ONCE_S else 'late'}")
+
+
+async def play(bench, script, lines):
+    """Each line with each body on each route; bodies with the same result share
+    a line."""
+    await start(bench, script, lines)
+    for line in lines:
+        for kind in ROUTES:
+            results = {}
+            for body in BODIES:
+                result = await ask(bench, script, kind, f"{line}/{body}")
+                results.setdefault(result, []).append(body)
+            for result, bodies in results.items():
+                names = "all" if len(bodies) == len(BODIES) else \
+                    ", ".join(bodies)
+                bench.say(f"{line}, {kind}: {result} ({names})")
+
+
+async def status_invalid(bench):
+    """A target answers with a status that is none: it was taken for an
+    informational answer, which the request waited behind until its deadline,
+    or passed on to the caller."""
+    await play(bench, Responder(), INVALID)
+
+
+async def status_invalid_with_refusal(bench):
+    """The same with the field that says that the request did not run: what is no
+    answer promises nothing."""
+    await play(bench, Responder("Not-Executed: 1\r\n"), ("000", "101", "600"))
+
+
+async def status_invalid_of_a_resumed_stream(bench):
+    """A stream breaks off, and the next engine answers with a status that is
+    none: the stream goes on at another engine."""
+    resumes = []
+
+    async def script(target, request, writer):
+        line = request.path.split("/")[2]
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        attempt = request.headers["attempt-id"]
+        if first > 0:
+            resumes.append(target.name)
+            if len(resumes) == 1:
+                writer.write(encode(line, "events", attempt))
+                return True
+        await start_stream(request, writer)
+        for i in range(first, 8):
+            if first == 0 and i == 3:
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            writer.write(chunk(event(i)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    lines = ("000", "099", "101", "600", "2xx")
+    await start(bench, script, lines)
+    for line in lines:
+        resumes.clear()
+        begun = time.monotonic()
+        status, _, body = await bench.send("POST", f"/tag/{line}/1", b"x",
+                                           **GEN_HEADERS)
+        took = time.monotonic() - begun
+        bench.say(f"{line}: {status}, whole "
+                  f"{body == b''.join(event(i) for i in range(8))}, resumed "
+                  f"{len(resumes)} times, within 1 s {took < 1}")
+
+
+async def status_invalid_of_an_order(bench):
+    """An engine drains, and answers the orders to copy and to stop its run with
+    a status that is none: the gateway knows at once that it has no answer."""
+    async def play_order(line, ordered):
+        stopped, orders = asyncio.Event(), []
+
+        async def script(target, request, writer):
+            if request.path.startswith("/kv-move"):
+                kind = "stop" if json.loads(request.body)["Final"] else "copy"
+                orders.append(time.monotonic())
+                if kind == "stop":
+                    stopped.set()
+                writer.write(answer(line if kind == ordered else 200,
+                                    b'{"Session":"h1","Created":4}'))
+                return True
+            if request.path.startswith("/kv-handle"):
+                writer.write(answer(200))
+                return True
+            first = int(request.headers.get("last-event-id", "-1")) + 1
+            await start_stream(request, writer)
+            for i in range(first, 40 if first == 0 else first + 3):
+                if stopped.is_set() and first == 0:
+                    return False
+                writer.write(chunk(event(i)))
+                await asyncio.sleep(0.05)
+            writer.write(b"0\r\n\r\n")
+            return True
+
+        name = f"{line}-{ordered}"
+        old = await bench.add_target(f"old-{name}", "model", script)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=old.name)
+        caller = asyncio.ensure_future(
+            bench.send("POST", "/long/1", b"x", **GEN_HEADERS))
+        await asyncio.sleep(0.3)
+        new = await bench.add_target(f"new-{name}", "model", script)
+        await bench.until_logged("GATEWAY_TARGET_ADDED", target=new.name)
+        await bench.store.put("servers", old.name, old.record("draining"))
+        status, _, body = await caller
+        numbers = [int(l[4:]) for l in body.decode().split("\n")
+                   if l.startswith("id:")]
+        bench.say(f"{line}, {ordered}: {status}, each event once and in order "
+                  f"{numbers == list(range(len(numbers)))}, ordered "
+                  f"{len(orders) > 0}")
+        for target in (old, new):
+            await bench.store.remove("servers", target.name)
+        await bench.until_logged("GATEWAY_TARGET_LEAVING", target=new.name)
+
+    await bench.start()
+    for line in ("000", "101", "600"):
+        for ordered in ("copy", "stop"):
+            await play_order(line, ordered)
+
+
+async def status_invalid_of_the_store(bench):
+    """The store answers with a status that is none: the gateway asks again at
+    once as after any failed call, and keeps what it knows."""
+    await bench.add_target("t1", "plain", echo)
+    await bench.start()
+    for line in ("000", "101", "600", "2xx"):
+        bench.logs.clear()
+        bench.store.status = line
+        await asyncio.sleep(2)
+        status, _, _ = await bench.send("GET", "/read/1")
+        reasons = {l["reason"] for l in bench.logged("GATEWAY_STORE_LOST")}
+        bench.store.status = None
+        bench.config["Version"] += 1
+        await bench.store.put("config", "main", bench.config)
+        await bench.until_logged("GATEWAY_ROUTING_ADOPTED",
+                                 version=bench.config["Version"])
+        bench.say(f"{line}: {status}, {', '.join(sorted(reasons))}; the next "
+                  f"configuration is in force")
+
+
+class OddStatus(EngineStatus):
+    """Answers with the status LINE, if set."""
+
+    line = None
+
+    async def handle(self, request, writer):
+        if self.line is None:
+            return await super().handle(request, writer)
+        writer.write(answer(self.line, b"{}"))
+        return True
+
+
+async def status_invalid_of_a_load_report(bench):
+    """An engine answers its observer with a status that is none: the observer
+    takes it as not reached, and as reached once it answers properly."""
+    await bench.start()
+    engine = OddStatus("m1")
+    await bench.observe(engine)
+
+    for line in ("000", "101", "600"):
+        bench.logs.clear()
+        engine.line = line
+        await asyncio.sleep(1.5)
+        reasons = {l["reason"] for l in bench.logged("OBSERVER_ENGINE_DOWN")}
+        engine.line = None
+        await bench.until_logged("OBSERVER_ENGINE_UP")
+        bench.say(f"{line}: {', '.join(sorted(reasons))}; then up again")
