HTTP: a status has three digits

Cause: http-parser tells the value of a status, not its digits: 0200 was taken for 200, while another recipient may read it as 020 or refuse it. Change: the reader counts the digits. Result: before, answers with 0200 were passed on as 200; now they are malformed. Test Reader.AStatusThatIsNoneIsRejected and gateway-status-invalid failed before and pass.

--- a/http/reader.c
+++ b/http/reader.c
@@ -11,6 +11,7 @@
 /* Colon, space and line end of a field; counted for each piece of a name that
    arrives split.  */
 #define FIELD_OVERHEAD_BYTES 4
+#define STATUS_DIGITS 3
 
 /* Fields of a single connection (RFC 9110, 7.6.1) and of the framing of a
    message, which are not forwarded.  */
@@ -63,6 +64,9 @@
   r->head_bytes = 0;
   r->in_value = false;
   r->started = false;
+  r->after_version = false;
+  r->status_done = false;
+  r->status_digits = 0;
   r->head_done = false;
   r->no_body = false;
 }
@@ -168,14 +172,17 @@
   return true;
 }
 
-/* A status is from 100 to 599 (RFC 9110, 15), and 101 (Switching Protocols) is
-   an answer only to a request for another protocol, which is never sent.  */
+/* A status is from 100 to 599 in three digits (RFC 9110, 15), and 101
+   (Switching Protocols) is an answer only to a request for another protocol,
+   which is never sent.  */
 static bool
-status_is_valid (const http_parser *p)
+status_is_valid (const cv_http_reader_t *r)
 {
+  const http_parser *p = &r->parser;
+
   return p->type == HTTP_REQUEST
          || (p->status_code >= 100 && p->status_code <= 599
-             && p->status_code != 101);
+             && p->status_code != 101 && r->status_digits == STATUS_DIGITS);
 }
 
 static int
@@ -184,7 +191,7 @@
   cv_http_reader_t *r = p->data;
   cv_http_head_t *h = &r->head;
 
-  if (!fields_are_valid (h) || !status_is_valid (p)
+  if (!fields_are_valid (h) || !status_is_valid (r)
       || (p->type == HTTP_REQUEST && p->uses_transfer_encoding
           && !(p->flags & F_CHUNKED)))
     return abort_with (r, CV_HTTP_MALFORMED);
@@ -218,6 +225,23 @@
   return pause_with (p->data, CV_HTTP_DONE);
 }
 
+/* Counts the digits of the status, of which the parser tells the value only.
+   The parser does not pause before the status has ended, so that no byte is
+   counted twice.  */
+static void
+count_status_digits (cv_http_reader_t *r, const char *data, size_t n)
+{
+  if (r->parser.type == HTTP_REQUEST)
+    return;
+  for (size_t i = 0; i < n && !r->status_done; i++)
+    if (!r->after_version)
+      r->after_version = data[i] == ' ';
+    else if (isdigit ((unsigned char)data[i]))
+      r->status_digits++;
+    else
+      r->status_done = r->status_digits > 0;
+}
+
 cv_http_part_t
 cv_http_reader_next (cv_http_reader_t *r, const char *data, size_t n,
                      size_t *used)
@@ -229,6 +253,7 @@
   if (n == 0)
     return CV_HTTP_NEED_INPUT;
   r->started = true;
+  count_status_digits (r, data, n);
   http_parser_pause (&r->parser, 0);
   *used = http_parser_execute (&r->parser, &callbacks, data, n);
   e = HTTP_PARSER_ERRNO (&r->parser);
--- a/http/reader.h
+++ b/http/reader.h
@@ -62,6 +62,9 @@
   uint32_t head_bytes; /* size of the current head so far */
   bool in_value;       /* the parser is within a field value */
   bool started;        /* a byte of the current message was read */
+  bool after_version;  /* the status of a response follows or was read */
+  bool status_done;
+  uint32_t status_digits; /* number of digits so far */
   bool head_done;
   bool no_body; /* response to a HEAD request */
 } cv_http_reader_t;
--- a/http/tests/reader_test.cc
+++ b/http/tests/reader_test.cc
@@ -113,8 +113,8 @@
 
 TEST (Reader, AStatusThatIsNoneIsRejected)
 {
-  for (const char *status : { "000", "001", "099", "20", "101", "600", "999",
-                              "2000", "-20", "2xx", "" })
+  for (const char *status : { "000", "001", "099", "20", "0200", "101", "600",
+                              "999", "2000", "-20", "2xx", "" })
     for (size_t step : { 1, 1000 })
       EXPECT_EQ ("broken", read (response (status), HTTP_RESPONSE, step))
           << status;
--- a/tests/gateway/status_scenarios.py
+++ b/tests/gateway/status_scenarios.py
@@ -22,9 +22,10 @@
                "Transfer-Encoding: chunked\r\n",
                chunk(EVENTS) + b"0\r\n\r\n"),
 }
-# A status is from 100 to 599 (RFC 9110, 15), and 101 follows only a request that
-# asks for another protocol.
-INVALID = ("000", "099", "20", "101", "600", "999", "2000", "-20", "2xx")
+# A status is from 100 to 599 in three digits (RFC 9110, 15), and 101 follows only
+# a request that asks for another protocol.
+INVALID = ("000", "099", "20", "0200", "101", "600", "999", "2000", "-20",
+           "2xx")
 ROUTES = {"idempotent": ("GET", "/read/"), "non-idempotent": ("POST", "/book/"),
           "stream": ("POST", "/long/"), "resumable": ("POST", "/tag/")}
 
