HTTP: answers with 1xx, 204 and 304 have no body

Cause: http-parser follows the framing fields of such answers too. The bytes behind an informational answer with a length were taken for its body instead of the proper answer; with another transfer coding its body ended with the connection, and the request waited behind it until its deadline. A 304 with the length of what it stands for was waited for, and the body of a 204 was passed on. Change: the reader ends them with their head (RFC 9112, 6.3).

--- a/http/reader.c
+++ b/http/reader.c
@@ -185,6 +185,18 @@
              && p->status_code != 101 && r->status_digits == STATUS_DIGITS);
 }
 
+/* Whether the message ends with its head, whatever its fields say (RFC 9112,
+   6.3).  */
+static bool
+has_no_body (const cv_http_reader_t *r)
+{
+  unsigned status = r->parser.status_code;
+
+  return r->no_body
+         || (r->parser.type == HTTP_RESPONSE
+             && (status < 200 || status == 204 || status == 304));
+}
+
 static int
 on_head (http_parser *p)
 {
@@ -207,7 +219,7 @@
   h->http_1_0 = p->http_major == 1 && p->http_minor == 0;
   r->head_done = true;
   (void)pause_with (r, CV_HTTP_HEAD);
-  return r->no_body ? 1 : 0;
+  return has_no_body (r) ? 1 : 0;
 }
 
 static int
--- a/http/tests/reader_test.cc
+++ b/http/tests/reader_test.cc
@@ -130,6 +130,24 @@
         << status;
 }
 
+TEST (Reader, AnswersWithoutABodyEndWithTheirHead)
+{
+  const std::string next = response ("200");
+
+  for (const char *status : { "100", "103", "204", "304" })
+    for (const char *field :
+         { "Content-Length: 4", "Transfer-Encoding: chunked",
+           "Transfer-Encoding: gzip" })
+      {
+        std::string out = read ("HTTP/1.1 " + std::string (status) + " X\r\n"
+                                    + field + "\r\n\r\n" + next,
+                                HTTP_RESPONSE, 1000);
+        EXPECT_NE (std::string::npos,
+                   out.find ("||done;200 Content-Length=2|ab|done;"))
+            << status << ' ' << field << ": " << out;
+      }
+}
+
 TEST (Reader, AHeadOverTheLimitIsRejected)
 {
   std::string text
--- a/tests/gateway/status_scenarios.py
+++ b/tests/gateway/status_scenarios.py
@@ -258,3 +258,82 @@
         engine.line = None
         await bench.until_logged("OBSERVER_ENGINE_UP")
         bench.say(f"{line}: {', '.join(sorted(reasons))}; then up again")
+
+
+# What precedes the proper answer, or the end of the connection.
+INFORMATIONAL = {
+    "100": "HTTP/1.1 100 Continue\r\n\r\n",
+    "102": "HTTP/1.1 102 Processing\r\n\r\n" * 3,
+    "103": "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
+    "199": "HTTP/1.1 199 X\r\n\r\n",
+    "100-and-103": "HTTP/1.1 100 Continue\r\n\r\n"
+                   "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
+    # An informational answer has no body, whatever it says (RFC 9112, 6.3).
+    "103-with-a-length": "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\n",
+    "103-in-chunks": "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "103-encoded": "HTTP/1.1 103 X\r\nTransfer-Encoding: gzip\r\n\r\n",
+}
+
+
+async def status_informational(bench):
+    """Informational answers precede the proper one, at once and later."""
+    async def script(target, request, writer):
+        _, _, first, body = request.path.split("/")
+        script.sends += 1
+        writer.write(INFORMATIONAL[first].encode())
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        writer.write(encode("200", body, request.headers["attempt-id"]))
+        await writer.drain()
+        return body != "close"
+
+    await start(bench, script, INFORMATIONAL)
+    for first in INFORMATIONAL:
+        for kind in ROUTES:
+            body = "events" if kind in ("stream", "resumable") else "length"
+            result = await ask(bench, script, kind, f"{first}/{body}")
+            bench.say(f"{first}, {kind}: {result}")
+
+
+async def status_informational_then_end(bench):
+    """The connection ends behind an informational answer: the request waited
+    until its deadline for an answer on it."""
+    async def script(target, request, writer):
+        _, _, first, end = request.path.split("/")
+        script.sends += 1
+        writer.write(INFORMATIONAL[first].encode())
+        await writer.drain()
+        if end == "reset":
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+        return False
+
+    await start(bench, script, INFORMATIONAL)
+    for first in INFORMATIONAL:
+        for kind in ROUTES:
+            for end in ("close", "reset"):
+                result = await ask(bench, script, kind, f"{first}/{end}")
+                bench.say(f"{first}, {end}, {kind}: {result}")
+
+
+async def status_without_body(bench):
+    """Answers that have no body by their status, with a length or a body all the
+    same: the gateway waited for the body, or passed it on."""
+    sent = {"a length": b"", "a body": b"body"}
+    script = Responder()
+
+    async def respond(target, request, writer):
+        _, _, line, body = request.path.split("/")
+        script.sends += 1
+        head = FIELDS.format(request.headers["attempt-id"])
+        writer.write(f"HTTP/1.1 {line} X\r\n{head}Content-Length: 4\r\n\r\n"
+                     .encode() + sent[body.replace("-", " ")])
+        return True
+
+    await start(bench, respond, ("204", "304"))
+    for line in ("204", "304"):
+        for kind in ("idempotent", "non-idempotent"):
+            for body in sent:
+                result = await ask(bench, script, kind,
+                                   f"{line}/{body.replace(' ', '-')}")
+                bench.say(f"{line} with {body}, {kind}: {result}")
