HTTP: HEAD is answered behind an informational answer

Cause: the reader was reset behind an informational answer, or one to an earlier request, and forgot that the answer to HEAD has no body; the request waited for as many bytes as the length says until its deadline. Change: the connection keeps that for all answers of one exchange. Result: before, callers got 504 after the whole time; now the answer at once. gateway-status-informational-to-head failed before and passes.

--- a/http/link.c
+++ b/http/link.c
@@ -186,11 +186,21 @@
     (void)bufferevent_enable (l->bev, EV_READ);
 }
 
+/* Prepares for a further response to the same request.  */
+static void
+await_response (cv_http_link_t *l)
+{
+  bool no_body = l->reader.no_body;
+
+  cv_http_reader_reset (&l->reader);
+  l->reader.no_body = no_body;
+}
+
 void
 cv_http_link_await_next (cv_http_link_t *l)
 {
   l->busy = true;
-  cv_http_reader_reset (&l->reader);
+  await_response (l);
 }
 
 /* The output buffer must be empty: the next request must not be queued behind a
@@ -262,7 +272,7 @@
           if (++l->informational > INFORMATIONAL_MAX)
             fail_link (l, CV_LINK_INVALID_RESPONSE);
           else
-            cv_http_reader_reset (&l->reader);
+            await_response (l);
           return;
         }
       l->busy = false;
--- a/tests/gateway/status_scenarios.py
+++ b/tests/gateway/status_scenarios.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from bench import read_head
 from scenarios import GEN_HEADERS
 from standins import EngineStatus, answer, chunk, echo, event, start_stream
 
@@ -337,3 +338,24 @@
                 result = await ask(bench, script, kind,
                                    f"{line}/{body.replace(' ', '-')}")
                 bench.say(f"{line} with {body}, {kind}: {result}")
+
+
+async def status_informational_to_head(bench):
+    """An informational answer precedes the one to HEAD, which has the length of
+    a body that is absent: the gateway waited for that body."""
+    async def script(target, request, writer):
+        writer.write(INFORMATIONAL[request.path.split("/")[2]].encode())
+        writer.write((f"HTTP/1.1 200 X\r\nContent-Length: 4\r\n"
+                      f"{FIELDS.format(request.headers['attempt-id'])}\r\n")
+                     .encode())
+        return True
+
+    await start(bench, script, INFORMATIONAL)
+    for first in INFORMATIONAL:
+        reader, writer = await bench.connect()
+        begun = time.monotonic()
+        writer.write(bench.head("HEAD", f"/read/{first}/1"))
+        status, headers = await read_head(reader)
+        writer.close()
+        bench.say(f"{first}: {status}, length {headers.get('content-length')}, "
+                  f"{'at once' if time.monotonic() - begun < AT_ONCE_S else 'late'}")
