HTTP: the end of a connection behind an answer to an earlier request is noticed

Cause: an answer to an earlier request is skipped, and the proper one awaited on the same connection. Where the skipped one ended with its connection, no further event came, and the request waited until its deadline. Change: a request that still waits after such an end fails at once; the target may have run it.

--- a/http/link.c
+++ b/http/link.c
@@ -351,7 +351,12 @@
     read_input (l);
   if (l->bev != NULL && l->open && l->busy && (what & BEV_EVENT_EOF)
       && cv_http_reader_eof (&l->reader))
-    handle_part (l, CV_HTTP_DONE);
+    {
+      handle_part (l, CV_HTTP_DONE);
+      /* It was the answer to an earlier request, and no further one follows. */
+      if (l->bev != NULL && l->busy)
+        fail_link (l, CV_LINK_RESET);
+    }
   else if (l->bev != NULL)
     fail_link (l, l->open ? CV_LINK_RESET : CV_LINK_NOT_CONNECTED);
   cv_http_link_release (l);
--- a/tests/gateway/status_scenarios.py
+++ b/tests/gateway/status_scenarios.py
@@ -359,3 +359,21 @@
         writer.close()
         bench.say(f"{first}: {status}, length {headers.get('content-length')}, "
                   f"{'at once' if time.monotonic() - begun < AT_ONCE_S else 'late'}")
+
+
+async def status_of_another_then_end(bench):
+    """An answer to an earlier request ends with its connection: the next request
+    waited until its deadline for its own answer."""
+    async def script(target, request, writer):
+        script.sends += 1
+        attempt = request.headers["attempt-id"]
+        if len(target.requests) % 2 == 1:
+            writer.write(encode("200", "length", attempt))
+            return True
+        writer.write(encode("200", "close", "another"))
+        return False
+
+    await bench.add_target("t1", "plain", script)
+    await bench.start()
+    for _ in range(2):
+        bench.say(await ask(bench, script, "non-idempotent", "1/1"))
