Store: a write whose answer has no valid status may be applied

Cause: libcurl reports a status below 100 and bytes that are no HTTP as an unsupported protocol, which counted as a request that was not sent; and it accepts 101, which counted as a refusal. Such a write was reported as not applied, and not resolved by reading. Change: the result of an unsupported protocol, 101 and what is above 599 are answers that tell nothing: a write may be applied, a read has failed.

--- a/store/http.c
+++ b/store/http.c
@@ -11,6 +11,9 @@
 
 #define RESPONSE_MAX_BYTES (2u * 1024 * 1024)
 #define URL_MAX_BYTES 512
+/* Statuses of final responses (RFC 9110, 15).  */
+#define STATUS_FINAL_MIN 200
+#define STATUS_MAX 599
 
 static size_t
 append_body (char *data, size_t size, size_t count, void *arg)
@@ -40,7 +43,9 @@
   s->curl = NULL;
 }
 
-/* Whether the store may have received the request of a failed transfer.  */
+/* Whether the store may have received the request of a failed transfer.
+   CURLE_UNSUPPORTED_PROTOCOL is also the result of a response with a status
+   below 100 or that is no number.  */
 static bool
 may_have_been_sent (CURLcode code)
 {
@@ -49,7 +54,6 @@
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
     case CURLE_FAILED_INIT:
       return false;
     default:
@@ -107,6 +111,10 @@
     return cv_fail (err, CV_ERR_UNAVAILABLE, "store %s: %s", s->url,
                     curl_easy_strerror (code));
   (void)curl_easy_getinfo (s->curl, CURLINFO_RESPONSE_CODE, &status);
+  /* libcurl accepts 101 and what is above 599.  */
+  if (status < STATUS_FINAL_MIN || status > STATUS_MAX)
+    return cv_fail (err, CV_ERR_UNAVAILABLE, "store %s: invalid status %ld",
+                    s->url, status);
   response->status = (int)status;
   return true;
 }
