Side: a status that is none is no answer of a server

Cause: libcurl accepts 101 and what is above 599. Such an answer of a service was passed to the caller as the result of its call, one of an engine counted as a refusal to start a stream, and behind 101 the side read on until the connection ended. Change: the client ends the request at such a status, as one that the server may have received. Result: Http.AStatusThatIsNoneIsNoAnswer failed before for 101, 600 and 999 (101 on an open connection had not ended after 5 s) and passes.

--- a/side/http.c
+++ b/side/http.c
@@ -9,6 +9,7 @@
 
 #define CONNECT_TIMEOUT_MS 1000L
 #define RETRY_AFTER_MAX_S 3600
+#define STATUS_MAX 599
 
 struct cv_http_request_t
 {
@@ -27,6 +28,7 @@
 static bool set_headers (cv_http_request_t *r, const cv_http_call_t *call);
 static bool add_header (cv_http_request_t *r, const char *line);
 static void request_free (cv_http_request_t *r);
+static size_t on_response_header (char *p, size_t size, size_t n, void *arg);
 static size_t on_response_data (char *p, size_t size, size_t n, void *arg);
 static int on_socket (CURL *easy, curl_socket_t fd, int action, void *arg,
                       void *socket_arg);
@@ -139,6 +141,8 @@
       curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
     }
   curl_easy_setopt (easy, CURLOPT_PRIVATE, r);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_response_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, r);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_response_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, r);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
@@ -209,6 +213,20 @@
   free (r);
 }
 
+/* Ends the request at a status that is none (RFC 9110, 15), or at 101
+   (Switching Protocols), which was not asked for.  libcurl accepts both, and
+   reads what follows 101 until the connection ends.  */
+static size_t
+on_response_header (char *p, size_t size, size_t n, void *arg)
+{
+  cv_http_request_t *r = arg;
+  long status = 0;
+
+  (void)p;
+  curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
+  return status == 101 || status > STATUS_MAX ? 0 : size * n;
+}
+
 static size_t
 on_response_data (char *p, size_t size, size_t n, void *arg)
 {
--- /dev/null
+++ b/side/tests/http_test.cc
@@ -0,0 +1,114 @@
+// Tests of the side's HTTP client against servers whose answers are odd.
+
+#include <gtest/gtest.h>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "side/http.h"
+#include "store/tests/odd_server.h"
+
+namespace
+{
+
+constexpr cv_time_t kWait = 5 * CV_SECOND;
+
+struct Result
+{
+  bool ended = false;
+  cv_http_end_t end = CV_HTTP_COMPLETE;
+  long status = 0;
+  std::string body;
+};
+
+void
+on_data (void *arg, const char *p, size_t n)
+{
+  static_cast<Result *> (arg)->body.append (p, n);
+}
+
+void
+on_done (void *arg, const cv_http_result_t *result)
+{
+  auto *r = static_cast<Result *> (arg);
+
+  r->ended = true;
+  r->end = result->end;
+  r->status = result->status;
+}
+
+// Sends one request without a time limit to a server that answers RESPONSE.
+Result
+request (const std::string &response, bool stays_open)
+{
+  OddServer server (response, stays_open);
+  std::string url = server.url () + "/x";
+  cv_http_call_t call = {};
+  cv_http_t http;
+  cv_error_t err = {};
+  Result r;
+  int epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+
+  EXPECT_TRUE (cv_http_init (&http, epoll_fd, 1, &err)) << err.text;
+  call.method = "POST";
+  call.url = url.c_str ();
+  call.body = cv_slice ("x");
+  call.at_most_once = true;
+  call.data = on_data;
+  call.done = on_done;
+  call.arg = &r;
+  EXPECT_NE (nullptr, cv_http_start (&http, &call));
+  for (cv_time_t until = cv_now () + kWait; !r.ended && cv_now () < until;)
+    {
+      struct epoll_event ev;
+
+      cv_http_tick (&http, cv_now ());
+      if (epoll_wait (epoll_fd, &ev, 1, 10) == 1)
+        cv_http_socket_ready (
+            &http, static_cast<int> (ev.data.u64 & 0xffffffff), ev.events);
+    }
+  cv_http_finish (&http);
+  close (epoll_fd);
+  return r;
+}
+
+std::string
+answer (const std::string &status)
+{
+  return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nab";
+}
+
+TEST (Http, AStatusThatIsNoneIsNoAnswer)
+{
+  for (const char *status :
+       { "000", "099", "20", "101", "103", "600", "999", "2000", "-20", "2xx" })
+    for (bool stays_open : { false, true })
+      {
+        Result r = request (answer (status), stays_open);
+
+        EXPECT_TRUE (r.ended) << status << ' ' << stays_open;
+        EXPECT_EQ (CV_HTTP_INCOMPLETE, r.end) << status << ' ' << stays_open;
+        EXPECT_EQ ("", r.body) << status;
+      }
+}
+
+TEST (Http, ProperAnswersAreComplete)
+{
+  for (const char *status : { "200", "404", "503", "599" })
+    {
+      Result r = request ("HTTP/1.1 100 Continue\r\n\r\n"
+                          "HTTP/1.1 103 Early Hints\r\n\r\n"
+                              + answer (status),
+                          true);
+
+      EXPECT_TRUE (r.ended) << status;
+      EXPECT_EQ (CV_HTTP_COMPLETE, r.end) << status;
+      EXPECT_EQ (atol (status), r.status);
+      EXPECT_EQ (r.status == 200 ? "ab" : "", r.body);
+    }
+}
+
+} // namespace
--- a/store/tests/store_test.cc
+++ b/store/tests/store_test.cc
@@ -3,16 +3,10 @@
 
 #include <gtest/gtest.h>
 
-#include <netinet/in.h>
-
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <string>
-#include <thread>
 
 #include "fake_store.h"
+#include "odd_server.h"
 #include "store/store.h"
 
 namespace
@@ -46,65 +40,13 @@
   }
 };
 
-// A store that answers each request with the same bytes.
-class OddStore
-{
-public:
-  explicit OddStore (const std::string &response) : response_ (response)
-  {
-    struct sockaddr_in at = {};
-    socklen_t size = sizeof at;
-    at.sin_family = AF_INET;
-    inet_pton (AF_INET, "127.0.0.1", &at.sin_addr);
-    socket_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    EXPECT_EQ (0,
-               bind (socket_, reinterpret_cast<sockaddr *> (&at), sizeof at));
-    EXPECT_EQ (0, listen (socket_, 8));
-    EXPECT_EQ (
-        0, getsockname (socket_, reinterpret_cast<sockaddr *> (&at), &size));
-    port_ = ntohs (at.sin_port);
-    thread_ = std::thread ([this] { serve (); });
-  }
-  ~OddStore ()
-  {
-    shutdown (socket_, SHUT_RDWR);
-    thread_.join ();
-    close (socket_);
-  }
-  std::string
-  url () const
-  {
-    return "http://127.0.0.1:" + std::to_string (port_);
-  }
-
-private:
-  std::string response_;
-  int socket_;
-  unsigned port_ = 0;
-  std::thread thread_;
-
-  void
-  serve ()
-  {
-    int fd;
-    while ((fd = accept (socket_, nullptr, nullptr)) >= 0)
-      {
-        char request[4096];
-        EXPECT_GT (recv (fd, request, sizeof request, 0), 0);
-        EXPECT_EQ (static_cast<ssize_t> (response_.size ()),
-                   send (fd, response_.data (), response_.size (), 0));
-        close (fd);
-      }
-  }
-};
-
 TEST (StoreStatus, AWriteAnsweredWithAStatusThatIsNoneMayBeApplied)
 {
   for (const char *status :
        { "000", "099", "20", "101", "103", "600", "999", "2000", "2xx" })
     {
-      OddStore odd ("HTTP/1.1 " + std::string (status)
-                    + " X\r\nContent-Length: 2\r\n\r\n{}");
+      OddServer odd ("HTTP/1.1 " + std::string (status)
+                     + " X\r\nContent-Length: 2\r\n\r\n{}");
       cv_store_t store;
       cv_object_t object;
       cv_error_t err = {};
