Entry: a result whose status is none is an unknown outcome

Cause: an entry passed on any status that a side told as the result of a call, 0 and 101 among them. Change: such a result says nothing of the call; an idempotent one is retried. The bounds of statuses are in base/base.h for all that use them. Result: script call_status failed before (result 0 was passed on) and passes.

--- a/base/base.h
+++ b/base/base.h
@@ -84,6 +84,11 @@
 
 cv_slice_t cv_slice (const char *text);
 bool cv_slice_equal (cv_slice_t a, cv_slice_t b);
+
+/* Statuses of HTTP responses (RFC 9110, 15): those from the first on are final,
+   those above the second are none.  */
+#define CV_STATUS_FINAL_MIN 200
+#define CV_STATUS_MAX 599
 /* Copies TEXT into the array DST of SIZE bytes; if it does not fit, sets DST to
    "" and returns false.  */
 bool cv_copy (char *dst, size_t size, const char *text);
--- a/entry/core_calls.c
+++ b/entry/core_calls.c
@@ -149,6 +149,17 @@
   cv_entry_send (c, r->target, &msg);
 }
 
+/* The outcome that M tells.  A side that takes a status for a result that is no
+   status of a final response knows nothing of the call.  */
+static cv_outcome_t
+result_outcome (const cv_msg_call_result_t *m)
+{
+  if (m->outcome == CV_OUTCOME_DONE
+      && (m->status < CV_STATUS_FINAL_MIN || m->status > CV_STATUS_MAX))
+    return CV_OUTCOME_UNKNOWN;
+  return m->outcome;
+}
+
 void
 cv_entry_calls_result (cv_entry_core_t *c, cv_time_t now, uint32_t target,
                        const cv_msg_call_result_t *m)
@@ -161,7 +172,7 @@
       cv_entry_metrics_count (c->metrics, CV_COUNT_FRAMES_DROPPED);
       return;
     }
-  switch (m->outcome)
+  switch (result_outcome (m))
     {
     case CV_OUTCOME_DONE:
       reply.u.call.status = m->status;
--- a/entry/tests/core_script.cc
+++ b/entry/tests/core_script.cc
@@ -343,16 +343,20 @@
   deliver (w[1], m);
 }
 
-/* result TARGET ID OUTCOME [BODY [replayed]]: any word after BODY sets the
-   flag.  */
+/* result TARGET ID OUTCOME[=STATUS] [BODY [replayed]]: any word after BODY sets
+   the flag; the status is 200 without one.  */
 void
 CoreScript::result (const Words &w)
 {
   cv_msg_t m = {};
+  size_t at = w[3].find ('=');
   m.type = CV_MSG_CALL_RESULT;
   m.u.call_result.request = id_of (w[2]);
-  m.u.call_result.outcome = lookup (kOutcomes, w[3]);
-  m.u.call_result.status = 200;
+  m.u.call_result.outcome = lookup (kOutcomes, w[3].substr (0, at));
+  m.u.call_result.status
+      = at == std::string::npos
+            ? 200
+            : static_cast<uint32_t> (std::stoul (w[3].substr (at + 1)));
   m.u.call_result.replayed = w.size () > 5;
   m.u.call_result.body = w.size () > 4 ? slice (w[4]) : cv_slice ("");
   deliver (w[1], m);
--- a/http/reader.c
+++ b/http/reader.c
@@ -181,7 +181,7 @@
   const http_parser *p = &r->parser;
 
   return p->type == HTTP_REQUEST
-         || (p->status_code >= 100 && p->status_code <= 599
+         || (p->status_code >= 100 && p->status_code <= CV_STATUS_MAX
              && p->status_code != 101 && r->status_digits == STATUS_DIGITS);
 }
 
@@ -194,7 +194,8 @@
 
   return r->no_body
          || (r->parser.type == HTTP_RESPONSE
-             && (status < 200 || status == 204 || status == 304));
+             && (status < CV_STATUS_FINAL_MIN || status == 204
+                 || status == 304));
 }
 
 static int
--- a/side/http.c
+++ b/side/http.c
@@ -9,7 +9,6 @@
 
 #define CONNECT_TIMEOUT_MS 1000L
 #define RETRY_AFTER_MAX_S 3600
-#define STATUS_MAX 599
 
 struct cv_http_request_t
 {
@@ -224,7 +223,7 @@
 
   (void)p;
   curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
-  return status == 101 || status > STATUS_MAX ? 0 : size * n;
+  return status == 101 || status > CV_STATUS_MAX ? 0 : size * n;
 }
 
 static size_t
--- a/store/http.c
+++ b/store/http.c
@@ -11,9 +11,6 @@
 
 #define RESPONSE_MAX_BYTES (2u * 1024 * 1024)
 #define URL_MAX_BYTES 512
-/* Statuses of final responses (RFC 9110, 15).  */
-#define STATUS_FINAL_MIN 200
-#define STATUS_MAX 599
 
 static size_t
 append_body (char *data, size_t size, size_t count, void *arg)
@@ -112,7 +109,7 @@
                     curl_easy_strerror (code));
   (void)curl_easy_getinfo (s->curl, CURLINFO_RESPONSE_CODE, &status);
   /* libcurl accepts 101 and what is above 599.  */
-  if (status < STATUS_FINAL_MIN || status > STATUS_MAX)
+  if (status < CV_STATUS_FINAL_MIN || status > CV_STATUS_MAX)
     return cv_fail (err, CV_ERR_UNAVAILABLE, "store %s: invalid status %ld",
                     s->url, status);
   response->status = (int)status;
