catkinctl: a status that is none is no answer of an entry

Cause: libcurl accepts 101 and what is above 599; a change so answered was reported as refused, although it may be accepted. Change: such an answer counts as none: the outcome of a change is unknown, and one whose entry answers its health check so is not sent.

--- a/catkinctl/client.c
+++ b/catkinctl/client.c
@@ -64,6 +64,9 @@
 {
   const char *outcome = u_map_get_case (resp->map_header, "X-Outcome");
 
+  /* libcurl accepts statuses that are none.  */
+  if (resp->status < CV_STATUS_FINAL_MIN || resp->status > CV_STATUS_MAX)
+    return;
   a->connected = true;
   a->status = (int)resp->status;
   a->replayed = u_map_get_case (resp->map_header, "X-Replayed") != NULL;
--- a/catkinctl/tests/ctl_test.cc
+++ b/catkinctl/tests/ctl_test.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "processes.h"
+#include "store/tests/odd_server.h"
 
 namespace
 {
@@ -59,4 +60,37 @@
 INSTANTIATE_TEST_SUITE_P (Files, Script, testing::ValuesIn (script_names ()),
                           [] (const auto &script) { return script.param; });
 
+// Exit code of catkinctl with ARGUMENTS to the entry at URL.
+int
+run (const std::string &url, const std::string &arguments)
+{
+  std::string command = std::string (CATKINCTL) + " --entry " + url
+                        + " --key k " + arguments + " >/dev/null 2>&1";
+  int status = system (command.c_str ());
+
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+TEST (Status, OneThatIsNoneIsNoAnswerOfAnEntry)
+{
+  const std::string sound
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
+
+  for (const char *status : { "000", "101", "600", "999" })
+    {
+      std::string odd = "HTTP/1.1 " + std::string (status)
+                        + " X\r\nContent-Length: 2\r\n"
+                          "Connection: close\r\n\r\n{}";
+      OddServer answers_change (odd, false, sound);
+      OddServer answers_none (odd);
+
+      EXPECT_EQ (
+          4, run (answers_change.url (), "change 'set account mall weight 2'"))
+          << status << ": the outcome is unknown";
+      EXPECT_EQ (
+          5, run (answers_none.url (), "change 'set account mall weight 2'"))
+          << status << ": nothing was sent";
+    }
+}
+
 }
--- a/store/tests/odd_server.h
+++ b/store/tests/odd_server.h
@@ -18,9 +18,11 @@
 class OddServer
 {
 public:
-  // With STAYS_OPEN, the server does not close connections.
-  explicit OddServer (const std::string &response, bool stays_open = false)
-      : response_ (response), stays_open_ (stays_open)
+  // Answers FIRST once, if it is not empty, and RESPONSE then.  With
+  // STAYS_OPEN, the server does not close connections.
+  explicit OddServer (const std::string &response, bool stays_open = false,
+                      const std::string &first = "")
+      : response_ (response), first_ (first), stays_open_ (stays_open)
   {
     struct sockaddr_in at = {};
     socklen_t size = sizeof at;
@@ -54,6 +56,7 @@
 
 private:
   std::string response_;
+  std::string first_;
   bool stays_open_;
   int socket_;
   unsigned port_ = 0;
@@ -68,8 +71,10 @@
       {
         char request[4096];
         EXPECT_GT (recv (fd, request, sizeof request, 0), 0);
-        EXPECT_EQ (static_cast<ssize_t> (response_.size ()),
-                   send (fd, response_.data (), response_.size (), 0));
+        const std::string &sent = first_.empty () ? response_ : first_;
+        EXPECT_EQ (static_cast<ssize_t> (sent.size ()),
+                   send (fd, sent.data (), sent.size (), 0));
+        first_.clear ();
         if (stays_open_)
           open_.push_back (fd);
         else
