--- a/store/tests/store_test.cc
+++ b/store/tests/store_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "fake_store.h"
+#include "odd_server.h"
 #include "store/store.h"
 
 namespace
@@ -39,6 +40,27 @@
   }
 };
 
+TEST (StoreStatus, AWriteAnsweredWithAStatusThatIsNoneMayBeApplied)
+{
+  for (const char *status :
+       { "000", "099", "20", "101", "103", "600", "999", "2000", "2xx" })
+    {
+      OddServer odd ("HTTP/1.1 " + std::string (status)
+                     + " X\r\nContent-Length: 2\r\n\r\n{}");
+      cv_store_t store;
+      cv_object_t object;
+      cv_error_t err = {};
+      uint64_t version = 0;
+
+      cv_store_init (&store, odd.url ().c_str (), FakeStore::TimeoutMs);
+      EXPECT_FALSE (cv_store_put (&store, "claims/a", 0, "{}", &version, &err));
+      EXPECT_EQ (CV_ERR_UNKNOWN, err.code) << status << ": " << err.text;
+      EXPECT_FALSE (cv_store_get (&store, "claims/a", &object, &err));
+      EXPECT_EQ (CV_ERR_UNAVAILABLE, err.code) << status << ": " << err.text;
+      cv_store_finish (&store);
+    }
+}
+
 TEST_F (StoreTest, ReadsWhatItWrote)
 {
   cv_object_t o;
