gateway: a run that its destination does not take goes on at the source

Cause: a caller's stream was cut after a migration when the destination refused the connection, or turned the request away, by which the run was to go on. The source keeps the memory of a run that it has stopped, and may be asked to go on with it. Change: a request from a copy that the destination has not begun is sent to the source, once; a rejection there ends the stream, as before. The exchange holds the source as a target instead of its address. Tests: second-run-after-migration expected a cut because the destination alone refuses; it guards against a run that is started anew at a third engine. Now the source refuses as well, and the expectation is the same.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -60,7 +60,7 @@
     }
   if (x->from_copy)
     {
-      f.from = &x->copy_source;
+      f.from = &x->copy_source->record.address;
       f.from_handle = cv_slice (x->copy_handle);
     }
   cv_platform_encode_request (out, head, &f);
@@ -125,9 +125,7 @@
 static bool
 is_resumed_at_source (const cv_exchange_t *x, const cv_target_t *t)
 {
-  return x->from_copy
-         && memcmp (&x->copy_source, &t->record.address, sizeof x->copy_source)
-                == 0;
+  return x->from_copy && x->copy_source == t;
 }
 
 void
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -109,6 +109,7 @@
   cv_buf_finish (&x->response_body);
   cv_events_finish (&x->events);
   cv_suspect_request_finish (&x->identity);
+  cv_exchange_set_copy_source (x, NULL);
   free (x);
   if (c != NULL)
     cv_client_response_done (c, complete);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -140,9 +140,9 @@
   bool is_rejected; /* the response states that it was not run */
   bool is_signed;   /* the target signed the response */
 
-  bool resume_pending; /* no event yet since the stream was resumed */
-  bool from_copy;      /* the current attempt resumes from a copy */
-  struct sockaddr_in copy_source;
+  bool resume_pending;      /* no event yet since the stream was resumed */
+  bool from_copy;           /* the current attempt resumes from a copy */
+  cv_target_t *copy_source; /* that made the copy, or NULL */
   char copy_handle[CV_HANDLE_MAX];
   cv_migration_t *migration;     /* migration of its run, or NULL */
   uint32_t migrations;           /* without those that found no room */
@@ -206,11 +206,13 @@
 /* Ends the attempt of X at a silent target, for another attempt; false when the
    target is no longer silent or no other attempt is allowed.  */
 bool cv_exchange_leave_silent_target (cv_exchange_t *x);
+/* Holds SOURCE, or nothing if NULL, as the target that made the copy of X.  */
+void cv_exchange_set_copy_source (cv_exchange_t *x, cv_target_t *source);
 /* Resumes the stream of X at T from the copy HANDLE of its KV cache, made by
    SOURCE.  */
 void cv_exchange_resume_from_copy (cv_exchange_t *x, cv_target_t *t,
-                                   const struct sockaddr_in *source,
-                                   const char *handle, const char *reason);
+                                   cv_target_t *source, const char *handle,
+                                   const char *reason);
 /* Whether the first event of X is overdue.  X was sent because its engine
    seemed to have room, so this is taken for a failure of the engine.  */
 bool cv_exchange_is_overdue (const cv_exchange_t *x, cv_time_t now);
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -234,7 +234,7 @@
 {
   cv_exchange_t *x = m->exchange;
   cv_target_t *next = cv_target_ref (t);
-  struct sockaddr_in source = m->source->record.address;
+  cv_target_t *source = cv_target_ref (m->source);
   char handle[CV_NAME_MAX];
 
   (void)cv_copy (handle, sizeof handle, m->handle);
@@ -245,9 +245,10 @@
     finish (m);
   else
     free_copy (m, false);
-  cv_exchange_resume_from_copy (x, next, &source, handle,
+  cv_exchange_resume_from_copy (x, next, source, handle,
                                 "stopped by its migration");
   cv_target_unref (next);
+  cv_target_unref (source);
 }
 
 /* Resumes the stream, which the source has ended or the gateway ends, at the
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -62,10 +62,20 @@
   cv_line_end (&l);
 }
 
+void
+cv_exchange_set_copy_source (cv_exchange_t *x, cv_target_t *source)
+{
+  cv_target_t *old = x->copy_source;
+
+  x->copy_source = source != NULL ? cv_target_ref (source) : NULL;
+  if (old != NULL)
+    cv_target_unref (old);
+}
+
 void
 cv_exchange_resume_from_copy (cv_exchange_t *x, cv_target_t *t,
-                              const struct sockaddr_in *source,
-                              const char *handle, const char *reason)
+                              cv_target_t *source, const char *handle,
+                              const char *reason)
 {
   log_failure (x, reason, "is resumed from the copy");
   cv_attempt_stop (x);
@@ -74,11 +84,26 @@
   x->gateway->counts.resumes++;
   x->from_copy = true;
   x->has_reservation = true;
-  x->copy_source = *source;
+  cv_exchange_set_copy_source (x, source);
   (void)cv_copy (x->copy_handle, sizeof x->copy_handle, handle);
   cv_attempt_start (x, t);
 }
 
+/* Resumes X, which the destination of its migration has not begun, at the
+   source, which keeps a run that it has stopped; false if X cannot be.  */
+static bool
+return_to_source (cv_exchange_t *x, const char *reason)
+{
+  cv_target_t *source = x->copy_source;
+  char handle[CV_HANDLE_MAX];
+
+  if (!x->from_copy || x->target == source || cv_target_is_evacuated (source))
+    return false;
+  (void)cv_copy (handle, sizeof handle, x->copy_handle);
+  cv_exchange_resume_from_copy (x, source, source, handle, reason);
+  return true;
+}
+
 /* Whether the bounds allow another attempt: those of attempts, failed
    connections and time, or of resumes once the head was sent.  A response that
    is no stream cannot be continued by another attempt.  */
@@ -115,6 +140,8 @@
 {
   bool is_retryable;
 
+  if (!may_have_run && return_to_source (x, reason))
+    return;
   x->may_have_run |= may_have_run;
   is_retryable = !x->may_have_run || cv_route_is_repeatable (x->route);
   if (is_retryable && is_attempt_left (x)
@@ -145,10 +172,12 @@
     }
   else
     t->full_until = cv_now () + REJECTION_BACKOFF;
-  /* After any rejection of a resume from a copy, the copy is taken to be lost
-     and the stream ends.  */
+  /* After any rejection of a resume from a copy, also by the source, the copy
+     is taken to be lost and the stream ends.  */
   if (x->from_copy)
     {
+      if (return_to_source (x, "destination rejected it"))
+        return;
       log_failure (x, "resume from the copy was rejected", "ends");
       cv_attempt_stop (x);
       cv_exchange_fail (x, "no copy of the run", false);
