Gateway: an HTTP/1.0 caller can take no part for the whole

Cause: a response to an HTTP/1.0 caller ends with its connection. Only a cut that the gateway decided on was a reset; where the process was killed, a caller read nothing until it was timed out, or a stop ended before the caller had read, the kernel ended the connection in order, as after the whole response. Change: from the head of such a response on, every end of the connection is a reset, and an orderly one only once the kernel has the whole response. Whole responses, also those read only after a stop or a SIGKILL, arrive whole and end in order, before and now.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -179,8 +179,25 @@
   c->body_bytes = 0;
 }
 
-void
-cv_client_close (cv_client_t *c, cv_close_reason_t reason)
+static bool
+has_unwritten_output (const cv_client_t *c)
+{
+  return evbuffer_get_length (bufferevent_get_output (c->bev)) > 0;
+}
+
+/* Whether the end of C's connection, also that by the end of this process, is a
+   reset, which discards unsent output.  */
+static void
+set_reset_at_close (const cv_client_t *c, bool is_reset)
+{
+  struct linger option = { .l_onoff = is_reset, .l_linger = 0 };
+
+  (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &option,
+                    sizeof option);
+}
+
+static void
+close_client (cv_client_t *c, cv_close_reason_t reason)
 {
   cv_gateway_t *g = c->port->gateway;
 
@@ -202,6 +219,23 @@
   free (c);
 }
 
+void
+cv_client_close (cv_client_t *c, cv_close_reason_t reason)
+{
+  /* The kernel has the whole response and goes on sending it.  */
+  if (c->body_ends_at_close && c->state == CV_CLIENT_LINGERING
+      && !has_unwritten_output (c))
+    set_reset_at_close (c, false);
+  close_client (c, reason);
+}
+
+void
+cv_client_cut (cv_client_t *c, cv_close_reason_t reason)
+{
+  set_reset_at_close (c, true);
+  close_client (c, reason);
+}
+
 bool
 cv_client_has_left (const cv_client_t *c)
 {
@@ -263,6 +297,9 @@
 {
   c->close_after = c->close_after || !c->reader.head.keep_alive
                    || (c->port->gateway->stopping && !has_unread_input (c));
+  /* Only a whole response may end as one does.  */
+  if (c->body_ends_at_close)
+    set_reset_at_close (c, true);
   return c->close_after;
 }
 
@@ -276,16 +313,12 @@
   c->since = cv_now ();
   if (c->state != CV_CLIENT_LINGERING)
     return;
+  if (c->body_ends_at_close)
+    set_reset_at_close (c, false);
   if (c->request_incomplete || c->body_ends_at_close)
     (void)shutdown (bufferevent_getfd (c->bev), SHUT_WR);
 }
 
-static bool
-has_unwritten_output (const cv_client_t *c)
-{
-  return evbuffer_get_length (bufferevent_get_output (c->bev)) > 0;
-}
-
 /* Waits for the caller to close; input is read and dropped until then.  */
 static void
 linger (cv_client_t *c)
@@ -300,32 +333,12 @@
     on_response_written (c);
 }
 
-/* Makes the close of C a reset, which discards unsent output.  */
-static void
-reset_at_close (const cv_client_t *c)
-{
-  struct linger option = { .l_onoff = 1, .l_linger = 0 };
-
-  (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &option,
-                    sizeof option);
-}
-
-void
-cv_client_cut (cv_client_t *c, cv_close_reason_t reason)
-{
-  reset_at_close (c);
-  cv_client_close (c, reason);
-}
-
 void
 cv_client_response_done (cv_client_t *c, bool complete)
 {
   c->exchange = NULL;
   if (!complete)
     {
-      /* Without its end, the response cannot be taken for a complete one.  */
-      if (c->body_ends_at_close)
-        reset_at_close (c);
       cv_client_close (c, CV_CLOSE_INCOMPLETE);
       return;
     }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -509,7 +509,8 @@
 /* Whether a response has not been handed to the kernel completely.  */
 bool cv_clients_have_output (const cv_gateway_t *g);
 /* Decides whether C is closed after this response, and returns the decision for
-   the response head.  */
+   the response head.  From here on, C ends with a reset until all of a response
+   was written whose body ends with the connection.  */
 bool cv_client_decide_close (cv_client_t *c);
 
 /* held.c */
--- /dev/null
+++ b/tests/gateway/connection_end_scenarios.py
@@ -0,0 +1,180 @@
+"""Scenarios in which the end of a connection is not the end of a message."""
+
+import asyncio
+import signal
+import socket
+
+from scenarios import GEN_HEADERS
+from standins import chunk, event, signed, start_stream
+
+# Above the size up to which a gateway buffers a response.
+LARGE_BYTES = 300 << 10
+HEAD = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nAttempt-Id: {}\r\n"
+
+
+async def read_to_end(reader):
+    """What arrives until the connection ends, and how it ends."""
+    data = b""
+    try:
+        while part := await asyncio.wait_for(reader.read(1 << 16), 15):
+            data += part
+        return data, "end"
+    except ConnectionResetError:
+        return data, "reset"
+
+
+async def call_http_1_0(bench, path, buffer_bytes=None):
+    """Send a request as an HTTP/1.0 caller, whose response has no length."""
+    s = socket.socket()
+    if buffer_bytes:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    s.connect(("127.0.0.1", bench.ports["listen"]))
+    s.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=s, limit=8192)
+    head = bench.head("GET" if path.startswith("/read/") else "POST", path,
+                      b"" if path.startswith("/read/") else b"x",
+                      **(GEN_HEADERS if path.startswith("/long/") else {}))
+    writer.write(head.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    return reader, writer
+
+
+async def begin_stream(target, request, writer):
+    """Send one event of a stream, and wait."""
+    await start_stream(request, writer)
+    writer.write(chunk(event(0)))
+    await request.reader.read(1)
+    return False
+
+
+async def begin_large(target, request, writer):
+    """Send the first part of a large response, and wait."""
+    writer.write((HEAD.format(request.headers["attempt-id"])
+                  + f"Content-Length: {2 * LARGE_BYTES}\r\n\r\n").encode()
+                 + b"x" * LARGE_BYTES)
+    await request.reader.read(1)
+    return False
+
+
+async def send_large(target, request, writer):
+    size = int(request.path.rpartition("/")[2])
+    writer.write(signed(request, b"x" * size))
+    await writer.drain()
+    return True
+
+
+async def begin_response(bench, path):
+    """Call as an HTTP/1.0 caller, and read the first part of the response."""
+    reader, writer = await call_http_1_0(bench, path)
+    if path.startswith("/long/"):
+        await reader.readuntil(b"piece 0\n\n")
+    else:
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(LARGE_BYTES)
+    return reader, writer
+
+
+async def killed_gateway_http_1_0(bench):
+    """A gateway ends at once, by a signal that it cannot handle, while it
+    forwards a response to an HTTP/1.0 caller: the caller takes the part for
+    the whole, as its kernel ends the connection in order."""
+    bench.config["Routes"][0]["TimeoutMs"] = 5000
+    await bench.add_target("m1", "model", begin_stream)
+    await bench.add_target("t1", "plain", begin_large)
+    await bench.start()
+    for number in (signal.SIGKILL, signal.SIGABRT):
+        for path in ("/long/1", "/read/1"):
+            reader, writer = await begin_response(bench, path)
+            bench.process.send_signal(number)
+            await bench.process.wait()
+            _, how = await read_to_end(reader)
+            bench.say(f"{number.name}, {path}: {how}")
+            writer.close()
+            await bench.start_gateway()
+
+
+async def stopped_gateway_http_1_0(bench):
+    """The stop of a gateway ends before a response to an HTTP/1.0 caller does,
+    or before the caller has read it."""
+    bench.config["Routes"][0]["TimeoutMs"] = 5000
+    bench.config["Routes"][1]["TimeoutMs"] = 5000
+    await bench.add_target("m1", "model", begin_stream)
+    await bench.add_target("t1", "plain", begin_large)
+    bench.config["Routes"][1]["Backend"] = "large"
+    bench.config["Backends"].append(
+        {**bench.config["Backends"][0], "Name": "large"})
+    await bench.add_target("l1", "large", send_large)
+    await bench.start(grace_s=2)
+    callers = {path: await begin_response(bench, path)
+               for path in ("/long/1", "/read/1")}
+    # Far more than the kernel's buffers hold.
+    path = f"/book/{24 << 20}"
+    callers[path] = await call_http_1_0(bench, path)
+    await bench.until_logged("GATEWAY_ANSWERED")
+    bench.terminate()
+    await bench.process.wait()
+    for path, (reader, writer) in callers.items():
+        _, how = await read_to_end(reader)
+        bench.say(f"{path}: {how}")
+        writer.close()
+
+
+async def unread_response_http_1_0(bench):
+    """An HTTP/1.0 caller reads nothing of a large response until it is timed
+    out: what it then finds is a part."""
+    await bench.add_target("t1", "plain", send_large)
+    await bench.start()
+    reader, writer = await call_http_1_0(bench, f"/read/{24 << 20}")
+    await asyncio.sleep(12.5)
+    _, how = await read_to_end(reader)
+    bench.say(f"timed out: {how}")
+    writer.close()
+
+
+async def whole_response_http_1_0(bench):
+    """Whole responses to HTTP/1.0 callers end in order, and nothing of them is
+    lost when the gateway ends before they are read."""
+    events = [event(i) for i in range(40)]
+
+    async def whole_stream(target, request, writer):
+        await start_stream(request, writer)
+        for e in events:
+            writer.write(chunk(e))
+            await asyncio.sleep(0.002)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    await bench.add_target("m1", "model", whole_stream)
+    await bench.add_target("t1", "plain", send_large)
+    await bench.start(grace_s=2)
+
+    def is_whole(path, data):
+        body = data.partition(b"\r\n\r\n")[2]
+        return body == (b"".join(events) if path.startswith("/long/")
+                        else b"x" * LARGE_BYTES)
+
+    async def kill():
+        bench.process.kill()
+
+    async def stop():
+        bench.terminate()
+
+    async def go_on():
+        pass
+
+    paths = ("/long/1", f"/read/{LARGE_BYTES}")
+    for end in (go_on, stop, kill):
+        callers = []
+        for path in paths:
+            callers.append((path, await call_http_1_0(bench, path, 1 << 20)))
+            await bench.until_finished(f"a{bench.request_count}")
+        await asyncio.sleep(0.3)
+        await end()
+        if end is not go_on:
+            await bench.process.wait()
+        for path, (reader, writer) in callers:
+            data, how = await read_to_end(reader)
+            bench.say(f"{end.__name__}, {path}: whole {is_whole(path, data)}, "
+                      f"{how}")
+            writer.close()
+        if end is stop:
+            await bench.start_gateway(grace_s=2)
