--- a/tests/gateway/connection_end_scenarios.py
+++ b/tests/gateway/connection_end_scenarios.py
@@ -1,11 +1,13 @@
 """Scenarios in which the end of a connection is not the end of a message."""
 
 import asyncio
+import json
 import signal
 import socket
 
 from scenarios import GEN_HEADERS
-from standins import chunk, event, signed, start_stream
+from standins import (EngineStatus, answer, chunk, echo, event, signed,
+                      start_stream)
 
 # Above the size up to which a gateway buffers a response.
 LARGE_BYTES = 300 << 10
@@ -178,3 +180,92 @@
             writer.close()
         if end is stop:
             await bench.start_gateway(grace_s=2)
+
+
+def without_length(answer):
+    """ANSWER as one that ends with its connection."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    lines = [line for line in head.split(b"\r\n")
+             if not line.startswith(b"Content-Length:")]
+    return b"\r\n".join(lines) + b"\r\n\r\n", body
+
+
+async def cut_list_of_store(bench):
+    """The store's answers have no length, and one to a call for the list of
+    targets ends early: the gateway takes the first page for the whole list."""
+    handle = bench.store.handle
+    cut = {"after": None}
+
+    class Pages:
+        """Writes answers without a length, a page's revision first."""
+        def __init__(self, writer, is_list):
+            self.writer = writer
+            self.is_list = is_list
+
+        def write(self, data):
+            head, body = without_length(data)
+            if self.is_list:
+                page = json.loads(body)
+                body = json.dumps({"At": page["At"], "Entries": page["Entries"],
+                                   "HasMore": page["HasMore"]}).encode()
+                if page["HasMore"] and cut["after"] is not None:
+                    body = body[:body.index(cut["after"]) + len(cut["after"])]
+                    cut["after"] = None
+            self.writer.write(head + body)
+
+    async def handle_without_length(request, writer):
+        is_list = (request.method == "GET" and "servers" in request.path
+                   and "Watch" not in request.path)
+        await handle(request, Pages(writer, is_list))
+        await writer.drain()
+        return False
+
+    bench.store.handle = handle_without_length
+    bench.store.page_size = 2
+    for name in ("t1", "t2", "t3", "t4"):
+        await bench.add_target(name, "plain", echo)
+    for place in (b"", b"{", b'"At": ', b'"Entries": [{', b"}}]", b"}}], ",
+                  b'"HasMore"', b'"HasMore": tr', b'"HasMore": true'):
+        cut["after"] = place
+        bench.logs.clear()
+        if bench.process is None:
+            await bench.start()
+        else:
+            await bench.start_gateway()
+        await asyncio.sleep(1)
+        bench.say(f"cut after '{place.decode()}': "
+                  f"{len(bench.logged('GATEWAY_TARGET_ADDED'))} targets")
+        bench.process.kill()
+        await bench.process.wait()
+
+
+async def cut_load_report(bench):
+    """An engine's reports to its observer have no length, and end early: none
+    is taken for a whole one."""
+    cut = {"after": None}
+
+    class Engine(EngineStatus):
+        async def handle(self, request, writer):
+            if request.path == "/report" and cut["after"] is not None:
+                head, body = without_length(answer(200, json.dumps(
+                    {"Active": 9, "Queued": 7, "KvUsed": 1, "KvTotal": 2,
+                     "born": 2, "Phase": "draining", "Runs": []}).encode()))
+                writer.write(head + body[:cut["after"]])
+                await writer.drain()
+                return False
+            return await super().handle(request, writer)
+
+    await bench.add_target("m1", "model", begin_stream)
+    await bench.start()
+    engine = Engine("m1")
+    await bench.observe(engine)
+    before = len(bench.logs)
+    for cut["after"] in range(0, 97, 6):
+        count = len(engine.requests)
+
+        async def asked():
+            return len(engine.requests) > count + 1
+        await bench.until(asked)
+    names = {l["name"] for l in bench.logs[before:]
+             if l["name"].startswith(("OBSERVER_ENGINE", "GATEWAY_TARGET"))}
+    bench.say(f"seen of the engine meanwhile: {sorted(names)}")
