Side: a response whose head is cut is incomplete

Cause: libcurl takes a response whose connection ends within its head, after the status line, for a whole one without a body. The result of a call to a plain service was then passed on as done, with an empty body. Change: a request is complete only if the head of its final response was read up to its end.

--- a/side/http.c
+++ b/side/http.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 
+#include "base/head_lines.h"
 #include "side/http.h"
 #include "wire/wire.h"
 
@@ -17,6 +18,7 @@
   CURL *easy;
   struct curl_slist *headers;
   char *request_body;
+  cv_head_lines_t response_head;
   cv_buf_t response_body;
   cv_http_call_t call;
 };
@@ -139,6 +141,8 @@
       curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
     }
   curl_easy_setopt (easy, CURLOPT_PRIVATE, r);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, cv_head_lines_add);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &r->response_head);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_response_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, r);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
@@ -294,7 +298,7 @@
       || (code == CURLE_OPERATION_TIMEDOUT && r->call.at_most_once
           && connect_us == 0))
     result.end = CV_HTTP_NOT_SENT;
-  else if (code != CURLE_OK)
+  else if (code != CURLE_OK || !r->response_head.is_whole)
     result.end = CV_HTTP_INCOMPLETE;
   if (retry_after > 0)
     result.retry_after_s = retry_after < RETRY_AFTER_MAX_S
