Store client: a response whose head is cut tells nothing

Cause: libcurl takes a response whose connection ends within its head, after a status line, for a whole one. A write whose connection ended after an informational response was then taken for refused, although it may have been applied, and an object for absent after a part of a head. Change: without the end of the final head the call has failed; a write is of unknown outcome then, and resolved as after a lost response.

--- a/store/http.c
+++ b/store/http.c
@@ -7,6 +7,7 @@
 
 #include <curl/curl.h>
 
+#include "base/head_lines.h"
 #include "store/http.h"
 
 #define RESPONSE_MAX_BYTES (2u * 1024 * 1024)
@@ -59,7 +60,8 @@
 
 static void
 set_options (cv_store_t *s, const char *method, const char *url,
-             const char *body, cv_store_response_t *response)
+             const char *body, cv_head_lines_t *head,
+             cv_store_response_t *response)
 {
   CURL *c = s->curl;
 
@@ -69,6 +71,8 @@
   (void)curl_easy_setopt (c, CURLOPT_NOSIGNAL, 1L);
   (void)curl_easy_setopt (c, CURLOPT_PROXY, "");
   (void)curl_easy_setopt (c, CURLOPT_TIMEOUT_MS, (long)s->timeout_ms);
+  (void)curl_easy_setopt (c, CURLOPT_HEADERFUNCTION, cv_head_lines_add);
+  (void)curl_easy_setopt (c, CURLOPT_HEADERDATA, head);
   (void)curl_easy_setopt (c, CURLOPT_WRITEFUNCTION, append_body);
   (void)curl_easy_setopt (c, CURLOPT_WRITEDATA, &response->body);
   if (body == NULL)
@@ -86,6 +90,7 @@
                    cv_error_t *err)
 {
   struct curl_slist *headers = NULL;
+  cv_head_lines_t head = { 0 };
   char url[URL_MAX_BYTES];
   CURLcode code;
   long status = 0;
@@ -96,7 +101,7 @@
   n = snprintf (url, sizeof url, "%s%s", s->url, path);
   if (n < 0 || (size_t)n >= sizeof url)
     return cv_fail (err, CV_ERR_INVALID, "store: request URL is too long");
-  set_options (s, method, url, body, response);
+  set_options (s, method, url, body, &head, response);
   headers = curl_slist_append (headers, "Content-Type: application/json");
   headers = curl_slist_append (headers, "Expect:");
   (void)curl_easy_setopt (s->curl, CURLOPT_HTTPHEADER, headers);
@@ -106,6 +111,9 @@
   if (code != CURLE_OK)
     return cv_fail (err, CV_ERR_UNAVAILABLE, "store %s: %s", s->url,
                     curl_easy_strerror (code));
+  if (!head.is_whole)
+    return cv_fail (err, CV_ERR_UNAVAILABLE,
+                    "store %s: the head of the response was cut", s->url);
   (void)curl_easy_getinfo (s->curl, CURLINFO_RESPONSE_CODE, &status);
   response->status = (int)status;
   return true;
