Tests: answers without a length that are reset

Cause: a reset was tried for small answers on new connections only, before their last byte. Change: a scenario with 32 cases: idempotent and non-idempotent routes, small answers and such that are forwarded as they arrive, a reset after the first bytes and after the last one, on new and kept connections, to HTTP/1.1 and HTTP/1.0 callers.

--- a/tests/gateway/connection_end_scenarios.py
+++ b/tests/gateway/connection_end_scenarios.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 
+from cut_scenarios import reset_connection
 from scenarios import GEN_HEADERS
 from standins import (EngineStatus, answer, chunk, echo, event, signed,
                       start_stream)
@@ -269,3 +270,70 @@
     names = {l["name"] for l in bench.logs[before:]
              if l["name"].startswith(("OBSERVER_ENGINE", "GATEWAY_TARGET"))}
     bench.say(f"seen of the engine meanwhile: {sorted(names)}")
+
+
+async def reset_answers_without_length(bench):
+    """A target resets the connection of an answer that has no length, after its
+    first bytes or its last one, buffered or forwarded as it arrives, on a new
+    connection or a kept one: it is not whole."""
+    now = {}
+    seen = {}
+
+    async def script(target, request, writer):
+        seen[writer] = seen.get(writer, 0) + 1
+        if now["is_kept"] and not now["given"] and seen[writer] == 1:
+            writer.write(signed(request, b"first"))
+            return True
+        now["sent"] += 1
+        body = b"x" * now["size"]
+        writer.write((HEAD.format(request.headers["attempt-id"])
+                      + "\r\n").encode())
+        if now["given"]:
+            writer.write(body)
+            await writer.drain()
+            return False
+        now["given"] += 1
+        writer.write(body[:now["cut"]])
+        await writer.drain()
+        # What was written arrives before the reset.
+        await asyncio.sleep(0.1)
+        reset_connection(writer)
+        return False
+
+    async def call(path, version):
+        """Status and body of the response; 0 if it does not end as a whole
+        one."""
+        head = bench.head("GET" if path.startswith("/r") else "POST", path,
+                          b"" if path.startswith("/r") else b"x")
+        status, _, body = await bench.raw(head.replace(b"HTTP/1.1", version, 1))
+        return status, body
+
+    # Targets that fail are avoided.
+    cases = [(kind, size, cut, is_kept, version)
+             for kind in ("read", "book") for size in (4, LARGE_BYTES)
+             for cut in (2, size) for is_kept in (False, True)
+             for version in (b"HTTP/1.1", b"HTTP/1.0")]
+    for i, (kind, _, _, _, _) in enumerate(cases):
+        for name in ("a", "b"):
+            await bench.add_target(f"{name}{i}", f"s{i}", script)
+        bench.config["Routes"].append(
+            {**bench.config["Routes"][kind == "book"], "Name": f"r{i}",
+             "PathPrefix": f"/{kind[0]}{i}/", "Backend": f"s{i}"})
+        bench.config["Backends"].append(
+            {**bench.config["Backends"][0], "Name": f"s{i}"})
+    await bench.start(retry_ratio=1, retry_slack=1000)
+    for i, (kind, size, cut, is_kept, version) in enumerate(cases):
+        now.update(given=0, sent=0, size=size, cut=cut, is_kept=is_kept)
+        for _ in range(9):
+            status, body = await call(f"/{kind[0]}{i}/1", version)
+            if now["given"]:
+                break
+        if status == 200:
+            got = "whole" if body == b"x" * size else "a part as the whole"
+        else:
+            got = "no success" if status else "cut"
+        bench.say(f"{kind}, {'large' if size > 4 else 'small'}, reset after "
+                  f"{'all' if cut == size else 'the first'} bytes, "
+                  f"{'kept' if is_kept else 'new'}, "
+                  f"{version.decode()}: {status} {got}, sent "
+                  f"{now['sent']} times")
