--- a/tests/gateway/connection_end_scenarios.py
+++ b/tests/gateway/connection_end_scenarios.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
+import sys
 
 from cut_scenarios import reset_connection
 from scenarios import GEN_HEADERS
 from standins import (EngineStatus, answer, chunk, echo, event, signed,
                       start_stream)
 
+HERE = os.path.dirname(os.path.abspath(__file__))
 # Above the size up to which a gateway buffers a response.
 LARGE_BYTES = 300 << 10
 HEAD = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nAttempt-Id: {}\r\n"
@@ -337,3 +340,51 @@
                   f"{'kept' if is_kept else 'new'}, "
                   f"{version.decode()}: {status} {got}, sent "
                   f"{now['sent']} times")
+
+
+async def ending_targets_without_length(bench):
+    """The process of a target ends within an answer that has no length, killed
+    or by SIGTERM, and its kernel closes the connection in order, as after the
+    whole answer."""
+    async def start(name, how):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", os.path.join(HERE, "ending_target.py"), name,
+            how, stdout=asyncio.subprocess.PIPE)
+        port = int(await process.stdout.readline())
+        await bench.store.put("servers", name, {
+            "Backend": "plain" if name[0] == "t" else "model",
+            "Zone": "zone-a", "Capacity": 6, "Address": f"127.0.0.1:{port}",
+            "Version": "v1", "Phase": "ready", "WarmupLeftMs": 0, "born": 1})
+        return process
+
+    bench.config["Routes"][0]["TimeoutMs"] = 5000
+    await bench.start(retry_ratio=1)
+    for number in (signal.SIGKILL, signal.SIGTERM):
+        for path in ("/tag/1", "/long/1", "/read/1"):
+            kind = "t" if path == "/read/1" else "m"
+            name = f"{kind}{len(bench.logs)}"
+            first = await start(name, "part")
+            second = None
+            try:
+                await bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
+                caller = asyncio.ensure_future(bench.send(
+                    "GET" if kind == "t" else "POST", path,
+                    b"" if kind == "t" else b"x",
+                    **({} if kind == "t" else GEN_HEADERS)))
+                await first.stdout.readline()
+                second = await start(name + "b", "all")
+                await bench.until_logged("GATEWAY_TARGET_ADDED",
+                                         target=name + "b")
+                first.send_signal(number)
+                status, _, body = await caller
+            finally:
+                for process in (first, second):
+                    if process and process.returncode is None:
+                        process.kill()
+                        await process.wait()
+            got = (f"{body.count(b'data:')} of 20 events" if kind == "m"
+                   else f"{len(body)} of 480000 bytes")
+            bench.say(f"{number.name}, {path}: {status}, {got}")
+            for gone in (name, name + "b"):
+                await bench.store.remove("servers", gone)
+                await bench.until_logged("GATEWAY_TARGET_LEAVING", target=gone)
