--- a/side/http.c
+++ b/side/http.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 
+#include "base/head_lines.h"
 #include "side/http.h"
 #include "wire/wire.h"
 
@@ -17,6 +18,7 @@
   CURL *easy;
   struct curl_slist *headers;
   char *request_body;
+  cv_head_lines_t response_head;
   cv_buf_t response_body;
   cv_http_call_t call;
 };
@@ -221,9 +223,10 @@
   cv_http_request_t *r = arg;
   long status = 0;
 
-  (void)p;
   curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
-  return status == 101 || status > CV_STATUS_MAX ? 0 : size * n;
+  if (status == 101 || status > CV_STATUS_MAX)
+    return 0;
+  return cv_head_lines_add (p, size, n, &r->response_head);
 }
 
 static size_t
@@ -311,7 +314,7 @@
       || (code == CURLE_OPERATION_TIMEDOUT && r->call.at_most_once
           && connect_us == 0))
     result.end = CV_HTTP_NOT_SENT;
-  else if (code != CURLE_OK)
+  else if (code != CURLE_OK || !r->response_head.is_whole)
     result.end = CV_HTTP_INCOMPLETE;
   if (retry_after > 0)
     result.retry_after_s = retry_after < RETRY_AFTER_MAX_S
