Tests: a 503 whose handle cannot be read is taken for a refusal (known red)

Cause: an order that stopped a run may be answered 503 with a handle. When that body is cut, as in an answer that ends with its connection, or cannot be read, the answer is read as 'not carried out', and a stream that was closed between two events is completed. Change: a scenario with both, closed before, with and after the answer; no decision is changed.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -368,6 +368,16 @@
     writer.write(answer(200, b'{"Session":'))
 
 
+def unreadable_503(run, writer):
+    writer.write(answer(503, b'{"Session":'))
+
+
+def cut_503(run, writer):
+    """A 503 that ends with its connection, cut within its handle."""
+    writer.write(b"HTTP/1.1 503 X\r\n\r\n" + b'{"Session":"h')
+    writer.close()
+
+
 def refused(run, writer):
     writer.write(answer(503))
 
@@ -530,6 +540,14 @@
                        for framing in (CLOSE, CHUNKS)])
 
 
+async def stopped_run_unreadable_refusal(bench):
+    """A 503 with a body that cannot be read does not say that the run goes
+    on: the engine may have stopped it."""
+    await play(bench, in_turn(CLOSE, stops, {
+        "503 that cannot be read": unreadable_503, "503 that is cut": cut_503}),
+        complete_only_if_whole)
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
