Tests: an engine that is full settles an order that it may carry out (known red)

Cause: after an order without an answer any later refusal is believed to show that no earlier one is open. A 503 with Not-Executed is given by an engine that is full, and did not look at the run. Change: a scenario in which the first order is carried out 1 and 2 s after it came; no decision is changed.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -356,6 +356,24 @@
     return on_stop
 
 
+def lost_and_late(after_s, reply):
+    """The answer to the first order is lost, and the engine carries it out
+    AFTER_S later; REPLY answers the others before."""
+    async def carry_out(case):
+        await asyncio.sleep(after_s)
+        await case.runs[-1].stop()
+        case.runs[-1].close()
+
+    async def on_stop(run, writer):
+        if not hasattr(run.case, "late"):
+            run.case.late = asyncio.ensure_future(carry_out(run.case))
+            reset(run, writer)
+        else:
+            reply(run, writer)
+        return True
+    return on_stop
+
+
 def moved(run, writer):
     writer.write(copied(run))
 
@@ -382,6 +400,11 @@
     writer.write(answer(503))
 
 
+def not_executed(run, writer):
+    """The engine is full: it has not looked at the order."""
+    writer.write(answer(503, b"", [("Not-Executed", "1")]))
+
+
 def no_such_run(run, writer):
     writer.write(answer(404))
 
@@ -548,6 +571,18 @@
         complete_only_if_whole)
 
 
+def late_after(reply):
+    return [Case(f"503, carried out after {after_s} s",
+                 lost_and_late(after_s, reply), CLOSE, LATE_EVENTS)
+            for after_s in (1, 2)]
+
+
+async def run_stopped_late_after_a_full_engine(bench):
+    """An order without an answer is carried out after the engine, which was
+    full then, has turned a later one away: it says nothing of the first."""
+    await play(bench, late_after(not_executed), complete_only_if_whole)
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
