Tests: a refusal settles an order that the engine has not begun (known red)

Cause: that an engine carries out one order of a run at a time, and answers others 409, holds for an order that it has begun. One that still waits there is not in progress, and a later one is refused as if it had not come. Change: a scenario; no decision is changed. To the gateway it is the same as run-stop-refused-after-a-lost-order, up to the end of the stream: where that one is passed on as complete, this one is, so one of the two has to be decided.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -583,6 +583,12 @@
     await play(bench, late_after(not_executed), complete_only_if_whole)
 
 
+async def run_stopped_late_after_a_refusal(bench):
+    """An order without an answer is carried out after a later one was refused
+    by an engine that had not begun with the first."""
+    await play(bench, late_after(refused), complete_only_if_whole)
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
