Tests: a run returns to its source with an order open (known red)

Cause: the attempt at the destination forgets that an order to the source has no answer. When the destination turns it away, the run goes on at the source, which may carry that order out; the end of the stream is then taken for its own. Change: a scenario; no decision is changed.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -374,6 +374,23 @@
     return on_stop
 
 
+def returns_to_source(after_s):
+    """The answer to the first order is lost, and the engine carries it out
+    AFTER_S later, at a run that has gone on there: the second order stopped
+    the run, its answer is lost too, and the destination has lost its copy."""
+    first = lost_and_late(after_s, no_answer)
+
+    async def on_stop(run, writer):
+        if not hasattr(run.case, "late"):
+            return await first(run, writer)
+        await run.stop()
+        run.case.copies = {run.engine}
+        run.close()
+        reset(run, writer)
+        return False
+    return on_stop
+
+
 def moved(run, writer):
     writer.write(copied(run))
 
@@ -589,6 +606,14 @@
     await play(bench, late_after(refused), complete_only_if_whole)
 
 
+async def run_stopped_late_at_the_source(bench):
+    """An order without an answer is carried out after the run has gone on at
+    the source, as the destination has lost its copy."""
+    await play(bench, [Case(f"carried out after {after_s} s",
+                            returns_to_source(after_s), CLOSE, LATE_EVENTS)
+                       for after_s in (1, 1.5)], complete_only_if_whole)
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
