Tests: a 409 and then a 404 complete a stream that was stopped (known red)

Cause: a 409 says that an order for the run is in progress. If it is not one of this gateway, nothing is in doubt, and when the stream has been closed and the source then has no such run, the stream is completed. Change: a scenario; no decision is changed.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -614,6 +614,29 @@
                        for after_s in (1, 1.5)], complete_only_if_whole)
 
 
+def in_progress():
+    """An order of another caller is carried out: this one is told so, and then
+    that there is no such run."""
+    async def carry_out(run):
+        await asyncio.sleep(2 * APART_S)
+        await run.stop()
+        run.close()
+
+    async def on_stop(run, writer):
+        if not hasattr(run.case, "late"):
+            run.case.late = asyncio.ensure_future(carry_out(run))
+        writer.write(answer(409))
+        return True
+    return on_stop
+
+
+async def run_stopped_by_another_order(bench):
+    """A source says that an order is in progress, ends the stream, and then has
+    no such run: an order that is not known here has stopped it."""
+    await play(bench, [Case("409, then 404", in_progress(), CLOSE)],
+               complete_only_if_whole)
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
