Tests: a run whose orders are in progress keeps others from migrating (known red)

Cause: a source that answers 409 is asked every 100 ms as long as the run goes on, and has one migration at a time. Change: a scenario with two runs at an engine that drains; no decision is changed.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -739,3 +739,53 @@
 async def stopped_run_evacuated_in_chunks(bench):
     """The same of streams in chunks."""
     await evacuate_source(bench, CHUNKS)
+
+
+async def orders_in_progress_of_one_run(bench):
+    """An engine that drains has two runs, and answers each order to stop the
+    first one that an earlier one is in progress: the second one is migrated
+    all the same."""
+    orders = []
+    second_moves = asyncio.Event()
+
+    async def script(target, request, writer):
+        if request.path == "/kv-move":
+            order = json.loads(request.body)
+            orders.append((order["InstanceId"], order["Final"]))
+            if orders[-1][0] != orders[0][0]:
+                second_moves.set()
+            writer.write(answer(409) if order["Final"] else answer(
+                200, b'{"Session":"h1","Created":4}'))
+            return True
+        if request.method == "DELETE":
+            writer.write(answer(200))
+            return True
+        await start_stream(request, writer)
+        for i in range(LATE_EVENTS):
+            writer.write(framed(event(i), CHUNKS))
+            await asyncio.sleep(INTERVAL_S)
+        writer.write(framed(b"", CHUNKS))
+        return True
+
+    await bench.start()
+    old = await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    callers = []
+    writers = []
+    for _ in range(2):
+        reader, writer = await bench.connect()
+        writers.append(writer)
+        writer.write(bench.head("POST", "/long/1", b"x", **{
+            **GEN_HEADERS, "Deadline-Ms": "8000"}))
+        callers.append(asyncio.ensure_future(read_stream(reader)))
+    await asyncio.sleep(0.5)
+    await bench.add_target("m2", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m2")
+    await bench.store.put("servers", "m1", old.record("draining"))
+    try:
+        await asyncio.wait_for(second_moves.wait(), 3)
+    except asyncio.TimeoutError:
+        pass
+    bench.say(f"second run is migrated {second_moves.is_set()}")
+    ends = [await c for c in callers]
+    print(len(orders), "orders", [(e[0], len(e[1]), e[2]) for e in ends])
