Tests: engines are asked for a copy that they cannot have (known red)

Cause: a run that returns to a source which is not admitted, as its version has changed, is placed at any engine with the handle of the copy. Each one rejects it, which returns it to the source; neither the bound of resumes nor the budget of retries is asked. Change: a scenario; no decision is changed.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -637,6 +637,36 @@
                complete_only_if_whole)
 
 
+def starts_again():
+    """The run is stopped, and its engine starts again with another version:
+    neither end has the copy."""
+    async def on_stop(run, writer):
+        case = run.case
+        for role in ("m3", "m4", "m5"):
+            await case.add_engine(role)
+        await run.stop()
+        case.copies.clear()
+        run.engine.version = "another"
+        await case.drain("m1")
+        await asyncio.sleep(1)
+        run.close()
+        moved(run, writer)
+        return True
+    return on_stop
+
+
+async def stopped_run_copy_lost_with_its_source(bench):
+    """The copy of a stopped run is lost, and its source has started again with
+    another version: no other engine is asked for the copy."""
+    case = Case("moved", starts_again(), CHUNKS)
+    await play(bench, [case], complete_only_if_whole)
+    asked = {e.role: sum("kv-from" in r.headers for r in e.requests)
+             for e in case.engines.values()}
+    print(asked)
+    bench.say(f"asked for the copy: m2 once {asked['m2'] == 1}, others never "
+              f"{not any(asked[e] for e in ('m3', 'm4', 'm5'))}")
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
