--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -667,6 +667,22 @@
               f"{not any(asked[e] for e in ('m3', 'm4', 'm5'))}")
 
 
+class ClosingCase(Case):
+    """The source takes no connection after the first copy."""
+
+    async def copy(self, engine, order, writer):
+        await super().copy(engine, order, writer)
+        engine.server.close()
+        return False
+
+
+async def run_whose_order_was_not_sent(bench):
+    """No order to stop the run can be sent, as the source refuses connections:
+    the run ends by itself, and is complete."""
+    await play(bench, [ClosingCase("not connected", None, framing, held_at=None)
+                       for framing in (CLOSE, CHUNKS)])
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
