--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -356,6 +356,41 @@
     return on_stop
 
 
+def lost_and_late(after_s, reply):
+    """The answer to the first order is lost, and the engine carries it out
+    AFTER_S later; REPLY answers the others before."""
+    async def carry_out(case):
+        await asyncio.sleep(after_s)
+        await case.runs[-1].stop()
+        case.runs[-1].close()
+
+    async def on_stop(run, writer):
+        if not hasattr(run.case, "late"):
+            run.case.late = asyncio.ensure_future(carry_out(run.case))
+            reset(run, writer)
+        else:
+            reply(run, writer)
+        return True
+    return on_stop
+
+
+def returns_to_source(after_s):
+    """The answer to the first order is lost, and the engine carries it out
+    AFTER_S later, at a run that has gone on there: the second order stopped
+    the run, its answer is lost too, and the destination has lost its copy."""
+    first = lost_and_late(after_s, no_answer)
+
+    async def on_stop(run, writer):
+        if not hasattr(run.case, "late"):
+            return await first(run, writer)
+        await run.stop()
+        run.case.copies = {run.engine}
+        run.close()
+        reset(run, writer)
+        return False
+    return on_stop
+
+
 def moved(run, writer):
     writer.write(copied(run))
 
@@ -368,10 +403,25 @@
     writer.write(answer(200, b'{"Session":'))
 
 
+def unreadable_503(run, writer):
+    writer.write(answer(503, b'{"Session":'))
+
+
+def cut_503(run, writer):
+    """A 503 that ends with its connection, cut within its handle."""
+    writer.write(b"HTTP/1.1 503 X\r\n\r\n" + b'{"Session":"h')
+    writer.close()
+
+
 def refused(run, writer):
     writer.write(answer(503))
 
 
+def not_executed(run, writer):
+    """The engine is full: it has not looked at the order."""
+    writer.write(answer(503, b"", [("Not-Executed", "1")]))
+
+
 def no_such_run(run, writer):
     writer.write(answer(404))
 
@@ -541,6 +591,109 @@
                        for framing in (CLOSE, CHUNKS)])
 
 
+async def stopped_run_unreadable_refusal(bench):
+    """A 503 with a body that cannot be read does not say that the run goes
+    on: the engine may have stopped it."""
+    await play(bench, in_turn(CLOSE, stops, {
+        "503 that cannot be read": unreadable_503, "503 that is cut": cut_503}),
+        complete_only_if_whole)
+
+
+def late_after(reply):
+    return [Case(f"503, carried out after {after_s} s",
+                 lost_and_late(after_s, reply), CLOSE, LATE_EVENTS)
+            for after_s in (1, 2)]
+
+
+async def run_stopped_late_after_a_full_engine(bench):
+    """An order without an answer is carried out after the engine, which was
+    full then, has turned a later one away: it says nothing of the first."""
+    await play(bench, late_after(not_executed), complete_only_if_whole)
+
+
+async def run_stopped_late_after_a_refusal(bench):
+    """An order without an answer is carried out after a later one was refused
+    by an engine that had not begun with the first."""
+    await play(bench, late_after(refused), complete_only_if_whole)
+
+
+async def run_stopped_late_at_the_source(bench):
+    """An order without an answer is carried out after the run has gone on at
+    the source, as the destination has lost its copy."""
+    await play(bench, [Case(f"carried out after {after_s} s",
+                            returns_to_source(after_s), CLOSE, LATE_EVENTS)
+                       for after_s in (1, 1.5)], complete_only_if_whole)
+
+
+def in_progress():
+    """An order of another caller is carried out: this one is told so, and then
+    that there is no such run."""
+    async def carry_out(run):
+        await asyncio.sleep(2 * APART_S)
+        await run.stop()
+        run.close()
+
+    async def on_stop(run, writer):
+        if not hasattr(run.case, "late"):
+            run.case.late = asyncio.ensure_future(carry_out(run))
+        writer.write(answer(409))
+        return True
+    return on_stop
+
+
+async def run_stopped_by_another_order(bench):
+    """A source says that an order is in progress, ends the stream, and then has
+    no such run: an order that is not known here has stopped it."""
+    await play(bench, [Case("409, then 404", in_progress(), CLOSE)],
+               complete_only_if_whole)
+
+
+def starts_again():
+    """The run is stopped, and its engine starts again with another version:
+    neither end has the copy."""
+    async def on_stop(run, writer):
+        case = run.case
+        for role in ("m3", "m4", "m5"):
+            await case.add_engine(role)
+        await run.stop()
+        case.copies.clear()
+        run.engine.version = "another"
+        await case.drain("m1")
+        await asyncio.sleep(1)
+        run.close()
+        moved(run, writer)
+        return True
+    return on_stop
+
+
+async def stopped_run_copy_lost_with_its_source(bench):
+    """The copy of a stopped run is lost, and its source has started again with
+    another version: no other engine is asked for the copy."""
+    case = Case("moved", starts_again(), CHUNKS)
+    await play(bench, [case], complete_only_if_whole)
+    asked = {e.role: sum("kv-from" in r.headers for r in e.requests)
+             for e in case.engines.values()}
+    print(asked)
+    bench.say(f"asked for the copy: m2 once {asked['m2'] == 1}, others never "
+              f"{not any(asked[e] for e in ('m3', 'm4', 'm5'))}")
+
+
+class ClosingCase(Case):
+    """The source takes no connection after the first copy."""
+
+    async def copy(self, engine, order, writer):
+        await super().copy(engine, order, writer)
+        engine.server.close()
+        return False
+
+
+async def run_whose_order_was_not_sent(bench):
+    """No order to stop the run can be sent, as the source refuses connections:
+    the run ends by itself, and is complete."""
+    await play(bench, [ClosingCase("not connected", None, framing, held_at=None)
+                       for framing in (CLOSE, CHUNKS)])
+
+
 async def run_never_stopped_in_chunks(bench):
     """The same of streams in chunks, whose end leaves no doubt."""
     await play(bench, never_cases(CHUNKS))
@@ -643,3 +796,53 @@
 async def stopped_run_evacuated_in_chunks(bench):
     """The same of streams in chunks."""
     await evacuate_source(bench, CHUNKS)
+
+
+async def orders_in_progress_of_one_run(bench):
+    """An engine that drains has two runs, and answers each order to stop the
+    first one that an earlier one is in progress: the second one is migrated
+    all the same."""
+    orders = []
+    second_moves = asyncio.Event()
+
+    async def script(target, request, writer):
+        if request.path == "/kv-move":
+            order = json.loads(request.body)
+            orders.append((order["InstanceId"], order["Final"]))
+            if orders[-1][0] != orders[0][0]:
+                second_moves.set()
+            writer.write(answer(409) if order["Final"] else answer(
+                200, b'{"Session":"h1","Created":4}'))
+            return True
+        if request.method == "DELETE":
+            writer.write(answer(200))
+            return True
+        await start_stream(request, writer)
+        for i in range(LATE_EVENTS):
+            writer.write(framed(event(i), CHUNKS))
+            await asyncio.sleep(INTERVAL_S)
+        writer.write(framed(b"", CHUNKS))
+        return True
+
+    await bench.start()
+    old = await bench.add_target("m1", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m1")
+    callers = []
+    writers = []
+    for _ in range(2):
+        reader, writer = await bench.connect()
+        writers.append(writer)
+        writer.write(bench.head("POST", "/long/1", b"x", **{
+            **GEN_HEADERS, "Deadline-Ms": "8000"}))
+        callers.append(asyncio.ensure_future(read_stream(reader)))
+    await asyncio.sleep(0.5)
+    await bench.add_target("m2", "model", script)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="m2")
+    await bench.store.put("servers", "m1", old.record("draining"))
+    try:
+        await asyncio.wait_for(second_moves.wait(), 3)
+    except asyncio.TimeoutError:
+        pass
+    bench.say(f"second run is migrated {second_moves.is_set()}")
+    ends = [await c for c in callers]
+    print(len(orders), "orders", [(e[0], len(e[1]), e[2]) for e in ends])
