gateway: no outcome of an order is assumed that its answer does not state

Cause: a review showed callers that get a part as a complete stream, or a whole one as cut. A 503 whose body is cut or malformed was read as 'the run goes on', although it may name the copy of a stopped run; a refusal was taken to settle an earlier order, which the engine may not have begun; the doubt was forgotten as an attempt at the destination began, from which the run can return to its source; a 409 left none; an order that could not be sent left one. And a run whose orders are in progress kept all others from migrating. Change: cv_order_read tells a body without a handle from one that cannot be read, and an order that was not sent from one without an answer. When orders end without an outcome the migration holds its copy, without the lease and the source's place, until the stream ends, and the stream goes on from there. Migrations are in a list of their own. Tests: run-stop-refused-after-a-lost-order expected that nothing runs at the destination, which contradicts run-stopped-late-after-a-refusal: the gateway sees the same answers. It expects the whole stream as before. run-whose-order-was-not-sent: an order on a kept connection that has just ended may have arrived; the stream is whole and complete, wherever it ends.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -121,13 +121,6 @@
   cv_line_end (&l);
 }
 
-/* Whether X goes on at T, which stopped its run.  */
-static bool
-is_resumed_at_source (const cv_exchange_t *x, const cv_target_t *t)
-{
-  return x->from_copy && x->copy_source == t;
-}
-
 void
 cv_attempt_start (cv_exchange_t *x, cv_target_t *t)
 {
@@ -166,10 +159,7 @@
   x->is_rejected = false;
   x->is_signed = false;
   cv_exchange_note_strikes (x);
-  x->is_stopped_for_migration = false;
-  x->may_be_complete = false;
-  if (!is_resumed_at_source (x, t))
-    x->is_stop_in_doubt = false;
+  x->awaits_migration = false;
   x->is_outcome_recorded = false;
   cv_buf_reset (&x->response_body);
   cv_events_restart (&x->events);
--- a/gateway/evacuate.c
+++ b/gateway/evacuate.c
@@ -162,25 +162,14 @@
   cv_target_t *t;
   cv_target_t *next;
 
+  cv_migration_tick_all (g, now);
   for (t = TAILQ_FIRST (&g->targets); t != NULL; t = next)
     {
       next = TAILQ_NEXT (t, entry);
-      if (t->migration != NULL)
-        cv_migration_tick (t->migration, now);
       /* After a stall of this process a lease that does not hold may be in its
          socket.  */
-      else if (t->in_flight > 0 && now != g->stall_ended_at
-               && should_evacuate (t, now, is_shortage))
+      if (t->migration == NULL && t->in_flight > 0 && now != g->stall_ended_at
+          && should_evacuate (t, now, is_shortage))
         evacuate (g, t, now);
     }
 }
-
-void
-cv_migrations_finish (cv_gateway_t *g)
-{
-  cv_target_t *t;
-
-  for (t = TAILQ_FIRST (&g->targets); t != NULL; t = TAILQ_NEXT (t, entry))
-    if (t->migration != NULL)
-      cv_migration_abort (t->migration);
-}
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -109,7 +109,8 @@
   cv_buf_finish (&x->response_body);
   cv_events_finish (&x->events);
   cv_suspect_request_finish (&x->identity);
-  cv_exchange_set_copy_source (x, NULL);
+  cv_target_hold (&x->copy_source, NULL);
+  cv_target_hold (&x->doubted_target, NULL);
   free (x);
   if (c != NULL)
     cv_client_response_done (c, complete);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -13,6 +13,7 @@
 #include "policy/output.h"
 #include "policy/policy.h"
 #include "policy/shortage.h"
+#include "policy/stream_end.h"
 #include "policy/urgency.h"
 #include "routing/routing.h"
 
@@ -144,14 +145,14 @@
   bool from_copy;           /* the current attempt resumes from a copy */
   cv_target_t *copy_source; /* that made the copy, or NULL */
   char copy_handle[CV_HANDLE_MAX];
-  cv_migration_t *migration;     /* migration of its run, or NULL */
-  uint32_t migrations;           /* without those that found no room */
-  cv_time_t no_migration_until;  /* no room or no such run */
-  bool is_stopped_for_migration; /* its stream ended for a migration */
-  cv_time_t stopped_at;          /* of IS_STOPPED_FOR_MIGRATION */
-  bool may_be_complete;  /* of IS_STOPPED_FOR_MIGRATION: complete if the run was
-                            not stopped */
-  bool is_stop_in_doubt; /* an order to stop the run has got no answer */
+  cv_migration_t *migration;    /* migration of its run, or NULL */
+  uint32_t migrations;          /* without those that found no room */
+  cv_time_t no_migration_until; /* no room or no such run */
+  bool awaits_migration;        /* its stream has ended: MIGRATION decides */
+  cv_time_t stream_ended_at;    /* of AWAITS_MIGRATION */
+  cv_stream_end_t stream_end;   /* of AWAITS_MIGRATION */
+  /* An order to stop the run there has got no answer; or NULL.  */
+  cv_target_t *doubted_target;
 
   cv_body_end_t body_end; /* of the response that is complete */
   cv_buf_t response_body; /* of CV_EXCHANGE_BUFFERING */
@@ -206,8 +207,6 @@
 /* Ends the attempt of X at a silent target, for another attempt; false when the
    target is no longer silent or no other attempt is allowed.  */
 bool cv_exchange_leave_silent_target (cv_exchange_t *x);
-/* Holds SOURCE, or nothing if NULL, as the target that made the copy of X.  */
-void cv_exchange_set_copy_source (cv_exchange_t *x, cv_target_t *source);
 /* Resumes the stream of X at T from the copy HANDLE of its KV cache, made by
    SOURCE.  */
 void cv_exchange_resume_from_copy (cv_exchange_t *x, cv_target_t *t,
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -44,6 +44,7 @@
   TAILQ_INIT (&g->route_states);
   TAILQ_INIT (&g->clients);
   TAILQ_INIT (&g->exchanges);
+  TAILQ_INIT (&g->migrations);
   TAILQ_INIT (&g->waiting);
   cv_domains_init (&g->domains);
   cv_rng_init (&g->rng, cv_random_u64 ());
--- a/gateway/move.c
+++ b/gateway/move.c
@@ -22,9 +22,9 @@
 #define ANSWER_WAIT CV_SECOND
 /* Most orders to stop a run that goes on although their outcome is unknown.  */
 #define UNSETTLED_ORDERS_MAX 3
-/* A source that carries out an earlier order is asked again at this interval,
-   while the run goes on and then as long as it may take to answer an order.  */
-#define IN_PROGRESS_INTERVAL (100 * CV_MS)
+/* A source that carries out an order is asked again at this interval, for as
+   long as it may take to answer one.  */
+#define IN_PROGRESS_INTERVAL (250 * CV_MS)
 #define IN_PROGRESS_MAX MIGRATION_CALL_TIMEOUT
 /* Growth of a run while it is copied.  */
 #define GROWTH_MARGIN_TOKENS 64
@@ -53,13 +53,16 @@
   CV_MIGRATION_STOP,        /* the source stops the run and copies the rest */
   CV_MIGRATION_FREE_AT_SOURCE,      /* the source frees an unused copy */
   CV_MIGRATION_FREE_AT_DESTINATION, /* the destination frees its side */
-  CV_MIGRATION_AWAIT_END,  /* the response to STOP was lost; the run may end */
-  CV_MIGRATION_IN_PROGRESS /* an earlier order is carried out; asked again */
+  CV_MIGRATION_AWAIT_END,   /* the response to STOP was lost; the run may end */
+  CV_MIGRATION_IN_PROGRESS, /* an order is carried out; asked again */
+  CV_MIGRATION_HOLD /* no further orders; the copy is kept until the stream
+                       ends */
 } cv_migration_phase_t;
 
 struct cv_migration_t
 {
-  cv_exchange_t *exchange; /* NULL after its end */
+  TAILQ_ENTRY (cv_migration_t) entry; /* in the list of all migrations */
+  cv_exchange_t *exchange;            /* NULL after its end */
   cv_target_t *source;
   cv_target_t *destination;
   uint64_t incoming_tokens; /* counted in the destination's incoming_tokens */
@@ -69,9 +72,11 @@
   cv_time_t reservation_sent_at;
   uint32_t reservation_requests;
   cv_time_t started_at;
-  cv_time_t response_lost_at; /* of CV_MIGRATION_AWAIT_END */
-  cv_time_t in_progress_at;   /* last answer that an order is in progress */
-  bool is_link_requested;     /* the destination's lease, or it has it */
+  cv_time_t ticked_at;
+  cv_time_t response_lost_at;  /* of CV_MIGRATION_AWAIT_END */
+  cv_time_t in_progress_since; /* first answer that says so */
+  cv_time_t in_progress_at;    /* the last one */
+  bool is_link_requested;      /* the destination's lease, or it has it */
   bool is_resumed; /* at the destination: the reservation stays in use */
   uint32_t stop_orders;
   cv_time_t stop_sent_at;    /* the last of them */
@@ -84,6 +89,7 @@
 
 static void on_result (void *owner, const cv_http_result_t *r);
 static void release_destination (cv_migration_t *m);
+static void release_link (cv_migration_t *m);
 static void reserve_elsewhere (cv_migration_t *m, cv_time_t backoff);
 
 static const char *
@@ -162,7 +168,9 @@
   log_migration (m, CV_EV_GATEWAY_MOVE_ENDED, m->outcome);
   if (m->exchange != NULL)
     m->exchange->migration = NULL;
-  m->source->migration = NULL;
+  if (m->source->migration == m)
+    m->source->migration = NULL;
+  TAILQ_REMOVE (&m->source->gateway->migrations, m, entry);
   if (m->destination != NULL)
     release_destination (m);
   cv_http_call_finish (&m->call);
@@ -171,25 +179,35 @@
 }
 
 static void
-request_copy (cv_migration_t *m, bool stop)
+send_order (cv_migration_t *m, bool is_final)
 {
   cv_buf_t body;
 
-  m->phase = stop ? CV_MIGRATION_STOP : CV_MIGRATION_COPY;
-  if (stop)
-    {
-      m->stop_orders++;
-      m->stop_sent_at = cv_now ();
-      log_stop_sent (m);
-    }
   cv_buf_init (&body);
   cv_platform_encode_migration (&body, cv_slice (m->run),
-                                &m->destination->record.address, stop);
+                                &m->destination->record.address, is_final);
   cv_http_call_start (&m->call, "POST", cv_platform_migration_path (),
                       (cv_slice_t){ body.p, body.n }, MIGRATION_CALL_TIMEOUT);
   cv_buf_finish (&body);
 }
 
+static void
+order_copy (cv_migration_t *m)
+{
+  m->phase = CV_MIGRATION_COPY;
+  send_order (m, false);
+}
+
+static void
+order_stop (cv_migration_t *m)
+{
+  m->phase = CV_MIGRATION_STOP;
+  m->stop_orders++;
+  m->stop_sent_at = cv_now ();
+  log_stop_sent (m);
+  send_order (m, true);
+}
+
 /* Frees a copy that is not used.  The source frees both sides AT_SOURCE.
    Otherwise the destination frees only its own side: the source did not
    respond, or the source resumes the run and still needs the source's side.  */
@@ -219,7 +237,7 @@
 fail (cv_migration_t *m, const char *outcome)
 {
   cv_exchange_t *x = m->exchange;
-  bool is_stopped = x != NULL && x->is_stopped_for_migration;
+  bool awaits = x != NULL && x->awaits_migration;
 
   m->outcome = outcome;
   if (x != NULL)
@@ -228,7 +246,7 @@
     finish (m);
   else
     free_copy (m, true);
-  if (is_stopped)
+  if (awaits)
     cv_exchange_handle_failure (x, "migration failed and the run ended", true);
 }
 
@@ -279,7 +297,7 @@
                      : outcome);
       return;
     case CV_TAKEOVER_NONE:
-      x->is_stopped_for_migration = true;
+      x->awaits_migration = true;
       fail (m, "both ends are evacuated");
       return;
     }
@@ -287,39 +305,51 @@
 
 /* Reads the answer R to an order to copy or to stop the run.  Without a handle
    in it the one of an earlier copy stays.  */
-static cv_order_answer_t
-read_order_answer (cv_migration_t *m, const cv_http_result_t *r)
+static cv_order_outcome_t
+read_outcome (cv_migration_t *m, const cv_http_result_t *r)
 {
   char handle[CV_NAME_MAX];
-  bool has_handle = cv_platform_decode_migration (r->body, handle);
   cv_answer_fields_t fields = { 0 };
-  cv_order_answer_t answer;
+  cv_order_reply_t reply
+      = { .status = r->status, .is_not_sent = r->is_not_sent };
+  cv_order_outcome_t outcome;
 
   if (r->head != NULL)
-    cv_platform_decode_answer (r->head, &fields);
-  answer = cv_order_answer_read (r->status, has_handle, fields.not_run);
-  if (answer == CV_ORDER_MADE
-      || (answer == CV_ORDER_COPY_FAILED && m->phase == CV_MIGRATION_STOP))
+    {
+      cv_platform_decode_answer (r->head, &fields);
+      reply.not_run = fields.not_run;
+    }
+  reply.body = cv_platform_decode_migration (r->body, handle);
+  /* It may have been cut before its first byte.  */
+  if (r->body.n == 0 && r->end == CV_BODY_END_CLOSE)
+    reply.body = CV_ORDER_BODY_UNREADABLE;
+  outcome = cv_order_read (&reply);
+  if (outcome == CV_ORDER_DONE
+      || (outcome == CV_ORDER_COPY_FAILED && m->phase == CV_MIGRATION_STOP))
     (void)cv_copy (m->handle, sizeof m->handle, handle);
-  if (m->exchange != NULL && !m->exchange->is_stopped_for_migration
-      && cv_order_answer_settles_earlier (answer))
-    m->exchange->is_stop_in_doubt = false;
-  return answer;
+  return outcome;
 }
 
-/* Orders the source to stop the run, which may go on from what was copied.  */
+/* Stops the run at the source, so that it goes on from what was copied.  */
 static void
-order_stop (cv_migration_t *m)
+stop_run (cv_migration_t *m)
 {
-  if (cv_target_is_evacuated (m->destination))
-    fail (m, "destination is evacuated");
   /* The run could not go on at a source that has stopped it and then fails to
      copy the rest: the destination computes that again.  */
-  else if (cv_target_is_evacuated (m->source))
+  if (cv_target_is_evacuated (m->source))
     resume (m, CV_FINAL_COPY_UNKNOWN,
             "source is evacuated; resumed from the first copy");
+  else if (cv_target_is_evacuated (m->destination)
+           && !m->exchange->awaits_migration)
+    fail (m, "destination is evacuated");
   else
-    request_copy (m, true);
+    order_stop (m);
+}
+
+static bool
+is_stop_in_doubt (const cv_migration_t *m)
+{
+  return m->exchange->doubted_target == m->source;
 }
 
 static bool
@@ -328,63 +358,121 @@
   return m->exchange->last_event_at > m->response_lost_at + LAST_EVENTS_WAIT;
 }
 
-/* The source did not respond.  If its stream ends too, the run goes on from
-   what was copied while it ran; if the stream goes on, the run is not stopped
-   yet, and the order is sent again.  */
+/* Ends M: the run was not stopped, and its stream has ended by itself.  */
 static void
-check_source_end (cv_migration_t *m, cv_time_t now)
+complete (cv_migration_t *m)
 {
-  if (m->exchange == NULL)
-    fail (m, "run has ended");
-  else if (m->exchange->is_stopped_for_migration)
-    resume (m, CV_FINAL_COPY_UNKNOWN,
-            "no answer of the source; resumed from the partial copy");
-  else if (run_goes_on (m) && m->unsettled_orders < UNSETTLED_ORDERS_MAX)
-    order_stop (m);
-  else if (run_goes_on (m) || now - m->response_lost_at > SOURCE_END_WAIT)
-    fail (m, "run was not stopped");
+  cv_exchange_t *x = m->exchange;
+
+  m->outcome = "run has ended by itself";
+  cv_migration_detach (m);
+  free_copy (m, true);
+  cv_attempt_complete_stream (x);
 }
 
-/* Asks the source, which carries out an earlier order, for its outcome.  */
+/* The stream has ended, and no order was carried out: completes it if its end
+   is the end of a whole one.  OUTCOME: otherwise.  */
 static void
-check_in_progress (cv_migration_t *m, cv_time_t now)
+end_unstopped (cv_migration_t *m, const char *outcome)
 {
   const cv_exchange_t *x = m->exchange;
 
-  if (x == NULL)
-    fail (m, "run has ended");
-  else if (now - m->in_progress_at < IN_PROGRESS_INTERVAL)
-    return;
-  else if (x->is_stopped_for_migration && now - x->stopped_at > IN_PROGRESS_MAX)
-    resume (m, CV_FINAL_COPY_UNKNOWN,
-            "order stays in progress; resumed from the partial copy");
+  if (x->stream_end == CV_STREAM_END_CLOSED && cv_events_may_end (&x->events))
+    complete (m);
   else
-    order_stop (m);
+    fail (m, outcome);
 }
 
-/* Ends M: the run was not stopped, and its stream has ended by itself.  */
+/* Sends no more orders.  The run goes on, and if an order is in doubt the copy
+   is kept until the stream ends.  Other runs may be migrated meanwhile.  */
 static void
-complete (cv_migration_t *m)
+stop_ordering (cv_migration_t *m)
 {
-  cv_exchange_t *x = m->exchange;
+  if (!is_stop_in_doubt (m))
+    {
+      fail (m, "run was not stopped");
+      return;
+    }
+  m->phase = CV_MIGRATION_HOLD;
+  log_migration (m, CV_EV_GATEWAY_MOVE_HELD, "an order may be carried out");
+  m->source->migration = NULL;
+  cv_lease_send (m->source, cv_slice (m->run), CV_LEASE_RELEASED, 0);
+  release_link (m);
+}
 
-  m->outcome = "run has ended by itself";
-  cv_migration_detach (m);
-  free_copy (m, true);
-  cv_attempt_complete_stream (x);
+/* No order is known to have been carried out or refused.  If the stream has
+   ended, the run goes on from what was copied while it ran; if the stream goes
+   on, the run is not stopped yet, and the order is sent again.  */
+static void
+check_stream_end (cv_migration_t *m, cv_time_t now)
+{
+  const cv_exchange_t *x = m->exchange;
+
+  if (x == NULL)
+    fail (m, "run has ended");
+  else if (x->awaits_migration && is_stop_in_doubt (m))
+    resume (m, CV_FINAL_COPY_UNKNOWN,
+            "order is in doubt; resumed from the partial copy");
+  else if (x->awaits_migration)
+    end_unstopped (m, "stream was broken");
+  else if (run_goes_on (m) && m->unsettled_orders < UNSETTLED_ORDERS_MAX)
+    stop_run (m);
+  else if (run_goes_on (m) || now - m->response_lost_at > SOURCE_END_WAIT)
+    stop_ordering (m);
 }
 
 static void
-await_source_end (cv_migration_t *m)
+await_stream_end (cv_migration_t *m)
 {
   m->phase = CV_MIGRATION_AWAIT_END;
   m->unsettled_orders++;
   m->response_lost_at = cv_now ();
-  check_source_end (m, cv_now ());
+  check_stream_end (m, cv_now ());
+}
+
+static void
+on_unanswered (cv_migration_t *m)
+{
+  cv_target_hold (&m->exchange->doubted_target, m->source);
+  await_stream_end (m);
+}
+
+/* The source carries out an order, maybe one of which this process does not
+   know.  */
+static void
+on_in_progress (cv_migration_t *m)
+{
+  cv_target_hold (&m->exchange->doubted_target, m->source);
+  m->phase = CV_MIGRATION_IN_PROGRESS;
+  m->in_progress_at = cv_now ();
+  if (m->in_progress_since == 0)
+    m->in_progress_since = m->in_progress_at;
 }
 
-/* The source says that it has no such run.  An earlier order without an answer
-   may have stopped it.  */
+/* Asks a source that carries out an order for its outcome.  */
+static void
+check_in_progress (cv_migration_t *m, cv_time_t now)
+{
+  const cv_exchange_t *x = m->exchange;
+  cv_time_t since = m->in_progress_since;
+
+  if (x != NULL && x->awaits_migration && x->stream_ended_at > since)
+    since = x->stream_ended_at;
+  if (x == NULL)
+    fail (m, "run has ended");
+  else if (now - m->in_progress_at < IN_PROGRESS_INTERVAL)
+    return;
+  else if (now - since <= IN_PROGRESS_MAX)
+    stop_run (m);
+  else if (x->awaits_migration)
+    resume (m, CV_FINAL_COPY_UNKNOWN,
+            "order stays in progress; resumed from the partial copy");
+  else
+    stop_ordering (m);
+}
+
+/* The source says that it has no such run.  An order that is in doubt may have
+   stopped it.  */
 static void
 on_no_run (cv_migration_t *m)
 {
@@ -392,53 +480,55 @@
 
   /* A further migration is useless.  */
   x->no_migration_until = x->deadline;
-  if (x->is_stop_in_doubt)
-    await_source_end (m);
-  else if (!x->is_stopped_for_migration)
+  if (is_stop_in_doubt (m))
+    await_stream_end (m);
+  else if (!x->awaits_migration)
     fail (m, "no such run");
-  else if (x->may_be_complete)
+  else if (x->stream_end == CV_STREAM_END_CLOSED
+           && cv_events_may_end (&x->events))
     complete (m);
   else
     resume (m, CV_FINAL_COPY_UNKNOWN,
             "stream was broken; resumed from the partial copy");
 }
 
-/* The source says that the run goes on.  */
+/* The source says that the run goes on.  It may not have begun with an earlier
+   order.  */
 static void
 on_stop_refused (cv_migration_t *m)
 {
-  cv_exchange_t *x = m->exchange;
+  const cv_exchange_t *x = m->exchange;
 
-  if (!x->is_stopped_for_migration)
-    fail (m, "run was not stopped");
-  else if (x->is_stop_in_doubt)
-    await_source_end (m);
-  else if (x->may_be_complete)
-    complete (m);
+  if (!x->awaits_migration)
+    stop_ordering (m);
+  else if (is_stop_in_doubt (m) && x->stream_end == CV_STREAM_END_CLOSED)
+    await_stream_end (m);
   else
-    fail (m, "stream was broken");
+    end_unstopped (m, "stream was broken");
 }
 
 static void
-on_unanswered (cv_migration_t *m)
+on_not_sent (cv_migration_t *m)
 {
-  m->exchange->is_stop_in_doubt = true;
-  await_source_end (m);
+  if (m->exchange->awaits_migration)
+    on_stop_refused (m);
+  else
+    await_stream_end (m);
 }
 
 static void
 on_stop_answered (cv_migration_t *m, const cv_http_result_t *r)
 {
-  cv_order_answer_t answer = read_order_answer (m, r);
+  cv_order_outcome_t outcome = read_outcome (m, r);
 
   if (m->exchange == NULL)
     {
       fail (m, "run has ended");
       return;
     }
-  switch (answer)
+  switch (outcome)
     {
-    case CV_ORDER_MADE:
+    case CV_ORDER_DONE:
       resume (m, CV_FINAL_COPY_MADE, "moved");
       return;
     case CV_ORDER_COPY_FAILED:
@@ -450,11 +540,13 @@
     case CV_ORDER_REFUSED:
       on_stop_refused (m);
       return;
+    case CV_ORDER_NOT_SENT:
+      on_not_sent (m);
+      return;
     case CV_ORDER_IN_PROGRESS:
-      m->phase = CV_MIGRATION_IN_PROGRESS;
-      m->in_progress_at = cv_now ();
+      on_in_progress (m);
       return;
-    case CV_ORDER_IS_UNANSWERED:
+    case CV_ORDER_UNANSWERED:
       on_unanswered (m);
       return;
     }
@@ -474,7 +566,7 @@
 on_run_copied (cv_migration_t *m, const cv_http_result_t *r)
 {
   cv_exchange_t *x = m->exchange;
-  cv_order_answer_t answer = read_order_answer (m, r);
+  cv_order_outcome_t outcome = read_outcome (m, r);
 
   if (x == NULL)
     {
@@ -487,10 +579,10 @@
       return;
     }
   x->migrations++;
-  switch (answer)
+  switch (outcome)
     {
-    case CV_ORDER_MADE:
-      order_stop (m);
+    case CV_ORDER_DONE:
+      stop_run (m);
       return;
     case CV_ORDER_HAS_NO_RUN:
       fail (m, "no such run");
@@ -501,7 +593,8 @@
       return;
     case CV_ORDER_COPY_FAILED:
     case CV_ORDER_REFUSED:
-    case CV_ORDER_IS_UNANSWERED:
+    case CV_ORDER_NOT_SENT:
+    case CV_ORDER_UNANSWERED:
       fail (m, "no copy was made");
       return;
     }
@@ -514,10 +607,10 @@
 {
   const cv_exchange_t *x = m->exchange;
 
-  if (x == NULL || !x->is_stopped_for_migration
+  if (x == NULL || !x->awaits_migration
       || now == m->source->gateway->stall_ended_at)
     return false;
-  return now - x->stopped_at > ANSWER_WAIT
+  return now - x->stream_ended_at > ANSWER_WAIT
          && now - m->stop_sent_at > ANSWER_WAIT;
 }
 
@@ -562,6 +655,7 @@
     case CV_MIGRATION_RESERVE:
     case CV_MIGRATION_AWAIT_END:
     case CV_MIGRATION_IN_PROGRESS:
+    case CV_MIGRATION_HOLD:
       return; /* no call is made in these phases */
     case CV_MIGRATION_COPY:
       on_run_copied (m, r);
@@ -585,7 +679,8 @@
 cv_migration_is_stopping_run (const cv_migration_t *m)
 {
   return m->phase == CV_MIGRATION_STOP || m->phase == CV_MIGRATION_AWAIT_END
-         || m->phase == CV_MIGRATION_IN_PROGRESS;
+         || m->phase == CV_MIGRATION_IN_PROGRESS
+         || m->phase == CV_MIGRATION_HOLD;
 }
 
 void
@@ -596,11 +691,17 @@
 }
 
 static void
-release_destination (cv_migration_t *m)
+release_link (cv_migration_t *m)
 {
   if (m->is_link_requested)
     cv_lease_send (m->destination, cv_slice (m->run), CV_LEASE_RELEASED, 0);
   m->is_link_requested = false;
+}
+
+static void
+release_destination (cv_migration_t *m)
+{
+  release_link (m);
   m->destination->incoming_tokens -= m->incoming_tokens;
   cv_target_unref (m->destination);
   m->destination = NULL;
@@ -610,7 +711,7 @@
 start_copy (cv_migration_t *m)
 {
   log_migration (m, CV_EV_GATEWAY_MOVE_STARTED, purpose_text (m->purpose));
-  request_copy (m, false);
+  order_copy (m);
 }
 
 /* Requests the lease of the destination, which has no observer: one copy at a
@@ -679,6 +780,7 @@
   (void)cv_copy_slice (m->run, sizeof m->run, x->request.attempt);
   t->migration = m;
   x->migration = m;
+  TAILQ_INSERT_TAIL (&x->gateway->migrations, m, entry);
   cv_http_call_init (&m->call, x->gateway->base, &t->record.address,
                      RESPONSE_BODY_MAX_BYTES, on_result, m);
   if (!reserve (m))
@@ -780,8 +882,8 @@
     reserve_elsewhere (m, REFUSED_BACKOFF);
 }
 
-void
-cv_migration_tick (cv_migration_t *m, cv_time_t now)
+static void
+tick (cv_migration_t *m, cv_time_t now)
 {
   switch (m->phase)
     {
@@ -789,11 +891,15 @@
       check_reply_timeout (m, now);
       return;
     case CV_MIGRATION_AWAIT_END:
-      check_source_end (m, now);
+      check_stream_end (m, now);
       return;
     case CV_MIGRATION_IN_PROGRESS:
       check_in_progress (m, now);
       return;
+    case CV_MIGRATION_HOLD:
+      if (m->exchange == NULL || m->exchange->awaits_migration)
+        check_stream_end (m, now);
+      return;
     case CV_MIGRATION_STOP:
       check_stop (m, now);
       return;
@@ -805,9 +911,38 @@
     }
 }
 
+static cv_migration_t *
+find_not_ticked (const cv_gateway_t *g, cv_time_t now)
+{
+  cv_migration_t *m;
+
+  TAILQ_FOREACH (m, &g->migrations, entry)
+  if (m->ticked_at != now)
+    return m;
+  return NULL;
+}
+
+/* A lease that one migration gives back may end another one.  */
+void
+cv_migration_tick_all (cv_gateway_t *g, cv_time_t now)
+{
+  cv_migration_t *m;
+
+  while ((m = find_not_ticked (g, now)) != NULL)
+    {
+      m->ticked_at = now;
+      tick (m, now);
+    }
+}
+
 void
-cv_migration_abort (cv_migration_t *m)
+cv_migrations_finish (cv_gateway_t *g)
 {
-  m->outcome = "stopped";
-  finish (m);
+  cv_migration_t *m;
+
+  while ((m = TAILQ_FIRST (&g->migrations)) != NULL)
+    {
+      m->outcome = "stopped";
+      finish (m);
+    }
 }
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -399,7 +399,9 @@
 {
   if (x->migration != NULL && cv_migration_is_stopping_run (x->migration))
     return CV_STOP_PENDING;
-  return x->is_stop_in_doubt ? CV_STOP_IN_DOUBT : CV_STOP_NOT_ORDERED;
+  return x->doubted_target != NULL && x->doubted_target == x->target
+             ? CV_STOP_IN_DOUBT
+             : CV_STOP_NOT_ORDERED;
 }
 
 static cv_stream_verdict_t
@@ -414,15 +416,14 @@
 static void
 await_migration (cv_exchange_t *x, cv_stream_end_t end)
 {
-  bool is_closed = end == CV_STREAM_END_CLOSED;
-
-  cv_migration_log_source_end (x->migration, is_closed ? "connection closed"
-                                                       : "connection failed");
+  cv_migration_log_source_end (x->migration, end == CV_STREAM_END_CLOSED
+                                                 ? "connection closed"
+                                                 : "connection failed");
   cv_http_link_close (x->link);
   x->link = NULL;
-  x->is_stopped_for_migration = true;
-  x->stopped_at = cv_now ();
-  x->may_be_complete = is_closed && cv_events_may_end (&x->events);
+  x->awaits_migration = true;
+  x->stream_ended_at = cv_now ();
+  x->stream_end = end;
 }
 
 void
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -62,16 +62,6 @@
   cv_line_end (&l);
 }
 
-void
-cv_exchange_set_copy_source (cv_exchange_t *x, cv_target_t *source)
-{
-  cv_target_t *old = x->copy_source;
-
-  x->copy_source = source != NULL ? cv_target_ref (source) : NULL;
-  if (old != NULL)
-    cv_target_unref (old);
-}
-
 void
 cv_exchange_resume_from_copy (cv_exchange_t *x, cv_target_t *t,
                               cv_target_t *source, const char *handle,
@@ -84,7 +74,7 @@
   x->gateway->counts.resumes++;
   x->from_copy = true;
   x->has_reservation = true;
-  cv_exchange_set_copy_source (x, source);
+  cv_target_hold (&x->copy_source, source);
   (void)cv_copy (x->copy_handle, sizeof x->copy_handle, handle);
   cv_attempt_start (x, t);
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -69,6 +69,7 @@
 LIST_HEAD (cv_target_bucket_t, cv_target_t);
 TAILQ_HEAD (cv_clients_t, cv_client_t);
 TAILQ_HEAD (cv_exchanges_t, cv_exchange_t);
+TAILQ_HEAD (cv_migrations_t, cv_migration_t);
 
 /* ---- targets ---- */
 
@@ -183,7 +184,7 @@
   cv_time_t recalled_at;
   cv_event_pace_t event_pace; /* while its observer does not report */
   cv_candidate_t candidate;   /* inputs of the last placement decision */
-  cv_migration_t *migration;  /* migration of a run off this target, or NULL */
+  cv_migration_t *migration;  /* that orders a run off this target, or NULL */
   cv_granter_t granter;
   cv_time_t lease_asked_at; /* last request for a migration lease */
 };
@@ -430,6 +431,7 @@
   cv_held_t held;
   bool accepting;
   struct cv_exchanges_t exchanges;
+  struct cv_migrations_t migrations;
   struct cv_exchanges_t waiting; /* most urgent first, then by arrival */
   /* The unreported sums of the targets are those of the present exchanges.  */
   bool are_sums_current;
@@ -607,6 +609,8 @@
 void cv_targets_tick (cv_gateway_t *g, cv_time_t now);
 cv_target_t *cv_target_ref (cv_target_t *t);
 void cv_target_unref (cv_target_t *t);
+/* Makes HOLDER refer to T, or to nothing if NULL, instead of what it does.  */
+void cv_target_hold (cv_target_t **holder, cv_target_t *t);
 /* Another instance uses the address of T: T gets no requests for a while.  */
 void cv_target_mark_displaced (cv_target_t *t);
 /* A request failed at T.  */
@@ -780,7 +784,6 @@
 
 /* evacuate.c */
 void cv_migrations_tick (cv_gateway_t *g, cv_time_t now);
-void cv_migrations_finish (cv_gateway_t *g);
 /* RUN has got the migration lease of T.  */
 void cv_migration_lease_granted (cv_gateway_t *g, cv_target_t *t,
                                  const char *run);
@@ -805,9 +808,9 @@
 /* move.c */
 /* Starts to migrate the run of X off T.  */
 void cv_migration_start (cv_exchange_t *x, cv_target_t *t);
-void cv_migration_tick (cv_migration_t *m, cv_time_t now);
-/* Frees M as the process ends.  */
-void cv_migration_abort (cv_migration_t *m);
+void cv_migration_tick_all (cv_gateway_t *g, cv_time_t now);
+/* Frees the migrations as the process ends.  */
+void cv_migrations_finish (cv_gateway_t *g);
 /* Whether M is stopping the run: the end of its stream is no failure then.  */
 bool cv_migration_is_stopping_run (const cv_migration_t *m);
 /* Logs HOW the connection of a run ended that M is stopping.  */
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -62,6 +62,16 @@
   free (t);
 }
 
+void
+cv_target_hold (cv_target_t **holder, cv_target_t *t)
+{
+  cv_target_t *old = *holder;
+
+  *holder = t != NULL ? cv_target_ref (t) : NULL;
+  if (old != NULL)
+    cv_target_unref (old);
+}
+
 static void
 remove_idle (cv_target_t *t, cv_http_link_t *l)
 {
--- a/http/call.c
+++ b/http/call.c
@@ -70,9 +70,10 @@
 }
 
 static void
-fail_call (cv_http_call_t *c, const char *failure)
+fail_call (cv_http_call_t *c, const char *failure, bool is_not_sent)
 {
-  end_failed (c, &(cv_http_result_t){ .failure = failure });
+  end_failed (
+      c, &(cv_http_result_t){ .failure = failure, .is_not_sent = is_not_sent });
 }
 
 static void
@@ -144,10 +145,11 @@
 }
 
 static void
-on_response_complete (cv_http_call_t *c)
+on_response_complete (cv_http_call_t *c, cv_body_end_t end)
 {
   cv_http_link_t *l = c->link;
   cv_http_result_t r = { .status = l->reader.head.status,
+                         .end = end,
                          .body = { c->body.p, c->body.n },
                          .head = &l->reader.head };
 
@@ -177,10 +179,11 @@
       add_body (c, event->u.body);
       return;
     case CV_LINK_DONE:
-      on_response_complete (c);
+      on_response_complete (c, event->u.end);
       return;
     case CV_LINK_FAILED:
-      fail_call (c, "connection closed before the response was complete");
+      fail_call (c, "connection closed before the response was complete",
+                 event->u.failure == CV_LINK_NOT_CONNECTED);
       return;
     }
 }
@@ -198,7 +201,7 @@
   if (!c->busy || now < c->deadline)
     return;
   if (c->link == NULL)
-    fail_call (c, "cannot open a connection");
+    fail_call (c, "cannot open a connection", true);
   else
-    fail_call (c, "no complete response before the deadline");
+    fail_call (c, "no complete response before the deadline", !c->link->open);
 }
--- a/policy/stream_end.c
+++ b/policy/stream_end.c
@@ -19,41 +19,29 @@
   return CV_STREAM_IS_INTERRUPTED;
 }
 
-cv_order_answer_t
-cv_order_answer_read (unsigned status, bool has_handle, bool not_run)
+cv_order_outcome_t
+cv_order_read (const cv_order_reply_t *r)
 {
-  switch (status)
+  if (r->is_not_sent)
+    return CV_ORDER_NOT_SENT;
+  switch (r->status)
     {
     case 200:
-      return has_handle ? CV_ORDER_MADE : CV_ORDER_IS_UNANSWERED;
+      return r->body == CV_ORDER_BODY_WITH_HANDLE ? CV_ORDER_DONE
+                                                  : CV_ORDER_UNANSWERED;
     case 404:
       return CV_ORDER_HAS_NO_RUN;
     case 409:
       return CV_ORDER_IN_PROGRESS;
     /* Of another process at the engine's address.  */
     case 421:
-      return CV_ORDER_IS_UNANSWERED;
+      return CV_ORDER_UNANSWERED;
     case 503:
-      return has_handle ? CV_ORDER_COPY_FAILED : CV_ORDER_REFUSED;
+      if (r->body == CV_ORDER_BODY_WITH_HANDLE)
+        return CV_ORDER_COPY_FAILED;
+      return r->body == CV_ORDER_BODY_WITHOUT_HANDLE ? CV_ORDER_REFUSED
+                                                     : CV_ORDER_UNANSWERED;
     default:
-      return not_run ? CV_ORDER_REFUSED : CV_ORDER_IS_UNANSWERED;
+      return r->not_run ? CV_ORDER_REFUSED : CV_ORDER_UNANSWERED;
     }
 }
-
-bool
-cv_order_answer_settles_earlier (cv_order_answer_t answer)
-{
-  switch (answer)
-    {
-    case CV_ORDER_MADE:
-    case CV_ORDER_COPY_FAILED:
-    case CV_ORDER_REFUSED:
-      return true;
-    /* An earlier order may be why there is no run.  */
-    case CV_ORDER_HAS_NO_RUN:
-    case CV_ORDER_IN_PROGRESS:
-    case CV_ORDER_IS_UNANSWERED:
-      return false;
-    }
-  return false;
-}
--- a/policy/stream_end.h
+++ b/policy/stream_end.h
@@ -25,11 +25,10 @@
 /* What is known of the orders to stop the run.  */
 typedef enum
 {
-  CV_STOP_NOT_ORDERED = 1, /* none, or all were answered: not carried out */
+  CV_STOP_NOT_ORDERED = 1, /* none was sent, or all were answered */
   CV_STOP_PENDING,         /* a migration decides, by the answer or without */
-  CV_STOP_IN_DOUBT         /* one has got no answer, and no later one was
-                              answered: it may be carried out as long as the
-                              run goes on */
+  CV_STOP_IN_DOUBT         /* one has got no answer: it may be carried out as
+                              long as the run goes on */
 } cv_stop_order_t;
 
 typedef enum
@@ -44,25 +43,35 @@
 cv_stream_verdict_t cv_stream_end_judge (cv_stream_end_t end, bool may_end,
                                          cv_stop_order_t order);
 
-/* What an engine's answer to the order to stop a run says.  */
+/* What the body of an engine's answer to an order says.  */
 typedef enum
 {
-  CV_ORDER_MADE = 1,     /* stopped; the destination has the copy */
-  CV_ORDER_COPY_FAILED,  /* stopped; only the source can go on */
-  CV_ORDER_REFUSED,      /* not carried out, and the run goes on */
-  CV_ORDER_HAS_NO_RUN,   /* the run has ended */
-  CV_ORDER_IN_PROGRESS,  /* an earlier order is being carried out */
-  CV_ORDER_IS_UNANSWERED /* no answer, or none that can be read */
-} cv_order_answer_t;
+  CV_ORDER_BODY_WITHOUT_HANDLE = 1, /* empty, or whole without a handle */
+  CV_ORDER_BODY_WITH_HANDLE,        /* names the copy */
+  CV_ORDER_BODY_UNREADABLE          /* malformed, or may be cut */
+} cv_order_body_t;
 
-/* STATUS 0: no answer.  HAS_HANDLE: the body names the copy.  NOT_RUN: the
-   engine states that it has done nothing.  */
-cv_order_answer_t cv_order_answer_read (unsigned status, bool has_handle,
-                                        bool not_run);
+typedef struct
+{
+  unsigned status; /* 0: no answer */
+  cv_order_body_t body;
+  bool not_run;     /* the engine states that it has done nothing */
+  bool is_not_sent; /* with status 0: the engine has not got the order */
+} cv_order_reply_t;
+
+/* What is known of an order to copy or to stop a run.  */
+typedef enum
+{
+  CV_ORDER_DONE = 1,    /* the destination has the copy */
+  CV_ORDER_COPY_FAILED, /* stopped; only the source can go on */
+  CV_ORDER_REFUSED,     /* not carried out, and the run goes on */
+  CV_ORDER_NOT_SENT,
+  CV_ORDER_HAS_NO_RUN,  /* the run has ended */
+  CV_ORDER_IN_PROGRESS, /* another order is being carried out */
+  CV_ORDER_UNANSWERED   /* no answer, or none that can be read */
+} cv_order_outcome_t;
 
-/* Whether ANSWER shows that no earlier order for the run is open: an engine
-   carries out one at a time, and says so to others.  */
-bool cv_order_answer_settles_earlier (cv_order_answer_t answer);
+cv_order_outcome_t cv_order_read (const cv_order_reply_t *r);
 
 #ifdef __cplusplus
 }
--- a/policy/tests/stream_end_test.cc
+++ b/policy/tests/stream_end_test.cc
@@ -55,28 +55,37 @@
     }
 }
 
-TEST (StreamEnd, AnOrderIsAnsweredOnlyByWhatSaysWhetherTheRunStopped)
+cv_order_outcome_t
+outcome (unsigned status, cv_order_body_t body, bool not_run = false,
+         bool is_not_sent = false)
 {
-  EXPECT_EQ (cv_order_answer_read (200, true, false), CV_ORDER_MADE);
-  EXPECT_EQ (cv_order_answer_read (503, true, false), CV_ORDER_COPY_FAILED);
-  EXPECT_EQ (cv_order_answer_read (503, false, false), CV_ORDER_REFUSED);
-  EXPECT_EQ (cv_order_answer_read (404, false, false), CV_ORDER_HAS_NO_RUN);
-  EXPECT_EQ (cv_order_answer_read (409, false, false), CV_ORDER_IN_PROGRESS);
-  EXPECT_EQ (cv_order_answer_read (429, false, true), CV_ORDER_REFUSED);
-  for (unsigned status : { 0, 200, 400, 500, 502 })
-    EXPECT_EQ (cv_order_answer_read (status, false, false),
-               CV_ORDER_IS_UNANSWERED);
-  EXPECT_EQ (cv_order_answer_read (421, false, true), CV_ORDER_IS_UNANSWERED);
+  const cv_order_reply_t reply = { status, body, not_run, is_not_sent };
+
+  return cv_order_read (&reply);
 }
 
-TEST (StreamEnd, AnEarlierOrderIsSettledByAnAnswerOfARunThatGoesOn)
+TEST (StreamEnd, AnOrderIsAnsweredOnlyByWhatSaysWhetherTheRunStopped)
 {
-  for (cv_order_answer_t answer :
-       { CV_ORDER_MADE, CV_ORDER_COPY_FAILED, CV_ORDER_REFUSED })
-    EXPECT_TRUE (cv_order_answer_settles_earlier (answer));
-  for (cv_order_answer_t answer :
-       { CV_ORDER_HAS_NO_RUN, CV_ORDER_IN_PROGRESS, CV_ORDER_IS_UNANSWERED })
-    EXPECT_FALSE (cv_order_answer_settles_earlier (answer));
+  const cv_order_body_t none = CV_ORDER_BODY_WITHOUT_HANDLE;
+  const cv_order_body_t handle = CV_ORDER_BODY_WITH_HANDLE;
+  const cv_order_body_t unreadable = CV_ORDER_BODY_UNREADABLE;
+
+  EXPECT_EQ (outcome (200, handle), CV_ORDER_DONE);
+  EXPECT_EQ (outcome (503, handle), CV_ORDER_COPY_FAILED);
+  EXPECT_EQ (outcome (503, none), CV_ORDER_REFUSED);
+  EXPECT_EQ (outcome (429, none, true), CV_ORDER_REFUSED);
+  EXPECT_EQ (outcome (0, none, false, true), CV_ORDER_NOT_SENT);
+  for (cv_order_body_t body : { none, handle, unreadable })
+    {
+      EXPECT_EQ (outcome (404, body), CV_ORDER_HAS_NO_RUN);
+      EXPECT_EQ (outcome (409, body), CV_ORDER_IN_PROGRESS);
+      /* The answer of another process at the engine's address.  */
+      EXPECT_EQ (outcome (421, body, true), CV_ORDER_UNANSWERED);
+    }
+  for (unsigned status : { 0, 200, 400, 500, 502 })
+    EXPECT_EQ (outcome (status, none), CV_ORDER_UNANSWERED);
+  for (unsigned status : { 200, 503 })
+    EXPECT_EQ (outcome (status, unreadable), CV_ORDER_UNANSWERED);
 }
 
 } // namespace
--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -302,6 +302,13 @@
                         case.is_whole or not case.is_complete)
 
 
+def complete_and_whole(case):
+    """An order on a kept connection that has just ended is in doubt, and the
+    stream may be completed elsewhere."""
+    return say_complete(case, "complete and whole",
+                        case.is_complete and case.is_whole)
+
+
 # ---- orders to stop a run ----
 
 def copied(run, status=200):
@@ -585,8 +592,9 @@
 
 
 async def run_stop_refused_after_a_lost_order(bench):
-    """A refusal shows that no earlier order is open: the run that ends by itself
-    is complete."""
+    """After a refusal an earlier order may still be carried out: without length
+    or chunks the end of a run that ends by itself is in doubt, and its stream is
+    complete as the destination has nothing left to send."""
     await play(bench, [Case("reset, then 503", lost_then_refused(), framing)
                        for framing in (CLOSE, CHUNKS)])
 
@@ -691,7 +699,7 @@
     """No order to stop the run can be sent, as the source refuses connections:
     the run ends by itself, and is complete."""
     await play(bench, [ClosingCase("not connected", None, framing, held_at=None)
-                       for framing in (CLOSE, CHUNKS)])
+                       for framing in (CLOSE, CHUNKS)], complete_and_whole)
 
 
 async def run_never_stopped_in_chunks(bench):
