gateway: a run returns to its source once, and to no third engine

Cause: a request from a copy whose target was not admitted as it was sent, for its version or a trial, was placed like any other and asked up to three other engines for a copy that they cannot have; a run could return to its source without a bound, and 2.5 s after the source was known to leave. Change: such a request fails at its target. A run returns to its source once, within the bound of resumes, if the source is admitted and has not been leaving for more than 1.5 s.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -136,6 +136,12 @@
          ended, while T was reserved.  */
       x->gateway->counts.evacuation_diversions += cv_target_is_evacuated (t);
       cv_exchange_release_reservation (x, t);
+      if (x->from_copy)
+        {
+          cv_exchange_handle_failure (x, "target of the copy takes no requests",
+                                      false);
+          return;
+        }
       cv_exchange_place (x);
       return;
     }
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -22,6 +22,9 @@
    within the silence that a stop allows for (policy/stop.c).  */
 #define GAP_FACTOR 5
 #define GAP_MIN (1250 * CV_MS)
+/* A run does not return to a target that has been leaving for longer: it gets
+   no requests after its drain time, of 2 s on the users' platform.  */
+#define RETURN_LEAVING_MAX (1500 * CV_MS)
 /* A target that rejected a request gets no new one for this time.  */
 #define REJECTION_BACKOFF (100 * CV_MS)
 
@@ -73,6 +76,7 @@
   x->resumes++;
   x->gateway->counts.resumes++;
   x->from_copy = true;
+  x->has_returned = t == source;
   x->has_reservation = true;
   cv_target_hold (&x->copy_source, source);
   (void)cv_copy (x->copy_handle, sizeof x->copy_handle, handle);
@@ -85,9 +89,13 @@
 return_to_source (cv_exchange_t *x, const char *reason)
 {
   cv_target_t *source = x->copy_source;
+  cv_time_t now = cv_now ();
   char handle[CV_HANDLE_MAX];
 
-  if (!x->from_copy || x->target == source || cv_target_is_evacuated (source))
+  if (!x->from_copy || x->has_returned || x->resumes >= RESUMES_MAX
+      || cv_target_is_evacuated (source) || !cv_target_admits (x, source, now)
+      || (source->leaving_since > 0
+          && now - source->leaving_since > RETURN_LEAVING_MAX))
     return false;
   (void)cv_copy (handle, sizeof handle, x->copy_handle);
   cv_exchange_resume_from_copy (x, source, source, handle, reason);
