--- a/gateway/move.c
+++ b/gateway/move.c
@@ -158,8 +158,9 @@
   cv_line_end (&l);
 }
 
+/* Frees M, which is in no list.  */
 static void
-finish (cv_migration_t *m)
+release (cv_migration_t *m)
 {
   if (!m->is_resumed && m->destination != NULL)
     cv_reserve_send_end (m->destination, cv_slice (m->run),
@@ -170,7 +171,6 @@
     m->exchange->migration = NULL;
   if (m->source->migration == m)
     m->source->migration = NULL;
-  TAILQ_REMOVE (&m->source->gateway->migrations, m, entry);
   if (m->destination != NULL)
     release_destination (m);
   cv_http_call_finish (&m->call);
@@ -178,6 +178,13 @@
   free (m);
 }
 
+static void
+finish (cv_migration_t *m)
+{
+  TAILQ_REMOVE (&m->source->gateway->migrations, m, entry);
+  release (m);
+}
+
 static void
 send_order (cv_migration_t *m, bool is_final)
 {
@@ -942,7 +949,8 @@
 
   while ((m = TAILQ_FIRST (&g->migrations)) != NULL)
     {
+      TAILQ_REMOVE (&g->migrations, m, entry);
       m->outcome = "stopped";
-      finish (m);
+      release (m);
     }
 }
--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -353,6 +353,21 @@
     return on_stop
 
 
+def lost_then_moved():
+    """The first order is lost, and the second one is carried out."""
+    replies = [reset]
+
+    async def on_stop(run, writer):
+        if replies:
+            replies.pop()(run, writer)
+        else:
+            await run.stop()
+            run.close()
+            moved(run, writer)
+        return True
+    return on_stop
+
+
 def lost_then_refused():
     """The first order is lost, and later ones are refused: the run goes on."""
     replies = [reset]
@@ -591,6 +606,12 @@
     await play(bench, never_cases(CLOSE), complete_only_if_whole)
 
 
+async def lost_order_is_sent_again(bench):
+    """An order is lost and the run goes on: the next order moves it."""
+    await play(bench, [Case("reset, then moved", lost_then_moved(), framing)
+                       for framing in (CLOSE, CHUNKS)])
+
+
 async def run_stop_refused_after_a_lost_order(bench):
     """After a refusal an earlier order may still be carried out: without length
     or chunks the end of a run that ends by itself is in doubt, and its stream is
