Tests: the source of a migration starts again while its order is open

Cause: a caller's stream stood still until its deadline or the end of a stop. When an engine starts again under its name, its former target leaves the list, and a migration off it was not ticked any more: a stream that ended then was not resumed. Change: migration-source-restarts.

--- a/tests/gateway/stopped_run_scenarios.py
+++ b/tests/gateway/stopped_run_scenarios.py
@@ -368,6 +368,22 @@
     return on_stop
 
 
+def lost_with_its_engine():
+    """The order is lost as the engine ends, which starts again under its name,
+    and the run's stream ends after that is known."""
+    async def on_stop(run, writer):
+        name = run.engine.name
+        await run.stop()
+        await run.case.bench.store.put("servers", name, {
+            **run.engine.record(), "born": 2})
+        reset(run, writer)
+        await run.case.bench.until_logged("GATEWAY_TARGET_LEAVING", target=name,
+                                          reason="instance restarted")
+        run.close()
+        return False
+    return on_stop
+
+
 def lost_then_refused():
     """The first order is lost, and later ones are refused: the run goes on."""
     replies = [reset]
@@ -606,6 +622,13 @@
     await play(bench, never_cases(CLOSE), complete_only_if_whole)
 
 
+async def migration_source_restarts(bench):
+    """The source of a migration starts again under its name, and no answer to
+    the order comes: the run goes on from the first copy."""
+    await play(bench, [Case("restarted", lost_with_its_engine(), framing)
+                       for framing in (CLOSE, CHUNKS)])
+
+
 async def lost_order_is_sent_again(bench):
     """An order is lost and the run goes on: the next order moves it."""
     await play(bench, [Case("reset, then moved", lost_then_moved(), framing)
