--- a/gateway/move.c
+++ b/gateway/move.c
@@ -377,14 +377,21 @@
   cv_attempt_complete_stream (x);
 }
 
-/* The stream has ended, and no order was carried out: completes it if its end
-   is the end of a whole one.  OUTCOME: otherwise.  */
+/* Whether the end of the stream is that of a whole one, if no order has stopped
+   the run.  */
+static bool
+is_stream_whole (const cv_exchange_t *x)
+{
+  return x->stream_end == CV_STREAM_END_CLOSED
+         && cv_events_may_end (&x->events);
+}
+
+/* The stream has ended, and no order was carried out.  OUTCOME: unless the
+   stream is whole.  */
 static void
 end_unstopped (cv_migration_t *m, const char *outcome)
 {
-  const cv_exchange_t *x = m->exchange;
-
-  if (x->stream_end == CV_STREAM_END_CLOSED && cv_events_may_end (&x->events))
+  if (is_stream_whole (m->exchange))
     complete (m);
   else
     fail (m, outcome);
@@ -491,8 +498,7 @@
     await_stream_end (m);
   else if (!x->awaits_migration)
     fail (m, "no such run");
-  else if (x->stream_end == CV_STREAM_END_CLOSED
-           && cv_events_may_end (&x->events))
+  else if (is_stream_whole (x))
     complete (m);
   else
     resume (m, CV_FINAL_COPY_UNKNOWN,
