gateway: a refusal with an empty body is whole

Cause: a 503 without a body to an order, framed by its connection, left the stop in doubt, so that a run that had ended was asked to go on elsewhere. Change: it is read as a refusal, as the protocol takes an answer that ends with its connection for whole; only a body that cannot be read is in doubt.

--- a/gateway/move.c
+++ b/gateway/move.c
@@ -327,9 +327,6 @@
       reply.not_run = fields.not_run;
     }
   reply.body = cv_platform_decode_migration (r->body, handle);
-  /* It may have been cut before its first byte.  */
-  if (r->body.n == 0 && r->end == CV_BODY_END_CLOSE)
-    reply.body = CV_ORDER_BODY_UNREADABLE;
   outcome = cv_order_read (&reply);
   if (outcome == CV_ORDER_DONE
       || (outcome == CV_ORDER_COPY_FAILED && m->phase == CV_MIGRATION_STOP))
--- a/http/call.c
+++ b/http/call.c
@@ -145,11 +145,10 @@
 }
 
 static void
-on_response_complete (cv_http_call_t *c, cv_body_end_t end)
+on_response_complete (cv_http_call_t *c)
 {
   cv_http_link_t *l = c->link;
   cv_http_result_t r = { .status = l->reader.head.status,
-                         .end = end,
                          .body = { c->body.p, c->body.n },
                          .head = &l->reader.head };
 
@@ -179,7 +178,7 @@
       add_body (c, event->u.body);
       return;
     case CV_LINK_DONE:
-      on_response_complete (c, event->u.end);
+      on_response_complete (c);
       return;
     case CV_LINK_FAILED:
       fail_call (c, "connection closed before the response was complete",
--- a/http/call.h
+++ b/http/call.h
@@ -17,7 +17,6 @@
   const char *failure; /* reason, with status 0 */
   bool is_too_long;    /* with status 0: the body exceeds the limit */
   bool is_not_sent;    /* with status 0: the server has got nothing */
-  cv_body_end_t end;   /* what told the end of BODY */
   cv_slice_t body;
   const cv_http_head_t *head; /* NULL with status 0 */
 } cv_http_result_t;
