--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -151,7 +151,7 @@
   bool awaits_migration;        /* its stream has ended: MIGRATION decides */
   cv_time_t stream_ended_at;    /* of AWAITS_MIGRATION */
   cv_stream_end_t stream_end;   /* of AWAITS_MIGRATION */
-  bool has_returned; /* the current attempt is the last one from a copy */
+  bool has_returned; /* of FROM_COPY: the current attempt is at COPY_SOURCE */
   /* An order to stop the run there has got no answer; or NULL.  */
   cv_target_t *doubted_target;
 
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -170,8 +170,8 @@
     }
   else
     t->full_until = cv_now () + REJECTION_BACKOFF;
-  /* After any rejection of a resume from a copy, also by the source, the copy
-     is taken to be lost and the stream ends.  */
+  /* A copy that the destination rejects, and then the source, is lost: the
+     stream ends.  */
   if (x->from_copy)
     {
       if (return_to_source (x, "destination rejected it"))
