Soak: the requests that are not served after the faults are named

Cause: a run told how many requests were served after the faults, not what became of the others. Change: the violation names status, path and gateway of each.

--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -423,8 +423,11 @@
                   and a.ended_at < (a.run.stopped_at or float("inf"))]
         answered = sum(a.status in (200, 502) for a in recent)
         if answered < max(20, 0.8 * len(recent)):
-            self.add(f"after the faults {answered} of {len(recent)} "
-                     "got status 200 or 502")
+            others = collections.Counter(
+                f"{a.status} {a.path} at {a.run.bench.name}" for a in recent
+                if a.status not in (200, 502))
+            self.add(f"after the faults {answered} of {len(recent)} got status "
+                     f"200 or 502; others {dict(others.most_common())}")
 
     # ---- traces ----
 
