Review: the fixture removes its temporary folder

Cause: the exit by os._exit left the folder of the settings behind. Change: the folder is removed before.

--- a/review/common_2.py
+++ b/review/common_2.py
@@ -135,6 +135,7 @@
             if process and process.returncode is None:
                 process.kill()
                 await process.wait()
+        case.bench.directory.cleanup()
     case.say({HELD: "the rule held", BROKEN: "the rule was broken",
               NOT_RUN: "the case could not run"}[code])
     return code
