--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,156 +1,115 @@
-"""Servers of a service leave one after the other.  The destination of a
-migration leaves too while the run is copied to it."""
+"""A server in trouble sends an event without end, in small chunks."""
 
 import asyncio
-import json
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                ".."))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, ".."))
 
 import common_2  # noqa: E402
-from bench import read_head  # noqa: E402
-from common_2 import BROKEN, CONTACT_S, DRAIN_S, HELD, NOT_RUN  # noqa: E402
-from standins import answer, chunk, event, start_stream  # noqa: E402
-
-EVENTS = 160
-EVENT_S = 0.04
-# A copy waits behind other moves on the engine's link.
-COPY_S = 2.3
-# From the draining of the source to that of the destination.
-NEXT_DRAINS_S = 0.05
-# A server exits so long after its drain time.
-EXIT_S = 0.9
-GENERATION = {"Model": "m", "Token-Usage": "400,640", "Prefix-Hash": "1:400"}
-
-
-class Servers:
-    """Model servers that run and migrate one stream."""
-
-    def __init__(self, case):
-        self.case = case
-        self.runs = {}  # by server: its run
-        self.arrivals = []  # (time, server, from a copy)
-        self.acknowledged = {}  # by server: when the store had its draining
-        self.copied_to = asyncio.Event()
-        self.destination = None
-
-    async def add(self, name):
-        target = await self.case.bench.add_target(name, "narrator", self.serve)
-        await self.case.bench.until_logged("GATEWAY_TARGET_ADDED", target=name)
-        return target
-
-    async def drain(self, name):
-        target = self.case.bench.targets[name]
-        await self.case.bench.store.put("servers", name,
-                                        target.record("draining"))
-        self.acknowledged[name] = self.case.now()
-        self.case.say(f"the store acknowledges that {name} is draining")
-
-    async def leave(self, name):
-        """Drain the server, and end it after its drain time and a little."""
-        await self.drain(name)
-        await asyncio.sleep(DRAIN_S + EXIT_S)
-        target = self.case.bench.targets[name]
-        target.server.close()
-        target.drop_connections()
-        await self.case.bench.store.remove("servers", name)
-        self.case.say(f"{name} exits, its entry is removed")
-
-    def name_at(self, address):
-        return next(t.name for t in self.case.bench.targets.values()
-                    if address.endswith(f":{t.port}"))
-
-    async def serve(self, target, request, writer):
-        if request.path == "/kv-move":
-            return await self.move(target, json.loads(request.body), writer)
-        if request.method != "POST":
-            writer.write(answer(200, b"", [("Instance-Id", target.name)]))
-            return True
-        first = int(request.headers.get("last-event-id", "-1")) + 1
-        copy = request.headers.get("kv-from")
-        self.arrivals.append((self.case.now(), target.name, copy is not None))
-        self.case.say(f"{target.name} gets {request.path}, event {first} on, "
-                      f"{'from the copy ' + copy if copy else 'new'}")
-        run = {"next": first, "stopped": asyncio.Event(), "writer": writer}
-        self.runs[target.name] = run
-        await start_stream(request, writer)
-        while run["next"] < EVENTS:
-            if run["stopped"].is_set():
-                return False
-            writer.write(chunk(event(run["next"])))
-            run["next"] += 1
-            await asyncio.sleep(EVENT_S)
-        writer.write(chunk(b""))
-        return True
-
-    async def move(self, target, order, writer):
-        run = self.runs[target.name]
-        to = self.name_at(order["To"])
-        self.case.say(f"{target.name} is ordered to copy to {to}, Final "
-                      f"{order['Final']}")
-        if order["Final"]:
-            run["stopped"].set()
-            await asyncio.sleep(EVENT_S / 2)
-            run["writer"].close()
-        else:
-            self.destination = self.destination or to
-            self.copied_to.set()
-            await asyncio.sleep(COPY_S)
-        writer.write(answer(200, json.dumps(
-            {"Session": f"h-{target.name}", "Created": run["next"]}).encode()))
-        return True
-
-
-async def read_stream(reader):
-    """Status, events and whether the answer is complete."""
-    status, _ = await read_head(reader)
-    body = b""
+from common_2 import BROKEN, HELD, NOT_RUN  # noqa: E402
+from standins import echo  # noqa: E402
+
+# At the server, which takes 24 at once.
+STREAMS = 16
+# Requests to another, sound server meanwhile, one in this time.
+FETCH_INTERVAL_S = 0.2
+FETCHES = 100
+# TimeoutMs of r-fetch, what the rule adds, and the patience of its callers.
+TIMEOUT_S = 1.0
+SLACK_S = 0.5
+DEADLINE_S = 8.0
+# The least number that the rule asks for in its other form.
+LEAST = 8
+
+
+async def start_server(case):
+    """Start the model server, and list it in the store."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", os.path.join(HERE, "server.py"),
+        "trouble" if case.trouble else "sound",
+        stdout=asyncio.subprocess.PIPE)
+    case.bench.observers.append(process)
+    port = int(await process.stdout.readline())
+    await case.bench.store.put("servers", "m1", {
+        "Backend": "narrator", "Zone": "lhr-a", "Capacity": 24,
+        "Address": f"127.0.0.1:{port}", "Version": "v1", "Phase": "ready",
+        "WarmupLeftMs": 0, "born": 1})
+
+    async def read():
+        while line := await process.stdout.readline():
+            case.say(f"server m1 {line.decode().rstrip()}")
+
+    asyncio.ensure_future(read())
+
+
+async def stream(case, number):
     try:
-        while size := int(await reader.readuntil(b"\n"), 16):
-            body += (await reader.readexactly(size + 2))[:-2]
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return status, body.count(b"id: "), False
-    return status, body.count(b"id: "), True
+        status, _, body = await case.bench.raw(case.bench.head(
+            "POST", f"/summary/{number}", b"x", **{
+                "Model": "m", "Token-Usage": "400,20",
+                "Prefix-Hash": f"{number + 1}:400", "Deadline-Ms": "39000"}),
+            timeout=60)
+        case.say(f"/summary/{number}: {status}, {body.count(b'id:')} events")
+        return status
+    except (OSError, asyncio.TimeoutError, ValueError) as error:
+        case.say(f"/summary/{number}: {error!r}")
+
+
+async def fetch(case, number, results):
+    begun = case.now()
+    try:
+        status, _, _ = await case.bench.raw(case.bench.head(
+            "GET", f"/fetch/{number}",
+            **{"Deadline-Ms": str(int(DEADLINE_S * 1000))}),
+            timeout=DEADLINE_S)
+    except (OSError, asyncio.TimeoutError, ValueError):
+        status = 0
+    taken = case.now() - begun
+    case.say(f"/fetch/{number}: {status} after {taken:.3f} s")
+    results.append((status, taken))
+
+
+async def ask_ready(case):
+    """The load balancer's question, once."""
+    begun = case.now()
+    try:
+        is_ready = await case.is_ready()
+    except (OSError, asyncio.TimeoutError, ValueError):
+        is_ready = None
+    case.say(f"GET /readyz: {is_ready} after {case.now() - begun:.3f} s")
 
 
 async def play(case):
-    servers = Servers(case)
+    await case.bench.store.start()
+    await start_server(case)
+    await case.bench.add_target("p1", "portal", echo)
     await case.start()
-    await servers.add("m1")
-    await asyncio.sleep(CONTACT_S + 0.5)
-    reader, writer = await case.bench.connect()
-    writer.write(case.bench.head("POST", "/summary/x", b"x", **{
-        **GENERATION, "Deadline-Ms": "39000"}))
-    caller = asyncio.ensure_future(read_stream(reader))
-    await asyncio.sleep(0.5)
-    await servers.add("m2")
-    await servers.add("m3")
-    await asyncio.sleep(0.5)
-    # m1 serves for seconds after its drain time, as some servers do.
-    await servers.drain("m1")
-    await asyncio.wait_for(servers.copied_to.wait(), 5)
-    leaving = []
-    if case.trouble:
-        await asyncio.sleep(NEXT_DRAINS_S)
-        leaving.append(asyncio.ensure_future(
-            servers.leave(servers.destination)))
-    status, events, is_complete = await asyncio.wait_for(caller, 30)
-    case.say(f"caller: {status}, {events} of {EVENTS} events, complete "
-             f"{is_complete}")
-    for task in leaving:
+    await asyncio.sleep(common_2.CONTACT_S + 0.5)
+    streams = [asyncio.ensure_future(stream(case, i)) for i in range(STREAMS)]
+    await asyncio.sleep(1)
+    results = []
+    others = []
+    for i in range(FETCHES):
+        others.append(asyncio.ensure_future(fetch(case, i, results)))
+        if i % 10 == 0:
+            others.append(asyncio.ensure_future(ask_ready(case)))
+        await asyncio.sleep(FETCH_INTERVAL_S)
+    await asyncio.gather(*others)
+    for task in streams:
         task.cancel()
-    writer.close()
-    late = [(at - servers.acknowledged[name], name)
-            for at, name, _ in servers.arrivals
-            if at > servers.acknowledged.get(name, at) + DRAIN_S]
-    for after, name in late:
-        case.say(f"{name} got a request {after:.3f} s after the store had "
-                 f"acknowledged that it is draining")
-    if not case.trouble and not is_complete:
+    statuses = await asyncio.gather(*streams, return_exceptions=True)
+    if case.bench.process.returncode is not None or (
+            not case.trouble and statuses != [200] * STREAMS):
         return NOT_RUN
-    return BROKEN if late else HELD
+    overdue = [taken for _, taken in results if taken > TIMEOUT_S]
+    late = [taken for taken in overdue if taken > TIMEOUT_S + SLACK_S]
+    case.say(f"{len(overdue)} of {len(results)} fetches had no answer at "
+             f"TimeoutMs, {len(late)} none half a second later; longest "
+             f"{max(taken for _, taken in results):.3f} s")
+    return (BROKEN if len(late) >= LEAST and 2 * len(late) > len(overdue)
+            else HELD)
 
 
 common_2.main(play, __file__)
