http: a connection that fails at once fails like one that fails later

Cause: cv_http_link_open returned NULL when socket or connect failed at once. cv_attempt_start then placed the request again from within itself, and counted neither the attempt nor the failed connection. Only eight targets are remembered as tried, so that with more of them the calls recurred until the stack ended. A process without a free descriptor ended in the same way.

Evidence: the sanitizer reports a stack overflow in cv_exchange_place and cv_attempt_start, in turn. Targets whose entries have all fields end the gateway too, so the missing fields are not the cause.

Change: cv_http_link_open always returns a link, and its handler gets the failure from the event loop, as for a connection that is refused later. The attempt counts, and the bounds on failed connections and on resumes apply. A shortage of sockets is a failure of its own, for which no target is avoided. Calls, the other user of links, lose their own case of a link that could not be opened. A failed attempt logs the error.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -124,7 +124,6 @@
 void
 cv_attempt_start (cv_exchange_t *x, cv_target_t *t)
 {
-  cv_error_t err = { 0 };
   cv_buf_t head;
 
   if (x->from_copy && cv_exchange_avoid_evacuated (x, t))
@@ -169,13 +168,7 @@
   x->is_outcome_recorded = false;
   cv_buf_reset (&x->response_body);
   cv_events_restart (&x->events);
-  x->link
-      = cv_target_acquire_link (t, !cv_route_is_repeatable (x->route), &err);
-  if (x->link == NULL)
-    {
-      cv_exchange_handle_failure (x, err.text, false);
-      return;
-    }
+  x->link = cv_target_acquire_link (t, !cv_route_is_repeatable (x->route));
   x->sends++;
   cv_refusal_record (&x->service_state->refusals, false);
   x->gateway->counts.sends++;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -517,6 +517,8 @@
 {
   switch (failure)
     {
+    case CV_LINK_NO_SOCKET:
+      return "no socket";
     case CV_LINK_NOT_CONNECTED:
       return "no connection";
     case CV_LINK_RESET:
@@ -536,15 +538,24 @@
       await_migration (x, CV_STREAM_END_BROKEN);
       return;
     }
-  if (failure == CV_LINK_NOT_CONNECTED)
+  switch (failure)
     {
+    case CV_LINK_NO_SOCKET:
+      /* The shortage is this process's, and tells nothing of the target.  */
+      x->connect_failures++;
+      break;
+    case CV_LINK_NOT_CONNECTED:
       cv_health_unreachable (&x->target->health, cv_now ());
       x->connect_failures++;
+      break;
+    case CV_LINK_RESET:
+      cv_attempt_record_outcome (x, false);
+      cv_crash_check_begin (x);
+      break;
+    case CV_LINK_INVALID_RESPONSE:
+      cv_attempt_record_outcome (x, false);
+      break;
     }
-  else
-    cv_attempt_record_outcome (x, false);
-  if (failure == CV_LINK_RESET)
-    cv_crash_check_begin (x);
   cv_exchange_handle_failure (x, failure_text (failure),
-                              failure != CV_LINK_NOT_CONNECTED);
+                              cv_http_link_may_have_sent (failure));
 }
--- a/gateway/retry.c
+++ b/gateway/retry.c
@@ -1,6 +1,8 @@
 /* What follows an attempt that failed, was rejected, or whose target is silent:
    another attempt, within bounds, or the end of the exchange.  */
 
+#include <string.h>
+
 #include "gateway/state.h"
 
 /* Failed connections of one request, including 421 responses, until a response
@@ -60,6 +62,8 @@
     {
       cv_line_number (&l, "exchange", x->link->exchanges);
       cv_line_number (&l, "named", x->answer_name == CV_ANSWER_OF_THIS);
+      if (x->link->error != 0)
+        cv_line_text (&l, "error", cv_slice (strerror (x->link->error)));
     }
   cv_line_number (&l, "after_us", cv_now () - x->sent_at);
   cv_line_end (&l);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -629,10 +629,9 @@
 cv_time_t cv_target_returns_at (const cv_target_t *t);
 /* Whether the last load report of T's observer is recent.  */
 bool cv_target_is_observed (const cv_target_t *t, cv_time_t now);
-/* Returns an idle connection or opens one; NULL with ERR.  FRESH: an idle
-   connection qualifies only if it was used very recently.  */
-cv_http_link_t *cv_target_acquire_link (cv_target_t *t, bool fresh,
-                                        cv_error_t *err);
+/* Returns an idle connection or opens one.  FRESH: an idle connection qualifies
+   only if it was used very recently.  */
+cv_http_link_t *cv_target_acquire_link (cv_target_t *t, bool fresh);
 /* Keeps L as an idle connection or closes it.  */
 void cv_target_release_link (cv_target_t *t, cv_http_link_t *l);
 void cv_targets_finish (cv_gateway_t *g);
--- a/gateway/targets.c
+++ b/gateway/targets.c
@@ -398,7 +398,7 @@
 }
 
 cv_http_link_t *
-cv_target_acquire_link (cv_target_t *t, bool fresh, cv_error_t *err)
+cv_target_acquire_link (cv_target_t *t, bool fresh)
 {
   cv_http_link_t *l;
   cv_time_t now = cv_now ();
@@ -411,7 +411,7 @@
       return l;
     }
   t->gateway->counts.connections++;
-  return cv_http_link_open (t->gateway->base, &t->record.address, err);
+  return cv_http_link_open (t->gateway->base, &t->record.address);
 }
 
 void
--- a/http/call.c
+++ b/http/call.c
@@ -108,7 +108,6 @@
 cv_http_call_start (cv_http_call_t *c, const char *method, const char *path,
                     cv_slice_t body, cv_time_t timeout)
 {
-  cv_error_t err = { 0 };
   char ip[INET_ADDRSTRLEN];
   cv_buf_t head;
 
@@ -120,14 +119,7 @@
   c->progress_timeout = 0;
   cv_buf_reset (&c->body);
   if (c->link == NULL)
-    c->link = cv_http_link_open (c->base, &c->address, &err);
-  /* The next tick reports the failure, so that the handler does not run within
-     this function.  */
-  if (c->link == NULL)
-    {
-      c->deadline = 0;
-      return;
-    }
+    c->link = cv_http_link_open (c->base, &c->address);
   CV_INVARIANT (inet_ntop (AF_INET, &c->address.sin_addr, ip, sizeof ip)
                 != NULL);
   cv_buf_init (&head);
@@ -182,7 +174,7 @@
       return;
     case CV_LINK_FAILED:
       fail_call (c, "connection closed before the response was complete",
-                 event->u.failure == CV_LINK_NOT_CONNECTED);
+                 !cv_http_link_may_have_sent (event->u.failure));
       return;
     }
 }
@@ -197,10 +189,6 @@
 void
 cv_http_call_tick (cv_http_call_t *c, cv_time_t now)
 {
-  if (!c->busy || now < c->deadline)
-    return;
-  if (c->link == NULL)
-    fail_call (c, "cannot open a connection", true);
-  else
+  if (c->busy && now >= c->deadline)
     fail_call (c, "no complete response before the deadline", !c->link->open);
 }
--- a/http/link.c
+++ b/http/link.c
@@ -56,25 +56,38 @@
   return true;
 }
 
-cv_http_link_t *
-cv_http_link_open (struct event_base *base, const struct sockaddr_in *address,
-                   cv_error_t *err)
+/* Returns a socket, or -1 with errno.  */
+static int
+open_socket (void)
 {
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  cv_http_link_t *l;
+  int error;
+
+  if (fd < 0 || set_socket_options (fd))
+    return fd;
+  error = errno;
+  (void)evutil_closesocket (fd);
+  errno = error;
+  return -1;
+}
+
+/* Has on_event called from the event loop, as for a connection that fails
+   later: owners open connections from the handlers of such failures.  */
+static void
+fail_later (cv_http_link_t *l, int error)
+{
+  l->error = error;
+  (void)bufferevent_disable (l->bev, EV_READ | EV_WRITE);
+  bufferevent_trigger_event (l->bev, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+cv_http_link_t *
+cv_http_link_open (struct event_base *base, const struct sockaddr_in *address)
+{
+  int fd = open_socket ();
+  int error = errno;
+  cv_http_link_t *l = cv_calloc (1, sizeof *l);
 
-  if (fd < 0)
-    {
-      (void)cv_fail (err, CV_ERR_SYSTEM, "socket: %s", strerror (errno));
-      return NULL;
-    }
-  if (!set_socket_options (fd))
-    {
-      (void)cv_fail (err, CV_ERR_SYSTEM, "setsockopt: %s", strerror (errno));
-      (void)evutil_closesocket (fd);
-      return NULL;
-    }
-  l = cv_calloc (1, sizeof *l);
   l->refs = 1;
   l->idle_limit = IDLE_LIMIT_DEFAULT;
   cv_http_reader_init (&l->reader, HTTP_RESPONSE, RESPONSE_HEAD_MAX_BYTES);
@@ -82,16 +95,32 @@
       base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   CV_INVARIANT (l->bev != NULL);
   bufferevent_setcb (l->bev, on_read, NULL, on_event, l);
+  if (fd < 0)
+    {
+      fail_later (l, error);
+      return l;
+    }
   (void)bufferevent_enable (l->bev, EV_READ | EV_WRITE);
   if (bufferevent_socket_connect (l->bev, (const struct sockaddr *)address,
                                   sizeof *address)
       != 0)
+    fail_later (l, errno);
+  return l;
+}
+
+bool
+cv_http_link_may_have_sent (cv_http_link_failure_t failure)
+{
+  switch (failure)
     {
-      (void)cv_fail (err, CV_ERR_UNAVAILABLE, "connect: %s", strerror (errno));
-      cv_http_link_close (l);
-      return NULL;
+    case CV_LINK_NO_SOCKET:
+    case CV_LINK_NOT_CONNECTED:
+      return false;
+    case CV_LINK_RESET:
+    case CV_LINK_INVALID_RESPONSE:
+      return true;
     }
-  return l;
+  return true;
 }
 
 void
@@ -220,6 +249,16 @@
     l->handler (l->owner, event);
 }
 
+/* Why the connection of L has ended before its response did.  */
+static cv_http_link_failure_t
+end_failure (const cv_http_link_t *l)
+{
+  if (l->open)
+    return CV_LINK_RESET;
+  return bufferevent_getfd (l->bev) < 0 ? CV_LINK_NO_SOCKET
+                                        : CV_LINK_NOT_CONNECTED;
+}
+
 static void
 fail_link (cv_http_link_t *l, cv_http_link_failure_t failure)
 {
@@ -360,6 +399,6 @@
         fail_link (l, CV_LINK_RESET);
     }
   else if (l->bev != NULL)
-    fail_link (l, l->open ? CV_LINK_RESET : CV_LINK_NOT_CONNECTED);
+    fail_link (l, end_failure (l));
   cv_http_link_release (l);
 }
--- a/http/link.h
+++ b/http/link.h
@@ -20,7 +20,8 @@
 /* Why a connection failed before the response was complete.  */
 typedef enum
 {
-  CV_LINK_NOT_CONNECTED = 1, /* not established: nothing was sent */
+  CV_LINK_NO_SOCKET = 1, /* none could be opened: nothing was sent */
+  CV_LINK_NOT_CONNECTED, /* not established: nothing was sent */
   CV_LINK_RESET, /* reset or closed early; the request may have been run */
   CV_LINK_INVALID_RESPONSE /* invalid HTTP, or bytes that belong to no request
                             */
@@ -70,6 +71,8 @@
   bool busy;              /* an exchange is in progress */
   bool failed;            /* closed or no longer usable */
   bool at_eof;            /* the server has closed the connection in order */
+  int error;              /* errno of a socket or connection that could not be
+                             opened at once, or 0 */
   uint32_t exchanges;     /* requests sent so far */
   size_t shared_bytes;    /* of the exchange's body, in the output or sent */
   uint32_t informational; /* responses of the exchange so far */
@@ -78,10 +81,12 @@
                              idle connection */
 };
 
-/* Opens a socket and starts to connect; NULL with ERR on failure.  */
+/* Opens a socket and starts to connect.  The handler receives each failure,
+   also one that is known now, from the event loop.  */
 cv_http_link_t *cv_http_link_open (struct event_base *base,
-                                   const struct sockaddr_in *address,
-                                   cv_error_t *err);
+                                   const struct sockaddr_in *address);
+/* Whether a connection that ended by FAILURE may have carried the request.  */
+bool cv_http_link_may_have_sent (cv_http_link_failure_t failure);
 /* Queues the head and body of a request, which are sent once the connection is
    established.  HANDLER receives the events that follow.  */
 void cv_http_link_send (cv_http_link_t *l, cv_slice_t head, cv_slice_t body,
