platform: an entry without a server's fields names no target

Cause: cv_platform_decode_instance took these fields for optional.

Change: such an entry is rejected and logged. That WarmupLeftMs is stated needs no flag any more. Sequence and born are not required: the gateway does not use the first, and the example of an entry lacks the second.

--- a/gateway/warmup.c
+++ b/gateway/warmup.c
@@ -98,9 +98,8 @@
                       bool is_change)
 {
   /* A list that is read again repeats what was stated long ago.  */
-  if (!r->states_warmup
-      || !(is_change || t->warmup.stated_at == 0
-           || r->warmup_ms != t->record.warmup_ms))
+  if (!is_change && t->warmup.stated_at != 0
+      && r->warmup_ms == t->record.warmup_ms)
     return;
   cv_warmup_state (&t->warmup, r->warmup_ms * CV_MS, cv_now ());
   if (is_change)
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -159,10 +159,9 @@
   struct sockaddr_in address;
   uint32_t slots;      /* concurrent requests, 0: no limit */
   bool draining;       /* about to stop, takes no new requests */
-  bool states_warmup;  /* WARMUP_MS is stated */
   uint32_t warmup_ms;  /* left of its warm-up */
   uint64_t started_ms; /* Unix time of its start; changes at a restart */
-  /* Version of its software, not of its weights; "": not stated.  */
+  /* Version of its software, not of its weights.  */
   char software[CV_NAME_MAX];
 } cv_instance_record_t;
 
--- a/tests/gateway/odd_scenarios.py
+++ b/tests/gateway/odd_scenarios.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from standins import signed
+from standins import Target, signed
 
 # Deeper than any entry, and than a decoder's stack may bear.
 DEEP = b"[" * 100000 + b"]" * 100000
@@ -94,3 +94,32 @@
     await bench.store.put("config", "main", {**bench.config, "Version": 3})
     await bench.until_logged("GATEWAY_ROUTING_ADOPTED", version=3)
     bench.say(await served(bench, "p2"))
+
+
+async def odd_entries_without_fields(bench):
+    """Entries that lack a field of a server, or have it of another type: none
+    of them is used, whoever listens at its address."""
+    await bench.add_target("p1", "plain", echo)
+    await bench.start()
+    odd = await Target("odd", "plain", echo).start()
+    fields = ("Backend", "Zone", "Address", "Phase", "Version", "Capacity",
+              "WarmupLeftMs")
+    entries = {}
+    for field in fields:
+        record = {**odd.record(), "Address": f"127.0.0.1:{odd.port}"}
+        entries[f"{field}-of-another-type"] = {**record, field: [1]}
+        entries[f"{field}-null"] = {**record, field: None}
+        del record[field]
+        entries[f"without-{field}"] = record
+    for name, record in entries.items():
+        await bench.store.put("servers", name, record)
+    # Changes are followed in order.
+    await bench.add_target("p2", "plain", echo)
+    await bench.until_logged("GATEWAY_TARGET_ADDED", target="p2")
+    statuses = {(await bench.send("GET", "/read/x"))[0] for _ in range(30)}
+    bench.say(f"{sorted(statuses)}, requests by other entries: "
+              f"{len(odd.requests)}")
+    added = {l["target"] for l in bench.logged("GATEWAY_TARGET_ADDED")}
+    invalid = {l["target"] for l in bench.logged("GATEWAY_TARGET_INVALID")}
+    bench.say(f"added: {sorted(added)}")
+    bench.say(f"logged: {len(invalid)} of {len(entries)}")
