gateway: the events of a stream that is held back in a stop are parsed

Without the stop the stream is cut.

Cause: a stream of a plain service that may last longer than the stop was taken for a response of any kind (on_head, begin_buffering): its body was kept as bytes, and on_done passed it on with its length. What the parser of events decides on other streams was left out: an end inside an event, events that were repeated or skipped, and whether the stream may go on elsewhere.

Evidence: GATEWAY_ANSWERED of such a stream counts 0 events, whatever its body has. A caller that took its stream up got events twice, and a stream that may be resumed was not.

Change: such a stream has a state of its own, CV_EXCHANGE_COLLECTING. Its events are parsed like those of other streams, kept, and sent at its end with their length. The same table decides on the end; a torn stream is sent elsewhere, if its route allows it, or gets 502. An attempt whose caller has no event begins where the caller asked to.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -167,7 +167,10 @@
   x->awaits_migration = false;
   x->is_outcome_recorded = false;
   cv_buf_reset (&x->response_body);
-  cv_events_restart (&x->events);
+  if (x->head_sent)
+    cv_events_restart (&x->events);
+  else
+    cv_exchange_rewind (x);
   x->link = cv_target_acquire_link (t, !cv_route_is_repeatable (x->route));
   x->sends++;
   cv_refusal_record (&x->service_state->refusals, false);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -347,6 +347,15 @@
   return true;
 }
 
+void
+cv_exchange_rewind (cv_exchange_t *x)
+{
+  cv_events_finish (&x->events);
+  cv_events_init (&x->events);
+  if (x->request.has_last_event)
+    cv_events_follow (&x->events, x->request.last_event);
+}
+
 void
 cv_exchange_begin (cv_client_t *c)
 {
@@ -371,8 +380,7 @@
   if (cv_exchange_refuse_near_stop (x) || cv_exchange_refuse_quarantined (x))
     return;
   cv_retry_budget_first (&x->service_state->retries);
-  if (x->request.has_last_event)
-    cv_events_follow (&x->events, x->request.last_event);
+  cv_exchange_rewind (x);
   if (!cv_resume_begin (x))
     cv_exchange_place (x);
 }
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -45,7 +45,8 @@
   CV_EXCHANGE_SENT,        /* no response yet */
   CV_EXCHANGE_BUFFERING,   /* the response body is buffered whole */
   CV_EXCHANGE_RELAYING,    /* a large response is forwarded as it arrives */
-  CV_EXCHANGE_STREAMING    /* events are forwarded */
+  CV_EXCHANGE_STREAMING,   /* events are forwarded */
+  CV_EXCHANGE_COLLECTING   /* events are buffered until the stream ends */
 } cv_exchange_state_t;
 
 /* Size of an exchange's buffer for the handle of a copied KV cache, with its
@@ -156,13 +157,16 @@
   cv_target_t *doubted_target;
 
   cv_body_end_t body_end; /* of the response that is complete */
-  cv_buf_t response_body; /* of CV_EXCHANGE_BUFFERING */
+  cv_buf_t response_body; /* of CV_EXCHANGE_BUFFERING and _COLLECTING */
   bool head_sent;         /* the response head was sent to the caller */
   cv_events_t events;     /* of a stream */
 };
 
 /* exchange.c */
 void cv_exchange_begin (cv_client_t *c);
+/* Discards the events of X, of which its caller has none: an attempt begins
+   where the caller asked to.  */
+void cv_exchange_rewind (cv_exchange_t *x);
 /* The connection of X is closed for REASON: ends X without a response.  */
 void cv_exchange_abandon (cv_exchange_t *x, cv_close_reason_t reason);
 /* Places queued exchanges for which a target has room.  */
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -175,7 +175,7 @@
   if (cv_exchange_is_generation (x))
     cv_exchange_handle_failure (x, "stream cannot end before the stop", true);
   else
-    begin_buffering (x);
+    x->state = CV_EXCHANGE_COLLECTING;
 }
 
 /* Forwards the buffered part of a large response, then the rest as it
@@ -296,6 +296,30 @@
     pause_if_unread (x);
 }
 
+/* The end of a stream decides whether the caller may have its events: the
+   response can be refused until then.  */
+static void
+collect_events (cv_exchange_t *x, cv_slice_t data)
+{
+  uint64_t count = x->events.count;
+  cv_error_t err = { 0 };
+
+  if (!cv_events_feed (&x->events, data, &x->response_body, &err))
+    {
+      cv_exchange_handle_failure (x, err.text, true);
+      return;
+    }
+  if (x->events.count > count)
+    {
+      cv_attempt_prefill_done (x);
+      x->last_activity_at = cv_now ();
+    }
+  cv_held_update (x->client);
+  if (x->response_body.n > STOP_BUFFERED_BODY_MAX_BYTES)
+    cv_exchange_handle_failure (
+        x, "response is too large to end before the stop", true);
+}
+
 void
 cv_attempt_tick (cv_exchange_t *x, cv_time_t now)
 {
@@ -335,6 +359,9 @@
     case CV_EXCHANGE_STREAMING:
       forward_events (x, data);
       return;
+    case CV_EXCHANGE_COLLECTING:
+      collect_events (x, data);
+      return;
     case CV_EXCHANGE_WAITING:
     case CV_EXCHANGE_RESERVING:
     case CV_EXCHANGE_SENT:
@@ -431,8 +458,17 @@
 {
   cv_attempt_record_outcome (x, true);
   cv_evidence_completed (&x->gateway->evidence, x);
-  begin_stream (x);
-  cv_response_end_body (x->client, caller_framing (x));
+  if (x->state == CV_EXCHANGE_COLLECTING)
+    {
+      if (x->events.count > 0)
+        cv_version_note_event (x);
+      send_buffered_response (x);
+    }
+  else
+    {
+      begin_stream (x);
+      cv_response_end_body (x->client, caller_framing (x));
+    }
   if (x->link != NULL)
     release_link (x);
   cv_exchange_end (x, true);
@@ -490,7 +526,7 @@
       cv_exchange_handle_rejection (x, h->status);
       return;
     }
-  if (x->state == CV_EXCHANGE_STREAMING)
+  if (x->state == CV_EXCHANGE_STREAMING || x->state == CV_EXCHANGE_COLLECTING)
     {
       on_stream_done (x);
       return;
