gateway: any success with the type of a stream is one, if it has a body

The type of the response and the status 200 alone decided whether its events are parsed: other successes were kept as bytes, and a response without a body became a stream in chunks.

Change: is_stream takes any success, and asks the reader whether a body follows.

Errors with the type of a stream are kept as bytes as before.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -83,6 +83,16 @@
   return NULL;
 }
 
+/* Whether the response of X is a stream, whose end its events decide on.  */
+static bool
+is_stream (const cv_exchange_t *x, const cv_answer_fields_t *fields)
+{
+  unsigned status = x->link->reader.head.status;
+
+  return fields->is_event_stream && status >= 200 && status <= 299
+         && !cv_http_reader_has_no_body (&x->link->reader);
+}
+
 static void
 begin_buffering (cv_exchange_t *x)
 {
@@ -162,7 +172,7 @@
                                     true);
       return;
     }
-  if (h->status != 200 || !fields.is_event_stream)
+  if (!is_stream (x, &fields))
     {
       begin_buffering (x);
       return;
--- a/http/reader.c
+++ b/http/reader.c
@@ -185,10 +185,8 @@
              && p->status_code != 101 && r->status_digits == STATUS_DIGITS);
 }
 
-/* Whether the message ends with its head, whatever its fields say (RFC 9112,
-   6.3).  */
-static bool
-has_no_body (const cv_http_reader_t *r)
+bool
+cv_http_reader_has_no_body (const cv_http_reader_t *r)
 {
   unsigned status = r->parser.status_code;
 
@@ -220,7 +218,7 @@
   h->http_1_0 = p->http_major == 1 && p->http_minor == 0;
   r->head_done = true;
   (void)pause_with (r, CV_HTTP_HEAD);
-  return has_no_body (r) ? 1 : 0;
+  return cv_http_reader_has_no_body (r) ? 1 : 0;
 }
 
 static int
--- a/http/reader.h
+++ b/http/reader.h
@@ -81,6 +81,9 @@
 /* Handles an orderly end of the connection; returns whether it completes the
    message.  */
 bool cv_http_reader_eof (cv_http_reader_t *r);
+/* Whether the message, whose head was read, ends with it, whatever its fields
+   say (RFC 9112, 6.3).  */
+bool cv_http_reader_has_no_body (const cv_http_reader_t *r);
 
 cv_slice_t cv_http_request_target (const cv_http_head_t *h);
 cv_http_field_t cv_http_field_at (const cv_http_head_t *h, uint32_t i);
--- a/tests/gateway/status_scenarios.py
+++ b/tests/gateway/status_scenarios.py
@@ -377,3 +377,37 @@
     await bench.start()
     for _ in range(2):
         bench.say(await ask(bench, script, "non-idempotent", "1/1"))
+
+
+async def status_of_streams(bench):
+    """Streams whose status is another success than 200 are cut if they end
+    inside an event, and a response with the type of a stream that has no body
+    leaves its connection in step."""
+    torn = b"id: 0\ndata: a\n\nid: 1\nda"
+
+    async def script(target, request, writer):
+        _, _, status, body = request.path.split("/")
+        end = {"torn": torn, "whole": torn[:-8]}.get(body)
+        framing = "Connection: close" if end else "Transfer-Encoding: chunked"
+        writer.write((f"HTTP/1.1 {status} X\r\n"
+                      + FIELDS.format(request.headers["attempt-id"])
+                      + f"Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
+                      ).encode() + (end or b""))
+        return end is None
+
+    bench.config["Routes"][2]["Backend"] = "plain"
+    await bench.add_target("t1", "plain", script)
+    await bench.start()
+    for status in (200, 201, 206):
+        for body in ("whole", "torn"):
+            got, _, data = await bench.send("POST", f"/long/{status}/{body}")
+            bench.say(f"{status} {body}: {got}, {data.count(b'data')} events")
+    for method, status in (("HEAD", 200), ("HEAD", 201), ("POST", 204)):
+        reader, writer = await bench.connect()
+        writer.write(bench.head(method, f"/long/{status}/none"))
+        got, _ = await asyncio.wait_for(read_head(reader), 8)
+        following, _, data = await bench.exchange(
+            reader, writer, bench.head("POST", "/long/200/whole"))
+        bench.say(f"{method} {status}: {got}, and then {following}, "
+                  f"{data.count(b'data')} events")
+        writer.close()
