--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -83,7 +83,8 @@
   return NULL;
 }
 
-/* Whether the response of X is a stream, whose end its events decide on.  */
+/* Whether the response of X is a stream, which is whole only if it ends between
+   two events.  */
 static bool
 is_stream (const cv_exchange_t *x, const cv_answer_fields_t *fields)
 {
@@ -306,8 +307,8 @@
     pause_if_unread (x);
 }
 
-/* The end of a stream decides whether the caller may have its events: the
-   response can be refused until then.  */
+/* Keeps the events of a stream until its end, since a response that has not
+   begun can still be refused.  */
 static void
 collect_events (cv_exchange_t *x, cv_slice_t data)
 {
--- a/http/link.c
+++ b/http/link.c
@@ -71,8 +71,8 @@
   return -1;
 }
 
-/* Has on_event called from the event loop, as for a connection that fails
-   later: owners open connections from the handlers of such failures.  */
+/* Reports the failure from the event loop, as if it came later: the owner may
+   open the next connection in its handler, which must not recur.  */
 static void
 fail_later (cv_http_link_t *l, int error)
 {
