http: an end of file beside an error of the connection is no end of the body

Cause: a socket reports its error once. The gateway's write took the ECONNRESET of the reset, and the read after it found an end of file. libevent delivers both in one event, and on_event of http/link.c took any event with an end of file for the orderly end of the connection, which completes a body without length.

Evidence: each of the 48 resets in a traced run of gateway-early-answer-reset came as one event with READING, WRITING, EOF and ERROR, errno 104, with 5 MB of the upload in the output; the answers that were closed in order came with EOF alone.

Change: an end of file beside an error is no orderly end, unless the error is EPIPE: the kernel reports that after a reset if the peer had closed before, so that the body is whole. The socket is the same for calls to the store, to engines and between processes, which use http/link.c too.

Already handled, and kept as tests: a length and chunks; answers that are closed in order (-closed), and reset later (-closed-then-reset) or at once (-closed-then-reset-at-once), are whole before and after.

--- a/http/link.c
+++ b/http/link.c
@@ -374,10 +374,22 @@
   cv_http_link_release (l);
 }
 
+/* Whether a connection that ended with the flags WHAT was closed in order.  A
+   socket reports an error once: if the write takes it, the read that follows
+   finds an end of file after a reset too.  With EPIPE the peer had closed
+   before the reset.  */
+static bool
+is_orderly_end (short what, int error)
+{
+  return (what & BEV_EVENT_EOF)
+         && (!(what & BEV_EVENT_ERROR) || error == EPIPE);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
   cv_http_link_t *l = arg;
+  int error = EVUTIL_SOCKET_ERROR ();
 
   if (what & BEV_EVENT_CONNECTED)
     {
@@ -389,7 +401,7 @@
   l->refs++;
   if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
     read_input (l);
-  if (l->bev != NULL && l->open && l->busy && (what & BEV_EVENT_EOF)
+  if (l->bev != NULL && l->open && l->busy && is_orderly_end (what, error)
       && cv_http_reader_eof (&l->reader))
     {
       l->at_eof = true;
