http: the names of trailer fields are checked as those of a head

Cause: cv_http_reader checked the names of fields when a head was complete, and dropped trailers unread. http-parser refuses control bytes in names by itself, but takes blanks. The reader is the same for answers of targets, load reports and the store.

Change: a name in trailers must be a token, else the message is malformed, as it is with such a name in its head. The check of tokens moves to base, for other readers of answers.

Already handled, and kept as tests: blanks, tabs, control bytes, no name and no colon in heads, informational heads and heads behind these, and a status that is none behind an informational answer (gateway-status-invalid-after-informational).

--- a/base/base.h
+++ b/base/base.h
@@ -84,6 +84,8 @@
 
 cv_slice_t cv_slice (const char *text);
 bool cv_slice_equal (cv_slice_t a, cv_slice_t b);
+/* Whether TEXT is a token (RFC 9110, 5.6.2), as the name of a field must be. */
+bool cv_is_token (cv_slice_t text);
 
 /* Statuses of HTTP responses (RFC 9110, 15): those from the first on are final,
    those above the second are none.  */
--- a/base/string.c
+++ b/base/string.c
@@ -1,11 +1,14 @@
 /* Slices, bounded copies, checked allocation and the byte buffer.  */
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/base.h"
 
 #define BUF_INITIAL_BYTES 256
+/* Characters of a token besides letters and digits.  */
+#define TOKEN_SYMBOLS "!#$%&'*+-.^_`|~"
 
 static void buf_reserve (cv_buf_t *b, size_t extra);
 
@@ -23,6 +26,16 @@
   return a.n == b.n && (a.n == 0 || memcmp (a.p, b.p, a.n) == 0);
 }
 
+bool
+cv_is_token (cv_slice_t text)
+{
+  for (size_t i = 0; i < text.n; i++)
+    if (!isalnum ((unsigned char)text.p[i])
+        && (text.p[i] == '\0' || strchr (TOKEN_SYMBOLS, text.p[i]) == NULL))
+      return false;
+  return text.n > 0;
+}
+
 bool
 cv_copy (char *dst, size_t size, const char *text)
 {
--- a/http/reader.c
+++ b/http/reader.c
@@ -6,8 +6,6 @@
 
 #include "http/reader.h"
 
-/* Characters that a field name may contain besides letters and digits.  */
-#define NAME_SYMBOLS "!#$%&'*+-.^_`|~"
 /* Colon, space and line end of a field; counted for each piece of a name that
    arrives split.  */
 #define FIELD_OVERHEAD_BYTES 4
@@ -118,9 +116,12 @@
   cv_http_reader_t *r = p->data;
   cv_http_head_t *h = &r->head;
 
-  /* Trailer fields of a chunked body are discarded.  */
+  /* Trailer fields of a chunked body are discarded.  A piece of a name may be
+     empty.  */
   if (r->head_done)
-    return 0;
+    return n == 0 || cv_is_token ((cv_slice_t){ at, n })
+               ? 0
+               : abort_with (r, CV_HTTP_MALFORMED);
   if (h->fields == 0 || r->in_value)
     {
       if (h->fields == CV_HTTP_FIELDS_MAX)
@@ -159,15 +160,11 @@
     {
       cv_http_field_t f = cv_http_field_at (h, i);
 
-      for (size_t k = 0; k < f.name.n; k++)
-        if (strchr (NAME_SYMBOLS, f.name.p[k]) == NULL
-            && !isalnum ((unsigned char)f.name.p[k]))
-          return false;
+      if (!cv_is_token (f.name))
+        return false;
       for (size_t k = 0; k < f.value.n; k++)
         if (iscntrl ((unsigned char)f.value.p[k]) && f.value.p[k] != '\t')
           return false;
-      if (f.name.n == 0)
-        return false;
     }
   return true;
 }
--- a/http/tests/reader_test.cc
+++ b/http/tests/reader_test.cc
@@ -130,6 +130,19 @@
         << status;
 }
 
+TEST (Reader, ATrailerWhoseNameIsNoneIsRejected)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                            "\r\n1\r\na\r\n0\r\nX-Sum: 1\r\n";
+
+  for (const char *name : { "X Odd", "X-Odd ", "X-Odd\t", "X\x01Odd", "X(Odd)",
+                            "X\xe9", "", "Content-Length " })
+    for (size_t step : { 1, 3, 1000 })
+      EXPECT_EQ ("200 Transfer-Encoding=chunked|abroken",
+                 read (start + name + ": 1\r\n\r\n", HTTP_RESPONSE, step))
+          << name << ' ' << step;
+}
+
 TEST (Reader, AnswersWithoutABodyEndWithTheirHead)
 {
   const std::string next = response ("200");
--- a/tests/gateway/status_scenarios.py
+++ b/tests/gateway/status_scenarios.py
@@ -121,6 +121,19 @@
     await play(bench, Responder("Not-Executed: 1\r\n"), ("000", "101", "600"))
 
 
+async def status_invalid_after_informational(bench):
+    """The same behind an informational answer."""
+    async def script(target, request, writer):
+        _, _, line, body = request.path.split("/")
+        script.sends += 1
+        writer.write(INFORMATIONAL["103"].encode()
+                     + encode(line, body, request.headers["attempt-id"]))
+        await writer.drain()
+        return body != "close"
+
+    await play(bench, script, ("000", "099", "101", "600", "2xx"))
+
+
 async def status_invalid_of_a_resumed_stream(bench):
     """A stream breaks off, and the next engine answers with a status that is
     none: the stream goes on at another engine."""
