http: a folded line makes a response malformed

The same line in an informational head or in trailers was dropped, and the answer passed on. A length in such a line was not one, so that the body could be another than the server's.

Cause: http-parser joins a line that begins with a blank to the field before it, by the obsolete rule of folding, so that the check of names never sees it.

Change: the reader follows the lines of heads and trailers of responses, and takes a folded one as malformed, as RFC 9112, 5.2 allows a gateway. It pauses the parser behind the last chunk, where trailers begin. Requests are read as before.

--- a/http/reader.c
+++ b/http/reader.c
@@ -21,6 +21,7 @@
 static int on_field (http_parser *p, const char *at, size_t n);
 static int on_value (http_parser *p, const char *at, size_t n);
 static int on_head (http_parser *p);
+static int on_chunk (http_parser *p);
 static int on_body (http_parser *p, const char *at, size_t n);
 static int on_done (http_parser *p);
 
@@ -29,6 +30,7 @@
         .on_header_field = on_field,
         .on_header_value = on_value,
         .on_headers_complete = on_head,
+        .on_chunk_header = on_chunk,
         .on_body = on_body,
         .on_message_complete = on_done };
 
@@ -65,6 +67,7 @@
   r->after_version = false;
   r->status_done = false;
   r->status_digits = 0;
+  r->at_line_start = false;
   r->head_done = false;
   r->no_body = false;
 }
@@ -86,6 +89,12 @@
   return -1;
 }
 
+static bool
+is_in_trailers (const cv_http_reader_t *r)
+{
+  return (r->parser.flags & F_TRAILING) != 0;
+}
+
 /* Appends N bytes to the head; fails when the head exceeds its limit.  */
 static int
 add_to_head (cv_http_reader_t *r, const char *at, size_t n, size_t overhead)
@@ -218,6 +227,18 @@
   return cv_http_reader_has_no_body (r) ? 1 : 0;
 }
 
+/* Pauses between the last chunk and the trailers, which are read as lines.  */
+static int
+on_chunk (http_parser *p)
+{
+  cv_http_reader_t *r = p->data;
+
+  if (!is_in_trailers (r))
+    return 0;
+  r->at_line_start = true;
+  return pause_with (r, CV_HTTP_NEED_INPUT);
+}
+
 static int
 on_body (http_parser *p, const char *at, size_t n)
 {
@@ -250,11 +271,42 @@
       r->status_done = r->status_digits > 0;
 }
 
+/* Whether one of the N bytes of a head or of trailers begins a folded line, the
+   rest of the field before it (RFC 9112, 5.2).  http-parser joins them.  */
+static bool
+has_folded_line (cv_http_reader_t *r, const char *data, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    {
+      if (r->at_line_start && (data[i] == ' ' || data[i] == '\t'))
+        return true;
+      r->at_line_start = data[i] == '\n';
+    }
+  return false;
+}
+
+/* Parses up to N bytes and sets *USED to the number consumed.  A folded line
+   makes a response malformed: a server in trouble may send a field of its own
+   with a blank before it.  */
+static enum http_errno
+parse (cv_http_reader_t *r, const char *data, size_t n, size_t *used)
+{
+  bool has_lines = r->parser.type == HTTP_RESPONSE
+                   && (!r->head_done || is_in_trailers (r));
+
+  http_parser_pause (&r->parser, 0);
+  *used = http_parser_execute (&r->parser, &callbacks, data, n);
+  if (has_lines && has_folded_line (r, data, *used))
+    return HPE_INVALID_HEADER_TOKEN;
+  return HTTP_PARSER_ERRNO (&r->parser);
+}
+
 cv_http_part_t
 cv_http_reader_next (cv_http_reader_t *r, const char *data, size_t n,
                      size_t *used)
 {
   enum http_errno e;
+  size_t step;
 
   r->part = CV_HTTP_NEED_INPUT;
   *used = 0;
@@ -262,9 +314,12 @@
     return CV_HTTP_NEED_INPUT;
   r->started = true;
   count_status_digits (r, data, n);
-  http_parser_pause (&r->parser, 0);
-  *used = http_parser_execute (&r->parser, &callbacks, data, n);
-  e = HTTP_PARSER_ERRNO (&r->parser);
+  do
+    {
+      e = parse (r, data + *used, n - *used, &step);
+      *used += step;
+    }
+  while (e == HPE_PAUSED && r->part == CV_HTTP_NEED_INPUT && *used < n);
   if (e == HPE_OK || e == HPE_PAUSED)
     return r->part;
   if (e == HPE_HEADER_OVERFLOW || r->part == CV_HTTP_HEAD_TOO_LARGE)
--- a/http/reader.h
+++ b/http/reader.h
@@ -65,6 +65,8 @@
   bool after_version;  /* the status of a response follows or was read */
   bool status_done;
   uint32_t status_digits; /* number of digits so far */
+  bool at_line_start;     /* the next byte of a head or of trailers begins a
+                             line */
   bool head_done;
   bool no_body; /* response to a HEAD request */
 } cv_http_reader_t;
--- a/http/tests/reader_test.cc
+++ b/http/tests/reader_test.cc
@@ -143,6 +143,29 @@
           << name << ' ' << step;
 }
 
+TEST (Reader, AFoldedLineOfAResponseIsRejected)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks = start + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string last = "0\r\nX-Sum: 1\r\n";
+  const std::string heads[]
+      = { start + "X-A: 1\r\n Content-Length: 2\r\n\r\nab",
+          start + "X-A: 1\r\n\tX-B: 2\r\nContent-Length: 2\r\n\r\nab",
+          start + "X-A:\r\n Content-Length: 2\r\n\r\nab",
+          start + "X-A: 1\n X-B: 2\n\n" };
+
+  for (size_t step : { 1, 3, 1000 })
+    {
+      for (const std::string &head : heads)
+        EXPECT_EQ ("broken", read (head, HTTP_RESPONSE, step)) << head;
+      EXPECT_EQ ("200 Transfer-Encoding=chunked|broken",
+                 read (chunks + last + " X-B: 2\r\n\r\n", HTTP_RESPONSE, step));
+      EXPECT_EQ ("200 Transfer-Encoding=chunked| a\n b|done;",
+                 read (chunks + "5\r\n a\n b\r\n" + last + "\r\n",
+                       HTTP_RESPONSE, step));
+    }
+}
+
 TEST (Reader, AnswersWithoutABodyEndWithTheirHead)
 {
   const std::string next = response ("200");
--- a/tests/gateway/field_name_scenarios.py
+++ b/tests/gateway/field_name_scenarios.py
@@ -12,6 +12,10 @@
 LINES = {
     "blank-within": b"X-Odd Name: 1",
     "blank-before-the-colon": b"X-Odd : 1",
+    # Read as a rest of the field before it (RFC 9112, 5.2).
+    "blank-first": b" X-Odd: 1",
+    "tab-first": b"\tX-Odd: 1",
+    "length-in-a-folded-line": b"X-Empty:\r\n Content-Length: 2",
     "tab-within": b"X-Odd\tName: 1",
     "tab-before-the-colon": b"X-Odd\t: 1",
     "null": b"X-Odd\0Name: 1",
@@ -66,6 +70,8 @@
     async def write_in_pieces(self, data):
         data = spoil(data, self.place, self.line)
         for at in range(0, len(data), self.step):
+            if self.writer.transport.is_closing():
+                return
             self.writer.write(data[at:at + self.step])
             await asyncio.sleep(0.0005)
 
