side, store: a line of a head or of trailers that is no field is no answer

Cause: libcurl takes each line with a colon for a field, and cv_head_lines_add, which sees all lines of heads and trailers, looked for their end only. A line "HTTP/1.1 200 OK: 1" among the fields of a head began another head for it.

Change: cv_head_lines_add ends the transfer at a line that is neither the status line of a head, nor a field whose name is a token, nor a head's end. A side's call is then incomplete, and a write to the store has an unknown outcome, as after any answer that is broken off.

Already handled, and kept as tests: uploads of a side and writes to the store that are answered early, with a part in each framing and a reset, are incomplete (Http, StoreEarly); answers that are closed in order are whole.

--- a/side/tests/http_test.cc
+++ b/side/tests/http_test.cc
@@ -40,12 +40,11 @@
   r->status = result->status;
 }
 
-// Sends one request without a time limit to a server that answers RESPONSE.
+// Sends BODY to the server URL without a time limit.
 Result
-request (const std::string &response, bool stays_open)
+post (const std::string &server_url, const std::string &body)
 {
-  OddServer server (response, stays_open);
-  std::string url = server.url () + "/x";
+  std::string url = server_url + "/x";
   cv_http_call_t call = {};
   cv_http_t http;
   cv_error_t err = {};
@@ -55,7 +54,7 @@
   EXPECT_TRUE (cv_http_init (&http, epoll_fd, 1, &err)) << err.text;
   call.method = "POST";
   call.url = url.c_str ();
-  call.body = cv_slice ("x");
+  call.body = { body.data (), body.size () };
   call.at_most_once = true;
   call.data = on_data;
   call.done = on_done;
@@ -75,6 +74,14 @@
   return r;
 }
 
+Result
+request (const std::string &response, bool stays_open)
+{
+  OddServer server (response, stays_open);
+
+  return post (server.url (), "x");
+}
+
 std::string
 answer (const std::string &status)
 {
@@ -95,6 +102,79 @@
       }
 }
 
+TEST (Http, AnEarlyAnswerThatIsResetIsIncomplete)
+{
+  const std::string upload (EarlyServer::UploadBytes, 'u');
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const struct
+  {
+    std::string head;
+    std::string part;
+    std::string rest;
+  } answers[] = { { status + "\r\n", "ab", "cd" },
+                  { status + "Content-Length: 4\r\n\r\n", "ab", "cd" },
+                  { status + "Transfer-Encoding: chunked\r\n\r\n",
+                    "2\r\nab\r\n", "2\r\ncd\r\n0\r\n\r\n" } };
+
+  for (const auto &a : answers)
+    {
+      {
+        EarlyServer server (a.head + a.part, false);
+        EXPECT_EQ (CV_HTTP_INCOMPLETE, post (server.url (), upload).end)
+            << a.head;
+      }
+      EarlyServer server (a.head + a.part + a.rest, true);
+      Result r = post (server.url (), upload);
+      EXPECT_EQ (CV_HTTP_COMPLETE, r.end) << a.head;
+      EXPECT_EQ ("abcd", r.body);
+    }
+}
+
+TEST (Http, ALineOfAHeadThatIsNoFieldIsNoAnswer)
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string rest = "Content-Length: 2\r\n";
+  const std::string body = "\r\nab";
+  const std::string early = "HTTP/1.1 103 Early Hints\r\nLink: </y>\r\n";
+
+  for (const std::string &text : kNoFields)
+    {
+      const std::string line = text + "\r\n";
+      const std::string answers[]
+          = { status + line + rest + body,
+              status + rest + "X-A: 1\r\n" + line + body,
+              early + line + "\r\n" + status + rest + body,
+              early + "\r\n" + status + rest + "X-A: 1\r\n" + line + body };
+
+      for (const std::string &text_of_answer : answers)
+        for (bool stays_open : { false, true })
+          {
+            Result r = request (text_of_answer, stays_open);
+
+            EXPECT_TRUE (r.ended) << text_of_answer << stays_open;
+            EXPECT_EQ (CV_HTTP_INCOMPLETE, r.end)
+                << text_of_answer << stays_open;
+            EXPECT_EQ ("", r.body) << text_of_answer << stays_open;
+          }
+    }
+}
+
+TEST (Http, ATrailerThatIsNoFieldIsNoAnswer)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                            "\r\n2\r\nab\r\n0\r\nX-Sum: 1\r\n";
+
+  EXPECT_EQ (CV_HTTP_COMPLETE, request (start + "\r\n", true).end);
+  for (const std::string &line : kNoFields)
+    for (bool stays_open : { false, true })
+      {
+        Result r = request (start + line + "\r\n\r\n", stays_open);
+
+        EXPECT_TRUE (r.ended) << line << stays_open;
+        EXPECT_EQ (CV_HTTP_INCOMPLETE, r.end) << line << stays_open;
+      }
+}
+
 TEST (Http, ProperAnswersAreComplete)
 {
   for (const char *status : { "200", "404", "503", "599" })
--- a/store/http.c
+++ b/store/http.c
@@ -109,6 +109,9 @@
   code = curl_easy_perform (s->curl);
   curl_slist_free_all (headers);
   response->sent = code == CURLE_OK || may_have_been_sent (code);
+  if (head.is_invalid)
+    return cv_fail (err, CV_ERR_UNAVAILABLE,
+                    "store %s: a line of the response is no field", s->url);
   if (code != CURLE_OK)
     return cv_fail (err, CV_ERR_UNAVAILABLE, "store %s: %s", s->url,
                     curl_easy_strerror (code));
--- a/store/tests/store_test.cc
+++ b/store/tests/store_test.cc
@@ -12,6 +12,22 @@
 namespace
 {
 
+// Expects that SERVER's answer to a write of JSON tells neither that it was
+// applied nor that it was not.
+void
+expect_unknown (const std::string &url, const std::string &json)
+{
+  cv_store_t store;
+  cv_error_t err = {};
+  uint64_t version = 0;
+
+  cv_store_init (&store, url.c_str (), 5000);
+  EXPECT_FALSE (
+      cv_store_put (&store, "claims/a", 0, json.c_str (), &version, &err));
+  EXPECT_EQ (CV_ERR_UNKNOWN, err.code) << err.text;
+  cv_store_finish (&store);
+}
+
 class StoreTest : public testing::Test
 {
 protected:
@@ -61,6 +77,49 @@
     }
 }
 
+TEST (StoreField, AWriteAnsweredWithALineThatIsNoFieldMayBeApplied)
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "Content-Length: 13\r\n\r\n{\"version\":7}";
+  const std::string early = "HTTP/1.1 103 Early Hints\r\nLink: </y>\r\n";
+  const std::string chunks = status
+                             + "Transfer-Encoding: chunked\r\n\r\n"
+                               "d\r\n{\"version\":7}\r\n0\r\nX-Sum: 1\r\n";
+
+  for (const std::string &text : kNoFields)
+    {
+      const std::string line = text + "\r\n";
+
+      for (const std::string &answer :
+           { status + "X-A: 1\r\n" + line + body,
+             early + line + "\r\n" + status + body,
+             early + "\r\n" + status + line + body, chunks + line + "\r\n" })
+        {
+          OddServer server (answer);
+          SCOPED_TRACE (answer);
+          expect_unknown (server.url (), "{}");
+        }
+    }
+}
+
+TEST (StoreEarly, AWriteAnsweredEarlyWithAResetMayBeApplied)
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string upload
+      = "\"" + std::string (EarlyServer::UploadBytes, 'u') + "\"";
+
+  for (const std::string &answer :
+       { status + "\r\n{\"version\":7}",
+         status + "Content-Length: 15\r\n\r\n{\"version\":7}",
+         status
+             + "Transfer-Encoding: chunked\r\n\r\nd\r\n{\"version\":7}\r\n" })
+    {
+      EarlyServer server (answer, false);
+      SCOPED_TRACE (answer);
+      expect_unknown (server.url (), upload);
+    }
+}
+
 TEST_F (StoreTest, ReadsWhatItWrote)
 {
   cv_object_t o;
