entry: a list of instances with a line that is no field is none

It would send requests to what a list of a server in trouble names.

Cause: the list was read with the client of ulfius, which keeps any line with a colon and gives no access to lines, nor to whether the head was read up to its end.

Change: the list is read with libcurl and cv_head_lines_add, as the store and a side's calls are. An answer that is broken counts as a failed poll, and the list in use stays until the next one.

--- a/entry/instances.c
+++ b/entry/instances.c
@@ -5,9 +5,10 @@
 #include <string.h>
 #include <time.h>
 
+#include <curl/curl.h>
 #include <json-c/json.h>
-#include <ulfius.h>
 
+#include "base/head_lines.h"
 #include "entry/instances.h"
 
 struct cv_instances_t
@@ -119,44 +120,65 @@
   return NULL;
 }
 
-static void
-poll_once (cv_instances_t *i)
+static size_t
+append_body (char *data, size_t size, size_t count, void *body)
 {
-  struct _u_request req;
-  struct _u_response resp;
-  int rc;
-
-  (void)ulfius_init_request (&req);
-  (void)ulfius_init_response (&resp);
-  req.http_verb = o_strdup ("GET");
-  req.http_url = o_strdup (i->url);
-  req.timeout = i->timeout_s;
+  cv_buf_add (body, data, size * count);
+  return size * count;
+}
+
+/* Requests the list, if it has changed since REV, into BODY.  Returns the HTTP
+   status, or 0 without a proper answer.  */
+static long
+fetch_list (const cv_instances_t *i, cv_buf_t *body)
+{
+  CURL *c = curl_easy_init ();
+  struct curl_slist *headers = NULL;
+  cv_head_lines_t head = { 0 };
+  char etag[64];
+  long status = 0;
+
+  CV_INVARIANT (c != NULL);
+  (void)curl_easy_setopt (c, CURLOPT_URL, i->url);
+  (void)curl_easy_setopt (c, CURLOPT_NOSIGNAL, 1L);
+  (void)curl_easy_setopt (c, CURLOPT_PROXY, "");
+  (void)curl_easy_setopt (c, CURLOPT_TIMEOUT, (long)i->timeout_s);
+  (void)curl_easy_setopt (c, CURLOPT_HEADERFUNCTION, cv_head_lines_add);
+  (void)curl_easy_setopt (c, CURLOPT_HEADERDATA, &head);
+  (void)curl_easy_setopt (c, CURLOPT_WRITEFUNCTION, append_body);
+  (void)curl_easy_setopt (c, CURLOPT_WRITEDATA, body);
   if (i->rev[0] != '\0')
     {
-      char etag[40];
-
-      (void)snprintf (etag, sizeof etag, "\"%s\"", i->rev);
-      (void)u_map_put (req.map_header, "If-None-Match", etag);
+      (void)snprintf (etag, sizeof etag, "If-None-Match: \"%s\"", i->rev);
+      headers = curl_slist_append (headers, etag);
+      (void)curl_easy_setopt (c, CURLOPT_HTTPHEADER, headers);
     }
-  rc = ulfius_send_http_request (&req, &resp);
-  if (rc == U_OK && resp.status == 200)
-    {
-      cv_slice_t body = { .p = resp.binary_body, .n = resp.binary_body_length };
+  if (curl_easy_perform (c) == CURLE_OK && head.is_whole)
+    (void)curl_easy_getinfo (c, CURLINFO_RESPONSE_CODE, &status);
+  curl_slist_free_all (headers);
+  curl_easy_cleanup (c);
+  return status;
+}
 
-      apply_list (i, body);
-    }
-  if (rc != U_OK || (resp.status != 200 && resp.status != 304))
+static void
+poll_once (cv_instances_t *i)
+{
+  cv_buf_t body;
+  long status;
+
+  cv_buf_init (&body);
+  status = fetch_list (i, &body);
+  if (status == 200)
+    apply_list (i, (cv_slice_t){ body.p, body.n });
+  if (status != 200 && status != 304)
     {
-      /* Status 0: no HTTP response.  */
       if (!i->failing)
-        cv_log (CV_EV_ENTRY_LIST_FAILED, "%s status %ld", i->url,
-                rc == U_OK ? resp.status : 0);
+        cv_log (CV_EV_ENTRY_LIST_FAILED, "%s status %ld", i->url, status);
       i->failing = true;
     }
   else
     i->failing = false;
-  (void)ulfius_clean_response (&resp);
-  (void)ulfius_clean_request (&req);
+  cv_buf_finish (&body);
 }
 
 static void
--- a/entry/instances.h
+++ b/entry/instances.h
@@ -5,6 +5,10 @@
 
 #include "entry/link.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct cv_instances_t cv_instances_t;
 
 /* Starts a thread that polls the list until cv_instances_free.  */
@@ -18,4 +22,8 @@
 bool cv_instances_parse (cv_slice_t json, cv_instance_t **list, size_t *count,
                          uint32_t *entries, char rev[32], cv_error_t *err);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
