--- a/entry/instances.c
+++ b/entry/instances.c
@@ -128,7 +128,7 @@
 }
 
 /* Requests the list, if it has changed since REV, into BODY.  Returns the HTTP
-   status, or 0 without a proper answer.  */
+   status, or 0 if no complete and valid response was received.  */
 static long
 fetch_list (const cv_instances_t *i, cv_buf_t *body)
 {
--- a/entry/tests/instances_test.cc
+++ b/entry/tests/instances_test.cc
@@ -74,7 +74,7 @@
   const std::string chunked
       = chunks + size + "\r\n" + list + "\r\n0\r\nX-Sum: 1\r\n";
   EXPECT_TRUE (is_adopted (chunked + "\r\n"));
-  for (const std::string &text : kNoFields)
+  for (const std::string &text : kInvalidFields)
     {
       const std::string line = text + "\r\n";
 
--- a/http/reader.c
+++ b/http/reader.c
@@ -286,8 +286,8 @@
 }
 
 /* Parses up to N bytes and sets *USED to the number consumed.  A folded line
-   makes a response malformed: a server in trouble may send a field of its own
-   with a blank before it.  */
+   makes a response malformed, as a field with a blank before its name looks the
+   same.  */
 static enum http_errno
 parse (cv_http_reader_t *r, const char *data, size_t n, size_t *used)
 {
--- a/side/tests/http_test.cc
+++ b/side/tests/http_test.cc
@@ -137,7 +137,7 @@
   const std::string body = "\r\nab";
   const std::string early = "HTTP/1.1 103 Early Hints\r\nLink: </y>\r\n";
 
-  for (const std::string &text : kNoFields)
+  for (const std::string &text : kInvalidFields)
     {
       const std::string line = text + "\r\n";
       const std::string answers[]
@@ -146,15 +146,14 @@
               early + line + "\r\n" + status + rest + body,
               early + "\r\n" + status + rest + "X-A: 1\r\n" + line + body };
 
-      for (const std::string &text_of_answer : answers)
+      for (const std::string &response : answers)
         for (bool stays_open : { false, true })
           {
-            Result r = request (text_of_answer, stays_open);
+            Result r = request (response, stays_open);
 
-            EXPECT_TRUE (r.ended) << text_of_answer << stays_open;
-            EXPECT_EQ (CV_HTTP_INCOMPLETE, r.end)
-                << text_of_answer << stays_open;
-            EXPECT_EQ ("", r.body) << text_of_answer << stays_open;
+            EXPECT_TRUE (r.ended) << response << stays_open;
+            EXPECT_EQ (CV_HTTP_INCOMPLETE, r.end) << response << stays_open;
+            EXPECT_EQ ("", r.body) << response << stays_open;
           }
     }
 }
@@ -165,7 +164,7 @@
                             "\r\n2\r\nab\r\n0\r\nX-Sum: 1\r\n";
 
   EXPECT_EQ (CV_HTTP_COMPLETE, request (start + "\r\n", true).end);
-  for (const std::string &line : kNoFields)
+  for (const std::string &line : kInvalidFields)
     for (bool stays_open : { false, true })
       {
         Result r = request (start + line + "\r\n\r\n", stays_open);
--- a/store/tests/odd_server.h
+++ b/store/tests/odd_server.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 // Lines in place of a field of an answer.
-inline const std::vector<std::string> kNoFields = {
+inline const std::vector<std::string> kInvalidFields = {
   "X-Odd Name: 1",
   "X-Odd : 1",
   " X-Odd: 1",
--- a/store/tests/store_test.cc
+++ b/store/tests/store_test.cc
@@ -12,8 +12,7 @@
 namespace
 {
 
-// Expects that SERVER's answer to a write of JSON tells neither that it was
-// applied nor that it was not.
+// Expects that the outcome of a write of JSON to the store at URL is unknown.
 void
 expect_unknown (const std::string &url, const std::string &json)
 {
@@ -86,7 +85,7 @@
                              + "Transfer-Encoding: chunked\r\n\r\n"
                                "d\r\n{\"version\":7}\r\n0\r\nX-Sum: 1\r\n";
 
-  for (const std::string &text : kNoFields)
+  for (const std::string &text : kInvalidFields)
     {
       const std::string line = text + "\r\n";
 
