Tests: folded lines and trailers of requests

Cause: the check of names in trailers holds for requests too, and that folded lines are read as before holds for them; neither had a test.

--- a/http/tests/reader_test.cc
+++ b/http/tests/reader_test.cc
@@ -166,6 +166,24 @@
     }
 }
 
+TEST (Reader, RequestsHaveFoldedLinesButNoInvalidTrailers)
+{
+  const std::string start = "POST /a HTTP/1.1\r\n";
+  const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+
+  for (size_t step : { 1, 3, 1000 })
+    {
+      EXPECT_EQ (
+          "/a X-A=1 X-B: 2||done;",
+          read (start + "X-A: 1\r\n X-B: 2\r\n\r\n", HTTP_REQUEST, step));
+      EXPECT_EQ (
+          "/a Transfer-Encoding=chunked||done;",
+          read (chunked + "X-Sum: 1\r\n X-B: 2\r\n\r\n", HTTP_REQUEST, step));
+      EXPECT_EQ ("/a Transfer-Encoding=chunked|broken",
+                 read (chunked + "X Odd: 1\r\n\r\n", HTTP_REQUEST, step));
+    }
+}
+
 TEST (Reader, AnswersWithoutABodyEndWithTheirHead)
 {
   const std::string next = response ("200");
