Tests: copies ahead of answers to requests without a name

Only a copy ahead of the next answer shows that mutant, and only if that answer is to a request without a name on a kept connection. The target and the count of answers decide that, so that in a quarter of the runs no request met one.

Change: in one more part of gateway-late-copies-to-nameless each answer to a request without a name has the last one of its connection ahead of it. The other parts stay as they were.

--- a/tests/gateway/late_copy_scenarios.py
+++ b/tests/gateway/late_copy_scenarios.py
@@ -15,14 +15,16 @@
     """Script of targets that write each third answer once more on its connection:
     WHEN is "at once" (with the answer), "idle" (while no request is there),
     "before" (ahead of the next answer) or "torn" (a part while idle, the rest
-    ahead of the next answer).  WRITE, a coroutine function, returns the bytes of
-    an answer."""
+    ahead of the next answer).  With "before nameless" each answer to a request
+    without a name has the last one of its connection ahead of it.  WRITE, a
+    coroutine function, returns the bytes of an answer."""
 
     def __init__(self, write, when):
         self.write = write
         self.when = when
         self.count = 0
         self.copies = {}  # bytes to be written ahead of the next answer
+        self.last = {}  # answer of each connection
         self.runs = {}  # by attempt
 
     def copy(self, data, writer):
@@ -39,15 +41,23 @@
                 asyncio.get_running_loop().call_later(0.01, writer.write,
                                                       data[:half])
 
+    def take_copy(self, request, writer):
+        """What goes ahead of the answer to REQUEST, or None."""
+        if self.when == "before nameless":
+            return None if "attempt-id" in request.headers \
+                else self.last.get(writer)
+        return self.copies.pop(writer, None)
+
     async def __call__(self, target, request, writer):
         attempt = request.headers.get("attempt-id", request.path)
-        earlier = self.copies.pop(writer, None)
+        earlier = self.take_copy(request, writer)
         if earlier is not None:
             writer.write(earlier)
             await asyncio.sleep(0.01)
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
         data = await self.write(request)
         writer.write(data)
+        self.last[writer] = data
         self.count += 1
         if earlier is None and self.count % 3 == 0:
             self.copy(data, writer)
@@ -150,7 +160,10 @@
         route["MaxAttempts"] = 2
     await bench.start(retry_ratio=1, retry_slack=800)
     await bench.until_logged("GATEWAY_TARGET_ADDED", target="t2")
-    for when in ("at once", "idle", "before", "torn"):
+    ways = ["at once", "idle", "before", "torn"]
+    if nameless:
+        ways.append("before nameless")
+    for when in ways:
         copier = Copier(write, when)
         for target in bench.targets.values():
             target.script = copier
