Tests: a refused copy gives its reservation back before the next one

With the mutant the reservation stays, but a later try of the migration may end while it reserves, and gives it back then (traced: 2.2 s after the first refusal).

Change: the scenario checks in the log of the observer that each reservation of the run is given back before the next one is granted.

--- a/tests/gateway/scenarios.py
+++ b/tests/gateway/scenarios.py
@@ -397,6 +397,22 @@
     return caller
 
 
+def is_given_back_before_next_grant(bench, engine, run):
+    """Whether ENGINE's observer got back each reservation of RUN before the next
+    one.  The lines of one observer are in order."""
+    is_held = False
+    for entry in bench.logs:
+        if (entry.get("target"), entry.get("request")) != (engine, run):
+            continue
+        if entry["name"] == "OBSERVER_ROOM_GRANTED":
+            if is_held:
+                return False
+            is_held = True
+        elif entry["name"] == "OBSERVER_ROOM_GIVEN_BACK":
+            is_held = False
+    return True
+
+
 async def move_refused(bench):
     """The copy of a migration fails: the reservation ("room" in the logs) at
     the destination is released, and a new request of the same size gets it."""
@@ -416,6 +432,8 @@
     await bench.until_logged("GATEWAY_MOVE_REFUSED", status=503)
     await bench.until_logged("OBSERVER_ROOM_GIVEN_BACK", target="m2")
     await asyncio.sleep(1)
+    bench.say("given back before the next grant: "
+              f"{is_given_back_before_next_grant(bench, 'm2', 'a1')}")
     # The migration is tried again, and has the reservation at times.
     for _ in range(3):
         status, _, _ = await bench.send(
